--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,46 @@
+import neostandard from 'neostandard'
+
+/** What each package may import of this workspace: imports only go downwards. */
+const LAYERS = {
+  state: [],
+  transport: [],
+  protocol: ['state', 'transport'],
+  coordination: ['state', 'protocol', 'transport'],
+  cyclamenthread: ['state', 'protocol', 'transport', 'coordination'],
+  cyclamenctl: ['state', 'protocol', 'transport'],
+  standins: ['state', 'protocol', 'transport'],
+  bench: ['state', 'protocol', 'transport', 'coordination', 'standins', 'cyclamenthread', 'cyclamenctl']
+}
+
+const PACKAGES = Object.keys(LAYERS)
+
+/** The name under which a workspace package is imported. */
+function importName (directory) {
+  return directory.startsWith('cyclamen') ? directory : `@cyclamenthread/${directory}`
+}
+
+/** One configuration block that forbids a package the layers above it. */
+function layerRule (directory) {
+  const forbidden = PACKAGES.filter((other) => !LAYERS[directory].includes(other) && other !== directory)
+  return {
+    files: [`packages/${directory}/src/lib/**/*.ts`],
+    rules: {
+      'no-restricted-imports': ['error', {
+        paths: forbidden.map((other) => ({ name: importName(other), message: `${directory} may not import ${other}: imports only go downwards.` }))
+      }]
+    }
+  }
+}
+
+export default [
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'out/**'] }),
+  {
+    files: ['**/*.ts'],
+    rules: {
+      '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
+      'no-void': ['error', { allowAsStatement: true }],
+      '@stylistic/max-statements-per-line': ['error', { max: 1 }]
+    }
+  },
+  ...PACKAGES.map(layerRule)
+]
--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,5 @@
+export * from './lib/caller.js'
+export * from './lib/demo.js'
+export * from './lib/deployment.js'
+export * from './lib/deployment-plan.js'
+export * from './lib/service-host.js'
--- /dev/null
+++ b/packages/bench/src/lib/deployment-plan.ts
@@ -0,0 +1,39 @@
+/** A failure domain of a deployment. */
+export interface DomainPlan {
+  readonly name: string
+  readonly region: string
+  readonly hosts: number
+  readonly engines: number
+  readonly bookingEndpoints: number
+}
+
+/** What a test deployment consists of. */
+export interface DeploymentPlan {
+  readonly domains: readonly DomainPlan[]
+  readonly slotsPerEngine: number
+  readonly tokenMs: number
+  readonly usageWindowMs: number
+  readonly ledgerPartitions: number
+  readonly addressTtlMs: number
+}
+
+/** The Authority's deployment at today's size: eight hosts, eight engines, three booking engines. */
+export const TODAY: DeploymentPlan = {
+  domains: [
+    { name: 'leith-walk', region: 'lothian', hosts: 3, engines: 3, bookingEndpoints: 1 },
+    { name: 'grassmarket', region: 'lothian', hosts: 3, engines: 3, bookingEndpoints: 1 },
+    { name: 'castlegate', region: 'grampian', hosts: 2, engines: 2, bookingEndpoints: 1 }
+  ],
+  slotsPerEngine: 16,
+  tokenMs: 1,
+  usageWindowMs: 2_000,
+  ledgerPartitions: 16,
+  addressTtlMs: 200
+}
+
+/** One host only, for the demo. */
+export const SINGLE_HOST: DeploymentPlan = {
+  ...TODAY,
+  domains: [{ name: 'leith-walk', region: 'lothian', hosts: 1, engines: 2, bookingEndpoints: 1 }],
+  ledgerPartitions: 4
+}
--- /dev/null
+++ b/packages/bench/src/lib/service-host.ts
@@ -0,0 +1,92 @@
+import { spawn } from 'node:child_process'
+import { fileURLToPath } from 'node:url'
+import { readSettings, Service } from 'cyclamenthread'
+import type { ChildProcess } from 'node:child_process'
+
+/** Settings of a service process, by environment variable. */
+export type HostEnvironment = Readonly<Record<string, string>>
+
+/** A running host of the service. */
+export interface ServiceHost {
+  /** Stops as an operator would, with a drain. */
+  drain (): Promise<void>
+  /** Ends it without warning. */
+  kill (): Promise<void>
+}
+
+/** A host in this process, for the demo. */
+export class EmbeddedHost implements ServiceHost {
+  readonly #service: Service
+
+  private constructor (service: Service) {
+    this.#service = service
+  }
+
+  static async start (environment: HostEnvironment): Promise<EmbeddedHost> {
+    const settings = readSettings({}, environment)
+    if (!settings.ok) throw new Error(settings.failure.join('\n'))
+    const service = new Service(settings.value)
+    await service.start()
+    return new EmbeddedHost(service)
+  }
+
+  async drain (): Promise<void> {
+    await this.#service.drain()
+  }
+
+  async kill (): Promise<void> {
+    await this.#service.stop()
+  }
+}
+
+/** A host as a process of its own, ended by its id. */
+export class ProcessHost implements ServiceHost {
+  readonly #child: ChildProcess
+  readonly #exited: Promise<void>
+
+  private constructor (child: ChildProcess) {
+    this.#child = child
+    this.#exited = new Promise((resolve) => child.once('exit', () => resolve()))
+  }
+
+  static async start (environment: HostEnvironment): Promise<ProcessHost> {
+    const program = fileURLToPath(import.meta.resolve('cyclamenthread')).replace(/(src|dist)\/index\.[tj]s$/, 'bin/cyclamenthread.js')
+    const child = spawn(process.execPath, [program], {
+      env: { PATH: process.env['PATH'] ?? '', UV_USE_IO_URING: '0', ...environment },
+      stdio: ['ignore', 'ignore', 'inherit']
+    })
+    const host = new ProcessHost(child)
+    process.once('exit', () => child.kill('SIGKILL'))
+    await host.#ready(environment['CYCLAMENTHREAD_CALLER_ADDRESS'] ?? '')
+    return host
+  }
+
+  /** Id of the process. */
+  get pid (): number {
+    return this.#child.pid ?? 0
+  }
+
+  /** Sends a signal, as SIGSTOP to freeze it. */
+  signal (signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
+  async drain (): Promise<void> {
+    this.#child.kill('SIGTERM')
+    await this.#exited
+  }
+
+  async kill (): Promise<void> {
+    this.#child.kill('SIGKILL')
+    await this.#exited
+  }
+
+  async #ready (address: string): Promise<void> {
+    while (this.#child.exitCode === null) {
+      const alive = await fetch(`http://${address}/livez`).then((response) => response.ok, () => false)
+      if (alive) return
+      await new Promise((resolve) => setTimeout(resolve, 50))
+    }
+    throw new Error('the service process ended before it was ready')
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/completion-runner.ts
@@ -0,0 +1,118 @@
+import { digest, notRun, Ran, RefusalReason, SlotEnd } from '@cyclamenthread/state'
+import { CompletionBuilder, CompletionPartKind } from '@cyclamenthread/protocol'
+import { SpanKind, timeLeft, traced, traceparentOf } from '@cyclamenthread/transport'
+import type { Entry, Refusal, Workspace } from '@cyclamenthread/state'
+import type { Completion, CompletionPart, EndpointClient } from '@cyclamenthread/protocol'
+import type { CellRouter, Slot } from './cell-router.js'
+
+/** Endpoints that one request may fail on before it is given up. */
+const MAX_ATTEMPTS = 3
+
+/** Characters of a prompt that identify its cached prefix. */
+const PREFIX_CHARACTERS = 256
+
+/** Characters that one token stands for when nothing better is known. */
+const CHARACTERS_PER_TOKEN = 4
+
+/** A completion that a caller or a batch wants. */
+export interface CompletionOrder {
+  readonly requestId: string
+  readonly workspace: Workspace
+  readonly entry: Entry
+  readonly prompt: string
+  readonly maxTokens: number
+  readonly expectedTokens: number
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+  readonly traceparent: string
+  readonly signal?: AbortSignal
+  /** Called with each part as it comes; once it was called, the request is not run again elsewhere. */
+  readonly onPart?: (part: CompletionPart) => void
+}
+
+/** The result of running a completion. */
+export type CompletionResult =
+  | { readonly ok: true, readonly completion: Completion, readonly endpoint: string }
+  | { readonly ok: false, readonly refusal: Refusal }
+
+/** What one attempt came to. */
+type Attempt =
+  | { readonly kind: 'done', readonly result: CompletionResult }
+  | { readonly kind: 'failed', readonly endpoint: string, readonly sent: boolean, readonly streamed: boolean, readonly detail: string }
+
+/**
+ * Runs completions: gets a slot, streams from the endpoint, gives the slot
+ * back, and tries another endpoint when one fails. Completions are idempotent,
+ * so that is safe as long as no part of the answer went out.
+ */
+export class CompletionRunner {
+  readonly #router: CellRouter
+  readonly #endpoints: EndpointClient
+
+  constructor (router: CellRouter, endpoints: EndpointClient) {
+    this.#router = router
+    this.#endpoints = endpoints
+  }
+
+  /** Runs one completion to its end, a refusal, or its deadline. */
+  async run (order: CompletionOrder): Promise<CompletionResult> {
+    const excluded: string[] = []
+    let ran = Ran.No
+    for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+      const outcome = await this.#attempt(order, excluded)
+      if (outcome.kind === 'done') return outcome.result.ok ? outcome.result : { ok: false, refusal: { ...outcome.result.refusal, ran } }
+      excluded.push(outcome.endpoint)
+      if (outcome.sent) ran = Ran.Maybe
+      if (outcome.streamed || order.signal?.aborted === true || timeLeft(order.deadline) <= 0) break
+    }
+    return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran, detail: `${excluded.length} endpoints failed the request` } }
+  }
+
+  async #attempt (order: CompletionOrder, excluded: readonly string[]): Promise<Attempt> {
+    const answer = await this.#router.acquire({
+      requestId: order.requestId,
+      pool: order.entry.pool,
+      workspace: order.workspace.name,
+      weight: order.workspace.weight,
+      class: order.entry.class,
+      entry: order.entry.name,
+      expectedTokens: order.prompt.length / CHARACTERS_PER_TOKEN + order.expectedTokens,
+      prefix: digest(order.prompt.slice(0, PREFIX_CHARACTERS)),
+      digest: digest(order.entry.name, order.prompt),
+      excluded,
+      deadline: order.deadline,
+      traceparent: order.traceparent,
+      ...(order.signal === undefined ? {} : { signal: order.signal })
+    })
+    if (!answer.granted) return { kind: 'done', result: { ok: false, refusal: answer.refusal } }
+    return await this.#stream(order, answer.slot)
+  }
+
+  async #stream (order: CompletionOrder, slot: Slot): Promise<Attempt> {
+    const hop = { name: 'endpoint.complete', kind: SpanKind.CLIENT, traceparent: order.traceparent, attributes: { endpoint: slot.endpoint.id } }
+    return await traced(hop, async (span) => {
+      const builder = new CompletionBuilder()
+      let streamed = false
+      const call = { requestId: order.requestId, prompt: order.prompt, maxTokens: order.maxTokens, traceparent: traceparentOf(span), deadline: order.deadline }
+      for await (const part of this.#endpoints.complete(slot.endpoint, order.signal === undefined ? call : { ...call, signal: order.signal })) {
+        builder.add(part)
+        if (part.kind !== CompletionPartKind.Text || order.onPart === undefined) continue
+        streamed = true
+        order.onPart(part)
+      }
+      return await this.#finish(order, slot, builder, streamed)
+    })
+  }
+
+  async #finish (order: CompletionOrder, slot: Slot, builder: CompletionBuilder, streamed: boolean): Promise<Attempt> {
+    const { completion, failure } = builder
+    if (completion !== undefined) {
+      await this.#router.release(slot, SlotEnd.Finished, completion.promptTokens + completion.answerTokens, order.traceparent)
+      return { kind: 'done', result: { ok: true, completion, endpoint: slot.endpoint.id } }
+    }
+    const cancelled = order.signal?.aborted === true
+    await this.#router.release(slot, cancelled ? SlotEnd.Cancelled : SlotEnd.Failed, 0, order.traceparent)
+    if (cancelled) return { kind: 'done', result: { ok: false, refusal: notRun(RefusalReason.Cancelled, 'the caller went away') } }
+    return { kind: 'failed', endpoint: slot.endpoint.id, sent: failure?.sent ?? true, streamed, detail: failure?.detail ?? 'the stream ended early' }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/dispatcher-task.ts
@@ -0,0 +1,207 @@
+import { Cell, CellEffectKind, CellEventKind, DecisionChain, findOwner, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
+import { Periodic } from './periodic.js'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { CatalogueView, CellEffect, CellEvent, CellPlacement, CellSummary, ChainedDecision, Decision, Host } from '@cyclamenthread/state'
+import type { AcquireSlot, SlotAnswer } from '@cyclamenthread/protocol'
+import type { CatalogueSource } from './catalogue-task.js'
+import type { HostSettings } from './host-settings.js'
+import type { MemberView } from './member-task.js'
+import type { MessageMeta } from './message-bus.js'
+
+/** How often cells look for deadlines that passed, in milliseconds. */
+const TICK_MS = 100
+
+/** How long a slot outlives the deadline of its request before it is taken back, in milliseconds. */
+const LEASE_GRACE_MS = 5_000
+
+/** Decision records kept in memory for `explain`. */
+const KEPT_DECISIONS = 50_000
+
+/** A cell this host owns and the endpoints it was last told of. */
+interface OwnedCell {
+  readonly cell: Cell
+  placement: CellPlacement
+}
+
+/**
+ * The host that owns a cell: one of the cell's own failure domain if there is
+ * one, else of its region, else any.
+ *
+ * @example
+ * cellOwner(placement, members.workers())?.id
+ */
+export function cellOwner (placement: CellPlacement, workers: readonly Host[]): Host | undefined {
+  const near = workers.filter((host) => host.failureDomain === placement.failureDomain)
+  const regional = workers.filter((host) => host.region === placement.region)
+  const candidates = [near, regional, workers].find((list) => list.length > 0) ?? []
+  const owner = findOwner(`cell/${placement.name}`, candidates.map((host) => host.id))
+  return candidates.find((host) => host.id === owner)
+}
+
+/**
+ * Owns the cells that fall to this host and answers for their slots.
+ *
+ * Invariant: every acquire is answered once, by a grant or a refusal.
+ */
+export class DispatcherTask {
+  readonly #settings: HostSettings
+  readonly #members: MemberView
+  readonly #catalogue: CatalogueSource
+  readonly #cells = new Map<string, OwnedCell>()
+  readonly #waiting = new Map<string, (answer: SlotAnswer) => void>()
+  readonly #chain: DecisionChain
+  #records: ChainedDecision[] = []
+  readonly #ticker: Periodic
+
+  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource) {
+    this.#settings = settings
+    this.#members = members
+    this.#catalogue = catalogue
+    this.#chain = new DecisionChain(`${settings.self.id}/${settings.incarnation}`)
+    this.#ticker = new Periodic(TICK_MS, async () => this.#tick())
+  }
+
+  /** The broker service that answers the dispatcher's messages. */
+  service (): ServiceSchema {
+    return taskService('dispatcher', {
+      [PeerMessageKind.AcquireSlot]: async (message, meta) => await this.#acquire(message, meta),
+      [PeerMessageKind.ReleaseSlot]: async (message) => {
+        const { slotId, end, actualTokens } = message
+        this.#step(message.cell, { kind: CellEventKind.Release, slotId, end, actualTokens })
+        return { accepted: true }
+      },
+      [PeerMessageKind.CancelRequest]: async (message) => {
+        this.#cancel(message.cell, message.requestId)
+        return { accepted: true }
+      },
+      [PeerMessageKind.SummariseCells]: async () => ({ cells: this.summaries() }),
+      [PeerMessageKind.ExplainRequest]: async (message) => ({ records: this.#explain(message.requestId) })
+    })
+  }
+
+  async start (): Promise<void> {
+    this.#catalogue.onChange(() => this.#placeCells())
+    this.#members.onChange(() => this.#placeCells())
+    this.#placeCells()
+    await this.#ticker.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#ticker.stop()
+  }
+
+  /** Summaries of the cells this host owns. */
+  summaries (): CellSummary[] {
+    return [...this.#cells.values()].map((owned) => owned.cell.summary())
+  }
+
+  /** Takes over the cells that now fall to this host and gives up the others. */
+  #placeCells (): void {
+    const view = this.#catalogue.current()
+    if (view === undefined) return
+    const own = this.#ownPlacements(view)
+    const names = new Set(own.map((placement) => placement.name))
+    for (const name of [...this.#cells.keys()]) {
+      if (!names.has(name)) this.#drop(name)
+    }
+    for (const placement of own) this.#place(placement)
+  }
+
+  #ownPlacements (view: CatalogueView): CellPlacement[] {
+    const workers = this.#members.workers()
+    return layCells(view.catalogue).filter((placement) => cellOwner(placement, workers)?.id === this.#settings.self.id)
+  }
+
+  #place (placement: CellPlacement): void {
+    const known = this.#cells.get(placement.name)
+    const cell = known?.cell ?? new Cell({
+      name: placement.name,
+      incarnation: this.#settings.incarnation,
+      queueLimit: this.#settings.cellQueueLimit,
+      leaseGraceMs: LEASE_GRACE_MS
+    })
+    const kept = new Set(placement.endpoints.map((endpoint) => endpoint.id))
+    const gone = (known?.placement.endpoints ?? []).filter((endpoint) => !kept.has(endpoint.id))
+    this.#cells.set(placement.name, { cell, placement })
+    for (const endpoint of gone) this.#step(placement.name, { kind: CellEventKind.EndpointLeaving, endpointId: endpoint.id })
+    for (const endpoint of placement.endpoints) this.#step(placement.name, { kind: CellEventKind.EndpointUp, endpoint })
+  }
+
+  /** Gives up a cell: those who wait there are sent to the new owner. */
+  #drop (name: string): void {
+    this.#cells.delete(name)
+    for (const [key, answer] of [...this.#waiting]) {
+      if (!key.startsWith(`${name}\u0000`)) continue
+      this.#waiting.delete(key)
+      answer({ granted: false, refusal: notRun(RefusalReason.NotOwner, 'the cell moved to another host', 0) })
+    }
+  }
+
+  async #acquire (message: AcquireSlot, meta: MessageMeta): Promise<SlotAnswer> {
+    if (!this.#cells.has(message.cell)) {
+      return { granted: false, refusal: notRun(RefusalReason.NotOwner, 'this host does not own the cell', 0) }
+    }
+    const { kind, cell, leftMs, ...request } = message
+    return await new Promise<SlotAnswer>((resolve) => {
+      this.#waiting.set(waitingKey(cell, message.requestId), resolve)
+      meta.signal.addEventListener('abort', () => this.#cancel(cell, message.requestId), { once: true })
+      this.#step(cell, { kind: CellEventKind.Request, request: { ...request, gateway: meta.from, deadline: deadlineAfter(leftMs) } })
+    })
+  }
+
+  #cancel (cell: string, requestId: string): void {
+    const answer = this.#waiting.get(waitingKey(cell, requestId))
+    this.#waiting.delete(waitingKey(cell, requestId))
+    this.#step(cell, { kind: CellEventKind.Cancel, requestId })
+    answer?.({ granted: false, refusal: notRun(RefusalReason.Cancelled, 'the caller no longer waits') })
+  }
+
+  #tick (): void {
+    for (const name of this.#cells.keys()) this.#step(name, { kind: CellEventKind.Tick })
+  }
+
+  #step (name: string, event: CellEvent): void {
+    const owned = this.#cells.get(name)
+    if (owned === undefined) return
+    for (const effect of owned.cell.step(event, monotonicNow())) this.#carryOut(name, effect)
+  }
+
+  #carryOut (cell: string, effect: CellEffect): void {
+    switch (effect.kind) {
+      case CellEffectKind.Grant: {
+        const { slotId, endpoint, leaseDeadline, requestId } = effect.grant
+        this.#answer(cell, requestId, { granted: true, slotId, endpoint, leaseMs: timeLeft(leaseDeadline) })
+        return
+      }
+      case CellEffectKind.Refuse:
+        this.#answer(cell, effect.requestId, { granted: false, refusal: effect.refusal })
+        return
+      case CellEffectKind.Record:
+        this.#keep(effect.decision)
+        return
+      default: unreachable(effect)
+    }
+  }
+
+  #answer (cell: string, requestId: string, answer: SlotAnswer): void {
+    const key = waitingKey(cell, requestId)
+    this.#waiting.get(key)?.(answer)
+    this.#waiting.delete(key)
+  }
+
+  #keep (decision: Decision): void {
+    this.#records.push(this.#chain.append(decision, Date.now()))
+    if (this.#records.length > 2 * KEPT_DECISIONS) this.#records = this.#records.slice(-KEPT_DECISIONS)
+  }
+
+  #explain (requestId: string): ChainedDecision[] {
+    return this.#records.filter((record) => record.decision.requestId === requestId || record.decision.requestId.startsWith(`${requestId}/`))
+  }
+}
+
+function waitingKey (cell: string, requestId: string): string {
+  return `${cell}\u0000${requestId}`
+}
--- /dev/null
+++ b/packages/coordination/src/lib/host-settings.ts
@@ -0,0 +1,18 @@
+import type { Host } from '@cyclamenthread/state'
+
+/** What the tasks of one process need to know of it. All periods are in milliseconds. */
+export interface HostSettings {
+  readonly self: Host
+  /** Distinguishes this life of the process from earlier ones under the same id. */
+  readonly incarnation: string
+  readonly clusterSecret: string
+  /** Region in which the platform's object service runs. */
+  readonly storeRegion: string
+  readonly ledgerPartitions: number
+  readonly usageWindowMs: number
+  readonly leaseMs: number
+  readonly storeTimeoutMs: number
+  readonly hostListPeriodMs: number
+  readonly summaryPeriodMs: number
+  readonly cellQueueLimit: number
+}
--- /dev/null
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -0,0 +1,128 @@
+import { leaseDeadline, mayTakeOver } from '@cyclamenthread/state'
+import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { z } from 'zod'
+import { Periodic } from './periodic.js'
+import type { LeaseRecord, LeaseSighting } from '@cyclamenthread/state'
+import type { ObjectStore, StoredObject } from '@cyclamenthread/protocol'
+
+const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative() })
+
+/** Part of the lease after which it is renewed. */
+const RENEWAL_SHARE = 1 / 3
+
+/** Settings of one lease as a candidate sees it. */
+export interface LeaseSettings {
+  readonly name: string
+  /** Host and incarnation. */
+  readonly holder: string
+  readonly leaseMs: number
+  readonly storeTimeoutMs: number
+}
+
+/** The right to act as leader, for a moment. */
+export interface Leadership {
+  readonly epoch: number
+  /** Monotonic deadline in milliseconds. Nothing may be sent at or after it. */
+  readonly deadline: number
+}
+
+/**
+ * Tries to hold one lease of the store.
+ *
+ * Invariant: `leadership()` is given only while the lease, counted from before
+ * its last confirmed write was sent, has not run out.
+ */
+export class LeaseTask {
+  readonly #settings: LeaseSettings
+  readonly #store: ObjectStore
+  readonly #loop: Periodic
+  #sighting: LeaseSighting | undefined
+  #held: { readonly leadership: Leadership, readonly record: LeaseRecord, readonly version: string } | undefined
+
+  constructor (settings: LeaseSettings, store: ObjectStore) {
+    this.#settings = settings
+    this.#store = store
+    this.#loop = new Periodic(settings.leaseMs * RENEWAL_SHARE, async () => await this.#turn())
+  }
+
+  async start (): Promise<void> {
+    await this.#loop.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#loop.stop()
+  }
+
+  /**
+   * The leadership, if this process has it now. To be asked in the same turn
+   * of the event loop as the write it permits.
+   */
+  leadership (): Leadership | undefined {
+    const held = this.#held
+    return held !== undefined && monotonicNow() < held.leadership.deadline ? held.leadership : undefined
+  }
+
+  async #turn (): Promise<void> {
+    const held = this.#held
+    if (held !== undefined && monotonicNow() < held.leadership.deadline) await this.#renew(held.record, held.version)
+    else await this.#contend()
+  }
+
+  async #renew (record: LeaseRecord, version: string): Promise<void> {
+    await this.#write({ ...record, renewal: record.renewal + 1 }, version)
+  }
+
+  async #contend (): Promise<void> {
+    this.#held = undefined
+    const found = await this.#store.read(leaseKey(this.#settings.name), this.#call())
+    if (!found.ok) return
+    if (found.value === undefined) {
+      await this.#write({ holder: this.#settings.holder, epoch: 1, renewal: 0 }, undefined)
+      return
+    }
+    const sighting = this.#see(found.value)
+    if (sighting === undefined || !mayTakeOver(sighting, this.#settings.leaseMs, monotonicNow())) return
+    await this.#write({ holder: this.#settings.holder, epoch: sighting.record.epoch + 1, renewal: 0 }, sighting.version)
+  }
+
+  #see (object: StoredObject): LeaseSighting | undefined {
+    if (this.#sighting?.version === object.version) return this.#sighting
+    const record = leaseSchema.safeParse(object.value).data
+    this.#sighting = record === undefined ? undefined : { record, version: object.version, firstSeenAt: monotonicNow() }
+    return this.#sighting
+  }
+
+  /** Writes the record; an unknown outcome leaves the old deadline in force and is read back at the next turn. */
+  async #write (record: LeaseRecord, version: string | undefined): Promise<void> {
+    const sentAt = monotonicNow()
+    const expectation = version === undefined
+      ? { kind: ExpectationKind.Absent } as const
+      : { kind: ExpectationKind.Version, version } as const
+    const result = await this.#store.write(leaseKey(this.#settings.name), record, expectation, this.#call())
+    if (result.status === WriteStatus.Applied) {
+      const leadership = { epoch: record.epoch, deadline: leaseDeadline(sentAt, this.#settings.leaseMs) }
+      this.#held = { leadership, record, version: result.version }
+      return
+    }
+    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt)
+  }
+
+  async #readBack (record: LeaseRecord, sentAt: number): Promise<void> {
+    const found = await this.#store.read(leaseKey(this.#settings.name), this.#call())
+    if (!found.ok || found.value === undefined) return
+    const current = leaseSchema.safeParse(found.value.value).data
+    const own = current?.holder === record.holder && current.epoch === record.epoch
+    if (!own) {
+      this.#held = undefined
+      return
+    }
+    // The write took effect, or an earlier one of ours stands; only the former extends the deadline.
+    const deadline = current.renewal === record.renewal ? leaseDeadline(sentAt, this.#settings.leaseMs) : this.#held?.leadership.deadline ?? 0
+    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version }
+  }
+
+  #call (): { readonly purpose: StorePurpose, readonly deadline: number } {
+    return { purpose: StorePurpose.Lease, deadline: deadlineAfter(this.#settings.storeTimeoutMs) }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/ledger-client.ts
@@ -0,0 +1,92 @@
+import { partitionOf } from '@cyclamenthread/state'
+import { CommitStatus, PeerMessageKind } from '@cyclamenthread/protocol'
+import { monotonicNow, PeerFailure } from '@cyclamenthread/transport'
+import { partitionOwner } from './ledger-task.js'
+import type { LedgerRecord } from '@cyclamenthread/state'
+import type { BatchAnswer, ClaimAnswer, CommitAnswer } from '@cyclamenthread/protocol'
+import type { HostSettings } from './host-settings.js'
+import type { MemberView } from './member-task.js'
+import type { MessageBus, SendOptions } from './message-bus.js'
+
+/** Pause before a partition's owner is asked again, in milliseconds. */
+const RETRY_MS = 100
+
+/** Reaches the owners of the ledger's partitions, wherever they are. */
+export class LedgerClient {
+  readonly #settings: HostSettings
+  readonly #members: MemberView
+  readonly #bus: MessageBus
+
+  constructor (settings: HostSettings, members: MemberView, bus: MessageBus) {
+    this.#settings = settings
+    this.#members = members
+    this.#bus = bus
+  }
+
+  /** The partition that keeps what belongs to a key. */
+  partitionOf (key: string): number {
+    return partitionOf(key, this.#settings.ledgerPartitions)
+  }
+
+  /**
+   * Commits records in one partition, following it when it moves.
+   *
+   * @returns `Unavailable` when nothing was written; `Unknown` when that is not certain
+   */
+  async commit (partition: number, records: readonly LedgerRecord[], options: SendOptions): Promise<CommitAnswer> {
+    let uncertain = false
+    do {
+      const answer = await this.#commitOnce(partition, records, options)
+      if (answer === undefined) uncertain = true
+      else if (answer.status === CommitStatus.Unknown) uncertain = true
+      // Sending again is safe: what took effect before is answered as a duplicate.
+      else if (answer.status !== CommitStatus.NotOwner && answer.status !== CommitStatus.Unavailable) return answer
+      await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
+    } while (monotonicNow() + RETRY_MS < options.deadline)
+    return { status: uncertain ? CommitStatus.Unknown : CommitStatus.Unavailable, results: [] }
+  }
+
+  /** Reads a claim; undefined when no owner answers in time. */
+  async readClaim (claimId: string, options: SendOptions): Promise<ClaimAnswer | undefined> {
+    const partition = this.partitionOf(claimId)
+    return await this.#untilOwned(options, async () => {
+      const owner = this.#owner(partition)
+      if (owner === undefined) return undefined
+      const answer = await this.#bus.send(owner, { kind: PeerMessageKind.ReadClaim, partition, claimId }, options)
+      return answer.ok ? answer.value : undefined
+    })
+  }
+
+  /** Reads events of a batch; undefined when no owner answers in time. */
+  async readBatch (workspace: string, batchId: string, page: { readonly after: number, readonly limit: number, readonly waitMs: number }, options: SendOptions): Promise<BatchAnswer | undefined> {
+    const partition = this.partitionOf(`batch/${workspace}/${batchId}`)
+    return await this.#untilOwned(options, async () => {
+      const owner = this.#owner(partition)
+      if (owner === undefined) return undefined
+      const answer = await this.#bus.send(owner, { kind: PeerMessageKind.ReadBatch, partition, workspace, batchId, ...page }, options)
+      return answer.ok ? answer.value : undefined
+    })
+  }
+
+  async #untilOwned<Answer extends { readonly status: string }> (options: SendOptions, ask: () => Promise<Answer | undefined>): Promise<Answer | undefined> {
+    do {
+      const answer = await ask()
+      if (answer !== undefined && answer.status !== 'not-owner') return answer
+      await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
+    } while (monotonicNow() + RETRY_MS < options.deadline)
+    return undefined
+  }
+
+  /** One try; undefined when the commit may have taken effect. */
+  async #commitOnce (partition: number, records: readonly LedgerRecord[], options: SendOptions): Promise<CommitAnswer | undefined> {
+    const owner = this.#owner(partition)
+    if (owner === undefined) return { status: CommitStatus.NotOwner, results: [] }
+    const answer = await this.#bus.send(owner, { kind: PeerMessageKind.CommitRecord, partition, records: [...records] }, options)
+    if (answer.ok) return answer.value
+    return answer.failure === PeerFailure.NotSent ? { status: CommitStatus.NotOwner, results: [] } : undefined
+  }
+
+  #owner (partition: number): ReturnType<typeof partitionOwner> {
+    return partitionOwner(partition, this.#members.workers(), this.#settings.storeRegion)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/message-bus.ts
@@ -0,0 +1,129 @@
+import { failure, success } from '@cyclamenthread/state'
+import { peerAnswerSchemas, peerMessageSchema } from '@cyclamenthread/protocol'
+import { PeerClient, PeerFailure, PeerServer, SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
+import type { ServiceBroker } from 'moleculer'
+import type { Host, Outcome } from '@cyclamenthread/state'
+import type { PeerAnswer, PeerMessage, PeerMessageKind } from '@cyclamenthread/protocol'
+import type { CallContext } from '@cyclamenthread/transport'
+import type { HostSettings } from './host-settings.js'
+
+/** What a task's action learns of a message besides its body; travels as the broker's `meta`. */
+export interface MessageMeta {
+  readonly from: string
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+  readonly traceparent: string
+  readonly signal: AbortSignal
+}
+
+/** How a message is sent. */
+export interface SendOptions {
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+  readonly traceparent?: string
+  readonly signal?: AbortSignal
+}
+
+/** A signal that never aborts. */
+const NEVER = new AbortController().signal
+
+/**
+ * Carries typed messages between tasks, in this process through the broker and
+ * to other hosts over TCP. A task can't tell the two apart.
+ */
+export class MessageBus {
+  readonly #settings: HostSettings
+  readonly #broker: ServiceBroker
+  readonly #client: PeerClient
+  readonly #server: PeerServer
+
+  constructor (settings: HostSettings, broker: ServiceBroker) {
+    this.#settings = settings
+    this.#broker = broker
+    const { self, clusterSecret } = settings
+    this.#client = new PeerClient({ host: self.id, secret: clusterSecret, connectTimeoutMs: settings.storeTimeoutMs })
+    const cut = self.peerAddress.lastIndexOf(':')
+    this.#server = new PeerServer({
+      host: self.peerAddress.slice(0, cut),
+      port: Number(self.peerAddress.slice(cut + 1)),
+      secret: clusterSecret,
+      handler: async (body, context) => await this.#receive(body, context)
+    })
+  }
+
+  /** Bytes of control traffic this process has received and sent. */
+  get controlBytes (): { readonly received: number, readonly sent: number } {
+    return {
+      received: this.#server.traffic.bytesIn + this.#client.traffic.bytesIn,
+      sent: this.#server.traffic.bytesOut + this.#client.traffic.bytesOut
+    }
+  }
+
+  /** Opens the port for other hosts. */
+  async start (): Promise<void> {
+    await this.#server.listen()
+  }
+
+  /** Closes the port and all connections. */
+  async stop (): Promise<void> {
+    this.#client.close()
+    await this.#server.close()
+  }
+
+  /**
+   * Sends a message and waits for its answer.
+   *
+   * @example
+   * await bus.send(host, { kind: PeerMessageKind.Probe }, { deadline })
+   */
+  async send<Kind extends PeerMessageKind> (host: Host, message: Extract<PeerMessage, { kind: Kind }>, options: SendOptions): Promise<Outcome<PeerAnswer<Kind>, PeerFailure>> {
+    const hop = { name: message.kind, kind: SpanKind.CLIENT, traceparent: options.traceparent ?? '', attributes: { 'peer.host': host.id } }
+    return await traced(hop, async (span) => {
+      const traceparent = traceparentOf(span)
+      if (host.id === this.#settings.self.id) return await this.#sendLocal<Kind>(message, { ...options, traceparent })
+      return await this.#sendRemote<Kind>(host, message, { ...options, traceparent })
+    })
+  }
+
+  /** Sends a message that needs no answer. */
+  async post (host: Host, message: PeerMessage, traceparent = ''): Promise<void> {
+    if (host.id !== this.#settings.self.id) {
+      this.#client.notify(host.peerAddress, message, traceparent)
+      return
+    }
+    const meta: MessageMeta = { from: host.id, deadline: Infinity, traceparent, signal: NEVER }
+    await this.#broker.call(message.kind, message, { meta })
+  }
+
+  async #sendLocal<Kind extends PeerMessageKind> (message: Extract<PeerMessage, { kind: Kind }>, options: SendOptions): Promise<Outcome<PeerAnswer<Kind>, PeerFailure>> {
+    const meta: MessageMeta = {
+      from: this.#settings.self.id,
+      deadline: options.deadline,
+      traceparent: options.traceparent ?? '',
+      signal: options.signal ?? NEVER
+    }
+    return success(await this.#broker.call<PeerAnswer<Kind>, PeerMessage>(message.kind, message, { meta }))
+  }
+
+  async #sendRemote<Kind extends PeerMessageKind> (host: Host, message: Extract<PeerMessage, { kind: Kind }>, options: SendOptions): Promise<Outcome<PeerAnswer<Kind>, PeerFailure>> {
+    const reply = await this.#client.call({
+      address: host.peerAddress,
+      body: message,
+      deadline: options.deadline,
+      traceparent: options.traceparent ?? '',
+      ...(options.signal === undefined ? {} : { signal: options.signal })
+    })
+    if (!reply.ok) return failure(reply.failure)
+    const parsed = peerAnswerSchemas[message.kind].safeParse(reply.body)
+    return parsed.success ? success(parsed.data as PeerAnswer<Kind>) : failure(PeerFailure.NoReply)
+  }
+
+  async #receive (body: unknown, context: CallContext): Promise<unknown> {
+    const message = peerMessageSchema.parse(body)
+    const hop = { name: message.kind, kind: SpanKind.SERVER, traceparent: context.traceparent, attributes: { 'peer.host': context.from } }
+    return await traced(hop, async (span) => {
+      const meta: MessageMeta = { ...context, traceparent: traceparentOf(span) }
+      return await this.#broker.call(message.kind, message, { meta })
+    })
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/periodic.ts
@@ -0,0 +1,40 @@
+/**
+ * Runs an action again and again with a pause between the end of one run and
+ * the start of the next, until it is stopped.
+ *
+ * Invariant: never runs the action twice at the same time.
+ */
+export class Periodic {
+  readonly #action: () => Promise<void>
+  readonly #periodMs: number
+  #timer: NodeJS.Timeout | undefined
+  #running: Promise<void> | undefined
+  #stopped = false
+
+  constructor (periodMs: number, action: () => Promise<void>) {
+    this.#periodMs = periodMs
+    this.#action = action
+  }
+
+  /** Runs the action once and goes on in the background. */
+  async start (): Promise<void> {
+    this.#stopped = false
+    await this.#run()
+  }
+
+  /** Ends the repetition and waits for a run in progress. */
+  async stop (): Promise<void> {
+    this.#stopped = true
+    clearTimeout(this.#timer)
+    await this.#running
+  }
+
+  async #run (): Promise<void> {
+    this.#running = this.#action()
+    await this.#running
+    if (this.#stopped) return
+    this.#timer = setTimeout(() => {
+      void this.#run()
+    }, this.#periodMs)
+  }
+}
--- /dev/null
+++ b/packages/cyclamenctl/bin/cyclamenctl.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+import { main } from '../dist/lib/main.js'
+
+await main()
--- /dev/null
+++ b/packages/cyclamenthread/src/index.ts
@@ -0,0 +1,2 @@
+export * from './lib/service.js'
+export * from './lib/settings.js'
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -0,0 +1,171 @@
+import { EntryKind, LedgerRecordKind, notRun, RefusalReason } from '@cyclamenthread/state'
+import { CompletionPartKind } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { z } from 'zod'
+import { admit } from './admission.js'
+import { sendJson, sendProblem } from './problem.js'
+import { parseJson, readBody } from './request-body.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { CompletionOrder } from '@cyclamenthread/coordination'
+import type { Completion } from '@cyclamenthread/protocol'
+import type { Entry, UsageItem } from '@cyclamenthread/state'
+import type { Gateway, Hop } from './gateway.js'
+
+/** Tokens of an answer when the caller sets no bound. */
+const DEFAULT_MAX_TOKENS = 256
+
+/** How long usage is tried to be recorded after the answer, in milliseconds. */
+const USAGE_COMMIT_MS = 60_000
+
+const options = {
+  model: z.string(),
+  max_tokens: z.int().positive().max(1_000_000).default(DEFAULT_MAX_TOKENS),
+  stream: z.boolean().default(false)
+}
+const completionSchema = z.looseObject({ ...options, prompt: z.string() })
+const chatSchema = z.looseObject({ ...options, messages: z.array(z.object({ role: z.string(), content: z.string() })).min(1) })
+
+/** What both forms of a completion request come to. */
+interface CompletionRequest {
+  readonly model: string
+  readonly prompt: string
+  readonly maxTokens: number
+  readonly stream: boolean
+  readonly chat: boolean
+}
+
+/** Answers `POST /v1/completions`. */
+export async function handleCompletion (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
+  const body = await readBody(request, gateway.settings.maxBodyBytes)
+  const parsed = body.ok ? parseJson(body.value, completionSchema) : body
+  if (!parsed.ok) {
+    sendProblem(response, parsed.failure, hop.requestId)
+    return
+  }
+  const { model, prompt, max_tokens: maxTokens, stream } = parsed.value
+  await complete(gateway, request, response, hop, { model, prompt, maxTokens, stream, chat: false })
+}
+
+/** Answers `POST /v1/chat/completions`. */
+export async function handleChat (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
+  const body = await readBody(request, gateway.settings.maxBodyBytes)
+  const parsed = body.ok ? parseJson(body.value, chatSchema) : body
+  if (!parsed.ok) {
+    sendProblem(response, parsed.failure, hop.requestId)
+    return
+  }
+  const { model, messages, max_tokens: maxTokens, stream } = parsed.value
+  const prompt = messages.map((message) => `${message.role}: ${message.content}`).join('\n')
+  await complete(gateway, request, response, hop, { model, prompt, maxTokens, stream, chat: true })
+}
+
+async function complete (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop, wanted: CompletionRequest): Promise<void> {
+  const admitted = admit(hop.view, request, wanted.model)
+  if (!admitted.ok) {
+    sendProblem(response, admitted.failure, hop.requestId)
+    return
+  }
+  const { caller, entry } = admitted.value
+  if (entry.kind !== EntryKind.Model) {
+    sendProblem(response, notRun(RefusalReason.BadRequest, `${entry.name} is not a model`), hop.requestId)
+    return
+  }
+  const order: CompletionOrder = {
+    requestId: hop.requestId,
+    workspace: caller.workspace,
+    entry,
+    prompt: wanted.prompt,
+    maxTokens: wanted.maxTokens,
+    expectedTokens: wanted.maxTokens,
+    deadline: deadlineAfter(entry.timeoutMs),
+    traceparent: hop.traceparent,
+    signal: hop.signal
+  }
+  if (wanted.stream) await stream(gateway, response, order, wanted)
+  else await answerWhole(gateway, response, order, wanted)
+}
+
+async function answerWhole (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+  const result = await gateway.completions.run(order)
+  if (!result.ok) {
+    sendProblem(response, result.refusal, order.requestId)
+    return
+  }
+  recordUsage(gateway, order, result.completion)
+  response.setHeader('x-request-id', order.requestId)
+  sendJson(response, 200, wholeAnswer(order.requestId, order.entry, result.completion, wanted.chat))
+}
+
+async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+  const result = await gateway.completions.run({
+    ...order,
+    onPart: (part) => {
+      if (part.kind !== CompletionPartKind.Text) return
+      openStream(response, order.requestId)
+      response.write(event(chunk(order, part.text, part.version, wanted.chat)))
+    }
+  })
+  if (!result.ok) {
+    // Once a part went out the answer can't become a problem document: cutting it off without
+    // its end tells the caller that it is not whole.
+    sendProblem(response, result.refusal, order.requestId)
+    return
+  }
+  openStream(response, order.requestId)
+  recordUsage(gateway, order, result.completion)
+  response.write(event(lastChunk(order, result.completion, wanted.chat)))
+  response.end('data: [DONE]\n\n')
+}
+
+function openStream (response: ServerResponse, requestId: string): void {
+  if (response.headersSent) return
+  response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': requestId })
+}
+
+function event (value: unknown): string {
+  return `data: ${JSON.stringify(value)}\n\n`
+}
+
+function chunk (order: CompletionOrder, text: string, version: number | undefined, chat: boolean): unknown {
+  const choice = chat ? { index: 0, delta: { content: text }, finish_reason: null } : { index: 0, text, finish_reason: null }
+  return { id: order.requestId, object: objectName(chat, true), model: order.entry.name, choices: [choice], weight_version: version }
+}
+
+function lastChunk (order: CompletionOrder, completion: Completion, chat: boolean): unknown {
+  const choice = chat ? { index: 0, delta: {}, finish_reason: completion.finishReason } : { index: 0, text: '', finish_reason: completion.finishReason }
+  return { id: order.requestId, object: objectName(chat, true), model: order.entry.name, choices: [choice], usage: usageDocument(completion), weight_versions: completion.versions }
+}
+
+function wholeAnswer (requestId: string, entry: Entry, completion: Completion, chat: boolean): unknown {
+  const choice = chat
+    ? { index: 0, message: { role: 'assistant', content: completion.text }, finish_reason: completion.finishReason }
+    : { index: 0, text: completion.text, finish_reason: completion.finishReason }
+  return { id: requestId, object: objectName(chat, false), model: entry.name, choices: [choice], usage: usageDocument(completion), weight_versions: completion.versions }
+}
+
+function objectName (chat: boolean, streamed: boolean): string {
+  if (!chat) return 'text_completion'
+  return streamed ? 'chat.completion.chunk' : 'chat.completion'
+}
+
+function usageDocument (completion: Completion): unknown {
+  const { promptTokens, answerTokens } = completion
+  return { prompt_tokens: promptTokens, completion_tokens: answerTokens, total_tokens: promptTokens + answerTokens }
+}
+
+/** Records usage behind the answer: the caller does not wait for the store. */
+function recordUsage (gateway: Gateway, order: CompletionOrder, completion: Completion): void {
+  const usage: UsageItem = {
+    requestId: order.requestId,
+    workspace: order.workspace.name,
+    entry: order.entry.name,
+    promptTokens: completion.promptTokens,
+    answerTokens: completion.answerTokens,
+    calls: 0
+  }
+  const partition = gateway.ledger.partitionOf(`usage/${order.requestId}`)
+  gateway.behind(gateway.ledger.commit(partition, [{ kind: LedgerRecordKind.Usage, usage }], {
+    deadline: deadlineAfter(USAGE_COMMIT_MS),
+    traceparent: order.traceparent
+  }))
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/explain-handler.ts
@@ -0,0 +1,28 @@
+import { notRun, RefusalReason } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { authenticate } from './admission.js'
+import { sendJson, sendProblem } from './problem.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Gateway, Hop } from './gateway.js'
+
+/** Longest the hosts are asked for their records, in milliseconds. */
+const COLLECT_MS = 5_000
+
+/** Answers `GET /v1/requests/{id}/decisions`: every decision on a request of the caller's workspace. */
+export async function handleExplain (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
+  const caller = authenticate(hop.view, request)
+  if (!caller.ok) {
+    sendProblem(response, caller.failure, hop.requestId)
+    return
+  }
+  const id = decodeURIComponent(new URL(hop.url, 'http://local').pathname.split('/')[3] ?? '')
+  const deadline = deadlineAfter(COLLECT_MS)
+  const answers = await Promise.all(gateway.members.workers().map(async (host) => await gateway.bus.send(host, { kind: PeerMessageKind.ExplainRequest, requestId: id }, { deadline, traceparent: hop.traceparent })))
+  const records = answers
+    .flatMap((answer) => answer.ok ? answer.value.records : [])
+    .filter((record) => record.decision.workspace === caller.value.workspace.name)
+    .sort((a, b) => a.at - b.at || a.sequence - b.sequence)
+  if (records.length === 0) sendProblem(response, notRun(RefusalReason.BadRequest, 'no decision on this request is kept'), hop.requestId)
+  else sendJson(response, 200, { id, complete: answers.every((answer) => answer.ok), records })
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -0,0 +1,166 @@
+import { randomUUID } from 'node:crypto'
+import { setMaxListeners } from 'node:events'
+import ApiGateway from 'moleculer-web'
+import { HostState, notRun, RefusalReason } from '@cyclamenthread/state'
+import { SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
+import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
+import { handleChat, handleCompletion } from './completion-handler.js'
+import { handleExplain } from './explain-handler.js'
+import { sendJson, sendProblem } from './problem.js'
+import { handleService } from './service-handler.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ServiceSchema } from 'moleculer'
+import type { Registry } from 'prom-client'
+import type { CatalogueView } from '@cyclamenthread/state'
+import type { CatalogueSource, CompletionRunner, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
+import type { ServiceSettings } from './settings.js'
+
+/** One request of a caller on its way through the gateway. */
+export interface Hop {
+  readonly requestId: string
+  readonly traceparent: string
+  /** The catalogue revision that holds for the whole request. */
+  readonly view: CatalogueView
+  /** Aborts when the caller goes away. */
+  readonly signal: AbortSignal
+  /** Path and query as the caller sent them. */
+  readonly url: string
+}
+
+/** What the gateway works with. */
+export interface GatewayParts {
+  readonly settings: ServiceSettings
+  readonly catalogue: CatalogueSource
+  readonly members: MemberTask
+  readonly bus: MessageBus
+  readonly ledger: LedgerClient
+  readonly completions: CompletionRunner
+  readonly services: ServiceRunner
+  readonly registry: Registry
+}
+
+type Handler = (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop) => Promise<void>
+
+/** A request as the web library hands it on. */
+type WebRequest = IncomingMessage & { readonly originalUrl?: string }
+
+/**
+ * Takes the requests of callers. Counts those that run, so that a planned stop
+ * can wait for them.
+ */
+export class Gateway {
+  readonly settings: ServiceSettings
+  readonly catalogue: CatalogueSource
+  readonly members: MemberTask
+  readonly bus: MessageBus
+  readonly ledger: LedgerClient
+  readonly completions: CompletionRunner
+  readonly services: ServiceRunner
+  readonly #registry: Registry
+  #running = 0
+  readonly #behind = new Set<Promise<unknown>>()
+
+  constructor (parts: GatewayParts) {
+    this.settings = parts.settings
+    this.catalogue = parts.catalogue
+    this.members = parts.members
+    this.bus = parts.bus
+    this.ledger = parts.ledger
+    this.completions = parts.completions
+    this.services = parts.services
+    this.#registry = parts.registry
+  }
+
+  /** Requests that run now. */
+  get running (): number {
+    return this.#running
+  }
+
+  /** Keeps account of work that goes on after its caller was answered. */
+  behind (work: Promise<unknown>): void {
+    this.#behind.add(work)
+    void work.finally(() => this.#behind.delete(work))
+  }
+
+  /** Waits until no request runs and nothing is left to be written behind one. */
+  async drained (): Promise<void> {
+    while (this.#running > 0 || this.#behind.size > 0) await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+
+  /** The broker service that listens for callers. */
+  service (): ServiceSchema {
+    const cut = this.settings.callerAddress.lastIndexOf(':')
+    return {
+      name: 'gateway',
+      mixins: [ApiGateway as unknown as ServiceSchema],
+      settings: {
+        ip: this.settings.callerAddress.slice(0, cut),
+        port: Number(this.settings.callerAddress.slice(cut + 1)),
+        routes: [{ path: '/', mappingPolicy: 'restrict', bodyParsers: false, mergeParams: false, aliases: this.#aliases() }]
+      }
+    }
+  }
+
+  #aliases (): Readonly<Record<string, unknown>> {
+    return {
+      'GET livez': (_: WebRequest, response: ServerResponse) => sendJson(response, 200, { alive: true }),
+      'GET readyz': (_: WebRequest, response: ServerResponse) => this.#ready(response),
+      'GET metrics': async (_: WebRequest, response: ServerResponse) => await this.#metrics(response),
+      'GET v1/addresses': (_: WebRequest, response: ServerResponse) => this.#addresses(response),
+      'POST v1/completions': this.#route('completions', handleCompletion),
+      'POST v1/chat/completions': this.#route('chat', handleChat),
+      'POST v1/batches': this.#route('batch.open', handleBatchOpen),
+      'GET v1/batches/:id/samples': this.#route('batch.read', handleBatchRead),
+      'POST v1/batches/:id/acks': this.#route('batch.acknowledge', handleBatchAcknowledge),
+      'DELETE v1/batches/:id': this.#route('batch.cancel', handleBatchCancel),
+      'GET v1/requests/:id/decisions': this.#route('explain', handleExplain),
+      '* v1/services/:entry': this.#route('service', handleService),
+      '* v1/services/:entry/:rest*': this.#route('service', handleService)
+    }
+  }
+
+  /** Wraps a handler: request id, span, revision, and an end in every case. */
+  #route (name: string, handler: Handler): (request: WebRequest, response: ServerResponse) => Promise<void> {
+    return async (request, response) => {
+      const requestId = randomUUID()
+      const view = this.catalogue.current()
+      if (view === undefined) {
+        sendProblem(response, notRun(RefusalReason.NotReady, 'this host knows no catalogue yet', 1000), requestId)
+        return
+      }
+      const gone = new AbortController()
+      setMaxListeners(0, gone.signal)
+      response.on('close', () => {
+        if (!response.writableFinished) gone.abort()
+      })
+      this.#running += 1
+      try {
+        const hop = { name: `gateway.${name}`, kind: SpanKind.SERVER, traceparent: String(request.headers['traceparent'] ?? ''), attributes: { 'request.id': requestId } }
+        await traced(hop, async (span) => {
+          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, url: request.originalUrl ?? request.url ?? '/' })
+        })
+      } finally {
+        this.#running -= 1
+      }
+    }
+  }
+
+  #ready (response: ServerResponse): void {
+    const revision = this.catalogue.current()?.revision
+    const leaving = this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+    sendJson(response, revision === undefined || leaving ? 503 : 200, { ready: revision !== undefined && !leaving, catalogueRevision: revision ?? 0, leaving })
+  }
+
+  /** The hosts a caller may connect to, and until when it may keep the answer. */
+  #addresses (response: ServerResponse): void {
+    const notAfter = new Date(Date.now() + this.settings.addressTtlMs).toISOString()
+    const addresses = this.members.workers().map((host) => ({ url: host.callerUrl, region: host.region, failureDomain: host.failureDomain }))
+    sendJson(response, 200, { addresses, notAfter })
+  }
+
+  async #metrics (response: ServerResponse): Promise<void> {
+    const text = await this.#registry.metrics()
+    response.writeHead(200, { 'content-type': this.#registry.contentType })
+    response.end(text)
+  }
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/main.ts
@@ -0,0 +1,48 @@
+import { consola } from 'consola'
+import meow from 'meow'
+import { Service } from './service.js'
+import { environmentName, readSettings, serviceSettingsSchema } from './settings.js'
+
+/** Exit code for settings that can't be used. */
+const EXIT_USAGE = 2
+
+/** The flag of a setting. */
+function flagName (setting: string): string {
+  return `--${setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`
+}
+
+/** The help text, made from the schema so that the two can't differ. */
+function helpText (): string {
+  const lines = Object.entries(serviceSettingsSchema.shape).map(([setting, schema]) =>
+    `    ${flagName(setting)}\n      ${schema.description ?? ''} [${environmentName(setting)}]`)
+  return `\n  Usage\n    $ cyclamenthread [flags]\n\n  Settings (flag or environment variable)\n${lines.join('\n')}\n`
+}
+
+/**
+ * Runs the service until it is told to stop.
+ *
+ * @internal
+ */
+export async function main (): Promise<void> {
+  const flags = Object.fromEntries(Object.keys(serviceSettingsSchema.shape).map((setting) => [setting, { type: 'string' as const }]))
+  const cli = meow(helpText(), { importMeta: import.meta, flags })
+  const settings = readSettings(cli.flags, process.env)
+  if (!settings.ok) {
+    for (const error of settings.failure) consola.error(error)
+    process.exitCode = EXIT_USAGE
+    return
+  }
+  const service = new Service(settings.value)
+  const leave = (signal: string): void => {
+    consola.info(`received ${signal}: leaving`)
+    void service.drain().then(() => {
+      consola.info('left')
+      process.exit(0)
+    })
+  }
+  // A second signal finds the drain running and changes nothing.
+  process.on('SIGTERM', () => leave('SIGTERM'))
+  process.on('SIGINT', () => leave('SIGINT'))
+  await service.start()
+  consola.info(`host ${settings.value.hostId} takes requests at ${settings.value.callerAddress}`)
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/problem.ts
@@ -0,0 +1,80 @@
+import { RefusalReason } from '@cyclamenthread/state'
+import type { ServerResponse } from 'node:http'
+import type { Refusal } from '@cyclamenthread/state'
+
+/** Media type of RFC 9457 problem documents. */
+const PROBLEM_TYPE = 'application/problem+json'
+
+/** Prefix of the stable type of a problem. */
+const TYPE_PREFIX = 'urn:cyclamenthread:problem:'
+
+const STATUS: Readonly<Record<RefusalReason, number>> = {
+  [RefusalReason.BadRequest]: 400,
+  [RefusalReason.Unauthorized]: 401,
+  [RefusalReason.Forbidden]: 403,
+  [RefusalReason.UnknownEntry]: 404,
+  [RefusalReason.UnknownBatch]: 404,
+  [RefusalReason.KeyRequired]: 400,
+  [RefusalReason.KeyReused]: 422,
+  [RefusalReason.InProgress]: 409,
+  [RefusalReason.BatchChanged]: 409,
+  [RefusalReason.TooLarge]: 413,
+  [RefusalReason.Quarantined]: 422,
+  [RefusalReason.Overloaded]: 503,
+  [RefusalReason.LimitReached]: 429,
+  [RefusalReason.DeadlineExceeded]: 504,
+  [RefusalReason.NoEndpoint]: 503,
+  [RefusalReason.NotReady]: 503,
+  [RefusalReason.Isolated]: 503,
+  [RefusalReason.EndpointFailed]: 502,
+  [RefusalReason.OutcomeUnknown]: 503,
+  [RefusalReason.StoreUnavailable]: 503,
+  [RefusalReason.NotOwner]: 503,
+  [RefusalReason.Cancelled]: 499,
+  [RefusalReason.Leaving]: 503
+}
+
+/**
+ * The HTTP status of a refusal.
+ *
+ * @example
+ * statusOf(RefusalReason.LimitReached) // 429
+ */
+export function statusOf (reason: RefusalReason): number {
+  return STATUS[reason]
+}
+
+/** The problem document of a refusal. */
+export function problemOf (refusal: Refusal, requestId: string): Readonly<Record<string, unknown>> {
+  return {
+    type: TYPE_PREFIX + refusal.reason,
+    title: refusal.reason.replaceAll('-', ' '),
+    status: statusOf(refusal.reason),
+    detail: refusal.detail,
+    ran: refusal.ran,
+    instance: requestId
+  }
+}
+
+/**
+ * Answers a request with the problem document of a refusal.
+ *
+ * @example
+ * sendProblem(response, notRun(RefusalReason.Overloaded, 'the queue is full'), requestId)
+ */
+export function sendProblem (response: ServerResponse, refusal: Refusal, requestId: string): void {
+  if (response.headersSent || response.destroyed) {
+    response.destroy()
+    return
+  }
+  if (refusal.retryAfterMs !== undefined) response.setHeader('retry-after', Math.max(1, Math.ceil(refusal.retryAfterMs / 1000)))
+  response.setHeader('x-request-id', requestId)
+  sendJson(response, statusOf(refusal.reason), problemOf(refusal, requestId), PROBLEM_TYPE)
+}
+
+/** Answers with a JSON document. */
+export function sendJson (response: ServerResponse, status: number, body: unknown, type = 'application/json'): void {
+  const bytes = Buffer.from(JSON.stringify(body))
+  response.writeHead(status, { 'content-type': type, 'content-length': bytes.length })
+  response.end(bytes)
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/request-body.ts
@@ -0,0 +1,48 @@
+import { failure, notRun, RefusalReason, success } from '@cyclamenthread/state'
+import type { IncomingMessage } from 'node:http'
+import type { z } from 'zod'
+import type { Outcome, Refusal } from '@cyclamenthread/state'
+
+/**
+ * Reads the whole body of a request.
+ *
+ * @param request the request
+ * @param maxBytes largest body accepted, in bytes
+ * @example
+ * const body = await readBody(request, 1_048_576)
+ */
+export async function readBody (request: IncomingMessage, maxBytes: number): Promise<Outcome<Buffer, Refusal>> {
+  const tooLarge = failure(notRun(RefusalReason.TooLarge, `the body exceeds ${maxBytes} bytes`))
+  if (Number(request.headers['content-length'] ?? 0) > maxBytes) return tooLarge
+  const chunks: Buffer[] = []
+  let size = 0
+  try {
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+      size += chunk.length
+      if (size > maxBytes) return tooLarge
+      chunks.push(chunk)
+    }
+  } catch {
+    return failure(notRun(RefusalReason.Cancelled, 'the request broke off before its end'))
+  }
+  return success(Buffer.concat(chunks, size))
+}
+
+/**
+ * Reads a body as JSON of a schema. The refusal names every fault.
+ *
+ * @example
+ * const order = parseJson(body, batchRequestSchema)
+ */
+export function parseJson<Schema extends z.ZodType> (body: Buffer, schema: Schema): Outcome<z.infer<Schema>, Refusal> {
+  let value: unknown
+  try {
+    value = JSON.parse(body.toString('utf8'))
+  } catch {
+    return failure(notRun(RefusalReason.BadRequest, 'the body is not valid JSON'))
+  }
+  const parsed = schema.safeParse(value)
+  if (parsed.success) return success(parsed.data)
+  const faults = parsed.error.issues.map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`)
+  return failure(notRun(RefusalReason.BadRequest, faults.join('; ')))
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/service-handler.ts
@@ -0,0 +1,89 @@
+import { EntryKind, notRun, RefusalReason } from '@cyclamenthread/state'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { admit } from './admission.js'
+import { sendProblem } from './problem.js'
+import { readBody } from './request-body.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { RecordedAnswer } from '@cyclamenthread/state'
+import type { Gateway, Hop } from './gateway.js'
+
+/** Path below which plain services lie. */
+const SERVICES_PATH = '/v1/services/'
+
+/** Longest idempotency key accepted, in characters. */
+const MAX_KEY_CHARACTERS = 255
+
+/** Headers of a caller that an endpoint may see. All others are dropped, credentials first of all. */
+const FORWARDED_HEADERS: ReadonlySet<string> = new Set([
+  'accept', 'accept-language', 'content-type', 'content-language', 'if-match', 'if-none-match',
+  'if-modified-since', 'if-unmodified-since', 'range', 'user-agent', 'idempotency-key', 'prefer'
+])
+
+/** Headers of an endpoint's answer that concern only its own connection. */
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'transfer-encoding', 'content-length', 'te', 'trailer', 'upgrade',
+  'proxy-authenticate', 'proxy-authorization', 'set-cookie'
+])
+
+/** Answers `ANY /v1/services/{entry}/*`. */
+export async function handleService (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
+  const target = splitTarget(hop.url)
+  const admitted = admit(hop.view, request, target.entry)
+  if (!admitted.ok) {
+    sendProblem(response, admitted.failure, hop.requestId)
+    return
+  }
+  const { caller, entry } = admitted.value
+  const idempotencyKey = String(request.headers['idempotency-key'] ?? '')
+  if (entry.kind !== EntryKind.Service || idempotencyKey.length > MAX_KEY_CHARACTERS) {
+    const detail = entry.kind === EntryKind.Service ? `an Idempotency-Key has at most ${MAX_KEY_CHARACTERS} characters` : `${entry.name} is not a service`
+    sendProblem(response, notRun(RefusalReason.BadRequest, detail), hop.requestId)
+    return
+  }
+  const body = await readBody(request, gateway.settings.maxBodyBytes)
+  if (!body.ok) {
+    sendProblem(response, body.failure, hop.requestId)
+    return
+  }
+  const result = await gateway.services.run({
+    requestId: hop.requestId,
+    workspace: caller.workspace,
+    entry,
+    method: request.method ?? 'GET',
+    path: target.path,
+    headers: forwardedHeaders(request),
+    body: body.value,
+    idempotencyKey,
+    deadline: deadlineAfter(entry.timeoutMs),
+    traceparent: hop.traceparent,
+    signal: hop.signal
+  })
+  if (result.ok) sendAnswer(response, result.answer, result.replayed, hop.requestId)
+  else sendProblem(response, result.refusal, hop.requestId)
+}
+
+/** The entry and the rest of the path, query included, exactly as the caller sent it. */
+function splitTarget (url: string): { readonly entry: string, readonly path: string } {
+  const rest = url.slice(SERVICES_PATH.length)
+  const cut = rest.search(/[/?]/)
+  if (cut < 0) return { entry: rest, path: '/' }
+  const path = rest.slice(cut)
+  return { entry: rest.slice(0, cut), path: path.startsWith('/') ? path : `/${path}` }
+}
+
+function forwardedHeaders (request: IncomingMessage): Array<[string, string]> {
+  return Object.entries(request.headers).flatMap(([name, value]) => {
+    if (!FORWARDED_HEADERS.has(name) || value === undefined) return []
+    return [[name, Array.isArray(value) ? value.join(', ') : value] as [string, string]]
+  })
+}
+
+function sendAnswer (response: ServerResponse, answer: RecordedAnswer, replayed: boolean, requestId: string): void {
+  const headers: Record<string, string> = { 'x-request-id': requestId }
+  for (const [name, value] of answer.headers) {
+    if (!HOP_HEADERS.has(name)) headers[name] = value
+  }
+  if (replayed) headers['idempotent-replayed'] = 'true'
+  response.writeHead(answer.status, { ...headers, 'content-length': answer.body.length })
+  response.end(answer.body)
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -0,0 +1,92 @@
+import { randomBytes } from 'node:crypto'
+import { z } from 'zod'
+import { failure, success } from '@cyclamenthread/state'
+import type { HostSettings } from '@cyclamenthread/coordination'
+import type { Outcome } from '@cyclamenthread/state'
+
+/** Prefix of the environment variables that carry settings. */
+export const ENVIRONMENT_PREFIX = 'CYCLAMENTHREAD_'
+
+/** Bytes of the random part of an incarnation. */
+const INCARNATION_BYTES = 6
+
+const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'an IP number and a port, as 127.0.0.1:7000')
+const milliseconds = z.coerce.number().int().positive()
+const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'lower-case letters, digits, dots and dashes')
+
+/** Settings of the service, by flag name. Each is also read from the environment. */
+export const serviceSettingsSchema = z.object({
+  hostId: name.describe('Id of this host; unique in the deployment.'),
+  region: name.describe('Region of this host.'),
+  failureDomain: name.describe('Failure domain of this host.'),
+  callerAddress: address.describe('IP number and port for callers.'),
+  peerAddress: address.describe('IP number and port for other hosts of the service.'),
+  storeUrl: z.url().describe('Base URL of the platform\'s object service.'),
+  storeRegion: name.describe('Region in which the object service runs.'),
+  platformUrl: z.url().describe('Base URL of the platform\'s host list, endpoint ordering and usage intake.'),
+  clusterSecret: z.string().min(16, 'at least 16 characters').describe('Secret that all hosts of the deployment share; set it by the environment.'),
+  dataFolder: z.string().optional().describe('Folder for bulk data; hosts without one keep nothing.'),
+  ledgerPartitions: z.coerce.number().int().min(1).max(1024).default(16).describe('Partitions of the ledger; the same on all hosts, fixed for the life of a deployment.'),
+  usageWindowMs: milliseconds.default(60_000).describe('Length of a usage window, in milliseconds; the same on all hosts.'),
+  leaseMs: milliseconds.default(10_000).describe('Length of the leaders\' leases, in milliseconds.'),
+  storeTimeoutMs: milliseconds.default(2_000).describe('Longest wait for one answer of the store, in milliseconds.'),
+  hostListPeriodMs: milliseconds.default(2_000).describe('Period of reading the platform\'s host list, in milliseconds.'),
+  summaryPeriodMs: milliseconds.default(500).describe('Period of the cells\' summaries, in milliseconds.'),
+  cellQueueLimit: z.coerce.number().int().positive().default(10_000).describe('Requests that may wait in one cell.'),
+  maxBodyBytes: z.coerce.number().int().positive().default(4 * 1024 * 1024).describe('Largest body of a caller\'s request, in bytes.'),
+  addressTtlMs: milliseconds.default(10_000).describe('How long a caller may keep an answer of the address list, in milliseconds.'),
+  drainTimeoutMs: milliseconds.default(60_000).describe('Longest a planned stop waits for running requests, in milliseconds.')
+})
+
+/** The checked settings of one process. */
+export type ServiceSettings = z.infer<typeof serviceSettingsSchema>
+
+/**
+ * The environment variable that carries a setting.
+ *
+ * @example
+ * environmentName('hostId') // 'CYCLAMENTHREAD_HOST_ID'
+ */
+export function environmentName (setting: string): string {
+  return ENVIRONMENT_PREFIX + setting.replace(/[A-Z]/g, (letter) => `_${letter}`).toUpperCase()
+}
+
+/**
+ * Checks the settings of a process; flags go before the environment.
+ *
+ * @param flags values by setting name, as the command line gave them
+ * @param environment the process environment
+ * @returns the settings, or every error found, a line each
+ * @example
+ * readSettings({ hostId: 'h1' }, process.env)
+ */
+export function readSettings (flags: Readonly<Record<string, unknown>>, environment: NodeJS.ProcessEnv): Outcome<ServiceSettings, readonly string[]> {
+  const given: Record<string, unknown> = {}
+  for (const setting of Object.keys(serviceSettingsSchema.shape)) {
+    const value = flags[setting] ?? environment[environmentName(setting)]
+    if (value !== undefined) given[setting] = value
+  }
+  const parsed = serviceSettingsSchema.safeParse(given)
+  if (parsed.success) return success(parsed.data)
+  return failure(parsed.error.issues.map((issue) => {
+    const setting = String(issue.path[0])
+    const problem = given[setting] === undefined ? 'is missing' : issue.message
+    return `--${setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)} (${environmentName(setting)}): ${problem}`
+  }))
+}
+
+/** What the tasks need of the settings, for one life of the process. */
+export function hostSettings (settings: ServiceSettings): HostSettings {
+  return {
+    ...settings,
+    self: {
+      id: settings.hostId,
+      region: settings.region,
+      failureDomain: settings.failureDomain,
+      peerAddress: settings.peerAddress,
+      callerUrl: `http://${settings.callerAddress}`,
+      hasDataFolder: settings.dataFolder !== undefined
+    },
+    incarnation: randomBytes(INCARNATION_BYTES).toString('hex')
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/lib/catalogue-store.ts
@@ -0,0 +1,169 @@
+import { z } from 'zod'
+import { catalogueSchema, digest, failure, keySchema, success, unreachable, workspaceSchema } from '@cyclamenthread/state'
+import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
+import { CATALOGUE_HEAD, cataloguePartKey } from './store-key.js'
+import type { Catalogue, Outcome } from '@cyclamenthread/state'
+import type { ObjectStore, StoreCall, StoredObject, WriteResult } from './object-store.js'
+
+const headSchema = z.object({ revision: z.int().positive(), parts: z.array(z.string()) })
+const partSchema = z.object({
+  workspaces: z.array(workspaceSchema),
+  keys: z.array(keySchema),
+  shared: catalogueSchema.pick({ entries: true, pools: true }).optional()
+})
+
+type CatalogueHead = z.infer<typeof headSchema>
+type CataloguePart = z.infer<typeof partSchema>
+
+/** A catalogue as the store holds it. */
+export interface StoredCatalogue {
+  readonly revision: number
+  /** Version of the head, for the next conditional update. */
+  readonly headVersion: string
+  readonly catalogue: Catalogue
+}
+
+/** What became of an apply. */
+export enum ApplyStatus {
+  Applied = 'applied',
+  /** The catalogue changed since the plan was made. */
+  Conflict = 'conflict',
+  NotWritten = 'not-written',
+  Unknown = 'unknown'
+}
+
+/** The result of an apply, with the revision now in the store where it is known. */
+export interface ApplyOutcome {
+  readonly status: ApplyStatus
+  readonly revision: number | undefined
+}
+
+/** The parts of a catalogue: one a workspace with its keys, and one with what all share. */
+function split (catalogue: Catalogue): CataloguePart[] {
+  const shared: CataloguePart = { workspaces: [], keys: [], shared: { entries: catalogue.entries, pools: catalogue.pools } }
+  const own = catalogue.workspaces.map((workspace): CataloguePart => ({
+    workspaces: [workspace],
+    keys: catalogue.keys.filter((key) => key.workspace === workspace.name)
+  }))
+  return [shared, ...own]
+}
+
+function join (parts: readonly CataloguePart[]): Catalogue {
+  return {
+    workspaces: parts.flatMap((part) => part.workspaces),
+    keys: parts.flatMap((part) => part.keys),
+    entries: parts.flatMap((part) => part.shared?.entries ?? []),
+    pools: parts.flatMap((part) => part.shared?.pools ?? [])
+  }
+}
+
+/**
+ * Keeps the catalogue in the object service: immutable parts named by their
+ * content, and a head that lists them and moves by one conditional update, so
+ * that a catalogue larger than one value still changes as a whole.
+ */
+export class CatalogueStore {
+  readonly #store: ObjectStore
+  /** Parts already read, by content digest; immutable, so never stale. */
+  readonly #parts = new Map<string, CataloguePart>()
+
+  constructor (store: ObjectStore) {
+    this.#store = store
+  }
+
+  /** Reads the revision in force; undefined before the first apply. */
+  async read (deadline: number): Promise<Outcome<StoredCatalogue | undefined, StoreFailure>> {
+    const call: StoreCall = { purpose: StorePurpose.Configuration, deadline }
+    const head = await this.#store.read(CATALOGUE_HEAD, call)
+    if (!head.ok) return head
+    if (head.value === undefined) return success(undefined)
+    return await this.#resolve(head.value, call)
+  }
+
+  /**
+   * Puts a catalogue in force, if the one it was planned against still is.
+   *
+   * @param catalogue the whole new catalogue
+   * @param planned what `read` gave when the plan was made
+   * @param deadline monotonic milliseconds
+   * @example
+   * await catalogues.apply(next, await catalogues.read(deadline), deadline)
+   */
+  async apply (catalogue: Catalogue, planned: StoredCatalogue | undefined, deadline: number): Promise<ApplyOutcome> {
+    const call: StoreCall = { purpose: StorePurpose.Configuration, deadline }
+    const digests: string[] = []
+    for (const part of split(catalogue)) {
+      const name = digest(JSON.stringify(part))
+      const written = await this.#store.write(cataloguePartKey(name), part, { kind: ExpectationKind.Absent }, call)
+      if (written.status === WriteStatus.NotWritten) return { status: ApplyStatus.NotWritten, revision: planned?.revision }
+      // An unknown outcome of a part is harmless: the head is moved only when the part can be read back.
+      if (written.status === WriteStatus.Unknown && !await this.#exists(name, call)) return { status: ApplyStatus.NotWritten, revision: planned?.revision }
+      digests.push(name)
+    }
+    return await this.#moveHead({ revision: (planned?.revision ?? 0) + 1, parts: digests }, planned, call)
+  }
+
+  async #moveHead (head: CatalogueHead, planned: StoredCatalogue | undefined, call: StoreCall): Promise<ApplyOutcome> {
+    const expectation = planned === undefined
+      ? { kind: ExpectationKind.Absent } as const
+      : { kind: ExpectationKind.Version, version: planned.headVersion } as const
+    const result = await this.#store.write(CATALOGUE_HEAD, head, expectation, call)
+    return await this.#headOutcome(result, head, call)
+  }
+
+  async #headOutcome (result: WriteResult, head: CatalogueHead, call: StoreCall): Promise<ApplyOutcome> {
+    switch (result.status) {
+      case WriteStatus.Applied: return { status: ApplyStatus.Applied, revision: head.revision }
+      case WriteStatus.NotWritten: return { status: ApplyStatus.NotWritten, revision: undefined }
+      case WriteStatus.Conflict: return { status: ApplyStatus.Conflict, revision: (await this.#readHead(call))?.revision }
+      case WriteStatus.Unknown: return await this.#readBack(head, call)
+      default: return unreachable(result)
+    }
+  }
+
+  /** After a lost answer: the head in the store tells whether the write took effect. */
+  async #readBack (head: CatalogueHead, call: StoreCall): Promise<ApplyOutcome> {
+    const current = await this.#readHead(call)
+    if (current === undefined) return { status: ApplyStatus.Unknown, revision: undefined }
+    const same = current.revision === head.revision && current.parts.join() === head.parts.join()
+    if (same) return { status: ApplyStatus.Applied, revision: head.revision }
+    // An older head does not prove that the write will not still arrive.
+    const status = current.revision >= head.revision ? ApplyStatus.Conflict : ApplyStatus.Unknown
+    return { status, revision: current.revision }
+  }
+
+  async #readHead (call: StoreCall): Promise<CatalogueHead | undefined> {
+    const head = await this.#store.read(CATALOGUE_HEAD, call)
+    if (!head.ok || head.value === undefined) return undefined
+    const parsed = headSchema.safeParse(head.value.value)
+    return parsed.success ? parsed.data : undefined
+  }
+
+  async #exists (name: string, call: StoreCall): Promise<boolean> {
+    const found = await this.#store.read(cataloguePartKey(name), call)
+    return found.ok && found.value !== undefined
+  }
+
+  async #resolve (object: StoredObject, call: StoreCall): Promise<Outcome<StoredCatalogue, StoreFailure>> {
+    const head = headSchema.safeParse(object.value)
+    if (!head.success) return failure(StoreFailure.Malformed)
+    const parts: CataloguePart[] = []
+    for (const name of head.data.parts) {
+      const part = await this.#part(name, call)
+      if (!part.ok) return part
+      parts.push(part.value)
+    }
+    return success({ revision: head.data.revision, headVersion: object.version, catalogue: join(parts) })
+  }
+
+  async #part (name: string, call: StoreCall): Promise<Outcome<CataloguePart, StoreFailure>> {
+    const known = this.#parts.get(name)
+    if (known !== undefined) return success(known)
+    const object = await this.#store.read(cataloguePartKey(name), call)
+    if (!object.ok) return object
+    const parsed = partSchema.safeParse(object.value?.value)
+    if (!parsed.success) return failure(StoreFailure.Malformed)
+    this.#parts.set(name, parsed.data)
+    return success(parsed.data)
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -0,0 +1,237 @@
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import { unreachable } from '@cyclamenthread/state'
+import { deadlineSignal } from '@cyclamenthread/transport'
+import type { Endpoint, VersionSpan } from '@cyclamenthread/state'
+
+/** Connections kept to one endpoint. */
+const CONNECTIONS_PER_ENDPOINT = 128
+
+const chunkSchema = z.object({
+  id: z.string(),
+  choices: z.array(z.object({ text: z.string(), finish_reason: z.string().nullable().optional() })).optional(),
+  weight_version: z.int().optional(),
+  tokens: z.int().nonnegative().optional(),
+  usage: z.object({ prompt_tokens: z.int().nonnegative(), completion_tokens: z.int().nonnegative() }).optional()
+})
+
+/** A completion to be run on an engine. */
+export interface CompletionCall {
+  readonly requestId: string
+  readonly prompt: string
+  readonly maxTokens: number
+  readonly traceparent: string
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+  readonly signal?: AbortSignal
+}
+
+/** Kinds of what an engine's stream yields. */
+export enum CompletionPartKind {
+  Text = 'text',
+  End = 'end',
+  Failure = 'failure'
+}
+
+/** What an engine's stream yields; it ends with one `End` or one `Failure`. */
+export type CompletionPart =
+  | { readonly kind: CompletionPartKind.Text, readonly text: string, readonly tokens: number, readonly version: number | undefined }
+  | { readonly kind: CompletionPartKind.End, readonly finishReason: string, readonly promptTokens: number, readonly answerTokens: number }
+  | { readonly kind: CompletionPartKind.Failure, readonly sent: boolean, readonly detail: string }
+
+/** A whole completion. */
+export interface Completion {
+  readonly text: string
+  /** Undefined when the engine did not name the version of some part. */
+  readonly versions: readonly VersionSpan[] | undefined
+  readonly finishReason: string
+  readonly promptTokens: number
+  readonly answerTokens: number
+}
+
+/** A call of a plain service, already stripped to what an endpoint may see. */
+export interface ServiceCall {
+  readonly method: string
+  readonly path: string
+  readonly headers: ReadonlyArray<readonly [string, string]>
+  readonly body: Uint8Array
+  readonly deadline: number
+  readonly signal?: AbortSignal
+}
+
+/** What came of a call of a plain service. */
+export type ServiceReply =
+  | { readonly ok: true, readonly status: number, readonly headers: ReadonlyArray<readonly [string, string]>, readonly body: Uint8Array }
+  | { readonly ok: false, readonly sent: boolean, readonly detail: string }
+
+function neverSent (error: unknown): boolean {
+  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT'
+}
+
+function messageOf (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
+/** Splits a stream of server-sent events into the data of each event. */
+async function * eventData (body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+  const decoder = new TextDecoder()
+  let buffered = ''
+  for await (const bytes of body) {
+    buffered += decoder.decode(bytes, { stream: true })
+    let end = buffered.indexOf('\n\n')
+    while (end >= 0) {
+      const event = buffered.slice(0, end)
+      buffered = buffered.slice(end + 2)
+      if (event.startsWith('data: ')) yield event.slice('data: '.length)
+      end = buffered.indexOf('\n\n')
+    }
+  }
+}
+
+/**
+ * Talks to endpoints: engines over the usual completions protocol with
+ * server-sent events, plain services over plain HTTP.
+ *
+ * @example
+ * for await (const part of client.complete(endpoint, call)) …
+ */
+export class EndpointClient {
+  readonly #agent = new Agent({ connections: CONNECTIONS_PER_ENDPOINT, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+
+  /** Streams a completion. The stream always ends with `End` or `Failure`; it does not throw. */
+  async * complete (endpoint: Endpoint, call: CompletionCall): AsyncGenerator<CompletionPart> {
+    let sent = false
+    try {
+      const response = await request(`${endpoint.url}/v1/completions`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', 'x-request-id': call.requestId, traceparent: call.traceparent },
+        body: JSON.stringify({ prompt: call.prompt, max_tokens: call.maxTokens, stream: true, request_id: call.requestId }),
+        dispatcher: this.#agent,
+        signal: deadlineSignal(call.deadline, call.signal)
+      })
+      sent = true
+      if (response.statusCode !== 200) {
+        await response.body.dump()
+        yield { kind: CompletionPartKind.Failure, sent: true, detail: `endpoint answered ${response.statusCode}` }
+        return
+      }
+      yield * this.#parts(response.body, call.requestId)
+    } catch (error) {
+      yield { kind: CompletionPartKind.Failure, sent: sent || !neverSent(error), detail: messageOf(error) }
+    }
+  }
+
+  /** Calls a plain service and reads its whole answer. Does not throw. */
+  async callService (endpoint: Endpoint, call: ServiceCall): Promise<ServiceReply> {
+    try {
+      const response = await request(endpoint.url + call.path, {
+        method: call.method as 'GET',
+        headers: call.headers.flat(),
+        body: call.body.length > 0 ? call.body : null,
+        dispatcher: this.#agent,
+        signal: deadlineSignal(call.deadline, call.signal)
+      })
+      const body = new Uint8Array(await response.body.arrayBuffer())
+      return { ok: true, status: response.statusCode, headers: headerPairs(response.headers), body }
+    } catch (error) {
+      return { ok: false, sent: !neverSent(error), detail: messageOf(error) }
+    }
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async * #parts (body: AsyncIterable<Uint8Array>, requestId: string): AsyncGenerator<CompletionPart> {
+    let end: CompletionPart | undefined
+    for await (const data of eventData(body)) {
+      if (data === '[DONE]') {
+        yield end ?? { kind: CompletionPartKind.Failure, sent: true, detail: 'the stream ended without its usage' }
+        return
+      }
+      const chunk = chunkSchema.parse(JSON.parse(data))
+      if (chunk.id !== requestId) {
+        yield { kind: CompletionPartKind.Failure, sent: true, detail: 'the answer belongs to another request' }
+        return
+      }
+      const choice = chunk.choices?.[0]
+      if (choice !== undefined && choice.text !== '') {
+        yield { kind: CompletionPartKind.Text, text: choice.text, tokens: chunk.tokens ?? 1, version: chunk.weight_version }
+      }
+      if (chunk.usage !== undefined) {
+        end = {
+          kind: CompletionPartKind.End,
+          finishReason: choice?.finish_reason ?? 'stop',
+          promptTokens: chunk.usage.prompt_tokens,
+          answerTokens: chunk.usage.completion_tokens
+        }
+      }
+    }
+    yield { kind: CompletionPartKind.Failure, sent: true, detail: 'the stream broke off' }
+  }
+}
+
+function headerPairs (headers: Record<string, string | string[] | undefined>): Array<[string, string]> {
+  return Object.entries(headers).flatMap(([name, value]) => {
+    const values = Array.isArray(value) ? value : [value ?? '']
+    return values.map((one): [string, string] => [name, one])
+  })
+}
+
+/**
+ * Collects the parts of a completion.
+ *
+ * Invariant: the tokens of the spans add up to the tokens of the parts seen.
+ */
+export class CompletionBuilder {
+  #text = ''
+  #spans: VersionSpan[] = []
+  #unnamed = false
+  #completion: Completion | undefined
+  #failure: { readonly sent: boolean, readonly detail: string } | undefined
+
+  /** Takes the next part. */
+  add (part: CompletionPart): void {
+    switch (part.kind) {
+      case CompletionPartKind.Text:
+        this.#text += part.text
+        this.#addSpan(part.version, part.tokens)
+        return
+      case CompletionPartKind.End:
+        this.#completion = {
+          text: this.#text,
+          versions: this.#unnamed ? undefined : this.#spans,
+          finishReason: part.finishReason,
+          promptTokens: part.promptTokens,
+          answerTokens: part.answerTokens
+        }
+        return
+      case CompletionPartKind.Failure:
+        this.#failure = part
+        return
+      default: unreachable(part)
+    }
+  }
+
+  /** The completion once it is whole. */
+  get completion (): Completion | undefined {
+    return this.#failure === undefined ? this.#completion : undefined
+  }
+
+  /** Why there is no completion. */
+  get failure (): { readonly sent: boolean, readonly detail: string } | undefined {
+    return this.#failure
+  }
+
+  #addSpan (version: number | undefined, tokens: number): void {
+    if (version === undefined) {
+      this.#unnamed = true
+      return
+    }
+    const last = this.#spans.at(-1)
+    if (last !== undefined && last.version === version) this.#spans[this.#spans.length - 1] = { version, tokens: last.tokens + tokens }
+    else this.#spans.push({ version, tokens })
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/lib/http-object-store.ts
@@ -0,0 +1,135 @@
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import { failure, success } from '@cyclamenthread/state'
+import { deadlineSignal, timeLeft } from '@cyclamenthread/transport'
+import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
+import type { Dispatcher } from 'undici'
+import type { Outcome } from '@cyclamenthread/state'
+import type { Expectation, ObjectStore, StoreCall, StoredObject, WatchBatch, WriteResult } from './object-store.js'
+
+const objectSchema = z.object({ key: z.string(), version: z.string(), value: z.unknown() })
+const listSchema = z.object({ objects: z.array(objectSchema) })
+const watchSchema = z.object({
+  changes: z.array(z.object({ key: z.string(), version: z.string(), value: z.unknown().optional() })),
+  next: z.string()
+})
+
+/** Connections kept to the store. */
+const CONNECTIONS = 16
+
+/** An answer of the store as it came. */
+interface RawAnswer {
+  readonly status: number
+  readonly etag: string
+  readonly body: unknown
+}
+
+/** Whether an error arose before any byte left, so that a write can't have taken effect. */
+function neverSent (error: unknown): boolean {
+  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT'
+}
+
+/**
+ * The object service over HTTP: `GET`, `PUT` with `If-Match` or `If-None-Match`,
+ * `DELETE`, a listing by prefix and a long-polling watch.
+ *
+ * @example
+ * const store = new HttpObjectStore('http://127.0.0.1:9000')
+ * await store.read('catalogue/head', { purpose: StorePurpose.Configuration, deadline })
+ */
+export class HttpObjectStore implements ObjectStore {
+  /** Calls made, by purpose; a waiting watch counts as one. */
+  readonly calls: Record<StorePurpose, number> = {
+    [StorePurpose.Lease]: 0,
+    [StorePurpose.Configuration]: 0,
+    [StorePurpose.Claim]: 0,
+    [StorePurpose.Other]: 0
+  }
+
+  readonly #baseUrl: string
+  readonly #agent = new Agent({ connections: CONNECTIONS, pipelining: 1 })
+
+  constructor (baseUrl: string) {
+    this.#baseUrl = baseUrl.replace(/\/$/, '')
+  }
+
+  async read (key: string, call: StoreCall): Promise<Outcome<StoredObject | undefined, StoreFailure>> {
+    const answer = await this.#get(`/objects/${encodeURIComponent(key)}`, call)
+    if (!answer.ok) return answer
+    if (answer.value.status === 404) return success(undefined)
+    return success({ key, version: answer.value.etag, value: answer.value.body })
+  }
+
+  async list (prefix: string, call: StoreCall): Promise<Outcome<readonly StoredObject[], StoreFailure>> {
+    const answer = await this.#get(`/objects?prefix=${encodeURIComponent(prefix)}`, call)
+    if (!answer.ok) return answer
+    const parsed = listSchema.safeParse(answer.value.body)
+    return parsed.success ? success(parsed.data.objects) : failure(StoreFailure.Malformed)
+  }
+
+  async watch (prefix: string, after: string, call: StoreCall): Promise<Outcome<WatchBatch, StoreFailure>> {
+    const waitMs = Math.floor(timeLeft(call.deadline) * 0.8)
+    const answer = await this.#get(`/watch?prefix=${encodeURIComponent(prefix)}&after=${encodeURIComponent(after)}&waitMs=${waitMs}`, call)
+    if (!answer.ok) return answer
+    const parsed = watchSchema.safeParse(answer.value.body)
+    return parsed.success ? success(parsed.data) : failure(StoreFailure.Malformed)
+  }
+
+  async write (key: string, value: unknown, expectation: Expectation, call: StoreCall): Promise<WriteResult> {
+    const condition: Record<string, string> = expectation.kind === ExpectationKind.Absent
+      ? { 'if-none-match': '*' }
+      : { 'if-match': expectation.version }
+    return await this.#change('PUT', key, { 'content-type': 'application/json', ...condition }, JSON.stringify(value), call)
+  }
+
+  async remove (key: string, version: string, call: StoreCall): Promise<WriteResult> {
+    return await this.#change('DELETE', key, { 'if-match': version }, undefined, call)
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #change (method: 'PUT' | 'DELETE', key: string, headers: Record<string, string>, body: string | undefined, call: StoreCall): Promise<WriteResult> {
+    try {
+      const answer = await this.#send(method, `/objects/${encodeURIComponent(key)}`, headers, body, call)
+      return changeResult(answer)
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error)
+      return { status: neverSent(error) ? WriteStatus.NotWritten : WriteStatus.Unknown, detail }
+    }
+  }
+
+  async #get (path: string, call: StoreCall): Promise<Outcome<RawAnswer, StoreFailure>> {
+    try {
+      const answer = await this.#send('GET', path, {}, undefined, call)
+      return answer.status === 200 || answer.status === 404 ? success(answer) : failure(StoreFailure.Unavailable)
+    } catch (error) {
+      const timedOut = error instanceof Error && (error.name === 'TimeoutError' || error.name === 'AbortError')
+      return failure(timedOut ? StoreFailure.Timeout : StoreFailure.Unavailable)
+    }
+  }
+
+  async #send (method: Dispatcher.HttpMethod, path: string, headers: Record<string, string>, body: string | undefined, call: StoreCall): Promise<RawAnswer> {
+    this.calls[call.purpose] += 1
+    const response = await request(this.#baseUrl + path, {
+      method,
+      headers,
+      body: body ?? null,
+      dispatcher: this.#agent,
+      signal: deadlineSignal(call.deadline)
+    })
+    const text = await response.body.text()
+    return { status: response.statusCode, etag: String(response.headers['etag'] ?? ''), body: text === '' ? undefined : JSON.parse(text) }
+  }
+}
+
+function changeResult (answer: RawAnswer): WriteResult {
+  if (answer.status === 200 || answer.status === 201 || answer.status === 204) return { status: WriteStatus.Applied, version: answer.etag }
+  if (answer.status === 412) return { status: WriteStatus.Conflict }
+  // A 5xx of a proxy or of the service may come after the write took effect.
+  if (answer.status >= 500 && answer.status !== 503) return { status: WriteStatus.Unknown, detail: `status ${answer.status}` }
+  return { status: WriteStatus.NotWritten, detail: `status ${answer.status}` }
+}
--- /dev/null
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -0,0 +1,129 @@
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import { endpointSchema, failure, success } from '@cyclamenthread/state'
+import { deadlineSignal } from '@cyclamenthread/transport'
+import type { Outcome, UsageTotal } from '@cyclamenthread/state'
+
+const hostListSchema = z.object({
+  hosts: z.array(z.object({
+    id: z.string(),
+    region: z.string(),
+    failureDomain: z.string(),
+    peerAddress: z.string(),
+    callerUrl: z.string(),
+    hasDataFolder: z.boolean(),
+    leaving: z.boolean()
+  }))
+})
+
+const orderedEndpointSchema = z.object({
+  endpoint: endpointSchema,
+  pool: z.string(),
+  state: z.enum(['starting', 'running', 'reclaiming', 'stopping']),
+  /** Seconds until a reclaimed endpoint vanishes. */
+  noticeSeconds: z.number().optional()
+})
+
+const fleetSchema = z.object({ endpoints: z.array(orderedEndpointSchema) })
+
+/** Why the platform gave no usable answer. */
+export enum PlatformFailure {
+  Unavailable = 'unavailable',
+  Refused = 'refused',
+  Malformed = 'malformed'
+}
+
+/** Orders for the platform's endpoint interface. */
+export enum FleetOrderKind {
+  Start = 'start',
+  Stop = 'stop'
+}
+
+/** One order to start or stop endpoints; resending the same `orderId` has no second effect. */
+export type FleetOrder =
+  | { readonly kind: FleetOrderKind.Start, readonly orderId: string, readonly pool: string, readonly failureDomain: string, readonly cheap: boolean, readonly count: number }
+  | { readonly kind: FleetOrderKind.Stop, readonly orderId: string, readonly endpointId: string }
+
+/** A sealed usage window, as it is reported. */
+export interface UsageWindow {
+  readonly window: number
+  /** Milliseconds since 1970. */
+  readonly from: number
+  readonly to: number
+  readonly complete: boolean
+  readonly totals: readonly UsageTotal[]
+}
+
+export type PlatformHost = z.infer<typeof hostListSchema>['hosts'][number]
+export type OrderedEndpoint = z.infer<typeof orderedEndpointSchema>
+
+/** How a platform call is made. */
+export interface PlatformCall {
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+}
+
+/**
+ * The platform's other interfaces: the lagging list of hosts, the ordering of
+ * endpoints and the intake of usage reports.
+ *
+ * @example
+ * const hosts = await platform.hosts({ deadline })
+ */
+export class PlatformClient {
+  readonly #baseUrl: string
+  readonly #agent = new Agent({ connections: 4, pipelining: 1 })
+
+  constructor (baseUrl: string) {
+    this.#baseUrl = baseUrl.replace(/\/$/, '')
+  }
+
+  /** The hosts the platform believes to run, live and leaving. */
+  async hosts (call: PlatformCall): Promise<Outcome<readonly PlatformHost[], PlatformFailure>> {
+    const answer = await this.#send('GET', '/hosts', undefined, call)
+    if (!answer.ok) return answer
+    const parsed = hostListSchema.safeParse(answer.value)
+    return parsed.success ? success(parsed.data.hosts) : failure(PlatformFailure.Malformed)
+  }
+
+  /** The endpoints that were ordered and what became of them. */
+  async fleet (call: PlatformCall): Promise<Outcome<readonly OrderedEndpoint[], PlatformFailure>> {
+    const answer = await this.#send('GET', '/fleet', undefined, call)
+    if (!answer.ok) return answer
+    const parsed = fleetSchema.safeParse(answer.value)
+    return parsed.success ? success(parsed.data.endpoints) : failure(PlatformFailure.Malformed)
+  }
+
+  /** Sends one order; `Refused` when none are to be had. */
+  async order (order: FleetOrder, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+    return await this.#send('POST', '/fleet/orders', order, call)
+  }
+
+  /** Reports one sealed usage window under the lease epoch of the reporter. */
+  async reportUsage (window: UsageWindow, epoch: number, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+    return await this.#send('PUT', `/usage/${window.window}`, { epoch, ...window }, call)
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #send (method: 'GET' | 'POST' | 'PUT', path: string, body: unknown, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+    try {
+      const response = await request(this.#baseUrl + path, {
+        method,
+        headers: { 'content-type': 'application/json' },
+        body: body === undefined ? null : JSON.stringify(body),
+        dispatcher: this.#agent,
+        signal: deadlineSignal(call.deadline, call.signal)
+      })
+      const text = await response.body.text()
+      if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
+      if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
+      return success(text === '' ? undefined : JSON.parse(text))
+    } catch {
+      return failure(PlatformFailure.Unavailable)
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,5 @@
+export * from './lib/booking-standin.js'
+export * from './lib/engine-standin.js'
+export * from './lib/http-standin.js'
+export * from './lib/platform-standin.js'
+export * from './lib/store-standin.js'
--- /dev/null
+++ b/packages/standins/src/lib/store-standin.ts
@@ -0,0 +1,182 @@
+import { answerJson, HttpStandin } from './http-standin.js'
+import type { StandinRequest } from './http-standin.js'
+
+/** Largest value the object service holds, in bytes. */
+const MAX_VALUE_BYTES = 1024 * 1024
+
+/** Longest a watch waits, in milliseconds. */
+const MAX_WATCH_MS = 60_000
+
+/** Changes kept for watches. */
+const KEPT_CHANGES = 100_000
+
+/** Faults the store can be told to have. */
+export interface StoreFaults {
+  /** Refuses every call. */
+  down: boolean
+  /** Delay before each answer, in milliseconds. */
+  delayMs: number
+  /** Share of writes whose answer is lost after the effect. */
+  lostAnswers: number
+}
+
+interface HeldObject {
+  readonly version: number
+  readonly value: unknown
+}
+
+interface HeldChange {
+  readonly sequence: number
+  readonly key: string
+  readonly value: unknown
+  readonly removed: boolean
+}
+
+/** Calls the store has counted; a waiting watch is one. */
+export interface StoreCounts {
+  reads: number
+  writes: number
+  watches: number
+  lists: number
+}
+
+/**
+ * Stand-in for the platform's versioned object service: conditional updates,
+ * watches, a bound on values, and faults on demand.
+ */
+export class StoreStandin {
+  readonly faults: StoreFaults = { down: false, delayMs: 0, lostAnswers: 0 }
+  readonly counts: StoreCounts = { reads: 0, writes: 0, watches: 0, lists: 0 }
+  readonly #http = new HttpStandin(async (request) => await this.#answer(request))
+  readonly #objects = new Map<string, HeldObject>()
+  readonly #waiters = new Set<() => void>()
+  readonly #random: () => number
+  #changes: HeldChange[] = []
+  #sequence = 0
+
+  /** @param random source of the faults' dice, from 0 up to 1 */
+  constructor (random: () => number = Math.random) {
+    this.#random = random
+  }
+
+  get url (): string {
+    return this.#http.url
+  }
+
+  async listen (port = 0): Promise<string> {
+    return await this.#http.listen(port)
+  }
+
+  async close (): Promise<void> {
+    for (const wake of this.#waiters) wake()
+    await this.#http.close()
+  }
+
+  /** The value of an object, as a test sees it. */
+  peek (key: string): unknown {
+    return this.#objects.get(key)?.value
+  }
+
+  /** Keys that start with a prefix. */
+  keys (prefix: string): string[] {
+    return [...this.#objects.keys()].filter((key) => key.startsWith(prefix)).sort()
+  }
+
+  async #answer (request: StandinRequest): Promise<void> {
+    if (this.faults.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, this.faults.delayMs))
+    if (this.faults.down) {
+      answerJson(request.response, 503, { error: 'the store is down' })
+      return
+    }
+    const { pathname } = request.url
+    if (pathname === '/objects') this.#list(request)
+    else if (pathname === '/watch') await this.#watch(request)
+    else if (pathname.startsWith('/objects/')) this.#object(request, decodeURIComponent(pathname.slice('/objects/'.length)))
+    else answerJson(request.response, 404, {})
+  }
+
+  #object (request: StandinRequest, key: string): void {
+    if (request.method === 'GET') this.#read(request, key)
+    else this.#change(request, key)
+  }
+
+  #read (request: StandinRequest, key: string): void {
+    this.counts.reads += 1
+    const held = this.#objects.get(key)
+    if (held === undefined) answerJson(request.response, 404, { error: 'no such object' })
+    else answerJson(request.response, 200, held.value, { etag: String(held.version) })
+  }
+
+  #change (request: StandinRequest, key: string): void {
+    this.counts.writes += 1
+    if (request.body.length > MAX_VALUE_BYTES) {
+      answerJson(request.response, 413, { error: 'the value is too large' })
+      return
+    }
+    if (!this.#holds(request, key)) {
+      answerJson(request.response, 412, { error: 'the condition does not hold' })
+      return
+    }
+    const removed = request.method === 'DELETE'
+    this.#sequence += 1
+    const value: unknown = removed ? undefined : JSON.parse(request.body.toString('utf8'))
+    if (removed) this.#objects.delete(key)
+    else this.#objects.set(key, { version: this.#sequence, value })
+    this.#changes.push({ sequence: this.#sequence, key, value, removed })
+    if (this.#changes.length > 2 * KEPT_CHANGES) this.#changes = this.#changes.slice(-KEPT_CHANGES)
+    for (const wake of [...this.#waiters]) wake()
+    if (this.#random() < this.faults.lostAnswers) request.response.destroy()
+    else answerJson(request.response, 200, {}, { etag: String(this.#sequence) })
+  }
+
+  #holds (request: StandinRequest, key: string): boolean {
+    const held = this.#objects.get(key)
+    if (request.headers['if-none-match'] === '*') return held === undefined
+    return held !== undefined && request.headers['if-match'] === String(held.version)
+  }
+
+  #list (request: StandinRequest): void {
+    this.counts.lists += 1
+    const prefix = request.url.searchParams.get('prefix') ?? ''
+    const objects = this.keys(prefix).map((key) => ({ key, version: String(this.#objects.get(key)?.version), value: this.peek(key) }))
+    answerJson(request.response, 200, { objects })
+  }
+
+  async #watch (request: StandinRequest): Promise<void> {
+    this.counts.watches += 1
+    const prefix = request.url.searchParams.get('prefix') ?? ''
+    const given = request.url.searchParams.get('after') ?? ''
+    const after = given === '' ? this.#sequence : Number(given)
+    const until = Date.now() + Math.min(Number(request.url.searchParams.get('waitMs') ?? 0), MAX_WATCH_MS)
+    const changes = given === '' ? [] : await this.#awaitChanges(request, prefix, after, until)
+    answerJson(request.response, 200, {
+      changes: changes.map((change) => ({ key: change.key, version: String(change.sequence), ...(change.removed ? {} : { value: change.value }) })),
+      next: String(changes.at(-1)?.sequence ?? after)
+    })
+  }
+
+  /** Changes after a point, once there are any, or none when the time is up. */
+  async #awaitChanges (request: StandinRequest, prefix: string, after: number, until: number): Promise<HeldChange[]> {
+    for (;;) {
+      const changes = this.#changesAfter(prefix, after)
+      if (changes.length > 0 || Date.now() >= until || this.faults.down || request.response.destroyed) return changes
+      await this.#nextChange(until - Date.now())
+    }
+  }
+
+  #changesAfter (prefix: string, after: number): HeldChange[] {
+    return this.#changes.filter((change) => change.sequence > after && change.key.startsWith(prefix))
+  }
+
+  async #nextChange (waitMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const wake = (): void => {
+        clearTimeout(timer)
+        this.#waiters.delete(wake)
+        resolve()
+      }
+      const timer = setTimeout(wake, waitMs)
+      this.#waiters.add(wake)
+    })
+  }
+}
--- /dev/null
+++ b/packages/state/src/lib/key.ts
@@ -0,0 +1,28 @@
+import { createHmac, timingSafeEqual } from 'node:crypto'
+import type { Key } from './catalogue.js'
+
+/**
+ * The salted hash under which a key is kept. Keys are random and long, so one
+ * keyed hash is enough: there is no dictionary to try.
+ *
+ * @param salt hexadecimal salt of the key
+ * @param token the bearer token as the caller sends it
+ * @returns 64 hexadecimal digits
+ * @example
+ * hashKey('00ff00ff00ff00ff', 'desk-1_secret')
+ */
+export function hashKey (salt: string, token: string): string {
+  return createHmac('sha256', salt).update(token).digest('hex')
+}
+
+/**
+ * Whether a bearer token is the one the key was granted for, in constant time.
+ *
+ * @example
+ * matchesKey(key, 'desk-1_secret') // true
+ */
+export function matchesKey (key: Key, token: string): boolean {
+  const expected = Buffer.from(key.hash, 'hex')
+  const actual = Buffer.from(hashKey(key.salt, token), 'hex')
+  return expected.length === actual.length && timingSafeEqual(expected, actual)
+}
--- /dev/null
+++ b/packages/state/src/lib/lease.ts
@@ -0,0 +1,43 @@
+/** The record of a lease, as it stands in the store. No clock of its writer is in it. */
+export interface LeaseRecord {
+  readonly holder: string
+  /** Grows by one with each change of holder; serves as fencing number. */
+  readonly epoch: number
+  /** Grows with each renewal, so that an observer sees that the holder lives. */
+  readonly renewal: number
+}
+
+/** What an observer saw of a lease and when, by its own monotonic clock. */
+export interface LeaseSighting {
+  readonly record: LeaseRecord
+  readonly version: string
+  readonly firstSeenAt: number
+}
+
+/**
+ * Whether an observer may take over: only when the record stood unchanged for
+ * longer than the lease on the observer's own clock.
+ *
+ * @param sighting the record and when the observer first saw it in this form
+ * @param leaseMs length of the lease in milliseconds
+ * @param now observer's monotonic time in milliseconds
+ * @example
+ * mayTakeOver(sighting, 10_000, performance.now())
+ */
+export function mayTakeOver (sighting: LeaseSighting, leaseMs: number, now: number): boolean {
+  return now - sighting.firstSeenAt > leaseMs
+}
+
+/**
+ * Until when a holder may act: counted from before the renewal was sent, so
+ * that it ends before any observer's wait does.
+ *
+ * @param sentAt holder's monotonic time in milliseconds before the write left
+ * @param leaseMs length of the lease in milliseconds
+ * @returns monotonic deadline in milliseconds
+ * @example
+ * leaseDeadline(1000, 10_000) // 11000
+ */
+export function leaseDeadline (sentAt: number, leaseMs: number): number {
+  return sentAt + leaseMs
+}
--- /dev/null
+++ b/packages/state/src/lib/refusal.ts
@@ -0,0 +1,54 @@
+/** Whether any byte of a request may have reached an endpoint. */
+export enum Ran {
+  No = 'no',
+  Maybe = 'maybe',
+  Yes = 'yes'
+}
+
+/** Why a request was not answered. The values are the last part of the problem type that callers see. */
+export enum RefusalReason {
+  BadRequest = 'bad-request',
+  Unauthorized = 'unauthorized',
+  Forbidden = 'forbidden',
+  UnknownEntry = 'unknown-entry',
+  NotReady = 'not-ready',
+  Isolated = 'isolated',
+  Overloaded = 'overloaded',
+  LimitReached = 'limit-reached',
+  DeadlineExceeded = 'deadline-exceeded',
+  NoEndpoint = 'no-endpoint',
+  EndpointFailed = 'endpoint-failed',
+  Quarantined = 'quarantined',
+  KeyRequired = 'idempotency-key-required',
+  KeyReused = 'idempotency-key-reused',
+  InProgress = 'in-progress',
+  OutcomeUnknown = 'outcome-unknown',
+  StoreUnavailable = 'store-unavailable',
+  NotOwner = 'not-owner',
+  UnknownBatch = 'unknown-batch',
+  BatchChanged = 'batch-changed',
+  TooLarge = 'too-large',
+  Cancelled = 'cancelled',
+  Leaving = 'leaving'
+}
+
+/** A request that was not answered, and what is known of its effect. */
+export interface Refusal {
+  readonly reason: RefusalReason
+  readonly ran: Ran
+  readonly detail: string
+  /** Milliseconds after which trying again may help; absent when it would not. */
+  readonly retryAfterMs?: number
+}
+
+/**
+ * Builds a refusal of a request of which nothing ran.
+ *
+ * @example
+ * notRun(RefusalReason.Overloaded, 'the queue is full', 500)
+ */
+export function notRun (reason: RefusalReason, detail: string, retryAfterMs?: number): Refusal {
+  return retryAfterMs === undefined
+    ? { reason, ran: Ran.No, detail }
+    : { reason, ran: Ran.No, detail, retryAfterMs }
+}
--- /dev/null
+++ b/packages/transport/src/index.ts
@@ -0,0 +1,6 @@
+export * from './lib/deadline.js'
+export * from './lib/frame.js'
+export * from './lib/peer-client.js'
+export * from './lib/peer-server.js'
+export * from './lib/trace.js'
+export { SpanKind } from '@opentelemetry/api'
--- /dev/null
+++ b/packages/transport/src/lib/trace.ts
@@ -0,0 +1,58 @@
+import { context, SpanStatusCode, trace } from '@opentelemetry/api'
+import { W3CTraceContextPropagator } from '@opentelemetry/core'
+import type { Attributes, Context, Span, SpanKind } from '@opentelemetry/api'
+
+const TRACER_NAME = 'cyclamenthread'
+const propagator = new W3CTraceContextPropagator()
+
+/** One hop of a request, as it is traced. */
+export interface Hop {
+  readonly name: string
+  readonly kind: SpanKind
+  /** The `traceparent` that came with the request, or empty. */
+  readonly traceparent: string
+  readonly attributes?: Attributes
+}
+
+function contextOf (traceparent: string): Context {
+  if (traceparent === '') return context.active()
+  return propagator.extract(context.active(), { traceparent }, {
+    get: (carrier: Record<string, string>, key) => carrier[key],
+    keys: (carrier) => Object.keys(carrier)
+  })
+}
+
+/**
+ * The `traceparent` of a span, for the next hop.
+ *
+ * @example
+ * headers.traceparent = traceparentOf(span)
+ */
+export function traceparentOf (span: Span): string {
+  const carrier: Record<string, string> = {}
+  propagator.inject(trace.setSpan(context.active(), span), carrier, {
+    set: (target, key, value) => {
+      target[key] = value
+    }
+  })
+  return carrier['traceparent'] ?? ''
+}
+
+/**
+ * Runs one hop inside a span that ends with it.
+ *
+ * @example
+ * await traced({ name: 'dispatch', kind: SpanKind.CLIENT, traceparent }, (span) => call(traceparentOf(span)))
+ */
+export async function traced<Value> (hop: Hop, work: (span: Span) => Promise<Value>): Promise<Value> {
+  const tracer = trace.getTracer(TRACER_NAME)
+  const span = tracer.startSpan(hop.name, { kind: hop.kind, attributes: hop.attributes ?? {} }, contextOf(hop.traceparent))
+  try {
+    return await work(span)
+  } catch (error) {
+    span.setStatus({ code: SpanStatusCode.ERROR })
+    throw error
+  } finally {
+    span.end()
+  }
+}
