Shared shapes for side-by-side work: messages by task, roster and releases, decision sink, experiments

Cause: one file of messages would be edited by everyone at once. State after: each task's messages stand in a file of their own; the catalogue view also carries the roster of ordered endpoints and the released weight versions.

--- /dev/null
+++ b/packages/bench/bin/experiment.js
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+import { runExperiment } from '../dist/index.js'
+
+await runExperiment()
+process.exit(0)
--- a/packages/coordination/src/lib/catalogue-task.ts
+++ b/packages/coordination/src/lib/catalogue-task.ts
@@ -1,8 +1,10 @@
 import { EventEmitter } from 'node:events'
-import { CatalogueView } from '@cyclamenthread/state'
-import { CATALOGUE_PREFIX, CatalogueStore, StorePurpose } from '@cyclamenthread/protocol'
+import { CatalogueView, EMPTY_ROSTER, NO_RELEASES, rosterSchema, weightReleasesSchema } from '@cyclamenthread/state'
+import { CATALOGUE_PREFIX, CatalogueStore, RELEASES_KEY, ROSTER_KEY, StorePurpose } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
-import type { ObjectStore } from '@cyclamenthread/protocol'
+import type { output, ZodType } from 'zod'
+import type { Roster, WeightReleases } from '@cyclamenthread/state'
+import type { ObjectStore, StoredCatalogue } from '@cyclamenthread/protocol'
 import type { HostSettings } from './host-settings.js'
 
 /** Longest a watch waits for a change, in milliseconds. */
@@ -70,10 +72,29 @@
   }
 
   async #refresh (): Promise<void> {
-    const stored = await this.#catalogues.read(deadlineAfter(this.#settings.storeTimeoutMs))
+    const deadline = deadlineAfter(this.#settings.storeTimeoutMs)
+    const stored = await this.#catalogues.read(deadline)
     if (!stored.ok || stored.value === undefined) return
-    if (stored.value.revision <= (this.#view?.revision ?? 0)) return
-    this.#view = new CatalogueView(stored.value.revision, stored.value.catalogue)
+    const roster = await this.#document(ROSTER_KEY, rosterSchema, deadline)
+    const releases = await this.#document(RELEASES_KEY, weightReleasesSchema, deadline)
+    this.#adopt(stored.value, roster ?? EMPTY_ROSTER, releases ?? NO_RELEASES)
+  }
+
+  /** Takes over whatever is newer than what is known. */
+  #adopt (stored: StoredCatalogue, roster: Roster, releases: WeightReleases): void {
+    const known = this.#view
+    const newerCatalogue = known === undefined || stored.revision > known.revision
+    const newerRoster = known === undefined || roster.sequence > known.roster.sequence
+    const newerReleases = known === undefined || releases.sequence > known.releases.sequence
+    if (!newerCatalogue && !newerRoster && !newerReleases) return
+    const revision = newerCatalogue ? stored.revision : known.revision
+    const catalogue = newerCatalogue ? stored.catalogue : known.catalogue
+    this.#view = new CatalogueView(revision, catalogue, newerRoster ? roster : known.roster, newerReleases ? releases : known.releases)
     this.#changes.emit('change', this.#view)
   }
+
+  async #document<Schema extends ZodType> (key: string, schema: Schema, deadline: number): Promise<output<Schema> | undefined> {
+    const found = await this.#store.read(key, { purpose: StorePurpose.Configuration, deadline })
+    return found.ok ? schema.safeParse(found.value?.value).data : undefined
+  }
 }
--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -68,9 +68,10 @@
 
   async start (): Promise<void> {
     this.#catalogue.onChange((view) => {
-      this.#placements = layCells(view.catalogue)
+      this.#placements = layCells(view)
     })
-    this.#placements = layCells(this.#catalogue.current()?.catalogue ?? { workspaces: [], keys: [], entries: [], pools: [] })
+    const view = this.#catalogue.current()
+    this.#placements = view === undefined ? [] : layCells(view)
     await this.#poll.start()
   }
 
--- /dev/null
+++ b/packages/coordination/src/lib/decision-log.ts
@@ -0,0 +1,46 @@
+import { DecisionChain } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { ChainedDecision, Decision } from '@cyclamenthread/state'
+import type { HostSettings } from './host-settings.js'
+
+/** Decision records kept in memory for `explain`. */
+const KEPT_DECISIONS = 50_000
+
+/** Where decisions go. */
+export interface DecisionSink {
+  /** Appends a decision to the chain of this process. */
+  record (decision: Decision): void
+}
+
+/**
+ * Chains the decisions of this process and answers for them.
+ *
+ * Invariant: every decision is in exactly one chain, at exactly one place.
+ */
+export class DecisionLog implements DecisionSink {
+  readonly #chain: DecisionChain
+  #records: ChainedDecision[] = []
+
+  constructor (settings: HostSettings) {
+    this.#chain = new DecisionChain(`${settings.self.id}/${settings.incarnation}`)
+  }
+
+  /** The broker service that answers for decisions. */
+  service (): ServiceSchema {
+    return taskService('decisions', {
+      [PeerMessageKind.ExplainRequest]: async (message) => ({ records: this.#explain(message.requestId) })
+    })
+  }
+
+  record (decision: Decision): void {
+    this.#records.push(this.#chain.append(decision, Date.now()))
+    if (this.#records.length > 2 * KEPT_DECISIONS) this.#records = this.#records.slice(-KEPT_DECISIONS)
+  }
+
+  #explain (requestId: string): ChainedDecision[] {
+    const isOf = (id: string): boolean => id === requestId || id.startsWith(`${requestId}/`)
+    return this.#records.filter((record) => isOf(record.decision.requestId))
+  }
+}
--- a/packages/coordination/src/lib/dispatcher-task.ts
+++ b/packages/coordination/src/lib/dispatcher-task.ts
@@ -1,12 +1,13 @@
-import { Cell, CellEffectKind, CellEventKind, DecisionChain, findOwner, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
+import { Cell, CellEffectKind, CellEventKind, findOwner, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
 import { Periodic } from './periodic.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { CatalogueView, CellEffect, CellEvent, CellPlacement, CellSummary, ChainedDecision, Decision, Host } from '@cyclamenthread/state'
+import type { CatalogueView, CellEffect, CellEvent, CellPlacement, CellSummary, Host } from '@cyclamenthread/state'
 import type { AcquireSlot, SlotAnswer } from '@cyclamenthread/protocol'
 import type { CatalogueSource } from './catalogue-task.js'
+import type { DecisionSink } from './decision-log.js'
 import type { HostSettings } from './host-settings.js'
 import type { MemberView } from './member-task.js'
 import type { MessageMeta } from './message-bus.js'
@@ -17,9 +18,6 @@
 /** How long a slot outlives the deadline of its request before it is taken back, in milliseconds. */
 const LEASE_GRACE_MS = 5_000
 
-/** Decision records kept in memory for `explain`. */
-const KEPT_DECISIONS = 50_000
-
 /** A cell this host owns and the endpoints it was last told of. */
 interface OwnedCell {
   readonly cell: Cell
@@ -52,15 +50,14 @@
   readonly #catalogue: CatalogueSource
   readonly #cells = new Map<string, OwnedCell>()
   readonly #waiting = new Map<string, (answer: SlotAnswer) => void>()
-  readonly #chain: DecisionChain
-  #records: ChainedDecision[] = []
+  readonly #decisions: DecisionSink
   readonly #ticker: Periodic
 
-  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource) {
+  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, decisions: DecisionSink) {
     this.#settings = settings
     this.#members = members
     this.#catalogue = catalogue
-    this.#chain = new DecisionChain(`${settings.self.id}/${settings.incarnation}`)
+    this.#decisions = decisions
     this.#ticker = new Periodic(TICK_MS, async () => this.#tick())
   }
 
@@ -77,8 +74,7 @@
         this.#cancel(message.cell, message.requestId)
         return { accepted: true }
       },
-      [PeerMessageKind.SummariseCells]: async () => ({ cells: this.summaries() }),
-      [PeerMessageKind.ExplainRequest]: async (message) => ({ records: this.#explain(message.requestId) })
+      [PeerMessageKind.SummariseCells]: async () => ({ cells: this.summaries() })
     })
   }
 
@@ -112,7 +108,7 @@
 
   #ownPlacements (view: CatalogueView): CellPlacement[] {
     const workers = this.#members.workers()
-    return layCells(view.catalogue).filter((placement) => cellOwner(placement, workers)?.id === this.#settings.self.id)
+    return layCells(view).filter((placement) => cellOwner(placement, workers)?.id === this.#settings.self.id)
   }
 
   #place (placement: CellPlacement): void {
@@ -180,7 +176,7 @@
         this.#answer(cell, effect.requestId, { granted: false, refusal: effect.refusal })
         return
       case CellEffectKind.Record:
-        this.#keep(effect.decision)
+        this.#decisions.record(effect.decision)
         return
       default: unreachable(effect)
     }
@@ -191,15 +187,6 @@
     this.#waiting.get(key)?.(answer)
     this.#waiting.delete(key)
   }
-
-  #keep (decision: Decision): void {
-    this.#records.push(this.#chain.append(decision, Date.now()))
-    if (this.#records.length > 2 * KEPT_DECISIONS) this.#records = this.#records.slice(-KEPT_DECISIONS)
-  }
-
-  #explain (requestId: string): ChainedDecision[] {
-    return this.#records.filter((record) => record.decision.requestId === requestId || record.decision.requestId.startsWith(`${requestId}/`))
-  }
 }
 
 function waitingKey (cell: string, requestId: string): string {
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,7 +1,7 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, CatalogueTask, CellRouter, CompletionRunner, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
+  BatchTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
   MessageBus, ServiceRunner, UsageTask
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
@@ -30,6 +30,7 @@
   readonly #bus: MessageBus
   readonly #members: MemberTask
   readonly #catalogue: CatalogueTask
+  readonly #decisions: DecisionLog
   readonly #dispatcher: DispatcherTask
   readonly #router: CellRouter
   readonly #ledger: LedgerTask
@@ -47,7 +48,8 @@
     this.#bus = new MessageBus(this.#host, this.#broker)
     this.#members = new MemberTask(this.#host, this.#platform)
     this.#catalogue = new CatalogueTask(this.#host, this.#store)
-    this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue)
+    this.#decisions = new DecisionLog(this.#host)
+    this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions)
     this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus)
     this.#ledger = new LedgerTask(this.#host, this.#members, this.#store)
     const completions = new CompletionRunner(this.#router, this.#endpoints)
@@ -70,6 +72,7 @@
   /** Starts every task; the port for callers opens last. */
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
+    this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#ledger.service())
     this.#broker.createService(this.#batches.service())
--- /dev/null
+++ b/packages/protocol/src/lib/dispatcher-message.ts
@@ -0,0 +1,63 @@
+import { z } from 'zod'
+import { endpointSchema, SlotEnd, WorkClass } from '@cyclamenthread/state'
+import { PeerMessageKind } from './message-kind.js'
+import { refusalSchema } from './refusal-schema.js'
+
+/** Asks the dispatcher of a cell for a slot; answered when one is granted or refused. */
+export const acquireSlotSchema = z.object({
+  kind: z.literal(PeerMessageKind.AcquireSlot),
+  cell: z.string(),
+  requestId: z.string(),
+  workspace: z.string(),
+  weight: z.number().positive(),
+  class: z.enum(WorkClass),
+  entry: z.string(),
+  expectedTokens: z.number().nonnegative(),
+  prefix: z.string(),
+  digest: z.string(),
+  excluded: z.array(z.string()),
+  /** Milliseconds the request may still wait and run. */
+  leftMs: z.number().nonnegative()
+})
+
+/** Gives a slot back and says how its use ended. */
+export const releaseSlotSchema = z.object({
+  kind: z.literal(PeerMessageKind.ReleaseSlot),
+  cell: z.string(),
+  slotId: z.string(),
+  end: z.enum(SlotEnd),
+  actualTokens: z.number().nonnegative()
+})
+
+/** Withdraws a request that still waits. */
+export const cancelRequestSchema = z.object({
+  kind: z.literal(PeerMessageKind.CancelRequest),
+  cell: z.string(),
+  requestId: z.string()
+})
+
+/** Asks for the summaries of all cells a host owns. */
+export const summariseCellsSchema = z.object({ kind: z.literal(PeerMessageKind.SummariseCells) })
+
+/** The answer to {@link acquireSlotSchema}. */
+export const slotAnswerSchema = z.discriminatedUnion('granted', [
+  z.object({ granted: z.literal(true), slotId: z.string(), endpoint: endpointSchema, leaseMs: z.number() }),
+  z.object({ granted: z.literal(false), refusal: refusalSchema })
+])
+
+/** The answer to {@link summariseCellsSchema}. */
+export const cellSummariesSchema = z.object({
+  cells: z.array(z.object({
+    cell: z.string(),
+    freeSlots: z.number(),
+    totalSlots: z.number(),
+    waiting: z.number(),
+    expectedTokensQueued: z.number()
+  }))
+})
+
+export type AcquireSlot = z.infer<typeof acquireSlotSchema>
+export type ReleaseSlot = z.infer<typeof releaseSlotSchema>
+export type CancelRequest = z.infer<typeof cancelRequestSchema>
+export type SlotAnswer = z.infer<typeof slotAnswerSchema>
+export type CellSummaries = z.infer<typeof cellSummariesSchema>
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -59,6 +59,40 @@
   readonly signal?: AbortSignal
 }
 
+/** An engine's own account of its load; it lags behind what it does. */
+const loadReportSchema = z.object({
+  running: z.int().nonnegative(),
+  waiting: z.int().nonnegative(),
+  version: z.int().nonnegative(),
+  /** Milliseconds that passed since the engine took the figures. */
+  ageMs: z.number().nonnegative().default(0)
+})
+
+export type LoadReport = z.infer<typeof loadReportSchema>
+
+/** Orders that endpoints take. */
+export enum EndpointOrderKind {
+  LoadWeights = 'load-weights'
+}
+
+/** An order to one endpoint, with the fencing number of the lease it is given under. */
+export interface EndpointOrder {
+  readonly kind: EndpointOrderKind.LoadWeights
+  readonly version: number
+  readonly fence: number
+}
+
+/** What came of an order to an endpoint. */
+export enum OrderStatus {
+  Accepted = 'accepted',
+  /** The endpoint has seen a newer fencing number. */
+  Fenced = 'fenced',
+  /** The order may have arrived. */
+  Unknown = 'unknown',
+  /** The order never left. */
+  NotSent = 'not-sent'
+}
+
 /** What came of a call of a plain service. */
 export type ServiceReply =
   | { readonly ok: true, readonly status: number, readonly headers: ReadonlyArray<readonly [string, string]>, readonly body: Uint8Array }
@@ -139,6 +173,40 @@
     }
   }
 
+  /** Reads an engine's load report; undefined when it gives none in time. */
+  async readLoad (endpoint: Endpoint, deadline: number): Promise<LoadReport | undefined> {
+    try {
+      const response = await request(`${endpoint.url}/load`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
+      return loadReportSchema.safeParse(await response.body.json()).data
+    } catch {
+      return undefined
+    }
+  }
+
+  /**
+   * Gives an endpoint an order.
+   *
+   * @param endpoint the endpoint
+   * @param order what to do, and the fencing number
+   * @param deadline monotonic milliseconds at which the lease behind the order ends; the order is aborted then
+   */
+  async order (endpoint: Endpoint, order: EndpointOrder, deadline: number): Promise<OrderStatus> {
+    try {
+      const response = await request(`${endpoint.url}/orders`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(order),
+        dispatcher: this.#agent,
+        signal: deadlineSignal(deadline)
+      })
+      await response.body.dump()
+      if (response.statusCode === 200) return OrderStatus.Accepted
+      return response.statusCode === 409 ? OrderStatus.Fenced : OrderStatus.Unknown
+    } catch (error) {
+      return neverSent(error) ? OrderStatus.NotSent : OrderStatus.Unknown
+    }
+  }
+
   /** Closes the connections. */
   async close (): Promise<void> {
     await this.#agent.destroy()
--- /dev/null
+++ b/packages/protocol/src/lib/ledger-message.ts
@@ -0,0 +1,92 @@
+import { z } from 'zod'
+import { ApplyResult, LedgerRecordKind } from '@cyclamenthread/state'
+import { PeerMessageKind } from './message-kind.js'
+import type { BatchEvent, LedgerRecord } from '@cyclamenthread/state'
+
+function isLedgerRecord (value: unknown): boolean {
+  const kinds: readonly string[] = Object.values(LedgerRecordKind)
+  return typeof value === 'object' && value !== null && 'kind' in value && kinds.includes(String(value.kind))
+}
+
+/** Asks the owner of a partition to commit records, all or none. */
+export const commitRecordSchema = z.object({
+  kind: z.literal(PeerMessageKind.CommitRecord),
+  partition: z.int().nonnegative(),
+  records: z.array(z.custom<LedgerRecord>(isLedgerRecord)).min(1)
+})
+
+/** Reads a claim from the owner of its partition. */
+export const readClaimSchema = z.object({
+  kind: z.literal(PeerMessageKind.ReadClaim),
+  partition: z.int().nonnegative(),
+  claimId: z.string()
+})
+
+/** Reads the events of a batch after a cursor, waiting for the next when there are none. */
+export const readBatchSchema = z.object({
+  kind: z.literal(PeerMessageKind.ReadBatch),
+  partition: z.int().nonnegative(),
+  workspace: z.string(),
+  batchId: z.string(),
+  after: z.int().nonnegative(),
+  limit: z.int().positive(),
+  waitMs: z.number().nonnegative()
+})
+
+/** What became of a commit. */
+export enum CommitStatus {
+  Committed = 'committed',
+  /** The host does not own the partition. Nothing was written. */
+  NotOwner = 'not-owner',
+  /** A record contradicts what was committed before. Nothing was written. */
+  Rejected = 'rejected',
+  /** The store can't be written. Nothing was written. */
+  Unavailable = 'unavailable',
+  /** Whether the records were written is not known. */
+  Unknown = 'unknown'
+}
+
+/** The answer to {@link commitRecordSchema}. */
+export const commitAnswerSchema = z.object({
+  status: z.enum(CommitStatus),
+  results: z.array(z.enum(ApplyResult))
+})
+
+const recordedAnswerSchema = z.object({
+  status: z.int(),
+  headers: z.array(z.tuple([z.string(), z.string()])),
+  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array)
+})
+
+/** The answer to {@link readClaimSchema}. */
+export const claimAnswerSchema = z.discriminatedUnion('status', [
+  z.object({ status: z.literal('not-owner') }),
+  z.object({ status: z.literal('none') }),
+  z.object({
+    status: z.literal('held'),
+    requestId: z.string(),
+    requestDigest: z.string(),
+    answer: recordedAnswerSchema.optional()
+  })
+])
+
+/** The answer to {@link readBatchSchema}. */
+export const batchAnswerSchema = z.discriminatedUnion('status', [
+  z.object({ status: z.literal('not-owner') }),
+  z.object({ status: z.literal('none') }),
+  z.object({
+    status: z.literal('found'),
+    events: z.array(z.custom<BatchEvent>((value) => typeof value === 'object' && value !== null)),
+    total: z.int(),
+    settled: z.int(),
+    acknowledged: z.int(),
+    cancelled: z.boolean()
+  })
+])
+
+export type CommitRecord = z.infer<typeof commitRecordSchema>
+export type ReadClaim = z.infer<typeof readClaimSchema>
+export type ReadBatch = z.infer<typeof readBatchSchema>
+export type CommitAnswer = z.infer<typeof commitAnswerSchema>
+export type ClaimAnswer = z.infer<typeof claimAnswerSchema>
+export type BatchAnswer = z.infer<typeof batchAnswerSchema>
--- a/packages/protocol/src/lib/store-key.ts
+++ b/packages/protocol/src/lib/store-key.ts
@@ -7,6 +7,12 @@
 /** The head of the catalogue: it lists the parts of the revision in force. */
 export const CATALOGUE_HEAD = `${CATALOGUE_PREFIX}head`
 
+/** The endpoints that the capacity leader runs. */
+export const ROSTER_KEY = `${CATALOGUE_PREFIX}roster`
+
+/** The weight versions that were released. */
+export const RELEASES_KEY = `${CATALOGUE_PREFIX}releases`
+
 /**
  * Key of an immutable part of the catalogue, named by its content.
  *
--- a/packages/state/src/lib/catalogue-view.ts
+++ b/packages/state/src/lib/catalogue-view.ts
@@ -1,5 +1,7 @@
 import { hashKey, matchesKey } from './key.js'
-import type { Catalogue, Entry, Key, Pool, Workspace } from './catalogue.js'
+import { EMPTY_ROSTER, EndpointState, NO_RELEASES } from './roster.js'
+import type { Catalogue, Endpoint, Entry, Key, Pool, Workspace } from './catalogue.js'
+import type { Roster, WeightReleases } from './roster.js'
 
 /** Separates the id of a key from its secret in a bearer token. */
 const KEY_SEPARATOR = '_'
@@ -11,14 +13,18 @@
 export class CatalogueView {
   readonly revision: number
   readonly catalogue: Catalogue
+  readonly roster: Roster
+  readonly releases: WeightReleases
   readonly #entries: ReadonlyMap<string, Entry>
   readonly #keys: ReadonlyMap<string, Key>
   readonly #pools: ReadonlyMap<string, Pool>
   readonly #workspaces: ReadonlyMap<string, Workspace>
 
-  constructor (revision: number, catalogue: Catalogue) {
+  constructor (revision: number, catalogue: Catalogue, roster: Roster = EMPTY_ROSTER, releases: WeightReleases = NO_RELEASES) {
     this.revision = revision
     this.catalogue = catalogue
+    this.roster = roster
+    this.releases = releases
     this.#entries = new Map(catalogue.entries.map((entry) => [entry.name, entry]))
     this.#keys = new Map(catalogue.keys.map((key) => [key.id, key]))
     this.#pools = new Map(catalogue.pools.map((pool) => [pool.name, pool]))
@@ -35,6 +41,17 @@
     return this.#pools.get(name)
   }
 
+  /** The endpoints of a pool that may be given work: declared ones and running ones of the roster. */
+  endpoints (pool: string): Endpoint[] {
+    const rostered = this.roster.endpoints.filter((item) => item.pool === pool && item.state === EndpointState.Running)
+    return [...this.pool(pool)?.endpoints ?? [], ...rostered.map((item) => item.endpoint)]
+  }
+
+  /** The newest weight version released to a pool; 0 before the first. */
+  releasedVersion (pool: string): number {
+    return this.releases.releases.find((release) => release.pool === pool)?.version ?? 0
+  }
+
   /** The workspace of that name, if the catalogue has one. */
   workspace (name: string): Workspace | undefined {
     return this.#workspaces.get(name)
--- a/packages/state/src/lib/cell-layout.ts
+++ b/packages/state/src/lib/cell-layout.ts
@@ -1,4 +1,5 @@
-import type { Catalogue, Endpoint } from './catalogue.js'
+import type { Endpoint } from './catalogue.js'
+import type { CatalogueView } from './catalogue-view.js'
 
 /** Most endpoints that one cell counts. */
 export const MAX_CELL_ENDPOINTS = 24
@@ -17,10 +18,10 @@
  * finds the same cells.
  *
  * @example
- * layCells(catalogue).map((cell) => cell.name) // ['engines/leith-walk/0', …]
+ * layCells(view).map((cell) => cell.name) // ['engines/leith-walk/0', …]
  */
-export function layCells (catalogue: Catalogue): CellPlacement[] {
-  return catalogue.pools.flatMap((pool) => layPool(pool.name, pool.endpoints))
+export function layCells (view: CatalogueView): CellPlacement[] {
+  return view.catalogue.pools.flatMap((pool) => layPool(pool.name, view.endpoints(pool.name)))
 }
 
 function layPool (pool: string, endpoints: readonly Endpoint[]): CellPlacement[] {
