--- /dev/null
+++ b/packages/bench/src/lib/host-metrics.ts
@@ -0,0 +1,36 @@
+/** What one host says it has spent since its start. */
+export interface HostMetrics {
+  readonly cpuSeconds: number
+  readonly residentBytes: number
+  readonly controlBytesSent: number
+  readonly controlBytesReceived: number
+  readonly storeCalls: number
+}
+
+/**
+ * Reads the metrics page of a host.
+ *
+ * @param url base URL of the host
+ * @example
+ * (await readHostMetrics(url)).cpuSeconds
+ */
+export async function readHostMetrics (url: string): Promise<HostMetrics> {
+  const page = await (await fetch(`${url}/metrics`)).text()
+  return {
+    cpuSeconds: sumOf(page, 'process_cpu_seconds_total'),
+    residentBytes: sumOf(page, 'process_resident_memory_bytes'),
+    controlBytesSent: sumOf(page, 'cyclamenthread_control_bytes', 'direction="sent"'),
+    controlBytesReceived: sumOf(page, 'cyclamenthread_control_bytes', 'direction="received"'),
+    storeCalls: sumOf(page, 'cyclamenthread_store_calls')
+  }
+}
+
+/** Adds the samples of one metric, over all labels or those that contain a text. */
+function sumOf (page: string, metric: string, label = ''): number {
+  let sum = 0
+  for (const line of page.split('\n')) {
+    const name = line.split(/[{ ]/, 1)[0]
+    if (name === metric && line.includes(label)) sum += Number(line.slice(line.lastIndexOf(' ') + 1))
+  }
+  return sum
+}
--- a/packages/coordination/src/lib/usage-task.ts
+++ b/packages/coordination/src/lib/usage-task.ts
@@ -3,7 +3,7 @@
   ExpectationKind, ledgerHeadKey, ledgerSegmentKey, parseLedgerHead, parseLedgerSegment, restoreRecord,
   StorePurpose, usageWindowKey, WriteStatus
 } from '@cyclamenthread/protocol'
-import { deadlineAfter, deadlineSignal } from '@cyclamenthread/transport'
+import { deadlineAfter } from '@cyclamenthread/transport'
 import { z } from 'zod'
 import { LeaseTask } from './lease-task.js'
 import { Periodic } from './periodic.js'
@@ -111,7 +111,7 @@
     if (sealed === undefined) return false
     const leadership = this.#lease.leadership()
     if (leadership === undefined) return false
-    const report = await this.#platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline, signal: deadlineSignal(leadership.deadline) })
+    const report = await this.#platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline })
     if (report.ok) this.counters.reported += 1
     else this.counters.failedReports += 1
     return report.ok
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { unreachable } from '@cyclamenthread/state'
-import { deadlineSignal } from '@cyclamenthread/transport'
+import { openDeadline, withDeadline } from '@cyclamenthread/transport'
 import type { Endpoint, VersionSpan } from '@cyclamenthread/state'
 
 /** Connections kept to one endpoint. */
@@ -136,13 +136,14 @@
   /** Streams a completion. The stream always ends with `End` or `Failure`; it does not throw. */
   async * complete (endpoint: Endpoint, call: CompletionCall): AsyncGenerator<CompletionPart> {
     let sent = false
+    const scope = openDeadline(call.deadline, call.signal)
     try {
       const response = await request(`${endpoint.url}/v1/completions`, {
         method: 'POST',
         headers: { 'content-type': 'application/json', 'x-request-id': call.requestId, traceparent: call.traceparent },
         body: JSON.stringify({ prompt: call.prompt, max_tokens: call.maxTokens, stream: true, request_id: call.requestId }),
         dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
+        signal: scope.signal
       })
       sent = true
       if (response.statusCode !== 200) {
@@ -153,21 +154,25 @@
       yield * this.#parts(response.body, call.requestId)
     } catch (error) {
       yield { kind: CompletionPartKind.Failure, sent: sent || !neverSent(error), detail: messageOf(error) }
+    } finally {
+      scope.close()
     }
   }
 
   /** Calls a plain service and reads its whole answer. Does not throw. */
   async callService (endpoint: Endpoint, call: ServiceCall): Promise<ServiceReply> {
     try {
-      const response = await request(endpoint.url + call.path, {
-        method: call.method as 'GET',
-        headers: call.headers.flat(),
-        body: call.body.length > 0 ? call.body : null,
-        dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
-      })
-      const body = new Uint8Array(await response.body.arrayBuffer())
-      return { ok: true, status: response.statusCode, headers: headerPairs(response.headers), body }
+      return await withDeadline(call.deadline, async (signal): Promise<ServiceReply> => {
+        const response = await request(endpoint.url + call.path, {
+          method: call.method as 'GET',
+          headers: call.headers.flat(),
+          body: call.body.length > 0 ? call.body : null,
+          dispatcher: this.#agent,
+          signal
+        })
+        const body = new Uint8Array(await response.body.arrayBuffer())
+        return { ok: true, status: response.statusCode, headers: headerPairs(response.headers), body }
+      }, call.signal)
     } catch (error) {
       return { ok: false, sent: !neverSent(error), detail: messageOf(error) }
     }
@@ -176,8 +181,10 @@
   /** Reads an engine's load report; undefined when it gives none in time. */
   async readLoad (endpoint: Endpoint, deadline: number): Promise<LoadReport | undefined> {
     try {
-      const response = await request(`${endpoint.url}/load`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
-      return loadReportSchema.safeParse(await response.body.json()).data
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${endpoint.url}/load`, { dispatcher: this.#agent, signal })
+        return loadReportSchema.safeParse(await response.body.json()).data
+      })
     } catch {
       return undefined
     }
@@ -192,16 +199,18 @@
    */
   async order (endpoint: Endpoint, order: EndpointOrder, deadline: number): Promise<OrderStatus> {
     try {
-      const response = await request(`${endpoint.url}/orders`, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(order),
-        dispatcher: this.#agent,
-        signal: deadlineSignal(deadline)
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${endpoint.url}/orders`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify(order),
+          dispatcher: this.#agent,
+          signal
+        })
+        await response.body.dump()
+        if (response.statusCode === 200) return OrderStatus.Accepted
+        return response.statusCode === 409 ? OrderStatus.Fenced : OrderStatus.Unknown
       })
-      await response.body.dump()
-      if (response.statusCode === 200) return OrderStatus.Accepted
-      return response.statusCode === 409 ? OrderStatus.Fenced : OrderStatus.Unknown
     } catch (error) {
       return neverSent(error) ? OrderStatus.NotSent : OrderStatus.Unknown
     }
--- a/packages/protocol/src/lib/http-object-store.ts
+++ b/packages/protocol/src/lib/http-object-store.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { failure, success } from '@cyclamenthread/state'
-import { deadlineSignal, timeLeft } from '@cyclamenthread/transport'
+import { DeadlineError, timeLeft, withDeadline } from '@cyclamenthread/transport'
 import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
 import type { Dispatcher } from 'undici'
 import type { Outcome } from '@cyclamenthread/state'
@@ -107,22 +107,18 @@
       const answer = await this.#send('GET', path, {}, undefined, call)
       return answer.status === 200 || answer.status === 404 ? success(answer) : failure(StoreFailure.Unavailable)
     } catch (error) {
-      const timedOut = error instanceof Error && (error.name === 'TimeoutError' || error.name === 'AbortError')
+      const timedOut = error instanceof DeadlineError
       return failure(timedOut ? StoreFailure.Timeout : StoreFailure.Unavailable)
     }
   }
 
   async #send (method: Dispatcher.HttpMethod, path: string, headers: Record<string, string>, body: string | undefined, call: StoreCall): Promise<RawAnswer> {
     this.calls[call.purpose] += 1
-    const response = await request(this.#baseUrl + path, {
-      method,
-      headers,
-      body: body ?? null,
-      dispatcher: this.#agent,
-      signal: deadlineSignal(call.deadline)
+    return await withDeadline(call.deadline, async (signal) => {
+      const response = await request(this.#baseUrl + path, { method, headers, body: body ?? null, dispatcher: this.#agent, signal })
+      const text = await response.body.text()
+      return { status: response.statusCode, etag: String(response.headers['etag'] ?? ''), body: text === '' ? undefined : JSON.parse(text) }
     })
-    const text = await response.body.text()
-    return { status: response.statusCode, etag: String(response.headers['etag'] ?? ''), body: text === '' ? undefined : JSON.parse(text) }
   }
 }
 
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
-import { deadlineSignal } from '@cyclamenthread/transport'
+import { withDeadline } from '@cyclamenthread/transport'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
 const hostListSchema = z.object({
@@ -111,17 +111,19 @@
 
   async #send (method: 'GET' | 'POST' | 'PUT', path: string, body: unknown, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
     try {
-      const response = await request(this.#baseUrl + path, {
-        method,
-        headers: { 'content-type': 'application/json' },
-        body: body === undefined ? null : JSON.stringify(body),
-        dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
-      })
-      const text = await response.body.text()
-      if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
-      if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
-      return success(text === '' ? undefined : JSON.parse(text))
+      return await withDeadline(call.deadline, async (signal) => {
+        const response = await request(this.#baseUrl + path, {
+          method,
+          headers: { 'content-type': 'application/json' },
+          body: body === undefined ? null : JSON.stringify(body),
+          dispatcher: this.#agent,
+          signal
+        })
+        const text = await response.body.text()
+        if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
+        if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
+        return success<unknown>(text === '' ? undefined : JSON.parse(text))
+      }, call.signal)
     } catch {
       return failure(PlatformFailure.Unavailable)
     }
--- a/packages/standins/src/lib/store-standin.ts
+++ b/packages/standins/src/lib/store-standin.ts
@@ -32,6 +32,12 @@
   readonly removed: boolean
 }
 
+/** A watch that waits for a change under its prefix. */
+interface Waiter {
+  readonly prefix: string
+  readonly wake: () => void
+}
+
 /** Calls the store has counted; a waiting watch is one. */
 export interface StoreCounts {
   reads: number
@@ -49,7 +55,7 @@
   readonly counts: StoreCounts = { reads: 0, writes: 0, watches: 0, lists: 0 }
   readonly #http = new HttpStandin(async (request) => await this.#answer(request))
   readonly #objects = new Map<string, HeldObject>()
-  readonly #waiters = new Set<() => void>()
+  readonly #waiters = new Set<Waiter>()
   readonly #random: () => number
   #changes: HeldChange[] = []
   #sequence = 0
@@ -68,7 +74,7 @@
   }
 
   async close (): Promise<void> {
-    for (const wake of this.#waiters) wake()
+    for (const waiter of this.#waiters) waiter.wake()
     await this.#http.close()
   }
 
@@ -124,7 +130,9 @@
     else this.#objects.set(key, { version: this.#sequence, value })
     this.#changes.push({ sequence: this.#sequence, key, value, removed })
     if (this.#changes.length > 2 * KEPT_CHANGES) this.#changes = this.#changes.slice(-KEPT_CHANGES)
-    for (const wake of [...this.#waiters]) wake()
+    for (const waiter of [...this.#waiters]) {
+      if (key.startsWith(waiter.prefix)) waiter.wake()
+    }
     if (this.#random() < this.faults.lostAnswers) request.response.destroy()
     else answerJson(request.response, 200, {}, { etag: String(this.#sequence) })
   }
@@ -160,7 +168,7 @@
     for (;;) {
       const changes = this.#changesAfter(prefix, after)
       if (changes.length > 0 || Date.now() >= until || this.faults.down || request.response.destroyed) return changes
-      await this.#nextChange(until - Date.now())
+      await this.#nextChange(prefix, until - Date.now())
     }
   }
 
@@ -168,15 +176,18 @@
     return this.#changes.filter((change) => change.sequence > after && change.key.startsWith(prefix))
   }
 
-  async #nextChange (waitMs: number): Promise<void> {
+  async #nextChange (prefix: string, waitMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
-      const wake = (): void => {
-        clearTimeout(timer)
-        this.#waiters.delete(wake)
-        resolve()
+      const waiter: Waiter = {
+        prefix,
+        wake: () => {
+          clearTimeout(timer)
+          this.#waiters.delete(waiter)
+          resolve()
+        }
       }
-      const timer = setTimeout(wake, waitMs)
-      this.#waiters.add(wake)
+      const timer = setTimeout(waiter.wake, waitMs)
+      this.#waiters.add(waiter)
     })
   }
 }
--- a/packages/transport/src/lib/deadline.ts
+++ b/packages/transport/src/lib/deadline.ts
@@ -29,14 +29,59 @@
   return monotonicNow() + leftMs
 }
 
+/** A deadline passed before the work under it ended. */
+export class DeadlineError extends Error {
+  override readonly name = 'DeadlineError'
+}
+
+/** Longest time a timer can be set for, in milliseconds. */
+const MAX_TIMER_MS = 2 ** 31 - 1
+
+/** A signal bound to a deadline, until it is closed. */
+export interface DeadlineScope {
+  readonly signal: AbortSignal
+  /** Ends the scope: its timer no longer runs, so that finished work costs nothing later. */
+  close (): void
+}
+
+/**
+ * Opens a signal that aborts at a deadline, or when `parent` does. A plain
+ * `AbortSignal.timeout` would keep its timer, and build its error, long after
+ * the work is done.
+ *
+ * @param deadline monotonic milliseconds
+ * @example
+ * const scope = openDeadline(deadline)
+ * try { await work(scope.signal) } finally { scope.close() }
+ */
+export function openDeadline (deadline: number, parent?: AbortSignal): DeadlineScope {
+  const controller = new AbortController()
+  const timer = setTimeout(() => controller.abort(new DeadlineError('the deadline passed')), Math.min(timeLeft(deadline), MAX_TIMER_MS))
+  const onAbort = (): void => controller.abort(parent?.reason)
+  if (parent?.aborted === true) onAbort()
+  else parent?.addEventListener('abort', onAbort, { once: true })
+  return {
+    signal: controller.signal,
+    close: () => {
+      clearTimeout(timer)
+      parent?.removeEventListener('abort', onAbort)
+    }
+  }
+}
+
 /**
- * A signal that aborts at a deadline, or when `parent` does.
+ * Runs work under a deadline.
  *
  * @param deadline monotonic milliseconds
+ * @throws whatever the work throws; {@link DeadlineError} when it lets the signal's reason through
  * @example
- * fetch(url, { signal: deadlineSignal(deadline) })
+ * await withDeadline(deadline, async (signal) => await request(url, { signal }))
  */
-export function deadlineSignal (deadline: number, parent?: AbortSignal): AbortSignal {
-  const own = AbortSignal.timeout(Math.ceil(timeLeft(deadline)))
-  return parent === undefined ? own : AbortSignal.any([own, parent])
+export async function withDeadline<Value> (deadline: number, work: (signal: AbortSignal) => Promise<Value>, parent?: AbortSignal): Promise<Value> {
+  const scope = openDeadline(deadline, parent)
+  try {
+    return await work(scope.signal)
+  } finally {
+    scope.close()
+  }
 }
