Gateway limits, leaving hosts let callers go, spans kept in a file

Cause: slow, many or endless callers could hold the port; unknown paths were answered in the web library's own form; spans had no exporter.

--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -14,6 +14,9 @@
 /** Tokens of an answer when the caller sets no bound. */
 const DEFAULT_MAX_TOKENS = 256
 
+/** Bytes of an answer that may wait for a slow caller before its request is given up. */
+const MAX_BUFFERED_BYTES = 1024 * 1024
+
 /** How long usage is tried to be recorded after the answer, in milliseconds. */
 const USAGE_COMMIT_MS = 60_000
 
@@ -81,7 +84,7 @@
     traceparent: hop.traceparent,
     signal: hop.signal
   }
-  if (wanted.stream) await stream(gateway, response, order, wanted)
+  if (wanted.stream) await stream(gateway, response, order, wanted, hop)
   else await answerWhole(gateway, response, order, wanted)
 }
 
@@ -96,13 +99,14 @@
   sendJson(response, 200, wholeAnswer(order.requestId, order.entry, result.completion, wanted.chat))
 }
 
-async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest, hop: Hop): Promise<void> {
   const result = await gateway.completions.run({
     ...order,
     onPart: (part) => {
       if (part.kind !== CompletionPartKind.Text) return
       openStream(response, order.requestId)
       response.write(event(chunk(order, part.text, part.version, wanted.chat)))
+      if (response.writableLength > MAX_BUFFERED_BYTES) hop.cancel()
     }
   })
   if (!result.ok) {
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -8,7 +8,7 @@
 import { handleExplain } from './explain-handler.js'
 import { sendJson, sendProblem } from './problem.js'
 import { handleService } from './service-handler.js'
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
@@ -23,10 +23,24 @@
   readonly view: CatalogueView
   /** Aborts when the caller goes away. */
   readonly signal: AbortSignal
+  /** Gives the request up, as if the caller had gone away. */
+  readonly cancel: () => void
   /** Path and query as the caller sent them. */
   readonly url: string
 }
 
+/** Longest a caller may take to send the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000
+
+/** Longest a connection may be idle between two requests, in milliseconds. */
+const KEEP_ALIVE_MS = 30_000
+
+/** Longest a connection may move no byte while a request is open on it, in milliseconds. */
+const STALLED_MS = 120_000
+
+/** How often a drain looks whether it is over, in milliseconds. */
+const DRAIN_POLL_MS = 20
+
 /** What the gateway works with. */
 export interface GatewayParts {
   readonly settings: ServiceSettings
@@ -84,19 +98,25 @@
 
   /** Waits until no request runs and nothing is left to be written behind one. */
   async drained (): Promise<void> {
-    while (this.#running > 0 || this.#behind.size > 0) await new Promise((resolve) => setTimeout(resolve, 20))
+    while (this.#running > 0 || this.#behind.size > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
   }
 
   /** The broker service that listens for callers. */
   service (): ServiceSchema {
     const cut = this.settings.callerAddress.lastIndexOf(':')
+    const { maxConnections } = this.settings
     return {
       name: 'gateway',
       mixins: [ApiGateway as unknown as ServiceSchema],
       settings: {
         ip: this.settings.callerAddress.slice(0, cut),
         port: Number(this.settings.callerAddress.slice(cut + 1)),
+        requestTimeout: this.settings.requestTimeoutMs,
+        onError: (_: WebRequest, response: ServerResponse) => sendProblem(response, notRun(RefusalReason.NotFound, 'there is nothing at this path, or not by this method'), ''),
         routes: [{ path: '/', mappingPolicy: 'restrict', bodyParsers: false, mergeParams: false, aliases: this.#aliases() }]
+      },
+      created () {
+        limitConnections(this['server'] as Server, maxConnections)
       }
     }
   }
@@ -133,11 +153,13 @@
       response.on('close', () => {
         if (!response.writableFinished) gone.abort()
       })
+      // A leaving host lets its callers go with the answer, so that none is cut off when it closes.
+      if (this.#leaving()) response.setHeader('connection', 'close')
       this.#running += 1
       try {
         const hop = { name: `gateway.${name}`, kind: SpanKind.SERVER, traceparent: String(request.headers['traceparent'] ?? ''), attributes: { 'request.id': requestId } }
         await traced(hop, async (span) => {
-          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, url: request.originalUrl ?? request.url ?? '/' })
+          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, cancel: () => gone.abort(), url: request.originalUrl ?? request.url ?? '/' })
         })
       } finally {
         this.#running -= 1
@@ -147,10 +169,14 @@
 
   #ready (response: ServerResponse): void {
     const revision = this.catalogue.current()?.revision
-    const leaving = this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+    const leaving = this.#leaving()
     sendJson(response, revision === undefined || leaving ? 503 : 200, { ready: revision !== undefined && !leaving, catalogueRevision: revision ?? 0, leaving })
   }
 
+  #leaving (): boolean {
+    return this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+  }
+
   /** The hosts a caller may connect to, and until when it may keep the answer. */
   #addresses (response: ServerResponse): void {
     const notAfter = new Date(Date.now() + this.settings.addressTtlMs).toISOString()
@@ -164,3 +190,11 @@
     response.end(text)
   }
 }
+
+/** Bounds what one caller, or many idle ones, can hold of the port. */
+function limitConnections (server: Server, maxConnections: number): void {
+  server.maxConnections = maxConnections
+  server.headersTimeout = HEADERS_TIMEOUT_MS
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  server.timeout = STALLED_MS
+}
--- a/packages/cyclamenthread/src/lib/main.ts
+++ b/packages/cyclamenthread/src/lib/main.ts
@@ -1,5 +1,6 @@
 import { consola } from 'consola'
 import meow from 'meow'
+import { keepSpans } from '@cyclamenthread/transport'
 import { Service } from './service.js'
 import { environmentName, readSettings, serviceSettingsSchema } from './settings.js'
 
@@ -32,10 +33,12 @@
     process.exitCode = EXIT_USAGE
     return
   }
+  const { traceFile, traceRatio, hostId, callerAddress } = settings.value
+  const closeTraces = traceFile === undefined ? async () => {} : keepSpans({ path: traceFile, ratio: traceRatio, hostId })
   const service = new Service(settings.value)
   const leave = (signal: string): void => {
     consola.info(`received ${signal}: leaving`)
-    void service.drain().then(() => {
+    void service.drain().then(closeTraces).then(() => {
       consola.info('left')
       process.exit(0)
     })
@@ -44,5 +47,5 @@
   process.on('SIGTERM', () => leave('SIGTERM'))
   process.on('SIGINT', () => leave('SIGINT'))
   await service.start()
-  consola.info(`host ${settings.value.hostId} takes requests at ${settings.value.callerAddress}`)
+  consola.info(`host ${hostId} takes requests at ${callerAddress}`)
 }
--- a/packages/cyclamenthread/src/lib/problem.ts
+++ b/packages/cyclamenthread/src/lib/problem.ts
@@ -12,6 +12,7 @@
   [RefusalReason.BadRequest]: 400,
   [RefusalReason.Unauthorized]: 401,
   [RefusalReason.Forbidden]: 403,
+  [RefusalReason.NotFound]: 404,
   [RefusalReason.UnknownEntry]: 404,
   [RefusalReason.UnknownBatch]: 404,
   [RefusalReason.KeyRequired]: 400,
--- a/packages/cyclamenthread/src/lib/settings.ts
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -34,6 +34,10 @@
   summaryPeriodMs: milliseconds.default(500).describe('Period of the cells\' summaries, in milliseconds.'),
   cellQueueLimit: z.coerce.number().int().positive().default(10_000).describe('Requests that may wait in one cell.'),
   maxBodyBytes: z.coerce.number().int().positive().default(4 * 1024 * 1024).describe('Largest body of a caller\'s request, in bytes.'),
+  maxConnections: z.coerce.number().int().positive().default(4_096).describe('Connections of callers that are held at once; further ones are closed.'),
+  requestTimeoutMs: milliseconds.default(30_000).describe('Longest a caller may take to send a whole request, in milliseconds.'),
+  traceFile: z.string().optional().describe('File to which finished spans are appended, a JSON document a line; none are kept without it.'),
+  traceRatio: z.coerce.number().min(0).max(1).default(0.01).describe('Share of requests that are traced when their caller does not decide, from 0 to 1.'),
   addressTtlMs: milliseconds.default(10_000).describe('How long a caller may keep an answer of the address list, in milliseconds.'),
   drainTimeoutMs: milliseconds.default(60_000).describe('Longest a planned stop waits for running requests, in milliseconds.')
 })
--- a/packages/state/src/lib/refusal.ts
+++ b/packages/state/src/lib/refusal.ts
@@ -10,6 +10,7 @@
   BadRequest = 'bad-request',
   Unauthorized = 'unauthorized',
   Forbidden = 'forbidden',
+  NotFound = 'not-found',
   UnknownEntry = 'unknown-entry',
   NotReady = 'not-ready',
   Isolated = 'isolated',
--- /dev/null
+++ b/packages/transport/src/lib/span-file.ts
@@ -0,0 +1,76 @@
+import { createWriteStream } from 'node:fs'
+import { hrTimeToMilliseconds, W3CTraceContextPropagator } from '@opentelemetry/core'
+import { propagation } from '@opentelemetry/api'
+import { BatchSpanProcessor, NodeTracerProvider, ParentBasedSampler, TraceIdRatioBasedSampler } from '@opentelemetry/sdk-trace-node'
+import type { WriteStream } from 'node:fs'
+import type { ExportResult } from '@opentelemetry/core'
+import type { ReadableSpan, SpanExporter } from '@opentelemetry/sdk-trace-node'
+
+/** Code of a finished export, as the tracing library defines it. */
+const EXPORT_SUCCEEDED = 0
+
+/** Bytes that may wait for a slow disk before spans are dropped. */
+const MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+
+/** How spans are kept. */
+export interface SpanFileSettings {
+  readonly path: string
+  /** Share of traces kept when the caller does not decide, from 0 to 1. */
+  readonly ratio: number
+  readonly hostId: string
+}
+
+/** Appends finished spans to a file, a JSON document a line. Drops them rather than hold a request up. */
+class SpanFileExporter implements SpanExporter {
+  readonly #file: WriteStream
+  readonly #hostId: string
+
+  constructor (settings: SpanFileSettings) {
+    this.#file = createWriteStream(settings.path, { flags: 'a' })
+    // Traces are an aid: a full disk must not take the service down.
+    this.#file.on('error', () => {})
+    this.#hostId = settings.hostId
+  }
+
+  export (spans: ReadableSpan[], done: (result: ExportResult) => void): void {
+    if (this.#file.writableLength < MAX_BUFFERED_BYTES) {
+      for (const span of spans) this.#file.write(`${JSON.stringify(this.#document(span))}\n`)
+    }
+    done({ code: EXPORT_SUCCEEDED })
+  }
+
+  async shutdown (): Promise<void> {
+    await new Promise<void>((resolve) => this.#file.end(() => resolve()))
+  }
+
+  #document (span: ReadableSpan): object {
+    const { traceId, spanId } = span.spanContext()
+    return {
+      traceId,
+      spanId,
+      parentSpanId: span.parentSpanContext?.spanId ?? '',
+      name: span.name,
+      host: this.#hostId,
+      startedAt: new Date(hrTimeToMilliseconds(span.startTime)).toISOString(),
+      durationMs: hrTimeToMilliseconds(span.duration),
+      attributes: span.attributes
+    }
+  }
+}
+
+/**
+ * Keeps the spans of this process in a file.
+ *
+ * @returns a function that writes what is left and closes the file
+ * @example
+ * const close = keepSpans({ path: 'spans.ndjson', ratio: 0.01, hostId: 'h1' })
+ */
+export function keepSpans (settings: SpanFileSettings): () => Promise<void> {
+  const provider = new NodeTracerProvider({
+    sampler: new ParentBasedSampler({ root: new TraceIdRatioBasedSampler(settings.ratio) }),
+    spanProcessors: [new BatchSpanProcessor(new SpanFileExporter(settings))]
+  })
+  provider.register()
+  propagation.setGlobalPropagator(new W3CTraceContextPropagator())
+  return async () => await provider.shutdown()
+}
