--- a/packages/protocol/src/lib/store-key.ts
+++ b/packages/protocol/src/lib/store-key.ts
@@ -62,3 +62,13 @@
 export function usageWindowKey (window: number): string {
   return `${STORE_PREFIX}usage/${String(window).padStart(12, '0')}`
 }
+
+/**
+ * Key of the open intents of one leader.
+ *
+ * @example
+ * intentsKey('capacity')
+ */
+export function intentsKey (name: string): string {
+  return `${STORE_PREFIX}intents/${name}`
+}
