--- a/packages/coordination/src/lib/host-settings.ts
+++ b/packages/coordination/src/lib/host-settings.ts
@@ -12,6 +12,14 @@
   readonly usageWindowMs: number
   readonly leaseMs: number
   readonly storeTimeoutMs: number
+  /** Writes that the store bears from the whole deployment, a second. */
+  readonly storeWritesPerSecond: number
+  /** Reads that the store bears from the whole deployment, a second. */
+  readonly storeReadsPerSecond: number
+  /** How long the answer of a non-idempotent call can be had again, in milliseconds. */
+  readonly answerRetentionMs: number
+  /** How long idempotency keys and finished batches are remembered, in milliseconds. */
+  readonly claimRetentionMs: number
   readonly hostListPeriodMs: number
   readonly summaryPeriodMs: number
   readonly cellQueueLimit: number
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -1,9 +1,9 @@
 import { leaseDeadline, mayTakeOver } from '@cyclamenthread/state'
 import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { z } from 'zod'
 import { Periodic } from './periodic.js'
-import type { LeaseRecord, LeaseSighting } from '@cyclamenthread/state'
+import { SYSTEM_CLOCK } from './system-clock.js'
+import type { Clock, LeaseRecord, LeaseSighting } from '@cyclamenthread/state'
 import type { ObjectStore, StoredObject } from '@cyclamenthread/protocol'
 
 const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative() })
@@ -18,6 +18,8 @@
   readonly holder: string
   readonly leaseMs: number
   readonly storeTimeoutMs: number
+  /** Whether this process should contend; one that holds the lease goes on holding it. */
+  readonly eligible?: () => boolean
 }
 
 /** The right to act as leader, for a moment. */
@@ -36,14 +38,16 @@
 export class LeaseTask {
   readonly #settings: LeaseSettings
   readonly #store: ObjectStore
+  readonly #clock: Clock
   readonly #loop: Periodic
   #sighting: LeaseSighting | undefined
   #held: { readonly leadership: Leadership, readonly record: LeaseRecord, readonly version: string } | undefined
 
-  constructor (settings: LeaseSettings, store: ObjectStore) {
+  constructor (settings: LeaseSettings, store: ObjectStore, clock: Clock = SYSTEM_CLOCK) {
     this.#settings = settings
     this.#store = store
-    this.#loop = new Periodic(settings.leaseMs * RENEWAL_SHARE, async () => await this.#turn())
+    this.#clock = clock
+    this.#loop = new Periodic(settings.leaseMs * RENEWAL_SHARE, async () => await this.turn())
   }
 
   async start (): Promise<void> {
@@ -60,12 +64,17 @@
    */
   leadership (): Leadership | undefined {
     const held = this.#held
-    return held !== undefined && monotonicNow() < held.leadership.deadline ? held.leadership : undefined
+    return held !== undefined && this.#clock.now() < held.leadership.deadline ? held.leadership : undefined
   }
 
-  async #turn (): Promise<void> {
+  /**
+   * One renewal or one try to take over.
+   *
+   * @internal
+   */
+  async turn (): Promise<void> {
     const held = this.#held
-    if (held !== undefined && monotonicNow() < held.leadership.deadline) await this.#renew(held.record, held.version)
+    if (held !== undefined && this.#clock.now() < held.leadership.deadline) await this.#renew(held.record, held.version)
     else await this.#contend()
   }
 
@@ -75,6 +84,7 @@
 
   async #contend (): Promise<void> {
     this.#held = undefined
+    if (this.#settings.eligible?.() === false) return
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#call())
     if (!found.ok) return
     if (found.value === undefined) {
@@ -82,20 +92,20 @@
       return
     }
     const sighting = this.#see(found.value)
-    if (sighting === undefined || !mayTakeOver(sighting, this.#settings.leaseMs, monotonicNow())) return
+    if (sighting === undefined || !mayTakeOver(sighting, this.#settings.leaseMs, this.#clock.now())) return
     await this.#write({ holder: this.#settings.holder, epoch: sighting.record.epoch + 1, renewal: 0 }, sighting.version)
   }
 
   #see (object: StoredObject): LeaseSighting | undefined {
     if (this.#sighting?.version === object.version) return this.#sighting
     const record = leaseSchema.safeParse(object.value).data
-    this.#sighting = record === undefined ? undefined : { record, version: object.version, firstSeenAt: monotonicNow() }
+    this.#sighting = record === undefined ? undefined : { record, version: object.version, firstSeenAt: this.#clock.now() }
     return this.#sighting
   }
 
   /** Writes the record; an unknown outcome leaves the old deadline in force and is read back at the next turn. */
   async #write (record: LeaseRecord, version: string | undefined): Promise<void> {
-    const sentAt = monotonicNow()
+    const sentAt = this.#clock.now()
     const expectation = version === undefined
       ? { kind: ExpectationKind.Absent } as const
       : { kind: ExpectationKind.Version, version } as const
@@ -123,6 +133,6 @@
   }
 
   #call (): { readonly purpose: StorePurpose, readonly deadline: number } {
-    return { purpose: StorePurpose.Lease, deadline: deadlineAfter(this.#settings.storeTimeoutMs) }
+    return { purpose: StorePurpose.Lease, deadline: this.#clock.now() + this.#settings.storeTimeoutMs }
   }
 }
--- a/packages/coordination/src/lib/ledger-task.ts
+++ b/packages/coordination/src/lib/ledger-task.ts
@@ -2,18 +2,37 @@
 import { batchKey, findOwner, LedgerRecordKind } from '@cyclamenthread/state'
 import { CommitStatus, PeerMessageKind } from '@cyclamenthread/protocol'
 import { monotonicNow } from '@cyclamenthread/transport'
+import { Backoff } from './backoff.js'
+import { DEFAULT_SEALING } from './head-draft.js'
 import { PartitionOwner } from './partition-owner.js'
 import { Periodic } from './periodic.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { Host, LedgerRecord } from '@cyclamenthread/state'
+import type { BatchEvent, BatchState, Host, LedgerRecord } from '@cyclamenthread/state'
 import type { BatchAnswer, ClaimAnswer, ObjectStore, ReadBatch, ReadClaim } from '@cyclamenthread/protocol'
 import type { HostSettings } from './host-settings.js'
 import type { MemberView } from './member-task.js'
+import type { PartitionSettings } from './partition-owner.js'
+
+/** Part of the store's writes that heads of partitions may take; the rest is for leases, configuration, seals and snapshots. */
+const LEDGER_SHARE = 0.6
+
+/** Fewest head writes that a partition may make at once after a pause. */
+const MIN_BURST = 2
 
 /** How often this host looks whether partitions fall to it, in milliseconds. */
 const PLACEMENT_MS = 250
 
+/** Part of a usage window over which idle partitions spread the writes that move them on. */
+const ADVANCE_SHARE = 0.1
+
+/** When a partition may be taken over again. */
+interface TakeOverRetry {
+  readonly backoff: Backoff
+  /** Monotonic time in milliseconds. */
+  readonly notBefore: number
+}
+
 /** Kinds of news that the ledger tells other tasks of this process. */
 export enum LedgerNewsKind {
   Owned = 'owned',
@@ -53,6 +72,8 @@
   readonly #news = new EventEmitter()
   readonly #placement: Periodic
   readonly #taking = new Set<number>()
+  readonly #retries = new Map<number, TakeOverRetry>()
+  #stopped = false
 
   constructor (settings: HostSettings, members: MemberView, store: ObjectStore) {
     this.#settings = settings
@@ -80,7 +101,10 @@
   }
 
   async stop (): Promise<void> {
+    this.#stopped = true
     await this.#placement.stop()
+    const deadline = monotonicNow() + this.#settings.storeTimeoutMs
+    await Promise.all([...this.#owners.values()].map(async (owner) => await owner.close(deadline)))
   }
 
   /** The owner object of a partition, if this host owns it. */
@@ -98,32 +122,81 @@
     this.#news.on('news', listener)
   }
 
-  /** Takes over what falls to this host, gives up what does not, and moves idle windows on. */
+  /**
+   * Moves a partition's window on although its owner does not, for a host that
+   * has to close the window: takes it over and gives it back.
+   */
+  async advance (partition: number): Promise<void> {
+    if (this.owner(partition) !== undefined || this.#taking.has(partition)) return
+    const owner = await this.#takeOver(partition)
+    await owner?.advanceWindow()
+    await owner?.close(monotonicNow() + this.#settings.storeTimeoutMs)
+  }
+
+  /** Takes over what falls to this host, gives up what does not, and moves idle windows on. Nothing here waits for the store. */
   async #place (): Promise<void> {
     const workers = this.#members.workers()
-    const all = Array.from({ length: this.#settings.ledgerPartitions }, (_, partition) => partition)
-    await Promise.all(all.map(async (partition) => {
+    for (let partition = 0; partition < this.#settings.ledgerPartitions; partition++) {
       const mine = partitionOwner(partition, workers, this.#settings.storeRegion)?.id === this.#settings.self.id
-      if (!mine || this.#owners.get(partition)?.deposed === true) this.#drop(partition)
-      if (mine && !this.#owners.has(partition)) await this.#take(partition)
-      await this.#owners.get(partition)?.advanceWindow()
-    }))
+      const owner = this.#owners.get(partition)
+      if (!mine) this.#retries.delete(partition)
+      if (!mine || owner?.deposed === true) this.#drop(partition)
+      if (mine && !this.#owners.has(partition)) void this.#take(partition)
+      if (owner !== undefined && this.#windowDue(partition)) void owner.advanceWindow()
+    }
+  }
+
+  /** Partitions move their idle windows on one after the other, not all at the turn of the window. */
+  #windowDue (partition: number): boolean {
+    const { usageWindowMs, ledgerPartitions } = this.#settings
+    const spread = usageWindowMs * ADVANCE_SHARE
+    return Date.now() % usageWindowMs >= spread * partition / ledgerPartitions
   }
 
   async #take (partition: number): Promise<void> {
-    if (this.#taking.has(partition)) return
+    const retry = this.#retries.get(partition) ?? { backoff: new Backoff(Math.random), notBefore: 0 }
+    if (this.#taking.has(partition) || monotonicNow() < retry.notBefore) return
     this.#taking.add(partition)
-    const { self, incarnation, usageWindowMs, storeTimeoutMs } = this.#settings
-    const settings = { partition, owner: `${self.id}/${incarnation}`, usageWindowMs, storeTimeoutMs }
-    const owner = await PartitionOwner.takeOver(settings, this.#store, (record) => this.#tell({ kind: LedgerNewsKind.Committed, partition, record }))
+    // Two hosts with different views would otherwise take a partition from each other at every look.
+    this.#retries.set(partition, { ...retry, notBefore: monotonicNow() + retry.backoff.next() })
+    const owner = await this.#takeOver(partition)
     this.#taking.delete(partition)
     if (owner === undefined) return
+    if (this.#stopped) {
+      await owner.close(monotonicNow())
+      return
+    }
     this.#owners.set(partition, owner)
     this.#tell({ kind: LedgerNewsKind.Owned, partition })
   }
 
+  async #takeOver (partition: number): Promise<PartitionOwner | undefined> {
+    return await PartitionOwner.takeOver(this.#partitionSettings(partition), this.#store, (record) => this.#tell({ kind: LedgerNewsKind.Committed, partition, record }))
+  }
+
+  #partitionSettings (partition: number): PartitionSettings {
+    const { self, incarnation, usageWindowMs, storeTimeoutMs, answerRetentionMs, claimRetentionMs, storeWritesPerSecond, ledgerPartitions } = this.#settings
+    const ratePerSecond = storeWritesPerSecond * LEDGER_SHARE / ledgerPartitions
+    return {
+      partition,
+      owner: `${self.id}/${incarnation}`,
+      usageWindowMs,
+      storeTimeoutMs,
+      answerRetentionMs,
+      claimRetentionMs,
+      pace: { ratePerSecond, burst: Math.max(MIN_BURST, ratePerSecond) },
+      sealing: DEFAULT_SEALING,
+      random: Math.random
+    }
+  }
+
+  /** Gives a partition up; what waits in it is still answered. */
   #drop (partition: number): void {
-    if (this.#owners.delete(partition)) this.#tell({ kind: LedgerNewsKind.Lost, partition })
+    const owner = this.#owners.get(partition)
+    if (owner === undefined) return
+    this.#owners.delete(partition)
+    void owner.close(monotonicNow() + this.#settings.storeTimeoutMs)
+    this.#tell({ kind: LedgerNewsKind.Lost, partition })
   }
 
   #tell (news: LedgerNews): void {
@@ -155,9 +228,9 @@
     if (batch === undefined) return { status: 'none' }
     return {
       status: 'found',
-      events: batch.events.slice(message.after, message.after + message.limit),
-      total: batch.order.samples.length,
-      settled: batch.settled.size,
+      events: eventsAfter(batch, message.after, message.limit),
+      total: batch.total,
+      settled: batch.delivered,
       acknowledged: batch.acknowledged,
       cancelled: batch.cancelled
     }
@@ -181,6 +254,12 @@
   }
 }
 
+/** Events after a cursor; those up to the acknowledged one are no longer kept. */
+function eventsAfter (batch: BatchState, after: number, limit: number): BatchEvent[] {
+  const from = Math.max(0, after - batch.acknowledged)
+  return batch.events.slice(from, from + limit)
+}
+
 function concerns (news: LedgerNews, message: ReadBatch): boolean {
   if (news.kind !== LedgerNewsKind.Committed) return true
   const { record } = news
--- a/packages/coordination/src/lib/partition-owner.ts
+++ b/packages/coordination/src/lib/partition-owner.ts
@@ -1,21 +1,19 @@
 import { randomUUID } from 'node:crypto'
-import { ApplyResult, LedgerPartition, LedgerRecordKind, unreachable } from '@cyclamenthread/state'
-import {
-  CommitStatus, ExpectationKind, ledgerHeadKey, ledgerSegmentKey, parseLedgerHead, parseLedgerSegment,
-  restoreRecord, StorePurpose, storeRecord, WriteStatus
-} from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
-import type { LedgerRecord } from '@cyclamenthread/state'
-import type { CommitAnswer, Expectation, LedgerHead, ObjectStore, StoredRecord } from '@cyclamenthread/protocol'
+import { ApplyResult, TokenBucket, unreachable } from '@cyclamenthread/state'
+import { CommitStatus, EMPTY_HEAD, ExpectationKind, ledgerHeadKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { Backoff } from './backoff.js'
+import { takeGroup } from './commit-group.js'
+import { HeadWrite, HeadWriter } from './head-writer.js'
+import { HeadDraft } from './head-draft.js'
+import { PartitionStorage } from './partition-storage.js'
+import { SYSTEM_CLOCK } from './system-clock.js'
+import type { BucketSettings, Clock, LedgerPartition, LedgerRecord } from '@cyclamenthread/state'
+import type { CommitAnswer, Expectation, LedgerHead, ObjectStore } from '@cyclamenthread/protocol'
+import type { PendingCommit } from './commit-group.js'
+import type { PartitionContent, Sealing } from './head-draft.js'
 
-/** Records in the open part of a head before they are sealed as a segment. */
-const SEGMENT_RECORDS = 256
-
-/** Most records that one group commit takes. */
-const GROUP_RECORDS = 512
-
-/** Pause before an unanswered write of the store is tried again, in milliseconds. */
-const RETRY_MS = 100
+/** How often a closing owner looks whether its last commits are answered, in milliseconds. */
+const CLOSE_POLL_MS = 20
 
 /** Settings of the owner of one partition. */
 export interface PartitionSettings {
@@ -24,23 +22,20 @@
   readonly owner: string
   readonly usageWindowMs: number
   readonly storeTimeoutMs: number
+  /** How long the answer of a non-idempotent call can be had again, in milliseconds. */
+  readonly answerRetentionMs: number
+  /** How long claims and closed batches are remembered, in milliseconds. */
+  readonly claimRetentionMs: number
+  /** Head writes that this partition may make; with more to commit, more goes into each. */
+  readonly pace: BucketSettings
+  /** When open records are sealed and snapshots are taken. */
+  readonly sealing: Sealing
+  /** Source of jitter, from 0 up to 1. */
+  readonly random: () => number
 }
 
-/** Records that wait for the next group commit. */
-interface PendingCommit {
-  readonly records: readonly LedgerRecord[]
-  readonly deadline: number
-  readonly resolve: (answer: CommitAnswer) => void
-}
-
-/** How a conditional write of the head ended. */
-enum HeadWrite {
-  Applied = 'applied',
-  NotWritten = 'not-written',
-  /** Another owner has moved the head. */
-  Deposed = 'deposed',
-  Unknown = 'unknown'
-}
+/** Told of each record that was committed. */
+export type CommitListener = (record: LedgerRecord) => void
 
 /**
  * Owns one partition of the ledger: everything it commits goes through one
@@ -48,29 +43,36 @@
  * one is in flight goes in the next.
  *
  * Invariants: at most one write of the head is in flight; `state` holds exactly
- * the records the head and its segments hold; after a lost head nothing is
- * answered as committed any more.
+ * what the head refers to; after a lost head nothing is answered as committed
+ * any more; `Rejected` is answered only after the head was read and still ours.
  */
 export class PartitionOwner {
   readonly #settings: PartitionSettings
-  readonly #store: ObjectStore
-  readonly #onCommit: (record: LedgerRecord) => void
+  readonly #clock: Clock
+  readonly #storage: PartitionStorage
+  readonly #writer: HeadWriter
+  readonly #draft: HeadDraft
+  readonly #pace: TokenBucket
+  readonly #backoff: Backoff
+  readonly #onCommit: CommitListener
   #pending: PendingCommit[] = []
   #flushing = false
-  #head: LedgerHead
-  #version: string
-  #state: LedgerPartition
   #deposed = false
-  /** Writes of the head, and records they held. */
-  readonly counters = { writes: 0, records: 0 }
+  #closing = false
+  #advancing = false
+  /** Until then the store is taken to be down, in monotonic milliseconds. */
+  #suspendedUntil = 0
+  readonly counters = { writes: 0, records: 0, snapshots: 0 }
 
-  private constructor (settings: PartitionSettings, store: ObjectStore, head: LedgerHead, version: string, state: LedgerPartition, onCommit: (record: LedgerRecord) => void) {
+  private constructor (settings: PartitionSettings, store: ObjectStore, clock: Clock, onCommit: CommitListener, content: PartitionContent, version: string) {
     this.#settings = settings
-    this.#store = store
-    this.#head = head
-    this.#version = version
-    this.#state = state
+    this.#clock = clock
     this.#onCommit = onCommit
+    this.#storage = new PartitionStorage(settings, store, clock)
+    this.#writer = new HeadWriter(settings, store, clock, version)
+    this.#draft = new HeadDraft(settings, this.#storage, content)
+    this.#pace = new TokenBucket(settings.pace, clock.now())
+    this.#backoff = new Backoff(settings.random)
   }
 
   /**
@@ -81,41 +83,33 @@
    * @example
    * const owner = await PartitionOwner.takeOver(settings, store, onCommit)
    */
-  static async takeOver (settings: PartitionSettings, store: ObjectStore, onCommit: (record: LedgerRecord) => void): Promise<PartitionOwner | undefined> {
-    const call = { purpose: StorePurpose.Claim, deadline: deadlineAfter(settings.storeTimeoutMs) }
-    const found = await store.read(ledgerHeadKey(settings.partition), call)
+  static async takeOver (settings: PartitionSettings, store: ObjectStore, onCommit: CommitListener, clock: Clock = SYSTEM_CLOCK): Promise<PartitionOwner | undefined> {
+    const storage = new PartitionStorage(settings, store, clock)
+    const found = await storage.readHead()
     if (!found.ok) return undefined
-    const before = found.value === undefined ? undefined : parseLedgerHead(found.value.value)
-    if (found.value !== undefined && before === undefined) return undefined
-    const head: LedgerHead = {
-      epoch: (before?.epoch ?? 0) + 1,
-      owner: settings.owner,
-      sequence: before?.sequence ?? 0,
-      window: Math.max(before?.window ?? 0, currentWindow(settings)),
-      writeId: randomUUID(),
-      segments: before?.segments ?? 0,
-      open: before?.open ?? []
-    }
+    const before = found.value?.head ?? { ...EMPTY_HEAD, epoch: 0, window: windowOf(clock, settings) }
+    const head: LedgerHead = { ...before, epoch: before.epoch + 1, owner: settings.owner, writeId: randomUUID() }
     const expectation: Expectation = found.value === undefined
       ? { kind: ExpectationKind.Absent }
       : { kind: ExpectationKind.Version, version: found.value.version }
+    const call = { purpose: StorePurpose.Claim, deadline: clock.now() + settings.storeTimeoutMs }
     const written = await store.write(ledgerHeadKey(settings.partition), head, expectation, call)
     if (written.status !== WriteStatus.Applied) return undefined
-    const state = await loadState(settings, store, head)
-    return state === undefined ? undefined : new PartitionOwner(settings, store, head, written.version, state, onCommit)
+    const loaded = await storage.load(head)
+    return loaded === undefined ? undefined : new PartitionOwner(settings, store, clock, onCommit, { ...loaded, head }, written.version)
   }
 
   /** What is committed. */
   get state (): LedgerPartition {
-    return this.#state
+    return this.#draft.state
   }
 
   /** Usage window that the next commit belongs to. */
   get window (): number {
-    return this.#head.window
+    return this.#draft.head.window
   }
 
-  /** Whether another host has taken the partition over. */
+  /** Whether this host no longer answers for the partition. */
   get deposed (): boolean {
     return this.#deposed
   }
@@ -129,7 +123,8 @@
    * (await owner.commit([record], deadline)).status // CommitStatus.Committed
    */
   async commit (records: readonly LedgerRecord[], deadline: number): Promise<CommitAnswer> {
-    if (this.#deposed) return { status: CommitStatus.NotOwner, results: [] }
+    if (this.#deposed || this.#closing) return { status: CommitStatus.NotOwner, results: [] }
+    if (this.#clock.now() < this.#suspendedUntil) return { status: CommitStatus.Unavailable, results: [] }
     return await new Promise((resolve) => {
       this.#pending.push({ records, deadline, resolve })
       void this.#flush()
@@ -138,193 +133,149 @@
 
   /** Moves the head to the current usage window even if nothing is to be committed. */
   async advanceWindow (): Promise<void> {
-    if (currentWindow(this.#settings) > this.#head.window) await this.commit([], deadlineAfter(this.#settings.storeTimeoutMs))
+    if (this.#advancing || windowOf(this.#clock, this.#settings) <= this.window) return
+    this.#advancing = true
+    await this.commit([], this.#clock.now() + this.#settings.storeTimeoutMs)
+    this.#advancing = false
+  }
+
+  /** Takes nothing new, answers what waits, and steps down; for a planned stop. */
+  async close (deadline: number): Promise<void> {
+    this.#closing = true
+    while ((this.#flushing || this.#pending.length > 0) && this.#clock.now() < deadline) await this.#clock.sleep(CLOSE_POLL_MS)
+    this.#deposed = true
+    this.#refuseAll()
   }
 
   async #flush (): Promise<void> {
     if (this.#flushing) return
     this.#flushing = true
-    while (this.#pending.length > 0 && !this.#deposed) await this.#commitGroup(this.#takeGroup())
+    while (this.#pending.length > 0 && !this.#deposed) {
+      await this.#awaitTurn()
+      this.#expirePending()
+      const { group, rest } = takeGroup(this.#pending)
+      this.#pending = rest
+      if (group.length > 0) await this.#commitGroup(group)
+    }
     this.#flushing = false
     if (this.#deposed) this.#refuseAll()
   }
 
-  /** Takes what may go into one commit: no two commits of a group may touch the same thing. */
-  #takeGroup (): PendingCommit[] {
-    const group: PendingCommit[] = []
-    const rest: PendingCommit[] = []
-    const touched = new Set<string>()
-    let size = 0
-    for (const commit of this.#pending) {
-      const subjects = commit.records.map(subjectOf)
-      const fits = size + commit.records.length <= GROUP_RECORDS || group.length === 0
-      if (!fits || subjects.some((subject) => touched.has(subject))) {
-        rest.push(commit)
-        continue
-      }
-      for (const subject of subjects) touched.add(subject)
-      size += commit.records.length
-      group.push(commit)
-    }
-    this.#pending = rest
-    return group
+  /** Waits for the partition's pace; meanwhile more commits gather. */
+  async #awaitTurn (): Promise<void> {
+    const now = this.#clock.now()
+    const delay = Math.max(this.#pace.delay(now), this.#suspendedUntil - now)
+    if (delay > 0) await this.#clock.sleep(delay)
   }
 
   async #commitGroup (group: readonly PendingCommit[]): Promise<void> {
     const accepted: PendingCommit[] = []
-    const records: LedgerRecord[] = []
+    const rejected: PendingCommit[] = []
     for (const commit of group) {
-      const results = commit.records.map((record) => this.#state.check(record))
-      if (results.includes(ApplyResult.Rejected)) {
-        commit.resolve({ status: CommitStatus.Rejected, results })
-        continue
-      }
-      accepted.push(commit)
-      records.push(...commit.records.filter((_, index) => results[index] === ApplyResult.Applied))
+      const fits = commit.records.every((record) => this.state.check(record) !== ApplyResult.Rejected)
+      const list = fits ? accepted : rejected
+      list.push(commit)
     }
-    const window = Math.max(this.#head.window, currentWindow(this.#settings))
-    const outcome = records.length === 0 && window === this.#head.window
-      ? HeadWrite.Applied
-      : await this.#writeHead(records, window, group)
-    this.#settle(accepted, outcome, window)
+    await this.#reject(rejected)
+    if (this.#deposed) settle(accepted, CommitStatus.NotOwner)
+    else await this.#commitAccepted(accepted)
   }
 
-  #settle (commits: readonly PendingCommit[], outcome: HeadWrite, window: number): void {
+  /** A deposed owner's state may be old, and what contradicts it may not contradict the ledger: it is rejected only while the head is still ours. */
+  async #reject (commits: readonly PendingCommit[]): Promise<void> {
+    if (commits.length === 0) return
+    const inCharge = await this.#writer.confirm()
+    if (inCharge === false) this.#deposed = true
     for (const commit of commits) {
-      switch (outcome) {
-        case HeadWrite.Applied:
-          commit.resolve({ status: CommitStatus.Committed, results: commit.records.map((record) => this.#apply(record, window)) })
-          break
-        case HeadWrite.NotWritten:
-          commit.resolve({ status: CommitStatus.Unavailable, results: [] })
-          break
-        case HeadWrite.Deposed:
-          commit.resolve({ status: CommitStatus.NotOwner, results: [] })
-          break
-        case HeadWrite.Unknown:
-          commit.resolve({ status: CommitStatus.Unknown, results: [] })
-          break
-        default: unreachable(outcome)
-      }
+      if (inCharge === true) commit.resolve({ status: CommitStatus.Rejected, results: commit.records.map((record) => this.state.check(record)) })
+      else settle([commit], inCharge === false ? CommitStatus.NotOwner : CommitStatus.Unavailable)
     }
   }
 
-  #apply (record: LedgerRecord, window: number): ApplyResult {
-    const result = this.#state.apply(record, window)
-    if (result === ApplyResult.Applied) this.#onCommit(record)
-    return result
-  }
-
-  async #writeHead (records: readonly LedgerRecord[], window: number, group: readonly PendingCommit[]): Promise<HeadWrite> {
-    if (this.#head.open.length >= SEGMENT_RECORDS && !await this.#sealSegment()) return HeadWrite.NotWritten
-    const sealed = this.#head.open.length >= SEGMENT_RECORDS
-    const head: LedgerHead = {
-      ...this.#head,
-      sequence: this.#head.sequence + records.length,
-      window,
-      writeId: randomUUID(),
-      segments: this.#head.segments + (sealed ? 1 : 0),
-      open: [...(sealed ? [] : this.#head.open), ...records.map((record) => storeRecord(record, window))]
+  async #commitAccepted (commits: readonly PendingCommit[]): Promise<void> {
+    const records = commits.flatMap((commit) => commit.records).filter((record) => this.state.check(record) === ApplyResult.Applied)
+    const window = Math.max(this.window, windowOf(this.#clock, this.#settings))
+    if (records.length === 0 && window === this.window) {
+      this.#settleCommitted(commits, window)
+      return
     }
-    const outcome = await this.#replaceHead(head, Math.max(...group.map((commit) => commit.deadline)))
-    if (outcome === HeadWrite.Applied) {
-      this.#head = head
-      this.counters.writes += 1
-      this.counters.records += records.length
+    const head = await this.#draft.next(records, window)
+    if (head === undefined) {
+      this.#suspend(commits)
+      return
+    }
+    this.#pace.spend(this.#clock.now())
+    const outcome = await this.#writer.replace(head, () => this.#expire(commits))
+    switch (outcome) {
+      case HeadWrite.Applied:
+        this.counters.writes += 1
+        this.counters.records += records.length
+        this.#backoff.reset()
+        this.#draft.accept(head)
+        this.#settleCommitted(commits, window)
+        void this.#maintain()
+        return
+      case HeadWrite.NotWritten:
+        this.#suspend(commits)
+        return
+      case HeadWrite.Deposed:
+        this.#deposed = true
+        settle(commits, CommitStatus.NotOwner)
+        return
+      case HeadWrite.DeposedUncertain:
+        this.#deposed = true
+        settle(commits, CommitStatus.Unknown)
+        return
+      default: unreachable(outcome)
     }
-    if (outcome === HeadWrite.Deposed || outcome === HeadWrite.Unknown) this.#deposed = true
-    return outcome
   }
 
-  /**
-   * Writes the head and finds out what became of it. An unanswered write is
-   * sent again unchanged: whichever of the two arrives second meets a changed
-   * version, so it takes effect once, and the write id tells whose it was.
-   */
-  async #replaceHead (head: LedgerHead, deadline: number): Promise<HeadWrite> {
-    const key = ledgerHeadKey(this.#settings.partition)
-    let uncertain = false
-    for (;;) {
-      const call = { purpose: StorePurpose.Claim, deadline: deadlineAfter(this.#settings.storeTimeoutMs) }
-      const result = await this.#store.write(key, head, { kind: ExpectationKind.Version, version: this.#version }, call)
-      if (result.status === WriteStatus.Applied) {
-        this.#version = result.version
-        return HeadWrite.Applied
-      }
-      if (result.status === WriteStatus.Conflict) {
-        const found = await this.#findOwnWrite(head.writeId)
-        if (found !== undefined) return found
-        uncertain = true
-      }
-      if (result.status === WriteStatus.Unknown) uncertain = true
-      if (monotonicNow() > deadline) return uncertain ? HeadWrite.Unknown : HeadWrite.NotWritten
-      await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
+  #settleCommitted (commits: readonly PendingCommit[], window: number): void {
+    for (const commit of commits) {
+      const results = commit.records.map((record) => {
+        const result = this.state.apply(record, window)
+        if (result === ApplyResult.Applied) this.#onCommit(record)
+        return result
+      })
+      commit.resolve({ status: CommitStatus.Committed, results })
     }
   }
 
-  /** After a conflict: was it our own earlier write that took effect? Undefined when the store doesn't say. */
-  async #findOwnWrite (writeId: string): Promise<HeadWrite | undefined> {
-    const call = { purpose: StorePurpose.Claim, deadline: deadlineAfter(this.#settings.storeTimeoutMs) }
-    const found = await this.#store.read(ledgerHeadKey(this.#settings.partition), call)
-    if (!found.ok || found.value === undefined) return undefined
-    const current = parseLedgerHead(found.value.value)
-    if (current?.writeId !== writeId) return HeadWrite.Deposed
-    this.#version = found.value.version
-    return HeadWrite.Applied
+  /** Answers that nothing was written and doesn't try again for a while: a store that comes back isn't met by all at once. */
+  #suspend (commits: readonly PendingCommit[]): void {
+    this.#suspendedUntil = this.#clock.now() + this.#backoff.next()
+    settle([...commits, ...this.#pending.splice(0)], CommitStatus.Unavailable)
   }
 
-  /** Writes the open records as an immutable segment; the head refers to it from its next write on. */
-  async #sealSegment (): Promise<boolean> {
-    const key = ledgerSegmentKey(this.#settings.partition, this.#head.segments)
-    const call = { purpose: StorePurpose.Claim, deadline: deadlineAfter(this.#settings.storeTimeoutMs) }
-    const result = await this.#store.write(key, { records: this.#head.open }, { kind: ExpectationKind.Absent }, call)
-    if (result.status === WriteStatus.Applied) return true
-    // An earlier try may have written it, or an owner before us with the same records: content is all that counts.
-    const found = await this.#store.read(key, call)
-    if (!found.ok || found.value === undefined) return false
-    return JSON.stringify(parseLedgerSegment(found.value.value)) === JSON.stringify(this.#head.open)
+  /** Answers those whose deadline passed while the outcome of their write is unknown, and those that wait behind them. */
+  #expire (inFlight: readonly PendingCommit[]): void {
+    const now = this.#clock.now()
+    settle(inFlight.filter((commit) => commit.deadline <= now), CommitStatus.Unknown)
+    this.#expirePending()
   }
 
-  #refuseAll (): void {
-    for (const commit of this.#pending.splice(0)) commit.resolve({ status: CommitStatus.NotOwner, results: [] })
+  #expirePending (): void {
+    const now = this.#clock.now()
+    settle(this.#pending.filter((commit) => commit.deadline <= now), CommitStatus.Unavailable)
+    this.#pending = this.#pending.filter((commit) => commit.deadline > now)
   }
-}
 
-/** Usage window of the wall clock. */
-function currentWindow (settings: PartitionSettings): number {
-  return Math.floor(Date.now() / settings.usageWindowMs)
-}
+  /** Snapshots and removal of what they replace; never holds a commit up. */
+  async #maintain (): Promise<void> {
+    if (await this.#draft.maintain()) this.counters.snapshots += 1
+  }
 
-/** What a record is about; two commits about the same thing can't share a group. */
-function subjectOf (record: LedgerRecord): string {
-  switch (record.kind) {
-    case LedgerRecordKind.Claim:
-    case LedgerRecordKind.ClaimRelease:
-    case LedgerRecordKind.Answer: return `claim/${record.claimId}`
-    case LedgerRecordKind.BatchOpen: return `batch/${record.order.workspace}/${record.order.batchId}`
-    case LedgerRecordKind.BatchCancel:
-    case LedgerRecordKind.Acknowledgement: return `batch/${record.workspace}/${record.batchId}`
-    case LedgerRecordKind.Delivery: return `sample/${record.workspace}/${record.batchId}/${record.sample.sampleId}`
-    case LedgerRecordKind.SampleFailure: return `sample/${record.workspace}/${record.batchId}/${record.sampleId}`
-    case LedgerRecordKind.Usage: return `usage/${record.usage.requestId}`
-    case LedgerRecordKind.ChainHead: return `chain/${record.chain}`
-    default: return unreachable(record)
+  #refuseAll (): void {
+    settle(this.#pending.splice(0), CommitStatus.NotOwner)
   }
 }
 
-async function loadState (settings: PartitionSettings, store: ObjectStore, head: LedgerHead): Promise<LedgerPartition | undefined> {
-  const state = new LedgerPartition()
-  for (let segment = 0; segment < head.segments; segment++) {
-    const call = { purpose: StorePurpose.Claim, deadline: deadlineAfter(settings.storeTimeoutMs) }
-    const found = await store.read(ledgerSegmentKey(settings.partition, segment), call)
-    const records = found.ok ? parseLedgerSegment(found.value?.value) : undefined
-    if (records === undefined) return undefined
-    applyAll(state, records)
-  }
-  applyAll(state, head.open)
-  return state
+/** Answers commits none of whose records were applied. A commit that was answered before keeps its first answer. */
+function settle (commits: readonly PendingCommit[], status: CommitStatus): void {
+  for (const commit of commits) commit.resolve({ status, results: [] })
 }
 
-function applyAll (state: LedgerPartition, records: readonly StoredRecord[]): void {
-  for (const stored of records) state.apply(restoreRecord(stored), stored.window)
+/** Usage window of the wall clock. */
+function windowOf (clock: Clock, settings: PartitionSettings): number {
+  return Math.floor(clock.wall() / settings.usageWindowMs)
 }
--- /dev/null
+++ b/packages/coordination/src/lib/partition-storage.ts
@@ -0,0 +1,178 @@
+import { randomUUID } from 'node:crypto'
+import { failure, LedgerPartition, success } from '@cyclamenthread/state'
+import {
+  cutPages, decodeJson, encodeJson, ExpectationKind, ledgerHeadKey, LedgerObjectKind, ledgerObjectKey, parseLedgerHead, parseLedgerSegment,
+  parsePage, restoreRecord, StoreFailure, StorePurpose, storeRecord, USAGE_PROGRESS_KEY, WriteStatus
+} from '@cyclamenthread/protocol'
+import { z } from 'zod'
+import { LARGE_RECORD_CHARACTERS, recordCharacters } from './commit-group.js'
+import type { Clock, LedgerRecord, Outcome, PartitionItem, UsageTotal } from '@cyclamenthread/state'
+import type { LedgerHead, ObjectReference, ObjectStore, StoreCall, StoredRecord } from '@cyclamenthread/protocol'
+import type { PartitionSettings } from './partition-owner.js'
+
+/** Objects read at the same time when a partition is loaded. */
+const PARALLEL_READS = 8
+
+/** Characters of snapshot items that are collected into one page. */
+const SNAPSHOT_PAGE_CHARACTERS = 200 * 1024
+
+const progressSchema = z.object({ next: z.int() })
+
+/** A head as it stands in the store. */
+export interface StoredHead {
+  readonly head: LedgerHead
+  readonly version: string
+}
+
+/** What loading a partition brought. */
+export interface LoadedPartition {
+  readonly state: LedgerPartition
+  /** Pages of large records, by the key of the segment that refers to them. */
+  readonly pages: ReadonlyMap<string, readonly ObjectReference[]>
+}
+
+/**
+ * Reads and writes the immutable objects of one partition: segments, pages of
+ * snapshots and of large records, usage of closed windows. Nothing here
+ * decides anything: an object counts only once the head refers to it.
+ */
+export class PartitionStorage {
+  readonly #settings: PartitionSettings
+  readonly #store: ObjectStore
+  readonly #clock: Clock
+
+  constructor (settings: PartitionSettings, store: ObjectStore, clock: Clock) {
+    this.#settings = settings
+    this.#store = store
+    this.#clock = clock
+  }
+
+  /** The head; undefined when the partition was never owned. */
+  async readHead (): Promise<Outcome<StoredHead | undefined, StoreFailure>> {
+    const found = await this.#store.read(ledgerHeadKey(this.#settings.partition), this.#call(StorePurpose.Claim))
+    if (!found.ok) return found
+    if (found.value === undefined) return success(undefined)
+    const head = parseLedgerHead(found.value.value)
+    return head === undefined ? failure(StoreFailure.Malformed) : success({ head, version: found.value.version })
+  }
+
+  /** Loads everything a head refers to; undefined when some of it can't be read. */
+  async load (head: LedgerHead): Promise<LoadedPartition | undefined> {
+    const [texts, segments] = await Promise.all([
+      this.#readAll(head.snapshot, parsePage),
+      this.#readAll(head.segments, parseLedgerSegment)
+    ])
+    if (texts === undefined || segments === undefined) return undefined
+    const state = new LedgerPartition()
+    for (const line of texts.join('').split('\n')) {
+      if (line !== '') state.restore(decodeJson(line) as PartitionItem)
+    }
+    const stored = [...segments.flat(), ...head.open]
+    const records = await this.#restoreAll(stored)
+    if (records === undefined) return undefined
+    for (const [index, record] of records.entries()) state.apply(record, stored[index]?.window ?? 0)
+    state.dropUsage(head.window)
+    const pages = new Map(head.segments.map((segment, index) => [segment.key, pagesOf(segments[index] ?? [])]))
+    return { state, pages }
+  }
+
+  /** Makes a record ready for the head; one that is large is written as objects of its own. Undefined when the store can't be written. */
+  async storeRecord (record: LedgerRecord, window: number): Promise<StoredRecord | undefined> {
+    const stored = storeRecord(record, window)
+    if (recordCharacters(record) < LARGE_RECORD_CHARACTERS) return stored
+    const pages = await this.#writePages([JSON.stringify(stored.record)], StorePurpose.Claim)
+    return pages === undefined ? undefined : { window, pages }
+  }
+
+  /** Writes records as a segment; undefined when the store can't be written. */
+  async writeSegment (records: readonly StoredRecord[]): Promise<ObjectReference | undefined> {
+    return await this.#write(LedgerObjectKind.Segment, { records }, StorePurpose.Claim)
+  }
+
+  /** Writes the usage of a closed window; undefined when the store can't be written. */
+  async writeSummary (totals: readonly UsageTotal[]): Promise<ObjectReference | undefined> {
+    return await this.#write(LedgerObjectKind.Summary, { totals }, StorePurpose.Claim)
+  }
+
+  /** Writes a snapshot, page by page; undefined when the store can't be written. */
+  async writeSnapshot (items: readonly PartitionItem[]): Promise<ObjectReference[] | undefined> {
+    const pages: ObjectReference[] = []
+    let text = ''
+    for (const [index, item] of items.entries()) {
+      text += `${encodeJson(item)}\n`
+      if (text.length < SNAPSHOT_PAGE_CHARACTERS && index < items.length - 1) continue
+      const written = await this.#writePages([text], StorePurpose.Other)
+      if (written === undefined) return undefined
+      pages.push(...written)
+      text = ''
+    }
+    return pages
+  }
+
+  /** Removes an object; whether it is gone. */
+  async remove (object: ObjectReference): Promise<boolean> {
+    const result = await this.#store.remove(object.key, object.version, this.#call(StorePurpose.Other))
+    return result.status === WriteStatus.Applied || result.status === WriteStatus.Conflict
+  }
+
+  /** The first usage window that is not reported yet; undefined when the store doesn't say. */
+  async usageProgress (): Promise<number | undefined> {
+    const found = await this.#store.read(USAGE_PROGRESS_KEY, this.#call(StorePurpose.Other))
+    return found.ok ? progressSchema.safeParse(found.value?.value).data?.next : undefined
+  }
+
+  async #restoreAll (stored: readonly StoredRecord[]): Promise<LedgerRecord[] | undefined> {
+    const texts = await this.#readAll(pagesOf(stored), parsePage)
+    if (texts === undefined) return undefined
+    let next = 0
+    return stored.map((item) => {
+      if (item.pages === undefined) return restoreRecord(item.record)
+      const text = texts.slice(next, next + item.pages.length).join('')
+      next += item.pages.length
+      return restoreRecord(JSON.parse(text))
+    })
+  }
+
+  /** Reads objects, several at a time, in their order; undefined when one can't be read. */
+  async #readAll<Value> (objects: readonly ObjectReference[], parse: (value: unknown) => Value | undefined): Promise<Value[] | undefined> {
+    const values: Value[] = []
+    for (let from = 0; from < objects.length; from += PARALLEL_READS) {
+      const found = await Promise.all(objects.slice(from, from + PARALLEL_READS).map(async (object) => await this.#store.read(object.key, this.#call(StorePurpose.Claim))))
+      for (const item of found) {
+        const value = item.ok ? parse(item.value?.value) : undefined
+        if (value === undefined) return undefined
+        values.push(value)
+      }
+    }
+    return values
+  }
+
+  async #writePages (texts: readonly string[], purpose: StorePurpose): Promise<ObjectReference[] | undefined> {
+    const pages: ObjectReference[] = []
+    for (const text of texts.flatMap(cutPages)) {
+      const page = await this.#write(LedgerObjectKind.Page, { text }, purpose)
+      if (page === undefined) return undefined
+      pages.push(page)
+    }
+    return pages
+  }
+
+  /** Writes an object under a fresh name; after a lost answer it is read back. */
+  async #write (kind: LedgerObjectKind, value: unknown, purpose: StorePurpose): Promise<ObjectReference | undefined> {
+    const key = ledgerObjectKey(this.#settings.partition, kind, randomUUID())
+    const result = await this.#store.write(key, value, { kind: ExpectationKind.Absent }, this.#call(purpose))
+    if (result.status === WriteStatus.Applied) return { key, version: result.version }
+    if (result.status === WriteStatus.NotWritten) return undefined
+    const found = await this.#store.read(key, this.#call(purpose))
+    return found.ok && found.value !== undefined ? { key, version: found.value.version } : undefined
+  }
+
+  #call (purpose: StorePurpose): StoreCall {
+    return { purpose, deadline: this.#clock.now() + this.#settings.storeTimeoutMs }
+  }
+}
+
+/** Pages that records refer to. */
+export function pagesOf (records: readonly StoredRecord[]): ObjectReference[] {
+  return records.flatMap((record) => record.pages ?? [])
+}
--- /dev/null
+++ b/packages/coordination/src/lib/system-clock.ts
@@ -0,0 +1,9 @@
+import { monotonicNow } from '@cyclamenthread/transport'
+import type { Clock } from '@cyclamenthread/state'
+
+/** The clock of the machine. */
+export const SYSTEM_CLOCK: Clock = {
+  now: monotonicNow,
+  wall: () => Date.now(),
+  sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
--- a/packages/coordination/src/lib/usage-task.ts
+++ b/packages/coordination/src/lib/usage-task.ts
@@ -1,15 +1,15 @@
-import { LedgerPartition } from '@cyclamenthread/state'
-import {
-  ExpectationKind, ledgerHeadKey, ledgerSegmentKey, parseLedgerHead, parseLedgerSegment, restoreRecord,
-  StorePurpose, usageWindowKey, WriteStatus
-} from '@cyclamenthread/protocol'
-import { deadlineAfter, deadlineSignal } from '@cyclamenthread/transport'
+import { rankOwners } from '@cyclamenthread/state'
+import { ExpectationKind, StorePurpose, USAGE_PROGRESS_KEY, WriteStatus } from '@cyclamenthread/protocol'
+import { deadlineSignal } from '@cyclamenthread/transport'
 import { z } from 'zod'
 import { LeaseTask } from './lease-task.js'
 import { Periodic } from './periodic.js'
-import type { UsageTotal } from '@cyclamenthread/state'
-import type { LedgerHead, ObjectStore, PlatformClient, StoredRecord, UsageWindow } from '@cyclamenthread/protocol'
+import { SYSTEM_CLOCK } from './system-clock.js'
+import { WindowSealer } from './window-sealer.js'
+import type { Clock } from '@cyclamenthread/state'
+import type { Expectation, ObjectStore, PlatformClient, StoreCall } from '@cyclamenthread/protocol'
 import type { HostSettings } from './host-settings.js'
+import type { MemberView } from './member-task.js'
 
 /** How often the usage leader looks for windows to seal, in milliseconds. */
 const PERIOD_MS = 500
@@ -17,44 +17,58 @@
 /** Most windows sealed in one turn, so that a long backlog does not hold the lease up. */
 const WINDOWS_PER_TURN = 10
 
-const totalSchema = z.object({
-  workspace: z.string(),
-  entry: z.string(),
-  promptTokens: z.int(),
-  answerTokens: z.int(),
-  calls: z.int(),
-  items: z.int()
-})
-const windowSchema = z.object({
-  window: z.int(),
-  from: z.int(),
-  to: z.int(),
-  complete: z.boolean(),
-  totals: z.array(totalSchema)
-})
+/** Hosts that contend for the lease. More would only add calls of the store. */
+const CANDIDATES = 3
+
+/** Windows by which a partition may lag before it is taken over to move it on. */
+const LAG_WINDOWS = 3
+
+const progressSchema = z.object({ next: z.int() })
+
+/** The first window that is not reported, and the version of the object that says so. */
+interface Progress {
+  readonly next: number
+  readonly version: string | undefined
+}
+
+/** Moves a partition's window on when its owner does not. */
+export type PartitionAdvance = (partition: number) => Promise<void>
+
+/** What the usage task works with. */
+export interface UsageContext {
+  readonly members: MemberView
+  readonly advance: PartitionAdvance
+  readonly store: ObjectStore
+  readonly platform: Pick<PlatformClient, 'reportUsage'>
+  readonly clock?: Clock
+}
 
 /**
  * Seals usage windows and reports them, while this host holds the `usage` lease.
  *
  * Invariants: a window is sealed once, when every partition's head is past it;
- * only what the sealed object holds is ever reported.
+ * only what the sealed object holds is ever reported; a window is reported
+ * before the next is.
  */
 export class UsageTask {
   readonly #settings: HostSettings
-  readonly #store: ObjectStore
-  readonly #platform: PlatformClient
+  readonly #context: UsageContext
+  readonly #clock: Clock
   readonly #lease: LeaseTask
+  readonly #sealer: WindowSealer
   readonly #loop: Periodic
-  #nextWindow: number | undefined
+  #progress: Progress | undefined
   readonly counters = { sealed: 0, reported: 0, failedReports: 0 }
 
-  constructor (settings: HostSettings, store: ObjectStore, platform: PlatformClient) {
+  constructor (settings: HostSettings, context: UsageContext) {
     this.#settings = settings
-    this.#store = store
-    this.#platform = platform
+    this.#context = context
+    this.#clock = context.clock ?? SYSTEM_CLOCK
     const { self, incarnation, leaseMs, storeTimeoutMs } = settings
-    this.#lease = new LeaseTask({ name: 'usage', holder: `${self.id}/${incarnation}`, leaseMs, storeTimeoutMs }, store)
-    this.#loop = new Periodic(PERIOD_MS, async () => await this.#turn())
+    const eligible = (): boolean => rankOwners('lease/usage', context.members.workers().map((host) => host.id)).slice(0, CANDIDATES).includes(self.id)
+    this.#lease = new LeaseTask({ name: 'usage', holder: `${self.id}/${incarnation}`, leaseMs, storeTimeoutMs, eligible }, context.store, this.#clock)
+    this.#sealer = new WindowSealer(settings, context.store, this.#clock)
+    this.#loop = new Periodic(PERIOD_MS, async () => await this.turn())
   }
 
   async start (): Promise<void> {
@@ -67,96 +81,63 @@
     await this.#lease.stop()
   }
 
-  async #turn (): Promise<void> {
+  /**
+   * One look for windows to close.
+   *
+   * @internal
+   */
+  async turn (): Promise<void> {
     if (this.#lease.leadership() === undefined) {
-      this.#nextWindow = undefined
+      this.#progress = undefined
       return
     }
-    const heads = await this.#heads()
-    if (heads === undefined) return
-    const past = Math.min(...heads.map((head) => head.window))
-    this.#nextWindow ??= await this.#firstOpenWindow(past)
-    if (this.#nextWindow === undefined) return
-    const end = Math.min(past, this.#nextWindow + WINDOWS_PER_TURN)
-    while (this.#nextWindow < end) {
-      if (!await this.#close(this.#nextWindow, heads)) return
-      this.#nextWindow += 1
+    this.#progress ??= await this.#readProgress()
+    if (this.#progress === undefined) return
+    for (let closed = 0; closed < WINDOWS_PER_TURN && this.#progress !== undefined; closed++) {
+      const { next } = this.#progress
+      if (this.#currentWindow() <= next || !await this.#close(next)) return
+      this.#progress = await this.#moveOn(this.#progress)
     }
   }
 
-  /** The window after the last one that was reported, or the oldest with records. */
-  async #firstOpenWindow (past: number): Promise<number | undefined> {
-    const call = this.#call()
-    const sealed = await this.#store.list(usageWindowKey(0).slice(0, -12), call)
-    if (!sealed.ok) return undefined
-    const last = sealed.value.map((object) => windowSchema.safeParse(object.value).data?.window ?? 0).at(-1)
-    // The last sealed window may not have been reported: it is sent again, unchanged.
-    if (last !== undefined) return last
-    return past - 1
+  #currentWindow (): number {
+    return Math.floor(this.#clock.wall() / this.#settings.usageWindowMs)
   }
 
-  async #heads (): Promise<LedgerHead[] | undefined> {
-    const heads: LedgerHead[] = []
-    for (let partition = 0; partition < this.#settings.ledgerPartitions; partition++) {
-      const found = await this.#store.read(ledgerHeadKey(partition), this.#call())
-      const head = found.ok ? parseLedgerHead(found.value?.value) : undefined
-      if (head === undefined) return undefined
-      heads.push(head)
+  /** Seals and reports one window; whether that is done. */
+  async #close (window: number): Promise<boolean> {
+    const { sealed, lagging } = await this.#sealer.seal(window)
+    if (this.#currentWindow() - window > LAG_WINDOWS) {
+      for (const partition of lagging) await this.#context.advance(partition)
     }
-    return heads
-  }
-
-  async #close (window: number, heads: readonly LedgerHead[]): Promise<boolean> {
-    const sealed = await this.#sealed(window) ?? await this.#seal(window, heads)
     if (sealed === undefined) return false
+    this.counters.sealed = this.#sealer.sealed
     const leadership = this.#lease.leadership()
     if (leadership === undefined) return false
-    const report = await this.#platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline, signal: deadlineSignal(leadership.deadline) })
+    const report = await this.#context.platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline, signal: deadlineSignal(leadership.deadline) })
     if (report.ok) this.counters.reported += 1
     else this.counters.failedReports += 1
     return report.ok
   }
 
-  async #sealed (window: number): Promise<UsageWindow | undefined> {
-    const found = await this.#store.read(usageWindowKey(window), this.#call())
-    return found.ok ? windowSchema.safeParse(found.value?.value).data : undefined
-  }
-
-  async #seal (window: number, heads: readonly LedgerHead[]): Promise<UsageWindow | undefined> {
-    const totals = await this.#totals(window, heads)
-    if (totals === undefined) return undefined
-    const { usageWindowMs } = this.#settings
-    const sealed: UsageWindow = { window, from: window * usageWindowMs, to: (window + 1) * usageWindowMs, complete: true, totals }
-    const result = await this.#store.write(usageWindowKey(window), sealed, { kind: ExpectationKind.Absent }, this.#call())
-    if (result.status === WriteStatus.Applied) {
-      this.counters.sealed += 1
-      return sealed
-    }
-    return await this.#sealed(window)
-  }
-
-  async #totals (window: number, heads: readonly LedgerHead[]): Promise<UsageTotal[] | undefined> {
-    const state = new LedgerPartition()
-    for (const [partition, head] of heads.entries()) {
-      const records = await this.#records(partition, head)
-      if (records === undefined) return undefined
-      for (const stored of records) state.apply(restoreRecord(stored), stored.window)
-    }
-    return state.usage(window)
+  async #readProgress (): Promise<Progress | undefined> {
+    const found = await this.#context.store.read(USAGE_PROGRESS_KEY, this.#call())
+    if (!found.ok) return undefined
+    const next = found.value === undefined ? await this.#sealer.firstWindow() : progressSchema.safeParse(found.value.value).data?.next
+    return next === undefined ? undefined : { next, version: found.value?.version }
   }
 
-  async #records (partition: number, head: LedgerHead): Promise<StoredRecord[] | undefined> {
-    const records: StoredRecord[] = []
-    for (let segment = 0; segment < head.segments; segment++) {
-      const found = await this.#store.read(ledgerSegmentKey(partition, segment), this.#call())
-      const part = found.ok ? parseLedgerSegment(found.value?.value) : undefined
-      if (part === undefined) return undefined
-      records.push(...part)
-    }
-    return [...records, ...head.open]
+  /** Notes that a window is reported. If that fails it is reported again, unchanged. */
+  async #moveOn (progress: Progress): Promise<Progress | undefined> {
+    const next = progress.next + 1
+    const expectation: Expectation = progress.version === undefined
+      ? { kind: ExpectationKind.Absent }
+      : { kind: ExpectationKind.Version, version: progress.version }
+    const result = await this.#context.store.write(USAGE_PROGRESS_KEY, { next }, expectation, this.#call())
+    return result.status === WriteStatus.Applied ? { next, version: result.version } : undefined
   }
 
-  #call (): { readonly purpose: StorePurpose, readonly deadline: number } {
-    return { purpose: StorePurpose.Other, deadline: deadlineAfter(this.#settings.storeTimeoutMs) }
+  #call (): StoreCall {
+    return { purpose: StorePurpose.Other, deadline: this.#clock.now() + this.#settings.storeTimeoutMs }
   }
 }
--- /dev/null
+++ b/packages/coordination/src/lib/window-sealer.ts
@@ -0,0 +1,113 @@
+import {
+  ExpectationKind, ledgerHeadKey, parseLedgerHead, parseUsageSummary, parseUsageWindow, StorePurpose, usageWindowKey, WriteStatus
+} from '@cyclamenthread/protocol'
+import type { Clock, UsageTotal } from '@cyclamenthread/state'
+import type { LedgerHead, ObjectStore, StoreCall, SummaryReference, UsageWindow } from '@cyclamenthread/protocol'
+import type { HostSettings } from './host-settings.js'
+
+/** Result of an attempt to seal a window. */
+export interface SealAttempt {
+  /** The sealed window, whoever sealed it; undefined when it can't be sealed yet. */
+  readonly sealed: UsageWindow | undefined
+  /** Partitions whose heads are not past the window. */
+  readonly lagging: readonly number[]
+}
+
+/**
+ * Adds the usage of all partitions in one window up, and seals it as an object
+ * of the store. Any number of processes may do so: the figures of a closed
+ * window don't change, and the first object stands.
+ *
+ * Costs one read for each partition's head and one for each that had usage,
+ * however long the ledger is.
+ */
+export class WindowSealer {
+  readonly #settings: HostSettings
+  readonly #store: ObjectStore
+  readonly #clock: Clock
+  /** Windows sealed by this process. */
+  sealed = 0
+
+  constructor (settings: HostSettings, store: ObjectStore, clock: Clock) {
+    this.#settings = settings
+    this.#store = store
+    this.#clock = clock
+  }
+
+  /** The first window of a deployment that has reported none; undefined when the store doesn't say. */
+  async firstWindow (): Promise<number | undefined> {
+    const heads = await this.#heads()
+    if (heads === undefined) return undefined
+    const windows = heads.flatMap((head) => head === undefined ? [] : [head.window, ...head.summaries.map((summary) => summary.window)])
+    return windows.length === 0 ? undefined : Math.min(...windows)
+  }
+
+  /** Seals a window if every partition is past it. */
+  async seal (window: number): Promise<SealAttempt> {
+    const found = await this.#store.read(usageWindowKey(window), this.#call())
+    if (!found.ok) return { sealed: undefined, lagging: [] }
+    if (found.value !== undefined) return { sealed: parseUsageWindow(found.value.value), lagging: [] }
+    const heads = await this.#heads()
+    if (heads === undefined) return { sealed: undefined, lagging: [] }
+    const lagging = heads.flatMap((head, partition) => head === undefined || head.window <= window ? [partition] : [])
+    if (lagging.length > 0) return { sealed: undefined, lagging }
+    return { sealed: await this.#write(window, heads.flatMap((head) => head?.summaries.filter((summary) => summary.window === window) ?? [])), lagging }
+  }
+
+  async #write (window: number, summaries: readonly SummaryReference[]): Promise<UsageWindow | undefined> {
+    const totals = await this.#totals(summaries)
+    if (totals === undefined) return undefined
+    const { usageWindowMs } = this.#settings
+    const complete = summaries.every((summary) => summary.complete)
+    const sealed: UsageWindow = { window, from: window * usageWindowMs, to: (window + 1) * usageWindowMs, complete, totals }
+    const result = await this.#store.write(usageWindowKey(window), sealed, { kind: ExpectationKind.Absent }, this.#call())
+    if (result.status === WriteStatus.Applied) {
+      this.sealed += 1
+      return sealed
+    }
+    // Only what the store holds may be reported: another leader may have been faster, or our answer was lost.
+    const found = await this.#store.read(usageWindowKey(window), this.#call())
+    return found.ok ? parseUsageWindow(found.value?.value) : undefined
+  }
+
+  /** Sums over partitions; undefined when one can't be read. */
+  async #totals (summaries: readonly SummaryReference[]): Promise<UsageTotal[] | undefined> {
+    const sums = new Map<string, UsageTotal>()
+    const parts = await Promise.all(summaries.map(async (summary) => await this.#summary(summary)))
+    for (const part of parts) {
+      if (part === undefined) return undefined
+      for (const total of part) add(sums, total)
+    }
+    return [...sums.entries()].sort(([a], [b]) => a < b ? -1 : 1).map(([, total]) => total)
+  }
+
+  async #summary (summary: SummaryReference): Promise<readonly UsageTotal[] | undefined> {
+    if (summary.object === undefined) return []
+    const found = await this.#store.read(summary.object.key, this.#call())
+    return found.ok ? parseUsageSummary(found.value?.value) : undefined
+  }
+
+  async #heads (): Promise<Array<LedgerHead | undefined> | undefined> {
+    const partitions = Array.from({ length: this.#settings.ledgerPartitions }, (_, partition) => partition)
+    const found = await Promise.all(partitions.map(async (partition) => await this.#store.read(ledgerHeadKey(partition), this.#call())))
+    if (found.some((item) => !item.ok)) return undefined
+    return found.map((item) => item.ok ? parseLedgerHead(item.value?.value) : undefined)
+  }
+
+  #call (): StoreCall {
+    return { purpose: StorePurpose.Other, deadline: this.#clock.now() + this.#settings.storeTimeoutMs }
+  }
+}
+
+function add (sums: Map<string, UsageTotal>, total: UsageTotal): void {
+  const key = `${total.workspace}/${total.entry}/${total.correctionOf ?? ''}`
+  const sum = sums.get(key)
+  if (sum === undefined) {
+    sums.set(key, { ...total })
+    return
+  }
+  sum.promptTokens += total.promptTokens
+  sum.answerTokens += total.answerTokens
+  sum.calls += total.calls
+  sum.items += total.items
+}
--- /dev/null
+++ b/packages/coordination/src/test/owner-history.ts
@@ -0,0 +1,191 @@
+import { LedgerRecordKind } from '@cyclamenthread/state'
+import { CommitStatus, ledgerHeadKey, parseLedgerHead, parseUsageSummary } from '@cyclamenthread/protocol'
+import { MemoryStore, seededRandom, VirtualClock } from '@cyclamenthread/standins'
+import { PartitionOwner } from '../lib/partition-owner.js'
+import type { Clock, LedgerRecord, UsageTotal } from '@cyclamenthread/state'
+import type { PartitionSettings } from '../lib/partition-owner.js'
+
+/** Virtual time over which faults strike, and after which they end, in milliseconds. */
+const FAULTY_MS = 12_000
+const END_MS = 40_000
+
+const SAMPLES = 12
+const CLAIMS = 4
+const HOSTS = 3
+const TEXT = 'x'.repeat(300)
+
+/** What one run draws by chance. */
+export interface OwnerFaults {
+  readonly seed: number
+  readonly lostAnswers: number
+  readonly lostWrites: number
+  readonly lateWrites: number
+  readonly outage: boolean
+  readonly pauses: boolean
+}
+
+/** How an attempt ended, as its client saw it. */
+interface Attempt {
+  readonly record: LedgerRecord
+  readonly statuses: CommitStatus[]
+}
+
+/** A process that may own the partition: its clock stands while it is paused. */
+class Process implements Clock {
+  owner: PartitionOwner | undefined
+  readonly #clock: VirtualClock
+  pausedUntil = 0
+
+  constructor (clock: VirtualClock) {
+    this.#clock = clock
+  }
+
+  now (): number {
+    return this.#clock.now()
+  }
+
+  wall (): number {
+    return this.#clock.wall()
+  }
+
+  async sleep (milliseconds: number): Promise<void> {
+    await this.#clock.sleep(milliseconds)
+    while (this.now() < this.pausedUntil) await this.#clock.sleep(this.pausedUntil - this.now())
+  }
+}
+
+/** What a run left behind. */
+export interface OwnerRun {
+  readonly attempts: readonly Attempt[]
+  readonly final: PartitionOwner
+  readonly usage: readonly UsageTotal[]
+  readonly violations: readonly string[]
+}
+
+/** Several processes that take one partition from each other under faults, and clients that commit through all of them. */
+export async function runOwners (faults: OwnerFaults): Promise<OwnerRun> {
+  const random = seededRandom(faults.seed)
+  const clock = new VirtualClock()
+  const store = new MemoryStore(clock, random)
+  Object.assign(store.faults, { jitterMs: 40, lostAnswers: faults.lostAnswers, lostWrites: faults.lostWrites, lateWrites: faults.lateWrites, latenessMs: 3_000 })
+  const processes = Array.from({ length: HOSTS }, () => new Process(clock))
+  const settings: PartitionSettings = {
+    partition: 0,
+    owner: '',
+    usageWindowMs: 700,
+    storeTimeoutMs: 500,
+    answerRetentionMs: 1e9,
+    claimRetentionMs: 1e9,
+    pace: { ratePerSecond: 50, burst: 4 },
+    sealing: { openCharacters: 2_000, snapshotSegments: 2 },
+    random
+  }
+  let serial = 0
+  const takeOver = async (process: Process): Promise<void> => {
+    serial += 1
+    process.owner = await PartitionOwner.takeOver({ ...settings, owner: `host/${serial}` }, store, () => undefined, process) ?? process.owner
+  }
+  for (const process of processes) {
+    void (async () => {
+      for (;;) {
+        await process.sleep(random() * 2_500)
+        // A crash loses the owner object with all it had in flight.
+        if (clock.now() < FAULTY_MS && random() < 0.15) process.owner = undefined
+        const none = process.owner === undefined || process.owner.deposed
+        if (none && random() < 0.4) await takeOver(process)
+      }
+    })()
+    if (faults.pauses) process.pausedUntil = random() * 3_000
+  }
+  void (async () => {
+    while (clock.now() < FAULTY_MS) {
+      await clock.sleep(random() * 2_000)
+      const victim = processes[Math.floor(random() * HOSTS)]
+      if (faults.pauses && victim !== undefined) victim.pausedUntil = clock.now() + random() * 2_500
+      if (faults.outage) store.faults.down = random() < 0.4
+    }
+    Object.assign(store.faults, { down: false, lostAnswers: 0, lostWrites: 0, lateWrites: 0 })
+  })()
+  const attempts = records(random).map((record): Attempt => ({ record, statuses: [] }))
+  const opened = (): boolean => attempts.some(({ record, statuses }) => record.kind === LedgerRecordKind.BatchOpen && statuses.includes(CommitStatus.Committed))
+  for (const attempt of attempts) void client(attempt, opened, processes, clock, random)
+  await clock.run(END_MS)
+  const final = await lastOwner(settings, store, clock)
+  return { attempts, final, usage: usageOf(store, final), violations: violations(attempts, final, usageOf(store, final)) }
+}
+
+/** Sends a record to whichever process claims to own the partition, until it is settled or the client gives up. */
+async function client (attempt: Attempt, opened: () => boolean, processes: readonly Process[], clock: VirtualClock, random: () => number): Promise<void> {
+  await clock.sleep(random() * 8_000)
+  while (attempt.record.kind === LedgerRecordKind.Delivery && !opened()) await clock.sleep(random() * 500)
+  const tries = 1 + Math.floor(random() * 40)
+  for (let sent = 0; sent < tries; sent++) {
+    const owner = processes[Math.floor(random() * processes.length)]?.owner
+    if (owner !== undefined) {
+      const answer = await owner.commit([attempt.record], clock.now() + random() * 2_000)
+      attempt.statuses.push(answer.status)
+      if (answer.status === CommitStatus.Committed || answer.status === CommitStatus.Rejected) return
+    }
+    await clock.sleep(random() * 500)
+  }
+}
+
+/** Two processes run each sample, three requests want each claim. */
+function records (random: () => number): LedgerRecord[] {
+  const deliveries = Array.from({ length: 2 * SAMPLES }, (_, index): LedgerRecord => {
+    const sampleId = String(index % SAMPLES)
+    return {
+      kind: LedgerRecordKind.Delivery,
+      workspace: 'w',
+      batchId: 'b',
+      sample: { sampleId, group: 'g', text: `${index}${TEXT}`, versions: [], finishReason: 'stop' },
+      usage: { requestId: `sample/${index}`, workspace: 'w', entry: 'e', promptTokens: 1, answerTokens: 2, calls: 0 }
+    }
+  })
+  const claims = Array.from({ length: 3 * CLAIMS }, (_, index): LedgerRecord => ({
+    kind: LedgerRecordKind.Claim, claimId: `c${index % CLAIMS}`, workspace: 'w', requestDigest: 'd', requestId: `r${index}`, claimedAt: 0
+  }))
+  const samples = Array.from({ length: SAMPLES }, (_, index) => ({ sampleId: String(index), group: 'g', prompt: '', maxTokens: 1, expectedTokens: 1 }))
+  const open: LedgerRecord = { kind: LedgerRecordKind.BatchOpen, digest: 'd', order: { batchId: 'b', workspace: 'w', entry: 'e', samples } }
+  return [...Array.from({ length: 4 }, () => open), ...deliveries, ...claims].sort(() => random() - 0.5)
+}
+
+async function lastOwner (settings: PartitionSettings, store: MemoryStore, clock: VirtualClock): Promise<PartitionOwner> {
+  let final: PartitionOwner | undefined
+  void PartitionOwner.takeOver({ ...settings, owner: 'checker' }, store, () => undefined, clock).then((owner) => {
+    final = owner
+  })
+  await clock.run(END_MS + 5_000)
+  if (final === undefined) throw new Error('the ledger can\'t be loaded')
+  return final
+}
+
+/** Usage of closed windows, as their summaries hold it, and of the open one. */
+function usageOf (store: MemoryStore, final: PartitionOwner): UsageTotal[] {
+  const head = parseLedgerHead(store.peek(ledgerHeadKey(0)))
+  const closed = head?.summaries.flatMap((summary) => parseUsageSummary(store.peek(summary.object?.key ?? '')) ?? []) ?? []
+  return [...closed, ...final.state.usage(final.window)]
+}
+
+function violations (attempts: readonly Attempt[], final: PartitionOwner, usage: readonly UsageTotal[]): string[] {
+  const found: string[] = []
+  const events = final.state.batch('w/b')?.events ?? []
+  const texts = events.flatMap((event) => event.kind === 'sample' ? [event.sample] : [])
+  if (new Set(texts.map((sample) => sample.sampleId)).size !== texts.length) found.push('a sample was settled twice')
+  const items = usage.reduce((sum, total) => sum + total.items, 0)
+  if (items !== texts.length) found.push(`${texts.length} samples were delivered and ${items} billed`)
+  for (const { record, statuses } of attempts) {
+    const untouched = !statuses.includes(CommitStatus.Committed) && !statuses.includes(CommitStatus.Unknown)
+    if (record.kind === LedgerRecordKind.Claim) {
+      const holder = final.state.claim(record.claimId)?.requestId
+      if (statuses.includes(CommitStatus.Committed) && holder !== record.requestId) found.push(`${record.requestId} was told it holds ${record.claimId}, which ${holder ?? 'nobody'} holds`)
+      if (untouched && holder === record.requestId) found.push(`${record.requestId} was told that nothing was written, and holds ${record.claimId}`)
+    }
+    if (record.kind === LedgerRecordKind.Delivery) {
+      if (statuses.includes(CommitStatus.Rejected)) found.push(`sample ${record.sample.sampleId} was rejected although its batch was open`)
+      if (statuses.includes(CommitStatus.Committed) && !texts.some((sample) => sample.sampleId === record.sample.sampleId)) found.push(`sample ${record.sample.sampleId} was answered as committed and is lost`)
+      if (untouched && texts.some((sample) => sample.text === record.sample.text)) found.push(`sample ${record.sample.text.slice(0, 2)} was answered as not written and is delivered`)
+    }
+  }
+  return found
+}
--- /dev/null
+++ b/packages/coordination/src/test/partition-owner.test.ts
@@ -0,0 +1,28 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { CommitStatus } from '@cyclamenthread/protocol'
+import { runOwners } from './owner-history.js'
+
+const SEED = Number(process.env['CYCLAMENTHREAD_TEST_SEED'] ?? 20_261_204)
+const RUNS = Number(process.env['CYCLAMENTHREAD_TEST_RUNS'] ?? 1_000)
+
+const share = fc.double({ min: 0, max: 0.3, noNaN: true })
+const faults = fc.record({
+  seed: fc.integer({ min: 0 }),
+  lostAnswers: share,
+  lostWrites: share,
+  lateWrites: share,
+  outage: fc.boolean(),
+  pauses: fc.boolean()
+})
+
+test(`owners that race, crash, pause and lose answers lose and double nothing (seed ${SEED}, ${RUNS} runs)`, async (t) => {
+  let committed = 0
+  await fc.assert(fc.asyncProperty(faults, async (drawn) => {
+    const run = await runOwners(drawn)
+    committed += run.attempts.filter((attempt) => attempt.statuses.includes(CommitStatus.Committed)).length
+    if (run.violations.length > 0) throw new Error(run.violations.join('; '))
+  }), { seed: SEED, numRuns: RUNS })
+  // A run in which nothing is ever committed would satisfy everything.
+  t.true(committed > RUNS)
+})
--- a/packages/cyclamenthread/src/lib/batch-handler.ts
+++ b/packages/cyclamenthread/src/lib/batch-handler.ts
@@ -155,7 +155,7 @@
     if (answer?.status !== 'found') break
     if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-request-id': hop.requestId, 'x-batch-total': answer.total })
     for (const event of answer.events) response.write(`${JSON.stringify(eventDocument(event))}\n`)
-    cursor += answer.events.length
+    cursor = answer.events.at(-1)?.cursor ?? cursor
     if (answer.events.length === 0) break
   }
   if (response.headersSent) response.end()
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -55,7 +55,12 @@
     const completions = new CompletionRunner(this.#router, this.#endpoints)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
     this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions)
-    this.#usage = new UsageTask(this.#host, this.#store, this.#platform)
+    this.#usage = new UsageTask(this.#host, {
+      members: this.#members,
+      advance: async (partition) => await this.#ledger.advance(partition),
+      store: this.#store,
+      platform: this.#platform
+    })
     this.#gateway = new Gateway({
       settings,
       catalogue: this.#catalogue,
--- a/packages/protocol/src/lib/ledger-message.ts
+++ b/packages/protocol/src/lib/ledger-message.ts
@@ -55,7 +55,8 @@
 const recordedAnswerSchema = z.object({
   status: z.int(),
   headers: z.array(z.tuple([z.string(), z.string()])),
-  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array)
+  body: z.custom<Uint8Array>((value) => value instanceof Uint8Array),
+  forgotten: z.boolean().exactOptional()
 })
 
 /** The answer to {@link readClaimSchema}. */
--- a/packages/protocol/src/lib/object-store.ts
+++ b/packages/protocol/src/lib/object-store.ts
@@ -1,4 +1,6 @@
-import type { Outcome } from '@cyclamenthread/state'
+import type { Outcome, StorePurpose } from '@cyclamenthread/state'
+
+export { StorePurpose } from '@cyclamenthread/state'
 
 /** One object of the platform's service. */
 export interface StoredObject {
@@ -59,14 +61,6 @@
   readonly next: string
 }
 
-/** For what a store call is made; the budget is shared by kind, in this order. */
-export enum StorePurpose {
-  Lease = 'lease',
-  Configuration = 'configuration',
-  Claim = 'claim',
-  Other = 'other'
-}
-
 /** How a call is made. */
 export interface StoreCall {
   readonly purpose: StorePurpose
--- a/packages/protocol/src/lib/store-key.ts
+++ b/packages/protocol/src/lib/store-key.ts
@@ -33,14 +33,23 @@
   return `${STORE_PREFIX}ledger/${partition}/head`
 }
 
+/** Kinds of immutable objects that a partition's head refers to. */
+export enum LedgerObjectKind {
+  Segment = 'segments',
+  Page = 'pages',
+  Summary = 'usage'
+}
+
 /**
- * Key of a sealed segment of a ledger partition.
+ * Key of an immutable object of a ledger partition. Names are drawn at random
+ * rather than counted: two owners that each believe they are in charge must
+ * never write the same key with different content.
  *
  * @example
- * ledgerSegmentKey(3, 17)
+ * ledgerObjectKey(3, LedgerObjectKind.Segment, randomUUID())
  */
-export function ledgerSegmentKey (partition: number, segment: number): string {
-  return `${STORE_PREFIX}ledger/${partition}/segments/${String(segment).padStart(10, '0')}`
+export function ledgerObjectKey (partition: number, kind: LedgerObjectKind, name: string): string {
+  return `${STORE_PREFIX}ledger/${partition}/${kind}/${name}`
 }
 
 /**
@@ -72,3 +81,6 @@
 export function intentsKey (name: string): string {
   return `${STORE_PREFIX}intents/${name}`
 }
+
+/** How far usage windows have been reported. */
+export const USAGE_PROGRESS_KEY = `${STORE_PREFIX}usage-progress`
--- a/packages/state/src/lib/lease.ts
+++ b/packages/state/src/lib/lease.ts
@@ -14,6 +14,9 @@
   readonly firstSeenAt: number
 }
 
+/** How much longer than the lease an observer waits: two clocks that differ in rate by less than this can't make both believe they hold it. */
+const DRIFT_SHARE = 0.05
+
 /**
  * Whether an observer may take over: only when the record stood unchanged for
  * longer than the lease on the observer's own clock.
@@ -25,7 +28,7 @@
  * mayTakeOver(sighting, 10_000, performance.now())
  */
 export function mayTakeOver (sighting: LeaseSighting, leaseMs: number, now: number): boolean {
-  return now - sighting.firstSeenAt > leaseMs
+  return now - sighting.firstSeenAt > leaseMs * (1 + DRIFT_SHARE)
 }
 
 /**
--- a/packages/state/src/lib/ledger-partition.ts
+++ b/packages/state/src/lib/ledger-partition.ts
@@ -1,7 +1,7 @@
 import { LedgerRecordKind } from './ledger-record.js'
 import { unreachable } from './invariant.js'
-import type { BatchOrder, LedgerRecord, RecordedAnswer, Sample, UsageItem } from './ledger-record.js'
-import type { Refusal } from './refusal.js'
+import type { BatchOrder, LedgerRecord, UsageItem } from './ledger-record.js'
+import type { BatchEvent, BatchState, ChainAnchor, ClaimState, PartitionItem, Retention, UsageTotal } from './partition-state.js'
 
 /** What became of a record when it was applied. */
 export enum ApplyResult {
@@ -12,40 +12,8 @@
   Rejected = 'rejected'
 }
 
-/** A claim of a non-idempotent call and, once known, its answer. */
-export interface ClaimState {
-  readonly claimId: string
-  readonly workspace: string
-  readonly requestDigest: string
-  readonly requestId: string
-  readonly claimedAt: number
-  answer?: RecordedAnswer
-}
-
-/** One thing a trainer reads by cursor. */
-export type BatchEvent =
-  | { readonly kind: 'sample', readonly cursor: number, readonly sample: Sample }
-  | { readonly kind: 'failure', readonly cursor: number, readonly sampleId: string, readonly refusal: Refusal }
-
-/** A batch and what was delivered of it. */
-export interface BatchState {
-  readonly order: BatchOrder
-  readonly digest: string
-  readonly events: BatchEvent[]
-  readonly settled: Set<string>
-  acknowledged: number
-  cancelled: boolean
-}
-
-/** Usage of one workspace and entry within one window. */
-export interface UsageTotal {
-  readonly workspace: string
-  readonly entry: string
-  promptTokens: number
-  answerTokens: number
-  calls: number
-  items: number
-}
+/** Body of an answer that is no longer kept. */
+const NO_BODY = new Uint8Array()
 
 /**
  * The name under which a batch is kept: its id is the trainer's own, so it is
@@ -68,6 +36,7 @@
   readonly #claims = new Map<string, ClaimState>()
   readonly #batches = new Map<string, BatchState>()
   readonly #usage = new Map<number, Map<string, UsageTotal>>()
+  readonly #anchors = new Map<string, ChainAnchor>()
 
   /** The claim of that id, if one is held or answered. */
   claim (claimId: string): ClaimState | undefined {
@@ -87,7 +56,66 @@
   /** Usage totals of one window, in a stable order. */
   usage (window: number): UsageTotal[] {
     const totals = [...(this.#usage.get(window)?.values() ?? [])]
-    return totals.sort((a, b) => `${a.workspace}/${a.entry}` < `${b.workspace}/${b.entry}` ? -1 : 1)
+    return totals.sort((a, b) => totalKey(a) < totalKey(b) ? -1 : 1)
+  }
+
+  /** The last committed hash of a decision chain. */
+  anchor (chain: string): ChainAnchor | undefined {
+    return this.#anchors.get(chain)
+  }
+
+  /** Forgets the totals of windows before one; their figures are kept elsewhere by then. */
+  dropUsage (before: number): void {
+    for (const window of this.#usage.keys()) {
+      if (window < before) this.#usage.delete(window)
+    }
+  }
+
+  /** Forgets what is older than the retention, so that state and loading time stay bounded. */
+  compact (retention: Retention): void {
+    for (const claim of this.#claims.values()) {
+      if (claim.window < retention.claims) this.#claims.delete(claim.claimId)
+      else if (claim.window < retention.answers && claim.answer !== undefined) claim.answer = { ...claim.answer, headers: [], body: NO_BODY, forgotten: true }
+    }
+    for (const [key, batch] of this.#batches) {
+      if (batch.closedWindow !== undefined && batch.closedWindow < retention.claims) this.#batches.delete(key)
+    }
+    for (const anchor of this.#anchors.values()) {
+      if (anchor.window < retention.claims) this.#anchors.delete(anchor.chain)
+    }
+  }
+
+  /** The whole state, part by part; later changes don't show in it. */
+  items (): PartitionItem[] {
+    const items: PartitionItem[] = []
+    for (const claim of this.#claims.values()) items.push({ kind: 'claim', claim: { ...claim } })
+    for (const { settled, ...batch } of this.#batches.values()) {
+      items.push({ kind: 'batch', batch: { ...batch, events: [...batch.events] }, settled: [...settled] })
+    }
+    for (const [window, totals] of this.#usage) {
+      for (const total of totals.values()) items.push({ kind: 'usage', window, total: { ...total } })
+    }
+    for (const anchor of this.#anchors.values()) items.push({ kind: 'anchor', anchor })
+    return items
+  }
+
+  /** Takes a part of a snapshot in. */
+  restore (item: PartitionItem): void {
+    switch (item.kind) {
+      case 'claim':
+        this.#claims.set(item.claim.claimId, item.claim)
+        return
+      case 'batch':
+        this.#batches.set(batchKey(item.batch.order.workspace, item.batch.order.batchId), { ...item.batch, settled: new Set(item.settled) })
+        return
+      case 'usage':
+        this.#windowTotals(item.window).set(totalKey(item.total), item.total)
+        return
+      case 'anchor':
+        this.#anchors.set(item.anchor.chain, item.anchor)
+        return
+      default: unreachable(item)
+    }
   }
 
   /**
@@ -105,7 +133,7 @@
       case LedgerRecordKind.SampleFailure: return this.#checkSettle(batchKey(record.workspace, record.batchId), record.sampleId)
       case LedgerRecordKind.Acknowledgement: return this.#checkAcknowledgement(batchKey(record.workspace, record.batchId), record.cursor)
       case LedgerRecordKind.Usage: return ApplyResult.Applied
-      case LedgerRecordKind.ChainHead: return ApplyResult.Applied
+      case LedgerRecordKind.ChainHead: return this.#checkAnchor(record.chain, record.sequence, record.hash)
       default: return unreachable(record)
     }
   }
@@ -129,7 +157,7 @@
     switch (record.kind) {
       case LedgerRecordKind.Claim: {
         const { kind, ...claim } = record
-        this.#claims.set(record.claimId, claim)
+        this.#claims.set(record.claimId, { ...claim, window })
         return
       }
       case LedgerRecordKind.ClaimRelease:
@@ -145,41 +173,46 @@
         this.#batches.set(batchKey(record.order.workspace, record.order.batchId), {
           order: record.order,
           digest: record.digest,
+          total: record.order.samples.length,
           events: [],
           settled: new Set(),
+          delivered: 0,
           acknowledged: 0,
-          cancelled: false
+          cancelled: false,
+          closedWindow: undefined
         })
         return
       case LedgerRecordKind.BatchCancel: {
         const batch = this.#batches.get(batchKey(record.workspace, record.batchId))
-        if (batch !== undefined) batch.cancelled = true
+        if (batch === undefined) return
+        batch.cancelled = true
+        batch.closedWindow = window
         return
       }
       case LedgerRecordKind.Delivery: {
         const batch = this.#batches.get(batchKey(record.workspace, record.batchId))
         if (batch === undefined) return
-        batch.settled.add(record.sample.sampleId)
-        batch.events.push({ kind: 'sample', cursor: batch.events.length + 1, sample: record.sample })
+        settle(batch, record.sample.sampleId, window, { kind: 'sample', cursor: batch.delivered + 1, sample: record.sample })
         this.#count(record.usage, window)
         return
       }
       case LedgerRecordKind.SampleFailure: {
         const batch = this.#batches.get(batchKey(record.workspace, record.batchId))
         if (batch === undefined) return
-        batch.settled.add(record.sampleId)
-        batch.events.push({ kind: 'failure', cursor: batch.events.length + 1, sampleId: record.sampleId, refusal: record.refusal })
+        settle(batch, record.sampleId, window, { kind: 'failure', cursor: batch.delivered + 1, sampleId: record.sampleId, refusal: record.refusal })
         return
       }
       case LedgerRecordKind.Acknowledgement: {
         const batch = this.#batches.get(batchKey(record.workspace, record.batchId))
-        if (batch !== undefined) batch.acknowledged = record.cursor
+        if (batch !== undefined) acknowledge(batch, record.cursor)
         return
       }
       case LedgerRecordKind.Usage:
         this.#count(record.usage, window)
         return
-      case LedgerRecordKind.ChainHead: return
+      case LedgerRecordKind.ChainHead:
+        this.#anchors.set(record.chain, { chain: record.chain, sequence: record.sequence, hash: record.hash, window })
+        return
       default: unreachable(record)
     }
   }
@@ -211,25 +244,63 @@
   #checkSettle (key: string, sampleId: string): ApplyResult {
     const batch = this.#batches.get(key)
     if (batch === undefined || batch.cancelled) return ApplyResult.Rejected
-    if (!batch.order.samples.some((sample) => sample.sampleId === sampleId)) return ApplyResult.Rejected
-    return batch.settled.has(sampleId) ? ApplyResult.Duplicate : ApplyResult.Applied
+    if (batch.settled.has(sampleId) || isFinished(batch)) return ApplyResult.Duplicate
+    return batch.order.samples.some((sample) => sample.sampleId === sampleId) ? ApplyResult.Applied : ApplyResult.Rejected
   }
 
   #checkAcknowledgement (key: string, cursor: number): ApplyResult {
     const batch = this.#batches.get(key)
-    if (batch === undefined || cursor > batch.events.length) return ApplyResult.Rejected
+    if (batch === undefined || cursor > batch.delivered) return ApplyResult.Rejected
     return cursor <= batch.acknowledged ? ApplyResult.Duplicate : ApplyResult.Applied
   }
 
+  #checkAnchor (chain: string, sequence: number, hash: string): ApplyResult {
+    const anchor = this.#anchors.get(chain)
+    if (anchor === undefined || sequence > anchor.sequence) return ApplyResult.Applied
+    return sequence < anchor.sequence || hash === anchor.hash ? ApplyResult.Duplicate : ApplyResult.Rejected
+  }
+
   #count (usage: UsageItem, window: number): void {
-    const totals = this.#usage.get(window) ?? new Map<string, UsageTotal>()
-    this.#usage.set(window, totals)
-    const key = `${usage.workspace}/${usage.entry}`
-    const total = totals.get(key) ?? { workspace: usage.workspace, entry: usage.entry, promptTokens: 0, answerTokens: 0, calls: 0, items: 0 }
-    totals.set(key, total)
+    const { workspace, entry } = usage
+    const late = usage.window !== undefined && usage.window < window
+    const empty = { workspace, entry, ...(late ? { correctionOf: usage.window } : {}), promptTokens: 0, answerTokens: 0, calls: 0, items: 0 }
+    const totals = this.#windowTotals(window)
+    const total = totals.get(totalKey(empty)) ?? empty
+    totals.set(totalKey(empty), total)
     total.promptTokens += usage.promptTokens
     total.answerTokens += usage.answerTokens
     total.calls += usage.calls
     total.items += 1
   }
+
+  #windowTotals (window: number): Map<string, UsageTotal> {
+    const totals = this.#usage.get(window) ?? new Map<string, UsageTotal>()
+    this.#usage.set(window, totals)
+    return totals
+  }
+}
+
+/** Whether all samples of a batch are settled and acknowledged, so that only its outline is kept. */
+function isFinished (batch: BatchState): boolean {
+  return batch.delivered === batch.total && batch.acknowledged === batch.total
+}
+
+function settle (batch: BatchState, sampleId: string, window: number, event: BatchEvent): void {
+  batch.settled.add(sampleId)
+  batch.events.push(event)
+  batch.delivered = event.cursor
+  if (batch.delivered === batch.total) batch.closedWindow = window
+}
+
+/** What the trainer has confirmed leaves the state: it is never read again. */
+function acknowledge (batch: BatchState, cursor: number): void {
+  batch.events.splice(0, cursor - batch.acknowledged)
+  batch.acknowledged = cursor
+  if (!isFinished(batch)) return
+  batch.settled.clear()
+  batch.order = { ...batch.order, samples: [] }
+}
+
+function totalKey (total: Pick<UsageTotal, 'workspace' | 'entry' | 'correctionOf'>): string {
+  return `${total.workspace}/${total.entry}/${total.correctionOf ?? ''}`
 }
--- a/packages/state/src/lib/ledger-record.ts
+++ b/packages/state/src/lib/ledger-record.ts
@@ -23,6 +23,8 @@
   readonly answerTokens: number
   /** 1 for a call of a plain service, 0 for model work. */
   readonly calls: number
+  /** Usage window in which the work was done, when it was journaled first; becomes a correction if that window has closed. */
+  readonly window?: number
 }
 
 /** A run of answer tokens that one weight version produced. */
@@ -64,6 +66,8 @@
   readonly status: number
   readonly headers: ReadonlyArray<readonly [string, string]>
   readonly body: Uint8Array
+  /** The call has run, but its answer is older than answers are kept. */
+  readonly forgotten?: boolean
 }
 
 /** Everything a partition can commit. */
