--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -12,7 +12,7 @@
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
+import type { CatalogueSource, CompletionRunner, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -50,6 +50,7 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly writeBehind: WriteBehind
   readonly registry: Registry
 }
 
@@ -70,9 +71,9 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly writeBehind: WriteBehind
   readonly #registry: Registry
   #running = 0
-  readonly #behind = new Set<Promise<unknown>>()
 
   constructor (parts: GatewayParts) {
     this.settings = parts.settings
@@ -82,6 +83,7 @@
     this.ledger = parts.ledger
     this.completions = parts.completions
     this.services = parts.services
+    this.writeBehind = parts.writeBehind
     this.#registry = parts.registry
   }
 
@@ -90,15 +92,9 @@
     return this.#running
   }
 
-  /** Keeps account of work that goes on after its caller was answered. */
-  behind (work: Promise<unknown>): void {
-    this.#behind.add(work)
-    void work.finally(() => this.#behind.delete(work))
-  }
-
   /** Waits until no request runs and nothing is left to be written behind one. */
   async drained (): Promise<void> {
-    while (this.#running > 0 || this.#behind.size > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
+    while (this.#running > 0 || this.writeBehind.waiting > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
   }
 
   /** The broker service that listens for callers. */
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,10 +1,11 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
-  MessageBus, ServiceRunner, UsageTask
+  BatchTask, BudgetedStore, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
+  MessageBus, ServiceRunner, UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
 import { Gateway } from './gateway.js'
 import { hostSettings } from './settings.js'
 import type { HostSettings } from '@cyclamenthread/coordination'
@@ -24,6 +25,7 @@
   readonly #host: HostSettings
   readonly #broker: ServiceBroker
   readonly #store: HttpObjectStore
+  readonly #budgeted: BudgetedStore
   readonly #platform: PlatformClient
   readonly #endpoints = new EndpointClient()
   readonly #registry = new Registry()
@@ -36,6 +38,7 @@
   readonly #ledger: LedgerTask
   readonly #batches: BatchTask
   readonly #usage: UsageTask
+  readonly #behind: WriteBehind
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
 
@@ -47,15 +50,26 @@
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
     this.#members = new MemberTask(this.#host, this.#platform)
-    this.#catalogue = new CatalogueTask(this.#host, this.#store)
+    this.#budgeted = new BudgetedStore({
+      store: this.#store,
+      allowance: { writesPerSecond: settings.storeWritesPerSecond, readsPerSecond: settings.storeReadsPerSecond },
+      share: () => ({ hosts: this.#members.workers().length, ownedPartitions: this.#ledger?.owned().length ?? 0, partitions: settings.ledgerPartitions })
+    })
+    this.#catalogue = new CatalogueTask(this.#host, this.#budgeted)
     this.#decisions = new DecisionLog(this.#host)
     this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions)
     this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus)
-    this.#ledger = new LedgerTask(this.#host, this.#members, this.#store)
+    this.#ledger = new LedgerTask(this.#host, this.#members, this.#budgeted)
     const completions = new CompletionRunner(this.#router, this.#endpoints)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
+    this.#behind = new WriteBehind(ledger)
     this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions)
-    this.#usage = new UsageTask(this.#host, this.#store, this.#platform)
+    this.#usage = new UsageTask(this.#host, {
+      members: this.#members,
+      advance: async (partition) => await this.#ledger.advance(partition),
+      store: this.#budgeted,
+      platform: this.#platform
+    })
     this.#gateway = new Gateway({
       settings,
       catalogue: this.#catalogue,
@@ -63,7 +77,8 @@
       bus: this.#bus,
       ledger,
       completions,
-      services: new ServiceRunner(this.#router, this.#endpoints, ledger),
+      services: new ServiceRunner({ router: this.#router, endpoints: this.#endpoints, ledger, behind: this.#behind }),
+      writeBehind: this.#behind,
       registry: this.#registry
     })
     this.#measure()
@@ -101,6 +116,7 @@
     await new Promise((resolve) => setTimeout(resolve, this.#settings.addressTtlMs))
     const limit = new Promise((resolve) => setTimeout(resolve, this.#settings.drainTimeoutMs).unref())
     await Promise.race([this.#gateway.drained(), limit])
+    await this.#behind.drain(deadlineAfter(this.#settings.drainTimeoutMs))
     await this.stop()
   }
 
