Engine, weight store and endpoint ordering stand-ins; orders that leave only under their lease

Cause: the stand-ins changed weights at once and had no cache, lag, KV cache or ordering, so no decision about waves, reclaim or stragglers could be driven. An order's deadline was only an abort timer, which a process paused while it connects may reach after the socket's write.

Weighed: a check before the call (does not cover the time to connect); the abort timer alone (its phase may come after the connection's); a body that looks at the lease when the client reads it, which is when it writes the head. The last was taken. With the check switched off the test 'nothing of a body is written once its lease has ended' failed: the request arrived.

--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { unreachable } from '@cyclamenthread/state'
 import { deadlineSignal } from '@cyclamenthread/transport'
+import { leasedBody } from './leased-body.js'
 import type { Endpoint, VersionSpan } from '@cyclamenthread/state'
 
 /** Connections kept to one endpoint. */
@@ -15,11 +16,21 @@
   usage: z.object({ prompt_tokens: z.int().nonnegative(), completion_tokens: z.int().nonnegative() }).optional()
 })
 
+/** What an earlier endpoint has produced of an answer. */
+export interface CompletionResumption {
+  readonly text: string
+  readonly tokens: number
+  /** Names the KV cache to import; without it the engine computes it anew. */
+  readonly kv?: string
+}
+
 /** A completion to be run on an engine. */
 export interface CompletionCall {
   readonly requestId: string
   readonly prompt: string
   readonly maxTokens: number
+  /** Goes on after this text; only what comes after it is streamed. */
+  readonly resume?: CompletionResumption
   readonly traceparent: string
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
@@ -70,6 +81,15 @@
 
 export type LoadReport = z.infer<typeof loadReportSchema>
 
+const cacheEventsSchema = z.object({
+  events: z.array(z.object({ sequence: z.int().positive(), kind: z.enum(['stored', 'evicted']), prefix: z.string() }))
+})
+
+/** One change of an engine's prefix cache. Changes come late, and gaps in the sequence are changes that were lost. */
+export type CacheChange = z.infer<typeof cacheEventsSchema>['events'][number]
+
+const resumptionSchema = z.object({ text: z.string(), tokens: z.int().nonnegative(), kv: z.string() })
+
 /** Orders that endpoints take. */
 export enum EndpointOrderKind {
   LoadWeights = 'load-weights'
@@ -78,6 +98,8 @@
 /** An order to one endpoint, with the fencing number of the lease it is given under. */
 export interface EndpointOrder {
   readonly kind: EndpointOrderKind.LoadWeights
+  /** Pool whose weights are meant. */
+  readonly pool: string
   readonly version: number
   readonly fence: number
 }
@@ -140,7 +162,7 @@
       const response = await request(`${endpoint.url}/v1/completions`, {
         method: 'POST',
         headers: { 'content-type': 'application/json', 'x-request-id': call.requestId, traceparent: call.traceparent },
-        body: JSON.stringify({ prompt: call.prompt, max_tokens: call.maxTokens, stream: true, request_id: call.requestId }),
+        body: JSON.stringify({ prompt: call.prompt, max_tokens: call.maxTokens, stream: true, request_id: call.requestId, resume: call.resume }),
         dispatcher: this.#agent,
         signal: deadlineSignal(call.deadline, call.signal)
       })
@@ -183,19 +205,47 @@
     }
   }
 
+  /** Reads the changes of an engine's prefix cache after a sequence number; undefined when it gives none in time. */
+  async readCacheChanges (endpoint: Endpoint, after: number, deadline: number): Promise<readonly CacheChange[] | undefined> {
+    try {
+      const response = await request(`${endpoint.url}/cache-events?after=${after}`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
+      return cacheEventsSchema.safeParse(await response.body.json()).data?.events
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Takes over what a running request has produced, with its KV cache; undefined when the endpoint does not give it. */
+  async exportKv (endpoint: Endpoint, requestId: string, deadline: number): Promise<CompletionResumption | undefined> {
+    try {
+      const response = await request(`${endpoint.url}/kv/export`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ request_id: requestId }),
+        dispatcher: this.#agent,
+        signal: deadlineSignal(deadline)
+      })
+      return resumptionSchema.safeParse(await response.body.json()).data
+    } catch {
+      return undefined
+    }
+  }
+
   /**
-   * Gives an endpoint an order.
+   * Gives an endpoint an order. The lease is looked at again in the turn in
+   * which the first byte is written, since connecting takes time.
    *
    * @param endpoint the endpoint
    * @param order what to do, and the fencing number
    * @param deadline monotonic milliseconds at which the lease behind the order ends; the order is aborted then
    */
   async order (endpoint: Endpoint, order: EndpointOrder, deadline: number): Promise<OrderStatus> {
+    const body = leasedBody(JSON.stringify(order), deadline)
     try {
       const response = await request(`${endpoint.url}/orders`, {
         method: 'POST',
         headers: { 'content-type': 'application/json' },
-        body: JSON.stringify(order),
+        body: body.bytes(),
         dispatcher: this.#agent,
         signal: deadlineSignal(deadline)
       })
@@ -203,7 +253,7 @@
       if (response.statusCode === 200) return OrderStatus.Accepted
       return response.statusCode === 409 ? OrderStatus.Fenced : OrderStatus.Unknown
     } catch (error) {
-      return neverSent(error) ? OrderStatus.NotSent : OrderStatus.Unknown
+      return body.started ? OrderStatus.Unknown : OrderStatus.NotSent
     }
   }
 
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
 import { deadlineSignal } from '@cyclamenthread/transport'
+import { leasedBody } from './leased-body.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
 const hostListSchema = z.object({
@@ -94,7 +95,11 @@
     return parsed.success ? success(parsed.data.endpoints) : failure(PlatformFailure.Malformed)
   }
 
-  /** Sends one order; `Refused` when none are to be had. */
+  /**
+   * Sends one order; `Refused` when none are to be had.
+   *
+   * @param call its deadline is that of the lease behind the order: no byte leaves after it
+   */
   async order (order: FleetOrder, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
     return await this.#send('POST', '/fleet/orders', order, call)
   }
@@ -114,7 +119,7 @@
       const response = await request(this.#baseUrl + path, {
         method,
         headers: { 'content-type': 'application/json' },
-        body: body === undefined ? null : JSON.stringify(body),
+        body: body === undefined ? null : leasedBody(JSON.stringify(body), call.deadline).bytes(),
         dispatcher: this.#agent,
         signal: deadlineSignal(call.deadline, call.signal)
       })
--- /dev/null
+++ b/packages/protocol/src/lib/weight-store-client.ts
@@ -0,0 +1,45 @@
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import { deadlineSignal } from '@cyclamenthread/transport'
+
+const releaseListSchema = z.object({
+  releases: z.array(z.object({ pool: z.string(), version: z.int().nonnegative() }))
+})
+
+/** A weight version that a trainer has released to a pool. */
+export type WeightRelease = z.infer<typeof releaseListSchema>['releases'][number]
+
+/**
+ * The weight store, as far as the service uses it: which versions were
+ * released. The weights themselves are fetched by the endpoints.
+ *
+ * @example
+ * const releases = await weightStore.releases(deadline)
+ */
+export class WeightStoreClient {
+  readonly #baseUrl: string
+  readonly #agent = new Agent({ connections: 1, pipelining: 1 })
+
+  constructor (baseUrl: string) {
+    this.#baseUrl = baseUrl.replace(/\/$/, '')
+  }
+
+  /**
+   * The newest version of each pool; undefined when the store does not answer.
+   *
+   * @param deadline monotonic milliseconds
+   */
+  async releases (deadline: number): Promise<readonly WeightRelease[] | undefined> {
+    try {
+      const response = await request(`${this.#baseUrl}/releases`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
+      return releaseListSchema.safeParse(await response.body.json()).data?.releases
+    } catch {
+      return undefined
+    }
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
--- /dev/null
+++ b/packages/protocol/src/test/leased-body.test.ts
@@ -0,0 +1,64 @@
+import { createServer } from 'node:http'
+import test from 'ava'
+import { Agent, buildConnector, request } from 'undici'
+import { FencingSupport } from '@cyclamenthread/state'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { EndpointClient, EndpointOrderKind, OrderStatus } from '../lib/endpoint-client.js'
+import { leasedBody } from '../lib/leased-body.js'
+import type { Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Endpoint } from '@cyclamenthread/state'
+
+/** Counts what arrives on an endpoint that ignores fencing numbers. */
+async function listeningEndpoint (): Promise<{ readonly server: Server, readonly seen: string[], readonly endpoint: Endpoint }> {
+  const seen: string[] = []
+  const server = createServer((request, response) => {
+    seen.push(request.url ?? '')
+    request.resume().on('end', () => response.end('{}'))
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const { port } = server.address() as AddressInfo
+  return { server, seen, endpoint: { id: 'e', url: `http://127.0.0.1:${port}`, region: 'r', failureDomain: 'd', slots: 1, cheap: false, fencing: FencingSupport.Ignored } }
+}
+
+const order = { kind: EndpointOrderKind.LoadWeights, pool: 'engines', version: 2, fence: 1 } as const
+
+test('an order whose lease ends while the process is paused in connecting never leaves', async (t) => {
+  const { server, seen, endpoint } = await listeningEndpoint()
+  const client = new EndpointClient()
+  const sent = client.order(endpoint, order, deadlineAfter(50))
+  // The process stands still from before the connection is there until after the deadline.
+  const until = performance.now() + 120
+  while (performance.now() < until);
+  t.is(await sent, OrderStatus.NotSent)
+  t.deepEqual(seen, [])
+  t.is(await client.order(endpoint, order, deadlineAfter(10_000)), OrderStatus.Accepted)
+  t.is(seen.length, 1)
+  await client.close()
+  server.close()
+})
+
+test('nothing of a body is written once its lease has ended, whatever else would abort the request', async (t) => {
+  const { server, seen, endpoint } = await listeningEndpoint()
+  const late = leasedBody('{}', deadlineAfter(0))
+  await t.throwsAsync(request(endpoint.url, { method: 'POST', body: late.bytes() }), { name: 'LeaseEndedError' })
+  t.false(late.started)
+  t.deepEqual(seen, [])
+  const live = leasedBody('{}', deadlineAfter(10_000))
+  t.is((await request(endpoint.url, { method: 'POST', body: live.bytes() })).statusCode, 200)
+  t.true(live.started)
+  t.is(seen.length, 1)
+  server.close()
+  server.closeAllConnections()
+})
+
+test('the lease is looked at when the connection is there, not when the call is made', async (t) => {
+  const { server, seen, endpoint } = await listeningEndpoint()
+  const connect = buildConnector({})
+  const slow = new Agent({ connect: (options, callback) => { setTimeout(() => connect(options, callback), 100) } })
+  const body = leasedBody('{}', deadlineAfter(30))
+  await t.throwsAsync(request(endpoint.url, { method: 'POST', body: body.bytes(), dispatcher: slow }), { name: 'LeaseEndedError' })
+  t.deepEqual(seen, [])
+  await slow.destroy()
+  server.close()
+})
--- a/packages/standins/src/lib/engine-standin.ts
+++ b/packages/standins/src/lib/engine-standin.ts
@@ -1,59 +1,49 @@
-import { createHash } from 'node:crypto'
+import { EnginePrefixCache } from './engine-prefix-cache-standin.js'
+import { answerText, CHARACTERS_PER_TOKEN, pause, TOKENS_PER_EVENT, writeEvent } from './engine-stream-standin.js'
 import { answerJson, HttpStandin } from './http-standin.js'
+import type { EngineFaults, EngineSettings } from './engine-settings-standin.js'
+import type { EngineCompletion, EngineStream } from './engine-stream-standin.js'
 import type { StandinRequest } from './http-standin.js'
 
-/** How an engine stand-in behaves. */
-export interface EngineSettings {
-  readonly slots: number
-  /** Time one token takes, in milliseconds. */
-  readonly tokenMs: number
-  /** Time the prompt takes per token that is not cached, in milliseconds. */
-  readonly prefillMs: number
-  /** Whether orders with an old fencing number are refused. */
-  readonly checksFencing: boolean
-}
-
-/** Faults an engine can be told to have. */
-export interface EngineFaults {
-  /** Prompts containing this text crash the engine; empty for none. */
-  poison: string
-  /** Leaves the weight version out of the stream. */
-  hidesVersion: boolean
-  /** Ignores orders to change weights but answers them. */
-  failsSwaps: boolean
-}
+/** Blocks of the prefix cache when the settings don't say. */
+const DEFAULT_CACHE_BLOCKS = 4_096
 
-interface CompletionBody {
-  readonly prompt: string
-  readonly max_tokens: number
-  readonly request_id: string
+/** A load report as it was taken. */
+interface LoadSnapshot {
+  readonly running: number
+  readonly waiting: number
+  readonly version: number
+  readonly takenAt: number
 }
 
-/** Characters a stand-in counts as one token. */
-const CHARACTERS_PER_TOKEN = 4
-
-/** Tokens that are put into one event of the stream. */
-const TOKENS_PER_EVENT = 8
-
 /**
- * Stand-in for a model engine: batches continuously up to its slots, streams
- * tokens that name the weight version, takes orders with fencing numbers.
+ * Stand-in for a model engine: batches continuously up to its slots, admits
+ * requests as they arrive, caches prompt prefixes, streams tokens that name the
+ * weight version, and takes orders with fencing numbers.
  */
 export class EngineStandin {
-  readonly faults: EngineFaults = { poison: '', hidesVersion: false, failsSwaps: false }
+  readonly faults: EngineFaults = { poison: '', hidesVersion: false, failsSwaps: false, slowdown: 1 }
   /** Headers of every request, for tests that look for what must not be there. */
   readonly seenHeaders: Array<StandinRequest['headers']> = []
-  readonly counts = { started: 0, finished: 0, cancelled: 0 }
+  readonly counts = { started: 0, finished: 0, cancelled: 0, tokens: 0, prefilledTokens: 0, swaps: 0, orders: 0 }
+  /** Fencing numbers of the orders that were carried out, in the order of their arrival. */
+  readonly obeyedFences: number[] = []
   readonly #settings: EngineSettings
   readonly #http = new HttpStandin(async (request) => await this.#answer(request))
   readonly #waiting: Array<() => void> = []
+  readonly #streams = new Map<string, EngineStream>()
+  readonly #cache: EnginePrefixCache
   #running = 0
   #version = 1
   #fence = 0
   #crashed = false
+  #swap = Promise.resolve()
+  #halted: Promise<void> | undefined
+  #load: LoadSnapshot = { running: 0, waiting: 0, version: 1, takenAt: -Infinity }
 
   constructor (settings: EngineSettings) {
     this.#settings = settings
+    this.#cache = new EnginePrefixCache(settings.cacheBlocks ?? DEFAULT_CACHE_BLOCKS)
   }
 
   get url (): string {
@@ -68,6 +58,11 @@
     return this.#version
   }
 
+  /** Whether a change of weights halts the batch now. */
+  get halted (): boolean {
+    return this.#halted !== undefined
+  }
+
   /** Whether the engine has crashed and not been restarted. */
   get crashed (): boolean {
     return this.#crashed
@@ -84,6 +79,24 @@
   /** Changes the weights, as an order would. */
   load (version: number): void {
     this.#version = version
+    this.#cache.clear()
+    this.counts.swaps += 1
+  }
+
+  /** Dies at once: every stream breaks off. */
+  async crash (): Promise<void> {
+    this.#crashed = true
+    await this.#http.close()
+  }
+
+  /** Comes back on the same port with the weights it started with and an empty cache. */
+  async restart (version = 1): Promise<void> {
+    const port = Number(new URL(this.url).port)
+    this.#crashed = false
+    this.#version = version
+    this.#fence = 0
+    this.#cache.clear()
+    await this.#http.listen(port)
   }
 
   async #answer (request: StandinRequest): Promise<void> {
@@ -94,33 +107,88 @@
     }
     const { pathname } = request.url
     if (pathname === '/v1/completions') await this.#complete(request)
-    else if (pathname === '/load') answerJson(request.response, 200, { running: this.#running, waiting: this.#waiting.length, version: this.#version })
+    else if (pathname === '/load') this.#reportLoad(request)
+    else if (pathname === '/cache-events') this.#reportCache(request)
+    else if (pathname === '/kv/export') this.#exportKv(request)
     else if (pathname === '/orders') this.#order(request)
     else answerJson(request.response, 404, {})
   }
 
+  #reportLoad (request: StandinRequest): void {
+    const now = performance.now()
+    if (now - this.#load.takenAt >= (this.#settings.loadLagMs ?? 0)) {
+      this.#load = { running: this.#running, waiting: this.#waiting.length, version: this.#version, takenAt: now }
+    }
+    const { takenAt, ...load } = this.#load
+    answerJson(request.response, 200, { ...load, ageMs: now - takenAt })
+  }
+
+  /** Events come late, and some never. */
+  #reportCache (request: StandinRequest): void {
+    const after = Number(request.url.searchParams.get('after') ?? 0)
+    const random = this.#settings.random ?? Math.random
+    const events = this.#cache.events(after, performance.now() - (this.#settings.cacheEventLagMs ?? 0))
+    answerJson(request.response, 200, { events: events.filter(() => random() >= (this.#settings.cacheEventGaps ?? 0)) })
+  }
+
+  /** Gives out what a running request has computed, so that another engine can go on with it. */
+  #exportKv (request: StandinRequest): void {
+    const { request_id: id } = JSON.parse(request.body.toString('utf8')) as { request_id: string }
+    const stream = this.#streams.get(id)
+    if (stream === undefined) answerJson(request.response, 404, { error: 'no such request' })
+    else answerJson(request.response, 200, { text: answerText(stream.body.prompt, 0, stream.done), tokens: stream.done, kv: `${this.url}/${id}/${stream.done}` })
+  }
+
   #order (request: StandinRequest): void {
-    const order = JSON.parse(request.body.toString('utf8')) as { version: number, fence: number }
+    const order = JSON.parse(request.body.toString('utf8')) as { version: number, fence: number, pool?: string }
+    this.counts.orders += 1
     if (this.#settings.checksFencing && order.fence < this.#fence) {
       answerJson(request.response, 409, { error: 'old fencing number', fence: this.#fence })
       return
     }
     this.#fence = Math.max(this.#fence, order.fence)
-    if (!this.faults.failsSwaps) this.load(order.version)
+    this.obeyedFences.push(order.fence)
+    if (!this.faults.failsSwaps) this.#startSwap(order.version, order.pool ?? '')
     answerJson(request.response, 200, { version: this.#version })
   }
 
+  /** Without a weight store and time for it, the weights are changed before the answer. */
+  #startSwap (version: number, pool: string): void {
+    const { weightStoreUrl, swapMs = 0 } = this.#settings
+    if (weightStoreUrl === undefined && swapMs === 0) {
+      this.load(version)
+      return
+    }
+    this.#swap = this.#swap.then(async () => await this.#runSwap(version, pool))
+  }
+
+  async #runSwap (version: number, pool: string): Promise<void> {
+    if (version === this.#version) return
+    const { weightStoreUrl, swapMs = 0 } = this.#settings
+    if (weightStoreUrl !== undefined) {
+      const fetched = await fetch(`${weightStoreUrl}/weights/${pool}/${version}`).then((response) => response.ok, () => false)
+      if (!fetched || this.#crashed) return
+    }
+    this.#halted = pause(swapMs)
+    await this.#halted
+    this.#halted = undefined
+    if (!this.#crashed) this.load(version)
+  }
+
   async #complete (request: StandinRequest): Promise<void> {
-    const body = JSON.parse(request.body.toString('utf8')) as CompletionBody
+    const body = JSON.parse(request.body.toString('utf8')) as EngineCompletion
     if (this.faults.poison !== '' && body.prompt.includes(this.faults.poison)) {
-      await this.#crash()
+      await this.crash()
       return
     }
     await this.#enter()
     this.counts.started += 1
+    const stream: EngineStream = { body, response: request.response, done: body.resume?.tokens ?? 0 }
+    this.#streams.set(body.request_id, stream)
     try {
-      await this.#stream(request, body)
+      await this.#stream(stream)
     } finally {
+      this.#streams.delete(body.request_id)
       this.#running -= 1
       this.#waiting.shift()?.()
     }
@@ -132,42 +200,52 @@
     this.#running += 1
   }
 
-  async #stream (request: StandinRequest, body: CompletionBody): Promise<void> {
-    const { response } = request
-    const promptTokens = Math.ceil(body.prompt.length / CHARACTERS_PER_TOKEN)
+  async #stream (stream: EngineStream): Promise<void> {
+    const { body, response } = stream
     response.writeHead(200, { 'content-type': 'text/event-stream' })
-    await pause(promptTokens * this.#settings.prefillMs)
-    for (let done = 0; done < body.max_tokens; done += TOKENS_PER_EVENT) {
-      const tokens = Math.min(TOKENS_PER_EVENT, body.max_tokens - done)
-      await pause(tokens * this.#settings.tokenMs)
+    let due = performance.now() + this.#prefill(body) * this.#settings.prefillMs
+    const total = Math.min(body.max_tokens, this.#settings.answerTokens?.(body.prompt) ?? body.max_tokens)
+    while (stream.done < total) {
+      const tokens = Math.min(TOKENS_PER_EVENT, total - stream.done)
+      const haltedAt = performance.now()
+      await this.#halted
+      if (this.#halted !== undefined || performance.now() > haltedAt + 1) due = Math.max(due, performance.now())
+      // Counted from when the tokens were due, so that a late timer does not slow the engine down.
+      due += tokens * this.#settings.tokenMs * this.faults.slowdown
+      await pause(due - performance.now())
       if (response.destroyed) {
         this.counts.cancelled += 1
         return
       }
-      this.#write(request, { id: body.request_id, choices: [{ text: answerText(body.prompt, done, tokens), finish_reason: null }], tokens })
+      this.#writeText(stream, tokens)
     }
-    this.#write(request, { id: body.request_id, choices: [{ text: '', finish_reason: 'stop' }], usage: { prompt_tokens: promptTokens, completion_tokens: body.max_tokens } })
+    const finishReason = total < body.max_tokens ? 'stop' : 'length'
+    this.#write(response, {
+      id: body.request_id,
+      choices: [{ text: '', finish_reason: finishReason }],
+      usage: { prompt_tokens: Math.ceil(body.prompt.length / CHARACTERS_PER_TOKEN), completion_tokens: total }
+    })
     response.end('data: [DONE]\n\n')
     this.counts.finished += 1
   }
 
-  #write (request: StandinRequest, chunk: object): void {
-    const named = this.faults.hidesVersion ? chunk : { ...chunk, weight_version: this.#version }
-    request.response.write(`data: ${JSON.stringify(named)}\n\n`)
+  #writeText (stream: EngineStream, tokens: number): void {
+    const { body, response } = stream
+    this.#write(response, { id: body.request_id, choices: [{ text: answerText(body.prompt, stream.done, tokens), finish_reason: null }], tokens })
+    stream.done += tokens
+    this.counts.tokens += tokens
   }
 
-  async #crash (): Promise<void> {
-    this.#crashed = true
-    await this.#http.close()
+  /** Tokens that have to be computed before the first new one: none of what came with its KV cache. */
+  #prefill (body: EngineCompletion): number {
+    const { prompt, resume } = body
+    const cached = this.#cache.admit(prompt, performance.now())
+    const tokens = resume?.kv !== undefined ? 0 : Math.ceil((prompt.length - cached) / CHARACTERS_PER_TOKEN) + (resume?.tokens ?? 0)
+    this.counts.prefilledTokens += tokens
+    return tokens
   }
-}
-
-/** A text that depends on the prompt only, so that a test can tell whose answer it is. */
-export function answerText (prompt: string, from: number, tokens: number): string {
-  const word = createHash('sha256').update(prompt).digest('hex').slice(0, 3)
-  return Array.from({ length: tokens }, (_, index) => `${word}${(from + index) % 10}`).join('')
-}
 
-async function pause (milliseconds: number): Promise<void> {
-  if (milliseconds > 0) await new Promise((resolve) => setTimeout(resolve, milliseconds))
+  #write (response: StandinRequest['response'], chunk: object): void {
+    writeEvent(response, this.faults.hidesVersion ? chunk : { ...chunk, weight_version: this.#version })
+  }
 }
--- a/packages/standins/src/lib/platform-standin.ts
+++ b/packages/standins/src/lib/platform-standin.ts
@@ -1,6 +1,7 @@
 import { answerJson, HttpStandin } from './http-standin.js'
 import type { FleetOrder, OrderedEndpoint, PlatformHost, UsageWindow } from '@cyclamenthread/protocol'
 import type { StandinRequest } from './http-standin.js'
+import type { PlatformFleet } from './platform-fleet-standin.js'
 
 /** A usage report as it arrived. */
 export interface ReceivedReport {
@@ -24,7 +25,9 @@
   readonly orders: FleetOrder[] = []
   hosts: PlatformHost[] = []
   fleet: OrderedEndpoint[] = []
-  readonly #http = new HttpStandin(async (request) => this.#answer(request))
+  /** Carries orders out; without it they are only noted. */
+  ordering: PlatformFleet | undefined
+  readonly #http = new HttpStandin(async (request) => await this.#answer(request))
 
   get url (): string {
     return this.#http.url
@@ -38,26 +41,28 @@
     await this.#http.close()
   }
 
-  #answer (request: StandinRequest): void {
+  async #answer (request: StandinRequest): Promise<void> {
     if (this.faults.down) {
       answerJson(request.response, 503, {})
       return
     }
     const { pathname } = request.url
     if (pathname === '/hosts') answerJson(request.response, 200, { hosts: this.hosts })
-    else if (pathname === '/fleet') answerJson(request.response, 200, { endpoints: this.fleet })
-    else if (pathname === '/fleet/orders') this.#order(request)
+    else if (pathname === '/fleet') answerJson(request.response, 200, { endpoints: [...this.fleet, ...this.ordering?.list() ?? []] })
+    else if (pathname === '/fleet/orders') await this.#order(request)
     else if (pathname.startsWith('/usage/')) this.#report(request)
     else answerJson(request.response, 404, {})
   }
 
-  #order (request: StandinRequest): void {
+  async #order (request: StandinRequest): Promise<void> {
     if (this.faults.noCapacity) {
       answerJson(request.response, 409, { error: 'none to be had' })
       return
     }
-    this.orders.push(JSON.parse(request.body.toString('utf8')) as FleetOrder)
-    answerJson(request.response, 200, {})
+    const order = JSON.parse(request.body.toString('utf8')) as FleetOrder
+    this.orders.push(order)
+    const had = await this.ordering?.order(order) ?? true
+    answerJson(request.response, had ? 200 : 409, {})
   }
 
   #report (request: StandinRequest): void {
