--- a/packages/protocol/src/test/leased-body.test.ts
+++ b/packages/protocol/src/test/leased-body.test.ts
@@ -55,7 +55,11 @@
 test('the lease is looked at when the connection is there, not when the call is made', async (t) => {
   const { server, seen, endpoint } = await listeningEndpoint()
   const connect = buildConnector({})
-  const slow = new Agent({ connect: (options, callback) => { setTimeout(() => connect(options, callback), 100) } })
+  const slow = new Agent({
+    connect: (options, callback) => {
+      setTimeout(() => connect(options, callback), 100)
+    }
+  })
   const body = leasedBody('{}', deadlineAfter(30))
   await t.throwsAsync(request(endpoint.url, { method: 'POST', body: body.bytes(), dispatcher: slow }), { name: 'LeaseEndedError' })
   t.deepEqual(seen, [])
--- /dev/null
+++ b/packages/state/src/lib/capacity-plan.ts
@@ -0,0 +1,179 @@
+import { CapacityForecast } from './capacity-forecast.js'
+import { EndpointState } from './roster.js'
+import type { CapacityRule, Endpoint } from './catalogue.js'
+
+/** How the capacity of a pool follows its demand. All times are in milliseconds. */
+export interface CapacitySettings {
+  /** Time an endpoint takes from its order until it serves. */
+  readonly startMs: number
+  /** Time for which too many endpoints must run before one is stopped. */
+  readonly holdMs: number
+  /** First pause after none were to be had in a failure domain; doubles each time. */
+  readonly backOffMs: number
+  /** Slots kept ready beyond the forecast, as a share of it. */
+  readonly headroom: number
+  /** Share of the latest peak that is kept ready. */
+  readonly peakShare: number
+}
+
+/** Longest pause after none were to be had, as a multiple of the first. */
+const MAX_BACK_OFF_FACTOR = 32
+
+/** An ordered endpoint and what the platform and the cells tell of it. */
+export interface CapacityEndpoint {
+  readonly endpoint: Endpoint
+  readonly state: EndpointState
+  /** Slots that are granted on it. */
+  readonly busy: number
+}
+
+/** What the plan is made from. */
+export interface CapacitySight {
+  readonly rules: readonly CapacityRule[]
+  readonly endpoints: readonly CapacityEndpoint[]
+  /** Slots of endpoints that the catalogue declares, which always run. */
+  readonly declaredSlots: number
+  readonly busySlots: number
+  readonly waiting: number
+  /** Slots of one endpoint that is yet to be ordered. */
+  readonly slotsPerEndpoint: number
+}
+
+/** Kinds of what a capacity plan asks for. */
+export enum CapacityActionKind {
+  Start = 'start',
+  /** Gives nothing new to the endpoint; it is stopped once it is idle. */
+  Leave = 'leave',
+  Stop = 'stop'
+}
+
+/** What a capacity plan asks for. */
+export type CapacityAction =
+  | { readonly kind: CapacityActionKind.Start, readonly rule: CapacityRule, readonly count: number }
+  | { readonly kind: CapacityActionKind.Leave, readonly endpointId: string }
+  | { readonly kind: CapacityActionKind.Stop, readonly endpointId: string }
+
+/** Why nothing is ordered under a rule, and until when. */
+interface BackOff {
+  readonly until: number
+  readonly failures: number
+}
+
+/**
+ * Plans the endpoints of one pool. Each rule's minimum always runs: the steady
+ * floor for bookings. What the forecast wants beyond goes to cheap endpoints,
+ * spread over failure domains; steady ones are added only where no cheap ones
+ * are to be had and not all of what waits may be shed.
+ *
+ * Invariants: no rule ever has more endpoints than its maximum, nor is one asked
+ * to leave that its minimum needs; nothing is ordered under a rule that backs
+ * off; only an endpoint that is leaving and idle is stopped.
+ */
+export class CapacityPlan {
+  readonly #settings: CapacitySettings
+  readonly #forecast: CapacityForecast
+  readonly #backOffs = new Map<string, BackOff>()
+  /** Monotonic milliseconds since when more endpoints ran than were wanted. */
+  #surplusSince: number | undefined
+
+  constructor (settings: CapacitySettings) {
+    this.#settings = settings
+    this.#forecast = new CapacityForecast(settings.startMs, settings.peakShare)
+  }
+
+  /** Takes note that none were to be had under a rule. */
+  refused (rule: CapacityRule, now: number): void {
+    const failures = this.#backOffs.get(ruleName(rule))?.failures ?? 0
+    const pause = this.#settings.backOffMs * Math.min(2 ** failures, MAX_BACK_OFF_FACTOR)
+    this.#backOffs.set(ruleName(rule), { until: now + pause, failures: failures + 1 })
+  }
+
+  /** Takes note that an order under a rule was accepted. */
+  accepted (rule: CapacityRule): void {
+    this.#backOffs.delete(ruleName(rule))
+  }
+
+  /** Whether nothing may be ordered under a rule now. */
+  backsOff (rule: CapacityRule, now: number): boolean {
+    return now < (this.#backOffs.get(ruleName(rule))?.until ?? -Infinity)
+  }
+
+  /**
+   * What is to be done now.
+   *
+   * @param now monotonic milliseconds
+   * @example
+   * for (const action of plan.step(sight, now)) await carryOut(action)
+   */
+  step (sight: CapacitySight, now: number): CapacityAction[] {
+    this.#forecast.observe(sight.busySlots + sight.waiting, now)
+    const wanted = this.#wantedEndpoints(sight)
+    const starts = this.#starts(sight, wanted, now)
+    const stops = sight.endpoints
+      .filter((item) => item.state === EndpointState.Leaving && item.busy === 0)
+      .map((item): CapacityAction => ({ kind: CapacityActionKind.Stop, endpointId: item.endpoint.id }))
+    const leave = starts.length > 0 ? undefined : this.#leave(sight, wanted, now)
+    return leave === undefined ? [...starts, ...stops] : [...starts, ...stops, leave]
+  }
+
+  /** Endpoints wanted beyond those that the catalogue declares. */
+  #wantedEndpoints (sight: CapacitySight): number {
+    const slots = this.#forecast.slots() * (1 + this.#settings.headroom) - sight.declaredSlots
+    return Math.max(0, Math.ceil(slots / sight.slotsPerEndpoint))
+  }
+
+  #starts (sight: CapacitySight, wanted: number, now: number): CapacityAction[] {
+    const counts = new Map(sight.rules.map((rule) => [rule, kept(sight, rule).length]))
+    const starts = new Map<CapacityRule, number>()
+    const add = (rule: CapacityRule): void => {
+      counts.set(rule, (counts.get(rule) ?? 0) + 1)
+      starts.set(rule, (starts.get(rule) ?? 0) + 1)
+    }
+    for (const rule of sight.rules) {
+      while (!this.backsOff(rule, now) && (counts.get(rule) ?? 0) < Math.min(rule.minimum, rule.maximum)) add(rule)
+    }
+    let total = [...counts.values()].reduce((sum, count) => sum + count, 0)
+    for (; total < wanted; total++) {
+      const rule = this.#nextRule(sight.rules, counts, now)
+      if (rule === undefined) break
+      add(rule)
+    }
+    return [...starts].map(([rule, count]): CapacityAction => ({ kind: CapacityActionKind.Start, rule, count }))
+  }
+
+  /** Cheap before steady, then the failure domain with the fewest. */
+  #nextRule (rules: readonly CapacityRule[], counts: ReadonlyMap<CapacityRule, number>, now: number): CapacityRule | undefined {
+    const open = rules.filter((rule) => !this.backsOff(rule, now) && (counts.get(rule) ?? 0) < rule.maximum)
+    open.sort((a, b) => Number(b.cheap) - Number(a.cheap) || (counts.get(a) ?? 0) - (counts.get(b) ?? 0))
+    return open[0]
+  }
+
+  /** One endpoint to leave, when too many ran for long enough: steady ones first, as they cost most, then the idlest. */
+  #leave (sight: CapacitySight, wanted: number, now: number): CapacityAction | undefined {
+    const total = sight.rules.reduce((sum, rule) => sum + kept(sight, rule).length, 0)
+    const spare = sight.rules
+      .flatMap((rule) => kept(sight, rule).slice(rule.minimum).length > 0 ? kept(sight, rule) : [])
+      .filter((item) => item.state === EndpointState.Running)
+    if (total <= wanted || spare.length === 0) {
+      this.#surplusSince = undefined
+      return undefined
+    }
+    this.#surplusSince ??= now
+    if (now - this.#surplusSince < this.#settings.holdMs) return undefined
+    spare.sort((a, b) => Number(a.endpoint.cheap) - Number(b.endpoint.cheap) || a.busy - b.busy)
+    const [first] = spare
+    return first === undefined ? undefined : { kind: CapacityActionKind.Leave, endpointId: first.endpoint.id }
+  }
+}
+
+/** Endpoints of a rule that serve or will. */
+function kept (sight: CapacitySight, rule: CapacityRule): CapacityEndpoint[] {
+  return sight.endpoints.filter((item) => {
+    const lives = item.state === EndpointState.Starting || item.state === EndpointState.Running
+    return lives && item.endpoint.failureDomain === rule.failureDomain && item.endpoint.cheap === rule.cheap
+  })
+}
+
+function ruleName (rule: CapacityRule): string {
+  return `${rule.failureDomain}/${rule.cheap ? 'cheap' : 'steady'}`
+}
--- /dev/null
+++ b/packages/state/src/lib/weight-waves.ts
@@ -0,0 +1,158 @@
+/** Limits of how an endpoint group may change its weights. */
+export interface WaveSettings {
+  /** Share of the endpoints that serve at any time, from 0 up to 1. */
+  readonly servingShare: number
+  /** Sets of weights that this group may fetch in a second. */
+  readonly fetchesPerSecond: number
+  /** Time after which an accepted change that does not show has failed, in milliseconds. */
+  readonly swapTimeoutMs: number
+  /** Pause before a failed change is ordered again, in milliseconds; grows with each failure in a row. */
+  readonly retryMs: number
+}
+
+/** Longest pause before a failed change is ordered again, as a multiple of the first. */
+const MAX_RETRY_FACTOR = 8
+
+/** How far orders may catch up with the store's rate after a pause, in milliseconds: longer than a leader's turn. */
+const CATCH_UP_MS = 500
+
+/** What is known of the weights of one endpoint. */
+interface EndpointWeights {
+  /** Version it was last seen with; undefined before the first report. */
+  version: number | undefined
+  /** Version it is being changed to. */
+  target: number | undefined
+  orderedAt: number
+  failures: number
+  /** Monotonic milliseconds before which it is not ordered again. */
+  notBefore: number
+}
+
+/** An order that is due now. */
+export interface WaveOrder {
+  readonly endpointId: string
+  readonly version: number
+}
+
+/**
+ * Most endpoints that may change their weights at the same time. One may
+ * always, or a small group would never follow its trainer.
+ *
+ * @example
+ * mostSwapping(8, 0.75) // 2
+ */
+export function mostSwapping (endpoints: number, servingShare: number): number {
+  // The epsilon keeps 10 × (1 - 0.9) from coming out below 1.
+  return Math.max(1, Math.floor(endpoints * (1 - servingShare) + 1e-9))
+}
+
+/**
+ * Plans which endpoints change their weights when: oldest version first, no
+ * faster than the weight store gives, and never more at once than the serving
+ * share allows. A change is done when the endpoint is seen with the version,
+ * never because it was ordered.
+ *
+ * Invariants: at most `mostSwapping` endpoints have an open order; over any span
+ * of time there are at most one order more than the store's rate allows in it and
+ * in the half second before.
+ */
+export class WeightWaves {
+  readonly #settings: WaveSettings
+  readonly #endpoints = new Map<string, EndpointWeights>()
+  #released = 0
+  /** Monotonic milliseconds from which the store's rate allows the next fetch. */
+  #nextFetchAt = -Infinity
+  readonly counters = { ordered: 0, completed: 0, failed: 0 }
+
+  constructor (settings: WaveSettings) {
+    this.#settings = settings
+  }
+
+  /** Takes note of the newest released version. */
+  release (version: number): void {
+    this.#released = Math.max(this.#released, version)
+  }
+
+  /** Sets the endpoints of the group; what is known of those that stay is kept. */
+  setEndpoints (endpointIds: readonly string[]): void {
+    const kept = new Set(endpointIds)
+    for (const id of this.#endpoints.keys()) {
+      if (!kept.has(id)) this.#endpoints.delete(id)
+    }
+    for (const id of endpointIds) {
+      if (this.#endpoints.has(id)) continue
+      this.#endpoints.set(id, { version: undefined, target: undefined, orderedAt: 0, failures: 0, notBefore: -Infinity })
+    }
+  }
+
+  /** Takes note of the version an endpoint was seen with at a time, in its stream or its report. */
+  see (endpointId: string, version: number, seenAt: number): void {
+    const endpoint = this.#endpoints.get(endpointId)
+    if (endpoint === undefined) return
+    endpoint.version = version
+    if (endpoint.target === undefined || version < endpoint.target || seenAt < endpoint.orderedAt) return
+    endpoint.target = undefined
+    endpoint.failures = 0
+    this.counters.completed += 1
+  }
+
+  /** Takes note that an order did not arrive or was refused. */
+  fail (endpointId: string, now: number): void {
+    const endpoint = this.#endpoints.get(endpointId)
+    if (endpoint === undefined || endpoint.target === undefined) return
+    const factor = Math.min(2 ** endpoint.failures, MAX_RETRY_FACTOR)
+    endpoint.target = undefined
+    endpoint.failures += 1
+    endpoint.notBefore = now + this.#settings.retryMs * factor
+    this.counters.failed += 1
+  }
+
+  /** Endpoints that don't have the released version yet. */
+  get behind (): number {
+    return [...this.#endpoints.values()].filter((endpoint) => this.#isBehind(endpoint)).length
+  }
+
+  /** Endpoints with an open order. */
+  get swapping (): number {
+    return [...this.#endpoints.values()].filter((endpoint) => endpoint.target !== undefined).length
+  }
+
+  /**
+   * The orders that are due; each counts as open from now on.
+   *
+   * @param now monotonic milliseconds
+   * @example
+   * for (const order of waves.plan(now)) await send(order)
+   */
+  plan (now: number): WaveOrder[] {
+    this.#timeOut(now)
+    const orders: WaveOrder[] = []
+    let room = mostSwapping(this.#endpoints.size, this.#settings.servingShare) - this.swapping
+    for (const [endpointId, endpoint] of this.#due(now)) {
+      if (room <= 0 || now < this.#nextFetchAt) break
+      this.#nextFetchAt = Math.max(this.#nextFetchAt, now - CATCH_UP_MS) + 1_000 / this.#settings.fetchesPerSecond
+      endpoint.target = this.#released
+      endpoint.orderedAt = now
+      room -= 1
+      this.counters.ordered += 1
+      orders.push({ endpointId, version: this.#released })
+    }
+    return orders
+  }
+
+  #isBehind (endpoint: EndpointWeights): boolean {
+    return endpoint.version !== undefined && endpoint.version < this.#released
+  }
+
+  /** Endpoints to be ordered, oldest version first; one that failed comes after those that did not. */
+  #due (now: number): Array<[string, EndpointWeights]> {
+    const due = [...this.#endpoints].filter(([, endpoint]) => endpoint.target === undefined && this.#isBehind(endpoint) && now >= endpoint.notBefore)
+    return due.sort(([, a], [, b]) => a.failures - b.failures || (a.version ?? 0) - (b.version ?? 0))
+  }
+
+  #timeOut (now: number): void {
+    for (const [id, endpoint] of this.#endpoints) {
+      if (endpoint.target !== undefined && now - endpoint.orderedAt > this.#settings.swapTimeoutMs) this.fail(id, now)
+    }
+  }
+}
--- /dev/null
+++ b/packages/state/src/test/capacity-plan.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { FencingSupport } from '../lib/catalogue.js'
+import { CapacityActionKind, CapacityPlan } from '../lib/capacity-plan.js'
+import { EndpointState } from '../lib/roster.js'
+import type { CapacityAction, CapacityEndpoint, CapacitySight } from '../lib/capacity-plan.js'
+import type { CapacityRule } from '../lib/catalogue.js'
+
+const SEED = 20_261_206
+const RUNS = 1_500
+const SLOTS = 8
+const TURN_MS = 500
+const SETTINGS = { startMs: 1_000, holdMs: 5_000, backOffMs: 1_000, headroom: 0.1, peakShare: 0 }
+
+function rule (failureDomain: string, cheap: boolean, minimum: number, maximum: number): CapacityRule {
+  return { failureDomain, region: 'r', cheap, minimum, maximum }
+}
+
+/** A fleet as the platform would run it for a plan. */
+class Fleet {
+  readonly plan = new CapacityPlan(SETTINGS)
+  readonly rules: readonly CapacityRule[]
+  endpoints: CapacityEndpoint[] = []
+  now = 0
+  /** Busy slots at the last sight. */
+  seen = new Map<string, number>()
+  readonly refusedAt = new Map<CapacityRule, number>()
+  #sequence = 0
+
+  constructor (rules: readonly CapacityRule[]) {
+    this.rules = rules
+  }
+
+  turn (demand: number, exhausted: (rule: CapacityRule) => boolean = () => false): CapacityAction[] {
+    this.now += TURN_MS
+    this.endpoints = this.endpoints.map((item) => item.state === EndpointState.Starting ? { ...item, state: EndpointState.Running } : item)
+    let left = demand
+    this.endpoints = this.endpoints.map((item) => {
+      // What is leaving finishes what it has, two slots a turn.
+      if (item.state === EndpointState.Leaving) return { ...item, busy: Math.max(0, item.busy - 2) }
+      const busy = item.state === EndpointState.Running ? Math.min(SLOTS, left) : 0
+      left -= busy
+      return { ...item, busy }
+    })
+    this.seen = new Map(this.endpoints.map((item) => [item.endpoint.id, item.busy]))
+    const sight: CapacitySight = { rules: this.rules, endpoints: this.endpoints, declaredSlots: 0, busySlots: demand - left, waiting: left, slotsPerEndpoint: SLOTS }
+    const actions = this.plan.step(sight, this.now)
+    for (const action of actions) this.#carryOut(action, exhausted)
+    return actions
+  }
+
+  count (one: CapacityRule): number {
+    return this.endpoints.filter((item) => item.endpoint.failureDomain === one.failureDomain && item.endpoint.cheap === one.cheap && item.state !== EndpointState.Leaving).length
+  }
+
+  #carryOut (action: CapacityAction, exhausted: (rule: CapacityRule) => boolean): void {
+    if (action.kind === CapacityActionKind.Stop) this.endpoints = this.endpoints.filter((item) => item.endpoint.id !== action.endpointId)
+    if (action.kind === CapacityActionKind.Leave) this.endpoints = this.endpoints.map((item) => item.endpoint.id === action.endpointId ? { ...item, state: EndpointState.Leaving } : item)
+    if (action.kind !== CapacityActionKind.Start) return
+    if (exhausted(action.rule)) {
+      this.plan.refused(action.rule, this.now)
+      this.refusedAt.set(action.rule, this.now)
+      return
+    }
+    this.plan.accepted(action.rule)
+    for (let index = 0; index < action.count; index++) this.#start(action.rule)
+  }
+
+  #start ({ failureDomain, cheap }: CapacityRule): void {
+    this.#sequence += 1
+    const endpoint = { id: `e${this.#sequence}`, url: 'http://127.0.0.1:1', region: 'r', failureDomain, slots: SLOTS, cheap, fencing: FencingSupport.Checked }
+    this.endpoints.push({ endpoint, state: EndpointState.Starting, busy: 0 })
+  }
+}
+
+const rules = fc.array(fc.tuple(fc.boolean(), fc.integer({ min: 0, max: 3 }), fc.integer({ min: 0, max: 6 })), { minLength: 1, maxLength: 6 })
+  .map((items) => items.map(([cheap, minimum, more], index) => rule(`d${index}`, cheap, minimum, minimum + more)))
+const turns = fc.array(fc.record({ demand: fc.integer({ min: 0, max: 200 }), exhausted: fc.integer({ min: 0, max: 63 }) }), { minLength: 1, maxLength: 80 })
+
+test(`no rule goes over its maximum, none is stopped that works, nothing is ordered while backing off (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(rules, turns, (given, course) => {
+    const fleet = new Fleet(given)
+    for (const { demand, exhausted } of course) {
+      const before = given.map((one) => fleet.count(one))
+      const refusedAt = new Map(fleet.refusedAt)
+      const actions = fleet.turn(demand, (one) => (exhausted >> given.indexOf(one)) % 2 === 1)
+      for (const action of actions) {
+        if (action.kind === CapacityActionKind.Start && fleet.now - (refusedAt.get(action.rule) ?? -Infinity) < SETTINGS.backOffMs) return false
+        if (action.kind === CapacityActionKind.Stop && fleet.seen.get(action.endpointId) !== 0) return false
+      }
+      for (const [index, one] of given.entries()) {
+        const count = fleet.count(one)
+        if (count > one.maximum) return false
+        if (count < Math.min(one.minimum, before[index] ?? 0)) return false
+      }
+    }
+    return true
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test(`steady demand settles: enough slots, then no more orders (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(fc.integer({ min: 0, max: 60 }), (demand) => {
+    const given = [rule('a', true, 0, 6), rule('b', true, 0, 6), rule('c', false, 1, 6)]
+    const fleet = new Fleet(given)
+    for (let turn = 0; turn < 200; turn++) fleet.turn(demand)
+    const settled = Array.from({ length: 40 }, () => fleet.turn(demand)).flat()
+    return settled.length === 0 && fleet.endpoints.length * SLOTS >= demand
+  }), { seed: SEED, numRuns: 1_000 })
+  t.pass()
+})
+
+test('cheap endpoints are spread over failure domains, steady ones come in where none are to be had', (t) => {
+  const given = [rule('a', true, 0, 4), rule('b', true, 0, 4), rule('c', false, 1, 4)]
+  const fleet = new Fleet(given)
+  for (let turn = 0; turn < 10; turn++) fleet.turn(32)
+  t.deepEqual(given.map((one) => fleet.count(one)), [2, 2, 1])
+  const scarce = new Fleet(given)
+  for (let turn = 0; turn < 10; turn++) scarce.turn(32, (one) => one.cheap)
+  t.deepEqual(given.map((one) => scarce.count(one)), [0, 0, 4])
+})
+
+test('demand that flaps faster than the hold does not stop endpoints', (t) => {
+  const fleet = new Fleet([rule('a', true, 0, 8)])
+  const actions = Array.from({ length: 100 }, (_, turn) => fleet.turn(turn % 8 < 4 ? 40 : 0)).flat()
+  t.true(actions.every((action) => action.kind === CapacityActionKind.Start))
+})
--- /dev/null
+++ b/packages/state/src/test/weight-waves.test.ts
@@ -0,0 +1,101 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { mostSwapping, WeightWaves } from '../lib/weight-waves.js'
+
+const SEED = 20_261_205
+const RUNS = 1_000
+const SWAP_TIMEOUT_MS = 3_000
+const RETRY_MS = 200
+/** Span by which orders may catch up, and the one order at its edge, as the class promises. */
+const CATCH_UP_MS = 500
+
+/** What happens to an endpoint's order. */
+enum Fate {
+  Done = 'done',
+  Silent = 'silent',
+  Refused = 'refused'
+}
+
+const runs = fc.record({
+  endpoints: fc.integer({ min: 1, max: 12 }),
+  servingShare: fc.double({ min: 0, max: 0.95, noNaN: true }),
+  fetchesPerSecond: fc.double({ min: 2, max: 50, noNaN: true }),
+  swapMs: fc.integer({ min: 1, max: 2_500 }),
+  fates: fc.infiniteStream(fc.constantFrom(Fate.Done, Fate.Done, Fate.Done, Fate.Silent, Fate.Refused)),
+  pauses: fc.infiniteStream(fc.integer({ min: 1, max: 800 })),
+  releases: fc.array(fc.integer({ min: 1, max: 60 }), { maxLength: 3 })
+})
+
+test(`waves keep the serving share and the store's rate whatever fails, and end with all on the newest version (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(runs, ({ endpoints, servingShare, fetchesPerSecond, swapMs, fates, pauses, releases }) => {
+    const waves = new WeightWaves({ servingShare, fetchesPerSecond, swapTimeoutMs: SWAP_TIMEOUT_MS, retryMs: RETRY_MS })
+    const ids = Array.from({ length: endpoints }, (_, index) => `e${index}`)
+    const versions = new Map(ids.map((id) => [id, 1]))
+    const swapping = new Map<string, { readonly version: number, readonly at: number }>()
+    const orderedAt: number[] = []
+    waves.setEndpoints(ids)
+    let released = 2
+    let now = 0
+    const last = Math.max(0, ...releases)
+    for (let turn = 0; turn < 20_000; turn++) {
+      if (releases.includes(turn)) released += 1
+      waves.release(released)
+      for (const [id, swap] of swapping) {
+        if (swap.at > now) continue
+        versions.set(id, swap.version)
+        swapping.delete(id)
+      }
+      for (const id of ids) waves.see(id, versions.get(id) ?? 0, now)
+      for (const order of waves.plan(now)) {
+        orderedAt.push(now)
+        const fate = turn > last + 50 ? Fate.Done : fates.next().value
+        if (fate === Fate.Done) swapping.set(order.endpointId, { version: order.version, at: now + swapMs })
+        if (fate === Fate.Refused) waves.fail(order.endpointId, now)
+      }
+      if (swapping.size > mostSwapping(endpoints, servingShare)) return false
+      if (turn > last && waves.behind === 0) break
+      now += pauses.next().value ?? 1
+    }
+    const rateKept = orderedAt.every((at, first) => orderedAt.slice(first).every((later, count) => {
+      return count + 1 <= (later - at + CATCH_UP_MS) * fetchesPerSecond / 1_000 + 1.001
+    }))
+    return rateKept && ids.every((id) => versions.get(id) === released)
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test(`a wave without faults takes no longer than the store's rate and the serving share need (seed ${SEED})`, (t) => {
+  const sizes = fc.record({ endpoints: fc.integer({ min: 1, max: 40 }), share: fc.constantFrom(0, 0.25, 0.5, 0.75), rate: fc.integer({ min: 5, max: 200 }), swapMs: fc.integer({ min: 10, max: 1_000 }) })
+  fc.assert(fc.property(sizes, ({ endpoints, share, rate, swapMs }) => {
+    const waves = new WeightWaves({ servingShare: share, fetchesPerSecond: rate, swapTimeoutMs: 60_000, retryMs: RETRY_MS })
+    const ids = Array.from({ length: endpoints }, (_, index) => `e${index}`)
+    const doneAt = new Map<string, number>()
+    waves.setEndpoints(ids)
+    waves.release(2)
+    let now = 0
+    do {
+      for (const id of ids) waves.see(id, (doneAt.get(id) ?? Infinity) <= now ? 2 : 1, now)
+      for (const order of waves.plan(now)) doneAt.set(order.endpointId, now + swapMs)
+      now += 10
+    } while (waves.behind > 0)
+    const rounds = Math.ceil(endpoints / mostSwapping(endpoints, share))
+    return now <= endpoints * 1_000 / rate + rounds * (swapMs + 20) + 20
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test('a change that was accepted but does not show is ordered again, behind those that did not fail', (t) => {
+  const waves = new WeightWaves({ servingShare: 0.5, fetchesPerSecond: 100, swapTimeoutMs: 1_000, retryMs: 100 })
+  waves.setEndpoints(['a', 'b'])
+  waves.release(2)
+  for (const id of ['a', 'b']) waves.see(id, 1, 0)
+  t.deepEqual(waves.plan(0), [{ endpointId: 'a', version: 2 }])
+  // A report from before the order proves nothing.
+  waves.see('a', 2, -1)
+  t.is(waves.swapping, 1)
+  waves.see('a', 1, 500)
+  t.deepEqual(waves.plan(1_001), [{ endpointId: 'b', version: 2 }])
+  waves.see('b', 2, 1_200)
+  t.deepEqual(waves.plan(1_201), [{ endpointId: 'a', version: 2 }])
+  t.is(waves.counters.failed, 1)
+})
