--- a/packages/state/src/test/capacity-plan.test.ts
+++ b/packages/state/src/test/capacity-plan.test.ts
@@ -125,3 +125,11 @@
   const actions = Array.from({ length: 100 }, (_, turn) => fleet.turn(turn % 8 < 4 ? 40 : 0)).flat()
   t.true(actions.every((action) => action.kind === CapacityActionKind.Start))
 })
+
+test('an endpoint that leaves is stopped once it is idle, not before', (t) => {
+  const endpoint = { id: 'e', url: 'http://127.0.0.1:1', region: 'r', failureDomain: 'a', slots: SLOTS, cheap: true, fencing: FencingSupport.Checked }
+  const sight = { rules: [rule('a', true, 0, 1)], declaredSlots: 0, busySlots: 0, waiting: 0, slotsPerEndpoint: SLOTS }
+  const plan = new CapacityPlan(SETTINGS)
+  t.deepEqual(plan.step({ ...sight, endpoints: [{ endpoint, state: EndpointState.Leaving, busy: 1 }] }, 0), [])
+  t.deepEqual(plan.step({ ...sight, endpoints: [{ endpoint, state: EndpointState.Leaving, busy: 0 }] }, 1), [{ kind: CapacityActionKind.Stop, endpointId: 'e' }])
+})
