Cell counts by endpoint, orders in O(log n), adopts slots, isolates suspects

Cause: the thin FairQueue scanned all waiting requests for each take and charged a workspace for what it cancelled; a new owner of a cell started from empty slots, and load reports were ignored. Ruled out: start tags fixed at arrival (a cancelled backlog would still be paid for); a Set as FIFO (its first item costs O(removed)). Choice: one virtual token counter per workspace and class, heaps by counter, lanes by restriction on endpoints. A report is judged only once releases on their way must have arrived, so that it frees no slot that merely crosses with its release.

--- a/packages/state/src/lib/cell-event.ts
+++ b/packages/state/src/lib/cell-event.ts
@@ -16,6 +16,10 @@
   readonly prefix: string
   /** Digest of the whole request, to recognise one that takes endpoints down. */
   readonly digest: string
+  /** Tokens of the prompt, of which a remembered prefix saves a part. */
+  readonly promptTokens: number
+  /** Whether an endpoint was lost while it ran a request of this digest: it then runs alone on its endpoint. */
+  readonly suspect: boolean
   /** Endpoints that already failed this request. */
   readonly excluded: readonly string[]
   /** Receiver's monotonic time in milliseconds after which the grant is of no use. */
@@ -32,9 +36,18 @@
   EndpointDown = 'endpoint-down',
   LoadReport = 'load-report',
   GatewayDown = 'gateway-down',
+  Held = 'held',
+  Open = 'open',
   Tick = 'tick'
 }
 
+/** A slot as the gateway that holds it tells a new owner of the cell. */
+export interface SlotClaim {
+  readonly slotId: string
+  readonly endpointId: string
+  readonly request: SlotRequest
+}
+
 /** How the use of a slot ended. */
 export enum SlotEnd {
   Finished = 'finished',
@@ -51,7 +64,12 @@
   | { readonly kind: CellEventKind.EndpointUp, readonly endpoint: Endpoint }
   | { readonly kind: CellEventKind.EndpointLeaving, readonly endpointId: string }
   | { readonly kind: CellEventKind.EndpointDown, readonly endpointId: string }
+  /** `observedAt` is the earliest monotonic time at which the endpoint may have taken the figure. */
   | { readonly kind: CellEventKind.LoadReport, readonly endpointId: string, readonly running: number, readonly observedAt: number }
+  /** All slots of this cell that a gateway holds, those of earlier owners among them. */
+  | { readonly kind: CellEventKind.Held, readonly gateway: string, readonly slots: readonly SlotClaim[] }
+  /** Every gateway has said what it holds, or had the time to. */
+  | { readonly kind: CellEventKind.Open }
   | { readonly kind: CellEventKind.GatewayDown, readonly gateway: string }
   | { readonly kind: CellEventKind.Tick }
 
--- a/packages/state/src/lib/cell.ts
+++ b/packages/state/src/lib/cell.ts
@@ -1,9 +1,18 @@
+import { CellEndpoint } from './cell-endpoint.js'
 import { CellEffectKind, CellEventKind, DecisionKind, SlotEnd } from './cell-event.js'
+import { chooseEndpoint } from './endpoint-choice.js'
 import { FairQueue } from './fair-queue.js'
+import { IndexedHeap } from './indexed-heap.js'
 import { invariant, unreachable } from './invariant.js'
 import { notRun, RefusalReason } from './refusal.js'
-import type { CellEffect, CellEvent, Decision, SlotGrant, SlotRequest } from './cell-event.js'
+import { ServiceRate } from './service-rate.js'
+import type { HeldSlot } from './cell-endpoint.js'
+import type { CellEffect, CellEvent, Decision, SlotClaim, SlotGrant, SlotRequest } from './cell-event.js'
 import type { Endpoint } from './catalogue.js'
+import type { Refusal } from './refusal.js'
+
+/** Share of the estimated time that must fit before the deadline; below 1 since estimates err. */
+const ADMISSION_CONFIDENCE = 0.8
 
 /** Settings of one cell. */
 export interface CellSettings {
@@ -15,19 +24,8 @@
   readonly queueLimit: number
   /** Longest a slot may be held beyond the deadline of its request, in milliseconds. */
   readonly leaseGraceMs: number
-}
-
-/** An endpoint of the cell with the slots this cell has granted on it. */
-interface EndpointState {
-  readonly endpoint: Endpoint
-  leaving: boolean
-  busy: number
-}
-
-/** A slot that was granted and not yet released. */
-interface HeldSlot {
-  readonly grant: SlotGrant
-  readonly request: SlotRequest
+  /** Monotonic time in milliseconds before which nothing is granted, unless an `Open` event comes. */
+  readonly opensAt: number
 }
 
 /** A summary by which gateways choose between cells. */
@@ -37,24 +35,36 @@
   readonly totalSlots: number
   readonly waiting: number
   readonly expectedTokensQueued: number
+  /** How long the queue is expected to take, in milliseconds. */
+  readonly waitMs: number
 }
 
 /**
  * The single place that counts the slots of up to 24 endpoints of one failure
  * domain and pool, and decides who runs next and where.
  *
- * Invariants: `busy` of an endpoint equals the held slots on it and never
- * exceeds its slots; a request is waiting, held or unknown, never two of these.
+ * Invariants: a request is waiting, held or unknown, never two of these; it is
+ * answered once; a grant never goes beyond an endpoint's slots, to one that is
+ * leaving or lost, or to one that the request excludes. While a suspect request
+ * runs or waits, one endpoint is kept for suspects, which run there one at a time.
  */
 export class Cell {
   readonly #settings: CellSettings
-  readonly #endpoints = new Map<string, EndpointState>()
+  readonly #endpoints = new Map<string, CellEndpoint>()
   readonly #queue = new FairQueue()
   readonly #held = new Map<string, HeldSlot>()
+  readonly #waitingDeadlines = new IndexedHeap<SlotRequest>((a, b) => a.deadline < b.deadline)
+  readonly #leases = new IndexedHeap<HeldSlot>((a, b) => a.grant.leaseDeadline < b.grant.leaseDeadline)
+  readonly #rate = new ServiceRate()
+  readonly #suspects = new Set<string>()
+  /** The endpoint kept for suspects. */
+  #ward: CellEndpoint | undefined
   #slotSequence = 0
+  #opensAt: number
 
   constructor (settings: CellSettings) {
     this.#settings = settings
+    this.#opensAt = settings.opensAt
   }
 
   /**
@@ -67,110 +77,184 @@
    * cell.step({ kind: CellEventKind.Tick }, 1000)
    */
   step (event: CellEvent, now: number): CellEffect[] {
-    switch (event.kind) {
-      case CellEventKind.Request: return [...this.#request(event.request, now), ...this.#dispatch(now)]
-      case CellEventKind.Cancel: return [...this.#cancel(event.requestId), ...this.#dispatch(now)]
-      case CellEventKind.Release: return [...this.#release(event.slotId, event.end, event.actualTokens), ...this.#dispatch(now)]
-      case CellEventKind.EndpointUp: return [...this.#endpointUp(event.endpoint), ...this.#dispatch(now)]
-      case CellEventKind.EndpointLeaving: return this.#endpointLeaving(event.endpointId)
-      case CellEventKind.EndpointDown: return [...this.#endpointDown(event.endpointId), ...this.#dispatch(now)]
-      case CellEventKind.LoadReport: return []
-      case CellEventKind.GatewayDown: return [...this.#gatewayDown(event.gateway), ...this.#dispatch(now)]
-      case CellEventKind.Tick: return [...this.#expire(now), ...this.#dispatch(now)]
-      default: return unreachable(event)
-    }
+    return [...this.#apply(event, now), ...this.#dispatch(now)]
   }
 
   /** What gateways are told of this cell. */
-  summary (): CellSummary {
+  summary (now: number): CellSummary {
     let freeSlots = 0
     let totalSlots = 0
-    for (const state of this.#endpoints.values()) {
-      if (state.leaving) continue
-      freeSlots += state.endpoint.slots - state.busy
-      totalSlots += state.endpoint.slots
+    for (const endpoint of this.#endpoints.values()) {
+      if (endpoint.leaving) continue
+      freeSlots += endpoint.free(now)
+      totalSlots += endpoint.endpoint.slots
     }
     return {
       cell: this.#settings.name,
       freeSlots,
       totalSlots,
       waiting: this.#queue.size,
-      expectedTokensQueued: this.#queue.expectedTokens
+      expectedTokensQueued: Math.round(this.#queue.expectedTokens),
+      waitMs: Math.round(this.#queue.expectedTokens * (this.#rate.overall() ?? 0) / Math.max(totalSlots, 1))
     }
   }
 
-  #request (request: SlotRequest, now: number): CellEffect[] {
-    if (request.deadline <= now) {
-      return this.#refuse(request, notRun(RefusalReason.DeadlineExceeded, 'the deadline had passed on arrival'))
-    }
-    if (this.#endpoints.size === 0) {
-      return this.#refuse(request, notRun(RefusalReason.NoEndpoint, 'the cell has no endpoint', 1000))
-    }
-    if (this.#queue.size >= this.#settings.queueLimit) {
-      return this.#refuse(request, notRun(RefusalReason.Overloaded, 'the queue of the cell is full', 500))
+  /** Requests that wait, for hand-over. */
+  waiting (): SlotRequest[] {
+    return this.#queue.requests()
+  }
+
+  /** Busy slots by endpoint id. */
+  busy (): ReadonlyMap<string, number> {
+    return new Map([...this.#endpoints].map(([id, endpoint]) => [id, endpoint.busy]))
+  }
+
+  #apply (event: CellEvent, now: number): CellEffect[] {
+    switch (event.kind) {
+      case CellEventKind.Request: return this.#request(event.request, now)
+      case CellEventKind.Cancel: return this.#cancel(event.requestId, now)
+      case CellEventKind.Release: return this.#release(event.slotId, event.end, event.actualTokens, now)
+      case CellEventKind.EndpointUp: return this.#endpointUp(event.endpoint)
+      case CellEventKind.EndpointLeaving: return this.#endpointLeaving(event.endpointId)
+      case CellEventKind.EndpointDown: return this.#endpointDown(event.endpointId, now)
+      case CellEventKind.LoadReport: return this.#loadReport(event.endpointId, event.running, event.observedAt, now)
+      case CellEventKind.GatewayDown: return this.#gatewayDown(event.gateway, now)
+      case CellEventKind.Held: return this.#adopt(event.gateway, event.slots, now)
+      case CellEventKind.Open: return this.#open(now)
+      case CellEventKind.Tick: return this.#tick(now)
+      default: return unreachable(event)
     }
-    this.#queue.push(request)
+  }
+
+  #request (request: SlotRequest, now: number): CellEffect[] {
+    const refusal = this.#admission(request, now)
+    if (refusal !== undefined) return this.#refuse(request, refusal)
+    this.#queue.push(request, laneOf(request))
+    this.#waitingDeadlines.put(request)
+    if (request.suspect) this.#suspects.add(request.requestId)
     return [this.#record(request, DecisionKind.Queued, '', 'arrived')]
   }
 
-  #cancel (requestId: string): CellEffect[] {
-    const request = this.#queue.remove(requestId)
-    return request === undefined ? [] : [this.#record(request, DecisionKind.Cancelled, '', 'cancelled by the caller')]
+  /** Why a request can't be served, as far as that is known on arrival. */
+  #admission (request: SlotRequest, now: number): Refusal | undefined {
+    if (request.deadline <= now) return notRun(RefusalReason.DeadlineExceeded, 'the deadline had passed on arrival')
+    if (this.#queue.has(request.requestId)) return notRun(RefusalReason.InProgress, 'a request of this id is already waiting')
+    if (this.#endpoints.size === 0) return notRun(RefusalReason.NoEndpoint, 'the cell has no endpoint', 1000)
+    if (this.#queue.size >= this.#settings.queueLimit) return notRun(RefusalReason.Overloaded, 'the queue of the cell is full', 500)
+    const neededMs = this.#neededMs(request, now)
+    if (now + ADMISSION_CONFIDENCE * neededMs <= request.deadline) return undefined
+    const lateMs = Math.ceil(now + neededMs - request.deadline)
+    return notRun(RefusalReason.DeadlineExceeded, `waiting and running would take about ${Math.round(neededMs)} ms, more than is left`, lateMs)
   }
 
-  #release (slotId: string, end: SlotEnd, actualTokens: number): CellEffect[] {
+  /** Estimated time until the end of a request that arrives now; 0 while too little is known. */
+  #neededMs (request: SlotRequest, now: number): number {
+    const overall = this.#rate.overall()
+    const own = this.#rate.msPerToken(request.entry)
+    if (overall === undefined || own === undefined) return 0
+    const { freeSlots, totalSlots, waiting } = this.summary(now)
+    const ahead = waiting < freeSlots ? 0 : this.#queue.tokensAhead(request)
+    return ahead * overall / Math.max(totalSlots, 1) + request.expectedTokens * own
+  }
+
+  /** Withdraws a request; a slot that was granted but not taken is given back. */
+  #cancel (requestId: string, now: number): CellEffect[] {
+    const waiting = this.#unqueue(requestId)
+    if (waiting !== undefined) return [this.#record(waiting, DecisionKind.Cancelled, '', 'cancelled by the caller')]
+    const held = [...this.#held.values()].find((slot) => slot.request.requestId === requestId)
+    return held === undefined ? [] : this.#release(held.grant.slotId, SlotEnd.Cancelled, 0, now)
+  }
+
+  #release (slotId: string, end: SlotEnd, actualTokens: number, now: number): CellEffect[] {
     const held = this.#held.get(slotId)
     if (held === undefined) return []
     this.#held.delete(slotId)
-    const state = this.#endpoints.get(held.grant.endpoint.id)
-    if (state !== undefined) {
-      state.busy -= 1
-      invariant(state.busy >= 0, 'an endpoint never has fewer than zero busy slots')
+    this.#leases.delete(held)
+    const endpoint = this.#endpoints.get(held.grant.endpoint.id)
+    endpoint?.end(held, now)
+    if (end === SlotEnd.EndpointLost) endpoint?.lost(now)
+    if (end === SlotEnd.Finished) {
+      endpoint?.proven()
+      if (!held.adopted) this.#rate.observe(held.request.entry, held.request.expectedTokens, now - held.grantedAt)
     }
-    this.#queue.settle(held.request, actualTokens)
+    if (!held.adopted) this.#queue.settle(held.request, actualTokens)
     return [this.#record(held.request, DecisionKind.Released, held.grant.endpoint.id, end)]
   }
 
   #endpointUp (endpoint: Endpoint): CellEffect[] {
     const known = this.#endpoints.get(endpoint.id)
-    const busy = known?.busy ?? this.#heldOn(endpoint.id).length
-    this.#endpoints.set(endpoint.id, { endpoint, leaving: false, busy })
+    if (known === undefined) {
+      this.#endpoints.set(endpoint.id, new CellEndpoint(endpoint))
+      return []
+    }
+    if (known.endpoint.url !== endpoint.url) known.prefixes.clear()
+    known.endpoint = endpoint
+    known.leaving = false
     return []
   }
 
   #endpointLeaving (endpointId: string): CellEffect[] {
-    const state = this.#endpoints.get(endpointId)
-    if (state !== undefined) state.leaving = true
+    const endpoint = this.#endpoints.get(endpointId)
+    if (endpoint !== undefined) endpoint.leaving = true
+    if (this.#ward === endpoint) this.#ward = undefined
     return []
   }
 
-  #endpointDown (endpointId: string): CellEffect[] {
+  #endpointDown (endpointId: string, now: number): CellEffect[] {
+    const endpoint = this.#endpoints.get(endpointId)
+    if (endpoint === undefined) return []
+    const effects = [...endpoint.held.keys()].flatMap((slotId) => this.#release(slotId, SlotEnd.EndpointLost, 0, now))
     this.#endpoints.delete(endpointId)
-    return this.#heldOn(endpointId).flatMap((held) => this.#release(held.grant.slotId, SlotEnd.EndpointLost, 0))
+    if (this.#ward === endpoint) this.#ward = undefined
+    return effects
   }
 
-  #gatewayDown (gateway: string): CellEffect[] {
-    const effects: CellEffect[] = []
-    for (const held of [...this.#held.values()]) {
-      if (held.request.gateway !== gateway) continue
-      effects.push(...this.#release(held.grant.slotId, SlotEnd.Cancelled, 0))
-    }
-    for (const request of this.#queue.requests()) {
-      if (request.gateway === gateway) effects.push(...this.#cancel(request.requestId))
+  #loadReport (endpointId: string, running: number, observedAt: number, now: number): CellEffect[] {
+    const endpoint = this.#endpoints.get(endpointId)
+    if (endpoint === undefined) return []
+    endpoint.report(running, observedAt)
+    return this.#judge(endpoint, now)
+  }
+
+  #judge (endpoint: CellEndpoint, now: number): CellEffect[] {
+    return endpoint.judge(now).flatMap((slot) => this.#release(slot.grant.slotId, SlotEnd.Cancelled, 0, now))
+  }
+
+  #gatewayDown (gateway: string, now: number): CellEffect[] {
+    const slots = [...this.#held.values()].filter((held) => held.request.gateway === gateway)
+    const waiting = this.#queue.requests().filter((request) => request.gateway === gateway)
+    return [
+      ...slots.flatMap((held) => this.#release(held.grant.slotId, SlotEnd.Cancelled, 0, now)),
+      ...waiting.flatMap((request) => this.#cancel(request.requestId, now))
+    ]
+  }
+
+  /** Takes over the slots of earlier owners that a gateway still holds, and gives up those it no longer does. */
+  #adopt (gateway: string, claims: readonly SlotClaim[], now: number): CellEffect[] {
+    const claimed = new Set(claims.map((claim) => claim.slotId))
+    const gone = [...this.#held.values()].filter((held) => held.adopted && held.request.gateway === gateway && !claimed.has(held.grant.slotId))
+    const effects = gone.flatMap((held) => this.#release(held.grant.slotId, SlotEnd.Cancelled, 0, now))
+    for (const claim of claims) {
+      const endpoint = this.#endpoints.get(claim.endpointId)
+      if (endpoint === undefined || this.#held.has(claim.slotId) || this.#isOwn(claim.slotId)) continue
+      this.#hold(endpoint, claim.slotId, claim.request, true, now)
     }
     return effects
   }
 
-  #expire (now: number): CellEffect[] {
-    const effects: CellEffect[] = []
-    for (const request of this.#queue.requests()) {
-      if (request.deadline > now) continue
-      this.#queue.remove(request.requestId)
-      effects.push(...this.#refuse(request, notRun(RefusalReason.DeadlineExceeded, 'the deadline passed in the queue')))
+  #open (now: number): CellEffect[] {
+    this.#opensAt = now
+    return []
+  }
+
+  #tick (now: number): CellEffect[] {
+    const effects = [...this.#endpoints.values()].flatMap((endpoint) => this.#judge(endpoint, now))
+    for (let first = this.#waitingDeadlines.peek(); first !== undefined && first.deadline <= now; first = this.#waitingDeadlines.peek()) {
+      this.#unqueue(first.requestId)
+      effects.push(...this.#refuse(first, notRun(RefusalReason.DeadlineExceeded, 'the deadline passed in the queue')))
     }
-    for (const held of [...this.#held.values()]) {
-      if (held.grant.leaseDeadline > now) continue
-      effects.push(...this.#release(held.grant.slotId, SlotEnd.Cancelled, 0))
+    for (let first = this.#leases.peek(); first !== undefined && first.grant.leaseDeadline <= now; first = this.#leases.peek()) {
+      effects.push(...this.#release(first.grant.slotId, SlotEnd.Cancelled, 0, now))
     }
     return effects
   }
@@ -178,48 +262,87 @@
   /** Grants free slots to the requests at the head of the queue until one of the two runs out. */
   #dispatch (now: number): CellEffect[] {
     const effects: CellEffect[] = []
-    for (;;) {
-      const request = this.#queue.take((candidate) => this.#choose(candidate) !== undefined)
-      if (request === undefined) return effects
-      const state = this.#choose(request)
-      invariant(state !== undefined, 'a taken request has an endpoint')
-      effects.push(...this.#grant(request, state, now))
+    if (now < this.#opensAt) return effects
+    this.#chooseWard(now)
+    while (this.#queue.size > 0) {
+      const request = this.#queue.take((candidate) => this.#choose(candidate, now) !== undefined)
+      if (request === undefined) break
+      const endpoint = this.#choose(request, now)
+      invariant(endpoint !== undefined, 'a taken request has an endpoint')
+      this.#waitingDeadlines.delete(request)
+      this.#suspects.delete(request.requestId)
+      effects.push(...this.#grant(request, endpoint, now))
     }
+    return effects
   }
 
-  #grant (request: SlotRequest, state: EndpointState, now: number): CellEffect[] {
+  #grant (request: SlotRequest, endpoint: CellEndpoint, now: number): CellEffect[] {
     this.#slotSequence += 1
-    state.busy += 1
-    invariant(state.busy <= state.endpoint.slots, 'an endpoint never has more busy slots than it has')
-    const grant: SlotGrant = {
-      slotId: `${this.#settings.name}/${this.#settings.incarnation}/${this.#slotSequence}`,
-      requestId: request.requestId,
-      endpoint: state.endpoint,
-      leaseDeadline: Math.max(request.deadline, now) + this.#settings.leaseGraceMs
-    }
-    this.#held.set(grant.slotId, { grant, request })
+    const slotId = `${this.#slotPrefix()}${this.#slotSequence}`
+    const grant = this.#hold(endpoint, slotId, request, false, now)
     return [
-      this.#record(request, DecisionKind.Granted, state.endpoint.id, 'next in fair order'),
+      this.#record(request, DecisionKind.Granted, endpoint.endpoint.id, 'next in fair order'),
       { kind: CellEffectKind.Grant, grant }
     ]
   }
 
-  /** The endpoint with the most free slots that has not failed this request. */
-  #choose (request: SlotRequest): EndpointState | undefined {
-    let best: EndpointState | undefined
-    for (const state of this.#endpoints.values()) {
-      const free = state.endpoint.slots - state.busy
-      if (state.leaving || free <= 0 || request.excluded.includes(state.endpoint.id)) continue
-      if (best === undefined || free > best.endpoint.slots - best.busy) best = state
+  #hold (endpoint: CellEndpoint, slotId: string, request: SlotRequest, adopted: boolean, now: number): SlotGrant {
+    const leaseDeadline = Math.max(request.deadline, now) + this.#settings.leaseGraceMs
+    const grant: SlotGrant = { slotId, requestId: request.requestId, endpoint: endpoint.endpoint, leaseDeadline }
+    const slot: HeldSlot = { grant, request, grantedAt: adopted ? -Infinity : now, adopted }
+    endpoint.hold(slot, now)
+    this.#held.set(slotId, slot)
+    this.#leases.put(slot)
+    return grant
+  }
+
+  #choose (request: SlotRequest, now: number): CellEndpoint | undefined {
+    const context = { now, msPerToken: this.#rate.msPerToken(request.entry) }
+    if (!request.suspect) return chooseEndpoint(this.#openEndpoints(), request, context)
+    const ward = this.#ward
+    return ward !== undefined && ward.busy === 0 ? chooseEndpoint([ward], request, context) : undefined
+  }
+
+  /** Endpoints that are not kept for suspects. */
+  * #openEndpoints (): Generator<CellEndpoint> {
+    for (const endpoint of this.#endpoints.values()) {
+      if (endpoint !== this.#ward) yield endpoint
+    }
+  }
+
+  /** Keeps the emptiest fitting endpoint for suspects while there are any. */
+  #chooseWard (now: number): void {
+    const [first] = this.#suspects
+    const request = first === undefined ? undefined : this.#queue.find(first)
+    const ward = this.#ward
+    if (ward !== undefined && isWatched(ward)) return
+    if (request === undefined) {
+      this.#ward = undefined
+      return
     }
-    return best
+    const fits = (endpoint: CellEndpoint): boolean => endpoint.isUsable(now) && !request.excluded.includes(endpoint.endpoint.id)
+    if (ward !== undefined && fits(ward)) return
+    const candidates = [...this.#endpoints.values()].filter(fits)
+    this.#ward = candidates.sort((a, b) => a.busy - b.busy)[0]
   }
 
-  #heldOn (endpointId: string): HeldSlot[] {
-    return [...this.#held.values()].filter((held) => held.grant.endpoint.id === endpointId)
+  #unqueue (requestId: string): SlotRequest | undefined {
+    const request = this.#queue.remove(requestId)
+    if (request === undefined) return undefined
+    this.#waitingDeadlines.delete(request)
+    this.#suspects.delete(requestId)
+    return request
   }
 
-  #refuse (request: SlotRequest, refusal: ReturnType<typeof notRun>): CellEffect[] {
+  #slotPrefix (): string {
+    return `${this.#settings.name}/${this.#settings.incarnation}/`
+  }
+
+  #isOwn (slotId: string): boolean {
+    return slotId.startsWith(this.#slotPrefix())
+  }
+
+  #refuse (request: SlotRequest, refusal: Refusal): CellEffect[] {
     return [
       this.#record(request, DecisionKind.Refused, '', refusal.reason),
       { kind: CellEffectKind.Refuse, requestId: request.requestId, refusal }
@@ -240,3 +363,13 @@
     return { kind: CellEffectKind.Record, decision }
   }
 }
+
+/** Requests of one lane may go to the same endpoints. */
+function laneOf (request: SlotRequest): string {
+  return `${request.suspect ? 'suspect' : ''}\u0000${[...request.excluded].sort().join('\u0000')}`
+}
+
+/** Whether a suspect runs on the endpoint. */
+function isWatched (endpoint: CellEndpoint): boolean {
+  return [...endpoint.held.values()].some((slot) => slot.request.suspect)
+}
--- a/packages/state/src/lib/fair-queue.ts
+++ b/packages/state/src/lib/fair-queue.ts
@@ -1,34 +1,90 @@
 import { WorkClass } from './catalogue.js'
+import { Arrivals } from './arrivals.js'
+import { IndexedHeap } from './indexed-heap.js'
+import { invariant } from './invariant.js'
 import type { SlotRequest } from './cell-event.js'
 
 /** Classes in the order in which they are served. */
 const CLASS_ORDER: readonly WorkClass[] = [WorkClass.Booking, WorkClass.Interactive, WorkClass.Training]
 
-/** A waiting request with its virtual start tag. */
-interface Waiting {
+/** Share of the tokens that a class gets at least while it has work waiting, whatever goes before it. */
+export const CLASS_FLOOR = 0.1
+
+/** Requests of mean size that a class may be owed at once, so that one whose endpoints were away does not take all at its return. */
+const MAX_OWED_REQUESTS = 2
+
+/** Workspaces per class whose counters are kept while they have nothing waiting. */
+const MAX_IDLE_ACCOUNTS = 1_000
+
+/** The virtual token counter of a workspace in one class. */
+interface Account {
+  readonly workspace: string
+  /** Tokens served, divided by the weight. */
+  counter: number
+  weight: number
+  /** Tokens that its waiting requests are expected to cost. */
+  tokens: number
+  /** Its flows that have requests waiting. */
+  readonly flows: Set<Flow>
+}
+
+/** Requests of one workspace and class that may go to the same endpoints. */
+interface Flow {
+  readonly account: Account
+  readonly lane: Lane
+  readonly waiting: Arrivals
+}
+
+/** Requests of a class with the same restriction on endpoints: all of them fit a free slot, or none does. */
+interface Lane {
+  readonly name: string
+  readonly flows: Map<string, Flow>
+  readonly order: IndexedHeap<Flow>
+}
+
+/** The waiting requests of one class. */
+interface ClassQueue {
+  readonly workClass: WorkClass
+  readonly accounts: Map<string, Account>
+  readonly lanes: Map<string, Lane>
+  /** Counter of the workspace served last; never goes back. */
+  virtualTime: number
+  size: number
+  tokens: number
+  /** Weights of the workspaces that have requests waiting. */
+  backlogged: number
+  /** Tokens this class is owed by its floor. */
+  owed: number
+}
+
+/** Place of a waiting request. */
+interface Place {
   readonly request: SlotRequest
-  readonly startTag: number
+  readonly queue: ClassQueue
+  readonly flow: Flow
 }
 
 /**
- * Orders waiting requests: class first, then start-time fair queueing on tokens
- * between workspaces, then arrival.
+ * Orders waiting requests: class first, with a floor for each class; then the
+ * workspace with the lowest weighted counter of tokens served; then arrival.
+ * Adding, taking and removing cost O(log workspaces), whatever the number of
+ * requests; taking also looks once at each distinct restriction on endpoints.
  *
- * Invariant: within a class, the virtual time never goes back, so a workspace
- * that was idle can't claim the service it did not ask for.
+ * Invariants: the virtual time of a class never goes back, and a workspace that
+ * had nothing waiting starts at it, so it can't claim the service it did not ask
+ * for. A class with nothing waiting is owed nothing.
  */
 export class FairQueue {
-  readonly #waiting = new Map<WorkClass, Waiting[]>()
-  /** Finish tag of the last request of each workspace. */
-  readonly #finishTags = new Map<string, number>()
-  #virtualTime = 0
+  readonly #classes: readonly ClassQueue[] = CLASS_ORDER.map((workClass) => ({
+    workClass, accounts: new Map(), lanes: new Map(), virtualTime: 0, size: 0, tokens: 0, backlogged: 0, owed: 0
+  }))
+
+  readonly #places = new Map<string, Place>()
   #expectedTokens = 0
 
   /** Requests that wait. */
   get size (): number {
-    let size = 0
-    for (const list of this.#waiting.values()) size += list.length
-    return size
+    return this.#places.size
   }
 
   /** Tokens that the waiting requests are expected to cost. */
@@ -36,58 +92,180 @@
     return this.#expectedTokens
   }
 
-  /** Adds a request behind those of its workspace. */
-  push (request: SlotRequest): void {
-    const startTag = Math.max(this.#virtualTime, this.#finishTags.get(request.workspace) ?? 0)
-    this.#finishTags.set(request.workspace, startTag + request.expectedTokens / request.weight)
-    const list = this.#waiting.get(request.class) ?? []
-    list.push({ request, startTag })
-    this.#waiting.set(request.class, list)
+  /** Whether a request waits. */
+  has (requestId: string): boolean {
+    return this.#places.has(requestId)
+  }
+
+  /** The waiting request of that id. */
+  find (requestId: string): SlotRequest | undefined {
+    return this.#places.get(requestId)?.request
+  }
+
+  /**
+   * Tokens that are expected to be served before a request that arrives now: all
+   * of the classes before its own, and of its own as much as fair order puts first.
+   */
+  tokensAhead (request: SlotRequest): number {
+    const own = this.#classOf(request.class)
+    const account = own.accounts.get(request.workspace)
+    const ownTokens = account?.tokens ?? 0
+    const rivals = own.backlogged - (ownTokens > 0 ? account?.weight ?? 0 : 0)
+    const before = this.#classes.slice(0, CLASS_ORDER.indexOf(request.class)).reduce((sum, queue) => sum + queue.tokens, 0)
+    return before + Math.min(own.tokens, (ownTokens + request.expectedTokens) * (1 + rivals / request.weight) - request.expectedTokens)
+  }
+
+  /**
+   * Adds a request behind those of its workspace.
+   *
+   * @param lane names the restriction on endpoints; requests of one lane must be interchangeable for `accepts`
+   */
+  push (request: SlotRequest, lane = ''): void {
+    const queue = this.#classOf(request.class)
+    const account = this.#accountOf(queue, request.workspace)
+    if (account.flows.size === 0) {
+      account.counter = Math.max(account.counter, queue.virtualTime)
+      account.weight = request.weight
+      queue.backlogged += request.weight
+    }
+    const flow = this.#flowOf(queue, lane, account)
+    flow.waiting.push(request)
+    account.flows.add(flow)
+    account.tokens += request.expectedTokens
+    flow.lane.order.put(flow)
+    this.#places.set(request.requestId, { request, queue, flow })
+    queue.size += 1
+    queue.tokens += request.expectedTokens
     this.#expectedTokens += request.expectedTokens
   }
 
   /** Removes and returns the next request that `accepts`, or undefined. */
   take (accepts: (request: SlotRequest) => boolean): SlotRequest | undefined {
-    for (const workClass of CLASS_ORDER) {
-      const next = this.#next(workClass, accepts)
-      if (next === undefined) continue
-      this.#virtualTime = Math.max(this.#virtualTime, next.startTag)
-      this.remove(next.request.requestId)
-      return next.request
+    for (const queue of this.#servingOrder()) {
+      const request = this.#next(queue, accepts)
+      if (request === undefined) continue
+      this.remove(request.requestId)
+      this.#charge(queue, request)
+      return request
     }
     return undefined
   }
 
-  /** Removes a waiting request, if it is there. */
+  /** Removes a waiting request, if it is there; its workspace pays nothing. */
   remove (requestId: string): SlotRequest | undefined {
-    for (const list of this.#waiting.values()) {
-      const index = list.findIndex((item) => item.request.requestId === requestId)
-      if (index < 0) continue
-      const [removed] = list.splice(index, 1)
-      this.#expectedTokens -= removed?.request.expectedTokens ?? 0
-      return removed?.request
-    }
-    return undefined
+    const place = this.#places.get(requestId)
+    if (place === undefined) return undefined
+    const { request, queue, flow } = place
+    this.#places.delete(requestId)
+    flow.waiting.delete(request)
+    flow.account.tokens -= request.expectedTokens
+    if (flow.waiting.size === 0) close(queue, flow)
+    queue.size -= 1
+    queue.tokens -= request.expectedTokens
+    this.#expectedTokens -= request.expectedTokens
+    if (queue.size === 0) queue.owed = 0
+    return request
   }
 
-  /** Corrects the account of a workspace once the true cost of a request is known. */
+  /** Corrects the counter of a workspace once the true cost of a request is known. */
   settle (request: SlotRequest, actualTokens: number): void {
-    const tag = this.#finishTags.get(request.workspace) ?? 0
-    const correction = (actualTokens - request.expectedTokens) / request.weight
-    this.#finishTags.set(request.workspace, Math.max(this.#virtualTime, tag + correction))
+    const queue = this.#classOf(request.class)
+    const account = queue.accounts.get(request.workspace)
+    if (account === undefined) return
+    account.counter += (actualTokens - request.expectedTokens) / request.weight
+    reorder(account)
   }
 
-  /** A copy of all waiting requests. */
+  /** All waiting requests. */
   requests (): SlotRequest[] {
-    return [...this.#waiting.values()].flatMap((list) => list.map((item) => item.request))
+    return [...this.#places.values()].map((place) => place.request)
+  }
+
+  #classOf (workClass: WorkClass): ClassQueue {
+    return this.#classes[CLASS_ORDER.indexOf(workClass)] as ClassQueue
   }
 
-  #next (workClass: WorkClass, accepts: (request: SlotRequest) => boolean): Waiting | undefined {
-    let best: Waiting | undefined
-    for (const item of this.#waiting.get(workClass) ?? []) {
-      if (best !== undefined && item.startTag >= best.startTag) continue
-      if (accepts(item.request)) best = item
+  #accountOf (queue: ClassQueue, workspace: string): Account {
+    const known = queue.accounts.get(workspace)
+    if (known !== undefined) return known
+    if (queue.accounts.size >= MAX_IDLE_ACCOUNTS) forgetIdle(queue)
+    const account: Account = { workspace, counter: queue.virtualTime, weight: 1, tokens: 0, flows: new Set() }
+    queue.accounts.set(workspace, account)
+    return account
+  }
+
+  #flowOf (queue: ClassQueue, laneName: string, account: Account): Flow {
+    let lane = queue.lanes.get(laneName)
+    if (lane === undefined) {
+      lane = { name: laneName, flows: new Map(), order: new IndexedHeap(goesBefore) }
+      queue.lanes.set(laneName, lane)
+    }
+    let flow = lane.flows.get(account.workspace)
+    if (flow === undefined) {
+      flow = { account, lane, waiting: new Arrivals() }
+      lane.flows.set(account.workspace, flow)
+    }
+    return flow
+  }
+
+  /** Classes that are owed a request by their floor go first, the last class before the others. */
+  #servingOrder (): ClassQueue[] {
+    const owed = this.#classes.filter((queue) => queue.size > 0 && queue.owed >= queue.tokens / queue.size)
+    return [...owed.reverse(), ...this.#classes]
+  }
+
+  #next (queue: ClassQueue, accepts: (request: SlotRequest) => boolean): SlotRequest | undefined {
+    let best: Flow | undefined
+    for (const lane of queue.lanes.values()) {
+      const flow = lane.order.peek()
+      if (flow === undefined || (best !== undefined && !goesBefore(flow, best))) continue
+      if (accepts(headOf(flow))) best = flow
+    }
+    return best === undefined ? undefined : headOf(best)
+  }
+
+  #charge (queue: ClassQueue, request: SlotRequest): void {
+    const account = this.#accountOf(queue, request.workspace)
+    queue.virtualTime = Math.max(queue.virtualTime, account.counter)
+    account.counter += request.expectedTokens / request.weight
+    reorder(account)
+    queue.owed = Math.max(0, queue.owed - request.expectedTokens)
+    for (const other of this.#classes) {
+      if (other.size === 0) continue
+      const earned = CLASS_FLOOR * request.expectedTokens
+      const most = MAX_OWED_REQUESTS * Math.max(earned, other.tokens / other.size)
+      other.owed = Math.max(other.owed, Math.min(most, other.owed + earned))
     }
-    return best
+  }
+}
+
+function goesBefore (a: Flow, b: Flow): boolean {
+  if (a.account.counter !== b.account.counter) return a.account.counter < b.account.counter
+  return a.account.workspace < b.account.workspace
+}
+
+function headOf (flow: Flow): SlotRequest {
+  const head = flow.waiting.peek()
+  invariant(head !== undefined, 'an open flow has a request waiting')
+  return head
+}
+
+function close (queue: ClassQueue, flow: Flow): void {
+  const { account, lane } = flow
+  lane.order.delete(flow)
+  lane.flows.delete(account.workspace)
+  account.flows.delete(flow)
+  if (lane.flows.size === 0) queue.lanes.delete(lane.name)
+  if (account.flows.size === 0) queue.backlogged -= account.weight
+}
+
+function reorder (account: Account): void {
+  for (const flow of account.flows) flow.lane.order.put(flow)
+}
+
+/** Forgets counters that have fallen behind the virtual time: they would start at it anyway. */
+function forgetIdle (queue: ClassQueue): void {
+  for (const [workspace, account] of queue.accounts) {
+    if (account.flows.size === 0 && account.counter <= queue.virtualTime) queue.accounts.delete(workspace)
   }
 }
