Dispatch: recall of held slots, load reports, limits, quarantine, summaries pushed

Cause: a new owner of a cell knew nothing of what ran, a lost grant kept its slot for the life of its lease, limits were not held at all, a poison request went on to three endpoints for each try, and every host polled every host for summaries (n squared). Choices: the new owner asks gateways what they hold before it grants (pull: it knows when all have answered; announcements would depend on both views agreeing) and once more 2 s later; an account per workspace and entry decides on the demands of each host in batches; losses are told to every host once; summaries are pushed on change to the hosts of the region, other regions are asked only while the own one is full. An endpoint that comes or goes no longer shifts others between cells: cells are filled by rendezvous instead of by slices of a sorted list.

--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -1,20 +1,33 @@
-import { layCells, notRun, RefusalReason } from '@cyclamenthread/state'
+import { BYTES_PER_TOKEN, chooseCell, layCells, LinkBudget, notRun, RefusalReason, Suspicion, waitMs } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
-import { deadlineAfter, timeLeft } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
 import { cellOwner } from './dispatcher-task.js'
-import { Periodic } from './periodic.js'
-import type { CellPlacement, CellSummary, Endpoint, Refusal, SlotEnd, WorkClass } from '@cyclamenthread/state'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { CellPlacement, CellSummary, Endpoint, KnownCell, Refusal, SlotEnd, WorkClass } from '@cyclamenthread/state'
+import type { AcquireSlot, HeldSlots } from '@cyclamenthread/protocol'
 import type { CatalogueSource } from './catalogue-task.js'
 import type { HostSettings } from './host-settings.js'
+import type { LimitPermit, LimitTask } from './limit-task.js'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
+import type { QuarantineTask } from './quarantine-task.js'
 
-/** How often a request may be sent on because a cell moved. */
-const MAX_MOVES = 5
-
-/** Pause before asking again where a cell is, in milliseconds. */
+/** Shortest pause before asking again where a cell is, in milliseconds; the longest is this plus the spread. */
 const MOVE_PAUSE_MS = 50
 
+/** Spread of that pause, so that the backlog of a cell does not come back all at once, in milliseconds. */
+const MOVE_SPREAD_MS = 200
+
+/** Bytes a second that this host may cause on the link between regions. */
+const LINK_BYTES_PER_SECOND = 1_000_000
+
+/** How often at most the cells of other regions are asked for summaries, in milliseconds. */
+const FAR_SUMMARY_MS = 500
+
+/** Wait in the own region from which on other regions are considered, in milliseconds. */
+const FAR_WAIT_MS = 100
+
 /** What a task asks a slot for. */
 export interface SlotDemand {
   readonly requestId: string
@@ -24,6 +37,8 @@
   readonly class: WorkClass
   readonly entry: string
   readonly expectedTokens: number
+  /** Tokens of the prompt; absent where there is none. */
+  readonly promptTokens?: number
   readonly prefix: string
   readonly digest: string
   readonly excluded: readonly string[]
@@ -45,25 +60,63 @@
   | { readonly granted: true, readonly slot: Slot }
   | { readonly granted: false, readonly refusal: Refusal }
 
+/** Where slots come from. */
+export interface SlotSource {
+  /** Waits for a slot until the deadline. */
+  acquire (demand: SlotDemand): Promise<SlotResult>
+  /** Gives a slot back. */
+  release (slot: Slot, end: SlotEnd, actualTokens: number, traceparent: string): Promise<void>
+}
+
+/** A slot that a request of this host uses. */
+interface HeldSlot {
+  readonly slot: Slot
+  readonly demand: SlotDemand
+  readonly suspect: boolean
+  readonly permit: LimitPermit
+}
+
 /**
- * Chooses the cell for a request and asks its dispatcher for a slot. Knows
- * cells only by summaries, which may lag; the dispatcher decides.
+ * Takes each request past the limits and the quarantine, chooses its cell and
+ * asks the cell's dispatcher for a slot. Knows cells only by summaries, which may
+ * lag; the dispatcher decides.
+ *
+ * Invariant: a permit of the limits is given back exactly once for each request,
+ * on release or when no slot was got.
  */
-export class CellRouter {
+export class CellRouter implements SlotSource {
   readonly #settings: HostSettings
   readonly #members: MemberView
   readonly #catalogue: CatalogueSource
   readonly #bus: MessageBus
+  readonly #limits: LimitTask
+  readonly #quarantine: QuarantineTask
+  readonly #random: () => number
   readonly #summaries = new Map<string, CellSummary>()
-  readonly #poll: Periodic
+  readonly #held = new Map<string, HeldSlot>()
+  readonly #link = new LinkBudget(LINK_BYTES_PER_SECOND)
   #placements: readonly CellPlacement[] = []
+  #farAskedAt = -Infinity
 
-  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, bus: MessageBus) {
+  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, bus: MessageBus, limits: LimitTask, quarantine: QuarantineTask, random: () => number = Math.random) {
     this.#settings = settings
     this.#members = members
     this.#catalogue = catalogue
     this.#bus = bus
-    this.#poll = new Periodic(settings.summaryPeriodMs, async () => await this.#collect())
+    this.#limits = limits
+    this.#quarantine = quarantine
+    this.#random = random
+  }
+
+  /** The broker service that takes summaries and answers for the slots held. */
+  service (): ServiceSchema {
+    return taskService('router', {
+      [PeerMessageKind.PushSummaries]: async (message) => {
+        for (const summary of message.cells) this.#summaries.set(summary.cell, summary)
+        return { accepted: true }
+      },
+      [PeerMessageKind.ListHeldSlots]: async (message) => ({ slots: this.#heldIn(message.cell) })
+    })
   }
 
   async start (): Promise<void> {
@@ -72,11 +125,10 @@
     })
     const view = this.#catalogue.current()
     this.#placements = view === undefined ? [] : layCells(view)
-    await this.#poll.start()
   }
 
   async stop (): Promise<void> {
-    await this.#poll.stop()
+    this.#held.clear()
   }
 
   /** Slots of a pool over all cells, as last heard. */
@@ -87,40 +139,58 @@
       .reduce((sum, endpoint) => sum + endpoint.slots, 0)
   }
 
-  /** Waits for a slot until the deadline. */
   async acquire (demand: SlotDemand): Promise<SlotResult> {
-    for (let move = 0; move < MAX_MOVES; move++) {
-      const placement = this.#choose(demand)
-      if (placement === undefined) return { granted: false, refusal: notRun(RefusalReason.NoEndpoint, `pool ${demand.pool} has no endpoint`, 1000) }
-      const result = await this.#ask(placement, demand)
-      if (result.granted || result.refusal.reason !== RefusalReason.NotOwner) return result
-      await new Promise((resolve) => setTimeout(resolve, MOVE_PAUSE_MS))
-    }
-    return { granted: false, refusal: notRun(RefusalReason.NoEndpoint, 'the cell is moving between hosts', 500) }
+    if (this.#quarantine.judge(demand.digest) === Suspicion.Quarantined) return refused(quarantined())
+    const { workspace, entry, expectedTokens, deadline } = demand
+    const permitted = await this.#limits.acquire({ workspace, entry, expectedTokens, deadline, counted: demand.excluded.length > 0 })
+    if (!permitted.granted) return permitted
+    const result = await this.#acquireFromCells(demand, permitted.permit)
+    if (!result.granted) this.#limits.release(permitted.permit)
+    return result
   }
 
-  /** Gives a slot back. */
   async release (slot: Slot, end: SlotEnd, actualTokens: number, traceparent: string): Promise<void> {
-    const placement = this.#placements.find((item) => item.name === slot.cell)
-    const owner = placement === undefined ? undefined : cellOwner(placement, this.#members.workers())
+    const held = this.#held.get(slot.slotId)
+    if (held === undefined) return
+    this.#held.delete(slot.slotId)
+    this.#limits.release(held.permit)
+    const owner = this.#ownerOf(slot.cell)
     if (owner === undefined) return
     await this.#bus.post(owner, { kind: PeerMessageKind.ReleaseSlot, cell: slot.cell, slotId: slot.slotId, end, actualTokens }, traceparent)
   }
 
-  async #ask (placement: CellPlacement, demand: SlotDemand): Promise<SlotResult> {
-    const owner = cellOwner(placement, this.#members.workers())
-    if (owner === undefined) return { granted: false, refusal: notRun(RefusalReason.NotOwner, 'no host owns the cell') }
-    const { pool, deadline, traceparent, signal, excluded, ...request } = demand
-    const answer = await this.#bus.send(owner, {
-      kind: PeerMessageKind.AcquireSlot,
-      cell: placement.name,
-      ...request,
-      excluded: [...excluded],
-      leftMs: timeLeft(deadline)
-    }, signal === undefined ? { deadline, traceparent } : { deadline, traceparent, signal })
-    if (!answer.ok) return { granted: false, refusal: this.#unanswered(demand) }
-    if (!answer.value.granted) return { granted: false, refusal: refusalOf(answer.value.refusal) }
-    return { granted: true, slot: { slotId: answer.value.slotId, cell: placement.name, endpoint: answer.value.endpoint } }
+  /** Asks cell after cell while they move between hosts, until the deadline. */
+  async #acquireFromCells (demand: SlotDemand, permit: LimitPermit): Promise<SlotResult> {
+    for (;;) {
+      const placement = await this.#choose(demand)
+      if (placement === undefined) return refused(notRun(RefusalReason.NoEndpoint, `pool ${demand.pool} has no endpoint`, 1000))
+      const result = await this.#ask(placement, demand, permit)
+      if (result.granted || result.refusal.reason !== RefusalReason.NotOwner) return result
+      await new Promise((resolve) => setTimeout(resolve, MOVE_PAUSE_MS + this.#random() * MOVE_SPREAD_MS))
+      if (demand.signal?.aborted === true) return refused(notRun(RefusalReason.Cancelled, 'the caller no longer waits'))
+      if (timeLeft(demand.deadline) <= 0) return refused(notRun(RefusalReason.DeadlineExceeded, 'the cell was moving between hosts until the deadline'))
+    }
+  }
+
+  async #ask (placement: CellPlacement, demand: SlotDemand, permit: LimitPermit): Promise<SlotResult> {
+    const owner = this.#ownerOf(placement.name)
+    if (owner === undefined) return refused(notRun(RefusalReason.NotOwner, 'no host owns the cell'))
+    // Judged anew: the digest may have become known while the limits were waited for.
+    const suspicion = this.#quarantine.judge(demand.digest)
+    if (suspicion === Suspicion.Quarantined) return refused(quarantined())
+    const suspect = suspicion === Suspicion.Suspect
+    const { deadline, traceparent, signal } = demand
+    const message = { kind: PeerMessageKind.AcquireSlot as const, cell: placement.name, ...wireRequest(demand, suspect) }
+    const answer = await this.#bus.send(owner, message, signal === undefined ? { deadline, traceparent } : { deadline, traceparent, signal })
+    if (!answer.ok) {
+      // The dispatcher may have granted a slot that never arrived here.
+      await this.#bus.post(owner, { kind: PeerMessageKind.CancelRequest, cell: placement.name, requestId: demand.requestId })
+      return refused(this.#unanswered(demand))
+    }
+    if (!answer.value.granted) return refused(refusalOf(answer.value.refusal))
+    const slot: Slot = { slotId: answer.value.slotId, cell: placement.name, endpoint: answer.value.endpoint }
+    this.#held.set(slot.slotId, { slot, demand, suspect, permit })
+    return { granted: true, slot }
   }
 
   #unanswered (demand: SlotDemand): Refusal {
@@ -130,23 +200,42 @@
       : notRun(RefusalReason.DeadlineExceeded, 'the deadline passed while waiting for a slot')
   }
 
-  /** The own region first; within it the cell with the most free slots for what waits. */
-  #choose (demand: SlotDemand): CellPlacement | undefined {
+  async #choose (demand: SlotDemand): Promise<CellPlacement | undefined> {
     const usable = this.#placements.filter((placement) => placement.pool === demand.pool && placement.endpoints.some((endpoint) => !demand.excluded.includes(endpoint.id)))
-    const near = usable.filter((placement) => placement.region === this.#settings.self.region)
-    const free = [near, usable].find((list) => list.some((placement) => this.#headroom(placement) > 0))
-    const candidates = free ?? (near.length > 0 ? near : usable)
-    let best: CellPlacement | undefined
-    for (const placement of candidates) {
-      if (best === undefined || this.#headroom(placement) > this.#headroom(best)) best = placement
-    }
-    if (best !== undefined) this.#reserve(best)
-    return best
+    const { region } = this.#settings.self
+    const near = this.#known(usable.filter((placement) => placement.region === region))
+    const isNearFull = near.length > 0 && near.every((cell) => waitMs(cell) > FAR_WAIT_MS)
+    if (isNearFull) await this.#askFar(usable.filter((placement) => placement.region !== region))
+    const chosen = chooseCell(this.#known(usable), {
+      region,
+      expectedTokens: demand.expectedTokens,
+      random: this.#random,
+      linkHasRoom: (bytes) => this.#link.hasRoom(bytes, monotonicNow())
+    })?.placement
+    if (chosen === undefined) return undefined
+    if (chosen.region !== region) this.#link.spend(demand.expectedTokens * BYTES_PER_TOKEN, monotonicNow())
+    this.#reserve(chosen)
+    return chosen
   }
 
-  #headroom (placement: CellPlacement): number {
-    const summary = this.#summaries.get(placement.name)
-    return summary === undefined ? 0 : summary.freeSlots - summary.waiting
+  #known (placements: readonly CellPlacement[]): KnownCell[] {
+    return placements.map((placement) => ({ placement, summary: this.#summaries.get(placement.name) }))
+  }
+
+  /** Asks the owners of cells in other regions for summaries, not more often than they change much. */
+  async #askFar (placements: readonly CellPlacement[]): Promise<void> {
+    const now = monotonicNow()
+    if (now - this.#farAskedAt < FAR_SUMMARY_MS) return
+    this.#farAskedAt = now
+    const owners = new Map(placements.flatMap((placement) => {
+      const owner = this.#ownerOf(placement.name)
+      return owner === undefined ? [] : [[owner.id, owner]]
+    }))
+    await Promise.all([...owners.values()].map(async (owner) => {
+      const answer = await this.#bus.send(owner, { kind: PeerMessageKind.SummariseCells }, { deadline: deadlineAfter(FAR_SUMMARY_MS) })
+      if (!answer.ok) return
+      for (const summary of answer.value.cells) this.#summaries.set(summary.cell, summary)
+    }))
   }
 
   /** Counts the request in the summary at once, so that the next one does not follow it blindly. */
@@ -158,14 +247,30 @@
       : { ...summary, waiting: summary.waiting + 1 })
   }
 
-  async #collect (): Promise<void> {
-    const deadline = deadlineAfter(this.#settings.summaryPeriodMs)
-    const answers = await Promise.all(this.#members.workers().map(async (host) => await this.#bus.send(host, { kind: PeerMessageKind.SummariseCells }, { deadline })))
-    for (const answer of answers) {
-      if (!answer.ok) continue
-      for (const summary of answer.value.cells) this.#summaries.set(summary.cell, summary)
-    }
+  #ownerOf (cell: string): ReturnType<typeof cellOwner> {
+    const placement = this.#placements.find((item) => item.name === cell)
+    return placement === undefined ? undefined : cellOwner(placement, this.#members.workers())
   }
+
+  #heldIn (cell: string): HeldSlots['slots'] {
+    return [...this.#held.values()].filter((held) => held.slot.cell === cell).map(({ slot, demand, suspect }) => {
+      return { slotId: slot.slotId, endpointId: slot.endpoint.id, request: wireRequest(demand, suspect) }
+    })
+  }
+}
+
+/** A demand as the dispatcher is told of it. */
+function wireRequest (demand: SlotDemand, suspect: boolean): Omit<AcquireSlot, 'kind' | 'cell'> {
+  const { pool, deadline, traceparent, signal, excluded, promptTokens, ...request } = demand
+  return { ...request, suspect, promptTokens: promptTokens ?? 0, excluded: [...excluded], leftMs: timeLeft(deadline) }
+}
+
+function quarantined (): Refusal {
+  return notRun(RefusalReason.Quarantined, 'requests like this one took endpoints down; it is not run again')
+}
+
+function refused (refusal: Refusal): SlotResult {
+  return { granted: false, refusal }
 }
 
 /** A refusal as it came over the wire, without absent members set to undefined. */
--- a/packages/coordination/src/lib/completion-runner.ts
+++ b/packages/coordination/src/lib/completion-runner.ts
@@ -1,13 +1,17 @@
-import { digest, notRun, Ran, RefusalReason, SlotEnd } from '@cyclamenthread/state'
+import { digest, Ran, RefusalReason, RetryBudget, SlotEnd } from '@cyclamenthread/state'
 import { CompletionBuilder, CompletionPartKind } from '@cyclamenthread/protocol'
-import { SpanKind, timeLeft, traced, traceparentOf } from '@cyclamenthread/transport'
+import { deadlineAfter, SpanKind, timeLeft, traced, traceparentOf } from '@cyclamenthread/transport'
 import type { Entry, Refusal, Workspace } from '@cyclamenthread/state'
 import type { Completion, CompletionPart, EndpointClient } from '@cyclamenthread/protocol'
-import type { CellRouter, Slot } from './cell-router.js'
+import type { Slot, SlotSource } from './cell-router.js'
+import type { QuarantineTask } from './quarantine-task.js'
 
 /** Endpoints that one request may fail on before it is given up. */
 const MAX_ATTEMPTS = 3
 
+/** How long a failed endpoint may take to show that it is still there, in milliseconds. */
+const PROBE_MS = 500
+
 /** Characters of a prompt that identify its cached prefix. */
 const PREFIX_CHARACTERS = 256
 
@@ -46,12 +50,15 @@
  * so that is safe as long as no part of the answer went out.
  */
 export class CompletionRunner {
-  readonly #router: CellRouter
+  readonly #router: SlotSource
   readonly #endpoints: EndpointClient
+  readonly #quarantine: QuarantineTask
+  readonly #retries = new RetryBudget()
 
-  constructor (router: CellRouter, endpoints: EndpointClient) {
+  constructor (router: SlotSource, endpoints: EndpointClient, quarantine: QuarantineTask) {
     this.#router = router
     this.#endpoints = endpoints
+    this.#quarantine = quarantine
   }
 
   /** Runs one completion to its end, a refusal, or its deadline. */
@@ -60,10 +67,11 @@
     let ran = Ran.No
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const outcome = await this.#attempt(order, excluded)
-      if (outcome.kind === 'done') return outcome.result.ok ? outcome.result : { ok: false, refusal: { ...outcome.result.refusal, ran } }
+      if (outcome.kind === 'done') return outcome.result.ok ? outcome.result : { ok: false, refusal: afterAttempts(outcome.result.refusal, ran) }
       excluded.push(outcome.endpoint)
       if (outcome.sent) ran = Ran.Maybe
       if (outcome.streamed || order.signal?.aborted === true || timeLeft(order.deadline) <= 0) break
+      if (!this.#retries.spend(order.workspace.name)) break
     }
     return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran, detail: `${excluded.length} endpoints failed the request` } }
   }
@@ -78,7 +86,8 @@
       entry: order.entry.name,
       expectedTokens: order.prompt.length / CHARACTERS_PER_TOKEN + order.expectedTokens,
       prefix: digest(order.prompt.slice(0, PREFIX_CHARACTERS)),
-      digest: digest(order.entry.name, order.prompt),
+      promptTokens: order.prompt.length / CHARACTERS_PER_TOKEN,
+      digest: digestOf(order),
       excluded,
       deadline: order.deadline,
       traceparent: order.traceparent,
@@ -107,12 +116,37 @@
   async #finish (order: CompletionOrder, slot: Slot, builder: CompletionBuilder, streamed: boolean): Promise<Attempt> {
     const { completion, failure } = builder
     if (completion !== undefined) {
+      this.#retries.succeeded(order.workspace.name)
+      await this.#quarantine.finished(digestOf(order))
       await this.#router.release(slot, SlotEnd.Finished, completion.promptTokens + completion.answerTokens, order.traceparent)
       return { kind: 'done', result: { ok: true, completion, endpoint: slot.endpoint.id } }
     }
     const cancelled = order.signal?.aborted === true
-    await this.#router.release(slot, cancelled ? SlotEnd.Cancelled : SlotEnd.Failed, 0, order.traceparent)
-    if (cancelled) return { kind: 'done', result: { ok: false, refusal: notRun(RefusalReason.Cancelled, 'the caller went away') } }
-    return { kind: 'failed', endpoint: slot.endpoint.id, sent: failure?.sent ?? true, streamed, detail: failure?.detail ?? 'the stream ended early' }
+    const sent = failure?.sent ?? true
+    const lost = !cancelled && timeLeft(order.deadline) > 0 && await this.#isLost(slot)
+    // Before the slot is given back, so that no host runs the request as unsuspected meanwhile.
+    if (lost && sent) await this.#quarantine.lost(digestOf(order), slot.endpoint.id)
+    await this.#router.release(slot, endOf(cancelled, lost), 0, order.traceparent)
+    if (cancelled) return { kind: 'done', result: { ok: false, refusal: { reason: RefusalReason.Cancelled, ran: sent ? Ran.Maybe : Ran.No, detail: 'the caller went away' } } }
+    return { kind: 'failed', endpoint: slot.endpoint.id, sent, streamed, detail: failure?.detail ?? 'the stream ended early' }
+  }
+
+  /** Whether an endpoint that broke off a stream is gone as a whole. */
+  async #isLost (slot: Slot): Promise<boolean> {
+    return await this.#endpoints.readLoad(slot.endpoint, deadlineAfter(PROBE_MS)) === undefined
   }
 }
+
+function digestOf (order: CompletionOrder): string {
+  return digest(order.entry.name, order.prompt)
+}
+
+function endOf (cancelled: boolean, lost: boolean): SlotEnd {
+  if (cancelled) return SlotEnd.Cancelled
+  return lost ? SlotEnd.EndpointLost : SlotEnd.Failed
+}
+
+/** A refusal of a further attempt tells what the earlier ones may have done. */
+function afterAttempts (refusal: Refusal, ran: Ran): Refusal {
+  return refusal.ran === Ran.No ? { ...refusal, ran } : refusal
+}
--- a/packages/coordination/src/lib/dispatcher-task.ts
+++ b/packages/coordination/src/lib/dispatcher-task.ts
@@ -1,16 +1,18 @@
-import { Cell, CellEffectKind, CellEventKind, findOwner, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
+import { Cell, CellEffectKind, CellEventKind, findOwner, HostState, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
+import { LoadPoll } from './load-poll.js'
 import { Periodic } from './periodic.js'
+import { SummaryPush } from './summary-push.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { CatalogueView, CellEffect, CellEvent, CellPlacement, CellSummary, Host } from '@cyclamenthread/state'
-import type { AcquireSlot, SlotAnswer } from '@cyclamenthread/protocol'
+import type { CatalogueView, CellEffect, CellEvent, CellPlacement, CellSummary, Endpoint, Host, SlotClaim } from '@cyclamenthread/state'
+import type { AcquireSlot, EndpointClient, HeldSlots, SlotAnswer } from '@cyclamenthread/protocol'
 import type { CatalogueSource } from './catalogue-task.js'
 import type { DecisionSink } from './decision-log.js'
 import type { HostSettings } from './host-settings.js'
 import type { MemberView } from './member-task.js'
-import type { MessageMeta } from './message-bus.js'
+import type { MessageBus, MessageMeta } from './message-bus.js'
 
 /** How often cells look for deadlines that passed, in milliseconds. */
 const TICK_MS = 100
@@ -18,6 +20,12 @@
 /** How long a slot outlives the deadline of its request before it is taken back, in milliseconds. */
 const LEASE_GRACE_MS = 5_000
 
+/** Longest time a new owner waits for gateways to tell which slots they hold, in milliseconds. */
+const RECALL_MS = 500
+
+/** Pause before gateways are asked again, for slots that an earlier owner granted meanwhile, in milliseconds. */
+const RECALL_AGAIN_MS = 2_000
+
 /** A cell this host owns and the endpoints it was last told of. */
 interface OwnedCell {
   readonly cell: Cell
@@ -51,14 +59,25 @@
   readonly #cells = new Map<string, OwnedCell>()
   readonly #waiting = new Map<string, (answer: SlotAnswer) => void>()
   readonly #decisions: DecisionSink
+  readonly #bus: MessageBus
   readonly #ticker: Periodic
+  readonly #loads: LoadPoll
+  readonly #push: SummaryPush
+  readonly #pusher: Periodic
+  readonly #dead = new Set<string>()
 
-  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, decisions: DecisionSink) {
+  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, decisions: DecisionSink, bus: MessageBus, endpoints: EndpointClient) {
     this.#settings = settings
     this.#members = members
     this.#catalogue = catalogue
     this.#decisions = decisions
+    this.#bus = bus
     this.#ticker = new Periodic(TICK_MS, async () => this.#tick())
+    this.#loads = new LoadPoll(endpoints, () => this.#endpoints(), ({ endpointId, running, observedAt }) => {
+      this.#stepAll({ kind: CellEventKind.LoadReport, endpointId, running, observedAt })
+    })
+    this.#push = new SummaryPush(settings, members, bus)
+    this.#pusher = new Periodic(settings.summaryPeriodMs, async () => await this.#push.push(this.summaries()))
   }
 
   /** The broker service that answers the dispatcher's messages. */
@@ -80,18 +99,39 @@
 
   async start (): Promise<void> {
     this.#catalogue.onChange(() => this.#placeCells())
-    this.#members.onChange(() => this.#placeCells())
-    this.#placeCells()
+    this.#members.onChange(() => this.#membersChanged())
+    this.#membersChanged()
     await this.#ticker.start()
+    await this.#pusher.start()
+    void this.#loads.start()
   }
 
   async stop (): Promise<void> {
+    await this.#loads.stop()
+    await this.#pusher.stop()
     await this.#ticker.stop()
   }
 
   /** Summaries of the cells this host owns. */
   summaries (): CellSummary[] {
-    return [...this.#cells.values()].map((owned) => owned.cell.summary())
+    return [...this.#cells.values()].map((owned) => owned.cell.summary(monotonicNow()))
+  }
+
+  #endpoints (): Endpoint[] {
+    return [...this.#cells.values()].flatMap((owned) => owned.placement.endpoints)
+  }
+
+  /** Frees what gateways that died held, and takes over or gives up cells. */
+  #membersChanged (): void {
+    for (const { host, state } of this.#members.members()) {
+      if (state !== HostState.Dead) this.#dead.delete(host.id)
+      else if (!this.#dead.has(host.id)) {
+        this.#dead.add(host.id)
+        this.#stepAll({ kind: CellEventKind.GatewayDown, gateway: host.id })
+      }
+    }
+    this.#push.reset()
+    this.#placeCells()
   }
 
   /** Takes over the cells that now fall to this host and gives up the others. */
@@ -117,13 +157,36 @@
       name: placement.name,
       incarnation: this.#settings.incarnation,
       queueLimit: this.#settings.cellQueueLimit,
-      leaseGraceMs: LEASE_GRACE_MS
+      leaseGraceMs: LEASE_GRACE_MS,
+      opensAt: deadlineAfter(RECALL_MS)
     })
     const kept = new Set(placement.endpoints.map((endpoint) => endpoint.id))
     const gone = (known?.placement.endpoints ?? []).filter((endpoint) => !kept.has(endpoint.id))
     this.#cells.set(placement.name, { cell, placement })
     for (const endpoint of gone) this.#step(placement.name, { kind: CellEventKind.EndpointLeaving, endpointId: endpoint.id })
     for (const endpoint of placement.endpoints) this.#step(placement.name, { kind: CellEventKind.EndpointUp, endpoint })
+    if (known === undefined) void this.#recall(placement.name, cell)
+  }
+
+  /**
+   * Learns which slots of earlier owners are still held, before anything is
+   * granted; and once more later, since an earlier owner with an older view of
+   * the hosts may have granted in between.
+   */
+  async #recall (name: string, cell: Cell): Promise<void> {
+    await this.#askGateways(name, cell)
+    if (this.#cells.get(name)?.cell === cell) this.#step(name, { kind: CellEventKind.Open })
+    await new Promise((resolve) => setTimeout(resolve, RECALL_AGAIN_MS).unref())
+    await this.#askGateways(name, cell)
+  }
+
+  async #askGateways (name: string, cell: Cell): Promise<void> {
+    const deadline = deadlineAfter(RECALL_MS)
+    await Promise.all(this.#members.workers().map(async (host) => {
+      const answer = await this.#bus.send(host, { kind: PeerMessageKind.ListHeldSlots, cell: name }, { deadline })
+      if (!answer.ok || this.#cells.get(name)?.cell !== cell) return
+      this.#step(name, { kind: CellEventKind.Held, gateway: host.id, slots: claimsOf(answer.value, host.id) })
+    }))
   }
 
   /** Gives up a cell: those who wait there are sent to the new owner. */
@@ -141,9 +204,14 @@
       return { granted: false, refusal: notRun(RefusalReason.NotOwner, 'this host does not own the cell', 0) }
     }
     const { kind, cell, leftMs, ...request } = message
+    // A newer copy of a request takes the place of one that still waits: its sender has given that up.
+    if (this.#waiting.has(waitingKey(cell, message.requestId))) this.#cancel(cell, message.requestId)
     return await new Promise<SlotAnswer>((resolve) => {
       this.#waiting.set(waitingKey(cell, message.requestId), resolve)
-      meta.signal.addEventListener('abort', () => this.#cancel(cell, message.requestId), { once: true })
+      meta.signal.addEventListener('abort', () => {
+        // Once the grant is on its way, only the gateway knows whether it arrived.
+        if (this.#waiting.get(waitingKey(cell, message.requestId)) === resolve) this.#cancel(cell, message.requestId)
+      }, { once: true })
       this.#step(cell, { kind: CellEventKind.Request, request: { ...request, gateway: meta.from, deadline: deadlineAfter(leftMs) } })
     })
   }
@@ -156,7 +224,11 @@
   }
 
   #tick (): void {
-    for (const name of this.#cells.keys()) this.#step(name, { kind: CellEventKind.Tick })
+    this.#stepAll({ kind: CellEventKind.Tick })
+  }
+
+  #stepAll (event: CellEvent): void {
+    for (const name of this.#cells.keys()) this.#step(name, event)
   }
 
   #step (name: string, event: CellEvent): void {
@@ -192,3 +264,9 @@
 function waitingKey (cell: string, requestId: string): string {
   return `${cell}\u0000${requestId}`
 }
+
+function claimsOf (held: HeldSlots, gateway: string): SlotClaim[] {
+  return held.slots.map(({ slotId, endpointId, request: { leftMs, ...request } }) => {
+    return { slotId, endpointId, request: { ...request, gateway, deadline: deadlineAfter(leftMs) } }
+  })
+}
--- /dev/null
+++ b/packages/coordination/src/lib/limit-task.ts
@@ -0,0 +1,180 @@
+import { findOwner, GRANT_LIFE_MS, HostState, LimitAccount, notRun, RefusalReason, scaleLimits } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { LimitQueue } from './limit-queue.js'
+import { Periodic } from './periodic.js'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { LimitDemand, Limits, Refusal } from '@cyclamenthread/state'
+import type { AskLimit } from '@cyclamenthread/protocol'
+import type { CatalogueSource } from './catalogue-task.js'
+import type { HostSettings } from './host-settings.js'
+import type { LimitAnswer } from './limit-queue.js'
+import type { MemberView } from './member-task.js'
+import type { MessageBus, MessageMeta } from './message-bus.js'
+
+/** How long an account grants nothing after the hosts changed: grants of another owner have then passed. */
+const OPENING_MS = 1_000 + GRANT_LIFE_MS
+
+/** Longest wait for an account's answer, in milliseconds. */
+const ASK_TIMEOUT_MS = 500
+
+/** How often a host tells accounts what it holds, in milliseconds. */
+const REFRESH_MS = 500
+
+/** What a request needs of the limits. */
+export interface LimitWish {
+  readonly workspace: string
+  readonly entry: string
+  readonly expectedTokens: number
+  /** Whether the request was counted by an earlier attempt. */
+  readonly counted: boolean
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+}
+
+/** Names the accounts a request counts under; has to be given back once. */
+export interface LimitPermit {
+  readonly accounts: readonly string[]
+}
+
+/** The result of asking for a permit. */
+export type LimitResult =
+  | { readonly granted: true, readonly permit: LimitPermit }
+  | { readonly granted: false, readonly refusal: Refusal }
+
+/**
+ * Keeps the limits of workspaces and entries over all hosts: each has an account
+ * at a host found by rendezvous, which every host asks before a request enters a
+ * queue. Without an answer a host falls back to its fixed share.
+ *
+ * Invariant: an account grants nothing within `OPENING_MS` of a change of hosts
+ * that may have moved it, so that two owners don't grant the same second twice.
+ */
+export class LimitTask {
+  readonly #settings: HostSettings
+  readonly #members: MemberView
+  readonly #catalogue: CatalogueSource
+  readonly #bus: MessageBus
+  readonly #accounts = new Map<string, LimitAccount>()
+  readonly #queues = new Map<string, LimitQueue>()
+  readonly #refresh: Periodic
+  #hostsChangedAt = monotonicNow()
+
+  constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, bus: MessageBus) {
+    this.#settings = settings
+    this.#members = members
+    this.#catalogue = catalogue
+    this.#bus = bus
+    this.#refresh = new Periodic(REFRESH_MS, async () => {
+      for (const queue of this.#queues.values()) queue.refresh()
+    })
+  }
+
+  /** The broker service that answers for the accounts this host owns. */
+  service (): ServiceSchema {
+    return taskService('limits', {
+      [PeerMessageKind.AskLimit]: async (message, meta) => this.#answer(message, meta)
+    })
+  }
+
+  async start (): Promise<void> {
+    this.#members.onChange(() => this.#hostsChanged())
+    this.#catalogue.onChange(() => this.#changeLimits())
+    await this.#refresh.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#refresh.stop()
+  }
+
+  /** Waits a short while until every limit of the request permits it. */
+  async acquire (wish: LimitWish): Promise<LimitResult> {
+    const view = this.#catalogue.current()
+    const limited: Array<[string, Limits | undefined]> = [
+      [`workspace/${wish.workspace}`, view?.workspace(wish.workspace)?.limits],
+      [`entry/${wish.entry}`, view?.entry(wish.entry)?.limits]
+    ]
+    const accounts: string[] = []
+    for (const [account, limits] of limited) {
+      if (limits === undefined || Object.keys(limits).length === 0) continue
+      const answer = await this.#queueOf(account, limits).ask({
+        requests: wish.counted ? 0 : 1,
+        tokens: wish.counted ? 0 : wish.expectedTokens
+      }, wish.deadline)
+      if (!answer.granted) {
+        this.release({ accounts })
+        return { granted: false, refusal: notRun(RefusalReason.LimitReached, `the limit of ${account.replace('/', ' ')} is reached`, Math.ceil(answer.retryAfterMs)) }
+      }
+      accounts.push(account)
+    }
+    return { granted: true, permit: { accounts } }
+  }
+
+  /** Gives a permit back. */
+  release (permit: LimitPermit): void {
+    for (const account of permit.accounts) this.#queues.get(account)?.release()
+  }
+
+  #queueOf (account: string, limits: Limits): LimitQueue {
+    const known = this.#queues.get(account)
+    if (known !== undefined) return known
+    const queue: LimitQueue = new LimitQueue({
+      limits,
+      hosts: () => this.#members.workers().length,
+      ask: async (held, demands): Promise<LimitAnswer | undefined> => await this.#ask(account, queue.limits, held, demands)
+    })
+    this.#queues.set(account, queue)
+    return queue
+  }
+
+  async #ask (account: string, limits: Limits, held: number, demands: readonly LimitDemand[]): Promise<LimitAnswer | undefined> {
+    const workers = this.#members.workers()
+    const owner = workers.find((host) => host.id === findOwner(`limits/${account}`, workers.map((item) => item.id)))
+    if (owner === undefined) return undefined
+    const message = { kind: PeerMessageKind.AskLimit as const, account, limits, held, demands: [...demands] }
+    const answer = await this.#bus.send(owner, message, { deadline: deadlineAfter(ASK_TIMEOUT_MS) })
+    return answer.ok ? answer.value : undefined
+  }
+
+  #answer (message: AskLimit, meta: MessageMeta): LimitAnswer {
+    const now = monotonicNow()
+    let account = this.#accounts.get(message.account)
+    if (account === undefined) {
+      account = new LimitAccount(message.limits as Limits, this.#hostsChangedAt + OPENING_MS)
+      this.#accounts.set(message.account, account)
+    }
+    account.limit(scaleLimits(message.limits as Limits, this.#reachableShare()))
+    return account.ask(meta.from, message.held, message.demands, now)
+  }
+
+  /**
+   * A region all of whose hosts vanished is taken to be cut off, not dead: it has
+   * accounts of its own then, so each side keeps to its share of the hosts.
+   */
+  #reachableShare (): number {
+    const members = this.#members.members().filter((member) => member.state !== HostState.Leaving)
+    const alive = members.filter((member) => member.state !== HostState.Dead)
+    const regions = new Set(alive.map((member) => member.host.region))
+    const cutOff = members.filter((member) => !regions.has(member.host.region))
+    return alive.length / Math.max(1, alive.length + cutOff.length)
+  }
+
+  /** Accounts start anew, since this host can't know what another owner granted in between. */
+  #hostsChanged (): void {
+    this.#hostsChangedAt = monotonicNow()
+    const workers = this.#members.workers().map((host) => host.id)
+    for (const account of [...this.#accounts.keys()]) {
+      if (findOwner(`limits/${account}`, workers) !== this.#settings.self.id) this.#accounts.delete(account)
+    }
+  }
+
+  #changeLimits (): void {
+    const view = this.#catalogue.current()
+    for (const [account, queue] of this.#queues) {
+      const name = account.slice(account.indexOf('/') + 1)
+      const declared = account.startsWith('entry/') ? view?.entry(name) : view?.workspace(name)
+      if (declared !== undefined) queue.limits = declared.limits
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/quarantine-task.ts
@@ -0,0 +1,57 @@
+import { Quarantine } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { Suspicion } from '@cyclamenthread/state'
+import type { PeerMessage } from '@cyclamenthread/protocol'
+import type { HostSettings } from './host-settings.js'
+import type { MemberView } from './member-task.js'
+import type { MessageBus } from './message-bus.js'
+
+/**
+ * Shares between hosts which requests took endpoints down. Losses are rare, so
+ * each is sent to every host once; a host that misses the message learns of the
+ * request by its own next loss.
+ */
+export class QuarantineTask {
+  readonly #settings: HostSettings
+  readonly #members: MemberView
+  readonly #bus: MessageBus
+  readonly #quarantine = new Quarantine()
+
+  constructor (settings: HostSettings, members: MemberView, bus: MessageBus) {
+    this.#settings = settings
+    this.#members = members
+    this.#bus = bus
+  }
+
+  /** The broker service that takes the notes of other hosts. */
+  service (): ServiceSchema {
+    return taskService('quarantine', {
+      [PeerMessageKind.NoteLoss]: async (message) => ({ accepted: this.#quarantine.note(message.digest, message.endpointId, monotonicNow()) }),
+      [PeerMessageKind.ClearSuspect]: async (message) => ({ accepted: this.#quarantine.clear(message.digest) })
+    })
+  }
+
+  /** How a request is to be treated. */
+  judge (digest: string): Suspicion {
+    return this.#quarantine.judge(digest, monotonicNow())
+  }
+
+  /** An endpoint was lost while it ran the request. */
+  async lost (digest: string, endpointId: string): Promise<void> {
+    if (!this.#quarantine.note(digest, endpointId, monotonicNow())) return
+    await this.#tellOthers({ kind: PeerMessageKind.NoteLoss, digest, endpointId })
+  }
+
+  /** The request ran to its end. */
+  async finished (digest: string): Promise<void> {
+    if (this.#quarantine.clear(digest)) await this.#tellOthers({ kind: PeerMessageKind.ClearSuspect, digest })
+  }
+
+  async #tellOthers (message: PeerMessage): Promise<void> {
+    const others = this.#members.workers().filter((host) => host.id !== this.#settings.self.id)
+    await Promise.all(others.map(async (host) => await this.#bus.post(host, message)))
+  }
+}
--- a/packages/coordination/src/lib/service-runner.ts
+++ b/packages/coordination/src/lib/service-runner.ts
@@ -3,7 +3,7 @@
 import { deadlineAfter, SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
 import type { ApplyResult, Entry, RecordedAnswer, Refusal, UsageItem, Workspace } from '@cyclamenthread/state'
 import type { EndpointClient, ServiceReply } from '@cyclamenthread/protocol'
-import type { CellRouter, Slot } from './cell-router.js'
+import type { Slot, SlotResult, SlotSource } from './cell-router.js'
 import type { LedgerClient } from './ledger-client.js'
 
 /** How long the recording of an answer is tried after the caller's own deadline, in milliseconds. */
@@ -37,11 +37,11 @@
  * answer is recorded, so that it runs at most once however often it is sent.
  */
 export class ServiceRunner {
-  readonly #router: CellRouter
+  readonly #router: SlotSource
   readonly #endpoints: EndpointClient
   readonly #ledger: LedgerClient
 
-  constructor (router: CellRouter, endpoints: EndpointClient, ledger: LedgerClient) {
+  constructor (router: SlotSource, endpoints: EndpointClient, ledger: LedgerClient) {
     this.#router = router
     this.#endpoints = endpoints
     this.#ledger = ledger
@@ -128,7 +128,7 @@
     return commit.results[0]
   }
 
-  async #acquire (order: ServiceOrder): ReturnType<CellRouter['acquire']> {
+  async #acquire (order: ServiceOrder): Promise<SlotResult> {
     return await this.#router.acquire({
       requestId: order.requestId,
       pool: order.entry.pool,
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,8 +1,8 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
-  MessageBus, ServiceRunner, UsageTask
+  BatchTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, LimitTask, MemberTask,
+  MessageBus, QuarantineTask, ServiceRunner, UsageTask
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import { Gateway } from './gateway.js'
@@ -32,6 +32,8 @@
   readonly #catalogue: CatalogueTask
   readonly #decisions: DecisionLog
   readonly #dispatcher: DispatcherTask
+  readonly #limits: LimitTask
+  readonly #quarantine: QuarantineTask
   readonly #router: CellRouter
   readonly #ledger: LedgerTask
   readonly #batches: BatchTask
@@ -49,10 +51,12 @@
     this.#members = new MemberTask(this.#host, this.#platform)
     this.#catalogue = new CatalogueTask(this.#host, this.#store)
     this.#decisions = new DecisionLog(this.#host)
-    this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions)
-    this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus)
+    this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions, this.#bus, this.#endpoints)
+    this.#limits = new LimitTask(this.#host, this.#members, this.#catalogue, this.#bus)
+    this.#quarantine = new QuarantineTask(this.#host, this.#members, this.#bus)
+    this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus, this.#limits, this.#quarantine)
     this.#ledger = new LedgerTask(this.#host, this.#members, this.#store)
-    const completions = new CompletionRunner(this.#router, this.#endpoints)
+    const completions = new CompletionRunner(this.#router, this.#endpoints, this.#quarantine)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
     this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions)
     this.#usage = new UsageTask(this.#host, this.#store, this.#platform)
@@ -74,6 +78,9 @@
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
     this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#dispatcher.service())
+    this.#broker.createService(this.#router.service())
+    this.#broker.createService(this.#limits.service())
+    this.#broker.createService(this.#quarantine.service())
     this.#broker.createService(this.#ledger.service())
     this.#broker.createService(this.#batches.service())
     await this.#broker.start()
@@ -82,6 +89,7 @@
     await this.#catalogue.start()
     await this.#dispatcher.start()
     await this.#ledger.start()
+    await this.#limits.start()
     await this.#router.start()
     this.#batches.start()
     await this.#usage.start()
@@ -109,6 +117,7 @@
     this.#batches.stop()
     await this.#usage.stop()
     await this.#router.stop()
+    await this.#limits.stop()
     await this.#ledger.stop()
     await this.#dispatcher.stop()
     await this.#catalogue.stop()
--- a/packages/protocol/src/lib/dispatcher-message.ts
+++ b/packages/protocol/src/lib/dispatcher-message.ts
@@ -13,6 +13,8 @@
   class: z.enum(WorkClass),
   entry: z.string(),
   expectedTokens: z.number().nonnegative(),
+  promptTokens: z.number().nonnegative(),
+  suspect: z.boolean(),
   prefix: z.string(),
   digest: z.string(),
   excluded: z.array(z.string()),
@@ -29,7 +31,7 @@
   actualTokens: z.number().nonnegative()
 })
 
-/** Withdraws a request that still waits. */
+/** Withdraws a request whose answer did not arrive; a slot that was granted to it is given back. */
 export const cancelRequestSchema = z.object({
   kind: z.literal(PeerMessageKind.CancelRequest),
   cell: z.string(),
@@ -45,14 +47,30 @@
   z.object({ granted: z.literal(false), refusal: refusalSchema })
 ])
 
+const cellSummarySchema = z.object({
+  cell: z.string(),
+  freeSlots: z.number(),
+  totalSlots: z.number(),
+  waiting: z.number(),
+  expectedTokensQueued: z.number(),
+  waitMs: z.number()
+})
+
 /** The answer to {@link summariseCellsSchema}. */
-export const cellSummariesSchema = z.object({
-  cells: z.array(z.object({
-    cell: z.string(),
-    freeSlots: z.number(),
-    totalSlots: z.number(),
-    waiting: z.number(),
-    expectedTokensQueued: z.number()
+export const cellSummariesSchema = z.object({ cells: z.array(cellSummarySchema) })
+
+/** Tells a gateway of the cells of the sender that have changed. */
+export const pushSummariesSchema = z.object({ kind: z.literal(PeerMessageKind.PushSummaries), cells: z.array(cellSummarySchema) })
+
+/** A new owner of a cell asks a gateway which of its slots it holds. */
+export const listHeldSlotsSchema = z.object({ kind: z.literal(PeerMessageKind.ListHeldSlots), cell: z.string() })
+
+/** The answer to {@link listHeldSlotsSchema}. */
+export const heldSlotsSchema = z.object({
+  slots: z.array(z.object({
+    slotId: z.string(),
+    endpointId: z.string(),
+    request: acquireSlotSchema.omit({ kind: true, cell: true })
   }))
 })
 
@@ -60,4 +78,5 @@
 export type ReleaseSlot = z.infer<typeof releaseSlotSchema>
 export type CancelRequest = z.infer<typeof cancelRequestSchema>
 export type SlotAnswer = z.infer<typeof slotAnswerSchema>
+export type HeldSlots = z.infer<typeof heldSlotsSchema>
 export type CellSummaries = z.infer<typeof cellSummariesSchema>
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -2,18 +2,22 @@
 import { openBatchSchema } from './batch-message.js'
 import { explainRequestSchema, explanationSchema } from './decision-message.js'
 import {
-  acquireSlotSchema, cancelRequestSchema, cellSummariesSchema, releaseSlotSchema, slotAnswerSchema, summariseCellsSchema
+  acquireSlotSchema, cancelRequestSchema, cellSummariesSchema, heldSlotsSchema, listHeldSlotsSchema, pushSummariesSchema, releaseSlotSchema,
+  slotAnswerSchema, summariseCellsSchema
 } from './dispatcher-message.js'
+import { askLimitSchema, limitGrantSchema } from './limit-message.js'
 import {
   batchAnswerSchema, claimAnswerSchema, commitAnswerSchema, commitRecordSchema, readBatchSchema, readClaimSchema
 } from './ledger-message.js'
 import { probeAnswerSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
+import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
 import { receiptSchema } from './receipt.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
-  acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, explainRequestSchema,
+  acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, pushSummariesSchema, listHeldSlotsSchema,
+  askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema
 ])
 
@@ -23,6 +27,11 @@
   [PeerMessageKind.ReleaseSlot]: receiptSchema,
   [PeerMessageKind.CancelRequest]: receiptSchema,
   [PeerMessageKind.SummariseCells]: cellSummariesSchema,
+  [PeerMessageKind.PushSummaries]: receiptSchema,
+  [PeerMessageKind.ListHeldSlots]: heldSlotsSchema,
+  [PeerMessageKind.AskLimit]: limitGrantSchema,
+  [PeerMessageKind.NoteLoss]: receiptSchema,
+  [PeerMessageKind.ClearSuspect]: receiptSchema,
   [PeerMessageKind.ExplainRequest]: explanationSchema,
   [PeerMessageKind.CommitRecord]: commitAnswerSchema,
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
--- a/packages/state/src/lib/cell-layout.ts
+++ b/packages/state/src/lib/cell-layout.ts
@@ -1,9 +1,13 @@
+import { rankOwners } from './rendezvous.js'
 import type { Endpoint } from './catalogue.js'
 import type { CatalogueView } from './catalogue-view.js'
 
 /** Most endpoints that one cell counts. */
 export const MAX_CELL_ENDPOINTS = 24
 
+/** Endpoints that a cell has on average, so that the hash seldom fills one. */
+const MEAN_CELL_ENDPOINTS = 16
+
 /** A cell: a shard of one pool within one failure domain. */
 export interface CellPlacement {
   readonly name: string
@@ -29,8 +33,8 @@
   return domains.flatMap((domain) => {
     const own = endpoints.filter((endpoint) => endpoint.failureDomain === domain)
     own.sort((a, b) => a.id < b.id ? -1 : 1)
-    return chunk(own).map((part, index): CellPlacement => ({
-      name: `${pool}/${domain}/${index}`,
+    return [...spread(`${pool}/${domain}`, own)].map(([name, part]): CellPlacement => ({
+      name,
       pool,
       region: part[0]?.region ?? '',
       failureDomain: domain,
@@ -39,10 +43,18 @@
   })
 }
 
-function chunk (endpoints: readonly Endpoint[]): Endpoint[][] {
-  const parts: Endpoint[][] = []
-  for (let start = 0; start < endpoints.length; start += MAX_CELL_ENDPOINTS) {
-    parts.push(endpoints.slice(start, start + MAX_CELL_ENDPOINTS))
+/**
+ * Spreads endpoints over cells by rendezvous, so that one that comes or goes
+ * moves hardly any other: an endpoint that changes its cell is counted by two
+ * owners until the slots of the first have ended.
+ */
+function spread (prefix: string, endpoints: readonly Endpoint[]): Map<string, Endpoint[]> {
+  const count = endpoints.length <= MAX_CELL_ENDPOINTS ? 1 : Math.ceil(endpoints.length / MEAN_CELL_ENDPOINTS)
+  const names = Array.from({ length: count }, (_, index) => `${prefix}/${index}`)
+  const cells = new Map(names.map((name): [string, Endpoint[]] => [name, []]))
+  for (const endpoint of endpoints) {
+    const name = rankOwners(endpoint.id, names).find((item) => (cells.get(item)?.length ?? 0) < MAX_CELL_ENDPOINTS)
+    if (name !== undefined) cells.get(name)?.push(endpoint)
   }
-  return parts
+  return new Map([...cells].filter(([, part]) => part.length > 0))
 }
--- a/packages/state/src/lib/cell.ts
+++ b/packages/state/src/lib/cell.ts
@@ -249,6 +249,9 @@
 
   #tick (now: number): CellEffect[] {
     const effects = [...this.#endpoints.values()].flatMap((endpoint) => this.#judge(endpoint, now))
+    for (const [id, endpoint] of this.#endpoints) {
+      if (endpoint.leaving && endpoint.busy === 0) this.#endpoints.delete(id)
+    }
     for (let first = this.#waitingDeadlines.peek(); first !== undefined && first.deadline <= now; first = this.#waitingDeadlines.peek()) {
       this.#unqueue(first.requestId)
       effects.push(...this.#refuse(first, notRun(RefusalReason.DeadlineExceeded, 'the deadline passed in the queue')))
--- /dev/null
+++ b/packages/state/src/lib/link-budget.ts
@@ -0,0 +1,33 @@
+/**
+ * Bounds what one host sends over the link between regions: a token bucket of
+ * bytes that holds one second's worth.
+ *
+ * Invariant: over any time t, at most (t + 1 s) times the rate is spent.
+ */
+export class LinkBudget {
+  readonly #bytesPerSecond: number
+  #bytes: number
+  #filledAt = 0
+
+  constructor (bytesPerSecond: number) {
+    this.#bytesPerSecond = bytesPerSecond
+    this.#bytes = bytesPerSecond
+  }
+
+  /** Whether that many bytes may be sent now; `now` is in monotonic milliseconds. */
+  hasRoom (bytes: number, now: number): boolean {
+    this.#fill(now)
+    return this.#bytes >= bytes
+  }
+
+  spend (bytes: number, now: number): void {
+    this.#fill(now)
+    this.#bytes -= bytes
+  }
+
+  #fill (now: number): void {
+    const earned = Math.max(0, now - this.#filledAt) / 1000 * this.#bytesPerSecond
+    this.#bytes = Math.min(this.#bytesPerSecond, this.#bytes + earned)
+    this.#filledAt = now
+  }
+}
