--- /dev/null
+++ b/packages/state/src/test/cell-layout.test.ts
@@ -0,0 +1,30 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { EntryKind, FencingSupport } from '../lib/catalogue.js'
+import { CatalogueView } from '../lib/catalogue-view.js'
+import { layCells, MAX_CELL_ENDPOINTS } from '../lib/cell-layout.js'
+import type { Endpoint } from '../lib/catalogue.js'
+
+const SEED = 20_261_204
+const RUNS = 1_000
+
+function lay (ids: readonly string[]): Map<string, string> {
+  const endpoints = ids.map((id): Endpoint => ({ id, url: 'http://127.0.0.1', region: 'r', failureDomain: 'd', slots: 1, cheap: false, fencing: FencingSupport.Checked }))
+  const view = new CatalogueView(1, { workspaces: [], keys: [], entries: [], pools: [{ name: 'p', kind: EntryKind.Model, endpoints, capacity: [] }] })
+  return new Map(layCells(view).flatMap((cell) => cell.endpoints.map((endpoint) => [endpoint.id, cell.name])))
+}
+
+test(`each endpoint is in one cell of at most ${MAX_CELL_ENDPOINTS}, and one that leaves moves few others (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(fc.integer({ min: 1, max: 200 }), fc.nat(), (count, pick) => {
+    const ids = Array.from({ length: count }, (_, index) => `e${index}`)
+    const before = lay(ids)
+    const sizes = new Map<string, number>()
+    for (const cell of before.values()) sizes.set(cell, (sizes.get(cell) ?? 0) + 1)
+    const after = lay(ids.filter((_, index) => index !== pick % count))
+    const cells = new Set(before.values()).size
+    const moved = [...after].filter(([id, cell]) => before.get(id) !== cell).length
+    const sameCount = new Set(after.values()).size === cells
+    return before.size === count && Math.max(...sizes.values()) <= MAX_CELL_ENDPOINTS && (!sameCount || moved <= cells)
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
--- /dev/null
+++ b/packages/state/src/test/quarantine.test.ts
@@ -0,0 +1,47 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { MAX_LOSSES, Quarantine, Suspicion } from '../lib/quarantine.js'
+import { RetryBudget } from '../lib/retry-budget.js'
+
+const SEED = 20_261_204
+const RUNS = 1_000
+
+test(`a request is refused exactly from its second lost endpoint on, and nothing clears that (seed ${SEED})`, (t) => {
+  const anyEvent = fc.oneof(
+    fc.record({ does: fc.constant('lose' as const), endpoint: fc.constantFrom('a', 'b', 'c') }),
+    fc.record({ does: fc.constant('finish' as const), endpoint: fc.constant('') })
+  )
+  fc.assert(fc.property(fc.array(anyEvent, { maxLength: 20 }), (events) => {
+    const quarantine = new Quarantine()
+    let lost = new Set<string>()
+    for (const event of events) {
+      if (event.does === 'lose') {
+        quarantine.note('d', event.endpoint, 0)
+        lost.add(event.endpoint)
+      } else {
+        quarantine.clear('d')
+        if (lost.size < MAX_LOSSES) lost = new Set()
+      }
+      const expected = lost.size === 0 ? Suspicion.None : lost.size < MAX_LOSSES ? Suspicion.Suspect : Suspicion.Quarantined
+      if (quarantine.judge('d', 1) !== expected) return false
+    }
+    return true
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test(`retries stay within what was saved and a tenth of the successes (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(fc.array(fc.boolean(), { maxLength: 500 }), (events) => {
+    const budget = new RetryBudget()
+    let successes = 0
+    let retries = 0
+    for (const succeeds of events) {
+      if (succeeds) {
+        budget.succeeded('w')
+        successes += 1
+      } else if (budget.spend('w')) retries += 1
+    }
+    return retries <= 20 + successes / 10
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
