Batches: late binding, staleness judged again in the commit, second copies at the tail, moves on reclaim

Cause: every sample of a batch asked for a slot at once in one order, the bound was judged only at the end of a run and before the commit waited, a sample was a loop with a timer of its own, and a straggler or a vanishing endpoint could only be waited for.

--- /dev/null
+++ b/packages/coordination/src/lib/batch-context.ts
@@ -0,0 +1,41 @@
+import type { Staleness, StragglerPlan } from '@cyclamenthread/state'
+import type { EndpointClient } from '@cyclamenthread/protocol'
+import type { CatalogueSource } from './catalogue-task.js'
+import type { CellRouter } from './cell-router.js'
+import type { CompletionRunner } from './completion-runner.js'
+
+/** How batches are run. The defaults are the service's; other values are for experiments. */
+export interface BatchPolicy {
+  /** Whether long-expected samples go first; else they go as the trainer listed them. */
+  readonly longestFirst: boolean
+  /** Whether late samples of a step's tail are run a second time. */
+  readonly copies: boolean
+}
+
+/** What the service does. */
+export const BATCH_POLICY: BatchPolicy = { longestFirst: true, copies: true }
+
+/** What became of samples since the start of the process, and tokens that were produced for nothing. */
+export interface BatchCounters {
+  delivered: number
+  failed: number
+  discardedStale: number
+  discardedUnnamed: number
+  retried: number
+  copies: number
+  copiesWon: number
+  moved: number
+  wastedTokens: number
+}
+
+/** What the runs of one host's batches share. */
+export interface BatchContext {
+  readonly catalogue: CatalogueSource
+  readonly runner: CompletionRunner
+  readonly endpoints: EndpointClient
+  readonly slots: Pick<CellRouter, 'freeSlots' | 'totalSlots'>
+  readonly plan: StragglerPlan
+  readonly staleness: Staleness
+  readonly policy: BatchPolicy
+  readonly counters: BatchCounters
+}
--- a/packages/coordination/src/lib/batch-task.ts
+++ b/packages/coordination/src/lib/batch-task.ts
@@ -1,50 +1,52 @@
-import { setMaxListeners } from 'node:events'
-import { batchKey, LedgerRecordKind, RefusalReason } from '@cyclamenthread/state'
-import { CommitStatus, PeerMessageKind } from '@cyclamenthread/protocol'
-import { deadlineAfter } from '@cyclamenthread/transport'
+import { batchKey, EndpointState, LedgerRecordKind, Staleness, StragglerPlan } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { BATCH_POLICY } from './batch-context.js'
+import { BatchRun } from './batch-run.js'
 import { LedgerNewsKind } from './ledger-task.js'
+import { Periodic } from './periodic.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { BatchState, Entry, LedgerRecord, SampleOrder, Workspace } from '@cyclamenthread/state'
-import type { Completion } from '@cyclamenthread/protocol'
-import type { CatalogueSource } from './catalogue-task.js'
-import type { CompletionRunner } from './completion-runner.js'
+import type { CatalogueView } from '@cyclamenthread/state'
+import type { BatchContext, BatchCounters } from './batch-context.js'
 import type { LedgerNews, LedgerTask } from './ledger-task.js'
-import type { PartitionOwner } from './partition-owner.js'
 
-/** Samples of one batch that ask for slots at the same time. */
-const BATCH_CONCURRENCY = 256
+/** Samples of all batches of this host that run or ask for a slot. */
+const HOST_CONCURRENCY = 4_096
 
-/** How long the delivery of a sample is tried before it is run again, in milliseconds. */
-const DELIVERY_MS = 60_000
+/** How often the tails of the steps are looked at, in milliseconds. */
+const TAIL_PERIOD_MS = 100
 
-/** Pause after a sample could not be run, in milliseconds. */
-const RETRY_MS = 200
-
-/** A batch that runs on this host. */
-interface RunningBatch {
-  readonly abort: AbortController
-}
+/** What the task is made from; the policy is the service's unless an experiment says otherwise. */
+export type BatchTaskParts = Omit<BatchContext, 'plan' | 'staleness' | 'counters' | 'policy'> & Partial<Pick<BatchContext, 'policy'>>
 
 /**
  * Runs the samples of the batches whose partitions this host owns, and commits
  * each with its usage. What a lost owner had not committed, the next one runs again.
  *
- * Invariant: a sample reaches a trainer only by a commit of its partition's owner.
+ * Invariants: a sample reaches a trainer only by a commit of its partition's
+ * owner; at most `HOST_CONCURRENCY` samples run or ask for a slot; a batch is
+ * held here only while it has open samples.
  */
 export class BatchTask {
   readonly #ledger: LedgerTask
-  readonly #catalogue: CatalogueSource
-  readonly #runner: CompletionRunner
-  readonly #running = new Map<string, RunningBatch>()
-  /** Newest weight version seen in any stream, by entry. */
-  readonly #newestVersion = new Map<string, number>()
-  readonly counters = { delivered: 0, discardedStale: 0, discardedUnnamed: 0, retried: 0 }
-
-  constructor (ledger: LedgerTask, catalogue: CatalogueSource, runner: CompletionRunner) {
+  readonly #context: BatchContext
+  readonly #runs = new Map<string, BatchRun>()
+  readonly #tail: Periodic
+  #stopped = false
+  readonly counters: BatchCounters = {
+    delivered: 0, failed: 0, discardedStale: 0, discardedUnnamed: 0, retried: 0, copies: 0, copiesWon: 0, moved: 0, wastedTokens: 0
+  }
+
+  constructor (ledger: LedgerTask, parts: BatchTaskParts) {
     this.#ledger = ledger
-    this.#catalogue = catalogue
-    this.#runner = runner
+    this.#context = { policy: BATCH_POLICY, ...parts, plan: new StragglerPlan(), staleness: new Staleness(), counters: this.counters }
+    this.#tail = new Periodic(TAIL_PERIOD_MS, async () => this.#copyLate())
+  }
+
+  /** Batches that run on this host. */
+  get running (): number {
+    return this.#runs.size
   }
 
   /** The broker service that is told of opened batches. */
@@ -54,22 +56,28 @@
     })
   }
 
-  start (): void {
+  async start (): Promise<void> {
     this.#ledger.onNews((news) => this.#hear(news))
+    this.#context.catalogue.onChange((view) => this.#moveReclaimed(view))
     for (const partition of this.#ledger.owned()) this.#resume(partition)
+    await this.#tail.start()
   }
 
   /** Stops running batches; their samples are run by the next owner. */
-  stop (): void {
-    for (const batch of this.#running.values()) batch.abort.abort()
+  async stop (): Promise<void> {
+    this.#stopped = true
+    await this.#tail.stop()
+    for (const run of this.#runs.values()) run.end()
+    this.#runs.clear()
   }
 
   #hear (news: LedgerNews): void {
     if (news.kind === LedgerNewsKind.Owned) this.#resume(news.partition)
     if (news.kind === LedgerNewsKind.Lost) this.#abandon(news.partition)
     if (news.kind !== LedgerNewsKind.Committed) return
-    if (news.record.kind === LedgerRecordKind.BatchOpen) this.#open(news.partition, batchKey(news.record.order.workspace, news.record.order.batchId))
-    if (news.record.kind === LedgerRecordKind.BatchCancel) this.#cancel(news.partition, batchKey(news.record.workspace, news.record.batchId))
+    const { record } = news
+    if (record.kind === LedgerRecordKind.BatchOpen) this.#open(news.partition, batchKey(record.order.workspace, record.order.batchId))
+    if (record.kind === LedgerRecordKind.BatchCancel) this.#end(nameOf(news.partition, batchKey(record.workspace, record.batchId)))
   }
 
   #resume (partition: number): void {
@@ -79,102 +87,55 @@
   }
 
   #abandon (partition: number): void {
-    for (const [name, batch] of [...this.#running]) {
-      if (!name.startsWith(`${partition}\u0000`)) continue
-      batch.abort.abort()
-      this.#running.delete(name)
+    for (const [name, run] of [...this.#runs]) {
+      if (run.partition === partition) this.#end(name)
     }
   }
 
-  #cancel (partition: number, key: string): void {
-    this.#running.get(`${partition}\u0000${key}`)?.abort.abort()
+  #end (name: string): void {
+    this.#runs.get(name)?.end()
+    this.#runs.delete(name)
   }
 
   #open (partition: number, key: string): boolean {
     const owner = this.#ledger.owner(partition)
     const batch = owner?.state.batch(key)
-    if (owner === undefined || batch === undefined) return false
-    const name = `${partition}\u0000${key}`
-    const open = batch.order.samples.filter((sample) => !batch.settled.has(sample.sampleId))
-    if (batch.cancelled || open.length === 0 || this.#running.has(name)) return true
-    const abort = new AbortController()
-    setMaxListeners(0, abort.signal)
-    this.#running.set(name, { abort })
-    void this.#runBatch(owner, batch, open, abort.signal).finally(() => {
-      if (this.#running.get(name)?.abort === abort) this.#running.delete(name)
-    })
+    if (this.#stopped || owner === undefined || batch === undefined) return false
+    const name = nameOf(partition, key)
+    if (batch.cancelled || this.#runs.has(name)) return true
+    const run = new BatchRun(this.#context, partition, owner, batch, () => this.#pump())
+    if (run.over) return true
+    this.#runs.set(name, run)
+    this.#pump()
     return true
   }
 
-  /** Long samples first, so that none of them starts when the others have ended. */
-  async #runBatch (owner: PartitionOwner, batch: BatchState, open: readonly SampleOrder[], signal: AbortSignal): Promise<void> {
-    const queue = [...open].sort((a, b) => b.expectedTokens - a.expectedTokens)
-    const worker = async (): Promise<void> => {
-      for (let sample = queue.shift(); sample !== undefined; sample = queue.shift()) await this.#settle(owner, batch, sample, signal)
+  /** Starts samples of all batches in turn, so that none waits for another to end. */
+  #pump (): void {
+    for (const [name, run] of [...this.#runs]) {
+      if (run.over) this.#runs.delete(name)
     }
-    await Promise.all(Array.from({ length: Math.min(BATCH_CONCURRENCY, open.length) }, worker))
-  }
-
-  /** Runs one sample until it is settled or the batch is no longer ours. */
-  async #settle (owner: PartitionOwner, batch: BatchState, sample: SampleOrder, signal: AbortSignal): Promise<void> {
-    for (let attempt = 0; !signal.aborted && !owner.deposed; attempt++) {
-      const record = await this.#runSample(batch, sample, attempt, signal)
-      if (record !== undefined) {
-        const answer = await owner.commit([record], deadlineAfter(DELIVERY_MS))
-        if (answer.status === CommitStatus.Committed) this.counters.delivered += 1
-        if (answer.status === CommitStatus.Committed || answer.status === CommitStatus.Rejected) return
-      }
-      this.counters.retried += 1
-      await new Promise((resolve) => setTimeout(resolve, RETRY_MS))
+    let room = HOST_CONCURRENCY - [...this.#runs.values()].reduce((sum, run) => sum + run.running, 0)
+    let runs = [...this.#runs.values()]
+    while (room > 0 && runs.length > 0) {
+      runs = runs.slice(0, room).filter((run) => run.startNext())
+      room -= runs.length
     }
   }
 
-  /** One run of a sample; undefined when it has to be run again. */
-  async #runSample (batch: BatchState, sample: SampleOrder, attempt: number, signal: AbortSignal): Promise<LedgerRecord | undefined> {
-    const { workspace: workspaceName, batchId, entry: entryName } = batch.order
-    const view = this.#catalogue.current()
-    const entry = view?.entry(entryName)
-    const workspace = view?.workspace(workspaceName)
-    if (entry === undefined || workspace === undefined) return undefined
-    const requestId = `${batchId}/${sample.sampleId}/${attempt}`
-    const result = await this.#runner.run({
-      requestId,
-      workspace,
-      entry,
-      prompt: sample.prompt,
-      maxTokens: sample.maxTokens,
-      expectedTokens: sample.expectedTokens,
-      deadline: deadlineAfter(entry.timeoutMs),
-      traceparent: '',
-      signal
-    })
-    if (result.ok) return this.#delivery(batch, sample, requestId, entry, workspace, result.completion)
-    if (result.refusal.reason !== RefusalReason.Quarantined) return undefined
-    return { kind: LedgerRecordKind.SampleFailure, workspace: workspaceName, batchId, sampleId: sample.sampleId, refusal: result.refusal }
+  #copyLate (): void {
+    const now = monotonicNow()
+    for (const run of this.#runs.values()) run.copyLate(now)
   }
 
-  #delivery (batch: BatchState, sample: SampleOrder, requestId: string, entry: Entry, workspace: Workspace, completion: Completion): LedgerRecord | undefined {
-    const { versions } = completion
-    if (versions === undefined) {
-      this.counters.discardedUnnamed += 1
-      return undefined
-    }
-    if (!this.#freshEnough(entry, versions.map((span) => span.version))) {
-      this.counters.discardedStale += 1
-      return undefined
-    }
-    return {
-      kind: LedgerRecordKind.Delivery,
-      workspace: workspace.name,
-      batchId: batch.order.batchId,
-      sample: { sampleId: sample.sampleId, group: sample.group, text: completion.text, versions, finishReason: completion.finishReason },
-      usage: { requestId, workspace: workspace.name, entry: entry.name, promptTokens: completion.promptTokens, answerTokens: completion.answerTokens, calls: 0 }
-    }
+  #moveReclaimed (view: CatalogueView): void {
+    const reclaimed = view.roster.endpoints.filter((item) => item.state === EndpointState.Reclaimed)
+    if (reclaimed.length === 0) return
+    const ids = new Set(reclaimed.map((item) => item.endpoint.id))
+    for (const run of this.#runs.values()) run.moveFrom(ids)
   }
+}
 
-  #freshEnough (entry: Entry, versions: readonly number[]): boolean {
-    const newest = Math.max(this.#newestVersion.get(entry.name) ?? 0, ...versions)
-    this.#newestVersion.set(entry.name, newest)
-    return entry.stalenessBound === undefined || versions.every((version) => newest - version <= (entry.stalenessBound ?? 0))
-  }
+function nameOf (partition: number, key: string): string {
+  return `${partition}\u0000${key}`
 }
--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -139,6 +139,17 @@
       .reduce((sum, endpoint) => sum + endpoint.slots, 0)
   }
 
+  /** Slots of a pool that nobody waits for, as last heard. */
+  freeSlots (pool: string): number {
+    return this.summaries(pool).reduce((sum, summary) => sum + Math.max(0, summary.freeSlots - summary.waiting), 0)
+  }
+
+  /** What was last heard of the cells of a pool. */
+  summaries (pool: string): CellSummary[] {
+    const own = this.#placements.filter((placement) => placement.pool === pool)
+    return own.flatMap((placement) => this.#summaries.get(placement.name) ?? [])
+  }
+
   async acquire (demand: SlotDemand): Promise<SlotResult> {
     if (this.#quarantine.judge(demand.digest) === Suspicion.Quarantined) return refused(quarantined())
     const { workspace, entry, expectedTokens, deadline } = demand
--- a/packages/coordination/src/lib/commit-group.ts
+++ b/packages/coordination/src/lib/commit-group.ts
@@ -23,6 +23,8 @@
   /** Monotonic milliseconds after which nobody waits for the answer. */
   readonly deadline: number
   readonly resolve: (answer: CommitAnswer) => void
+  /** Asked again when the group is formed; a commit that no longer holds is not written. */
+  readonly admits?: () => boolean
 }
 
 /** What a record excludes from its group, and what it only must not meet excluded. */
--- a/packages/coordination/src/lib/completion-runner.ts
+++ b/packages/coordination/src/lib/completion-runner.ts
@@ -1,8 +1,8 @@
 import { digest, Ran, RefusalReason, RetryBudget, SlotEnd } from '@cyclamenthread/state'
 import { CompletionBuilder, CompletionPartKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, SpanKind, timeLeft, traced, traceparentOf } from '@cyclamenthread/transport'
-import type { Entry, Refusal, Workspace } from '@cyclamenthread/state'
-import type { Completion, CompletionPart, EndpointClient } from '@cyclamenthread/protocol'
+import type { Endpoint, Entry, Refusal, Workspace } from '@cyclamenthread/state'
+import type { Completion, CompletionPart, CompletionSeed, EndpointClient } from '@cyclamenthread/protocol'
 import type { Slot, SlotSource } from './cell-router.js'
 import type { QuarantineTask } from './quarantine-task.js'
 
@@ -32,6 +32,19 @@
   readonly signal?: AbortSignal
   /** Called with each part as it comes; once it was called, the request is not run again elsewhere. */
   readonly onPart?: (part: CompletionPart) => void
+  /** Endpoints that are not to be used. */
+  readonly excluded?: readonly string[]
+  /** What an earlier endpoint has produced of the answer. */
+  readonly resume?: CompletionSeed
+  /** Watches the run without binding it to one endpoint. */
+  readonly observer?: CompletionObserver
+}
+
+/** Watches a completion that may still be run again elsewhere. */
+export interface CompletionObserver {
+  /** A slot was got; the stream starts from the beginning, or from the seed. */
+  granted (endpoint: Endpoint): void
+  part (part: CompletionPart): void
 }
 
 /** The result of running a completion. */
@@ -63,7 +76,7 @@
 
   /** Runs one completion to its end, a refusal, or its deadline. */
   async run (order: CompletionOrder): Promise<CompletionResult> {
-    const excluded: string[] = []
+    const excluded = [...order.excluded ?? []]
     let ran = Ran.No
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const outcome = await this.#attempt(order, excluded)
@@ -73,7 +86,7 @@
       if (outcome.streamed || order.signal?.aborted === true || timeLeft(order.deadline) <= 0) break
       if (!this.#retries.spend(order.workspace.name)) break
     }
-    return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran, detail: `${excluded.length} endpoints failed the request` } }
+    return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran, detail: 'the endpoints that were tried failed the request' } }
   }
 
   async #attempt (order: CompletionOrder, excluded: readonly string[]): Promise<Attempt> {
@@ -100,11 +113,13 @@
   async #stream (order: CompletionOrder, slot: Slot): Promise<Attempt> {
     const hop = { name: 'endpoint.complete', kind: SpanKind.CLIENT, traceparent: order.traceparent, attributes: { endpoint: slot.endpoint.id } }
     return await traced(hop, async (span) => {
-      const builder = new CompletionBuilder()
+      const builder = new CompletionBuilder(order.resume)
+      order.observer?.granted(slot.endpoint)
       let streamed = false
-      const call = { requestId: order.requestId, prompt: order.prompt, maxTokens: order.maxTokens, traceparent: traceparentOf(span), deadline: order.deadline }
+      const call = { requestId: order.requestId, prompt: order.prompt, maxTokens: order.maxTokens, traceparent: traceparentOf(span), deadline: order.deadline, ...(order.resume === undefined ? {} : { resume: order.resume.resumption }) }
       for await (const part of this.#endpoints.complete(slot.endpoint, order.signal === undefined ? call : { ...call, signal: order.signal })) {
         builder.add(part)
+        order.observer?.part(part)
         if (part.kind !== CompletionPartKind.Text || order.onPart === undefined) continue
         streamed = true
         order.onPart(part)
--- a/packages/coordination/src/lib/partition-owner.ts
+++ b/packages/coordination/src/lib/partition-owner.ts
@@ -119,14 +119,15 @@
    *
    * @param records the records; duplicates of what is committed are answered as such and not written
    * @param deadline monotonic milliseconds after which nobody waits for the answer
+   * @param admits asked again when the commit is about to be written; if it says no, nothing is written and the answer is Unavailable
    * @example
    * (await owner.commit([record], deadline)).status // CommitStatus.Committed
    */
-  async commit (records: readonly LedgerRecord[], deadline: number): Promise<CommitAnswer> {
+  async commit (records: readonly LedgerRecord[], deadline: number, admits?: () => boolean): Promise<CommitAnswer> {
     if (this.#deposed || this.#closing) return { status: CommitStatus.NotOwner, results: [] }
     if (this.#clock.now() < this.#suspendedUntil) return { status: CommitStatus.Unavailable, results: [] }
     return await new Promise((resolve) => {
-      this.#pending.push({ records, deadline, resolve })
+      this.#pending.push({ records, deadline, resolve, ...(admits === undefined ? {} : { admits }) })
       void this.#flush()
     })
   }
@@ -172,6 +173,10 @@
     const accepted: PendingCommit[] = []
     const rejected: PendingCommit[] = []
     for (const commit of group) {
+      if (commit.admits?.() === false) {
+        settle([commit], CommitStatus.Unavailable)
+        continue
+      }
       const fits = commit.records.every((record) => this.state.check(record) !== ApplyResult.Rejected)
       const list = fits ? accepted : rejected
       list.push(commit)
--- /dev/null
+++ b/packages/coordination/src/lib/sample-copy.ts
@@ -0,0 +1,93 @@
+import { CompletionPartKind } from '@cyclamenthread/protocol'
+import { monotonicNow } from '@cyclamenthread/transport'
+import type { Endpoint, VersionSpan } from '@cyclamenthread/state'
+import type { CompletionPart, CompletionResumption, CompletionSeed } from '@cyclamenthread/protocol'
+import type { CompletionObserver } from './completion-runner.js'
+
+/**
+ * One run of a sample, as seen while it streams.
+ *
+ * Invariant: `tokens` is what the present endpoint and the seed have produced.
+ */
+export class SampleCopy implements CompletionObserver {
+  readonly requestId: string
+  readonly #seed: CompletionSeed | undefined
+  readonly #isTooOld: (version: number) => boolean
+  readonly #abort = new AbortController()
+  endpoint: Endpoint | undefined
+  /** Monotonic milliseconds at which it got its present slot. */
+  startedAt: number | undefined
+  tokens = 0
+  tooOld = false
+  abandoned = false
+  #text = ''
+  #spans: VersionSpan[] = []
+  #unnamed = false
+
+  /** @param isTooOld whether a version can't be delivered any more */
+  constructor (requestId: string, seed: CompletionSeed | undefined, isTooOld: (version: number) => boolean) {
+    this.requestId = requestId
+    this.#seed = seed
+    this.#isTooOld = isTooOld
+  }
+
+  get signal (): AbortSignal {
+    return this.#abort.signal
+  }
+
+  /** Tokens that came from an earlier endpoint. */
+  get resumed (): number {
+    return this.#seed?.resumption.tokens ?? 0
+  }
+
+  granted (endpoint: Endpoint): void {
+    this.endpoint = endpoint
+    this.startedAt = monotonicNow()
+    this.tokens = this.resumed
+    this.#text = this.#seed?.resumption.text ?? ''
+    this.#spans = [...this.#seed?.versions ?? []]
+    this.#unnamed = false
+  }
+
+  part (part: CompletionPart): void {
+    if (part.kind !== CompletionPartKind.Text) return
+    this.tokens += part.tokens
+    this.#text += part.text
+    if (part.version === undefined) {
+      this.#unnamed = true
+      return
+    }
+    this.#spans.push({ version: part.version, tokens: part.tokens })
+    if (this.tooOld || !this.#isTooOld(part.version)) return
+    this.tooOld = true
+    this.#abort.abort()
+  }
+
+  /**
+   * What another endpoint can go on with: the text seen here, and the KV cache
+   * when the export is of exactly that text. Undefined when there is nothing, or
+   * the version of some part is not known.
+   */
+  seed (exported?: CompletionResumption): CompletionSeed | undefined {
+    if (this.#unnamed || this.tokens === 0) return undefined
+    const own: CompletionResumption = { text: this.#text, tokens: this.tokens }
+    const matches = exported !== undefined && exported.tokens === this.tokens && exported.text === this.#text
+    return { resumption: matches ? exported : own, versions: merged(this.#spans) }
+  }
+
+  /** Ends the run; its result is of no interest any more. */
+  abandon (): void {
+    this.abandoned = true
+    this.#abort.abort()
+  }
+}
+
+function merged (spans: readonly VersionSpan[]): VersionSpan[] {
+  const result: VersionSpan[] = []
+  for (const span of spans) {
+    const last = result.at(-1)
+    if (last?.version === span.version) result[result.length - 1] = { version: last.version, tokens: last.tokens + span.tokens }
+    else result.push(span)
+  }
+  return result
+}
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -7,9 +7,14 @@
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import { Gateway } from './gateway.js'
 import { hostSettings } from './settings.js'
-import type { HostSettings } from '@cyclamenthread/coordination'
+import type { BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
+/** What an experiment may set to compare a decision with a simpler one; no setting or flag does. */
+export interface ServiceOptions {
+  readonly batchPolicy?: BatchPolicy
+}
+
 /**
  * One process of the service: every role that may fall to a host, wired
  * together over a broker without transporter.
@@ -41,7 +46,7 @@
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
 
-  constructor (settings: ServiceSettings) {
+  constructor (settings: ServiceSettings, options: ServiceOptions = {}) {
     this.#settings = settings
     this.#host = hostSettings(settings)
     this.#broker = new ServiceBroker({ nodeID: settings.hostId, logger: false, tracing: false, metrics: false })
@@ -58,7 +63,13 @@
     this.#ledger = new LedgerTask(this.#host, this.#members, this.#store)
     const completions = new CompletionRunner(this.#router, this.#endpoints, this.#quarantine)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
-    this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions)
+    this.#batches = new BatchTask(this.#ledger, {
+      catalogue: this.#catalogue,
+      runner: completions,
+      endpoints: this.#endpoints,
+      slots: this.#router,
+      ...(options.batchPolicy === undefined ? {} : { policy: options.batchPolicy })
+    })
     this.#usage = new UsageTask(this.#host, {
       members: this.#members,
       advance: async (partition) => await this.#ledger.advance(partition),
@@ -96,7 +107,7 @@
     await this.#ledger.start()
     await this.#limits.start()
     await this.#router.start()
-    this.#batches.start()
+    await this.#batches.start()
     await this.#usage.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
@@ -119,7 +130,7 @@
 
   /** Stops at once. */
   async stop (): Promise<void> {
-    this.#batches.stop()
+    await this.#batches.stop()
     await this.#usage.stop()
     await this.#router.stop()
     await this.#limits.stop()
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -24,6 +24,12 @@
   readonly kv?: string
 }
 
+/** An answer that is gone on with: what was produced, and by which versions. */
+export interface CompletionSeed {
+  readonly resumption: CompletionResumption
+  readonly versions: readonly VersionSpan[]
+}
+
 /** A completion to be run on an engine. */
 export interface CompletionCall {
   readonly requestId: string
@@ -310,6 +316,13 @@
   #completion: Completion | undefined
   #failure: { readonly sent: boolean, readonly detail: string } | undefined
 
+  /** @param seed what an earlier endpoint produced of the answer */
+  constructor (seed?: CompletionSeed) {
+    if (seed === undefined) return
+    this.#text = seed.resumption.text
+    this.#spans = [...seed.versions]
+  }
+
   /** Takes the next part. */
   add (part: CompletionPart): void {
     switch (part.kind) {
