--- a/packages/bench/src/lib/caller.ts
+++ b/packages/bench/src/lib/caller.ts
@@ -24,6 +24,7 @@
   readonly group: string
   readonly prompt: string
   readonly max_tokens: number
+  readonly expected_tokens?: number
 }
 
 /** A caller with a key that talks to one host. */
--- a/packages/bench/src/lib/deployment-plan.ts
+++ b/packages/bench/src/lib/deployment-plan.ts
@@ -1,3 +1,6 @@
+import type { CapacityRule } from '@cyclamenthread/state'
+import type { EngineSettings } from '@cyclamenthread/standins'
+
 /** A failure domain of a deployment. */
 export interface DomainPlan {
   readonly name: string
@@ -15,6 +18,14 @@
   readonly usageWindowMs: number
   readonly ledgerPartitions: number
   readonly addressTtlMs: number
+  /** Settings of the engines beyond those above. */
+  readonly engine?: Partial<EngineSettings>
+  /** Rules by which endpoints of the engine pool are ordered. */
+  readonly capacity?: readonly CapacityRule[]
+  /** Staleness bound of the training entry. */
+  readonly stalenessBound?: number
+  /** Settings of the hosts beyond those of every test deployment, by environment variable. */
+  readonly environment?: Readonly<Record<string, string>>
 }
 
 /** The Authority's deployment at today's size: eight hosts, eight engines, three booking engines. */
--- a/packages/bench/src/lib/deployment.ts
+++ b/packages/bench/src/lib/deployment.ts
@@ -89,7 +89,7 @@
   catalogue (): Catalogue {
     const common = { owner: 'test', limits: {}, open: false, idempotentMethods: ['GET' as const, 'HEAD' as const], whenIsolated: IsolationPolicy.Refuse, timeoutMs: 30_000 }
     const entries: Entry[] = [
-      { ...common, name: 'critique', kind: EntryKind.Model, class: WorkClass.Training, pool: 'engines', stalenessBound: 2 },
+      { ...common, name: 'critique', kind: EntryKind.Model, class: WorkClass.Training, pool: 'engines', stalenessBound: this.plan.stalenessBound ?? 2 },
       { ...common, name: 'answers', kind: EntryKind.Model, class: WorkClass.Interactive, pool: 'engines' },
       { ...common, name: 'pitches', kind: EntryKind.Service, class: WorkClass.Booking, pool: 'bookings' },
       { ...common, name: 'squares', kind: EntryKind.Service, class: WorkClass.Booking, pool: 'bookings', open: true }
@@ -99,7 +99,7 @@
       keys: TEST_WORKSPACES.map((name): Key => ({ id: `${name}-key`, workspace: name, salt: SALT, hash: hashKey(SALT, tokenOf(name)), withdrawn: false })),
       entries,
       pools: [
-        { name: 'engines', kind: EntryKind.Model, endpoints: this.#endpoints.get(EntryKind.Model) ?? [], capacity: [] },
+        { name: 'engines', kind: EntryKind.Model, endpoints: this.#endpoints.get(EntryKind.Model) ?? [], capacity: [...this.plan.capacity ?? []] },
         { name: 'bookings', kind: EntryKind.Service, endpoints: this.#endpoints.get(EntryKind.Service) ?? [], capacity: [] }
       ]
     }
@@ -124,7 +124,7 @@
 
   async #startEndpoints (domain: DomainPlan): Promise<void> {
     for (let index = 0; index < domain.engines; index++) {
-      const engine = new EngineStandin({ slots: this.plan.slotsPerEngine, tokenMs: this.plan.tokenMs, prefillMs: 0, checksFencing: true })
+      const engine = new EngineStandin({ slots: this.plan.slotsPerEngine, tokenMs: this.plan.tokenMs, prefillMs: 0, checksFencing: true, ...this.plan.engine })
       this.engines.push(engine)
       this.#addEndpoint(EntryKind.Model, domain, `engine-${domain.name}-${index}`, await engine.listen(), this.plan.slotsPerEngine)
     }
@@ -170,7 +170,8 @@
       CYCLAMENTHREAD_LEDGER_PARTITIONS: String(this.plan.ledgerPartitions),
       CYCLAMENTHREAD_USAGE_WINDOW_MS: String(this.plan.usageWindowMs),
       CYCLAMENTHREAD_ADDRESS_TTL_MS: String(this.plan.addressTtlMs),
-      CYCLAMENTHREAD_LEASE_MS: '3000'
+      CYCLAMENTHREAD_LEASE_MS: '3000',
+      ...this.plan.environment
     }
     return { host, environment }
   }
--- a/packages/bench/src/lib/service-host.ts
+++ b/packages/bench/src/lib/service-host.ts
@@ -1,6 +1,8 @@
 import { spawn } from 'node:child_process'
 import { fileURLToPath } from 'node:url'
 import { readSettings, Service } from 'cyclamenthread'
+import type { BatchCounters } from '@cyclamenthread/coordination'
+import type { ServiceOptions } from 'cyclamenthread'
 import type { ChildProcess } from 'node:child_process'
 
 /** Settings of a service process, by environment variable. */
@@ -22,10 +24,10 @@
     this.#service = service
   }
 
-  static async start (environment: HostEnvironment): Promise<EmbeddedHost> {
+  static async start (environment: HostEnvironment, options: ServiceOptions = {}): Promise<EmbeddedHost> {
     const settings = readSettings({}, environment)
     if (!settings.ok) throw new Error(settings.failure.join('\n'))
-    const service = new Service(settings.value)
+    const service = new Service(settings.value, options)
     await service.start()
     return new EmbeddedHost(service)
   }
@@ -34,6 +36,11 @@
     await this.#service.drain()
   }
 
+  /** What became of the samples of this host's batches. */
+  get sampleCounters (): BatchCounters {
+    return this.#service.sampleCounters
+  }
+
   async kill (): Promise<void> {
     await this.#service.stop()
   }
--- a/packages/coordination/src/lib/batch-context.ts
+++ b/packages/coordination/src/lib/batch-context.ts
@@ -10,10 +10,12 @@
   readonly longestFirst: boolean
   /** Whether late samples of a step's tail are run a second time. */
   readonly copies: boolean
+  /** Whether streams go on elsewhere on a notice of reclaim; else they run until they break off. */
+  readonly moves: boolean
 }
 
 /** What the service does. */
-export const BATCH_POLICY: BatchPolicy = { longestFirst: true, copies: true }
+export const BATCH_POLICY: BatchPolicy = { longestFirst: true, copies: true, moves: true }
 
 /** What became of samples since the start of the process, and tokens that were produced for nothing. */
 export interface BatchCounters {
--- a/packages/coordination/src/lib/batch-run.ts
+++ b/packages/coordination/src/lib/batch-run.ts
@@ -5,12 +5,22 @@
 import type { BatchContext } from './batch-context.js'
 import type { PartitionOwner } from './partition-owner.js'
 
-/** Samples that ask for slots, as a multiple of the slots of the pool: enough to fill each slot as it gets free. */
-const AHEAD = 1.5
+/**
+ * Samples that run or ask for slots, as a multiple of the slots of the pool:
+ * enough to fill each slot as it gets free, few enough that the rest can still go
+ * to whichever cell is free then.
+ */
+const AHEAD = 1.25
+
+/** Wait in one cell after which a sample asks anew, in milliseconds. */
+const ASK_AGAIN_MS = 200
 
 /** Samples that ask for slots even when no slot of the pool is known. */
 const MIN_AHEAD = 16
 
+/** Samples that ask anew at one look without a slot being known to be free: others may use what is missing. */
+const GUESSES = 4
+
 /** Pause before samples that could not be run are run again, in milliseconds. */
 const RETRY_MS = 200
 
@@ -52,9 +62,11 @@
     this.#queue = context.policy.longestFirst ? context.plan.order(entry, open) : open
   }
 
-  /** Samples that run or ask for a slot. */
+  /** Samples that run or ask for a slot; those that only wait for their commit need none. */
   get running (): number {
-    return this.#running.size
+    let count = 0
+    for (const run of this.#running.values()) count += run.committing ? 0 : 1
+    return count
   }
 
   /** Whether everything is settled or the run was ended. */
@@ -65,23 +77,49 @@
   /** Starts the next sample, if the run may have one more. */
   startNext (): boolean {
     const limit = Math.max(MIN_AHEAD, AHEAD * this.#context.slots.totalSlots(this.pool))
-    if (this.#ended || this.#running.size >= limit) return false
+    if (this.#ended || this.running >= limit) return false
     const sample = this.#queue.shift()
     if (sample === undefined) return false
     void this.#run(sample)
     return true
   }
 
-  /** At the tail, when no sample waits any more: runs late ones a second time where slots are free. */
-  copyLate (now: number): void {
-    if (!this.#context.policy.copies || this.#ended || this.#queue.length > 0 || this.#running.size === 0) return
-    const free = this.#context.slots.freeSlots(this.pool)
-    const running = [...this.#running.values()].flatMap((run) => run.progress ?? [])
-    for (const late of this.#context.plan.copies(running, free, now)) this.#running.get(late.sampleId)?.copy()
+  /** Looks at what waits in the wrong place and, at the tail, at what is late. */
+  look (now: number): void {
+    if (this.#ended || this.#running.size === 0) return
+    this.#askAgain(now)
+    if (this.#context.policy.copies && this.#queue.length === 0) this.#copyLate(now)
+  }
+
+  /**
+   * Samples that wait ask anew while slots may be free elsewhere. The last ones
+   * to ask go first: they wait at the end of their cell's queue and lose least,
+   * while the long samples keep their places.
+   */
+  #askAgain (now: number): void {
+    const runs = [...this.#running.values()]
+    const waiting = runs.filter((run) => now - (run.waitingSince ?? Infinity) > ASK_AGAIN_MS)
+    if (waiting.length === 0) return
+    waiting.sort((a, b) => (b.waitingSince ?? 0) - (a.waitingSince ?? 0))
+    const unused = this.#context.slots.totalSlots(this.pool) - runs.filter((run) => run.progress !== undefined && !run.committing).length
+    const count = Math.max(this.#context.slots.freeSlots(this.pool), Math.min(unused, GUESSES))
+    for (const run of waiting.slice(0, Math.max(0, count))) run.askAgain()
+  }
+
+  /**
+   * Runs late samples a second time, as far as the batch itself has left slots
+   * free. A copy queues like any request of its workspace, so it costs no other
+   * workspace its share.
+   */
+  #copyLate (now: number): void {
+    const room = this.#context.slots.totalSlots(this.pool) - this.running
+    const running = [...this.#running.values()].flatMap((run) => run.committing ? [] : run.progress ?? [])
+    for (const late of this.#context.plan.copies(running, room, now)) this.#running.get(late.sampleId)?.copy()
   }
 
   /** Moves what runs on endpoints that vanish, in the order of what would be lost. */
   moveFrom (endpointIds: ReadonlySet<string>): void {
+    if (!this.#context.policy.moves) return
     const runs = [...this.#running.values()].filter((run) => run.runsOn(endpointIds))
     runs.sort((a, b) => (b.progress?.tokens ?? 0) - (a.progress?.tokens ?? 0))
     for (const run of runs) void run.moveFrom(endpointIds)
@@ -100,7 +138,7 @@
     const settled = await traced(hop, async (span) => {
       // The samples of a batch share the trace of its first one.
       if (this.#traceparent === '') this.#traceparent = traceparentOf(span)
-      const run = new SampleRun(this.#context, this.#owner, this.#batch.order, sample, traceparentOf(span))
+      const run = new SampleRun(this.#context, this.#owner, this.#batch.order, sample, traceparentOf(span), this.#onFree)
       this.#running.set(sample.sampleId, run)
       return await run.settle()
     })
--- a/packages/coordination/src/lib/batch-task.ts
+++ b/packages/coordination/src/lib/batch-task.ts
@@ -41,7 +41,7 @@
   constructor (ledger: LedgerTask, parts: BatchTaskParts) {
     this.#ledger = ledger
     this.#context = { policy: BATCH_POLICY, ...parts, plan: new StragglerPlan(), staleness: new Staleness(), counters: this.counters }
-    this.#tail = new Periodic(TAIL_PERIOD_MS, async () => this.#copyLate())
+    this.#tail = new Periodic(TAIL_PERIOD_MS, async () => this.#look())
   }
 
   /** Batches that run on this host. */
@@ -123,9 +123,9 @@
     }
   }
 
-  #copyLate (): void {
+  #look (): void {
     const now = monotonicNow()
-    for (const run of this.#runs.values()) run.copyLate(now)
+    for (const run of this.#runs.values()) run.look(now)
   }
 
   #moveReclaimed (view: CatalogueView): void {
--- /dev/null
+++ b/packages/coordination/src/lib/capacity-orders.ts
@@ -0,0 +1,119 @@
+import { FleetOrderKind, PlatformFailure } from '@cyclamenthread/protocol'
+import { deadlineSignal } from '@cyclamenthread/transport'
+import { z } from 'zod'
+import { IntentLog } from './intent-log.js'
+import type { FleetOrder, ObjectStore, PlatformClient } from '@cyclamenthread/protocol'
+import type { Leadership } from './lease-task.js'
+
+const fleetOrderSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(FleetOrderKind.Start), orderId: z.string(), pool: z.string(), failureDomain: z.string(), cheap: z.boolean(), count: z.int().positive() }),
+  z.object({ kind: z.literal(FleetOrderKind.Stop), orderId: z.string(), endpointId: z.string() })
+])
+
+/** What came of one order. */
+export enum OrderResult {
+  Accepted = 'accepted',
+  /** None are to be had. */
+  Refused = 'refused'
+}
+
+/** An order whose effect is known. */
+export interface SettledOrder {
+  readonly order: FleetOrder
+  readonly result: OrderResult
+}
+
+/** Name of the lease and of its intents. */
+export const CAPACITY_LEASE = 'capacity'
+
+/**
+ * Sends endpoint orders to the platform: written down first, sent only under
+ * the lease, sent again unchanged until the platform has answered. After a
+ * takeover, what the former leader left open comes first.
+ *
+ * Invariant: while an order is open nothing new is sent, so that no plan counts
+ * on what may or may not have been ordered.
+ */
+export class CapacityOrders {
+  readonly #intents: IntentLog<FleetOrder>
+  readonly #platform: Pick<PlatformClient, 'order'>
+  readonly #leadership: () => Leadership | undefined
+  #open: FleetOrder[] = []
+  #openedEpoch = 0
+  #sequence = 0
+  readonly counters = { sent: 0, resent: 0, refused: 0 }
+
+  /** @param leadership the lease as it stands at the moment of the call */
+  constructor (store: ObjectStore, platform: Pick<PlatformClient, 'order'>, storeTimeoutMs: number, leadership: () => Leadership | undefined) {
+    this.#intents = new IntentLog({ name: CAPACITY_LEASE, storeTimeoutMs, parse: (value) => fleetOrderSchema.safeParse(value).data }, store)
+    this.#platform = platform
+    this.#leadership = leadership
+  }
+
+  /** Names an order of this leader; each name is used once. */
+  nextId (leadership: Leadership): string {
+    this.#sequence += 1
+    return `${CAPACITY_LEASE}/${leadership.epoch}/${this.#sequence}`
+  }
+
+  /**
+   * Sends what is open again.
+   *
+   * @returns what was settled, or undefined while something is still open
+   */
+  async settleOpen (): Promise<readonly SettledOrder[] | undefined> {
+    const leadership = this.#leadership()
+    if (leadership === undefined) return undefined
+    if (this.#openedEpoch !== leadership.epoch && !await this.#takeOver(leadership)) return undefined
+    if (this.#open.length === 0) return []
+    this.counters.resent += this.#open.length
+    const settled = await this.#sendAll()
+    return this.#open.length === 0 ? settled : undefined
+  }
+
+  /** Writes orders down and sends them; only after `settleOpen` has answered. */
+  async send (orders: readonly FleetOrder[]): Promise<readonly SettledOrder[]> {
+    const leadership = this.#leadership()
+    if (leadership === undefined || leadership.epoch !== this.#openedEpoch || orders.length === 0) return []
+    const written = await this.#intents.write(orders.map((order) => ({ id: order.orderId, order })), leadership)
+    if (!written.ok) {
+      // What stands in the store is not known: it is read again before anything else is sent.
+      this.#openedEpoch = 0
+      return []
+    }
+    this.#open = [...orders]
+    return await this.#sendAll()
+  }
+
+  async #takeOver (leadership: Leadership): Promise<boolean> {
+    const opened = await this.#intents.open(leadership)
+    if (!opened.ok) return false
+    this.#open = opened.value.map((intent) => intent.order)
+    this.#openedEpoch = leadership.epoch
+    return true
+  }
+
+  async #sendAll (): Promise<SettledOrder[]> {
+    const settled: SettledOrder[] = []
+    for (const order of this.#open) {
+      const result = await this.#sendOne(order)
+      if (result !== undefined) settled.push({ order, result })
+    }
+    const ids = settled.map((item) => item.order.orderId)
+    this.#open = this.#open.filter((order) => !ids.includes(order.orderId))
+    if (ids.length > 0) await this.#intents.settle(ids)
+    return settled
+  }
+
+  /** Undefined when the effect is not known. */
+  async #sendOne (order: FleetOrder): Promise<OrderResult | undefined> {
+    const leadership = this.#leadership()
+    if (leadership === undefined || leadership.epoch !== this.#openedEpoch) return undefined
+    this.counters.sent += 1
+    const answer = await this.#platform.order(order, { deadline: leadership.deadline, signal: deadlineSignal(leadership.deadline) })
+    if (answer.ok) return OrderResult.Accepted
+    if (answer.failure !== PlatformFailure.Refused) return undefined
+    this.counters.refused += 1
+    return OrderResult.Refused
+  }
+}
--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -165,6 +165,7 @@
     if (held === undefined) return
     this.#held.delete(slot.slotId)
     this.#limits.release(held.permit)
+    this.#restore(slot.cell)
     const owner = this.#ownerOf(slot.cell)
     if (owner === undefined) return
     await this.#bus.post(owner, { kind: PeerMessageKind.ReleaseSlot, cell: slot.cell, slotId: slot.slotId, end, actualTokens }, traceparent)
@@ -258,6 +259,15 @@
       : { ...summary, waiting: summary.waiting + 1 })
   }
 
+  /** Counts a slot that is given back at once, so that the next request can follow it before the next summary. */
+  #restore (cell: string): void {
+    const summary = this.#summaries.get(cell)
+    if (summary === undefined) return
+    this.#summaries.set(cell, summary.waiting > 0
+      ? { ...summary, waiting: summary.waiting - 1 }
+      : { ...summary, freeSlots: Math.min(summary.totalSlots, summary.freeSlots + 1) })
+  }
+
   #ownerOf (cell: string): ReturnType<typeof cellOwner> {
     const placement = this.#placements.find((item) => item.name === cell)
     return placement === undefined ? undefined : cellOwner(placement, this.#members.workers())
--- /dev/null
+++ b/packages/coordination/src/lib/domain-leader.ts
@@ -0,0 +1,149 @@
+import { EntryKind, WeightWaves } from '@cyclamenthread/state'
+import { EndpointOrderKind, OrderStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { isLeaseCandidate } from './lease-candidate.js'
+import { LeaseTask } from './lease-task.js'
+import { Periodic } from './periodic.js'
+import type { CatalogueView, Endpoint } from '@cyclamenthread/state'
+import type { EndpointClient, ObjectStore } from '@cyclamenthread/protocol'
+import type { CatalogueSource } from './catalogue-task.js'
+import type { FleetSettings } from './fleet-settings.js'
+import type { HostSettings } from './host-settings.js'
+import type { LeasePlace } from './lease-candidate.js'
+import type { MemberView } from './member-task.js'
+
+/** Pause between two looks at what is to be ordered, in milliseconds. */
+const TURN_MS = 100
+
+/** How often an endpoint that nothing is expected of is asked for its version, in milliseconds. */
+const WATCH_MS = 5_000
+
+/** Longest wait for a load report, in milliseconds. */
+const REPORT_MS = 1_000
+
+/** What the leader of a failure domain works with. */
+export interface DomainContext {
+  readonly members: MemberView
+  readonly catalogue: CatalogueSource
+  readonly store: ObjectStore
+  readonly endpoints: Pick<EndpointClient, 'order' | 'readLoad'>
+}
+
+/** One pool's endpoints in the failure domain. */
+interface PoolWaves {
+  readonly waves: WeightWaves
+  readonly watchedAt: Map<string, number>
+}
+
+/**
+ * Leads one failure domain while it holds the domain's lease: brings released
+ * weights to its endpoints in waves, with the lease's epoch as fencing number.
+ *
+ * Invariants: an order is sent only under the lease, which is looked at in the
+ * turn in which the first byte is written and ends the order at its deadline, so
+ * endpoints that ignore fencing numbers never hear two leaders at once; an
+ * endpoint has the weights it was seen with, never those it was ordered.
+ */
+export class DomainLeader {
+  readonly #fleet: FleetSettings
+  readonly #place: LeasePlace
+  readonly #context: DomainContext
+  readonly #lease: LeaseTask
+  readonly #loop = new Periodic(TURN_MS, async () => await this.#turn())
+  readonly #pools = new Map<string, PoolWaves>()
+  /** Endpoints whose report is under way. */
+  readonly #asked = new Set<string>()
+  #epoch = 0
+  readonly counters = { ordered: 0, fenced: 0, completed: 0, failed: 0, reports: 0 }
+
+  constructor (settings: HostSettings, fleet: FleetSettings, place: LeasePlace, context: DomainContext) {
+    this.#fleet = fleet
+    this.#place = place
+    this.#context = context
+    const { self, incarnation, leaseMs, storeTimeoutMs } = settings
+    const name = `domain/${place.failureDomain}`
+    const eligible = (): boolean => isLeaseCandidate(name, self.id, context.members.workers(), place)
+    this.#lease = new LeaseTask({ name, holder: `${self.id}/${incarnation}`, leaseMs, storeTimeoutMs, eligible }, context.store)
+  }
+
+  /** Whether this host leads the failure domain now. */
+  get leads (): boolean {
+    return this.#lease.leadership() !== undefined
+  }
+
+  async start (): Promise<void> {
+    await this.#lease.start()
+    await this.#loop.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#loop.stop()
+    await this.#lease.stop()
+  }
+
+  async #turn (): Promise<void> {
+    const leadership = this.#lease.leadership()
+    const view = this.#context.catalogue.current()
+    if (leadership === undefined || view === undefined) {
+      this.#pools.clear()
+      return
+    }
+    if (leadership.epoch !== this.#epoch) this.#pools.clear()
+    this.#epoch = leadership.epoch
+    for (const pool of view.catalogue.pools) {
+      if (pool.kind === EntryKind.Model && view.releasedVersion(pool.name) > 0) this.#leadPool(pool.name, view)
+    }
+  }
+
+  #leadPool (pool: string, view: CatalogueView): void {
+    const all = view.endpoints(pool)
+    const own = all.filter((endpoint) => endpoint.failureDomain === this.#place.failureDomain)
+    if (own.length === 0) {
+      this.#pools.delete(pool)
+      return
+    }
+    const state = this.#pools.get(pool) ?? { waves: new WeightWaves({
+      servingShare: this.#fleet.weightServingShare,
+      fetchesPerSecond: this.#fleet.weightFetchesPerSecond * own.length / all.length,
+      swapTimeoutMs: this.#fleet.weightSwapTimeoutMs,
+      retryMs: this.#fleet.weightSwapTimeoutMs / 10
+    }), watchedAt: new Map() }
+    this.#pools.set(pool, state)
+    state.waves.setEndpoints(own.map((endpoint) => endpoint.id))
+    state.waves.release(view.releasedVersion(pool))
+    for (const endpoint of own) this.#watch(state, endpoint)
+    const byId = new Map(own.map((endpoint) => [endpoint.id, endpoint]))
+    for (const order of state.waves.plan(monotonicNow())) {
+      const endpoint = byId.get(order.endpointId)
+      if (endpoint !== undefined) void this.#order(state.waves, pool, endpoint, order.version)
+    }
+  }
+
+  /** Asks an endpoint for its version: at each turn while a change is awaited, else now and then. */
+  #watch (state: PoolWaves, endpoint: Endpoint): void {
+    const now = monotonicNow()
+    const isDue = state.waves.awaits(endpoint.id) || now - (state.watchedAt.get(endpoint.id) ?? -Infinity) >= WATCH_MS
+    if (!isDue || this.#asked.has(endpoint.id)) return
+    state.watchedAt.set(endpoint.id, now)
+    this.#asked.add(endpoint.id)
+    this.counters.reports += 1
+    void this.#context.endpoints.readLoad(endpoint, deadlineAfter(REPORT_MS)).then((report) => {
+      this.#asked.delete(endpoint.id)
+      if (report !== undefined) state.waves.see(endpoint.id, report.version, now - report.ageMs)
+    })
+  }
+
+  async #order (waves: WeightWaves, pool: string, endpoint: Endpoint, version: number): Promise<void> {
+    const leadership = this.#lease.leadership()
+    if (leadership === undefined) {
+      waves.fail(endpoint.id, monotonicNow())
+      return
+    }
+    this.counters.ordered += 1
+    const order = { kind: EndpointOrderKind.LoadWeights, pool, version, fence: leadership.epoch } as const
+    const status = await this.#context.endpoints.order(endpoint, order, leadership.deadline)
+    if (status === OrderStatus.Accepted) return
+    if (status === OrderStatus.Fenced) this.counters.fenced += 1
+    waves.fail(endpoint.id, monotonicNow())
+  }
+}
--- a/packages/coordination/src/lib/sample-copy.ts
+++ b/packages/coordination/src/lib/sample-copy.ts
@@ -11,6 +11,8 @@
  */
 export class SampleCopy implements CompletionObserver {
   readonly requestId: string
+  /** Monotonic milliseconds at which it asked for a slot. */
+  readonly askedAt = monotonicNow()
   readonly #seed: CompletionSeed | undefined
   readonly #isTooOld: (version: number) => boolean
   readonly #abort = new AbortController()
@@ -35,6 +37,11 @@
     return this.#abort.signal
   }
 
+  /** What it goes on with. */
+  get given (): CompletionSeed | undefined {
+    return this.#seed
+  }
+
   /** Tokens that came from an earlier endpoint. */
   get resumed (): number {
     return this.#seed?.resumption.tokens ?? 0
--- a/packages/coordination/src/lib/sample-run.ts
+++ b/packages/coordination/src/lib/sample-run.ts
@@ -35,6 +35,7 @@
   readonly #order: Pick<BatchOrder, 'batchId' | 'workspace' | 'entry'>
   readonly #sample: SampleOrder
   readonly #traceparent: string
+  readonly #onFree: () => void
   readonly #copies = new Set<SampleCopy>()
   readonly #settled: Promise<boolean>
   #finish: (settled: boolean) => void = () => {}
@@ -42,7 +43,9 @@
   #committing = false
   #over = false
 
-  constructor (context: BatchContext, owner: PartitionOwner, order: BatchOrder, sample: SampleOrder, traceparent: string) {
+  /** @param onFree called when the sample needs no slot any more */
+  constructor (context: BatchContext, owner: PartitionOwner, order: BatchOrder, sample: SampleOrder, traceparent: string, onFree: () => void) {
+    this.#onFree = onFree
     this.#context = context
     this.#owner = owner
     this.#order = { batchId: order.batchId, workspace: order.workspace, entry: order.entry }
@@ -59,6 +62,27 @@
     return await this.#settled
   }
 
+  /** Whether the sample is done but for its commit, and needs no slot. */
+  get committing (): boolean {
+    return this.#committing
+  }
+
+  /** Monotonic milliseconds since when the sample waits for its first slot; undefined when it does not. */
+  get waitingSince (): number | undefined {
+    const [copy] = this.#copies
+    return this.#copies.size === 1 && copy?.startedAt === undefined ? copy?.askedAt : undefined
+  }
+
+  /** Asks anew for a slot, as one may be free in another cell than the one it waits in. */
+  askAgain (): void {
+    if (this.#over || this.waitingSince === undefined) return
+    const [copy] = this.#copies
+    if (copy === undefined) return
+    copy.abandon()
+    this.#copies.delete(copy)
+    this.#start([], copy.given)
+  }
+
   /** How far the sample is; undefined while it waits for a slot. */
   get progress (): RunningSample | undefined {
     const started = [...this.#copies].filter((copy) => copy.startedAt !== undefined)
@@ -165,6 +189,7 @@
       return
     }
     this.#committing = true
+    this.#onFree()
     const fresh = record.kind !== LedgerRecordKind.Delivery || entry.stalenessBound === undefined
       ? undefined
       : () => this.#judge(entry, record.sample.versions) === Freshness.Fresh
--- /dev/null
+++ b/packages/coordination/src/lib/spread-document.ts
@@ -0,0 +1,76 @@
+import { ExpectationKind, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import type { output, ZodType } from 'zod'
+import type { Expectation, ObjectStore } from '@cyclamenthread/protocol'
+
+/** How a change of a document ended. */
+export enum DocumentChange {
+  Written = 'written',
+  Unchanged = 'unchanged',
+  /** Another writer was faster, or the outcome is not known; the next try reads anew. */
+  Failed = 'failed'
+}
+
+/**
+ * A document of the store that one leader keeps and every host follows, as the
+ * roster and the releases. It is written by conditional update of the version
+ * that was read, so that a former leader changes nothing.
+ */
+export class SpreadDocument<Schema extends ZodType> {
+  readonly #store: ObjectStore
+  readonly #key: string
+  readonly #schema: Schema
+  readonly #empty: output<Schema>
+  readonly #timeoutMs: number
+  #held: { readonly value: output<Schema>, readonly expectation: Expectation } | undefined
+
+  constructor (store: ObjectStore, key: string, schema: Schema, empty: output<Schema>, timeoutMs: number) {
+    this.#store = store
+    this.#key = key
+    this.#schema = schema
+    this.#empty = empty
+    this.#timeoutMs = timeoutMs
+  }
+
+  /** Forgets what was read: another leader may have written since. */
+  reset (): void {
+    this.#held = undefined
+  }
+
+  /** The document as last read or written; undefined when the store can't be read. */
+  async read (): Promise<output<Schema> | undefined> {
+    if (this.#held !== undefined) return this.#held.value
+    const found = await this.#store.read(this.#key, this.#call())
+    if (!found.ok) return undefined
+    const value = found.value === undefined ? this.#empty : this.#schema.safeParse(found.value.value).data
+    if (value === undefined) return undefined
+    const expectation: Expectation = found.value === undefined
+      ? { kind: ExpectationKind.Absent }
+      : { kind: ExpectationKind.Version, version: found.value.version }
+    this.#held = { value, expectation }
+    return value
+  }
+
+  /**
+   * Changes the document.
+   *
+   * @param change the new value; undefined to leave it
+   */
+  async change (change: (value: output<Schema>) => output<Schema> | undefined): Promise<DocumentChange> {
+    const before = await this.read()
+    if (before === undefined || this.#held === undefined) return DocumentChange.Failed
+    const value = change(before)
+    if (value === undefined) return DocumentChange.Unchanged
+    const written = await this.#store.write(this.#key, value, this.#held.expectation, this.#call())
+    if (written.status === WriteStatus.Applied) {
+      this.#held = { value, expectation: { kind: ExpectationKind.Version, version: written.version } }
+      return DocumentChange.Written
+    }
+    if (written.status !== WriteStatus.NotWritten) this.reset()
+    return DocumentChange.Failed
+  }
+
+  #call (): { readonly purpose: StorePurpose, readonly deadline: number } {
+    return { purpose: StorePurpose.Configuration, deadline: deadlineAfter(this.#timeoutMs) }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/weight-release-board.ts
@@ -0,0 +1,52 @@
+import { NO_RELEASES, weightReleasesSchema } from '@cyclamenthread/state'
+import { RELEASES_KEY } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { DocumentChange, SpreadDocument } from './spread-document.js'
+import type { WeightReleases } from '@cyclamenthread/state'
+import type { ObjectStore, WeightRelease, WeightStoreClient } from '@cyclamenthread/protocol'
+
+/** Longest wait for the weight store, in milliseconds. */
+const POLL_MS = 1_000
+
+/**
+ * Takes over what was released from the weight store into the document that all
+ * hosts follow.
+ *
+ * Invariant: the version of a pool only goes up.
+ */
+export class WeightReleaseBoard {
+  readonly #client: Pick<WeightStoreClient, 'releases'>
+  readonly #document: SpreadDocument<typeof weightReleasesSchema>
+  readonly counters = { written: 0 }
+
+  constructor (client: Pick<WeightStoreClient, 'releases'>, store: ObjectStore, storeTimeoutMs: number) {
+    this.#client = client
+    this.#document = new SpreadDocument(store, RELEASES_KEY, weightReleasesSchema, NO_RELEASES, storeTimeoutMs)
+  }
+
+  /** Forgets what was read, as another leader may have written since. */
+  reset (): void {
+    this.#document.reset()
+  }
+
+  /** One look at the weight store. */
+  async turn (): Promise<void> {
+    const released = await this.#client.releases(deadlineAfter(POLL_MS))
+    if (released === undefined) return
+    const change = await this.#document.change((known) => raised(known, released))
+    if (change === DocumentChange.Written) this.counters.written += 1
+  }
+}
+
+/**
+ * The releases with newer versions taken over; undefined when there are none.
+ *
+ * @internal
+ */
+export function raised (known: WeightReleases, released: readonly WeightRelease[]): WeightReleases | undefined {
+  const versions = new Map(known.releases.map((item) => [item.pool, item.version]))
+  const newer = released.filter((item) => item.version > (versions.get(item.pool) ?? 0))
+  if (newer.length === 0) return undefined
+  for (const item of newer) versions.set(item.pool, Math.max(item.version, versions.get(item.pool) ?? 0))
+  return { sequence: known.sequence + 1, releases: [...versions].map(([pool, version]) => ({ pool, version })) }
+}
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,13 +1,13 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, LimitTask, MemberTask,
+  BatchTask, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, DomainLeaderTask, LedgerClient, LedgerTask, LimitTask, MemberTask,
   MessageBus, QuarantineTask, ServiceRunner, UsageTask
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import { Gateway } from './gateway.js'
 import { hostSettings } from './settings.js'
-import type { BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
+import type { BatchCounters, BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** What an experiment may set to compare a decision with a simpler one; no setting or flag does. */
@@ -43,6 +43,8 @@
   readonly #ledger: LedgerTask
   readonly #batches: BatchTask
   readonly #usage: UsageTask
+  readonly #domains: DomainLeaderTask
+  readonly #capacity: CapacityTask
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
 
@@ -76,6 +78,9 @@
       store: this.#store,
       platform: this.#platform
     })
+    const leaderContext = { members: this.#members, catalogue: this.#catalogue, store: this.#store, endpoints: this.#endpoints }
+    this.#domains = new DomainLeaderTask(this.#host, settings, leaderContext)
+    this.#capacity = new CapacityTask(this.#host, settings, { ...leaderContext, bus: this.#bus, platform: this.#platform })
     this.#gateway = new Gateway({
       settings,
       catalogue: this.#catalogue,
@@ -109,10 +114,17 @@
     await this.#router.start()
     await this.#batches.start()
     await this.#usage.start()
+    await this.#domains.start()
+    await this.#capacity.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
 
+  /** What became of the samples of this host's batches. */
+  get sampleCounters (): BatchCounters {
+    return this.#batches.counters
+  }
+
   /** Stops in order and cuts off no request. Calling it again waits for the first call. */
   async drain (): Promise<void> {
     this.#draining ??= this.#drain()
@@ -131,6 +143,8 @@
   /** Stops at once. */
   async stop (): Promise<void> {
     await this.#batches.stop()
+    await this.#capacity.stop()
+    await this.#domains.stop()
     await this.#usage.stop()
     await this.#router.stop()
     await this.#limits.stop()
--- a/packages/state/src/lib/capacity-plan.ts
+++ b/packages/state/src/lib/capacity-plan.ts
@@ -148,7 +148,7 @@
     return open[0]
   }
 
-  /** One endpoint to leave, when too many ran for long enough: steady ones first, as they cost most, then the idlest. */
+  /** One endpoint to leave, when too many ran for long enough: a steady one first, as it costs most, then one of the fullest failure domain. */
   #leave (sight: CapacitySight, wanted: number, now: number): CapacityAction | undefined {
     const total = sight.rules.reduce((sum, rule) => sum + kept(sight, rule).length, 0)
     const spare = sight.rules
@@ -160,7 +160,8 @@
     }
     this.#surplusSince ??= now
     if (now - this.#surplusSince < this.#settings.holdMs) return undefined
-    spare.sort((a, b) => Number(a.endpoint.cheap) - Number(b.endpoint.cheap) || a.busy - b.busy)
+    const domainSize = (item: CapacityEndpoint): number => spare.filter((other) => other.endpoint.failureDomain === item.endpoint.failureDomain).length
+    spare.sort((a, b) => Number(a.endpoint.cheap) - Number(b.endpoint.cheap) || domainSize(b) - domainSize(a) || a.busy - b.busy)
     const [first] = spare
     return first === undefined ? undefined : { kind: CapacityActionKind.Leave, endpointId: first.endpoint.id }
   }
--- a/packages/state/src/lib/weight-waves.ts
+++ b/packages/state/src/lib/weight-waves.ts
@@ -107,6 +107,12 @@
     this.counters.failed += 1
   }
 
+  /** Whether a change of this endpoint is under way, or its version is not known yet. */
+  awaits (endpointId: string): boolean {
+    const endpoint = this.#endpoints.get(endpointId)
+    return endpoint !== undefined && (endpoint.target !== undefined || endpoint.version === undefined)
+  }
+
   /** Endpoints that don't have the released version yet. */
   get behind (): number {
     return [...this.#endpoints.values()].filter((endpoint) => this.#isBehind(endpoint)).length
