--- a/packages/coordination/src/lib/service-runner.ts
+++ b/packages/coordination/src/lib/service-runner.ts
@@ -4,7 +4,7 @@
 import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Clock, Entry, RecordedAnswer, Refusal, UsageItem, Workspace } from '@cyclamenthread/state'
 import type { EndpointClient, ServiceReply } from '@cyclamenthread/protocol'
-import type { CellRouter, Slot } from './cell-router.js'
+import type { Slot, SlotResult, SlotSource } from './cell-router.js'
 import type { LedgerClient } from './ledger-client.js'
 import type { WriteBehind } from './write-behind.js'
 
@@ -47,7 +47,7 @@
 
 /** What calls of plain services run with. */
 export interface ServiceContext {
-  readonly router: Pick<CellRouter, 'acquire' | 'release'>
+  readonly router: SlotSource
   readonly endpoints: Pick<EndpointClient, 'callService'>
   readonly ledger: ClaimLedger
   readonly behind: WriteBehind
@@ -65,7 +65,7 @@
  * committed.
  */
 export class ServiceRunner {
-  readonly #router: Pick<CellRouter, 'acquire' | 'release'>
+  readonly #router: SlotSource
   readonly #endpoints: Pick<EndpointClient, 'callService'>
   readonly #ledger: ClaimLedger
   readonly #behind: WriteBehind
@@ -172,7 +172,7 @@
     await Promise.race([recorded, this.#clock.sleep(HOLD_MS)])
   }
 
-  async #acquire (order: ServiceOrder): ReturnType<CellRouter['acquire']> {
+  async #acquire (order: ServiceOrder): Promise<SlotResult> {
     return await this.#router.acquire({
       requestId: order.requestId,
       pool: order.entry.pool,
--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -17,7 +17,6 @@
 /** Bytes of an answer that may wait for a slow caller before its request is given up. */
 const MAX_BUFFERED_BYTES = 1024 * 1024
 
-
 const options = {
   model: z.string(),
   max_tokens: z.int().positive().max(1_000_000).default(DEFAULT_MAX_TOKENS),
