--- a/packages/bench/src/lib/caller.ts
+++ b/packages/bench/src/lib/caller.ts
@@ -58,13 +58,15 @@
   }
 
   /** Reads a batch by cursor until it has all samples, acknowledging as it goes. */
-  async readBatch (id: string, total: number): Promise<DeliveredSample[]> {
+  async readBatch (id: string, total: number, onSample?: (sample: DeliveredSample) => void): Promise<DeliveredSample[]> {
     const samples: DeliveredSample[] = []
     while (samples.length < total) {
       const cursor = samples.at(-1)?.cursor ?? 0
       const answer = await this.send('GET', `/v1/batches/${id}/samples?after=${cursor}`)
       if (answer.status !== 200) throw new Error(`reading the batch: ${answer.status} ${answer.body}`)
-      samples.push(...answer.body.split('\n').filter((line) => line !== '').map((line) => JSON.parse(line) as DeliveredSample))
+      const page = answer.body.split('\n').filter((line) => line !== '').map((line) => JSON.parse(line) as DeliveredSample)
+      samples.push(...page)
+      if (onSample !== undefined) page.forEach(onSample)
     }
     await this.send('POST', `/v1/batches/${id}/acks`, { cursor: samples.at(-1)?.cursor ?? 0 })
     return samples
--- a/packages/bench/src/lib/trainer-step.ts
+++ b/packages/bench/src/lib/trainer-step.ts
@@ -83,13 +83,17 @@
   }))
 }
 
-/** Runs a step on a deployment, from its order until the trainer has read its last sample. */
-export async function runStep (deployment: Deployment, id: string, step: TrainerStep): Promise<StepResult> {
+/**
+ * Runs a step on a deployment, from its order until the trainer has read its last sample.
+ *
+ * @param onSample called with each sample as soon as it is read
+ */
+export async function runStep (deployment: Deployment, id: string, step: TrainerStep, onSample?: (sample: DeliveredSample) => void): Promise<StepResult> {
   const trainer = new Caller(deployment.urls[0] ?? '', tokenOf('training'))
   const startedAt = performance.now()
   const opened = await trainer.openBatch(id, 'critique', step.samples)
   if (opened.status !== 201) throw new Error(`opening ${id}: ${opened.status} ${opened.body}`)
-  const samples = await trainer.readBatch(id, step.samples.length)
+  const samples = await trainer.readBatch(id, step.samples.length, onSample)
   const ids = new Set(samples.map((sample) => sample.id))
   return {
     durationMs: performance.now() - startedAt,
--- a/packages/coordination/src/lib/batch-run.ts
+++ b/packages/coordination/src/lib/batch-run.ts
@@ -114,7 +114,7 @@
   #copyLate (now: number): void {
     const room = this.#context.slots.totalSlots(this.pool) - this.running
     const running = [...this.#running.values()].flatMap((run) => run.committing ? [] : run.progress ?? [])
-    for (const late of this.#context.plan.copies(running, room, now)) this.#running.get(late.sampleId)?.copy()
+    for (const late of this.#context.plan.copies(running, room, now)) void this.#running.get(late.sampleId)?.copy()
   }
 
   /** Moves what runs on endpoints that vanish, in the order of what would be lost. */
--- a/packages/coordination/src/lib/capacity-orders.ts
+++ b/packages/coordination/src/lib/capacity-orders.ts
@@ -1,5 +1,4 @@
 import { FleetOrderKind, PlatformFailure } from '@cyclamenthread/protocol'
-import { deadlineSignal } from '@cyclamenthread/transport'
 import { z } from 'zod'
 import { IntentLog } from './intent-log.js'
 import type { FleetOrder, ObjectStore, PlatformClient } from '@cyclamenthread/protocol'
@@ -110,7 +109,7 @@
     const leadership = this.#leadership()
     if (leadership === undefined || leadership.epoch !== this.#openedEpoch) return undefined
     this.counters.sent += 1
-    const answer = await this.#platform.order(order, { deadline: leadership.deadline, signal: deadlineSignal(leadership.deadline) })
+    const answer = await this.#platform.order(order, { deadline: leadership.deadline })
     if (answer.ok) return OrderResult.Accepted
     if (answer.failure !== PlatformFailure.Refused) return undefined
     this.counters.refused += 1
--- a/packages/coordination/src/lib/domain-leader.ts
+++ b/packages/coordination/src/lib/domain-leader.ts
@@ -102,12 +102,15 @@
       this.#pools.delete(pool)
       return
     }
-    const state = this.#pools.get(pool) ?? { waves: new WeightWaves({
-      servingShare: this.#fleet.weightServingShare,
-      fetchesPerSecond: this.#fleet.weightFetchesPerSecond * own.length / all.length,
-      swapTimeoutMs: this.#fleet.weightSwapTimeoutMs,
-      retryMs: this.#fleet.weightSwapTimeoutMs / 10
-    }), watchedAt: new Map() }
+    const state = this.#pools.get(pool) ?? {
+      waves: new WeightWaves({
+        servingShare: this.#fleet.weightServingShare,
+        fetchesPerSecond: this.#fleet.weightFetchesPerSecond * own.length / all.length,
+        swapTimeoutMs: this.#fleet.weightSwapTimeoutMs,
+        retryMs: this.#fleet.weightSwapTimeoutMs / 10
+      }),
+      watchedAt: new Map()
+    }
     this.#pools.set(pool, state)
     state.waves.setEndpoints(own.map((endpoint) => endpoint.id))
     state.waves.release(view.releasedVersion(pool))
--- a/packages/coordination/src/lib/sample-run.ts
+++ b/packages/coordination/src/lib/sample-run.ts
@@ -41,6 +41,7 @@
   #finish: (settled: boolean) => void = () => {}
   #attempts = 0
   #committing = false
+  #copying = false
   #over = false
 
   /** @param onFree called when the sample needs no slot any more */
@@ -102,11 +103,16 @@
     return [...this.#copies].some((copy) => copy.endpoint !== undefined && endpointIds.has(copy.endpoint.id))
   }
 
-  /** Runs a second copy, on another endpoint. */
-  copy (): void {
-    if (this.#over || this.#committing || this.#copies.size !== 1) return
+  /** Runs a second copy on another endpoint, which goes on from what the first has produced. */
+  async copy (): Promise<void> {
+    const [first] = this.#copies
+    if (first === undefined || this.#copying || !this.#mayCopy()) return
+    this.#copying = true
+    const seed = await this.#exportSeed(first)
+    this.#copying = false
+    if (!this.#mayCopy()) return
     this.#context.counters.copies += 1
-    this.#start(this.#usedEndpoints(), undefined)
+    this.#start(this.#usedEndpoints(), seed)
   }
 
   /** Goes on elsewhere with what runs on endpoints that vanish. */
@@ -129,6 +135,10 @@
     this.#close(false)
   }
 
+  #mayCopy (): boolean {
+    return !this.#over && !this.#committing && this.#copies.size === 1
+  }
+
   #usedEndpoints (): string[] {
     return [...this.#copies].flatMap((copy) => copy.endpoint?.id ?? [])
   }
@@ -221,7 +231,7 @@
   /** Gives up a copy whose result is of no use; with the last one the sample has failed for now. */
   #drop (copy: SampleCopy): void {
     if (!this.#copies.delete(copy)) return
-    this.#context.counters.wastedTokens += copy.tokens
+    this.#context.counters.wastedTokens += copy.tokens - copy.resumed
     if (this.#copies.size === 0) this.#close(false)
   }
 
@@ -230,7 +240,8 @@
     this.#over = true
     for (const copy of this.#copies) {
       if (copy === winner) continue
-      this.#context.counters.wastedTokens += copy.tokens
+      // What the winner went on from was not for nothing.
+      this.#context.counters.wastedTokens += Math.max(0, copy.tokens - Math.max(copy.resumed, winner?.resumed ?? 0))
       copy.abandon()
     }
     this.#finish(settled)
--- a/packages/state/src/lib/capacity-plan.ts
+++ b/packages/state/src/lib/capacity-plan.ts
@@ -62,8 +62,8 @@
 /**
  * Plans the endpoints of one pool. Each rule's minimum always runs: the steady
  * floor for bookings. What the forecast wants beyond goes to cheap endpoints,
- * spread over failure domains; steady ones are added only where no cheap ones
- * are to be had and not all of what waits may be shed.
+ * spread over failure domains; steady ones are added only in place of cheap ones
+ * that are not to be had. What still waits is shed by its class, training first.
  *
  * Invariants: no rule ever has more endpoints than its maximum, nor is one asked
  * to leave that its minimum needs; nothing is ordered under a rule that backs
@@ -141,9 +141,10 @@
     return [...starts].map(([rule, count]): CapacityAction => ({ kind: CapacityActionKind.Start, rule, count }))
   }
 
-  /** Cheap before steady, then the failure domain with the fewest. */
+  /** Cheap before steady, then the failure domain with the fewest; steady ones only in place of cheap ones that are not to be had. */
   #nextRule (rules: readonly CapacityRule[], counts: ReadonlyMap<CapacityRule, number>, now: number): CapacityRule | undefined {
-    const open = rules.filter((rule) => !this.backsOff(rule, now) && (counts.get(rule) ?? 0) < rule.maximum)
+    const mayAddSteady = rules.every((rule) => !rule.cheap) || missingCheap(rules, counts, (rule) => this.backsOff(rule, now)) > addedSteady(rules, counts)
+    const open = rules.filter((rule) => !this.backsOff(rule, now) && (counts.get(rule) ?? 0) < rule.maximum && (rule.cheap || mayAddSteady))
     open.sort((a, b) => Number(b.cheap) - Number(a.cheap) || (counts.get(a) ?? 0) - (counts.get(b) ?? 0))
     return open[0]
   }
@@ -175,6 +176,16 @@
   })
 }
 
+/** Cheap endpoints that might run but are not to be had now. */
+function missingCheap (rules: readonly CapacityRule[], counts: ReadonlyMap<CapacityRule, number>, backsOff: (rule: CapacityRule) => boolean): number {
+  return rules.reduce((sum, rule) => sum + (rule.cheap && backsOff(rule) ? rule.maximum - (counts.get(rule) ?? 0) : 0), 0)
+}
+
+/** Steady endpoints beyond the minimum. */
+function addedSteady (rules: readonly CapacityRule[], counts: ReadonlyMap<CapacityRule, number>): number {
+  return rules.reduce((sum, rule) => sum + (rule.cheap ? 0 : Math.max(0, (counts.get(rule) ?? 0) - rule.minimum)), 0)
+}
+
 function ruleName (rule: CapacityRule): string {
   return `${rule.failureDomain}/${rule.cheap ? 'cheap' : 'steady'}`
 }
--- a/packages/state/src/lib/straggler-plan.ts
+++ b/packages/state/src/lib/straggler-plan.ts
@@ -1,8 +1,11 @@
 import type { SampleOrder } from './ledger-record.js'
 
-/** How many times its expected duration a sample may run before a second copy is worth a free slot. */
+/** How many times slower than others a sample has to run before a second copy is worth a free slot. */
 const LATE_FACTOR = 1.3
 
+/** Least time that a second copy has to save, in milliseconds: moving costs some itself. */
+const MIN_GAIN_MS = 100
+
 /** Weight of one more observation in the learned averages. */
 const LEARNING_RATE = 0.05
 
@@ -82,9 +85,9 @@
   }
 
   /**
-   * Which running samples are to be run a second time: only those that a new
-   * run is expected to overtake, the one that loses most first, and no more
-   * than there are free slots.
+   * Which running samples are to be run a second time: only those that another
+   * endpoint, going on from what is there, is expected to overtake, the one that
+   * gains most first, and no more than there are free slots.
    *
    * @param running the samples of the step that still run, when none waits any more
    * @param freeSlots slots that nobody waits for
@@ -101,15 +104,14 @@
     return late.slice(0, Math.max(0, freeSlots)).map((item) => item.sample)
   }
 
-  /** Milliseconds by which a new run is expected to end before the present one; 0 when that is not clear. */
+  /** Milliseconds by which another endpoint, going on from here, is expected to end first; 0 when that is not clear. */
   #gain (sample: RunningSample, now: number): number {
     const tokenMs = this.#tokenMs.get(sample.entry)
     if (tokenMs === undefined || tokenMs.observations < MIN_OBSERVATIONS) return 0
-    const elapsed = now - sample.startedAt
-    if (elapsed <= LATE_FACTOR * tokenMs.value * Math.max(1, sample.tokens)) return 0
-    const whole = Math.max(sample.expectedTokens, sample.tokens)
-    const ownTokenMs = elapsed / Math.max(1, sample.tokens)
-    const left = Math.max(1, whole - sample.tokens) * ownTokenMs
-    return Math.max(0, left - whole * tokenMs.value)
+    const ownTokenMs = (now - sample.startedAt) / Math.max(1, sample.tokens)
+    if (ownTokenMs <= LATE_FACTOR * tokenMs.value) return 0
+    const left = Math.max(0, sample.expectedTokens - sample.tokens)
+    const gain = left * (ownTokenMs - tokenMs.value)
+    return gain < MIN_GAIN_MS ? 0 : gain
   }
 }
--- a/packages/state/src/test/straggler-plan.test.ts
+++ b/packages/state/src/test/straggler-plan.test.ts
@@ -31,7 +31,7 @@
   t.pass()
 })
 
-test('only what a new run overtakes is copied', (t) => {
+test('only what another endpoint overtakes is copied', (t) => {
   const plan = new StragglerPlan()
   const slow = { sampleId: 'slow', entry: 'e', expectedTokens: 100, startedAt: 0, tokens: 20, copies: 1 }
   t.deepEqual(plan.copies([slow], 4, 200), [], 'nothing is known of the speed')
