Cell layout: a checker that sees endpoints move

The new check counts the moves over all departures: below one on average with rendezvous; with it switched off (cells filled in order) it was driven once and failed.

--- a/packages/state/src/test/cell-layout.test.ts
+++ b/packages/state/src/test/cell-layout.test.ts
@@ -14,17 +14,23 @@
   return new Map(layCells(view).flatMap((cell) => cell.endpoints.map((endpoint) => [endpoint.id, cell.name])))
 }
 
-test(`each endpoint is in one cell of at most ${MAX_CELL_ENDPOINTS}, and one that leaves moves few others (seed ${SEED})`, (t) => {
-  fc.assert(fc.property(fc.integer({ min: 1, max: 200 }), fc.nat(), (count, pick) => {
-    const ids = Array.from({ length: count }, (_, index) => `e${index}`)
-    const before = lay(ids)
+test(`each endpoint is in one cell of at most ${MAX_CELL_ENDPOINTS} (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(fc.integer({ min: 1, max: 200 }), (count) => {
+    const cells = lay(Array.from({ length: count }, (_, index) => `e${index}`))
     const sizes = new Map<string, number>()
-    for (const cell of before.values()) sizes.set(cell, (sizes.get(cell) ?? 0) + 1)
-    const after = lay(ids.filter((_, index) => index !== pick % count))
-    const cells = new Set(before.values()).size
-    const moved = [...after].filter(([id, cell]) => before.get(id) !== cell).length
-    const sameCount = new Set(after.values()).size === cells
-    return before.size === count && Math.max(...sizes.values()) <= MAX_CELL_ENDPOINTS && (!sameCount || moved <= cells)
+    for (const cell of cells.values()) sizes.set(cell, (sizes.get(cell) ?? 0) + 1)
+    return cells.size === count && Math.max(...sizes.values()) <= MAX_CELL_ENDPOINTS
   }), { seed: SEED, numRuns: RUNS })
   t.pass()
 })
+
+test('an endpoint that leaves moves less than one other on average while the number of cells stays', (t) => {
+  const ids = Array.from({ length: 170 }, (_, index) => `e${index}`)
+  const before = lay(ids)
+  const moves = ids.map((left) => {
+    const after = lay(ids.filter((id) => id !== left))
+    return [...after].filter(([id, cell]) => before.get(id) !== cell).length
+  })
+  t.is(new Set(before.values()).size, 11)
+  t.true(moves.reduce((sum, moved) => sum + moved, 0) < ids.length)
+})
