Experiments lag, flood, limits; a grant carries the cell's summary

Also: the abort listener of a waiting request is removed when it is answered; on the signal that local senders share it had stayed for the life of the process.

--- /dev/null
+++ b/packages/bench/src/lib/open-load.ts
@@ -0,0 +1,139 @@
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { seededRandom } from './random.js'
+import type { SlotEnd, Workspace } from '@cyclamenthread/state'
+import type { Slot, SlotDemand, SlotResult, SlotSource } from '@cyclamenthread/coordination'
+import type { TaskFleet } from './task-fleet.js'
+
+/** Longest a request of the load may wait and run, in milliseconds. */
+const REQUEST_MS = 30_000
+
+/** The load of one workspace: requests arrive at random at a mean rate, whatever has been answered. */
+export interface WorkspaceLoad {
+  readonly workspace: Workspace
+  readonly requestsPerSecond: number
+  /** Requests of the workspace that are open at most; further arrivals are left out. */
+  readonly maxOpen: number
+}
+
+/** What became of one request. */
+export interface RequestTrace {
+  readonly workspace: string
+  readonly arrivedAt: number
+  readonly grantedAt: number
+  readonly endedAt: number
+  readonly tokens: number
+  readonly endpoint: string
+}
+
+/** Load that arrives at random at all hosts in turn. */
+export interface OpenLoad {
+  readonly workspaces: readonly WorkspaceLoad[]
+  readonly durationMs: number
+  /** Lengths that answers are drawn from, in tokens. */
+  readonly lengths: readonly number[]
+  readonly seed: number
+  /** The source of slots of each host. */
+  readonly sources: readonly SlotSource[]
+}
+
+/** The load as it ran. */
+export interface LoadResult {
+  readonly traces: readonly RequestTrace[]
+  readonly refused: number
+  readonly startedAt: number
+  readonly endedAt: number
+}
+
+/** Runs a load to its end, the requests open at the end included. */
+export async function runLoad (fleet: TaskFleet, load: OpenLoad): Promise<LoadResult> {
+  const startedAt = monotonicNow()
+  const traces: RequestTrace[] = []
+  const counts = { refused: 0, sequence: 0 }
+  await Promise.all(load.workspaces.map(async (own, position) => {
+    // Each workspace draws for itself, so that its load is the same whatever the others do.
+    const random = seededRandom(load.seed * 1_000 + position)
+    const open = new Set<Promise<void>>()
+    let next = startedAt
+    while (next < startedAt + load.durationMs) {
+      next += -Math.log(1 - random()) * 1_000 / own.requestsPerSecond
+      const maxTokens = load.lengths[Math.floor(random() * load.lengths.length)] ?? 8
+      await new Promise((resolve) => setTimeout(resolve, Math.max(0, next - monotonicNow())))
+      if (open.size >= own.maxOpen) continue
+      const index = counts.sequence++
+      const source = load.sources[index % load.sources.length] as SlotSource
+      const run = runRequest(fleet, source, index % load.sources.length, own.workspace, maxTokens, `${own.workspace.name}-${index}`).then((trace) => {
+        if (trace === undefined) counts.refused += 1
+        else traces.push(trace)
+      })
+      open.add(run)
+      void run.finally(() => open.delete(run))
+    }
+    await Promise.all(open)
+  }))
+  return { traces, refused: counts.refused, startedAt, endedAt: startedAt + load.durationMs }
+}
+
+async function runRequest (fleet: TaskFleet, source: SlotSource, host: number, workspace: Workspace, maxTokens: number, requestId: string): Promise<RequestTrace | undefined> {
+  const arrivedAt = monotonicNow()
+  const tap = new GrantTap(source)
+  const result = await fleet.hosts[host]?.runnerOver(tap).run({
+    requestId,
+    workspace,
+    entry: fleet.entry,
+    prompt: `critique ${requestId}`,
+    maxTokens,
+    expectedTokens: maxTokens,
+    deadline: deadlineAfter(REQUEST_MS),
+    traceparent: ''
+  })
+  if (result?.ok !== true) return undefined
+  return { workspace: workspace.name, arrivedAt, grantedAt: tap.grantedAt, endedAt: monotonicNow(), tokens: maxTokens, endpoint: result.endpoint }
+}
+
+/** Passes on to a source of slots and keeps when it granted. */
+class GrantTap implements SlotSource {
+  grantedAt = 0
+  readonly #source: SlotSource
+
+  constructor (source: SlotSource) {
+    this.#source = source
+  }
+
+  async acquire (demand: SlotDemand): Promise<SlotResult> {
+    const result = await this.#source.acquire(demand)
+    this.grantedAt = monotonicNow()
+    return result
+  }
+
+  async release (slot: Slot, end: SlotEnd, actualTokens: number, traceparent: string): Promise<void> {
+    await this.#source.release(slot, end, actualTokens, traceparent)
+  }
+}
+
+/** Makes all workspaces one, so that a cell serves in order of arrival: the baseline of fairness. */
+export class ArrivalOrderSource implements SlotSource {
+  readonly #source: SlotSource
+
+  constructor (source: SlotSource) {
+    this.#source = source
+  }
+
+  async acquire (demand: SlotDemand): Promise<SlotResult> {
+    return await this.#source.acquire({ ...demand, workspace: 'all', weight: 1 })
+  }
+
+  async release (slot: Slot, end: SlotEnd, actualTokens: number, traceparent: string): Promise<void> {
+    await this.#source.release(slot, end, actualTokens, traceparent)
+  }
+}
+
+/** The value below which a share of the numbers lies; 0 of none. */
+export function quantile (values: readonly number[], share: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(share * sorted.length))] ?? 0
+}
+
+/** The mean; 0 of none. */
+export function mean (values: readonly number[]): number {
+  return values.length === 0 ? 0 : values.reduce((sum, value) => sum + value, 0) / values.length
+}
--- /dev/null
+++ b/packages/bench/src/lib/static-views.ts
@@ -0,0 +1,54 @@
+import { EventEmitter } from 'node:events'
+import { HostState } from '@cyclamenthread/state'
+import type { CatalogueView, Host } from '@cyclamenthread/state'
+import type { CatalogueSource, Member, MemberView } from '@cyclamenthread/coordination'
+
+/** The hosts as an experiment sets them. */
+export class StaticMembers implements MemberView {
+  readonly #members = new Map<string, Member>()
+  readonly #changes = new EventEmitter()
+
+  constructor (hosts: readonly Host[]) {
+    this.#changes.setMaxListeners(0)
+    for (const host of hosts) this.#members.set(host.id, { host, state: HostState.Alive })
+  }
+
+  /** Changes what this view says of one host. */
+  set (hostId: string, state: HostState): void {
+    const member = this.#members.get(hostId)
+    if (member === undefined) return
+    this.#members.set(hostId, { host: member.host, state })
+    this.#changes.emit('change')
+  }
+
+  workers (): Host[] {
+    return this.members().filter((member) => member.state === HostState.Alive).map((member) => member.host)
+  }
+
+  members (): Member[] {
+    return [...this.#members.values()]
+  }
+
+  find (hostId: string): Host | undefined {
+    return this.#members.get(hostId)?.host
+  }
+
+  onChange (listener: () => void): void {
+    this.#changes.on('change', listener)
+  }
+}
+
+/** A catalogue that does not change. */
+export class StaticCatalogue implements CatalogueSource {
+  readonly #view: CatalogueView
+
+  constructor (view: CatalogueView) {
+    this.#view = view
+  }
+
+  current (): CatalogueView {
+    return this.#view
+  }
+
+  onChange (): void {}
+}
--- /dev/null
+++ b/packages/bench/src/lib/task-fleet.ts
@@ -0,0 +1,226 @@
+import { CatalogueView, EntryKind, FencingSupport, IsolationPolicy, WorkClass } from '@cyclamenthread/state'
+import { CellRouter, CompletionRunner, DispatcherTask, LimitTask, MessageBus, QuarantineTask } from '@cyclamenthread/coordination'
+import { EndpointClient } from '@cyclamenthread/protocol'
+import { EngineStandin } from '@cyclamenthread/standins'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { ServiceBroker } from 'moleculer'
+import { freePorts } from './free-ports.js'
+import { seededRandom } from './random.js'
+import { StaticCatalogue, StaticMembers } from './static-views.js'
+import type { Decision, Endpoint, Entry, Host, Limits, Workspace } from '@cyclamenthread/state'
+import type { CatalogueSource, HostSettings, LimitResult, LimitWish, SlotSource } from '@cyclamenthread/coordination'
+
+/** Secret of the hosts of an experiment. */
+const CLUSTER_SECRET = 'secret-of-an-experiment'
+
+/** Pool of the engines. */
+export const POOL = 'engines'
+
+/** Domains of today's size with their hosts and engines. */
+const DOMAINS = [
+  { name: 'leith-walk', region: 'lothian', hosts: 3, engines: 3 },
+  { name: 'grassmarket', region: 'lothian', hosts: 3, engines: 3 },
+  { name: 'castlegate', region: 'grampian', hosts: 2, engines: 2 }
+] as const
+
+/** What an experiment runs on. */
+export interface TaskFleetPlan {
+  readonly seed: number
+  readonly slotsPerEngine: number
+  readonly tokenMs: number
+  readonly workspaces: readonly Workspace[]
+  readonly entryLimits?: Limits
+  /** The client of endpoints that the tasks of a host use; the usual one when absent. */
+  readonly endpointClient?: () => EndpointClient
+  /** Whether gateways tell a new owner of a cell which slots they hold; true when absent. */
+  readonly tellsHeldSlots?: boolean
+}
+
+/** The tasks of one host that take part in dispatch. */
+export interface TaskHost {
+  readonly host: Host
+  readonly bus: MessageBus
+  readonly members: StaticMembers
+  readonly endpoints: EndpointClient
+  readonly router: CellRouter
+  readonly quarantine: QuarantineTask
+  readonly completions: CompletionRunner
+  /** Builds a runner of completions over another source of slots, for baselines. */
+  runnerOver (source: SlotSource): CompletionRunner
+  stop (): Promise<void>
+}
+
+/**
+ * Today's eight hosts and eight engines in one process: the real tasks of
+ * dispatch, talking over loopback, without store and ledger.
+ */
+export class TaskFleet {
+  readonly plan: TaskFleetPlan
+  readonly engines: EngineStandin[] = []
+  readonly hosts: TaskHost[] = []
+  readonly decisions: Decision[] = []
+  /** When requests got past the limits, over all hosts; monotonic milliseconds. */
+  readonly admissions: number[] = []
+  #catalogue: CatalogueSource | undefined
+  #entry: Entry | undefined
+
+  constructor (plan: TaskFleetPlan) {
+    this.plan = plan
+  }
+
+  /** The entry that all requests name. */
+  get entry (): Entry {
+    if (this.#entry === undefined) throw new Error('the fleet has not started')
+    return this.#entry
+  }
+
+  /** Slots of all engines. */
+  get slots (): number {
+    return this.engines.length * this.plan.slotsPerEngine
+  }
+
+  /** The endpoints of a pool. */
+  endpoints (pool: string): Endpoint[] {
+    return this.#catalogue?.current()?.endpoints(pool) ?? []
+  }
+
+  async start (): Promise<void> {
+    const endpoints = await this.#startEngines()
+    const view = this.#view(endpoints)
+    this.#entry = view.entry('answers')
+    this.#catalogue = new StaticCatalogue(view)
+    const hosts = await planHosts()
+    for (const [index, host] of hosts.entries()) this.hosts.push(await this.#startHost(host, hosts, index))
+    // The cells open once every host has answered for the slots it holds.
+    await new Promise((resolve) => setTimeout(resolve, 1_500))
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.hosts.map(async (host) => await host.stop()))
+    await Promise.all(this.engines.map(async (engine) => await engine.close()))
+  }
+
+  async #startEngines (): Promise<Endpoint[]> {
+    const endpoints: Endpoint[] = []
+    const { slotsPerEngine: slots, tokenMs } = this.plan
+    for (const domain of DOMAINS) {
+      for (let index = 0; index < domain.engines; index++) {
+        const engine = new EngineStandin({ slots, tokenMs, prefillMs: 0, checksFencing: true })
+        this.engines.push(engine)
+        const url = await engine.listen()
+        endpoints.push({ id: `engine-${domain.name}-${index}`, url, region: domain.region, failureDomain: domain.name, slots, cheap: false, fencing: FencingSupport.Checked })
+      }
+    }
+    return endpoints
+  }
+
+  #view (endpoints: readonly Endpoint[]): CatalogueView {
+    return new CatalogueView(1, {
+      workspaces: [...this.plan.workspaces],
+      keys: [],
+      entries: [{
+        name: 'answers',
+        owner: 'experiment',
+        kind: EntryKind.Model,
+        class: WorkClass.Interactive,
+        pool: POOL,
+        limits: this.plan.entryLimits ?? {},
+        open: false,
+        idempotentMethods: [],
+        whenIsolated: IsolationPolicy.Serve,
+        timeoutMs: 60_000
+      }],
+      pools: [{ name: POOL, kind: EntryKind.Model, endpoints: [...endpoints], capacity: [] }]
+    })
+  }
+
+  async #startHost (host: Host, hosts: readonly Host[], index: number): Promise<TaskHost> {
+    const catalogue = this.#catalogue
+    if (catalogue === undefined) throw new Error('the catalogue comes first')
+    const settings = settingsOf(host)
+    const broker = new ServiceBroker({ nodeID: host.id, logger: false, tracing: false, metrics: false })
+    const bus = new MessageBus(settings, broker)
+    const members = new StaticMembers(hosts)
+    const endpoints = this.plan.endpointClient?.() ?? new EndpointClient()
+    const decisions = { record: (decision: Decision): number => this.decisions.push(decision) }
+    const dispatcher = new DispatcherTask(settings, members, catalogue, decisions, bus, endpoints)
+    const limits = new TappedLimitTask(settings, members, catalogue, bus, this.admissions)
+    const quarantine = new QuarantineTask(settings, members, bus)
+    const router = new CellRouter(settings, members, catalogue, bus, limits, quarantine, seededRandom(this.plan.seed * 1_000 + index))
+    const routerService = router.service()
+    if (this.plan.tellsHeldSlots === false) Object.assign(routerService.actions ?? {}, { held: async () => ({ slots: [] }) })
+    for (const service of [dispatcher.service(), limits.service(), quarantine.service(), routerService]) broker.createService(service)
+    await broker.start()
+    await bus.start()
+    await dispatcher.start()
+    await limits.start()
+    await router.start()
+    return {
+      host,
+      bus,
+      members,
+      endpoints,
+      router,
+      quarantine,
+      completions: new CompletionRunner(router, endpoints, quarantine),
+      runnerOver: (source) => new CompletionRunner(source, endpoints, quarantine),
+      stop: async () => {
+        await router.stop()
+        await limits.stop()
+        await dispatcher.stop()
+        await broker.stop()
+        await bus.stop()
+        await endpoints.close()
+      }
+    }
+  }
+}
+
+/** Notes when requests get past the limits. */
+class TappedLimitTask extends LimitTask {
+  readonly #admissions: number[]
+
+  constructor (settings: HostSettings, members: StaticMembers, catalogue: CatalogueSource, bus: MessageBus, admissions: number[]) {
+    super(settings, members, catalogue, bus)
+    this.#admissions = admissions
+  }
+
+  override async acquire (wish: LimitWish): Promise<LimitResult> {
+    const result = await super.acquire(wish)
+    if (result.granted) this.#admissions.push(monotonicNow())
+    return result
+  }
+}
+
+async function planHosts (): Promise<Host[]> {
+  const ports = await freePorts(DOMAINS.reduce((sum, domain) => sum + domain.hosts, 0))
+  return DOMAINS.flatMap((domain) => Array.from({ length: domain.hosts }, (_, index): Host => ({
+    id: `host-${domain.name}-${index}`,
+    region: domain.region,
+    failureDomain: domain.name,
+    peerAddress: `127.0.0.1:${ports.pop() ?? 0}`,
+    callerUrl: 'http://127.0.0.1:1',
+    hasDataFolder: false
+  })))
+}
+
+function settingsOf (host: Host): HostSettings {
+  return {
+    self: host,
+    incarnation: 'first',
+    clusterSecret: CLUSTER_SECRET,
+    storeRegion: 'lothian',
+    ledgerPartitions: 1,
+    usageWindowMs: 60_000,
+    leaseMs: 10_000,
+    storeTimeoutMs: 2_000,
+    hostListPeriodMs: 2_000,
+    summaryPeriodMs: 500,
+    cellQueueLimit: 10_000
+  }
+}
+
+/** Workspaces of equal weight without limits, `w0` first. */
+export function equalWorkspaces (count: number): Workspace[] {
+  return Array.from({ length: count }, (_, index) => ({ name: `w${index}`, owner: 'experiment', weight: 1, limits: {} }))
+}
--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -154,6 +154,7 @@
     if (held === undefined) return
     this.#held.delete(slot.slotId)
     this.#limits.release(held.permit)
+    this.#count(slot.cell, -1)
     const owner = this.#ownerOf(slot.cell)
     if (owner === undefined) return
     await this.#bus.post(owner, { kind: PeerMessageKind.ReleaseSlot, cell: slot.cell, slotId: slot.slotId, end, actualTokens }, traceparent)
@@ -190,6 +191,7 @@
     if (!answer.value.granted) return refused(refusalOf(answer.value.refusal))
     const slot: Slot = { slotId: answer.value.slotId, cell: placement.name, endpoint: answer.value.endpoint }
     this.#held.set(slot.slotId, { slot, demand, suspect, permit })
+    this.#summaries.set(placement.name, answer.value.summary)
     return { granted: true, slot }
   }
 
@@ -214,7 +216,7 @@
     })?.placement
     if (chosen === undefined) return undefined
     if (chosen.region !== region) this.#link.spend(demand.expectedTokens * BYTES_PER_TOKEN, monotonicNow())
-    this.#reserve(chosen)
+    this.#count(chosen.name, 1)
     return chosen
   }
 
@@ -238,13 +240,14 @@
     }))
   }
 
-  /** Counts the request in the summary at once, so that the next one does not follow it blindly. */
-  #reserve (placement: CellPlacement): void {
-    const summary = this.#summaries.get(placement.name)
+  /** Counts this host's own requests in the summary at once, so that the next one does not follow blindly. */
+  #count (cell: string, change: 1 | -1): void {
+    const summary = this.#summaries.get(cell)
     if (summary === undefined) return
-    this.#summaries.set(placement.name, summary.freeSlots > 0
-      ? { ...summary, freeSlots: summary.freeSlots - 1 }
-      : { ...summary, waiting: summary.waiting + 1 })
+    const queues = change > 0 ? summary.freeSlots === 0 : summary.waiting > 0
+    this.#summaries.set(cell, queues
+      ? { ...summary, waiting: summary.waiting + change }
+      : { ...summary, freeSlots: Math.min(summary.totalSlots, summary.freeSlots - change) })
   }
 
   #ownerOf (cell: string): ReturnType<typeof cellOwner> {
--- a/packages/coordination/src/lib/dispatcher-task.ts
+++ b/packages/coordination/src/lib/dispatcher-task.ts
@@ -1,4 +1,4 @@
-import { Cell, CellEffectKind, CellEventKind, findOwner, HostState, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
+import { Cell, CellEffectKind, CellEventKind, findOwner, HostState, invariant, layCells, notRun, RefusalReason, unreachable } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
 import { LoadPoll } from './load-poll.js'
@@ -206,14 +206,15 @@
     const { kind, cell, leftMs, ...request } = message
     // A newer copy of a request takes the place of one that still waits: its sender has given that up.
     if (this.#waiting.has(waitingKey(cell, message.requestId))) this.#cancel(cell, message.requestId)
+    const answered = new AbortController()
     return await new Promise<SlotAnswer>((resolve) => {
       this.#waiting.set(waitingKey(cell, message.requestId), resolve)
       meta.signal.addEventListener('abort', () => {
         // Once the grant is on its way, only the gateway knows whether it arrived.
         if (this.#waiting.get(waitingKey(cell, message.requestId)) === resolve) this.#cancel(cell, message.requestId)
-      }, { once: true })
+      }, { once: true, signal: answered.signal })
       this.#step(cell, { kind: CellEventKind.Request, request: { ...request, gateway: meta.from, deadline: deadlineAfter(leftMs) } })
-    })
+    }).finally(() => answered.abort())
   }
 
   #cancel (cell: string, requestId: string): void {
@@ -241,7 +242,9 @@
     switch (effect.kind) {
       case CellEffectKind.Grant: {
         const { slotId, endpoint, leaseDeadline, requestId } = effect.grant
-        this.#answer(cell, requestId, { granted: true, slotId, endpoint, leaseMs: timeLeft(leaseDeadline) })
+        const summary = this.#cells.get(cell)?.cell.summary(monotonicNow())
+        invariant(summary !== undefined, 'a grant comes from an owned cell')
+        this.#answer(cell, requestId, { granted: true, slotId, endpoint, leaseMs: timeLeft(leaseDeadline), summary })
         return
       }
       case CellEffectKind.Refuse:
--- a/packages/protocol/src/lib/dispatcher-message.ts
+++ b/packages/protocol/src/lib/dispatcher-message.ts
@@ -41,12 +41,6 @@
 /** Asks for the summaries of all cells a host owns. */
 export const summariseCellsSchema = z.object({ kind: z.literal(PeerMessageKind.SummariseCells) })
 
-/** The answer to {@link acquireSlotSchema}. */
-export const slotAnswerSchema = z.discriminatedUnion('granted', [
-  z.object({ granted: z.literal(true), slotId: z.string(), endpoint: endpointSchema, leaseMs: z.number() }),
-  z.object({ granted: z.literal(false), refusal: refusalSchema })
-])
-
 const cellSummarySchema = z.object({
   cell: z.string(),
   freeSlots: z.number(),
@@ -56,6 +50,19 @@
   waitMs: z.number()
 })
 
+/** The answer to {@link acquireSlotSchema}. */
+export const slotAnswerSchema = z.discriminatedUnion('granted', [
+  z.object({
+    granted: z.literal(true),
+    slotId: z.string(),
+    endpoint: endpointSchema,
+    leaseMs: z.number(),
+    /** How the cell stands, so that those who use it need not be told otherwise. */
+    summary: cellSummarySchema
+  }),
+  z.object({ granted: z.literal(false), refusal: refusalSchema })
+])
+
 /** The answer to {@link summariseCellsSchema}. */
 export const cellSummariesSchema = z.object({ cells: z.array(cellSummarySchema) })
 
--- a/packages/standins/src/lib/engine-standin.ts
+++ b/packages/standins/src/lib/engine-standin.ts
@@ -64,6 +64,11 @@
     return this.#running
   }
 
+  /** Requests that wait for a place in the batch. */
+  get waiting (): number {
+    return this.#waiting.length
+  }
+
   get version (): number {
     return this.#version
   }
