--- /dev/null
+++ b/packages/bench/src/lib/scenarios/handover.ts
@@ -0,0 +1,79 @@
+import { cellOwner } from '@cyclamenthread/coordination'
+import { HostState, layCells } from '@cyclamenthread/state'
+import { runLoad } from '../open-load.js'
+import { equalWorkspaces, TaskFleet } from '../task-fleet.js'
+import type { ExperimentReport, Scenario } from '../scenario.js'
+
+const SLOTS_PER_ENGINE = 8
+
+/** Time per token, in milliseconds. */
+const TOKEN_MS = 10
+
+const LENGTHS = [128, 192]
+const DURATION_MS = 8_000
+
+/** When the owner of a cell leaves, after the start of the load, in milliseconds. */
+const LEAVE_AFTER_MS = 4_000
+
+/** Demand over capacity: queues form, so that a new owner has work to grant at once. */
+const LOAD = 1.3
+
+/** Period of looking at the engines, in milliseconds. */
+const SAMPLE_MS = 5
+
+/** How far the change of an owner goes beyond the slots. */
+interface HandoverFigures {
+  /** Most requests on one engine over its slots. */
+  readonly peak: number
+  readonly refused: number
+  readonly answered: number
+}
+
+/** A cell changes its owner under load: the new owner asks what is held, against starting from empty slots. */
+export const handover: Scenario = {
+  name: 'handover',
+  question: 'How far beyond its slots is an engine loaded when its cell changes the owner under load?',
+  async run (seed: number): Promise<ExperimentReport> {
+    const chosen = await measure(seed, true)
+    const baseline = await measure(seed, false)
+    return {
+      figures: [
+        { name: 'most requests on one engine over its slots', unit: 'ratio', baseline: baseline.peak, chosen: chosen.peak },
+        { name: 'requests refused', unit: 'requests', baseline: baseline.refused, chosen: chosen.refused },
+        { name: 'requests answered', unit: 'requests', baseline: baseline.answered, chosen: chosen.answered }
+      ],
+      notes: ['baseline: gateways tell the new owner nothing, and load reports alone correct it']
+    }
+  }
+}
+
+async function measure (seed: number, tellsHeldSlots: boolean): Promise<HandoverFigures> {
+  const workspaces = equalWorkspaces(4)
+  const fleet = new TaskFleet({ seed, slotsPerEngine: SLOTS_PER_ENGINE, tokenMs: TOKEN_MS, workspaces, tellsHeldSlots })
+  await fleet.start()
+  let peak = 0
+  const sampler = setInterval(() => {
+    for (const engine of fleet.engines) peak = Math.max(peak, (engine.running + engine.waiting) / SLOTS_PER_ENGINE)
+  }, SAMPLE_MS)
+  const leaver = setTimeout(() => removeOwner(fleet), LEAVE_AFTER_MS)
+  const result = await runLoad(fleet, {
+    workspaces: workspaces.map((workspace) => ({ workspace, requestsPerSecond: LOAD * fleet.slots / 1.6 / workspaces.length, maxOpen: 60 })),
+    durationMs: DURATION_MS,
+    lengths: LENGTHS,
+    seed,
+    sources: fleet.hosts.map((host) => host.router)
+  })
+  clearInterval(sampler)
+  clearTimeout(leaver)
+  await fleet.stop()
+  return { peak, refused: result.refused, answered: result.traces.length }
+}
+
+/** Every host learns at once that the owner of the first cell takes no new work. */
+function removeOwner (fleet: TaskFleet): void {
+  const [first] = fleet.hosts
+  const [cell] = layCells(fleet.view)
+  if (first === undefined || cell === undefined) return
+  const owner = cellOwner(cell, first.members.workers())
+  for (const host of fleet.hosts) host.members.set(owner?.id ?? '', HostState.Leaving)
+}
--- a/packages/bench/src/lib/task-fleet.ts
+++ b/packages/bench/src/lib/task-fleet.ts
@@ -79,9 +79,16 @@
     return this.engines.length * this.plan.slotsPerEngine
   }
 
+  /** The catalogue in force. */
+  get view (): CatalogueView {
+    const view = this.#catalogue?.current()
+    if (view === undefined) throw new Error('the fleet has not started')
+    return view
+  }
+
   /** The endpoints of a pool. */
   endpoints (pool: string): Endpoint[] {
-    return this.#catalogue?.current()?.endpoints(pool) ?? []
+    return this.view.endpoints(pool)
   }
 
   async start (): Promise<void> {
--- a/packages/state/src/lib/fair-queue.ts
+++ b/packages/state/src/lib/fair-queue.ts
@@ -13,6 +13,16 @@
 /** Requests of mean size that a class may be owed at once, so that one whose endpoints were away does not take all at its return. */
 const MAX_OWED_REQUESTS = 2
 
+/**
+ * Requests of mean size that a workspace may be served ahead of its share when it
+ * comes back from idle. Without it, one that uses most of its share waits behind
+ * its own bursts as soon as another floods the cell.
+ */
+export const BURST_REQUESTS = 8
+
+/** Weight of the newest request in the mean size. */
+const MEAN_SMOOTHING = 0.02
+
 /** Workspaces per class whose counters are kept while they have nothing waiting. */
 const MAX_IDLE_ACCOUNTS = 1_000
 
@@ -51,6 +61,8 @@
   virtualTime: number
   size: number
   tokens: number
+  /** Smoothed cost of a request that was taken, in tokens. */
+  meanCost: number
   /** Weights of the workspaces that have requests waiting. */
   backlogged: number
   /** Tokens this class is owed by its floor. */
@@ -71,12 +83,12 @@
  * requests; taking also looks once at each distinct restriction on endpoints.
  *
  * Invariants: the virtual time of a class never goes back, and a workspace that
- * had nothing waiting starts at it, so it can't claim the service it did not ask
- * for. A class with nothing waiting is owed nothing.
+ * had nothing waiting starts at most `BURST_REQUESTS` behind it, so it can't claim
+ * more of the service it did not ask for. A class with nothing waiting is owed nothing.
  */
 export class FairQueue {
   readonly #classes: readonly ClassQueue[] = CLASS_ORDER.map((workClass) => ({
-    workClass, accounts: new Map(), lanes: new Map(), virtualTime: 0, size: 0, tokens: 0, backlogged: 0, owed: 0
+    workClass, accounts: new Map(), lanes: new Map(), virtualTime: 0, size: 0, tokens: 0, meanCost: 0, backlogged: 0, owed: 0
   }))
 
   readonly #places = new Map<string, Place>()
@@ -124,7 +136,7 @@
     const queue = this.#classOf(request.class)
     const account = this.#accountOf(queue, request.workspace)
     if (account.flows.size === 0) {
-      account.counter = Math.max(account.counter, queue.virtualTime)
+      account.counter = Math.max(account.counter, queue.virtualTime - BURST_REQUESTS * queue.meanCost)
       account.weight = request.weight
       queue.backlogged += request.weight
     }
@@ -229,6 +241,7 @@
     queue.virtualTime = Math.max(queue.virtualTime, account.counter)
     account.counter += request.expectedTokens / request.weight
     reorder(account)
+    queue.meanCost += (queue.meanCost === 0 ? 1 : MEAN_SMOOTHING) * (request.expectedTokens - queue.meanCost)
     queue.owed = Math.max(0, queue.owed - request.expectedTokens)
     for (const other of this.#classes) {
       if (other.size === 0) continue
@@ -263,7 +276,7 @@
   for (const flow of account.flows) flow.lane.order.put(flow)
 }
 
-/** Forgets counters that have fallen behind the virtual time: they would start at it anyway. */
+/** Forgets counters that have fallen behind the virtual time; they lose no more than a burst. */
 function forgetIdle (queue: ClassQueue): void {
   for (const [workspace, account] of queue.accounts) {
     if (account.flows.size === 0 && account.counter <= queue.virtualTime) queue.accounts.delete(workspace)
