--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -165,7 +165,7 @@
     if (held === undefined) return
     this.#held.delete(slot.slotId)
     this.#limits.release(held.permit)
-    this.#restore(slot.cell)
+    this.#count(slot.cell, -1)
     const owner = this.#ownerOf(slot.cell)
     if (owner === undefined) return
     await this.#bus.post(owner, { kind: PeerMessageKind.ReleaseSlot, cell: slot.cell, slotId: slot.slotId, end, actualTokens }, traceparent)
@@ -202,6 +202,7 @@
     if (!answer.value.granted) return refused(refusalOf(answer.value.refusal))
     const slot: Slot = { slotId: answer.value.slotId, cell: placement.name, endpoint: answer.value.endpoint }
     this.#held.set(slot.slotId, { slot, demand, suspect, permit })
+    this.#summaries.set(placement.name, answer.value.summary)
     return { granted: true, slot }
   }
 
@@ -226,7 +227,7 @@
     })?.placement
     if (chosen === undefined) return undefined
     if (chosen.region !== region) this.#link.spend(demand.expectedTokens * BYTES_PER_TOKEN, monotonicNow())
-    this.#reserve(chosen)
+    this.#count(chosen.name, 1)
     return chosen
   }
 
@@ -250,22 +251,14 @@
     }))
   }
 
-  /** Counts the request in the summary at once, so that the next one does not follow it blindly. */
-  #reserve (placement: CellPlacement): void {
-    const summary = this.#summaries.get(placement.name)
-    if (summary === undefined) return
-    this.#summaries.set(placement.name, summary.freeSlots > 0
-      ? { ...summary, freeSlots: summary.freeSlots - 1 }
-      : { ...summary, waiting: summary.waiting + 1 })
-  }
-
-  /** Counts a slot that is given back at once, so that the next request can follow it before the next summary. */
-  #restore (cell: string): void {
+  /** Counts this host's own requests in the summary at once, so that the next one does not follow blindly. */
+  #count (cell: string, change: 1 | -1): void {
     const summary = this.#summaries.get(cell)
     if (summary === undefined) return
-    this.#summaries.set(cell, summary.waiting > 0
-      ? { ...summary, waiting: summary.waiting - 1 }
-      : { ...summary, freeSlots: Math.min(summary.totalSlots, summary.freeSlots + 1) })
+    const queues = change > 0 ? summary.freeSlots === 0 : summary.waiting > 0
+    this.#summaries.set(cell, queues
+      ? { ...summary, waiting: summary.waiting + change }
+      : { ...summary, freeSlots: Math.min(summary.totalSlots, summary.freeSlots - change) })
   }
 
   #ownerOf (cell: string): ReturnType<typeof cellOwner> {
