--- /dev/null
+++ b/packages/bench/src/lib/slopes/ledger.ts
@@ -0,0 +1,191 @@
+import { LedgerRecordKind } from '@cyclamenthread/state'
+import { DEFAULT_SEALING, PartitionOwner } from '@cyclamenthread/coordination'
+import { MemoryStore, seededRandom, VirtualClock } from '@cyclamenthread/standins'
+import type { LedgerRecord } from '@cyclamenthread/state'
+import type { PartitionSettings } from '@cyclamenthread/coordination'
+
+/** Virtual time that each size is measured over, in milliseconds. */
+const MEASURED_MS = 20_000
+
+/** Store writes a second that the heads of all partitions share; see the ledger task. */
+const HEAD_WRITES_PER_SECOND = 180
+
+/** Characters of a sample's text: 250 tokens of about four. */
+const SAMPLE_CHARACTERS = 1_000
+
+/** Samples in one batch of the slope; a trainer acknowledges them in eighths. */
+const BATCH_SAMPLES = 512
+
+const MILLISECONDS = 1000
+
+/** What one size of the ledger costs. An operation is one sample delivered, or one call claimed and answered. */
+export interface LedgerSlope {
+  readonly partitions: number
+  readonly operationsPerSecond: number
+  readonly storeWritesPerSecond: number
+  readonly storeReadsPerSecond: number
+  /** Processor time of owners together with the stand-in's own, in microseconds. */
+  readonly cpuMicrosPerOperation: number
+  readonly bytesPerOperation: number
+  /** Virtual time from asking for a commit to its answer, in milliseconds. */
+  readonly commitP50Ms: number
+  readonly commitP99Ms: number
+  readonly largestValueBytes: number
+  /** Size of the state of a partition whose batches are all acknowledged, for each batch. */
+  readonly stateBytesPerBatch: number
+  readonly snapshots: number
+}
+
+/** A size to measure: rates grow with the partitions. */
+interface LedgerSize {
+  readonly partitions: number
+  readonly samplesPerSecond: number
+  readonly callsPerSecond: number
+}
+
+/** From today's sixteen partitions to the four-fold, at up to the peak of 1,800 requests a second. */
+const SIZES: readonly LedgerSize[] = [
+  { partitions: 8, samplesPerSecond: 150, callsPerSecond: 25 },
+  { partitions: 16, samplesPerSecond: 350, callsPerSecond: 50 },
+  { partitions: 32, samplesPerSecond: 800, callsPerSecond: 100 },
+  { partitions: 64, samplesPerSecond: 1_600, callsPerSecond: 200 }
+]
+
+/**
+ * Measures what the ledger costs at four sizes, against an object service in memory.
+ *
+ * @example
+ * for (const row of await measureLedger(1)) console.log(row)
+ */
+export async function measureLedger (seed: number): Promise<LedgerSlope[]> {
+  const rows: LedgerSlope[] = []
+  for (const size of SIZES) rows.push(await measureSize(size, seed))
+  return rows
+}
+
+async function measureSize (size: LedgerSize, seed: number): Promise<LedgerSlope> {
+  const random = seededRandom(seed)
+  const clock = new VirtualClock()
+  const store = new MemoryStore(clock, random)
+  store.faults.jitterMs = 8
+  const owners = await Promise.all(Array.from({ length: size.partitions }, (_, partition) => partition).map(async (partition) => {
+    const owner = PartitionOwner.takeOver(settingsOf(partition, size.partitions, random), store, () => undefined, clock)
+    await clock.run(clock.now() + 50)
+    return await owner
+  }))
+  const load = new LedgerLoad(owners.flatMap((owner) => owner ?? []), clock, random)
+  const before = { ...store.counts }
+  const cpu = process.cpuUsage()
+  load.start(size)
+  await clock.run(clock.now() + MEASURED_MS)
+  const used = process.cpuUsage(cpu)
+  const seconds = MEASURED_MS / MILLISECONDS
+  const operations = Math.max(1, load.operations)
+  const latencies = load.latencies.sort((a, b) => a - b)
+  return {
+    partitions: size.partitions,
+    operationsPerSecond: operations / seconds,
+    storeWritesPerSecond: (store.counts.writes - before.writes) / seconds,
+    storeReadsPerSecond: (store.counts.reads - before.reads) / seconds,
+    cpuMicrosPerOperation: (used.user + used.system) / operations,
+    bytesPerOperation: (store.counts.bytesWritten - before.bytesWritten) / operations,
+    commitP50Ms: latencies[Math.floor(latencies.length * 0.5)] ?? 0,
+    commitP99Ms: latencies[Math.floor(latencies.length * 0.99)] ?? 0,
+    largestValueBytes: store.counts.largestValue,
+    stateBytesPerBatch: load.stateBytesPerBatch(),
+    snapshots: owners.reduce((sum, owner) => sum + (owner?.counters.snapshots ?? 0), 0)
+  }
+}
+
+function settingsOf (partition: number, partitions: number, random: () => number): PartitionSettings {
+  const ratePerSecond = HEAD_WRITES_PER_SECOND / partitions
+  return {
+    partition,
+    owner: 'slope',
+    usageWindowMs: 60_000,
+    storeTimeoutMs: 2_000,
+    answerRetentionMs: 3_600_000,
+    claimRetentionMs: 86_400_000,
+    pace: { ratePerSecond, burst: Math.max(2, ratePerSecond) },
+    sealing: DEFAULT_SEALING,
+    random
+  }
+}
+
+/** Trainers and desks that commit at a steady rate, spread over partitions. */
+class LedgerLoad {
+  readonly #owners: readonly PartitionOwner[]
+  readonly #clock: VirtualClock
+  readonly #random: () => number
+  readonly latencies: number[] = []
+  operations = 0
+  #serial = 0
+
+  constructor (owners: readonly PartitionOwner[], clock: VirtualClock, random: () => number) {
+    this.#owners = owners
+    this.#clock = clock
+    this.#random = random
+  }
+
+  start (size: LedgerSize): void {
+    const perPartition = size.samplesPerSecond / size.partitions
+    for (const owner of this.#owners) void this.#train(owner, MILLISECONDS / perPartition)
+    void this.#book(MILLISECONDS / size.callsPerSecond)
+  }
+
+  /** Bytes of what is kept for a batch that is delivered and acknowledged. */
+  stateBytesPerBatch (): number {
+    const finished = this.#owners.flatMap((owner) => owner.state.batches()).filter((batch) => batch.acknowledged === batch.total)
+    return finished.length === 0 ? 0 : JSON.stringify(finished).length / finished.length
+  }
+
+  async #commit (owner: PartitionOwner, record: LedgerRecord): Promise<void> {
+    const from = this.#clock.now()
+    await owner.commit([record], from + 60_000)
+    this.latencies.push(this.#clock.now() - from)
+  }
+
+  async #train (owner: PartitionOwner, everyMs: number): Promise<void> {
+    for (;;) {
+      this.#serial += 1
+      const batchId = `step-${this.#serial}`
+      const samples = Array.from({ length: BATCH_SAMPLES }, (_, index) => ({ sampleId: String(index), group: String(index >> 3), prompt: 'x'.repeat(200), maxTokens: 256, expectedTokens: 250 }))
+      await this.#commit(owner, { kind: LedgerRecordKind.BatchOpen, digest: batchId, order: { batchId, workspace: 'w', entry: 'e', samples } })
+      for (const { sampleId, group } of samples) {
+        await this.#clock.sleep(everyMs * 2 * this.#random())
+        void this.#deliver(owner, batchId, sampleId, group)
+      }
+    }
+  }
+
+  async #deliver (owner: PartitionOwner, batchId: string, sampleId: string, group: string): Promise<void> {
+    await this.#commit(owner, {
+      kind: LedgerRecordKind.Delivery,
+      workspace: 'w',
+      batchId,
+      sample: { sampleId, group, text: 'x'.repeat(SAMPLE_CHARACTERS), versions: [{ version: 1, tokens: 250 }], finishReason: 'stop' },
+      usage: { requestId: `${batchId}/${sampleId}`, workspace: 'w', entry: 'e', promptTokens: 50, answerTokens: 250, calls: 0 }
+    })
+    this.operations += 1
+    const delivered = owner.state.batch(`w/${batchId}`)?.delivered ?? 0
+    if (delivered % (BATCH_SAMPLES / 8) === 0) void this.#commit(owner, { kind: LedgerRecordKind.Acknowledgement, workspace: 'w', batchId, cursor: delivered })
+  }
+
+  async #book (everyMs: number): Promise<void> {
+    for (;;) {
+      await this.#clock.sleep(everyMs * 2 * this.#random())
+      const owner = this.#owners[Math.floor(this.#random() * this.#owners.length)]
+      if (owner !== undefined) void this.#call(owner)
+    }
+  }
+
+  async #call (owner: PartitionOwner): Promise<void> {
+    this.#serial += 1
+    const requestId = `call-${this.#serial}`
+    const claimId = `claim/desk/pitches/${requestId}`
+    await this.#commit(owner, { kind: LedgerRecordKind.Claim, claimId, workspace: 'desk', requestDigest: 'd'.repeat(64), requestId, claimedAt: 0 })
+    const usage = { requestId, workspace: 'desk', entry: 'pitches', promptTokens: 0, answerTokens: 0, calls: 1 }
+    await this.#commit(owner, { kind: LedgerRecordKind.Answer, claimId, requestId, answer: { status: 201, headers: [['content-type', 'application/json']], body: Buffer.alloc(200) }, usage })
+    this.operations += 1
+  }
+}
--- a/packages/coordination/src/lib/commit-group.ts
+++ b/packages/coordination/src/lib/commit-group.ts
@@ -95,8 +95,9 @@
     case LedgerRecordKind.ClaimUncertainty:
     case LedgerRecordKind.Answer: return { exclusive: `claim/${record.claimId}` }
     case LedgerRecordKind.BatchOpen: return { exclusive: `batch/${record.order.workspace}/${record.order.batchId}` }
-    case LedgerRecordKind.BatchCancel:
-    case LedgerRecordKind.Acknowledgement: return { exclusive: `batch/${record.workspace}/${record.batchId}` }
+    case LedgerRecordKind.BatchCancel: return { exclusive: `batch/${record.workspace}/${record.batchId}` }
+    // Deliveries never make an acknowledgement wrong, nor it them: only other acknowledgements are kept apart.
+    case LedgerRecordKind.Acknowledgement: return { exclusive: `ack/${record.workspace}/${record.batchId}`, shared: `batch/${record.workspace}/${record.batchId}` }
     case LedgerRecordKind.Delivery: return sampleSubjects(record.workspace, record.batchId, record.sample.sampleId)
     case LedgerRecordKind.SampleFailure: return sampleSubjects(record.workspace, record.batchId, record.sampleId)
     case LedgerRecordKind.Usage: return { exclusive: `usage/${record.usage.requestId}` }
--- a/packages/coordination/src/lib/head-draft.ts
+++ b/packages/coordination/src/lib/head-draft.ts
@@ -8,7 +8,7 @@
 
 /** When open records of a head are sealed and snapshots are taken. */
 export interface Sealing {
-  /** Characters of the open records of a head before they are sealed as a segment. */
+  /** Most characters of the open records of a head before they are sealed as a segment; a quarter is enough while commits are small. */
   readonly openCharacters: number
   /** Fewest segments that a snapshot replaces. */
   readonly snapshotSegments: number
@@ -18,7 +18,10 @@
  * Every commit writes the open records again, and every seal costs a write: at
  * this size a busy partition writes its records about three times.
  */
-export const DEFAULT_SEALING: Sealing = { openCharacters: 64 * 1024, snapshotSegments: 16 }
+export const DEFAULT_SEALING: Sealing = { openCharacters: 64 * 1024, snapshotSegments: 32 }
+
+/** Group commits whose records make up a segment, where the bounds leave the choice. */
+const GROUPS_PER_SEGMENT = 4
 
 /** Open records of a head before they are sealed as a segment. */
 const OPEN_RECORDS = 512
@@ -170,8 +173,8 @@
   /** The head with its open records sealed, if those and the new ones are too many. */
   async #sealed (records: readonly LedgerRecord[]): Promise<LedgerHead | undefined> {
     const head = this.#head
-    const characters = records.reduce((sum, record) => sum + storedCharacters(record), this.#openCharacters)
-    const full = characters > this.#settings.sealing.openCharacters || head.open.length + records.length > OPEN_RECORDS
+    const added = records.reduce((sum, record) => sum + storedCharacters(record), 0)
+    const full = this.#openCharacters + added > this.#openLimit(added) || head.open.length + records.length > OPEN_RECORDS
     if (!full || head.open.length === 0) return head
     const segment = await this.#storage.writeSegment(head.open)
     if (segment === undefined) return undefined
@@ -186,6 +189,12 @@
     return { ...head, segments, open: [] }
   }
 
+  /** Small groups are sealed early, for each of them writes the open records again; large ones late, for each seal is a write. */
+  #openLimit (added: number): number {
+    const { openCharacters } = this.#settings.sealing
+    return Math.min(openCharacters, Math.max(openCharacters / 4, GROUPS_PER_SEGMENT * added))
+  }
+
   #compact (window: number): void {
     const { answerRetentionMs, claimRetentionMs, usageWindowMs } = this.#settings
     this.state.compact({
