--- /dev/null
+++ b/packages/coordination/src/test/append-log.test.ts
@@ -0,0 +1,51 @@
+import { mkdtemp, readdir, readFile, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import test from 'ava'
+import { AppendLog } from '../lib/append-log.js'
+import type { ExecutionContext } from 'ava'
+
+async function folder (t: ExecutionContext): Promise<string> {
+  const path = await mkdtemp(join(tmpdir(), 'cyclamenthread-log-'))
+  t.teardown(async () => await rm(path, { recursive: true }))
+  return path
+}
+
+test('lines survive a restart, and a damaged one is left out without its neighbours', async (t) => {
+  const settings = { folder: await folder(t), fileBytes: 1_000, files: 4 }
+  const log = new AppendLog(settings)
+  await log.append(['one', 'two', 'three'])
+  await log.close()
+  const [name] = await readdir(settings.folder)
+  const path = join(settings.folder, name ?? '')
+  await writeFile(path, (await readFile(path, 'utf8')).replace('two', 'twx'))
+  const again = new AppendLog(settings)
+  await again.append(['four'])
+  t.deepEqual(await again.read(), { lines: ['one', 'three', 'four'], damaged: 1 })
+  await again.close()
+})
+
+test('a line that a crash cut off is not continued by the next life', async (t) => {
+  const settings = { folder: await folder(t), fileBytes: 1_000, files: 4 }
+  const log = new AppendLog(settings)
+  await log.append(['whole', 'cut off'])
+  await log.close()
+  const path = join(settings.folder, (await readdir(settings.folder))[0] ?? '')
+  const text = await readFile(path, 'utf8')
+  await writeFile(path, text.slice(0, -4))
+  const again = new AppendLog(settings)
+  await again.append(['after'])
+  t.deepEqual(await again.read(), { lines: ['whole', 'after'], damaged: 1 })
+  await again.close()
+})
+
+test('the oldest lines go when the bound is reached', async (t) => {
+  const settings = { folder: await folder(t), fileBytes: 20, files: 3 }
+  const log = new AppendLog(settings)
+  for (let line = 0; line < 10; line++) await log.append([`line number ${line}`])
+  await log.close()
+  t.true((await readdir(settings.folder)).length <= 3)
+  const { lines, damaged } = await log.read()
+  t.is(lines.at(-1), 'line number 9')
+  t.is(damaged, 0)
+})
--- a/packages/state/src/lib/decision-chain.ts
+++ b/packages/state/src/lib/decision-chain.ts
@@ -83,3 +83,41 @@
   }
   return undefined
 }
+
+/** The last hash of a chain that the ledger holds. */
+export interface ChainWitness {
+  readonly sequence: number
+  readonly hash: string
+}
+
+/** What a check of the kept records of one chain found. */
+export type ChainVerdict =
+  /** Nothing was changed, removed or moved; what was kept before `from` has been rotated out. */
+  | { readonly kind: 'whole', readonly from: number, readonly to: number }
+  /** The record of that sequence was changed, or one before it is missing or moved. */
+  | { readonly kind: 'broken', readonly sequence: number }
+  /** Records up to `expected` were made, and those after `to` are missing. */
+  | { readonly kind: 'truncated', readonly to: number, readonly expected: number }
+  /** The chain fits together, but it is not the one whose hash the ledger holds. */
+  | { readonly kind: 'forged', readonly sequence: number }
+
+/**
+ * Checks the kept records of one chain against the hash that the ledger holds:
+ * whoever rewrites a chain whole would have to rewrite the ledger too.
+ *
+ * @param records the records in the order in which they were kept
+ * @param witness the last hash committed; undefined when none was
+ * @example
+ * verifyChain(records, { sequence: 120, hash }).kind // 'whole'
+ */
+export function verifyChain (records: readonly ChainedDecision[], witness: ChainWitness | undefined): ChainVerdict {
+  const broken = findBreak(records)
+  if (broken !== undefined) return { kind: 'broken', sequence: broken }
+  const from = records[0]?.sequence ?? 1
+  const to = records.at(-1)?.sequence ?? 0
+  if (witness === undefined) return { kind: 'whole', from, to }
+  if (to < witness.sequence) return { kind: 'truncated', to, expected: witness.sequence }
+  const witnessed = records.find((record) => record.sequence === witness.sequence)
+  if (witnessed !== undefined && witnessed.hash !== witness.hash) return { kind: 'forged', sequence: witness.sequence }
+  return { kind: 'whole', from, to }
+}
--- /dev/null
+++ b/packages/state/src/test/decision-chain.test.ts
@@ -0,0 +1,49 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { DecisionChain, verifyChain } from '../lib/decision-chain.js'
+import type { Decision } from '../lib/cell-event.js'
+import type { ChainedDecision } from '../lib/decision-chain.js'
+
+const SEED = 20_261_204
+const RUNS = 1_000
+
+function decision (index: number, reason: string): Decision {
+  return { kind: 'granted', requestId: `r${index}`, workspace: 'w', entry: 'e', class: 'booking', endpoint: 'x', waiting: [], reason } as unknown as Decision
+}
+
+function chainOf (length: number, reason = ''): ChainedDecision[] {
+  const chain = new DecisionChain('host/1')
+  return Array.from({ length }, (_, index) => chain.append(decision(index, reason), index))
+}
+
+const length = fc.integer({ min: 4, max: 40 })
+const place = fc.nat()
+
+test(`a changed, removed or moved record is found wherever it is (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(length, place, fc.constantFrom('change', 'remove', 'move', 'cut'), (size, at, harm) => {
+    const records = chainOf(size)
+    const last = records.at(-1)
+    const witness = { sequence: size, hash: last?.hash ?? '' }
+    if (verifyChain(records, witness).kind !== 'whole') return false
+    // The first and the last record have their own cases below; between them each place counts.
+    const index = 1 + at % (size - 2)
+    const record = records[index] as ChainedDecision
+    if (harm === 'change') records[index] = { ...record, decision: decision(index, 'other') }
+    if (harm === 'remove') records.splice(index, 1)
+    if (harm === 'move') records.splice(index, 2, ...[records[index + 1], record].flatMap((item) => item ?? []))
+    if (harm === 'cut') records.splice(index)
+    return verifyChain(records, witness).kind === (harm === 'cut' ? 'truncated' : 'broken')
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test('a chain that was rewritten whole is found by the hash in the ledger', (t) => {
+  const records = chainOf(10)
+  const witness = { sequence: 8, hash: records[7]?.hash ?? '' }
+  t.deepEqual(verifyChain(chainOf(10, 'other'), witness), { kind: 'forged', sequence: 8 })
+  t.is(verifyChain(chainOf(10, 'other'), undefined).kind, 'whole')
+})
+
+test('records that were rotated out are not taken for removed', (t) => {
+  t.deepEqual(verifyChain(chainOf(10).slice(4), undefined), { kind: 'whole', from: 5, to: 10 })
+})
