Decisions are kept on two hosts with a data folder, and the ledger holds their chain's hash

Sent once a second, on the disk before they are accepted, 16 MiB a file, 32 files; explain looks there too and names each decision once.

--- /dev/null
+++ b/packages/coordination/src/lib/decision-archive.ts
@@ -0,0 +1,150 @@
+import { join } from 'node:path'
+import { HostState, LedgerRecordKind, rankOwners } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { AppendLog } from './append-log.js'
+import { Periodic } from './periodic.js'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { ChainedDecision, Host } from '@cyclamenthread/state'
+import type { DecisionLog } from './decision-log.js'
+import type { HostSettings } from './host-settings.js'
+import type { LedgerClient } from './ledger-client.js'
+import type { MemberView } from './member-task.js'
+import type { MessageBus } from './message-bus.js'
+import type { WriteBehind } from './write-behind.js'
+
+/** How often new decisions are sent to the hosts that keep them, in milliseconds. */
+const SHIP_MS = 1_000
+
+/** Decisions in one message. */
+const SHIP_RECORDS = 500
+
+/** Hosts that keep each chain, in different failure domains where there are such. */
+const KEEPERS = 2
+
+/** How often the head of this process's chain goes into the ledger, in milliseconds. */
+const WITNESS_MS = 10_000
+
+/** Size of one file of kept decisions, in bytes. */
+const FILE_BYTES = 16 * 1024 * 1024
+
+/** Files of kept decisions; older ones are removed. */
+const FILES = 32
+
+/** What the archive works with. */
+export interface ArchiveContext {
+  readonly log: DecisionLog
+  readonly members: Pick<MemberView, 'members'>
+  readonly bus: Pick<MessageBus, 'send'>
+  readonly ledger: Pick<LedgerClient, 'partitionOf'>
+  readonly behind: Pick<WriteBehind, 'add'>
+}
+
+/**
+ * Keeps decisions beyond the life of the process that made them: sends them to
+ * hosts with a data folder, keeps what other hosts send if it has one itself,
+ * and lets the ledger hold the hash of the chain every few seconds.
+ *
+ * Decisions are sent after the fact: a process that dies takes at most its
+ * last second of them with it, which shows as a chain that ends before the
+ * hash in the ledger.
+ */
+export class DecisionArchive {
+  readonly #settings: HostSettings
+  readonly #context: ArchiveContext
+  readonly #kept: AppendLog | undefined
+  readonly #shipping: Periodic
+  readonly #witness: Periodic
+  #witnessed = 0
+  /** Decisions kept for others, sent to keepers, given up for want of a keeper, and damaged lines met. */
+  readonly counters = { kept: 0, shipped: 0, unkept: 0, damaged: 0 }
+
+  constructor (settings: HostSettings, context: ArchiveContext) {
+    this.#settings = settings
+    this.#context = context
+    const { dataFolder } = settings
+    this.#kept = dataFolder === undefined ? undefined : new AppendLog({ folder: join(dataFolder, 'decisions'), fileBytes: FILE_BYTES, files: FILES })
+    this.#shipping = new Periodic(SHIP_MS, async () => await this.ship())
+    this.#witness = new Periodic(WITNESS_MS, async () => this.#commitHead())
+    context.log.searchAlso(async (requestId) => await this.#find(requestId))
+  }
+
+  /** The broker service that keeps decisions. */
+  service (): ServiceSchema {
+    return taskService('archive', {
+      [PeerMessageKind.KeepDecisions]: async (message) => ({ accepted: await this.#keep(message.records) })
+    })
+  }
+
+  /** Checks what is kept, and goes on in the background. */
+  async start (): Promise<void> {
+    this.counters.damaged = (await this.#kept?.read())?.damaged ?? 0
+    void this.#shipping.start()
+    void this.#witness.start()
+  }
+
+  /** Sends what is left and stops. */
+  async stop (): Promise<void> {
+    await this.#shipping.stop()
+    await this.#witness.stop()
+    await this.ship()
+    await this.#kept?.close()
+  }
+
+  /**
+   * Sends the decisions made since the last time; those that no host took are sent again.
+   *
+   * @internal
+   */
+  async ship (): Promise<void> {
+    for (let records = this.#context.log.unshipped(SHIP_RECORDS); records.length > 0; records = this.#context.log.unshipped(SHIP_RECORDS)) {
+      const keepers = this.#keepers()
+      const answers = await Promise.all(keepers.map(async (host) => await this.#send(host, records)))
+      if (!answers.includes(true)) break
+      this.#context.log.shipped(records.at(-1)?.sequence ?? 0)
+      this.counters.shipped += records.length
+    }
+    this.counters.unkept = this.#context.log.dropped
+  }
+
+  async #send (host: Host, records: readonly ChainedDecision[]): Promise<boolean> {
+    const message = { kind: PeerMessageKind.KeepDecisions as const, records: [...records] }
+    const answer = await this.#context.bus.send(host, message, { deadline: deadlineAfter(this.#settings.storeTimeoutMs) })
+    return answer.ok && answer.value.accepted
+  }
+
+  /** The first hosts with a data folder by rendezvous, the second from another failure domain if there is one. */
+  #keepers (): Host[] {
+    const hosts = this.#context.members.members()
+      .filter((member) => member.state === HostState.Alive && member.host.hasDataFolder)
+      .map((member) => member.host)
+    const ranked = rankOwners(`decisions/${this.#settings.self.id}`, hosts.map((host) => host.id))
+      .flatMap((id) => hosts.find((host) => host.id === id) ?? [])
+    const [first] = ranked
+    if (first === undefined) return []
+    const apart = ranked.filter((host) => host.failureDomain !== first.failureDomain)
+    return [first, ...apart, ...ranked.slice(1)].slice(0, KEEPERS)
+  }
+
+  async #keep (records: readonly ChainedDecision[]): Promise<boolean> {
+    if (this.#kept === undefined) return false
+    await this.#kept.append(records.map((record) => JSON.stringify(record)))
+    this.counters.kept += records.length
+    return true
+  }
+
+  async #find (requestId: string): Promise<ChainedDecision[]> {
+    if (this.#kept === undefined) return []
+    const { lines } = await this.#kept.read()
+    // The id is looked for in the text first: parsing every line would cost far more.
+    return lines.filter((line) => line.includes(requestId)).map((line) => JSON.parse(line) as ChainedDecision)
+  }
+
+  #commitHead (): void {
+    const { chain, sequence, hash } = this.#context.log.head
+    if (sequence === this.#witnessed) return
+    this.#witnessed = sequence
+    void this.#context.behind.add(this.#context.ledger.partitionOf(`chain/${chain}`), { kind: LedgerRecordKind.ChainHead, chain, sequence, hash })
+  }
+}
--- a/packages/coordination/src/lib/decision-log.ts
+++ b/packages/coordination/src/lib/decision-log.ts
@@ -2,11 +2,14 @@
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { ChainedDecision, Decision } from '@cyclamenthread/state'
+import type { ChainedDecision, ChainWitness, Decision } from '@cyclamenthread/state'
 import type { HostSettings } from './host-settings.js'
 
 /** Decision records kept in memory for `explain`. */
-const KEPT_DECISIONS = 50_000
+const KEPT_DECISIONS = 20_000
+
+/** Decisions that may wait for a host that keeps them; older ones are given up. */
+const UNSHIPPED_DECISIONS = 20_000
 
 /** Where decisions go. */
 export interface DecisionSink {
@@ -14,6 +17,9 @@
   record (decision: Decision): void
 }
 
+/** Finds decisions that are kept elsewhere than in memory. */
+export type DecisionSearch = (requestId: string) => Promise<readonly ChainedDecision[]>
+
 /**
  * Chains the decisions of this process and answers for them.
  *
@@ -21,26 +27,62 @@
  */
 export class DecisionLog implements DecisionSink {
   readonly #chain: DecisionChain
+  readonly #name: string
   #records: ChainedDecision[] = []
+  #unshipped: ChainedDecision[] = []
+  #search: DecisionSearch | undefined
+  /** Decisions that waited for a keeper until there were too many. */
+  dropped = 0
 
   constructor (settings: HostSettings) {
-    this.#chain = new DecisionChain(`${settings.self.id}/${settings.incarnation}`)
+    this.#name = `${settings.self.id}/${settings.incarnation}`
+    this.#chain = new DecisionChain(this.#name)
   }
 
   /** The broker service that answers for decisions. */
   service (): ServiceSchema {
     return taskService('decisions', {
-      [PeerMessageKind.ExplainRequest]: async (message) => ({ records: this.#explain(message.requestId) })
+      [PeerMessageKind.ExplainRequest]: async (message) => ({ records: await this.#explain(message.requestId) })
     })
   }
 
   record (decision: Decision): void {
-    this.#records.push(this.#chain.append(decision, Date.now()))
+    const record = this.#chain.append(decision, Date.now())
+    this.#records.push(record)
+    this.#unshipped.push(record)
     if (this.#records.length > 2 * KEPT_DECISIONS) this.#records = this.#records.slice(-KEPT_DECISIONS)
+    if (this.#unshipped.length <= 2 * UNSHIPPED_DECISIONS) return
+    this.dropped += this.#unshipped.length - UNSHIPPED_DECISIONS
+    this.#unshipped = this.#unshipped.slice(-UNSHIPPED_DECISIONS)
+  }
+
+  /** The chain of this process and its last hash. */
+  get head (): ChainWitness & { readonly chain: string } {
+    return { chain: this.#name, sequence: this.#chain.sequence, hash: this.#chain.head }
+  }
+
+  /** The oldest decisions that no host keeps yet. */
+  unshipped (limit: number): ChainedDecision[] {
+    return this.#unshipped.slice(0, limit)
+  }
+
+  /** Takes note that the oldest decisions are kept. */
+  shipped (last: number): void {
+    this.#unshipped = this.#unshipped.filter((record) => record.sequence > last)
+  }
+
+  /** Adds a place where `explain` looks. */
+  searchAlso (search: DecisionSearch): void {
+    this.#search = search
   }
 
-  #explain (requestId: string): ChainedDecision[] {
+  /** Decisions of a request from memory and from what is kept, each once. */
+  async #explain (requestId: string): Promise<ChainedDecision[]> {
     const isOf = (id: string): boolean => id === requestId || id.startsWith(`${requestId}/`)
-    return this.#records.filter((record) => isOf(record.decision.requestId))
+    const found = new Map<string, ChainedDecision>()
+    for (const record of [...this.#records, ...await this.#search?.(requestId) ?? []]) {
+      if (isOf(record.decision.requestId)) found.set(`${record.chain}/${record.sequence}`, record)
+    }
+    return [...found.values()]
   }
 }
--- a/packages/coordination/src/lib/host-settings.ts
+++ b/packages/coordination/src/lib/host-settings.ts
@@ -8,6 +8,8 @@
   readonly clusterSecret: string
   /** Region in which the platform's object service runs. */
   readonly storeRegion: string
+  /** Folder for bulk data; hosts without one keep nothing. */
+  readonly dataFolder?: string | undefined
   readonly ledgerPartitions: number
   readonly usageWindowMs: number
   readonly leaseMs: number
--- a/packages/cyclamenthread/src/lib/explain-handler.ts
+++ b/packages/cyclamenthread/src/lib/explain-handler.ts
@@ -4,6 +4,7 @@
 import { authenticate } from './admission.js'
 import { sendJson, sendProblem } from './problem.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { ChainedDecision } from '@cyclamenthread/state'
 import type { Gateway, Hop } from './gateway.js'
 
 /** Longest the hosts are asked for their records, in milliseconds. */
@@ -19,10 +20,14 @@
   const id = decodeURIComponent(new URL(hop.url, 'http://local').pathname.split('/')[3] ?? '')
   const deadline = deadlineAfter(COLLECT_MS)
   const answers = await Promise.all(gateway.members.workers().map(async (host) => await gateway.bus.send(host, { kind: PeerMessageKind.ExplainRequest, requestId: id }, { deadline, traceparent: hop.traceparent })))
-  const records = answers
-    .flatMap((answer) => answer.ok ? answer.value.records : [])
+  const records = distinct(answers.flatMap((answer) => answer.ok ? answer.value.records : []))
     .filter((record) => record.decision.workspace === caller.value.workspace.name)
     .sort((a, b) => a.at - b.at || a.sequence - b.sequence)
   if (records.length === 0) sendProblem(response, notRun(RefusalReason.BadRequest, 'no decision on this request is kept'), hop.requestId)
   else sendJson(response, 200, { id, complete: answers.every((answer) => answer.ok), records })
 }
+
+/** Each decision once: the host that made it and those that keep it all answer with it. */
+function distinct (records: readonly ChainedDecision[]): ChainedDecision[] {
+  return [...new Map(records.map((record) => [`${record.chain}/${record.sequence}`, record])).values()]
+}
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,7 +1,7 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, BudgetedStore, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
+  BatchTask, BudgetedStore, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
   MessageBus, ServiceRunner, UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
@@ -33,6 +33,7 @@
   readonly #members: MemberTask
   readonly #catalogue: CatalogueTask
   readonly #decisions: DecisionLog
+  readonly #archive: DecisionArchive
   readonly #dispatcher: DispatcherTask
   readonly #router: CellRouter
   readonly #ledger: LedgerTask
@@ -63,6 +64,7 @@
     const completions = new CompletionRunner(this.#router, this.#endpoints)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
     this.#behind = new WriteBehind(ledger)
+    this.#archive = new DecisionArchive(this.#host, { log: this.#decisions, members: this.#members, bus: this.#bus, ledger, behind: this.#behind })
     this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions)
     this.#usage = new UsageTask(this.#host, {
       members: this.#members,
@@ -88,6 +90,7 @@
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
     this.#broker.createService(this.#decisions.service())
+    this.#broker.createService(this.#archive.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#ledger.service())
     this.#broker.createService(this.#batches.service())
@@ -100,6 +103,7 @@
     await this.#router.start()
     this.#batches.start()
     await this.#usage.start()
+    await this.#archive.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
@@ -123,6 +127,7 @@
   /** Stops at once. */
   async stop (): Promise<void> {
     this.#batches.stop()
+    await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
     await this.#ledger.stop()
--- a/packages/protocol/src/lib/decision-message.ts
+++ b/packages/protocol/src/lib/decision-message.ts
@@ -13,5 +13,11 @@
   records: z.array(z.custom<ChainedDecision>((value) => typeof value === 'object' && value !== null))
 })
 
+/** Gives decisions to a host with a data folder; accepted once they are on its disk. */
+export const keepDecisionsSchema = z.object({
+  kind: z.literal(PeerMessageKind.KeepDecisions),
+  records: z.array(z.custom<ChainedDecision>((value) => typeof value === 'object' && value !== null)).min(1)
+})
+
 export type ExplainRequest = z.infer<typeof explainRequestSchema>
 export type Explanation = z.infer<typeof explanationSchema>
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -5,6 +5,7 @@
   CancelRequest = 'dispatcher.cancel',
   SummariseCells = 'dispatcher.summarise',
   ExplainRequest = 'decisions.explain',
+  KeepDecisions = 'archive.keep',
   CommitRecord = 'ledger.commit',
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 import { openBatchSchema } from './batch-message.js'
-import { explainRequestSchema, explanationSchema } from './decision-message.js'
+import { explainRequestSchema, explanationSchema, keepDecisionsSchema } from './decision-message.js'
 import {
   acquireSlotSchema, cancelRequestSchema, cellSummariesSchema, releaseSlotSchema, slotAnswerSchema, summariseCellsSchema
 } from './dispatcher-message.js'
@@ -13,7 +13,7 @@
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
-  acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, explainRequestSchema,
+  acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, explainRequestSchema, keepDecisionsSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema
 ])
 
@@ -24,6 +24,7 @@
   [PeerMessageKind.CancelRequest]: receiptSchema,
   [PeerMessageKind.SummariseCells]: cellSummariesSchema,
   [PeerMessageKind.ExplainRequest]: explanationSchema,
+  [PeerMessageKind.KeepDecisions]: receiptSchema,
   [PeerMessageKind.CommitRecord]: commitAnswerSchema,
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
   [PeerMessageKind.ReadBatch]: batchAnswerSchema,
