--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,7 +1,7 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask,
+  BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask,
   DomainLeaderTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
   UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
@@ -39,6 +39,7 @@
   readonly #members: MemberTask
   readonly #catalogue: CatalogueTask
   readonly #decisions: DecisionLog
+  readonly #archive: DecisionArchive
   readonly #dispatcher: DispatcherTask
   readonly #limits: LimitTask
   readonly #quarantine: QuarantineTask
@@ -82,6 +83,7 @@
       slots: this.#router,
       ...(options.batchPolicy === undefined ? {} : { policy: options.batchPolicy })
     })
+    this.#archive = new DecisionArchive(this.#host, { log: this.#decisions, members: this.#members, bus: this.#bus, ledger, behind: this.#behind })
     this.#usage = new UsageTask(this.#host, {
       members: this.#members,
       advance: async (partition) => await this.#ledger.advance(partition),
@@ -109,6 +111,7 @@
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
     this.#broker.createService(this.#decisions.service())
+    this.#broker.createService(this.#archive.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#router.service())
     this.#broker.createService(this.#limits.service())
@@ -127,6 +130,7 @@
     await this.#usage.start()
     await this.#domains.start()
     await this.#capacity.start()
+    await this.#archive.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
@@ -157,6 +161,8 @@
     await this.#batches.stop()
     await this.#capacity.stop()
     await this.#domains.stop()
+    this.#batches.stop()
+    await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
     await this.#limits.stop()
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -10,6 +10,7 @@
   NoteLoss = 'quarantine.note',
   ClearSuspect = 'quarantine.clear',
   ExplainRequest = 'decisions.explain',
+  KeepDecisions = 'archive.keep',
   CommitRecord = 'ledger.commit',
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
