--- /dev/null
+++ b/packages/cyclamenctl/src/lib/declaration-fault.ts
@@ -0,0 +1,70 @@
+import { declarationSchemas, DeclarationKind } from './declaration.js'
+import { nearestName } from '@cyclamenthread/state'
+import type { LineCounter, Document, Node } from 'yaml'
+import type { z } from 'zod'
+
+/** A fault in a declaration and where it stands. */
+export interface DeclarationFault {
+  readonly file: string
+  /** Line in the file, from 1. */
+  readonly line: number
+  readonly message: string
+}
+
+/** Where a document stands, to find the lines of its faults. */
+export interface PlacedDocument {
+  readonly file: string
+  readonly document: Document
+  readonly lines: LineCounter
+}
+
+type Issue = z.core.$ZodIssue
+
+/**
+ * The faults that a schema found in a document, each with the line it stands on.
+ *
+ * @example
+ * schemaFaults(placed, parsed.error.issues)
+ */
+export function schemaFaults (placed: PlacedDocument, issues: readonly Issue[]): DeclarationFault[] {
+  return issues.flatMap((issue) => {
+    if (issue.code === 'unrecognized_keys') return unknownFields(placed, issue.path, issue.keys)
+    return [{ file: placed.file, line: lineOf(placed, issue.path), message: `${pathText(issue.path)}: ${issueText(placed, issue)}` }]
+  })
+}
+
+function unknownFields (placed: PlacedDocument, path: readonly PropertyKey[], keys: readonly string[]): DeclarationFault[] {
+  return keys.map((key) => {
+    const meant = path.length === 0 ? nearestName(key, fieldNames(placed)) : undefined
+    const hint = meant === undefined ? '' : `; did you mean ${meant}?`
+    return { file: placed.file, line: lineOf(placed, [...path, key]), message: `${pathText([...path, key])}: unknown field${hint}` }
+  })
+}
+
+function fieldNames (placed: PlacedDocument): string[] {
+  const kind = Object.values(DeclarationKind).find((known) => known === placed.document.get('kind'))
+  return kind === undefined ? [] : Object.keys(declarationSchemas[kind].shape)
+}
+
+function issueText (placed: PlacedDocument, issue: Issue): string {
+  if (issue.code === 'invalid_union') return `expected one of ${Object.values(DeclarationKind).join(', ')}`
+  const absent = issue.path.length > 0 && placed.document.getIn(issue.path) === undefined
+  if (absent && issue.code === 'invalid_type') return `missing; expected ${issue.expected}`
+  if (absent && issue.code === 'invalid_value') return `missing; expected one of ${issue.values.join(', ')}`
+  if (issue.code === 'invalid_format') return `expected ${issue.message.replace(/^Invalid /, 'a valid ')}`
+  return issue.message
+}
+
+function pathText (path: readonly PropertyKey[]): string {
+  return path.length === 0 ? 'document' : path.map(String).join('.')
+}
+
+/** Line of the nearest node on the way to a path that exists. */
+function lineOf ({ document, lines }: PlacedDocument, path: readonly PropertyKey[]): number {
+  for (let length = path.length; length >= 0; length--) {
+    const node = length === 0 ? document.contents : document.getIn(path.slice(0, length), true)
+    const range = (node as Node | null | undefined)?.range
+    if (range !== null && range !== undefined) return lines.linePos(range[0]).line
+  }
+  return 1
+}
