cyclamenctl: a module a command, typed results as text or JSON, plan and apply by revision

Commands: validate, plan, apply, status, keys grant/withdraw, drain, usage, explain, verify. Unknown commands and flags are refused with the nearest name. An unknown write outcome is settled by sending the same conditional write again: it takes effect once. Ruled out: deciding by reading the head alone, since a write may still be on its way.

--- /dev/null
+++ b/packages/cyclamenctl/src/lib/apply-wait.ts
@@ -0,0 +1,52 @@
+import { deadlineAfter, timeLeft } from '@cyclamenthread/transport'
+import { liveHosts, readinessOf } from './host-directory.js'
+import type { CommandFlags } from './command.js'
+
+/** Pause between two looks at the hosts, in milliseconds. */
+const PAUSE_MS = 200
+
+/** Longest wait when no other is given, in seconds. */
+export const DEFAULT_TIMEOUT_SECONDS = 60
+
+/** How far a revision has come. */
+export interface Rollout {
+  readonly revision: number
+  /** URLs of the hosts that report the revision or a later one. */
+  readonly reached: readonly string[]
+  /** URLs of live hosts that do not, or do not answer. */
+  readonly behind: readonly string[]
+}
+
+/** Monotonic deadline of the flags' longest wait. */
+export function waitDeadline (flags: CommandFlags): number {
+  return deadlineAfter((flags.timeoutSeconds ?? DEFAULT_TIMEOUT_SECONDS) * 1_000)
+}
+
+/**
+ * Waits until every live host reports a revision. The list of hosts is read
+ * anew each time: a host that died meanwhile is not waited for, one that came is.
+ *
+ * @param revision the revision
+ * @param flags where the hosts are found
+ * @param deadline monotonic milliseconds
+ */
+export async function awaitRevision (revision: number, flags: CommandFlags, deadline: number): Promise<Rollout> {
+  for (;;) {
+    const rollout = await look(revision, flags)
+    const done = rollout.behind.length === 0 && rollout.reached.length > 0
+    if (done || timeLeft(deadline) <= 0) return rollout
+    await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
+  }
+}
+
+async function look (revision: number, flags: CommandFlags): Promise<Rollout> {
+  const live = await liveHosts(flags)
+  if (!live.ok) return { revision, reached: [], behind: [] }
+  const seen = await Promise.all(live.hosts.map(async ({ url }) => ({ url, readiness: await readinessOf(url) })))
+  const hasIt = (item: typeof seen[number]): boolean => (item.readiness?.catalogueRevision ?? 0) >= revision
+  return {
+    revision,
+    reached: seen.filter(hasIt).map((item) => item.url),
+    behind: seen.filter((item) => !hasIt(item)).map((item) => item.url)
+  }
+}
--- a/packages/cyclamenctl/src/lib/catalogue-difference.ts
+++ b/packages/cyclamenctl/src/lib/catalogue-difference.ts
@@ -1,8 +1,8 @@
 import { isDeepStrictEqual } from 'node:util'
 import { toDeclarations } from './declaration-catalogue.js'
-import { DeclarationKind, nameOf } from './declaration.js'
+import { nameOf } from './declaration.js'
 import type { Catalogue } from '@cyclamenthread/state'
-import type { Declaration } from './declaration.js'
+import type { Declaration, DeclarationKind } from './declaration.js'
 
 /** What happens to a declared thing. */
 export enum ChangeKind {
--- /dev/null
+++ b/packages/cyclamenctl/src/lib/commands/apply.ts
@@ -0,0 +1,94 @@
+import { awaitRevision, waitDeadline } from '../apply-wait.js'
+import { failed } from '../command.js'
+import { ExitCode } from '../exit-code.js'
+import { keepWithdrawals } from '../key-withdrawal.js'
+import { withStore } from '../operator-store.js'
+import { planDigest, readPlan } from '../plan-file.js'
+import { planOf } from './plan.js'
+import { declared } from './validate.js'
+import type { Catalogue } from '@cyclamenthread/state'
+import type { StoredCatalogue } from '@cyclamenthread/protocol'
+import type { Rollout } from '../apply-wait.js'
+import type { Command, CommandContext, Failed, Report } from '../command.js'
+import type { OperatorStore } from '../operator-store.js'
+
+/** What an apply put in force. */
+export interface ApplyResult {
+  /** The revision that holds the folder. */
+  readonly revision: number
+  /** How many declared things changed; nothing is written when none did. */
+  readonly changes: number
+  readonly keptWithdrawn: readonly string[]
+  /** How far the revision has come; only with --wait. */
+  readonly rollout?: Rollout
+}
+
+/** `cyclamenctl apply`: puts a folder in force. */
+export const apply: Command<ApplyResult> = {
+  words: 'apply',
+  parameters: ['folder'],
+  flags: ['storeUrl', 'plan', 'expectRevision', 'wait', 'timeoutSeconds', 'hostUrl', 'platformUrl'],
+  summary: 'Put the declarations of a folder in force',
+  help: `Answers as soon as the store has accepted the catalogue; with --wait only when every
+live host reports its revision. Refuses (exit code 3) when the catalogue is newer than
+--plan or --expect-revision says. A key that was withdrawn, or that the folder no
+longer names, stays withdrawn: to let a caller in again, grant a new key id.
+
+Examples
+  cyclamenctl apply examples/chalk-squares
+  cyclamenctl apply examples/chalk-squares --plan plan.json --wait --host-url http://10.0.0.1:8000`,
+  run: async (context) => {
+    const catalogue = await declared(context.input[0] ?? '')
+    if ('problems' in catalogue) return catalogue
+    return await withStore(context, async (store) => await applyCatalogue(context, store, catalogue))
+  },
+  render: (result) => [
+    result.changes === 0 ? `nothing to change: revision ${result.revision} is in force` : `revision ${result.revision} is accepted with ${result.changes} changes`,
+    ...result.keptWithdrawn.map((id) => `key ${id} stays withdrawn; grant a new key id instead`),
+    ...(result.rollout === undefined ? [] : rolloutLines(result.rollout))
+  ]
+}
+
+async function applyCatalogue (context: CommandContext, store: OperatorStore, catalogue: Catalogue): Promise<Report<ApplyResult>> {
+  const read = await store.read()
+  if (!read.ok) return read
+  const outdated = await checkExpectation(context, catalogue, read.stored)
+  if (outdated !== undefined) return outdated
+  const { changes, keptWithdrawn } = planOf(catalogue, read.stored)
+  const next = keepWithdrawals(catalogue, read.stored?.catalogue ?? { workspaces: [], keys: [], entries: [], pools: [] }).catalogue
+  const write = changes.length === 0 && read.stored !== undefined
+    ? { ok: true as const, revision: read.stored.revision }
+    : await store.write(next, read.stored)
+  if (!write.ok) return write
+  const result: ApplyResult = { revision: write.revision, changes: changes.length, keptWithdrawn }
+  return context.flags.wait === true ? await waited(context, result) : { ok: true, exit: ExitCode.Success, result }
+}
+
+/** Whether the catalogue or the folder moved on since the plan was made. */
+async function checkExpectation (context: CommandContext, catalogue: Catalogue, stored: StoredCatalogue | undefined): Promise<Failed | undefined> {
+  const { plan, expectRevision } = context.flags
+  const revision = stored?.revision ?? 0
+  if (expectRevision !== undefined && expectRevision !== revision) return newer(expectRevision, revision)
+  if (plan === undefined) return undefined
+  const planned = await readPlan(plan)
+  if ('problems' in planned) return planned
+  if (planned.revision !== revision || planned.headVersion !== (stored?.headVersion ?? '')) return newer(planned.revision, revision)
+  if (planned.declarations !== planDigest(catalogue)) return failed(ExitCode.Conflict, 'the folder changed since the plan was made; nothing was changed; plan again')
+  return undefined
+}
+
+function newer (expected: number, revision: number): Failed {
+  return failed(ExitCode.Conflict, `the plan was made against revision ${expected}, but revision ${revision} is in force; nothing was changed; plan again`)
+}
+
+async function waited (context: CommandContext, result: ApplyResult): Promise<Report<ApplyResult>> {
+  const rollout = await awaitRevision(result.revision, context.flags, waitDeadline(context.flags))
+  const everywhere = rollout.behind.length === 0 && rollout.reached.length > 0
+  return { ok: true, exit: everywhere ? ExitCode.Success : ExitCode.Incomplete, result: { ...result, rollout } }
+}
+
+function rolloutLines (rollout: Rollout): string[] {
+  if (rollout.reached.length === 0 && rollout.behind.length === 0) return ['no host answered, so nothing is known of where the revision is in force']
+  const lines = [`in force on ${rollout.reached.length} of ${rollout.reached.length + rollout.behind.length} live hosts`]
+  return [...lines, ...rollout.behind.map((url) => `not yet in force on ${url}`)]
+}
--- /dev/null
+++ b/packages/cyclamenctl/src/lib/commands/explain.ts
@@ -0,0 +1,44 @@
+import { failed } from '../command.js'
+import { ExitCode } from '../exit-code.js'
+import { explainRequest, explanationLines, waitsOf } from '../explanation.js'
+import { operatorClient } from '../operator-client.js'
+import type { ChainedDecision } from '@cyclamenthread/state'
+import type { Command } from '../command.js'
+import type { Explanation } from '../explanation.js'
+import type { OperatorClient } from '../operator-client.js'
+
+/** `cyclamenctl explain`: what was decided on a request, and who was served before it. */
+export const explain: Command<Explanation> = {
+  words: 'explain',
+  parameters: ['request-id'],
+  flags: ['hostUrl', 'platformUrl'],
+  summary: 'Tell who was served before a request, and why',
+  help: `The request id is the x-request-id header of the answer. Reads the decision records of
+all hosts; needs the operator token in CYCLAMENTHREAD_OPERATOR_TOKEN.
+
+Example
+  cyclamenctl explain 5d2f8a52-5a0c-4a58-8f1e-4a2c6f0f7f10 --host-url http://10.0.0.1:8000`,
+  run: async (context) => {
+    const id = context.input[0] ?? ''
+    const client = await operatorClient(context)
+    if (!client.ok) return client
+    const found = await client.value.decisionsOn(id)
+    if (!found.ok) return found
+    if (found.value.records.length === 0) return failed(ExitCode.Failed, `no decision on request ${id} is kept`)
+    const around = await recordsAround(client.value, found.value.records)
+    const result = explainRequest(id, found.value.records, around, found.value.complete)
+    return { ok: true, exit: ExitCode.Success, result }
+  },
+  render: explanationLines
+}
+
+/** The records of each chain between the request's first decision and its last. */
+async function recordsAround (client: OperatorClient, own: readonly ChainedDecision[]): Promise<ChainedDecision[]> {
+  const records: ChainedDecision[] = []
+  for (const wait of waitsOf(own)) {
+    const hostId = wait.chain.split('/')[0] ?? ''
+    const chain = await client.chainOf(hostId, wait.from - 1, wait.to)
+    if (chain.ok) records.push(...chain.value.filter((record) => record.chain === wait.chain))
+  }
+  return records
+}
--- /dev/null
+++ b/packages/cyclamenctl/src/lib/commands/keys-grant.ts
@@ -0,0 +1,85 @@
+import { randomBytes } from 'node:crypto'
+import { access, writeFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { hashKey, keySchema } from '@cyclamenthread/state'
+import { failed } from '../command.js'
+import { declarationText } from '../declaration-catalogue.js'
+import { DeclarationKind } from '../declaration.js'
+import { ExitCode } from '../exit-code.js'
+import { withStore } from '../operator-store.js'
+import type { Catalogue, Key } from '@cyclamenthread/state'
+import type { Command, Failed } from '../command.js'
+
+/** Bytes of the random part of a token. */
+const SECRET_BYTES = 32
+
+/** Bytes of a key's salt. */
+const SALT_BYTES = 16
+
+/** A key that was granted, and the only copy of its token. */
+export interface GrantResult {
+  readonly revision: number
+  readonly id: string
+  readonly workspace: string
+  /** Shown once; only its salted hash is kept. */
+  readonly token: string
+  /** The declaration that was written, when a folder was given. */
+  readonly file?: string
+}
+
+/** `cyclamenctl keys grant`: makes a key and prints its token once. */
+export const keysGrant: Command<GrantResult> = {
+  words: 'keys grant',
+  parameters: ['workspace', 'key-id'],
+  flags: ['storeUrl', 'entry', 'folder'],
+  summary: 'Grant a new key to a workspace',
+  help: `Makes a random token and prints it once; the store keeps only its salted hash. With
+--folder the key's declaration is written there too: commit it, or the next apply of
+the folder withdraws the key. A key id is never used twice.
+
+Example
+  cyclamenctl keys grant booking-desk booking-desk-2 --entry pitches --folder examples/chalk-squares`,
+  run: async (context) => {
+    const [workspace = '', id = ''] = context.input
+    const { key, token } = makeKey(workspace, id, context.flags.entry)
+    const parsed = keySchema.safeParse(key)
+    if (!parsed.success) return failed(ExitCode.Usage, ...parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`))
+    const path = context.flags.folder === undefined ? undefined : join(context.flags.folder, `key-${id}.yaml`)
+    const exists = path !== undefined && await access(path).then(() => true, () => false)
+    if (exists) return failed(ExitCode.Usage, `${path} exists already; expected a new key id`)
+    return await withStore(context, async (store) => {
+      // The declaration goes first: if the store then refuses, the file can be removed; the other
+      // way round a crash would leave a key in force that the next apply withdraws.
+      if (path !== undefined) await writeFile(path, declarationText([{ kind: DeclarationKind.Key, ...parsed.data }]))
+      const write = await store.update((catalogue) => granted(catalogue, parsed.data))
+      if (!write.ok) return path === undefined ? write : { ...write, problems: [...write.problems, `remove ${path} if the key is not wanted any more`] }
+      return { ok: true, exit: ExitCode.Success, result: { revision: write.revision, id, workspace, token, ...(path === undefined ? {} : { file: path }) } }
+    })
+  },
+  render: (result) => [
+    `key ${result.id} of workspace ${result.workspace} is granted with revision ${result.revision}`,
+    ...(result.file === undefined ? [] : [`declared in ${result.file}; commit it`]),
+    'its token, shown only this once:',
+    result.token
+  ]
+}
+
+/** A random key and the token that proves it. */
+function makeKey (workspace: string, id: string, entries: readonly string[] | undefined): { readonly key: Key, readonly token: string } {
+  const token = `${id}_${randomBytes(SECRET_BYTES).toString('hex')}`
+  const salt = randomBytes(SALT_BYTES).toString('hex')
+  const limited = entries === undefined || entries.length === 0 ? {} : { entries: [...entries] }
+  return { key: { id, workspace, salt, hash: hashKey(salt, token), ...limited, withdrawn: false }, token }
+}
+
+/** The catalogue with one more key. A key that is there already, by an earlier attempt of this run, changes nothing. */
+function granted (catalogue: Catalogue, key: Key): Catalogue | Failed {
+  const known = catalogue.keys.find((other) => other.id === key.id)
+  if (known !== undefined) {
+    return known.hash === key.hash ? catalogue : failed(ExitCode.Usage, `key ${key.id} exists already${known.withdrawn ? ' and is withdrawn' : ''}; expected a new key id`)
+  }
+  if (!catalogue.workspaces.some((workspace) => workspace.name === key.workspace)) return failed(ExitCode.Usage, `workspace ${key.workspace} is not in force`)
+  const absent = (key.entries ?? []).filter((name) => !catalogue.entries.some((entry) => entry.name === name))
+  if (absent.length > 0) return failed(ExitCode.Usage, ...absent.map((name) => `entry ${name} is not in force`))
+  return { ...catalogue, keys: [...catalogue.keys, key] }
+}
--- /dev/null
+++ b/packages/cyclamenctl/src/lib/help.ts
@@ -0,0 +1,55 @@
+import { EXIT_CODE_MEANING } from './exit-code.js'
+import { FLAG_TABLE, flagText } from './flag-table.js'
+import type { FlagName, RunnableCommand } from './command.js'
+
+/**
+ * The help of the whole program.
+ *
+ * @example
+ * overallHelp(COMMANDS)
+ */
+export function overallHelp (commands: readonly RunnableCommand[]): string {
+  const width = Math.max(...commands.map((command) => usageOf(command).length)) + 2
+  return [
+    'Usage: cyclamenctl <command> [flags]',
+    '',
+    'Commands',
+    ...commands.map((command) => `  ${usageOf(command).padEnd(width)}${command.summary}`),
+    '',
+    'Flags of every command',
+    '  --json   Print one JSON document',
+    '  --help   Show the help of a command',
+    '',
+    'Exit codes',
+    ...Object.entries(EXIT_CODE_MEANING).map(([code, meaning]) => `  ${code}  ${meaning}`)
+  ].join('\n')
+}
+
+/**
+ * The help of one command.
+ *
+ * @example
+ * commandHelp(command)
+ */
+export function commandHelp (command: RunnableCommand): string {
+  return [
+    `Usage: cyclamenctl ${usageOf(command)} [flags]`,
+    '',
+    `${command.summary}.`,
+    '',
+    command.help,
+    '',
+    'Flags',
+    ...command.flags.map(flagLine),
+    '  --json  Print one JSON document'
+  ].join('\n')
+}
+
+function usageOf (command: RunnableCommand): string {
+  return [command.words, ...command.parameters.map((parameter) => `<${parameter}>`)].join(' ')
+}
+
+function flagLine (name: FlagName): string {
+  const { help, variable } = FLAG_TABLE[name]
+  return `  ${flagText(name)}  ${help}${variable === undefined ? '' : ` [${variable}]`}`
+}
--- /dev/null
+++ b/packages/cyclamenctl/src/lib/host-directory.ts
@@ -0,0 +1,72 @@
+import { request } from 'undici'
+import { z } from 'zod'
+import { PlatformClient } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { failed } from './command.js'
+import { ExitCode } from './exit-code.js'
+import type { CommandFlags, Failed } from './command.js'
+
+/** Longest one host is waited for, in milliseconds. */
+const ANSWER_MS = 3_000
+
+const addressesSchema = z.object({
+  addresses: z.array(z.object({ url: z.string(), region: z.string(), failureDomain: z.string() }))
+})
+const readinessSchema = z.object({ ready: z.boolean(), catalogueRevision: z.int(), leaving: z.boolean() })
+
+export type HostAddress = z.infer<typeof addressesSchema>['addresses'][number]
+
+/** What a host says of itself; undefined when it does not answer. */
+export type Readiness = z.infer<typeof readinessSchema>
+
+/**
+ * The hosts that take new work, as the first host that answers knows them.
+ *
+ * @param flags where to look: any host's URL, or the platform's list
+ * @example
+ * await liveHosts({ hostUrl: ['http://127.0.0.1:8000'] })
+ */
+export async function liveHosts (flags: CommandFlags): Promise<{ readonly ok: true, readonly hosts: readonly HostAddress[] } | Failed> {
+  const seeds = await seedUrls(flags)
+  if (seeds.length === 0) return failed(ExitCode.Usage, '--host-url (CYCLAMENTHREAD_HOST_URL) or --platform-url (CYCLAMENTHREAD_PLATFORM_URL) is missing; expected the base URL of a host')
+  for (const seed of seeds) {
+    const parsed = addressesSchema.safeParse(await getJson(`${seed}/v1/addresses`))
+    if (parsed.success) return { ok: true, hosts: parsed.data.addresses }
+  }
+  return failed(ExitCode.Unavailable, `no host answers; asked ${seeds.join(', ')}`)
+}
+
+/** Asks a host whether it is ready and which revision is in force on it. */
+export async function readinessOf (url: string): Promise<Readiness | undefined> {
+  return readinessSchema.safeParse(await getJson(`${url}/readyz`)).data
+}
+
+/**
+ * A JSON document of a host, whatever its status; undefined when there is none.
+ *
+ * @param url where to ask
+ * @param token operator token, where the route needs one
+ */
+export async function getJson (url: string, token?: string): Promise<unknown> {
+  try {
+    const response = await request(url, {
+      headers: token === undefined ? {} : { authorization: `Bearer ${token}` },
+      headersTimeout: ANSWER_MS,
+      bodyTimeout: ANSWER_MS,
+      signal: AbortSignal.timeout(ANSWER_MS)
+    })
+    return await response.body.json()
+  } catch {
+    return undefined
+  }
+}
+
+/** URLs to begin with: those given, then the hosts of the platform's list, which may lag. */
+async function seedUrls (flags: CommandFlags): Promise<string[]> {
+  const given = (flags.hostUrl ?? []).map((url) => url.replace(/\/$/, ''))
+  if (flags.platformUrl === undefined) return given
+  const platform = new PlatformClient(flags.platformUrl)
+  const listed = await platform.hosts({ deadline: deadlineAfter(ANSWER_MS) })
+  await platform.close()
+  return listed.ok ? [...given, ...listed.value.map((host) => host.callerUrl)] : given
+}
--- a/packages/cyclamenctl/src/lib/main.ts
+++ b/packages/cyclamenctl/src/lib/main.ts
@@ -1,97 +1,127 @@
-import { consola } from 'consola'
 import meow from 'meow'
-import { unreachable } from '@cyclamenthread/state'
-import { ApplyStatus, CatalogueStore, HttpObjectStore } from '@cyclamenthread/protocol'
-import { deadlineAfter } from '@cyclamenthread/transport'
-import { readDeclarations } from './declaration-folder.js'
+import { nearestName } from '@cyclamenthread/state'
+import { failed } from './command.js'
+import { COMMANDS } from './commands/index.js'
 import { ExitCode } from './exit-code.js'
-import type { Catalogue } from '@cyclamenthread/state'
+import { FLAG_TABLE, flagText } from './flag-table.js'
+import { commandHelp, overallHelp } from './help.js'
+import type { AnyFlags } from 'meow'
+import type { CommandFlags, Failed, FlagName, RunnableCommand } from './command.js'
 
-/** Longest a command works on the store, in milliseconds. */
-const COMMAND_MS = 30_000
-
-const HELP = `
-  Usage
-    $ cyclamenctl <command> [flags]
-
-  Commands
-    validate <folder>   Check the declarations of a folder
-    apply <folder>      Put the declarations of a folder in force
+/** Where a command writes and what it reads besides its arguments. */
+export interface Terminal {
+  readonly environment: NodeJS.ProcessEnv
+  /** Takes a line of the result. */
+  out (line: string): void
+  /** Takes a line on a problem. */
+  error (line: string): void
+}
 
-  Flags
-    --store-url  Base URL of the object service [CYCLAMENTHREAD_STORE_URL]
-    --json       Print one JSON document
+/** Flags that every command has. */
+const COMMON_FLAGS: readonly string[] = ['json', 'help']
 
-  Exit codes
-    0 done, 1 failed, 2 usage or faulty declarations, 3 conflict with another
-    operator, 4 outcome unknown, 5 store or host can't be reached
-`
+/** An argument list that was understood. */
+interface Parsed {
+  readonly command: RunnableCommand
+  readonly input: readonly string[]
+  readonly flags: CommandFlags
+}
 
 /**
  * Runs one command.
  *
  * @param argv arguments after the program's name
+ * @param terminal where to write
  * @returns the exit code
- * @internal
+ * @example
+ * await run(['validate', 'examples/chalk-squares'], processTerminal())
  */
-export async function run (argv: readonly string[]): Promise<ExitCode> {
-  const cli = meow(HELP, {
-    importMeta: import.meta,
-    argv,
-    flags: { storeUrl: { type: 'string' }, json: { type: 'boolean', default: false } }
-  })
-  const [command, folder] = cli.input
-  if (folder === undefined || (command !== 'validate' && command !== 'apply')) {
-    consola.error('expected `validate <folder>` or `apply <folder>`; see --help')
-    return ExitCode.Usage
-  }
-  const declarations = await readDeclarations(folder)
-  if (!declarations.ok) {
-    for (const fault of declarations.failure) consola.error(`${fault.file}:${fault.line}: ${fault.message}`)
-    return ExitCode.Usage
+export async function run (argv: readonly string[], terminal: Terminal): Promise<ExitCode> {
+  const { input, flags } = readArguments(argv)
+  const command = findCommand(input)
+  if (flags['help'] === true || input.length === 0) {
+    terminal.out(command === undefined ? overallHelp(COMMANDS) : commandHelp(command))
+    return flags['help'] === true ? ExitCode.Success : ExitCode.Usage
   }
-  if (command === 'validate') {
-    consola.success('the declarations are valid')
-    return ExitCode.Success
+  const parsed = command === undefined ? unknownCommand(input) : checkArguments(command, input, flags, terminal.environment)
+  if ('problems' in parsed) return print(terminal, flags['json'] === true, { exit: parsed.exit, document: { ok: false, exitCode: parsed.exit, problems: parsed.problems }, lines: [], problems: parsed.problems })
+  const report = await parsed.command.execute({ input: parsed.input, flags: parsed.flags, environment: terminal.environment })
+  return print(terminal, flags['json'] === true, report)
+}
+
+function print (terminal: Terminal, json: boolean, report: Awaited<ReturnType<RunnableCommand['execute']>>): ExitCode {
+  if (json) {
+    terminal.out(JSON.stringify(report.document, undefined, 2))
+    return report.exit
   }
-  const storeUrl = cli.flags.storeUrl ?? process.env['CYCLAMENTHREAD_STORE_URL']
-  if (storeUrl === undefined) {
-    consola.error('--store-url (CYCLAMENTHREAD_STORE_URL) is missing')
-    return ExitCode.Usage
+  for (const line of report.lines) terminal.out(line)
+  for (const problem of report.problems) terminal.error(problem)
+  return report.exit
+}
+
+/** Splits the arguments; what is unknown is kept, so that it can be refused by name. */
+function readArguments (argv: readonly string[]): { readonly input: readonly string[], readonly flags: Readonly<Record<string, unknown>> } {
+  const typed = Object.fromEntries(Object.entries(FLAG_TABLE).map(([name, { type, isMultiple }]) => [name, isMultiple === true ? { type, isMultiple } : { type }]))
+  const cli = meow('', { importMeta: import.meta, argv, autoHelp: false, autoVersion: false, flags: { ...typed, json: { type: 'boolean' }, help: { type: 'boolean' } } as AnyFlags })
+  return { input: cli.input.map(String), flags: cli.flags }
+}
+
+function findCommand (input: readonly string[]): RunnableCommand | undefined {
+  return COMMANDS.find((command) => command.words === input.slice(0, command.words.split(' ').length).join(' '))
+}
+
+function unknownCommand (input: readonly string[]): Failed {
+  const given = input.slice(0, 2).join(' ')
+  const known = COMMANDS.map((command) => command.words)
+  const meant = nearestName(given, known) ?? nearestName(input[0] ?? '', known)
+  return failed(ExitCode.Usage, `unknown command ${JSON.stringify(given)}${meant === undefined ? '' : `; did you mean ${meant}?`}`, `expected one of ${known.join(', ')}; see --help`)
+}
+
+function checkArguments (command: RunnableCommand, input: readonly string[], given: Readonly<Record<string, unknown>>, environment: NodeJS.ProcessEnv): Parsed | Failed {
+  const values = input.slice(command.words.split(' ').length)
+  const problems: string[] = []
+  if (values.length !== command.parameters.length) problems.push(`${command.words} takes ${command.parameters.map((name) => `<${name}>`).join(' ') || 'no arguments'}; got ${values.length === 0 ? 'none' : values.join(' ')}`)
+  const flags: Record<string, unknown> = environmentFlags(command, environment)
+  for (const [name, value] of Object.entries(given)) {
+    if (COMMON_FLAGS.includes(name) || value === undefined || isUnset(name, value)) continue
+    const problem = flagProblem(command, name, value)
+    if (problem === undefined) flags[name] = value
+    else problems.push(problem)
   }
-  return await apply(storeUrl, declarations.value)
+  return problems.length > 0 ? failed(ExitCode.Usage, ...problems) : { command, input: values, flags }
 }
 
-async function apply (storeUrl: string, catalogue: Catalogue): Promise<ExitCode> {
-  const store = new HttpObjectStore(storeUrl)
-  const catalogues = new CatalogueStore(store)
-  const deadline = deadlineAfter(COMMAND_MS)
-  const planned = await catalogues.read(deadline)
-  if (!planned.ok) {
-    consola.error('the store can\'t be read')
-    await store.close()
-    return ExitCode.Unavailable
+/** The parser gives repeatable flags an empty list and switches false where they are not given. */
+function isUnset (name: string, value: unknown): boolean {
+  return name in FLAG_TABLE && ((Array.isArray(value) && value.length === 0) || value === false)
+}
+
+function flagProblem (command: RunnableCommand, name: string, value: unknown): string | undefined {
+  if (!command.flags.includes(name as FlagName)) {
+    const meant = nearestName(name, [...command.flags, ...COMMON_FLAGS])
+    return `${command.words} knows no flag ${flagText(name)}${meant === undefined ? '' : `; did you mean ${flagText(meant)}?`}`
   }
-  const outcome = await catalogues.apply(catalogue, planned.value, deadline)
-  await store.close()
-  switch (outcome.status) {
-    case ApplyStatus.Applied:
-      consola.success(`revision ${outcome.revision} is accepted`)
-      return ExitCode.Success
-    case ApplyStatus.Conflict:
-      consola.error(`the catalogue changed meanwhile; it is now at revision ${outcome.revision ?? 'unknown'}`)
-      return ExitCode.Conflict
-    case ApplyStatus.NotWritten:
-      consola.error('nothing was changed: the store can\'t be written')
-      return ExitCode.Unavailable
-    case ApplyStatus.Unknown:
-      consola.error('the store gave no answer; whether the change took effect is not known')
-      return ExitCode.Unknown
-    default: return unreachable(outcome.status)
+  const { type } = FLAG_TABLE[name as FlagName]
+  if (type === 'number' && (typeof value !== 'number' || !Number.isInteger(value) || value < 0)) return `${flagText(name)}: expected a whole number`
+  if (type === 'string' && [value].flat().includes('')) return `${flagText(name)}: expected a value`
+  return undefined
+}
+
+function environmentFlags (command: RunnableCommand, environment: NodeJS.ProcessEnv): Record<string, unknown> {
+  const flags: Record<string, unknown> = {}
+  for (const name of command.flags) {
+    const { variable, isMultiple } = FLAG_TABLE[name]
+    const value = variable === undefined ? undefined : environment[variable]
+    if (value !== undefined && value !== '') flags[name] = isMultiple === true ? value.split(',') : value
   }
+  return flags
 }
 
 /** Runs the command line of this process. */
 export async function main (): Promise<void> {
-  process.exitCode = await run(process.argv.slice(2))
+  process.exitCode = await run(process.argv.slice(2), {
+    environment: process.env,
+    out: (line) => process.stdout.write(`${line}\n`),
+    error: (line) => process.stderr.write(`${line}\n`)
+  })
 }
--- /dev/null
+++ b/packages/cyclamenctl/src/lib/operator-client.ts
@@ -0,0 +1,118 @@
+import { request } from 'undici'
+import { z } from 'zod'
+import { HostState } from '@cyclamenthread/state'
+import { failed } from './command.js'
+import { ExitCode } from './exit-code.js'
+import { liveHosts } from './host-directory.js'
+import { operatorToken } from './operator-store.js'
+import type { ChainedDecision } from '@cyclamenthread/state'
+import type { CommandContext, Failed } from './command.js'
+
+/** Longest a host is waited for, in milliseconds; it may have to ask all others. */
+const ANSWER_MS = 10_000
+
+/** Decisions asked for at once. */
+const PAGE_SIZE = 1_000
+
+const hostSchema = z.object({
+  id: z.string(),
+  region: z.string(),
+  failureDomain: z.string(),
+  callerUrl: z.string(),
+  state: z.enum(HostState)
+})
+const statusSchema = z.object({ hostId: z.string(), catalogueRevision: z.int(), running: z.int(), hosts: z.array(hostSchema) })
+const recordsSchema = z.object({
+  complete: z.boolean(),
+  records: z.array(z.custom<ChainedDecision>((value) => typeof value === 'object' && value !== null && 'hash' in value))
+})
+
+/** A host as another one sees it. */
+export type KnownHost = z.infer<typeof hostSchema>
+
+/** What a host tells operators of itself and the others. */
+export type OperatorStatus = z.infer<typeof statusSchema>
+
+/** Decision records, and whether every host that was asked answered. */
+export type DecisionRecords = z.infer<typeof recordsSchema>
+
+/** The answer of a host, or why there is none. */
+export type HostAnswer<Value> = { readonly ok: true, readonly value: Value } | Failed
+
+/** Talks to the operators' interface of one host. */
+export class OperatorClient {
+  readonly #url: string
+  readonly #token: string
+
+  constructor (url: string, token: string) {
+    this.#url = url
+    this.#token = token
+  }
+
+  /** What the host knows of itself and the others. */
+  async status (): Promise<HostAnswer<OperatorStatus>> {
+    return await this.#send('GET', '/operator/v1/status', statusSchema)
+  }
+
+  /** Asks a host, by its id, to finish what it has and leave. */
+  async drain (hostId: string): Promise<HostAnswer<unknown>> {
+    return await this.#send('POST', `/operator/v1/hosts/${encodeURIComponent(hostId)}/drain`, z.unknown())
+  }
+
+  /** Every decision that is kept on a request, of any workspace. */
+  async decisionsOn (requestId: string): Promise<HostAnswer<DecisionRecords>> {
+    return await this.#send('GET', `/operator/v1/requests/${encodeURIComponent(requestId)}/decisions`, recordsSchema)
+  }
+
+  /** The chain of one host after a sequence number, page by page to its end or to `until`. */
+  async chainOf (hostId: string, after = 0, until = Infinity): Promise<HostAnswer<readonly ChainedDecision[]>> {
+    const records: ChainedDecision[] = []
+    for (;;) {
+      const from = records.at(-1)?.sequence ?? after
+      const page = await this.#send('GET', `/operator/v1/hosts/${encodeURIComponent(hostId)}/decisions?after=${from}&limit=${PAGE_SIZE}`, recordsSchema)
+      if (!page.ok) return page
+      records.push(...page.value.records.filter((record) => record.sequence <= until))
+      const last = page.value.records.at(-1)
+      if (last === undefined || last.sequence >= until || last.sequence <= from) return { ok: true, value: records }
+    }
+  }
+
+  async #send<Schema extends z.ZodType> (method: 'GET' | 'POST', path: string, schema: Schema): Promise<HostAnswer<z.infer<Schema>>> {
+    try {
+      const response = await request(this.#url + path, { method, headers: { authorization: `Bearer ${this.#token}` }, signal: AbortSignal.timeout(ANSWER_MS) })
+      const body = await response.body.json()
+      if (response.statusCode === 401) return failed(ExitCode.Usage, `${this.#url} refuses the operator token`)
+      if (response.statusCode >= 400) return failed(ExitCode.Unavailable, `${this.#url}${path} answers ${response.statusCode}: ${detailOf(body)}`)
+      const parsed = schema.safeParse(body)
+      return parsed.success ? { ok: true, value: parsed.data } : failed(ExitCode.Unavailable, `${this.#url}${path} answers what this version does not understand`)
+    } catch (error) {
+      return failed(ExitCode.Unavailable, `${this.#url} can't be reached (${error instanceof Error ? error.message : String(error)})`)
+    }
+  }
+}
+
+/**
+ * A client of the first live host that lets this operator in.
+ *
+ * @example
+ * const client = await operatorClient(context)
+ */
+export async function operatorClient (context: CommandContext): Promise<HostAnswer<OperatorClient>> {
+  const token = operatorToken(context)
+  if (typeof token !== 'string') return token
+  const live = await liveHosts(context.flags)
+  if (!live.ok) return live
+  let last: Failed = failed(ExitCode.Unavailable, 'no live host')
+  for (const host of live.hosts) {
+    const client = new OperatorClient(host.url, token)
+    const status = await client.status()
+    if (status.ok) return { ok: true, value: client }
+    last = status
+  }
+  return last
+}
+
+function detailOf (body: unknown): string {
+  const parsed = z.object({ detail: z.string() }).safeParse(body)
+  return parsed.success ? parsed.data.detail : 'no such route; is the operator token set in its settings?'
+}
