Operators' interface on the hosts; settings checked together and against unknown names

Cause: cyclamenctl had no way to ask hosts for decisions of all workspaces or to drain one; unknown flags and variables were ignored, so a typing error left a default in force. The interface exists only with an operator token in the settings and compares digests in constant time. Contradictions (lease against store timeout, peer against caller address, one secret for two uses) are named with all other errors; no value is echoed. Ruled out: forwarding a drain through another host, since operators reach every host.

--- a/packages/bench/src/lib/deployment.ts
+++ b/packages/bench/src/lib/deployment.ts
@@ -170,7 +170,7 @@
       CYCLAMENTHREAD_LEDGER_PARTITIONS: String(this.plan.ledgerPartitions),
       CYCLAMENTHREAD_USAGE_WINDOW_MS: String(this.plan.usageWindowMs),
       CYCLAMENTHREAD_ADDRESS_TTL_MS: String(this.plan.addressTtlMs),
-      CYCLAMENTHREAD_LEASE_MS: '3000'
+      CYCLAMENTHREAD_LEASE_MS: '5000'
     }
     return { host, environment }
   }
--- a/packages/coordination/src/lib/decision-log.ts
+++ b/packages/coordination/src/lib/decision-log.ts
@@ -14,12 +14,18 @@
   record (decision: Decision): void
 }
 
+/** The decisions this process keeps. */
+export interface DecisionSource {
+  /** Records of the chain of this process after a sequence number, in order. */
+  page (after: number, limit: number): Promise<ChainedDecision[]>
+}
+
 /**
  * Chains the decisions of this process and answers for them.
  *
  * Invariant: every decision is in exactly one chain, at exactly one place.
  */
-export class DecisionLog implements DecisionSink {
+export class DecisionLog implements DecisionSink, DecisionSource {
   readonly #chain: DecisionChain
   #records: ChainedDecision[] = []
 
@@ -39,6 +45,11 @@
     if (this.#records.length > 2 * KEPT_DECISIONS) this.#records = this.#records.slice(-KEPT_DECISIONS)
   }
 
+  async page (after: number, limit: number): Promise<ChainedDecision[]> {
+    const start = this.#records.findIndex((record) => record.sequence > after)
+    return start < 0 ? [] : this.#records.slice(start, start + limit)
+  }
+
   #explain (requestId: string): ChainedDecision[] {
     const isOf = (id: string): boolean => id === requestId || id.startsWith(`${requestId}/`)
     return this.#records.filter((record) => isOf(record.decision.requestId))
--- a/packages/cyclamenctl/src/lib/commands/drain.ts
+++ b/packages/cyclamenctl/src/lib/commands/drain.ts
@@ -38,7 +38,7 @@
     if (!status.ok) return status
     const host = status.value.hosts.find((known) => known.id === id)
     if (host === undefined) return failed(ExitCode.Usage, `host ${id} is not known; expected one of ${status.value.hosts.map((known) => known.id).join(', ')}`)
-    const asked = await client.value.drain(id)
+    const asked = await client.value.at(host.callerUrl).drain()
     if (!asked.ok) return asked
     const left = await awaitGone(host.callerUrl, waitDeadline(context.flags))
     return { ok: true, exit: left ? ExitCode.Success : ExitCode.Incomplete, result: { host: id, url: host.callerUrl, left } }
--- a/packages/cyclamenctl/src/lib/commands/explain.ts
+++ b/packages/cyclamenctl/src/lib/commands/explain.ts
@@ -5,7 +5,7 @@
 import type { ChainedDecision } from '@cyclamenthread/state'
 import type { Command } from '../command.js'
 import type { Explanation } from '../explanation.js'
-import type { OperatorClient } from '../operator-client.js'
+import type { KnownHost, OperatorClient } from '../operator-client.js'
 
 /** `cyclamenctl explain`: what was decided on a request, and who was served before it. */
 export const explain: Command<Explanation> = {
@@ -25,20 +25,25 @@
     const found = await client.value.decisionsOn(id)
     if (!found.ok) return found
     if (found.value.records.length === 0) return failed(ExitCode.Failed, `no decision on request ${id} is kept`)
-    const around = await recordsAround(client.value, found.value.records)
-    const result = explainRequest(id, found.value.records, around, found.value.complete)
+    const status = await client.value.status()
+    if (!status.ok) return status
+    const around = await recordsAround(client.value, status.value.hosts, found.value.records)
+    const complete = found.value.complete && around !== undefined
+    const result = explainRequest(id, found.value.records, around ?? [], complete)
     return { ok: true, exit: ExitCode.Success, result }
   },
   render: explanationLines
 }
 
-/** The records of each chain between the request's first decision and its last. */
-async function recordsAround (client: OperatorClient, own: readonly ChainedDecision[]): Promise<ChainedDecision[]> {
+/** The records of each chain while the request waited there; undefined when one can't be read whole. */
+async function recordsAround (client: OperatorClient, hosts: readonly KnownHost[], own: readonly ChainedDecision[]): Promise<ChainedDecision[] | undefined> {
   const records: ChainedDecision[] = []
   for (const wait of waitsOf(own)) {
-    const hostId = wait.chain.split('/')[0] ?? ''
-    const chain = await client.chainOf(hostId, wait.from - 1, wait.to)
-    if (chain.ok) records.push(...chain.value.filter((record) => record.chain === wait.chain))
+    const host = hosts.find((known) => known.id === wait.chain.split('/')[0])
+    if (host === undefined) return undefined
+    const chain = await client.at(host.callerUrl).chain(wait.from - 1, wait.to)
+    if (!chain.ok) return undefined
+    records.push(...chain.value.filter((record) => record.chain === wait.chain))
   }
   return records
 }
--- a/packages/cyclamenctl/src/lib/commands/verify.ts
+++ b/packages/cyclamenctl/src/lib/commands/verify.ts
@@ -39,7 +39,7 @@
     const chains: ChainFinding[] = []
     const unreachable: string[] = []
     for (const host of status.value.hosts) {
-      const records = await client.value.chainOf(host.id)
+      const records = await client.value.at(host.callerUrl).chain()
       if (records.ok) chains.push(...checkChains(records.value))
       else unreachable.push(host.id)
     }
--- a/packages/cyclamenctl/src/lib/declaration-fault.ts
+++ b/packages/cyclamenctl/src/lib/declaration-fault.ts
@@ -52,7 +52,9 @@
   if (absent && issue.code === 'invalid_type') return `missing; expected ${issue.expected}`
   if (absent && issue.code === 'invalid_value') return `missing; expected one of ${issue.values.join(', ')}`
   if (issue.code === 'invalid_format') return `expected ${issue.message.replace(/^Invalid /, 'a valid ')}`
-  return issue.message
+  const message = issue.message.replace(/^Invalid (input|option): /, '')
+  const unquoted = issue.code === 'invalid_type' && issue.expected === 'string' && /received (number|boolean|date)/i.test(message)
+  return unquoted ? `${message}; put the value in quotes` : message
 }
 
 function pathText (path: readonly PropertyKey[]): string {
--- a/packages/cyclamenctl/src/lib/declaration-folder.ts
+++ b/packages/cyclamenctl/src/lib/declaration-folder.ts
@@ -26,7 +26,7 @@
   const faults = read.flatMap((part) => part.faults)
   // What refers to a faulty declaration would be named as well; that is noise until the fault is mended.
   const together = faults.length === 0 ? checkTogether(placed) : checkTogether(placed).filter((fault) => !fault.message.endsWith('not declared'))
-  const all = [...faults, ...together]
+  const all = [...faults, ...together].sort(inReadingOrder)
   return all.length > 0 ? failure(all) : success(placed)
 }
 
@@ -42,6 +42,10 @@
   return placed.ok ? success(toCatalogue(placed.value.map((item) => item.declaration))) : placed
 }
 
+function inReadingOrder (a: DeclarationFault, b: DeclarationFault): number {
+  return a.file < b.file ? -1 : a.file > b.file ? 1 : a.line - b.line
+}
+
 async function readOne (folder: string, file: string): Promise<DeclarationFile> {
   const path = join(folder, file)
   try {
--- a/packages/cyclamenctl/src/lib/flag-table.ts
+++ b/packages/cyclamenctl/src/lib/flag-table.ts
@@ -15,7 +15,7 @@
 /** All flags that belong to some commands. */
 export const FLAG_TABLE: Readonly<Record<FlagName, FlagDescription>> = {
   storeUrl: { type: 'string', help: 'Base URL of the object service', variable: 'CYCLAMENTHREAD_STORE_URL' },
-  hostUrl: { type: 'string', isMultiple: true, help: 'Base URL of any host, for callers; may be given several times', variable: 'CYCLAMENTHREAD_HOST_URL' },
+  hostUrl: { type: 'string', isMultiple: true, help: 'Base URL of any host, for callers; may be given several times', variable: 'CYCLAMENCTL_HOST_URL' },
   platformUrl: { type: 'string', help: 'Base URL of the platform, whose list names the hosts', variable: 'CYCLAMENTHREAD_PLATFORM_URL' },
   plan: { type: 'string', help: 'Plan file that `plan --out` wrote; refuses on anything newer' },
   out: { type: 'string', help: 'File to write the plan to' },
--- a/packages/cyclamenctl/src/lib/host-directory.ts
+++ b/packages/cyclamenctl/src/lib/host-directory.ts
@@ -28,7 +28,7 @@
  */
 export async function liveHosts (flags: CommandFlags): Promise<{ readonly ok: true, readonly hosts: readonly HostAddress[] } | Failed> {
   const seeds = await seedUrls(flags)
-  if (seeds.length === 0) return failed(ExitCode.Usage, '--host-url (CYCLAMENTHREAD_HOST_URL) or --platform-url (CYCLAMENTHREAD_PLATFORM_URL) is missing; expected the base URL of a host')
+  if (seeds.length === 0) return failed(ExitCode.Usage, '--host-url (CYCLAMENCTL_HOST_URL) or --platform-url (CYCLAMENTHREAD_PLATFORM_URL) is missing; expected the base URL of a host')
   for (const seed of seeds) {
     const parsed = addressesSchema.safeParse(await getJson(`${seed}/v1/addresses`))
     if (parsed.success) return { ok: true, hosts: parsed.data.addresses }
--- a/packages/cyclamenctl/src/lib/operator-client.ts
+++ b/packages/cyclamenctl/src/lib/operator-client.ts
@@ -54,9 +54,14 @@
     return await this.#send('GET', '/operator/v1/status', statusSchema)
   }
 
-  /** Asks a host, by its id, to finish what it has and leave. */
-  async drain (hostId: string): Promise<HostAnswer<unknown>> {
-    return await this.#send('POST', `/operator/v1/hosts/${encodeURIComponent(hostId)}/drain`, z.unknown())
+  /** Asks the host to finish what it has and leave. */
+  async drain (): Promise<HostAnswer<unknown>> {
+    return await this.#send('POST', '/operator/v1/drain', z.unknown())
+  }
+
+  /** The same operator at another host. */
+  at (url: string): OperatorClient {
+    return new OperatorClient(url, this.#token)
   }
 
   /** Every decision that is kept on a request, of any workspace. */
@@ -64,12 +69,12 @@
     return await this.#send('GET', `/operator/v1/requests/${encodeURIComponent(requestId)}/decisions`, recordsSchema)
   }
 
-  /** The chain of one host after a sequence number, page by page to its end or to `until`. */
-  async chainOf (hostId: string, after = 0, until = Infinity): Promise<HostAnswer<readonly ChainedDecision[]>> {
+  /** The chain of the host after a sequence number, page by page to its end or to `until`. */
+  async chain (after = 0, until = Infinity): Promise<HostAnswer<readonly ChainedDecision[]>> {
     const records: ChainedDecision[] = []
     for (;;) {
       const from = records.at(-1)?.sequence ?? after
-      const page = await this.#send('GET', `/operator/v1/hosts/${encodeURIComponent(hostId)}/decisions?after=${from}&limit=${PAGE_SIZE}`, recordsSchema)
+      const page = await this.#send('GET', `/operator/v1/decisions?after=${from}&limit=${PAGE_SIZE}`, recordsSchema)
       if (!page.ok) return page
       records.push(...page.value.records.filter((record) => record.sequence <= until))
       const last = page.value.records.at(-1)
--- a/packages/cyclamenthread/src/index.ts
+++ b/packages/cyclamenthread/src/index.ts
@@ -1,2 +1,3 @@
+export * from './lib/read-settings.js'
 export * from './lib/service.js'
 export * from './lib/settings.js'
--- a/packages/cyclamenthread/src/lib/admission.ts
+++ b/packages/cyclamenthread/src/lib/admission.ts
@@ -13,7 +13,7 @@
 }
 
 /** The bearer token of a request, or empty. */
-function bearerToken (request: IncomingMessage): string {
+export function bearerToken (request: IncomingMessage): string {
   const header = request.headers.authorization ?? ''
   return /^bearer /i.test(header) ? header.slice('bearer '.length).trim() : ''
 }
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -6,13 +6,14 @@
 import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
 import { handleChat, handleCompletion } from './completion-handler.js'
 import { handleExplain } from './explain-handler.js'
+import { operatorAliases } from './operator-handler.js'
 import { sendJson, sendProblem } from './problem.js'
 import { handleService } from './service-handler.js'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
+import type { CatalogueSource, CompletionRunner, DecisionSource, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -36,7 +37,10 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly decisions: DecisionSource
   readonly registry: Registry
+  /** Begins a planned stop. */
+  readonly leave: () => void
 }
 
 type Handler = (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop) => Promise<void>
@@ -56,6 +60,8 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly decisions: DecisionSource
+  readonly leave: () => void
   readonly #registry: Registry
   #running = 0
   readonly #behind = new Set<Promise<unknown>>()
@@ -68,6 +74,8 @@
     this.ledger = parts.ledger
     this.completions = parts.completions
     this.services = parts.services
+    this.decisions = parts.decisions
+    this.leave = parts.leave
     this.#registry = parts.registry
   }
 
@@ -107,6 +115,7 @@
       'GET readyz': (_: WebRequest, response: ServerResponse) => this.#ready(response),
       'GET metrics': async (_: WebRequest, response: ServerResponse) => await this.#metrics(response),
       'GET v1/addresses': (_: WebRequest, response: ServerResponse) => this.#addresses(response),
+      ...operatorAliases(this),
       'POST v1/completions': this.#route('completions', handleCompletion),
       'POST v1/chat/completions': this.#route('chat', handleChat),
       'POST v1/batches': this.#route('batch.open', handleBatchOpen),
--- a/packages/cyclamenthread/src/lib/main.ts
+++ b/packages/cyclamenthread/src/lib/main.ts
@@ -1,16 +1,12 @@
 import { consola } from 'consola'
 import meow from 'meow'
+import { readSettings, secretWarnings } from './read-settings.js'
 import { Service } from './service.js'
-import { environmentName, readSettings, serviceSettingsSchema } from './settings.js'
+import { environmentName, flagName, serviceSettingsSchema } from './settings.js'
 
 /** Exit code for settings that can't be used. */
 const EXIT_USAGE = 2
 
-/** The flag of a setting. */
-function flagName (setting: string): string {
-  return `--${setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`
-}
-
 /** The help text, made from the schema so that the two can't differ. */
 function helpText (): string {
   const lines = Object.entries(serviceSettingsSchema.shape).map(([setting, schema]) =>
@@ -32,17 +28,24 @@
     process.exitCode = EXIT_USAGE
     return
   }
+  for (const warning of secretWarnings(cli.flags)) consola.warn(warning)
   const service = new Service(settings.value)
+  stopOnSignals(service)
+  await service.start()
+  consola.info(`host ${settings.value.hostId} takes requests at ${settings.value.callerAddress}`)
+}
+
+/** A signal or an operator begins the planned stop; the process ends with it. */
+function stopOnSignals (service: Service): void {
   const leave = (signal: string): void => {
     consola.info(`received ${signal}: leaving`)
-    void service.drain().then(() => {
-      consola.info('left')
-      process.exit(0)
-    })
+    void service.drain()
   }
   // A second signal finds the drain running and changes nothing.
   process.on('SIGTERM', () => leave('SIGTERM'))
   process.on('SIGINT', () => leave('SIGINT'))
-  await service.start()
-  consola.info(`host ${settings.value.hostId} takes requests at ${settings.value.callerAddress}`)
+  void service.left.then(() => {
+    consola.info('left')
+    process.exit(0)
+  })
 }
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/operator-handler.ts
@@ -0,0 +1,94 @@
+import { randomUUID, createHash, timingSafeEqual } from 'node:crypto'
+import { notRun, RefusalReason } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { z } from 'zod'
+import { bearerToken } from './admission.js'
+import { sendJson, sendProblem } from './problem.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Gateway } from './gateway.js'
+
+/** Longest the hosts are asked for their records, in milliseconds. */
+const COLLECT_MS = 5_000
+
+/** Most decision records in one answer. */
+const MAX_PAGE = 5_000
+
+const pageSchema = z.object({
+  after: z.coerce.number().int().nonnegative().default(0),
+  limit: z.coerce.number().int().positive().max(MAX_PAGE).default(1_000)
+})
+
+type Handler = (gateway: Gateway, response: ServerResponse, url: URL) => Promise<void> | void
+
+/**
+ * The routes of the operators' interface. Without an operator token in the
+ * settings there are none, so that nothing has to be proved to refuse.
+ *
+ * @param gateway the gateway that serves them
+ * @example
+ * const aliases = { ...operatorAliases(gateway) }
+ */
+export function operatorAliases (gateway: Gateway): Readonly<Record<string, unknown>> {
+  const token = gateway.settings.operatorToken
+  if (token === undefined) return {}
+  const route = (handler: Handler) => async (request: IncomingMessage & { readonly originalUrl?: string }, response: ServerResponse): Promise<void> => {
+    if (!sameToken(bearerToken(request), token)) {
+      sendProblem(response, notRun(RefusalReason.Unauthorized, 'the operator token is required as bearer token'), randomUUID())
+      return
+    }
+    await handler(gateway, response, new URL(request.originalUrl ?? request.url ?? '/', 'http://local'))
+  }
+  return {
+    'GET operator/v1/status': route(handleStatus),
+    'POST operator/v1/drain': route(handleDrain),
+    'GET operator/v1/requests/:id/decisions': route(handleRequestDecisions),
+    'GET operator/v1/decisions': route(handleDecisions)
+  }
+}
+
+/** Compares digests, so that neither content nor length of the token shows in the time taken. */
+function sameToken (given: string, expected: string): boolean {
+  const digestOf = (text: string): Buffer => createHash('sha256').update(text).digest()
+  return timingSafeEqual(digestOf(given), digestOf(expected))
+}
+
+function handleStatus (gateway: Gateway, response: ServerResponse): void {
+  sendJson(response, 200, {
+    hostId: gateway.settings.hostId,
+    catalogueRevision: gateway.catalogue.current()?.revision ?? 0,
+    running: gateway.running,
+    hosts: gateway.members.members().map(({ host, state }) => {
+      const { id, region, failureDomain, callerUrl } = host
+      return { id, region, failureDomain, callerUrl, state }
+    })
+  })
+}
+
+/** The answer goes out before the drain begins, as that ends with this port closed. */
+function handleDrain (gateway: Gateway, response: ServerResponse): void {
+  response.on('finish', () => gateway.leave())
+  sendJson(response, 202, { hostId: gateway.settings.hostId, leaving: true })
+}
+
+/** Decisions on a request of any workspace, from all hosts that work. */
+async function handleRequestDecisions (gateway: Gateway, response: ServerResponse, url: URL): Promise<void> {
+  const requestId = decodeURIComponent(url.pathname.split('/')[4] ?? '')
+  const deadline = deadlineAfter(COLLECT_MS)
+  const answers = await Promise.all(gateway.members.workers().map(async (host) => {
+    return await gateway.bus.send(host, { kind: PeerMessageKind.ExplainRequest, requestId }, { deadline })
+  }))
+  const records = answers.flatMap((answer) => answer.ok ? answer.value.records : [])
+  records.sort((a, b) => a.at - b.at || a.sequence - b.sequence)
+  sendJson(response, 200, { complete: answers.every((answer) => answer.ok), records })
+}
+
+/** A page of the chain of this host. */
+async function handleDecisions (gateway: Gateway, response: ServerResponse, url: URL): Promise<void> {
+  const page = pageSchema.safeParse(Object.fromEntries(url.searchParams))
+  if (!page.success) {
+    sendProblem(response, notRun(RefusalReason.BadRequest, page.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`).join('; ')), randomUUID())
+    return
+  }
+  sendJson(response, 200, { complete: true, records: await gateway.decisions.page(page.data.after, page.data.limit) })
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/read-settings.ts
@@ -0,0 +1,94 @@
+import { failure, nearestName, success } from '@cyclamenthread/state'
+import { ENVIRONMENT_PREFIX, environmentName, flagName, SECRET_SETTINGS, serviceSettingsSchema } from './settings.js'
+import type { Outcome } from '@cyclamenthread/state'
+import type { ServiceSettings } from './settings.js'
+
+/** Fewest store timeouts that a lease has to outlast: a renewal that times out and the read that settles it. */
+const STORE_TIMEOUTS_IN_LEASE = 2
+
+const SETTINGS = Object.keys(serviceSettingsSchema.shape)
+
+/**
+ * Checks the settings of a process; flags go before the environment, and an
+ * empty variable counts as not set. No value is ever part of an error, since
+ * it may be a secret that was put in the wrong place.
+ *
+ * @param flags values by setting name, as the command line gave them
+ * @param environment the process environment
+ * @returns the settings, or every error found, a line each
+ * @example
+ * readSettings({ hostId: 'h1' }, process.env)
+ */
+export function readSettings (flags: Readonly<Record<string, unknown>>, environment: NodeJS.ProcessEnv): Outcome<ServiceSettings, readonly string[]> {
+  const given: Record<string, unknown> = {}
+  for (const setting of SETTINGS) {
+    const variable = environment[environmentName(setting)]
+    const value = flags[setting] ?? (variable === '' ? undefined : variable)
+    if (value !== undefined) given[setting] = value
+  }
+  const parsed = serviceSettingsSchema.safeParse(given)
+  const errors = [
+    ...unknownFlags(flags),
+    ...unknownVariables(environment),
+    ...(parsed.success ? [] : parsed.error.issues.map((issue) => faultText(String(issue.path[0]), given, issue.message))),
+    ...contradictions(given)
+  ]
+  return parsed.success && errors.length === 0 ? success(parsed.data) : failure(errors)
+}
+
+/**
+ * Warnings on secrets that were given as flags, where every user of the machine
+ * can read them in the list of processes.
+ *
+ * @example
+ * secretWarnings({ clusterSecret: '…' }) // one line
+ */
+export function secretWarnings (flags: Readonly<Record<string, unknown>>): string[] {
+  return SECRET_SETTINGS
+    .filter((setting) => flags[setting] !== undefined)
+    .map((setting) => `${flagName(setting)} can be read in the list of processes; set ${environmentName(setting)} instead`)
+}
+
+function titleOf (setting: string): string {
+  return `${flagName(setting)} (${environmentName(setting)})`
+}
+
+function faultText (setting: string, given: Readonly<Record<string, unknown>>, message: string): string {
+  return `${titleOf(setting)}: ${given[setting] === undefined ? 'is missing' : message}`
+}
+
+function unknownFlags (flags: Readonly<Record<string, unknown>>): string[] {
+  return Object.keys(flags).filter((flag) => !SETTINGS.includes(flag)).map((flag) => {
+    return `${flagName(flag)}: unknown flag${hint(nearestName(flag, SETTINGS), flagName)}`
+  })
+}
+
+function unknownVariables (environment: NodeJS.ProcessEnv): string[] {
+  const known = SETTINGS.map(environmentName)
+  return Object.keys(environment)
+    .filter((name) => name.startsWith(ENVIRONMENT_PREFIX) && !known.includes(name))
+    .sort()
+    .map((name) => `${name}: unknown setting${hint(nearestName(name, known), String)}`)
+}
+
+function hint (meant: string | undefined, spell: (name: string) => string): string {
+  return meant === undefined ? '' : `; did you mean ${spell(meant)}?`
+}
+
+/** Settings that are valid alone and wrong together. Checked on whatever of them is valid, so that these errors come with the others. */
+function contradictions (given: Readonly<Record<string, unknown>>): string[] {
+  const errors: string[] = []
+  const { leaseMs, storeTimeoutMs } = serviceSettingsSchema.shape
+  const lease = leaseMs.safeParse(given['leaseMs']).data
+  const timeout = storeTimeoutMs.safeParse(given['storeTimeoutMs']).data
+  if (lease !== undefined && timeout !== undefined && lease <= STORE_TIMEOUTS_IN_LEASE * timeout) {
+    errors.push(`${titleOf('leaseMs')}: expected more than ${STORE_TIMEOUTS_IN_LEASE} times ${titleOf('storeTimeoutMs')}, so that one lost answer does not cost the lease`)
+  }
+  if (given['callerAddress'] !== undefined && given['callerAddress'] === given['peerAddress']) {
+    errors.push(`${titleOf('peerAddress')}: expected another address than ${titleOf('callerAddress')}`)
+  }
+  if (given['operatorToken'] !== undefined && given['operatorToken'] === given['clusterSecret']) {
+    errors.push(`${titleOf('operatorToken')}: expected another secret than ${titleOf('clusterSecret')}`)
+  }
+  return errors
+}
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -38,6 +38,11 @@
   readonly #usage: UsageTask
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
+  #onLeft: () => void = () => {}
+  /** Resolves when a planned stop has come to its end, whoever began it. */
+  readonly left = new Promise<void>((resolve) => {
+    this.#onLeft = resolve
+  })
 
   constructor (settings: ServiceSettings) {
     this.#settings = settings
@@ -64,7 +69,11 @@
       ledger,
       completions,
       services: new ServiceRunner(this.#router, this.#endpoints, ledger),
-      registry: this.#registry
+      decisions: this.#decisions,
+      registry: this.#registry,
+      leave: () => {
+        void this.drain()
+      }
     })
     this.#measure()
   }
@@ -102,6 +111,7 @@
     const limit = new Promise((resolve) => setTimeout(resolve, this.#settings.drainTimeoutMs).unref())
     await Promise.race([this.#gateway.drained(), limit])
     await this.stop()
+    this.#onLeft()
   }
 
   /** Stops at once. */
--- a/packages/cyclamenthread/src/lib/settings.ts
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -1,18 +1,28 @@
 import { randomBytes } from 'node:crypto'
+import { isIPv4 } from 'node:net'
 import { z } from 'zod'
-import { failure, success } from '@cyclamenthread/state'
 import type { HostSettings } from '@cyclamenthread/coordination'
-import type { Outcome } from '@cyclamenthread/state'
 
 /** Prefix of the environment variables that carry settings. */
 export const ENVIRONMENT_PREFIX = 'CYCLAMENTHREAD_'
 
+/** Settings whose values are never printed and do not belong on a command line. */
+export const SECRET_SETTINGS: readonly string[] = ['clusterSecret', 'operatorToken']
+
+/** Shortest secret, in characters. */
+const MIN_SECRET_LENGTH = 16
+
+/** Largest port number. */
+const MAX_PORT = 65_535
+
 /** Bytes of the random part of an incarnation. */
 const INCARNATION_BYTES = 6
 
-const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'an IP number and a port, as 127.0.0.1:7000')
-const milliseconds = z.coerce.number().int().positive()
-const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'lower-case letters, digits, dots and dashes')
+const address = z.string().refine(isReachable, 'expected the IPv4 number and port by which others reach this host, as 10.0.0.1:7000')
+const httpUrl = z.url({ protocol: /^https?$/, error: 'expected a URL, as http://10.0.0.9:9000' })
+const secret = z.string().min(MIN_SECRET_LENGTH, `expected at least ${MIN_SECRET_LENGTH} characters`)
+const milliseconds = z.coerce.number('expected a whole number of milliseconds').int('expected a whole number of milliseconds').positive('expected a number above 0')
+const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'expected lower-case letters, digits, dots and dashes, at most 63')
 
 /** Settings of the service, by flag name. Each is also read from the environment. */
 export const serviceSettingsSchema = z.object({
@@ -21,10 +31,11 @@
   failureDomain: name.describe('Failure domain of this host.'),
   callerAddress: address.describe('IP number and port for callers.'),
   peerAddress: address.describe('IP number and port for other hosts of the service.'),
-  storeUrl: z.url().describe('Base URL of the platform\'s object service.'),
+  storeUrl: httpUrl.describe('Base URL of the platform\'s object service.'),
   storeRegion: name.describe('Region in which the object service runs.'),
-  platformUrl: z.url().describe('Base URL of the platform\'s host list, endpoint ordering and usage intake.'),
-  clusterSecret: z.string().min(16, 'at least 16 characters').describe('Secret that all hosts of the deployment share; set it by the environment.'),
+  platformUrl: httpUrl.describe('Base URL of the platform\'s host list, endpoint ordering and usage intake.'),
+  clusterSecret: secret.describe('Secret that all hosts of the deployment share; set it by the environment.'),
+  operatorToken: secret.optional().describe('Token that proves an operator; without it the host has no operators\' interface. Set it by the environment.'),
   dataFolder: z.string().optional().describe('Folder for bulk data; hosts without one keep nothing.'),
   ledgerPartitions: z.coerce.number().int().min(1).max(1024).default(16).describe('Partitions of the ledger; the same on all hosts, fixed for the life of a deployment.'),
   usageWindowMs: milliseconds.default(60_000).describe('Length of a usage window, in milliseconds; the same on all hosts.'),
@@ -52,27 +63,20 @@
 }
 
 /**
- * Checks the settings of a process; flags go before the environment.
+ * The flag of a setting.
  *
- * @param flags values by setting name, as the command line gave them
- * @param environment the process environment
- * @returns the settings, or every error found, a line each
  * @example
- * readSettings({ hostId: 'h1' }, process.env)
+ * flagName('hostId') // '--host-id'
  */
-export function readSettings (flags: Readonly<Record<string, unknown>>, environment: NodeJS.ProcessEnv): Outcome<ServiceSettings, readonly string[]> {
-  const given: Record<string, unknown> = {}
-  for (const setting of Object.keys(serviceSettingsSchema.shape)) {
-    const value = flags[setting] ?? environment[environmentName(setting)]
-    if (value !== undefined) given[setting] = value
-  }
-  const parsed = serviceSettingsSchema.safeParse(given)
-  if (parsed.success) return success(parsed.data)
-  return failure(parsed.error.issues.map((issue) => {
-    const setting = String(issue.path[0])
-    const problem = given[setting] === undefined ? 'is missing' : issue.message
-    return `--${setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)} (${environmentName(setting)}): ${problem}`
-  }))
+export function flagName (setting: string): string {
+  return `--${setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`
+}
+
+/** Whether an address is one that other processes can connect to. */
+function isReachable (text: string): boolean {
+  const [ip = '', port = '', ...rest] = text.split(':')
+  const inRange = /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= MAX_PORT
+  return rest.length === 0 && isIPv4(ip) && ip !== '0.0.0.0' && inRange
 }
 
 /** What the tasks need of the settings, for one life of the process. */
