--- a/packages/bench/src/lib/deployment.ts
+++ b/packages/bench/src/lib/deployment.ts
@@ -11,6 +11,9 @@
 /** Cluster secret of test deployments. */
 const CLUSTER_SECRET = 'secret-of-a-test-deployment'
 
+/** Token that proves an operator to the hosts of test deployments. */
+export const OPERATOR_TOKEN = 'operator-of-a-test-deployment'
+
 /** Longest the catalogue may take to reach the store, in milliseconds. */
 const APPLY_MS = 10_000
 
@@ -167,6 +170,7 @@
       CYCLAMENTHREAD_STORE_REGION: this.plan.domains[0]?.region ?? '',
       CYCLAMENTHREAD_PLATFORM_URL: this.platform.url,
       CYCLAMENTHREAD_CLUSTER_SECRET: CLUSTER_SECRET,
+      CYCLAMENTHREAD_OPERATOR_TOKEN: OPERATOR_TOKEN,
       CYCLAMENTHREAD_LEDGER_PARTITIONS: String(this.plan.ledgerPartitions),
       CYCLAMENTHREAD_USAGE_WINDOW_MS: String(this.plan.usageWindowMs),
       CYCLAMENTHREAD_ADDRESS_TTL_MS: String(this.plan.addressTtlMs),
--- /dev/null
+++ b/packages/bench/src/lib/example-deployment.ts
@@ -0,0 +1,116 @@
+import { readdir, readFile } from 'node:fs/promises'
+import { join } from 'node:path'
+import { parseEnv } from 'node:util'
+import { readDeclarations } from 'cyclamenctl'
+import { EntryKind } from '@cyclamenthread/state'
+import { BookingStandin, EngineStandin, PlatformStandin, StoreStandin } from '@cyclamenthread/standins'
+import { ProcessHost } from './service-host.js'
+import type { Catalogue, Endpoint } from '@cyclamenthread/state'
+import type { PlatformHost } from '@cyclamenthread/protocol'
+import type { HostStarter } from './deployment.js'
+import type { HostEnvironment, ServiceHost } from './service-host.js'
+
+/** Time a stand-in takes for a token, in milliseconds. */
+const TOKEN_MS = 2
+
+/** Something that listens until it is closed. */
+interface Closable {
+  close (): Promise<void>
+}
+
+/**
+ * The deployment of a folder of `examples/`: its hosts with the settings that
+ * lie there, and stand-ins at the addresses that its declarations name. No
+ * catalogue is put in force; that is the operator's part.
+ */
+export class ExampleDeployment {
+  readonly hosts: ServiceHost[] = []
+  /** Base URLs for callers, in the order of the hosts. */
+  readonly urls: string[] = []
+  readonly #folder: string
+  readonly #secrets: HostEnvironment
+  readonly #starter: HostStarter
+  readonly #standins: Closable[] = []
+
+  /**
+   * @param folder path of the example
+   * @param secrets settings that are not kept in the folder, by environment variable
+   * @param starter starts a host
+   */
+  constructor (folder: string, secrets: HostEnvironment, starter: HostStarter = ProcessHost.start) {
+    this.#folder = folder
+    this.#secrets = secrets
+    this.#starter = starter
+  }
+
+  /** Starts the stand-ins, then the hosts. */
+  async start (): Promise<void> {
+    const declared = await readDeclarations(this.#folder)
+    if (!declared.ok) throw new Error(declared.failure.map((fault) => `${fault.file}:${fault.line}: ${fault.message}`).join('\n'))
+    const environments = await this.#environments()
+    await this.#startPlatform(environments)
+    await this.#startEndpoints(declared.value)
+    this.hosts.push(...await Promise.all(environments.map(async (environment) => await this.#starter(environment))))
+    this.urls.push(...environments.map((environment) => callerUrl(environment)))
+  }
+
+  /** Drains the hosts and closes the stand-ins. */
+  async stop (): Promise<void> {
+    await Promise.all(this.hosts.map(async (host) => await host.drain()))
+    await Promise.all(this.#standins.map(async (standin) => await standin.close()))
+  }
+
+  /** The settings of each host: the common ones, its own, and the secrets. */
+  async #environments (): Promise<HostEnvironment[]> {
+    const folder = join(this.#folder, 'settings')
+    const common = parseEnv(await readFile(join(folder, 'common.env'), 'utf8'))
+    const files = (await readdir(folder)).filter((file) => file.startsWith('host-')).sort()
+    return await Promise.all(files.map(async (file) => {
+      return { ...common, ...parseEnv(await readFile(join(folder, file), 'utf8')), ...this.#secrets } as HostEnvironment
+    }))
+  }
+
+  async #startPlatform (environments: readonly HostEnvironment[]): Promise<void> {
+    const store = new StoreStandin()
+    const platform = new PlatformStandin()
+    platform.hosts = environments.map(listedHost)
+    this.#standins.push(store, platform)
+    await store.listen(portOf(environments[0]?.['CYCLAMENTHREAD_STORE_URL']))
+    await platform.listen(portOf(environments[0]?.['CYCLAMENTHREAD_PLATFORM_URL']))
+  }
+
+  async #startEndpoints (catalogue: Catalogue): Promise<void> {
+    for (const pool of catalogue.pools) {
+      for (const endpoint of pool.endpoints) await this.#startEndpoint(pool.kind, endpoint)
+    }
+  }
+
+  async #startEndpoint (kind: EntryKind, endpoint: Endpoint): Promise<void> {
+    const standin = kind === EntryKind.Model
+      ? new EngineStandin({ slots: endpoint.slots, tokenMs: TOKEN_MS, prefillMs: 0, checksFencing: true })
+      : new BookingStandin()
+    this.#standins.push(standin)
+    await standin.listen(portOf(endpoint.url))
+  }
+}
+
+function portOf (url: string | undefined): number {
+  return Number(new URL(url ?? 'http://127.0.0.1:0').port)
+}
+
+function callerUrl (environment: HostEnvironment): string {
+  return `http://${environment['CYCLAMENTHREAD_CALLER_ADDRESS'] ?? ''}`
+}
+
+/** A host as the platform lists it. */
+function listedHost (environment: HostEnvironment): PlatformHost {
+  return {
+    id: environment['CYCLAMENTHREAD_HOST_ID'] ?? '',
+    region: environment['CYCLAMENTHREAD_REGION'] ?? '',
+    failureDomain: environment['CYCLAMENTHREAD_FAILURE_DOMAIN'] ?? '',
+    peerAddress: environment['CYCLAMENTHREAD_PEER_ADDRESS'] ?? '',
+    callerUrl: callerUrl(environment),
+    hasDataFolder: environment['CYCLAMENTHREAD_DATA_FOLDER'] !== undefined,
+    leaving: false
+  }
+}
--- a/packages/cyclamenctl/src/lib/apply-wait.ts
+++ b/packages/cyclamenctl/src/lib/apply-wait.ts
@@ -33,12 +33,23 @@
 export async function awaitRevision (revision: number, flags: CommandFlags, deadline: number): Promise<Rollout> {
   for (;;) {
     const rollout = await look(revision, flags)
-    const done = rollout.behind.length === 0 && rollout.reached.length > 0
-    if (done || timeLeft(deadline) <= 0) return rollout
+    if (isEverywhere(rollout) || timeLeft(deadline) <= 0) return rollout
     await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
   }
 }
 
+/** Whether every live host has the revision; not so when no host could be asked. */
+export function isEverywhere (rollout: Rollout): boolean {
+  return rollout.behind.length === 0 && rollout.reached.length > 0
+}
+
+/** A rollout as lines for people. */
+export function rolloutLines (rollout: Rollout): string[] {
+  if (rollout.reached.length === 0 && rollout.behind.length === 0) return ['no host answered, so nothing is known of where the revision is in force']
+  const lines = [`in force on ${rollout.reached.length} of ${rollout.reached.length + rollout.behind.length} live hosts`]
+  return [...lines, ...rollout.behind.map((url) => `not yet in force on ${url}`)]
+}
+
 async function look (revision: number, flags: CommandFlags): Promise<Rollout> {
   const live = await liveHosts(flags)
   if (!live.ok) return { revision, reached: [], behind: [] }
--- a/packages/cyclamenctl/src/lib/commands/apply.ts
+++ b/packages/cyclamenctl/src/lib/commands/apply.ts
@@ -1,4 +1,5 @@
-import { awaitRevision, waitDeadline } from '../apply-wait.js'
+import { awaitRevision, isEverywhere, rolloutLines, waitDeadline } from '../apply-wait.js'
+import { changeLines } from '../catalogue-difference.js'
 import { failed } from '../command.js'
 import { ExitCode } from '../exit-code.js'
 import { keepWithdrawals } from '../key-withdrawal.js'
@@ -9,6 +10,7 @@
 import type { Catalogue } from '@cyclamenthread/state'
 import type { StoredCatalogue } from '@cyclamenthread/protocol'
 import type { Rollout } from '../apply-wait.js'
+import type { CatalogueChange } from '../catalogue-difference.js'
 import type { Command, CommandContext, Failed, Report } from '../command.js'
 import type { OperatorStore } from '../operator-store.js'
 
@@ -16,8 +18,8 @@
 export interface ApplyResult {
   /** The revision that holds the folder. */
   readonly revision: number
-  /** How many declared things changed; nothing is written when none did. */
-  readonly changes: number
+  /** What changed; nothing is written when nothing did. */
+  readonly changes: readonly CatalogueChange[]
   readonly keptWithdrawn: readonly string[]
   /** How far the revision has come; only with --wait. */
   readonly rollout?: Rollout
@@ -43,7 +45,8 @@
     return await withStore(context, async (store) => await applyCatalogue(context, store, catalogue))
   },
   render: (result) => [
-    result.changes === 0 ? `nothing to change: revision ${result.revision} is in force` : `revision ${result.revision} is accepted with ${result.changes} changes`,
+    ...changeLines(result.changes),
+    result.changes.length === 0 ? `nothing to change: revision ${result.revision} is in force` : `revision ${result.revision} is accepted`,
     ...result.keptWithdrawn.map((id) => `key ${id} stays withdrawn; grant a new key id instead`),
     ...(result.rollout === undefined ? [] : rolloutLines(result.rollout))
   ]
@@ -60,7 +63,7 @@
     ? { ok: true as const, revision: read.stored.revision }
     : await store.write(next, read.stored)
   if (!write.ok) return write
-  const result: ApplyResult = { revision: write.revision, changes: changes.length, keptWithdrawn }
+  const result: ApplyResult = { revision: write.revision, changes, keptWithdrawn }
   return context.flags.wait === true ? await waited(context, result) : { ok: true, exit: ExitCode.Success, result }
 }
 
@@ -83,12 +86,5 @@
 
 async function waited (context: CommandContext, result: ApplyResult): Promise<Report<ApplyResult>> {
   const rollout = await awaitRevision(result.revision, context.flags, waitDeadline(context.flags))
-  const everywhere = rollout.behind.length === 0 && rollout.reached.length > 0
-  return { ok: true, exit: everywhere ? ExitCode.Success : ExitCode.Incomplete, result: { ...result, rollout } }
-}
-
-function rolloutLines (rollout: Rollout): string[] {
-  if (rollout.reached.length === 0 && rollout.behind.length === 0) return ['no host answered, so nothing is known of where the revision is in force']
-  const lines = [`in force on ${rollout.reached.length} of ${rollout.reached.length + rollout.behind.length} live hosts`]
-  return [...lines, ...rollout.behind.map((url) => `not yet in force on ${url}`)]
+  return { ok: true, exit: isEverywhere(rollout) ? ExitCode.Success : ExitCode.Incomplete, result: { ...result, rollout } }
 }
--- a/packages/cyclamenctl/src/lib/commands/keys-grant.ts
+++ b/packages/cyclamenctl/src/lib/commands/keys-grant.ts
@@ -2,12 +2,14 @@
 import { access, writeFile } from 'node:fs/promises'
 import { join } from 'node:path'
 import { hashKey, keySchema } from '@cyclamenthread/state'
+import { awaitRevision, isEverywhere, rolloutLines, waitDeadline } from '../apply-wait.js'
 import { failed } from '../command.js'
 import { declarationText } from '../declaration-catalogue.js'
 import { DeclarationKind } from '../declaration.js'
 import { ExitCode } from '../exit-code.js'
 import { withStore } from '../operator-store.js'
 import type { Catalogue, Key } from '@cyclamenthread/state'
+import type { Rollout } from '../apply-wait.js'
 import type { Command, Failed } from '../command.js'
 
 /** Bytes of the random part of a token. */
@@ -25,20 +27,22 @@
   readonly token: string
   /** The declaration that was written, when a folder was given. */
   readonly file?: string
+  readonly rollout?: Rollout
 }
 
 /** `cyclamenctl keys grant`: makes a key and prints its token once. */
 export const keysGrant: Command<GrantResult> = {
   words: 'keys grant',
   parameters: ['workspace', 'key-id'],
-  flags: ['storeUrl', 'entry', 'folder'],
+  flags: ['storeUrl', 'entry', 'folder', 'wait', 'timeoutSeconds', 'hostUrl', 'platformUrl'],
   summary: 'Grant a new key to a workspace',
   help: `Makes a random token and prints it once; the store keeps only its salted hash. With
 --folder the key's declaration is written there too: commit it, or the next apply of
-the folder withdraws the key. A key id is never used twice.
+the folder withdraws the key. With --wait it answers when every live host knows the key.
+A key id is never used twice.
 
 Example
-  cyclamenctl keys grant booking-desk booking-desk-2 --entry pitches --folder examples/chalk-squares`,
+  cyclamenctl keys grant booking-desk booking-desk-2 --entry pitches --folder examples/chalk-squares --wait`,
   run: async (context) => {
     const [workspace = '', id = ''] = context.input
     const { key, token } = makeKey(workspace, id, context.flags.entry)
@@ -53,12 +57,18 @@
       if (path !== undefined) await writeFile(path, declarationText([{ kind: DeclarationKind.Key, ...parsed.data }]))
       const write = await store.update((catalogue) => granted(catalogue, parsed.data))
       if (!write.ok) return path === undefined ? write : { ...write, problems: [...write.problems, `remove ${path} if the key is not wanted any more`] }
-      return { ok: true, exit: ExitCode.Success, result: { revision: write.revision, id, workspace, token, ...(path === undefined ? {} : { file: path }) } }
+      const rollout = context.flags.wait === true ? await awaitRevision(write.revision, context.flags, waitDeadline(context.flags)) : undefined
+      return {
+        ok: true,
+        exit: rollout === undefined || isEverywhere(rollout) ? ExitCode.Success : ExitCode.Incomplete,
+        result: { revision: write.revision, id, workspace, token, ...(path === undefined ? {} : { file: path }), ...(rollout === undefined ? {} : { rollout }) }
+      }
     })
   },
   render: (result) => [
     `key ${result.id} of workspace ${result.workspace} is granted with revision ${result.revision}`,
     ...(result.file === undefined ? [] : [`declared in ${result.file}; commit it`]),
+    ...(result.rollout === undefined ? [] : rolloutLines(result.rollout)),
     'its token, shown only this once:',
     result.token
   ]
--- a/packages/cyclamenctl/src/lib/commands/keys-withdraw.ts
+++ b/packages/cyclamenctl/src/lib/commands/keys-withdraw.ts
@@ -2,7 +2,7 @@
 import { markWithdrawn } from '../declaration-edit.js'
 import { ExitCode } from '../exit-code.js'
 import { withStore } from '../operator-store.js'
-import { awaitRevision, waitDeadline } from '../apply-wait.js'
+import { awaitRevision, isEverywhere, rolloutLines, waitDeadline } from '../apply-wait.js'
 import type { Catalogue } from '@cyclamenthread/state'
 import type { Rollout } from '../apply-wait.js'
 import type { Command, Failed } from '../command.js'
@@ -35,10 +35,9 @@
       if (!write.ok) return write
       const marked = context.flags.folder === undefined ? undefined : await markWithdrawn(context.flags.folder, id)
       const rollout = context.flags.wait === true ? await awaitRevision(write.revision, context.flags, waitDeadline(context.flags)) : undefined
-      const everywhere = rollout === undefined || (rollout.behind.length === 0 && rollout.reached.length > 0)
       return {
         ok: true,
-        exit: everywhere ? ExitCode.Success : ExitCode.Incomplete,
+        exit: rollout === undefined || isEverywhere(rollout) ? ExitCode.Success : ExitCode.Incomplete,
         result: { revision: write.revision, id, ...(marked === undefined ? {} : { file: marked }), ...(rollout === undefined ? {} : { rollout }) }
       }
     })
@@ -46,7 +45,7 @@
   render: (result) => [
     `key ${result.id} is withdrawn with revision ${result.revision}`,
     ...(result.file === undefined ? [] : [`marked in ${result.file}; commit it`]),
-    ...(result.rollout === undefined ? [] : [`in force on ${result.rollout.reached.length} live hosts, not yet on ${result.rollout.behind.length}`])
+    ...(result.rollout === undefined ? [] : rolloutLines(result.rollout))
   ]
 }
 
--- a/packages/cyclamenctl/src/lib/operator-client.ts
+++ b/packages/cyclamenctl/src/lib/operator-client.ts
@@ -107,14 +107,16 @@
   if (typeof token !== 'string') return token
   const live = await liveHosts(context.flags)
   if (!live.ok) return live
-  let last: Failed = failed(ExitCode.Unavailable, 'no live host')
+  const failures: Failed[] = []
   for (const host of live.hosts) {
     const client = new OperatorClient(host.url, token)
     const status = await client.status()
     if (status.ok) return { ok: true, value: client }
-    last = status
+    failures.push(status)
   }
-  return last
+  // A refused token tells the operator more than a host that is down.
+  const refused = failures.find((failure) => failure.exit === ExitCode.Usage)
+  return refused ?? failures[0] ?? failed(ExitCode.Unavailable, 'no live host')
 }
 
 function detailOf (body: unknown): string {
