--- a/packages/cyclamenctl/src/lib/declaration-file.ts
+++ b/packages/cyclamenctl/src/lib/declaration-file.ts
@@ -1,6 +1,7 @@
 import { isAlias, isNode, LineCounter, parseAllDocuments, visit } from 'yaml'
 import { declarationSchema } from './declaration.js'
 import { schemaFaults } from './declaration-fault.js'
+import { MAX_NESTING, nestsTooDeep } from './nesting.js'
 import type { Document } from 'yaml'
 import type { Declaration } from './declaration.js'
 import type { DeclarationFault, PlacedDocument } from './declaration-fault.js'
@@ -31,13 +32,8 @@
  */
 export function parseDeclarations (file: string, text: string): DeclarationFile {
   if (Buffer.byteLength(text) > MAX_FILE_BYTES) return faulty(file, `the file exceeds ${MAX_FILE_BYTES} bytes; split it`)
-  try {
-    return parseText(file, text)
-  } catch (error) {
-    // The YAML library recurses, so text that nests without end overflows its stack.
-    const reason = error instanceof RangeError ? 'nested too deeply' : 'not readable as YAML'
-    return faulty(file, `the file is ${reason}`)
-  }
+  if (nestsTooDeep(text)) return faulty(file, `the file nests deeper than ${MAX_NESTING} levels`)
+  return parseText(file, text)
 }
 
 function faulty (file: string, message: string): DeclarationFile {
--- a/packages/cyclamenctl/src/test/declaration-file.test.ts
+++ b/packages/cyclamenctl/src/test/declaration-file.test.ts
@@ -49,7 +49,7 @@
   }), { seed: SEED, numRuns: RUNS })
 })
 
-const damage = fc.record({ at: fc.nat(), length: fc.nat({ max: 8 }), by: fc.oneof(fc.string(), fc.constantFrom('&a', '*a', '<<: ', '---\n', '\t', '!!binary ', '"', '[', '{', '\0', '? ')) })
+const damage = fc.record({ at: fc.nat(), length: fc.nat({ max: 8 }), by: fc.oneof(fc.string(), fc.constantFrom('&a', '*a', '<<: ', '---\n', '\t', '!!binary ', '"', '[', '{', '\0', '? ', '['.repeat(40), '- '.repeat(40))) })
 const damagedTexts = fc.array(damage, { minLength: 1, maxLength: 4 }).map((damages) => damages.reduce((text, { at, length, by }) => {
   const start = at % (text.length + 1)
   return text.slice(0, start) + by + text.slice(start + length)
@@ -78,7 +78,10 @@
   ['an unknown field', `${WORKSPACE}wieght: 2\n`, [[4, /wieght: unknown field; did you mean weight\?/]]],
   ['several at once', 'kind: workspace\nname: Desk\nweight: -1\nlimits:\n  concurrency: 0\n', [[2, /name: .*lower-case/], [1, /owner: missing; expected string/], [3, /weight: .*>0/], [5, /limits.concurrency: .*>0/]]],
   ['a number for a text', 'kind: workspace\nname: desk\nowner: 42\n', [[3, /expected string, received number; put the value in quotes/]]],
-  ['deep nesting', '['.repeat(100_000), [[1, /./]]],
+  ['nesting of open lists', '['.repeat(100_000), [[1, /deeper than 32 levels/]]],
+  ['nesting of closed lists', '['.repeat(50_000) + ']'.repeat(50_000), [[1, /deeper than 32 levels/]]],
+  ['nesting of maps', '{a: '.repeat(50_000) + '}'.repeat(50_000), [[1, /deeper than 32 levels/]]],
+  ['nesting of block lists', `${'- '.repeat(50_000)}x`, [[1, /deeper than 32 levels/]]],
   ['a huge file', '#'.repeat(MAX_FILE_BYTES + 1), [[1, /exceeds 1048576 bytes/]]]
 ]
 
--- a/packages/protocol/src/lib/catalogue-store.ts
+++ b/packages/protocol/src/lib/catalogue-store.ts
@@ -40,7 +40,10 @@
 
 /** The parts of a catalogue: one a workspace with its keys, and one with what all share. */
 function split (catalogue: Catalogue): CataloguePart[] {
-  const shared: CataloguePart = { workspaces: [], keys: [], shared: { entries: catalogue.entries, pools: catalogue.pools } }
+  const names = new Set(catalogue.workspaces.map((workspace) => workspace.name))
+  // Withdrawn keys outlive their workspace, so that it can't be declared again with them in force.
+  const orphans = catalogue.keys.filter((key) => !names.has(key.workspace))
+  const shared: CataloguePart = { workspaces: [], keys: orphans, shared: { entries: catalogue.entries, pools: catalogue.pools } }
   const own = catalogue.workspaces.map((workspace): CataloguePart => ({
     workspaces: [workspace],
     keys: catalogue.keys.filter((key) => key.workspace === workspace.name)
