--- a/packages/cyclamenthread/src/lib/main.ts
+++ b/packages/cyclamenthread/src/lib/main.ts
@@ -1,5 +1,6 @@
 import { consola } from 'consola'
 import meow from 'meow'
+import { keepSpans } from '@cyclamenthread/transport'
 import { readSettings, secretWarnings } from './read-settings.js'
 import { Service } from './service.js'
 import { environmentName, flagName, serviceSettingsSchema } from './settings.js'
@@ -29,14 +30,20 @@
     return
   }
   for (const warning of secretWarnings(cli.flags)) consola.warn(warning)
+  const { traceFile, traceRatio, hostId, callerAddress } = settings.value
+  const closeTraces = traceFile === undefined ? async () => {} : keepSpans({ path: traceFile, ratio: traceRatio, hostId })
   const service = new Service(settings.value)
-  stopOnSignals(service)
+  leaveOnSignals(service)
+  // An operator can begin a planned stop as well, so its end is awaited here and not at the signal.
+  void service.left.then(closeTraces).then(() => {
+    consola.info('left')
+    process.exit(0)
+  })
   await service.start()
-  consola.info(`host ${settings.value.hostId} takes requests at ${settings.value.callerAddress}`)
+  consola.info(`host ${hostId} takes requests at ${callerAddress}`)
 }
 
-/** A signal or an operator begins the planned stop; the process ends with it. */
-function stopOnSignals (service: Service): void {
+function leaveOnSignals (service: Service): void {
   const leave = (signal: string): void => {
     consola.info(`received ${signal}: leaving`)
     void service.drain()
@@ -44,8 +51,4 @@
   // A second signal finds the drain running and changes nothing.
   process.on('SIGTERM', () => leave('SIGTERM'))
   process.on('SIGINT', () => leave('SIGINT'))
-  void service.left.then(() => {
-    consola.info('left')
-    process.exit(0)
-  })
 }
