--- a/packages/cyclamenctl/src/lib/declaration.ts
+++ b/packages/cyclamenctl/src/lib/declaration.ts
@@ -11,10 +11,10 @@
 
 /** The schema of each kind of document. `kind` names the document, so what the catalogue calls a kind is its `type`. */
 export const declarationSchemas = {
-  [DeclarationKind.Workspace]: workspaceSchema.extend({ kind: z.literal(DeclarationKind.Workspace) }),
-  [DeclarationKind.Key]: keySchema.extend({ kind: z.literal(DeclarationKind.Key) }),
-  [DeclarationKind.Entry]: entrySchema.omit({ kind: true }).extend({ kind: z.literal(DeclarationKind.Entry), type: entrySchema.shape.kind }),
-  [DeclarationKind.Pool]: poolSchema.omit({ kind: true }).extend({ kind: z.literal(DeclarationKind.Pool), type: poolSchema.shape.kind })
+  [DeclarationKind.Workspace]: workspaceSchema.extend({ kind: z.literal(DeclarationKind.Workspace).describe('What the document declares.') }),
+  [DeclarationKind.Key]: keySchema.extend({ kind: z.literal(DeclarationKind.Key).describe('What the document declares.') }),
+  [DeclarationKind.Entry]: entrySchema.omit({ kind: true }).extend({ kind: z.literal(DeclarationKind.Entry).describe('What the document declares.'), type: entrySchema.shape.kind }),
+  [DeclarationKind.Pool]: poolSchema.omit({ kind: true }).extend({ kind: z.literal(DeclarationKind.Pool).describe('What the document declares.'), type: poolSchema.shape.kind })
 } as const
 
 /** One YAML document: its kind, and the members of what it declares. */
--- a/packages/state/src/lib/catalogue.ts
+++ b/packages/state/src/lib/catalogue.ts
@@ -30,73 +30,70 @@
 
 /** Upper bounds that hold over all hosts together. An absent bound does not limit. */
 export const limitsSchema = z.strictObject({
-  requestsPerSecond: positive.optional(),
-  tokensPerSecond: positive.optional(),
-  concurrency: z.int().positive().optional()
+  requestsPerSecond: positive.optional().describe('Requests a second.'),
+  tokensPerSecond: positive.optional().describe('Tokens a second, prompt and answer.'),
+  concurrency: z.int().positive().optional().describe('Requests that run at once.')
 })
 
 /** A customer of the system; its weight is its share of a contended pool relative to the others. */
 export const workspaceSchema = z.strictObject({
-  name: nameSchema,
-  owner: z.string().min(1),
-  weight: positive.default(1),
-  limits: limitsSchema.default({})
+  name: nameSchema.describe('Name, unique among workspaces.'),
+  owner: z.string().min(1).describe('Who answers for it.'),
+  weight: positive.default(1).describe('Share of contended endpoints, relative to the other workspaces.'),
+  limits: limitsSchema.default({}).describe('Bounds over all hosts together; an absent one does not limit.')
 })
 
 /** A caller's key. Only a salted hash is kept; `withdrawn` never goes back to false. */
 export const keySchema = z.strictObject({
-  id: nameSchema,
-  workspace: nameSchema,
-  salt: z.string().regex(/^[0-9a-f]{16,64}$/),
-  hash: z.string().regex(/^[0-9a-f]{64}$/),
-  entries: z.array(nameSchema).optional(),
-  withdrawn: z.boolean().default(false)
+  id: nameSchema.describe('Id, the part of the token before the underscore; never used twice.'),
+  workspace: nameSchema.describe('Workspace for which the key speaks.'),
+  salt: z.string().regex(/^[0-9a-f]{16,64}$/, '16 to 64 hexadecimal digits').describe('Salt of the hash.'),
+  hash: z.string().regex(/^[0-9a-f]{64}$/, '64 hexadecimal digits').describe('Salted hash of the token.'),
+  entries: z.array(nameSchema).optional().describe('Entries the key may use; all when absent.'),
+  withdrawn: z.boolean().default(false).describe('Whether the key stopped working, for good.')
 })
 
 /** One thing a caller can name: a model behind an engine pool or a plain service. */
 export const entrySchema = z.strictObject({
-  name: nameSchema,
-  owner: z.string().min(1),
-  kind: z.enum(EntryKind),
-  class: z.enum(WorkClass),
-  pool: nameSchema,
-  limits: limitsSchema.default({}),
-  open: z.boolean().default(false),
-  /** Samples whose oldest weight version is further than this behind the newest are discarded. */
-  stalenessBound: z.int().nonnegative().optional(),
-  /** HTTP methods of a service that may be repeated without a second effect. */
-  idempotentMethods: z.array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'])).default(['GET', 'HEAD', 'OPTIONS']),
-  whenIsolated: z.enum(IsolationPolicy).default(IsolationPolicy.Refuse),
-  /** Longest a request may wait and run, in milliseconds. */
-  timeoutMs: z.int().positive().default(60_000)
+  name: nameSchema.describe('Name that callers use.'),
+  owner: z.string().min(1).describe('Who answers for it.'),
+  kind: z.enum(EntryKind).describe('Whether it is a model or a plain service.'),
+  class: z.enum(WorkClass).describe('Class of work; bookings go before interactive work, that before training.'),
+  pool: nameSchema.describe('Pool whose endpoints serve it.'),
+  limits: limitsSchema.default({}).describe('Bounds over all hosts and workspaces together.'),
+  open: z.boolean().default(false).describe('Whether callers without a key may use it.'),
+  stalenessBound: z.int().nonnegative().optional().describe('Most versions that the oldest weight version in a sample may be behind the newest; older samples are discarded. Only for models.'),
+  idempotentMethods: z.array(z.enum(['GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE', 'POST', 'PATCH'])).default(['GET', 'HEAD', 'OPTIONS']).describe('HTTP methods of a service that may be repeated without a second effect; all others need an Idempotency-Key.'),
+  whenIsolated: z.enum(IsolationPolicy).default(IsolationPolicy.Refuse).describe('What a host does with requests with a key while it can\'t prove its catalogue current.'),
+  timeoutMs: z.int().positive().default(60_000).describe('Longest a request may wait and run, in milliseconds.')
 })
 
 /** One back end, as declared or as the platform reports it. */
 export const endpointSchema = z.strictObject({
-  id: nameSchema,
-  url: z.url({ protocol: /^https?$/ }),
-  region: nameSchema,
-  failureDomain: nameSchema,
-  slots: z.int().positive(),
-  cheap: z.boolean().default(false),
-  fencing: z.enum(FencingSupport).default(FencingSupport.Checked)
+  id: nameSchema.describe('Id, unique among the endpoints of all pools.'),
+  url: z.url({ protocol: /^https?$/ }).describe('Base URL.'),
+  region: nameSchema.describe('Region it runs in.'),
+  failureDomain: nameSchema.describe('Failure domain it runs in.'),
+  slots: z.int().positive().describe('Requests it runs at once.'),
+  cheap: z.boolean().default(false).describe('Whether it may vanish at short notice.'),
+  fencing: z.enum(FencingSupport).default(FencingSupport.Checked).describe('Whether it refuses orders with an old fencing number.')
 })
 
 /** How many endpoints the capacity leader may keep running in one failure domain. */
 export const capacityRuleSchema = z.strictObject({
-  failureDomain: nameSchema,
-  region: nameSchema,
-  cheap: z.boolean(),
-  minimum: z.int().nonnegative(),
-  maximum: z.int().nonnegative()
+  failureDomain: nameSchema.describe('Failure domain in which endpoints may be ordered.'),
+  region: nameSchema.describe('Region of the failure domain.'),
+  cheap: z.boolean().describe('Whether cheap endpoints are ordered, which may vanish at short notice.'),
+  minimum: z.int().nonnegative().describe('Fewest endpoints kept running.'),
+  maximum: z.int().nonnegative().describe('Most endpoints kept running.')
 })
 
 /** Interchangeable endpoints: fixed ones, and rules for those that are ordered from the platform. */
 export const poolSchema = z.strictObject({
-  name: nameSchema,
-  kind: z.enum(EntryKind),
-  endpoints: z.array(endpointSchema).default([]),
-  capacity: z.array(capacityRuleSchema).default([])
+  name: nameSchema.describe('Name, unique among pools.'),
+  kind: z.enum(EntryKind).describe('Whether its endpoints are models or plain services.'),
+  endpoints: z.array(endpointSchema).default([]).describe('Endpoints that run all the time.'),
+  capacity: z.array(capacityRuleSchema).default([]).describe('Rules for endpoints that are ordered from the platform as they are needed.')
 })
 
 /** The whole catalogue at one revision. */
