--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import ApiGateway from 'moleculer-web'
+import { Counter } from 'prom-client'
 import { HostState, notRun, RefusalReason } from '@cyclamenthread/state'
 import { SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
 import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
@@ -77,6 +78,7 @@
   readonly decisions: DecisionSource
   readonly leave: () => void
   readonly #registry: Registry
+  readonly #requests: Counter
   #running = 0
   readonly #behind = new Set<Promise<unknown>>()
 
@@ -91,6 +93,12 @@
     this.decisions = parts.decisions
     this.leave = parts.leave
     this.#registry = parts.registry
+    this.#requests = new Counter({
+      name: 'cyclamenthread_requests_total',
+      help: 'Requests of callers by route and status; status 0 when the caller went away before the answer.',
+      labelNames: ['route', 'status'],
+      registers: [this.#registry]
+    })
   }
 
   /** Requests that run now. */
@@ -160,6 +168,7 @@
       const gone = new AbortController()
       setMaxListeners(0, gone.signal)
       response.on('close', () => {
+        this.#requests.inc({ route: name, status: response.headersSent ? response.statusCode : 0 })
         if (!response.writableFinished) gone.abort()
       })
       // A leaving host lets its callers go with the answer, so that none is cut off when it closes.
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -6,6 +6,7 @@
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import { Gateway } from './gateway.js'
+import { measureForOperators } from './operator-metrics.js'
 import { hostSettings } from './settings.js'
 import type { HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
@@ -76,6 +77,7 @@
       }
     })
     this.#measure()
+    measureForOperators(this.#registry, { catalogue: this.#catalogue, members: this.#members, usage: this.#usage })
   }
 
   /** Starts every task; the port for callers opens last. */
