A signal drains instead of ending the process at once

Cause: the broker registers its own SIGTERM and SIGINT handlers, stops at once and calls process.exit; a booking that ran was cut off (socket closed), 'left' was never logged and spans were lost.

--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -48,7 +48,14 @@
   constructor (settings: ServiceSettings) {
     this.#settings = settings
     this.#host = hostSettings(settings)
-    this.#broker = new ServiceBroker({ nodeID: settings.hostId, logger: false, tracing: false, metrics: false })
+    this.#broker = new ServiceBroker({
+      nodeID: settings.hostId,
+      logger: false,
+      tracing: false,
+      metrics: false,
+      // Left to itself the broker ends the process at the first signal, before any drain.
+      skipProcessEventRegistration: true
+    })
     this.#store = new HttpObjectStore(settings.storeUrl)
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
