--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -17,9 +17,6 @@
 /** Bytes of an answer that may wait for a slow caller before its request is given up. */
 const MAX_BUFFERED_BYTES = 1024 * 1024
 
-/** How long usage is tried to be recorded after the answer, in milliseconds. */
-const USAGE_COMMIT_MS = 60_000
-
 const options = {
   model: z.string(),
   max_tokens: z.int().positive().max(1_000_000).default(DEFAULT_MAX_TOKENS),
@@ -168,8 +165,5 @@
     calls: 0
   }
   const partition = gateway.ledger.partitionOf(`usage/${order.requestId}`)
-  gateway.behind(gateway.ledger.commit(partition, [{ kind: LedgerRecordKind.Usage, usage }], {
-    deadline: deadlineAfter(USAGE_COMMIT_MS),
-    traceparent: order.traceparent
-  }))
+  void gateway.writeBehind.add(partition, { kind: LedgerRecordKind.Usage, usage })
 }
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -14,7 +14,7 @@
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, DecisionSource, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
+import type { CatalogueSource, CompletionRunner, DecisionSource, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -53,6 +53,7 @@
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
   readonly decisions: DecisionSource
+  readonly writeBehind: WriteBehind
   readonly registry: Registry
   /** Begins a planned stop. */
   readonly leave: () => void
@@ -77,10 +78,10 @@
   readonly services: ServiceRunner
   readonly decisions: DecisionSource
   readonly leave: () => void
+  readonly writeBehind: WriteBehind
   readonly #registry: Registry
   readonly #requests: Counter
   #running = 0
-  readonly #behind = new Set<Promise<unknown>>()
 
   constructor (parts: GatewayParts) {
     this.settings = parts.settings
@@ -92,6 +93,7 @@
     this.services = parts.services
     this.decisions = parts.decisions
     this.leave = parts.leave
+    this.writeBehind = parts.writeBehind
     this.#registry = parts.registry
     this.#requests = new Counter({
       name: 'cyclamenthread_requests_total',
@@ -106,15 +108,9 @@
     return this.#running
   }
 
-  /** Keeps account of work that goes on after its caller was answered. */
-  behind (work: Promise<unknown>): void {
-    this.#behind.add(work)
-    void work.finally(() => this.#behind.delete(work))
-  }
-
   /** Waits until no request runs and nothing is left to be written behind one. */
   async drained (): Promise<void> {
-    while (this.#running > 0 || this.#behind.size > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
+    while (this.#running > 0 || this.writeBehind.waiting > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
   }
 
   /** The broker service that listens for callers. */
