--- a/packages/coordination/src/lib/decision-log.ts
+++ b/packages/coordination/src/lib/decision-log.ts
@@ -20,12 +20,18 @@
 /** Finds decisions that are kept elsewhere than in memory. */
 export type DecisionSearch = (requestId: string) => Promise<readonly ChainedDecision[]>
 
+/** The decisions this process keeps. */
+export interface DecisionSource {
+  /** Records of the chain of this process after a sequence number, in order. */
+  page (after: number, limit: number): Promise<ChainedDecision[]>
+}
+
 /**
  * Chains the decisions of this process and answers for them.
  *
  * Invariant: every decision is in exactly one chain, at exactly one place.
  */
-export class DecisionLog implements DecisionSink {
+export class DecisionLog implements DecisionSink, DecisionSource {
   readonly #chain: DecisionChain
   readonly #name: string
   #records: ChainedDecision[] = []
@@ -56,6 +62,11 @@
     this.#unshipped = this.#unshipped.slice(-UNSHIPPED_DECISIONS)
   }
 
+  async page (after: number, limit: number): Promise<ChainedDecision[]> {
+    const start = this.#records.findIndex((record) => record.sequence > after)
+    return start < 0 ? [] : this.#records.slice(start, start + limit)
+  }
+
   /** The chain of this process and its last hash. */
   get head (): ChainWitness & { readonly chain: string } {
     return { chain: this.#name, sequence: this.#chain.sequence, hash: this.#chain.head }
--- a/packages/cyclamenthread/src/lib/main.ts
+++ b/packages/cyclamenthread/src/lib/main.ts
@@ -1,17 +1,13 @@
 import { consola } from 'consola'
 import meow from 'meow'
 import { keepSpans } from '@cyclamenthread/transport'
+import { readSettings, secretWarnings } from './read-settings.js'
 import { Service } from './service.js'
-import { environmentName, readSettings, serviceSettingsSchema } from './settings.js'
+import { environmentName, flagName, serviceSettingsSchema } from './settings.js'
 
 /** Exit code for settings that can't be used. */
 const EXIT_USAGE = 2
 
-/** The flag of a setting. */
-function flagName (setting: string): string {
-  return `--${setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`)}`
-}
-
 /** The help text, made from the schema so that the two can't differ. */
 function helpText (): string {
   const lines = Object.entries(serviceSettingsSchema.shape).map(([setting, schema]) =>
@@ -33,19 +29,26 @@
     process.exitCode = EXIT_USAGE
     return
   }
+  for (const warning of secretWarnings(cli.flags)) consola.warn(warning)
   const { traceFile, traceRatio, hostId, callerAddress } = settings.value
   const closeTraces = traceFile === undefined ? async () => {} : keepSpans({ path: traceFile, ratio: traceRatio, hostId })
   const service = new Service(settings.value)
+  leaveOnSignals(service)
+  // An operator can begin a planned stop as well, so its end is awaited here and not at the signal.
+  void service.left.then(closeTraces).then(() => {
+    consola.info('left')
+    process.exit(0)
+  })
+  await service.start()
+  consola.info(`host ${hostId} takes requests at ${callerAddress}`)
+}
+
+function leaveOnSignals (service: Service): void {
   const leave = (signal: string): void => {
     consola.info(`received ${signal}: leaving`)
-    void service.drain().then(closeTraces).then(() => {
-      consola.info('left')
-      process.exit(0)
-    })
+    void service.drain()
   }
   // A second signal finds the drain running and changes nothing.
   process.on('SIGTERM', () => leave('SIGTERM'))
   process.on('SIGINT', () => leave('SIGINT'))
-  await service.start()
-  consola.info(`host ${hostId} takes requests at ${callerAddress}`)
 }
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -8,6 +8,7 @@
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { Gateway } from './gateway.js'
+import { measureForOperators } from './operator-metrics.js'
 import { hostSettings } from './settings.js'
 import type { BatchCounters, BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
@@ -52,11 +53,23 @@
   readonly #capacity: CapacityTask
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
+  #onLeft: () => void = () => {}
+  /** Resolves when a planned stop has come to its end, whoever began it. */
+  readonly left = new Promise<void>((resolve) => {
+    this.#onLeft = resolve
+  })
 
   constructor (settings: ServiceSettings, options: ServiceOptions = {}) {
     this.#settings = settings
     this.#host = hostSettings(settings)
-    this.#broker = new ServiceBroker({ nodeID: settings.hostId, logger: false, tracing: false, metrics: false })
+    this.#broker = new ServiceBroker({
+      nodeID: settings.hostId,
+      logger: false,
+      tracing: false,
+      metrics: false,
+      // Left to itself the broker ends the process at the first signal, before any drain.
+      skipProcessEventRegistration: true
+    })
     this.#store = new HttpObjectStore(settings.storeUrl)
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
@@ -102,9 +115,14 @@
       completions,
       services: new ServiceRunner({ router: this.#router, endpoints: this.#endpoints, ledger, behind: this.#behind }),
       writeBehind: this.#behind,
-      registry: this.#registry
+      decisions: this.#decisions,
+      registry: this.#registry,
+      leave: () => {
+        void this.drain()
+      }
     })
     this.#measure()
+    measureForOperators(this.#registry, { catalogue: this.#catalogue, members: this.#members, usage: this.#usage })
   }
 
   /** Starts every task; the port for callers opens last. */
@@ -154,6 +172,7 @@
     await Promise.race([this.#gateway.drained(), limit])
     await this.#behind.drain(deadlineAfter(this.#settings.drainTimeoutMs))
     await this.stop()
+    this.#onLeft()
   }
 
   /** Stops at once. */
@@ -161,7 +180,6 @@
     await this.#batches.stop()
     await this.#capacity.stop()
     await this.#domains.stop()
-    this.#batches.stop()
     await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
