--- /dev/null
+++ b/packages/bench/src/lib/slopes/member-network.ts
@@ -0,0 +1,164 @@
+import { Membership, MembershipEffectKind, MembershipEventKind } from '@cyclamenthread/state'
+import type { Host, HostState, MembershipEffect, MembershipEvent, MembershipMessage } from '@cyclamenthread/state'
+
+/** Time between two ticks of a member, in milliseconds. */
+const TICK_MS = 200
+
+/** Least time a message takes, in milliseconds. */
+const LATENCY_MS = 1
+
+/** Added to the latency at random, so that messages overtake each other, in milliseconds. */
+const JITTER_MS = 24
+
+/** What the network may do to messages. */
+export interface NetworkFaults {
+  /** Share of messages that are lost. */
+  loss: number
+  /** Share of messages that arrive twice. */
+  duplicates: number
+  /** Whether two hosts can't reach each other now. */
+  cut: (from: Host, to: Host) => boolean
+}
+
+/** One host of the network; `membership` is absent while the host is down. */
+interface Node {
+  readonly host: Host
+  membership: Membership | undefined
+  paused: boolean
+  incarnation: number
+  readonly inbox: MembershipMessage[]
+}
+
+interface Delivery {
+  readonly at: number
+  readonly hostId: string
+  /** Absent for a tick. */
+  readonly message?: MembershipMessage
+}
+
+/**
+ * Drives the memberships of many hosts in one process, on a clock of its own:
+ * only their decisions, no sockets.
+ */
+export class MemberNetwork {
+  readonly faults: NetworkFaults = { loss: 0, duplicates: 0, cut: () => false }
+  readonly nodes = new Map<string, Node>()
+  now = 0
+  /** Told of each message that is sent. */
+  onMessage: (message: MembershipMessage) => void = () => {}
+  readonly #random: () => number
+  readonly #queue = new Map<number, Delivery[]>()
+
+  constructor (hosts: readonly Host[], random: () => number) {
+    this.#random = random
+    for (const host of hosts) this.nodes.set(host.id, { host, membership: undefined, paused: false, incarnation: 0, inbox: [] })
+    for (const host of hosts) this.#schedule({ at: Math.floor(random() * TICK_MS), hostId: host.id })
+  }
+
+  /** The node of a host. */
+  node (hostId: string): Node {
+    const node = this.nodes.get(hostId)
+    if (node === undefined) throw new Error(`no host ${hostId}`)
+    return node
+  }
+
+  /** Starts a host, or starts it again under the same id. */
+  start (hostId: string, listed: readonly Host[]): void {
+    const node = this.node(hostId)
+    // The clock of a restarted host may have been set back, so its incarnation is not always higher.
+    node.incarnation += Math.floor(this.#random() * 3)
+    node.membership = new Membership(node.host, node.incarnation, this.#random, this.now)
+    node.inbox.length = 0
+    this.step(hostId, { kind: MembershipEventKind.Candidates, hosts: listed.filter((host) => host.id !== hostId) })
+  }
+
+  /** Ends a host without warning. */
+  crash (hostId: string): void {
+    this.node(hostId).membership = undefined
+  }
+
+  pause (hostId: string): void {
+    this.node(hostId).paused = true
+  }
+
+  /** Lets a paused host go on; what came meanwhile waited for it. */
+  resume (hostId: string): void {
+    const node = this.node(hostId)
+    node.paused = false
+    for (const message of node.inbox.splice(0)) this.step(hostId, { kind: MembershipEventKind.Message, message })
+  }
+
+  /** Gives a host an event at once. */
+  step (hostId: string, event: MembershipEvent): void {
+    const node = this.node(hostId)
+    for (const effect of node.membership?.step(event, this.now) ?? []) this.#carryOut(node.host, effect)
+  }
+
+  /** Lets time pass. */
+  run (milliseconds: number, onTick: () => void = () => {}): void {
+    const end = this.now + milliseconds
+    for (; this.now < end; this.now++) {
+      const due = this.#queue.get(this.now) ?? []
+      this.#queue.delete(this.now)
+      for (const delivery of due) this.#deliver(delivery)
+      if (this.now % TICK_MS === 0) onTick()
+    }
+  }
+
+  /** The state that one host holds of another. */
+  view (hostId: string, otherId: string): HostState | undefined {
+    return this.node(hostId).membership?.find(otherId)?.state
+  }
+
+  /** Hosts that run. */
+  running (): Node[] {
+    return [...this.nodes.values()].filter((node) => node.membership !== undefined && !node.paused)
+  }
+
+  #deliver (delivery: Delivery): void {
+    const node = this.node(delivery.hostId)
+    if (delivery.message === undefined) {
+      this.#schedule({ at: this.now + TICK_MS, hostId: delivery.hostId })
+      if (!node.paused) this.step(delivery.hostId, { kind: MembershipEventKind.Tick })
+      return
+    }
+    if (node.membership === undefined) return
+    if (node.paused) node.inbox.push(delivery.message)
+    else this.step(delivery.hostId, { kind: MembershipEventKind.Message, message: delivery.message })
+  }
+
+  #carryOut (from: Host, effect: MembershipEffect): void {
+    if (effect.kind === MembershipEffectKind.Changed) return
+    this.onMessage(effect.message)
+    if (!this.nodes.has(effect.to.id) || this.faults.cut(from, effect.to)) return
+    const copies = this.#random() < this.faults.duplicates ? 2 : 1
+    for (let copy = 0; copy < copies; copy++) {
+      if (this.#random() < this.faults.loss) continue
+      const at = this.now + LATENCY_MS + Math.floor(this.#random() * JITTER_MS)
+      this.#schedule({ at, hostId: effect.to.id, message: effect.message })
+    }
+  }
+
+  #schedule (delivery: Delivery): void {
+    const due = this.#queue.get(delivery.at)
+    if (due === undefined) this.#queue.set(delivery.at, [delivery])
+    else due.push(delivery)
+  }
+}
+
+/**
+ * Hosts spread over regions, for tests and slopes.
+ *
+ * @example
+ * networkHosts(8, 2)
+ */
+export function networkHosts (count: number, regions: number): Host[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `host-${index}`,
+    region: `region-${index % regions}`,
+    failureDomain: `domain-${index % (2 * regions)}`,
+    peerAddress: `10.0.${index >> 8}.${index & 255}:7000`,
+    callerUrl: `http://10.0.${index >> 8}.${index & 255}:8000`,
+    hasDataFolder: false
+  }))
+}
--- /dev/null
+++ b/packages/bench/src/test/membership.test.ts
@@ -0,0 +1,139 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { HostState, MAX_RECORDS, MembershipEventKind } from '@cyclamenthread/state'
+import { seededRandom } from '../lib/random.js'
+import { MemberNetwork, networkHosts } from '../lib/slopes/member-network.js'
+import type { Host } from '@cyclamenthread/state'
+
+const SEED = Number(process.env['PROPERTY_SEED'] ?? 20_261_204)
+const RUNS = Number(process.env['PROPERTY_RUNS'] ?? 1_000)
+const HOSTS = 5
+
+/** Long enough for a dead member to be tried and for every view to settle, in milliseconds. */
+const SETTLE_MS = 60_000
+
+const hosts = networkHosts(HOSTS, 2)
+const victim = fc.integer({ min: 0, max: HOSTS - 1 }).map((index) => `host-${index}`)
+const fault = fc.record({
+  kind: fc.constantFrom('crash', 'restart', 'pause', 'resume', 'cut', 'heal', 'loss', 'calm'),
+  hostId: victim,
+  afterMs: fc.integer({ min: 1, max: 12_000 })
+})
+const story = fc.record({ seed: fc.integer(), faults: fc.array(fault, { maxLength: 8 }), leaver: fc.option(victim) })
+
+function started (seed: number): MemberNetwork {
+  const network = new MemberNetwork(hosts, seededRandom(seed))
+  // The list lags: each host is told only of the first two.
+  for (const host of hosts) network.start(host.id, hosts.slice(0, 2))
+  return network
+}
+
+function apply (network: MemberNetwork, kind: string, hostId: string): void {
+  const node = network.node(hostId)
+  if (kind === 'crash') network.crash(hostId)
+  if (kind === 'restart') network.start(hostId, hosts.slice(0, 3))
+  if (kind === 'pause') network.pause(hostId)
+  if (kind === 'resume' && node.paused) network.resume(hostId)
+  if (kind === 'cut') network.faults.cut = (from: Host, to: Host) => from.region !== to.region
+  if (kind === 'heal') network.faults.cut = () => false
+  network.faults.loss = kind === 'loss' ? 0.2 : kind === 'calm' ? 0 : network.faults.loss
+  network.faults.duplicates = network.faults.loss
+}
+
+function healed (network: MemberNetwork): void {
+  apply(network, 'heal', 'host-0')
+  apply(network, 'calm', 'host-0')
+  for (const host of hosts) {
+    if (network.node(host.id).paused) network.resume(host.id)
+    if (network.node(host.id).membership === undefined) network.start(host.id, hosts.slice(0, 3))
+  }
+}
+
+test(`after any faults every host that can be reached is alive to every other, and leaving stays (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(story, ({ seed, faults, leaver }) => {
+    const network = started(seed)
+    network.run(3_000)
+    const leaves = leaver ?? ''
+    if (leaver !== null) network.step(leaver, { kind: MembershipEventKind.Leave })
+    for (const { kind, hostId, afterMs } of faults) {
+      // A leaver that is started again is a new life, which is not leaving.
+      if (hostId !== leaves || (kind !== 'crash' && kind !== 'restart')) apply(network, kind, hostId)
+      network.run(afterMs)
+    }
+    healed(network)
+    network.run(SETTLE_MS)
+    for (const host of hosts) {
+      for (const other of hosts) {
+        const expected = other.id === leaves ? HostState.Leaving : HostState.Alive
+        if (network.view(host.id, other.id) !== expected) throw new Error(`${host.id} holds ${other.id} as ${network.view(host.id, other.id)}, not ${expected}`)
+      }
+    }
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test(`a leaving host is never again alive to one that knows it, and messages are bounded (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(story, ({ seed, faults }) => {
+    const network = started(seed)
+    network.onMessage = (message) => {
+      if (message.records.length > MAX_RECORDS) throw new Error(`${message.records.length} records in one message`)
+    }
+    network.run(3_000)
+    network.step('host-0', { kind: MembershipEventKind.Leave })
+    const known = new Set<string>()
+    const watch = (): void => {
+      for (const { host } of network.running()) {
+        const state = network.view(host.id, 'host-0')
+        if (state === HostState.Leaving) known.add(host.id)
+        if (known.has(host.id) && (state === HostState.Alive || state === HostState.Suspect)) throw new Error(`${host.id} took host-0's leaving back`)
+      }
+    }
+    for (const { kind, hostId, afterMs } of faults) {
+      if (hostId !== 'host-0' || (kind !== 'crash' && kind !== 'restart')) apply(network, kind, hostId)
+      if (kind === 'restart' || kind === 'crash') known.delete(hostId)
+      network.run(afterMs, watch)
+    }
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test(`a crashed host is dead to all others and does not come back (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(fc.integer(), victim, (seed, hostId) => {
+    const network = started(seed)
+    network.run(3_000)
+    network.crash(hostId)
+    network.run(20_000)
+    network.faults.loss = 0.01
+    network.run(20_000, () => {
+      for (const { host } of network.running()) {
+        if (network.view(host.id, hostId) !== HostState.Dead) throw new Error(`${host.id} holds ${hostId} as ${network.view(host.id, hostId)}`)
+      }
+    })
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test(`two regions that meet again after a cut bury none of their own (seed ${SEED})`, (t) => {
+  fc.assert(fc.property(fc.integer(), fc.integer({ min: 15_000, max: 60_000 }), (seed, cutMs) => {
+    const network = started(seed)
+    network.run(3_000)
+    apply(network, 'cut', 'host-0')
+    const deadFellow = (): void => {
+      for (const { host } of network.running()) {
+        for (const other of hosts) {
+          const dead = network.view(host.id, other.id) === HostState.Dead
+          if (dead && other.region === host.region) throw new Error(`${host.id} buried ${other.id} of its own region`)
+        }
+      }
+    }
+    network.run(cutMs, deadFellow)
+    apply(network, 'heal', 'host-0')
+    network.run(SETTLE_MS, deadFellow)
+    for (const host of hosts) {
+      for (const other of hosts) {
+        if (network.view(host.id, other.id) !== HostState.Alive) throw new Error(`${host.id} holds ${other.id} as ${network.view(host.id, other.id)}`)
+      }
+    }
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
--- /dev/null
+++ b/packages/state/src/lib/probe-order.ts
@@ -0,0 +1,52 @@
+/**
+ * The order in which a host probes the others: each once in a round, in an order
+ * that is shuffled anew for every round, so that the time until a crashed host is
+ * probed is bounded.
+ */
+export class ProbeOrder {
+  readonly #random: () => number
+  #round: string[] = []
+
+  /** @param random source of numbers from 0 up to 1 */
+  constructor (random: () => number) {
+    this.#random = random
+  }
+
+  /** Puts a host first. */
+  prefer (hostId: string): void {
+    this.#round = [hostId, ...this.#round.filter((other) => other !== hostId)]
+  }
+
+  /**
+   * The next host to probe, or undefined when there is none.
+   *
+   * @param candidates hosts that may be probed
+   */
+  next (candidates: readonly string[]): string | undefined {
+    const allowed = new Set(candidates)
+    for (;;) {
+      const hostId = this.#round.shift()
+      if (hostId === undefined) break
+      if (allowed.has(hostId)) return hostId
+    }
+    this.#round = shuffled(candidates, this.#random)
+    return this.#round.shift()
+  }
+}
+
+/**
+ * A copy in random order.
+ *
+ * @example
+ * shuffled(['a', 'b', 'c'], Math.random)
+ */
+export function shuffled<Item> (items: readonly Item[], random: () => number): Item[] {
+  const copy = [...items]
+  for (let last = copy.length - 1; last > 0; last--) {
+    const other = Math.floor(random() * (last + 1))
+    const swapped = copy[last] as Item
+    copy[last] = copy[other] as Item
+    copy[other] = swapped
+  }
+  return copy
+}
