Membership: SWIM-like probes, suspicion, incarnations and digests in place of the host list

Cause: the view of the hosts was the platform's list, which lags: a crashed host stayed a worker until the list forgot it, and a live one that was not listed was dead.

Chosen: a pure state machine (step(event, now) -> effects) with one probe a second, three indirect probes, suspicion before death, refutation by a higher incarnation, news of bounded size carried with the probes, a digest of 16 buckets that finds what news missed, dead members kept and tried for two hours, and a pause of the own process forgiven. The list only names candidates. Ruled out: taking over another host's "dead" as it stands. With it, two regions that meet again bury their own members for some seconds (test below); so a death that is only heard of starts a suspicion.

--- /dev/null
+++ b/packages/bench/src/lib/slopes/membership.ts
@@ -0,0 +1,123 @@
+import { HostState } from '@cyclamenthread/state'
+import { peerMessageSchema, PeerMessageKind } from '@cyclamenthread/protocol'
+import { encodeFrame, FrameReader } from '@cyclamenthread/transport'
+import { seededRandom } from '../random.js'
+import { MemberNetwork, networkHosts } from './member-network.js'
+
+/** Sizes that are measured. */
+const SIZES = [8, 40, 120, 360] as const
+
+/** Regions of the measured networks. */
+const REGIONS = 6
+
+/** Time for all to meet before anything is measured, in milliseconds. */
+const JOIN_MS = 30_000
+
+/** Time that is measured, in milliseconds. */
+const MEASURED_MS = 60_000
+
+/** Longest a crash may take to be known, in milliseconds. */
+const DETECTION_LIMIT_MS = 60_000
+
+/** Share of messages lost while false suspicions are counted. */
+const LOSS = 0.01
+
+/** Milliseconds of a second. */
+const SECOND_MS = 1_000
+
+/** What membership costs at one size. */
+export interface MembershipSlopeRow {
+  readonly members: number
+  /** Sent by one host, encoded as on the wire. */
+  readonly bytesPerSecond: number
+  /** Processor time of one host, decisions and codec. */
+  readonly cpuMicrosPerSecond: number
+  /** Heap of one host's view. */
+  readonly stateBytes: number
+  /** Milliseconds from a crash until the first host holds the member dead, and until the last does. */
+  readonly firstDetectionMs: number
+  readonly lastDetectionMs: number
+  /** Suspicions and deaths of live members in a minute with one message in a hundred lost, over all hosts. */
+  readonly falseSuspicions: number
+  readonly falseDeaths: number
+}
+
+/**
+ * Measures membership at each size, all members in this process.
+ *
+ * @param seed seed of the random source
+ * @example
+ * for (const row of measureMembership(1)) console.table(row)
+ */
+export function measureMembership (seed: number): MembershipSlopeRow[] {
+  return SIZES.map((members) => measureSize(members, seed))
+}
+
+function measureSize (members: number, seed: number): MembershipSlopeRow {
+  const before = heapBytes()
+  const network = joined(members, seed)
+  const stateBytes = (heapBytes() - before) / members
+  const steady = measureSteady(network)
+  return { members, stateBytes, ...steady, ...measureLoss(network), ...measureDetection(network) }
+}
+
+function joined (members: number, seed: number): MemberNetwork {
+  const hosts = networkHosts(members, REGIONS)
+  const network = new MemberNetwork(hosts, seededRandom(seed))
+  for (const host of hosts) network.start(host.id, hosts)
+  network.run(JOIN_MS)
+  return network
+}
+
+function measureSteady (network: MemberNetwork): Pick<MembershipSlopeRow, 'bytesPerSecond' | 'cpuMicrosPerSecond'> {
+  let bytes = 0
+  network.onMessage = (message) => {
+    const frame = encodeFrame({ kind: PeerMessageKind.Membership, message })
+    bytes += frame.length
+    for (const body of new FrameReader().push(frame)) peerMessageSchema.parse(body)
+  }
+  const start = process.cpuUsage()
+  network.run(MEASURED_MS)
+  const used = process.cpuUsage(start)
+  network.onMessage = () => {}
+  const hostSeconds = network.nodes.size * MEASURED_MS / SECOND_MS
+  return { bytesPerSecond: bytes / hostSeconds, cpuMicrosPerSecond: (used.user + used.system) / hostSeconds }
+}
+
+function measureLoss (network: MemberNetwork): Pick<MembershipSlopeRow, 'falseSuspicions' | 'falseDeaths'> {
+  const before = totals(network)
+  network.faults.loss = LOSS
+  network.run(MEASURED_MS)
+  network.faults.loss = 0
+  const after = totals(network)
+  return { falseSuspicions: after.suspicions - before.suspicions, falseDeaths: after.deaths - before.deaths }
+}
+
+function totals (network: MemberNetwork): { readonly suspicions: number, readonly deaths: number } {
+  const counters = network.running().flatMap((node) => node.membership?.counters ?? [])
+  return {
+    suspicions: counters.reduce((sum, counter) => sum + counter.suspicions, 0),
+    deaths: counters.reduce((sum, counter) => sum + counter.deaths, 0)
+  }
+}
+
+function measureDetection (network: MemberNetwork): Pick<MembershipSlopeRow, 'firstDetectionMs' | 'lastDetectionMs'> {
+  const victim = 'host-0'
+  network.crash(victim)
+  const crashedAt = network.now
+  let first = Infinity
+  let last = Infinity
+  network.run(DETECTION_LIMIT_MS, () => {
+    const running = network.running()
+    const informed = running.filter((node) => network.view(node.host.id, victim) === HostState.Dead).length
+    if (informed > 0) first = Math.min(first, network.now - crashedAt)
+    if (informed === running.length) last = Math.min(last, network.now - crashedAt)
+  })
+  return { firstDetectionMs: first, lastDetectionMs: last }
+}
+
+/** Heap in use; exact only where the process was started with `--expose-gc`. */
+function heapBytes (): number {
+  globalThis.gc?.()
+  return process.memoryUsage().heapUsed
+}
--- a/packages/bench/src/test/membership.test.ts
+++ b/packages/bench/src/test/membership.test.ts
@@ -137,3 +137,20 @@
   }), { seed: SEED, numRuns: RUNS })
   t.pass()
 })
+
+test(`a host that joins late learns all the others from one, in bounded messages (seed ${SEED})`, (t) => {
+  const many = networkHosts(60, 3)
+  const network = new MemberNetwork(many, seededRandom(SEED))
+  let most = 0
+  network.onMessage = (message) => { most = Math.max(most, message.records.length) }
+  for (const host of many.slice(1)) network.start(host.id, many.slice(1))
+  // Long enough for every piece of news to be told as often as it is told at all.
+  network.run(60_000)
+  network.start('host-0', many.slice(1, 2))
+  network.run(15_000)
+  for (const host of many) {
+    t.is(network.view('host-0', host.id), HostState.Alive)
+    t.is(network.view(host.id, 'host-0'), HostState.Alive)
+  }
+  t.true(most <= MAX_RECORDS)
+})
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -46,7 +46,7 @@
     this.#store = new HttpObjectStore(settings.storeUrl)
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
-    this.#members = new MemberTask(this.#host, this.#platform)
+    this.#members = new MemberTask(this.#host, this.#platform, async (host, message) => await this.#bus.post(host, message))
     this.#catalogue = new CatalogueTask(this.#host, this.#store)
     this.#decisions = new DecisionLog(this.#host)
     this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions)
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,4 +1,5 @@
 export * from './lib/batch-message.js'
+export * from './lib/catalogue-message.js'
 export * from './lib/catalogue-store.js'
 export * from './lib/decision-message.js'
 export * from './lib/dispatcher-message.js'
--- a/packages/protocol/src/lib/catalogue-store.ts
+++ b/packages/protocol/src/lib/catalogue-store.ts
@@ -5,15 +5,18 @@
 import type { Catalogue, Outcome } from '@cyclamenthread/state'
 import type { ObjectStore, StoreCall, StoredObject, WriteResult } from './object-store.js'
 
-const headSchema = z.object({ revision: z.int().positive(), parts: z.array(z.string()) })
-const partSchema = z.object({
+/** The head of a catalogue: its revision and the content digests of its parts. */
+export const catalogueHeadSchema = z.object({ revision: z.int().positive(), parts: z.array(z.string()) })
+
+/** One immutable part of a catalogue. */
+export const cataloguePartSchema = z.object({
   workspaces: z.array(workspaceSchema),
   keys: z.array(keySchema),
   shared: catalogueSchema.pick({ entries: true, pools: true }).optional()
 })
 
-type CatalogueHead = z.infer<typeof headSchema>
-type CataloguePart = z.infer<typeof partSchema>
+export type CatalogueHead = z.infer<typeof catalogueHeadSchema>
+export type CataloguePart = z.infer<typeof cataloguePartSchema>
 
 /** A catalogue as the store holds it. */
 export interface StoredCatalogue {
@@ -48,7 +51,13 @@
   return [shared, ...own]
 }
 
-function join (parts: readonly CataloguePart[]): Catalogue {
+/**
+ * The catalogue that parts make up.
+ *
+ * @example
+ * joinParts([shared, desk, training])
+ */
+export function joinParts (parts: readonly CataloguePart[]): Catalogue {
   return {
     workspaces: parts.flatMap((part) => part.workspaces),
     keys: parts.flatMap((part) => part.keys),
@@ -135,7 +144,7 @@
   async #readHead (call: StoreCall): Promise<CatalogueHead | undefined> {
     const head = await this.#store.read(CATALOGUE_HEAD, call)
     if (!head.ok || head.value === undefined) return undefined
-    const parsed = headSchema.safeParse(head.value.value)
+    const parsed = catalogueHeadSchema.safeParse(head.value.value)
     return parsed.success ? parsed.data : undefined
   }
 
@@ -145,7 +154,7 @@
   }
 
   async #resolve (object: StoredObject, call: StoreCall): Promise<Outcome<StoredCatalogue, StoreFailure>> {
-    const head = headSchema.safeParse(object.value)
+    const head = catalogueHeadSchema.safeParse(object.value)
     if (!head.success) return failure(StoreFailure.Malformed)
     const parts: CataloguePart[] = []
     for (const name of head.data.parts) {
@@ -153,7 +162,7 @@
       if (!part.ok) return part
       parts.push(part.value)
     }
-    return success({ revision: head.data.revision, headVersion: object.version, catalogue: join(parts) })
+    return success({ revision: head.data.revision, headVersion: object.version, catalogue: joinParts(parts) })
   }
 
   async #part (name: string, call: StoreCall): Promise<Outcome<CataloguePart, StoreFailure>> {
@@ -161,7 +170,7 @@
     if (known !== undefined) return success(known)
     const object = await this.#store.read(cataloguePartKey(name), call)
     if (!object.ok) return object
-    const parsed = partSchema.safeParse(object.value?.value)
+    const parsed = cataloguePartSchema.safeParse(object.value?.value)
     if (!parsed.success) return failure(StoreFailure.Malformed)
     this.#parts.set(name, parsed.data)
     return success(parsed.data)
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -9,5 +9,10 @@
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
   OpenBatch = 'batches.open',
-  Probe = 'member.probe'
+  Probe = 'member.probe',
+  Membership = 'member.gossip',
+  CheckCatalogue = 'catalogue.check',
+  FetchCatalogue = 'catalogue.fetch',
+  FetchParts = 'catalogue.parts',
+  AnnounceCatalogue = 'catalogue.announce'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -1,5 +1,8 @@
 import { z } from 'zod'
 import { openBatchSchema } from './batch-message.js'
+import {
+  announceCatalogueSchema, catalogueAnswerSchema, checkAnswerSchema, checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, partsAnswerSchema
+} from './catalogue-message.js'
 import { explainRequestSchema, explanationSchema } from './decision-message.js'
 import {
   acquireSlotSchema, cancelRequestSchema, cellSummariesSchema, releaseSlotSchema, slotAnswerSchema, summariseCellsSchema
@@ -7,14 +10,15 @@
 import {
   batchAnswerSchema, claimAnswerSchema, commitAnswerSchema, commitRecordSchema, readBatchSchema, readClaimSchema
 } from './ledger-message.js'
-import { probeAnswerSchema, probeSchema } from './member-message.js'
+import { membershipSchema, probeAnswerSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
 import { receiptSchema } from './receipt.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, explainRequestSchema,
-  commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema
+  commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
+  checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema
 ])
 
 /** The schema of the answer to each kind of message. */
@@ -28,7 +32,12 @@
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
   [PeerMessageKind.ReadBatch]: batchAnswerSchema,
   [PeerMessageKind.OpenBatch]: receiptSchema,
-  [PeerMessageKind.Probe]: probeAnswerSchema
+  [PeerMessageKind.Probe]: probeAnswerSchema,
+  [PeerMessageKind.Membership]: receiptSchema,
+  [PeerMessageKind.CheckCatalogue]: checkAnswerSchema,
+  [PeerMessageKind.FetchCatalogue]: catalogueAnswerSchema,
+  [PeerMessageKind.FetchParts]: partsAnswerSchema,
+  [PeerMessageKind.AnnounceCatalogue]: receiptSchema
 } as const
 
 /** A message between two processes. */
--- a/packages/state/src/lib/membership.ts
+++ b/packages/state/src/lib/membership.ts
@@ -169,6 +169,16 @@
     return this.#table.get(hostId)?.record
   }
 
+  /** Some members at random that are not dead. */
+  pickOthers (count: number): Host[] {
+    return this.#pick(this.#others(), count)
+  }
+
+  /** A message with news that asks for nothing. */
+  gossipTo (host: Host): MembershipEffect {
+    return this.#compose(host, { kind: MembershipMessageKind.Gossip })
+  }
+
   /** Takes one event and returns what is to be done. */
   step (event: MembershipEvent, now: number): MembershipEffect[] {
     switch (event.kind) {
@@ -299,7 +309,7 @@
   #claim (record: MemberRecord): void {
     this.#self = record
     this.#hold({ record })
-    for (const host of this.#pick(this.#others(), URGENT_FANOUT)) this.#send(host, { kind: MembershipMessageKind.Gossip })
+    for (const host of this.pickOthers(URGENT_FANOUT)) this.#send(host, { kind: MembershipMessageKind.Gossip })
   }
 
   #receive (message: MembershipMessage, now: number): void {
@@ -388,8 +398,12 @@
 
   /** Sends a message with news, and with what differs from the receiver's digest where that is known. */
   #send (to: Host, message: MessageHead, theirDigest?: readonly number[]): void {
+    this.#effects.push(this.#compose(to, message, theirDigest))
+  }
+
+  #compose (to: Host, message: MessageHead, theirDigest?: readonly number[]): MembershipEffect {
     const gossip: MembershipGossip = { self: this.#self, records: this.#records(to.id, theirDigest), digest: [...this.#table.digest] }
-    this.#effects.push({ kind: MembershipEffectKind.Send, to, message: { ...message, ...gossip } })
+    return { kind: MembershipEffectKind.Send, to, message: { ...message, ...gossip } }
   }
 
   #records (toId: string, theirDigest: readonly number[] | undefined): MemberRecord[] {
