--- /dev/null
+++ b/packages/bench/src/test/catalogue-spread.test.ts
@@ -0,0 +1,127 @@
+import test from 'ava'
+import { EntryKind, IsolationPolicy, PROOF_MS, WorkClass } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { relaysOf } from '@cyclamenthread/coordination'
+import { networkHosts } from '../lib/slopes/member-network.js'
+import { HostNetwork } from './host-network.js'
+import type { ExecutionContext } from 'ava'
+import type { Catalogue } from '@cyclamenthread/state'
+import type { PeerMessage } from '@cyclamenthread/protocol'
+import type { NetworkHost } from './host-network.js'
+
+const HOSTS = 24
+const KEY = 'desk-key'
+const hosts = networkHosts(HOSTS, 3)
+const storeRegion = hosts[0]?.region ?? ''
+
+function catalogue (withdrawn: boolean, weight = 1): Catalogue {
+  return {
+    workspaces: ['desk', 'training'].map((name) => ({ name, owner: 'test', weight: name === 'desk' ? weight : 1, limits: {} })),
+    keys: [{ id: KEY, workspace: 'desk', salt: '00'.repeat(16), hash: '00'.repeat(32), withdrawn }],
+    entries: [{ name: 'answers', owner: 'test', kind: EntryKind.Model, class: WorkClass.Interactive, pool: 'engines', limits: {}, open: false, idempotentMethods: [], whenIsolated: IsolationPolicy.Refuse, timeoutMs: 1_000 }],
+    pools: [{ name: 'engines', kind: EntryKind.Model, endpoints: [], capacity: [] }]
+  }
+}
+
+async function started (t: ExecutionContext): Promise<HostNetwork> {
+  const network = new HostNetwork()
+  t.teardown(async () => await network.stop())
+  await network.start(hosts, catalogue(false))
+  await network.until(() => network.all().every((item) => item.catalogue.isCurrent() && item.members.workers().length === HOSTS))
+  return network
+}
+
+function revisionOf (item: NetworkHost): number {
+  return item.catalogue.current()?.revision ?? 0
+}
+
+function isRelay (item: NetworkHost): boolean {
+  return relaysOf(item.host.region, item.members.workers()).some((host) => host.id === item.host.id)
+}
+
+/** Messages by which a catalogue travels, apart from membership traffic. */
+function isCatalogueMessage (message: PeerMessage): boolean {
+  return message.kind !== PeerMessageKind.Membership
+}
+
+test('an accepted revision reaches every host, and the store is watched by relays only', async (t) => {
+  const network = await started(t)
+  const before = { ...network.store.counts }
+  const accepted = await network.apply(catalogue(false, 2))
+  const tookMs = await network.until(() => network.all().every((item) => revisionOf(item) === accepted))
+  t.log(`in force on the last of ${HOSTS} hosts after ${tookMs} ms; store reads meanwhile ${network.store.counts.reads - before.reads}`)
+  const readers = network.all().filter((item) => !isRelay(item) && Object.values(item.store.calls).some((calls) => calls > 10))
+  t.deepEqual(readers, [])
+  for (const item of network.all()) t.is(item.catalogue.current()?.workspace('desk')?.weight, 2)
+})
+
+test('lost announcements are repaired by the checks', async (t) => {
+  const network = await started(t)
+  network.faults.lost = (_from, _to, message) => message.kind === PeerMessageKind.AnnounceCatalogue || message.kind === PeerMessageKind.Membership
+  const accepted = await network.apply(catalogue(false, 2))
+  t.log(`after ${await network.until(() => network.all().every((item) => revisionOf(item) === accepted))} ms`)
+  t.pass()
+})
+
+test('a region without a way to the store gets revisions through the relays near it', async (t) => {
+  const network = await started(t)
+  network.faults.toStore = (from) => network.hosts.get(from)?.host.region === storeRegion
+  const accepted = await network.apply(catalogue(false, 2))
+  t.log(`after ${await network.until(() => network.all().every((item) => revisionOf(item) === accepted))} ms`)
+  await network.until(() => network.all().every((item) => item.catalogue.isCurrent()))
+  t.pass()
+})
+
+test('a withdrawal spreads by membership traffic alone', async (t) => {
+  const network = await started(t)
+  const [knower] = relaysOf(storeRegion, network.all()[0]?.members.workers() ?? [])
+  network.faults.lost = (_from, _to, message) => isCatalogueMessage(message)
+  network.faults.toStore = (from) => from === knower?.id
+  // Nor may a host fetch the catalogue from one that tells of it: that is a catalogue message, and lost.
+  await network.apply(catalogue(true))
+  const tookMs = await network.until(() => network.all().every((item) => item.catalogue.isWithdrawn(KEY)))
+  const behind = network.all().filter((item) => item.catalogue.current()?.key(KEY)?.withdrawn === false)
+  t.is(behind.length, HOSTS - 1)
+  t.log(`withdrawn on the last of ${HOSTS} hosts after ${tookMs} ms`)
+})
+
+test('a withdrawal spreads by the catalogue alone, and those who hold work of the key are told', async (t) => {
+  const network = await started(t)
+  network.faults.lost = (_from, _to, message) => message.kind === PeerMessageKind.Membership
+  let told = 0
+  for (const item of network.all()) {
+    item.catalogue.watchKey(KEY, () => {
+      told += 1
+    })
+  }
+  await network.apply(catalogue(true))
+  const tookMs = await network.until(() => network.all().every((item) => item.catalogue.isWithdrawn(KEY)))
+  t.is(told, HOSTS)
+  t.log(`withdrawn on the last of ${HOSTS} hosts after ${tookMs} ms`)
+})
+
+test('a host cut off loses its proof and never holds one of a revision it does not know', async (t) => {
+  const network = await started(t)
+  const outsider = network.all().find((item) => !isRelay(item)) as NetworkHost
+  network.faults.lost = (from, to) => from === outsider.host.id || to === outsider.host.id
+  network.faults.toStore = (from) => from !== outsider.host.id
+  const accepted = await network.apply(catalogue(true))
+  const tookMs = await network.until(() => !outsider.catalogue.isCurrent())
+  t.log(`isolated ${tookMs} ms after the change, the proof holds for ${PROOF_MS} ms`)
+  t.true(revisionOf(outsider) < accepted)
+  network.faults.lost = () => false
+  await network.until(() => outsider.catalogue.isCurrent())
+  t.is(revisionOf(outsider), accepted)
+})
+
+test('with the store down everywhere hosts stay current; with one region cut off only that one is isolated', async (t) => {
+  const network = await started(t)
+  const away = hosts.find((host) => host.region !== storeRegion)?.region
+  network.store.faults.down = true
+  await new Promise((resolve) => setTimeout(resolve, 2 * PROOF_MS))
+  await network.until(() => network.all().every((item) => item.catalogue.isCurrent()))
+  network.faults.toStore = (from) => network.hosts.get(from)?.host.region !== away
+  network.faults.lost = (from, to) => (network.hosts.get(from)?.host.region === away) !== (network.hosts.get(to)?.host.region === away)
+  await network.until(() => network.all().every((item) => item.catalogue.isCurrent() === (item.host.region !== away)))
+  t.pass()
+})
--- /dev/null
+++ b/packages/bench/src/test/host-network.ts
@@ -0,0 +1,115 @@
+import { failure } from '@cyclamenthread/state'
+import { CatalogueTask, MemberTask } from '@cyclamenthread/coordination'
+import { CatalogueStore, HttpObjectStore, PlatformClient, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
+import { PlatformStandin, StoreStandin } from '@cyclamenthread/standins'
+import { deadlineAfter, PeerFailure } from '@cyclamenthread/transport'
+import type { Catalogue, Host } from '@cyclamenthread/state'
+import type { HostSettings } from '@cyclamenthread/coordination'
+import type { ObjectStore, PeerMessage, StoreCall } from '@cyclamenthread/protocol'
+
+/** Actions of the tasks of one host, as the broker would call them. */
+type Actions = Readonly<Record<string, (context: { params: unknown, meta: unknown }) => Promise<unknown>>>
+
+/** The members and the catalogue of one host, without sockets between hosts. */
+export interface NetworkHost {
+  readonly host: Host
+  readonly members: MemberTask
+  readonly catalogue: CatalogueTask
+  readonly store: HttpObjectStore
+  readonly actions: Actions
+}
+
+/** Which messages get lost; a host's own way to the store is `toStore`. */
+export interface HostFaults {
+  lost: (from: string, to: string, message: PeerMessage) => boolean
+  toStore: (from: string) => boolean
+}
+
+/** The member and catalogue tasks of several hosts before one store stand-in. */
+export class HostNetwork {
+  readonly store = new StoreStandin()
+  readonly platform = new PlatformStandin()
+  readonly faults: HostFaults = { lost: () => false, toStore: () => true }
+  readonly hosts = new Map<string, NetworkHost>()
+  #clients: Array<{ close (): Promise<void> }> = []
+
+  /** Starts a host for each of the given, in the order given. */
+  async start (hosts: readonly Host[], catalogue: Catalogue): Promise<void> {
+    await this.store.listen()
+    await this.platform.listen()
+    this.platform.hosts = hosts.map((host) => ({ ...host, leaving: false }))
+    await this.apply(catalogue)
+    const settings = { hostListPeriodMs: 500, storeTimeoutMs: 1_000, storeRegion: hosts[0]?.region ?? '', clusterSecret: '', ledgerPartitions: 1, usageWindowMs: 1_000, leaseMs: 1_000, summaryPeriodMs: 1_000, cellQueueLimit: 1 }
+    for (const host of hosts) this.hosts.set(host.id, this.#create(host, { ...settings, self: host, incarnation: host.id }))
+    await Promise.all([...this.hosts.values()].map(async (item) => await item.members.start()))
+    await Promise.all([...this.hosts.values()].map(async (item) => await item.catalogue.start()))
+  }
+
+  async stop (): Promise<void> {
+    for (const item of this.hosts.values()) {
+      await item.catalogue.stop()
+      await item.members.stop()
+    }
+    await Promise.all(this.#clients.map(async (client) => await client.close()))
+    await this.platform.close()
+    await this.store.close()
+  }
+
+  /** Puts a catalogue in force, as the command line would. */
+  async apply (catalogue: Catalogue): Promise<number> {
+    const store = new HttpObjectStore(this.store.url)
+    const catalogues = new CatalogueStore(store)
+    const planned = await catalogues.read(deadlineAfter(10_000))
+    const outcome = await catalogues.apply(catalogue, planned.ok ? planned.value : undefined, deadlineAfter(10_000))
+    await store.close()
+    return outcome.revision ?? 0
+  }
+
+  /** Waits until something holds, however long the machine takes. */
+  async until (holds: () => boolean): Promise<number> {
+    const start = performance.now()
+    while (!holds()) await new Promise((resolve) => setTimeout(resolve, 10))
+    return Math.round(performance.now() - start)
+  }
+
+  all (): NetworkHost[] {
+    return [...this.hosts.values()]
+  }
+
+  #create (host: Host, settings: HostSettings): NetworkHost {
+    const store = new HttpObjectStore(this.store.url)
+    const platform = new PlatformClient(this.platform.url)
+    this.#clients.push(store, platform)
+    const post = async (to: Host, message: PeerMessage): Promise<void> => {
+      await this.#deliver(host.id, to.id, message)
+    }
+    const send: ConstructorParameters<typeof CatalogueTask>[0]['send'] = async (to, message) => {
+      const body = await this.#deliver(host.id, to.id, message)
+      return body === undefined ? failure(PeerFailure.NoReply) : { ok: true, value: body as never }
+    }
+    const members = new MemberTask(settings, platform, post)
+    const catalogue = new CatalogueTask({ settings, store: this.#cuttable(host.id, store), members, send, post })
+    const services = [members.service(() => 0), catalogue.service()]
+    const actions = Object.assign({}, ...services.map((service) => Object.fromEntries(Object.entries(service.actions ?? {}).map(([name, action]) => [`${service.name}.${name}`, action])))) as Actions
+    return { host, members, catalogue, store, actions }
+  }
+
+  async #deliver (from: string, to: string, message: PeerMessage): Promise<unknown> {
+    await new Promise((resolve) => setTimeout(resolve, 1))
+    if (this.faults.lost(from, to, message)) return undefined
+    const copy: unknown = structuredClone(message)
+    return await this.hosts.get(to)?.actions[message.kind]?.({ params: copy, meta: { from } })
+  }
+
+  /** The store as a host reaches it, or does not. */
+  #cuttable (hostId: string, store: ObjectStore): ObjectStore {
+    const open = (): boolean => this.faults.toStore(hostId)
+    return {
+      read: async (key, call) => open() ? await store.read(key, call) : failure(StoreFailure.Unavailable),
+      list: async (prefix, call) => open() ? await store.list(prefix, call) : failure(StoreFailure.Unavailable),
+      watch: async (prefix: string, after: string, call: StoreCall) => open() ? await store.watch(prefix, after, call) : failure(StoreFailure.Unavailable),
+      write: async (key, value, expectation, call) => open() ? await store.write(key, value, expectation, call) : { status: WriteStatus.NotWritten, detail: 'cut' },
+      remove: async (key, version, call) => open() ? await store.remove(key, version, call) : { status: WriteStatus.NotWritten, detail: 'cut' }
+    }
+  }
+}
--- a/packages/bench/src/test/membership.test.ts
+++ b/packages/bench/src/test/membership.test.ts
@@ -142,7 +142,9 @@
   const many = networkHosts(60, 3)
   const network = new MemberNetwork(many, seededRandom(SEED))
   let most = 0
-  network.onMessage = (message) => { most = Math.max(most, message.records.length) }
+  network.onMessage = (message) => {
+    most = Math.max(most, message.records.length)
+  }
   for (const host of many.slice(1)) network.start(host.id, many.slice(1))
   // Long enough for every piece of news to be told as often as it is told at all.
   network.run(60_000)
--- /dev/null
+++ b/packages/coordination/src/lib/catalogue-origin.ts
@@ -0,0 +1,95 @@
+import { EMPTY_ROSTER, NO_RELEASES, rosterSchema, weightReleasesSchema } from '@cyclamenthread/state'
+import {
+  CATALOGUE_HEAD, catalogueHeadSchema, cataloguePartKey, cataloguePartSchema, MAX_PARTS, PeerMessageKind, RELEASES_KEY, ROSTER_KEY, StorePurpose
+} from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import type { output, ZodType } from 'zod'
+import type { Host, Outcome, Roster, WeightReleases } from '@cyclamenthread/state'
+import type { CatalogueHead, CataloguePart, ObjectStore, PeerAnswer, PeerMessage } from '@cyclamenthread/protocol'
+import type { PeerFailure } from '@cyclamenthread/transport'
+
+/** Longest a peer may take to hand over a catalogue or parts of it, in milliseconds. */
+const PEER_TIMEOUT_MS = 2_000
+
+/** The head of a catalogue with the two documents that spread beside it. */
+export interface CatalogueState {
+  readonly head: CatalogueHead
+  readonly roster: Roster
+  readonly releases: WeightReleases
+}
+
+/** From where a host takes a newer catalogue. */
+export interface CatalogueOrigin {
+  /** The newest state there; undefined when there is none or it can't be reached. */
+  state (): Promise<CatalogueState | undefined>
+  /** The parts of those digests, as far as they can be had. */
+  parts (digests: readonly string[]): Promise<ReadonlyMap<string, CataloguePart>>
+}
+
+/** Sends a message and waits for its answer. */
+export type MessageSend = <Kind extends PeerMessageKind>(host: Host, message: Extract<PeerMessage, { kind: Kind }>, options: { readonly deadline: number }) => Promise<Outcome<PeerAnswer<Kind>, PeerFailure>>
+
+/** Takes the catalogue from the platform's store. */
+export class StoreOrigin implements CatalogueOrigin {
+  readonly #store: ObjectStore
+  readonly #timeoutMs: number
+
+  constructor (store: ObjectStore, timeoutMs: number) {
+    this.#store = store
+    this.#timeoutMs = timeoutMs
+  }
+
+  async state (): Promise<CatalogueState | undefined> {
+    const head = await this.head()
+    if (head === undefined) return undefined
+    const roster = await this.#document(ROSTER_KEY, rosterSchema)
+    const releases = await this.#document(RELEASES_KEY, weightReleasesSchema)
+    return { head, roster: roster ?? EMPTY_ROSTER, releases: releases ?? NO_RELEASES }
+  }
+
+  /** The head alone: one read. */
+  async head (): Promise<CatalogueHead | undefined> {
+    return await this.#document(CATALOGUE_HEAD, catalogueHeadSchema)
+  }
+
+  async parts (digests: readonly string[]): Promise<ReadonlyMap<string, CataloguePart>> {
+    const parts = new Map<string, CataloguePart>()
+    for (const name of digests) {
+      const part = await this.#document(cataloguePartKey(name), cataloguePartSchema)
+      if (part !== undefined) parts.set(name, part)
+    }
+    return parts
+  }
+
+  async #document<Schema extends ZodType> (key: string, schema: Schema): Promise<output<Schema> | undefined> {
+    const found = await this.#store.read(key, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(this.#timeoutMs) })
+    return found.ok ? schema.safeParse(found.value?.value).data : undefined
+  }
+}
+
+/** Takes the catalogue from another host. */
+export class PeerOrigin implements CatalogueOrigin {
+  readonly #host: Host
+  readonly #send: MessageSend
+
+  constructor (host: Host, send: MessageSend) {
+    this.#host = host
+    this.#send = send
+  }
+
+  async state (): Promise<CatalogueState | undefined> {
+    const answer = await this.#send(this.#host, { kind: PeerMessageKind.FetchCatalogue }, { deadline: deadlineAfter(PEER_TIMEOUT_MS) })
+    return answer.ok ? answer.value.found : undefined
+  }
+
+  async parts (digests: readonly string[]): Promise<ReadonlyMap<string, CataloguePart>> {
+    const parts = new Map<string, CataloguePart>()
+    for (let from = 0; from < digests.length; from += MAX_PARTS) {
+      const wanted = digests.slice(from, from + MAX_PARTS)
+      const answer = await this.#send(this.#host, { kind: PeerMessageKind.FetchParts, digests: wanted }, { deadline: deadlineAfter(PEER_TIMEOUT_MS) })
+      if (!answer.ok) break
+      for (const item of answer.value.parts) parts.set(item.digest, item.part)
+    }
+    return parts
+  }
+}
--- a/packages/coordination/src/lib/completion-runner.ts
+++ b/packages/coordination/src/lib/completion-runner.ts
@@ -60,7 +60,7 @@
     let ran = Ran.No
     for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
       const outcome = await this.#attempt(order, excluded)
-      if (outcome.kind === 'done') return outcome.result.ok ? outcome.result : { ok: false, refusal: { ...outcome.result.refusal, ran } }
+      if (outcome.kind === 'done') return outcome.result.ok ? outcome.result : { ok: false, refusal: ranBefore(outcome.result.refusal, ran) }
       excluded.push(outcome.endpoint)
       if (outcome.sent) ran = Ran.Maybe
       if (outcome.streamed || order.signal?.aborted === true || timeLeft(order.deadline) <= 0) break
@@ -69,6 +69,7 @@
   }
 
   async #attempt (order: CompletionOrder, excluded: readonly string[]): Promise<Attempt> {
+    if (order.signal?.aborted === true) return { kind: 'done', result: { ok: false, refusal: notRun(RefusalReason.Cancelled, 'the request was cancelled before it ran') } }
     const answer = await this.#router.acquire({
       requestId: order.requestId,
       pool: order.entry.pool,
@@ -112,7 +113,12 @@
     }
     const cancelled = order.signal?.aborted === true
     await this.#router.release(slot, cancelled ? SlotEnd.Cancelled : SlotEnd.Failed, 0, order.traceparent)
-    if (cancelled) return { kind: 'done', result: { ok: false, refusal: notRun(RefusalReason.Cancelled, 'the caller went away') } }
+    if (cancelled) return { kind: 'done', result: { ok: false, refusal: { reason: RefusalReason.Cancelled, ran: Ran.Maybe, detail: 'the request was cancelled while it ran' } } }
     return { kind: 'failed', endpoint: slot.endpoint.id, sent: failure?.sent ?? true, streamed, detail: failure?.detail ?? 'the stream ended early' }
   }
 }
+
+/** A refusal that also tells of earlier attempts: one of them may have run. */
+function ranBefore (refusal: Refusal, ran: Ran): Refusal {
+  return ran === Ran.No ? refusal : { ...refusal, ran }
+}
--- a/packages/coordination/src/lib/service-runner.ts
+++ b/packages/coordination/src/lib/service-runner.ts
@@ -60,7 +60,7 @@
   async #runIdempotent (order: ServiceOrder): Promise<ServiceResult> {
     const acquired = await this.#acquire(order)
     if (!acquired.granted) return { ok: false, refusal: acquired.refusal }
-    const reply = await this.#call(order, acquired.slot)
+    const reply = await this.#call(order, acquired.slot, order.signal)
     if (!reply.ok) return { ok: false, refusal: endpointFailure(reply.sent, reply.detail) }
     const usage: UsageItem = usageOf(order)
     const partition = this.#ledger.partitionOf(`usage/${order.requestId}`)
@@ -129,6 +129,8 @@
   }
 
   async #acquire (order: ServiceOrder): ReturnType<CellRouter['acquire']> {
+    // It may have been cancelled while its claim was committed.
+    if (order.signal.aborted) return { granted: false, refusal: notRun(RefusalReason.Cancelled, 'the request was cancelled before it ran') }
     return await this.#router.acquire({
       requestId: order.requestId,
       pool: order.entry.pool,
@@ -146,14 +148,16 @@
     })
   }
 
-  async #call (order: ServiceOrder, slot: Slot): Promise<ServiceReply> {
+  /** @param signal aborts the call; absent for one that may not be repeated, which is never cut off */
+  async #call (order: ServiceOrder, slot: Slot, signal?: AbortSignal): Promise<ServiceReply> {
     const hop = { name: 'endpoint.call', kind: SpanKind.CLIENT, traceparent: order.traceparent, attributes: { endpoint: slot.endpoint.id } }
     const reply = await traced(hop, async (span) => await this.#endpoints.callService(slot.endpoint, {
       method: order.method,
       path: order.path,
       headers: [...order.headers, ['x-request-id', order.requestId], ['traceparent', traceparentOf(span)]],
       body: order.body,
-      deadline: order.deadline
+      deadline: order.deadline,
+      ...(signal === undefined ? {} : { signal })
     }))
     await this.#router.release(slot, reply.ok ? SlotEnd.Finished : SlotEnd.Failed, 1, order.traceparent)
     return reply
--- /dev/null
+++ b/packages/coordination/src/test/catalogue-holder.test.ts
@@ -0,0 +1,78 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { CatalogueHolder } from '../lib/catalogue-holder.js'
+import type { CataloguePart } from '@cyclamenthread/protocol'
+import type { CatalogueOrigin, CatalogueState } from '../lib/catalogue-origin.js'
+
+const SEED = Number(process.env['PROPERTY_SEED'] ?? 20_261_204)
+const RUNS = Number(process.env['PROPERTY_RUNS'] ?? 1_000)
+
+const PARTS: ReadonlyMap<string, CataloguePart> = new Map(['a', 'b', 'c'].map((name) => [name, {
+  workspaces: [{ name, owner: 'test', weight: 1, limits: {} }], keys: []
+}]))
+
+const origin = fc.record({
+  revision: fc.integer({ min: 1, max: 6 }),
+  roster: fc.integer({ min: 0, max: 6 }),
+  releases: fc.integer({ min: 0, max: 6 }),
+  /** Whether it is reached at all, and whether it still holds its parts. */
+  reached: fc.boolean(),
+  whole: fc.boolean(),
+  slow: fc.integer({ min: 0, max: 3 })
+})
+
+/** The parts of a revision: the same for whoever asks. */
+function partsOf (revision: number): string[] {
+  return ['a', 'b', 'c'].slice(0, 1 + revision % 3)
+}
+
+function originOf (given: typeof origin extends fc.Arbitrary<infer Given> ? Given : never): CatalogueOrigin & { readonly asked: string[] } {
+  const state: CatalogueState = {
+    head: { revision: given.revision, parts: partsOf(given.revision) },
+    roster: { sequence: given.roster, endpoints: [] },
+    releases: { sequence: given.releases, releases: [] }
+  }
+  const turns = async (): Promise<void> => {
+    for (let turn = 0; turn < given.slow; turn++) await Promise.resolve()
+  }
+  const asked: string[] = []
+  return {
+    asked,
+    state: async () => {
+      await turns()
+      return given.reached ? state : undefined
+    },
+    parts: async (digests) => {
+      asked.push(...digests)
+      await turns()
+      return given.whole ? new Map([...PARTS].filter(([name]) => digests.includes(name))) : new Map()
+    }
+  }
+}
+
+test(`no revision goes down and every view is whole, whoever is asked in whatever order (seed ${SEED})`, async (t) => {
+  await fc.assert(fc.asyncProperty(fc.array(fc.array(origin, { maxLength: 4 }), { maxLength: 8 }), async (rounds) => {
+    const holder = new CatalogueHolder()
+    let last = holder.revisions
+    holder.onChange((view) => {
+      const now = holder.revisions
+      const down = now.catalogue < last.catalogue || now.roster < last.roster || now.releases < last.releases
+      if (down) throw new Error(`went from ${JSON.stringify(last)} to ${JSON.stringify(now)}`)
+      if (view.revision !== now.catalogue) throw new Error('the view is not of the revision that is told')
+      const names = view.catalogue.workspaces.map((workspace) => workspace.name).sort()
+      if (names.join() !== partsOf(view.revision).join()) throw new Error(`revision ${view.revision} holds ${names.join()}`)
+      last = now
+    })
+    for (const round of rounds) await Promise.all(round.map(async (given) => await holder.pull(originOf(given))))
+  }), { seed: SEED, numRuns: RUNS })
+  t.pass()
+})
+
+test('a part that is held is not fetched again', async (t) => {
+  const holder = new CatalogueHolder()
+  const given = { roster: 0, releases: 0, reached: true, whole: true, slow: 0 }
+  await holder.pull(originOf({ ...given, revision: 1 }))
+  const newer = originOf({ ...given, revision: 2 })
+  await holder.pull(newer)
+  t.deepEqual(newer.asked, ['c'])
+})
--- a/packages/cyclamenthread/src/lib/admission.ts
+++ b/packages/cyclamenthread/src/lib/admission.ts
@@ -1,7 +1,11 @@
-import { failure, notRun, RefusalReason, success } from '@cyclamenthread/state'
+import { failure, IsolationPolicy, notRun, RefusalReason, success } from '@cyclamenthread/state'
 import type { IncomingMessage } from 'node:http'
+import type { KeyGuard } from '@cyclamenthread/coordination'
 import type { CatalogueView, Entry, Key, Outcome, Refusal, Workspace } from '@cyclamenthread/state'
 
+/** When an isolated host may have its proof back, in milliseconds. */
+const ISOLATED_RETRY_MS = 1_000
+
 /** Workspace under which work of open entries is accounted. */
 export const OPEN_WORKSPACE: Workspace = { name: 'open', owner: 'everyone', weight: 1, limits: {} }
 
@@ -18,17 +22,72 @@
   return /^bearer /i.test(header) ? header.slice('bearer '.length).trim() : ''
 }
 
+/**
+ * The key that a request holds on to. When it is withdrawn, what the request
+ * still may abort is aborted: it leaves queues, restartable work is cancelled and
+ * held reads end. A call that may not be repeated is not aborted once it runs.
+ */
+export class KeyHold {
+  readonly #guard: KeyGuard
+  readonly #abort: () => void
+  #end: () => void = () => {}
+  #withdrawn = false
+
+  /** @param abort aborts the request */
+  constructor (guard: KeyGuard, abort: () => void) {
+    this.#guard = guard
+    this.#abort = abort
+  }
+
+  /** Whether this host can tell which keys are in force. */
+  get current (): boolean {
+    return this.#guard.isCurrent()
+  }
+
+  /** Starts to hold a key; false when it is already withdrawn. */
+  hold (keyId: string): boolean {
+    if (this.#guard.isWithdrawn(keyId)) return false
+    this.#end()
+    this.#end = this.#guard.watchKey(keyId, () => {
+      this.#withdrawn = true
+      this.#abort()
+    })
+    return true
+  }
+
+  /** Ends the hold with the request. */
+  release (): void {
+    this.#end()
+  }
+
+  /** Names the withdrawal as the reason of a refusal that came of it. */
+  explain (refusal: Refusal): Refusal {
+    return this.#withdrawn ? { reason: RefusalReason.Unauthorized, ran: refusal.ran, detail: 'the key was withdrawn' } : refusal
+  }
+}
+
+/** What admission needs to know of a request besides its headers. */
+export interface AdmissionContext {
+  readonly view: CatalogueView
+  readonly keyHold: KeyHold
+}
+
 /**
  * Proves who calls. The key goes no further than this.
  *
+ * @param policy what to do when this host can't prove its catalogue current
  * @example
- * const caller = authenticate(view, request)
+ * const caller = authenticate(hop, request)
  */
-export function authenticate (view: CatalogueView, request: IncomingMessage): Outcome<Caller, Refusal> {
+export function authenticate (context: AdmissionContext, request: IncomingMessage, policy = IsolationPolicy.Refuse): Outcome<Caller, Refusal> {
   const token = bearerToken(request)
-  const key = token === '' ? undefined : view.authenticate(token)
+  const key = token === '' ? undefined : context.view.authenticate(token)
   if (key === undefined) return failure(notRun(RefusalReason.Unauthorized, 'a valid key is required as bearer token'))
-  const workspace = view.workspace(key.workspace)
+  if (policy === IsolationPolicy.Refuse && !context.keyHold.current) {
+    return failure(notRun(RefusalReason.Isolated, 'this host can\'t tell whether the key is still in force', ISOLATED_RETRY_MS))
+  }
+  if (!context.keyHold.hold(key.id)) return failure(notRun(RefusalReason.Unauthorized, 'the key was withdrawn'))
+  const workspace = context.view.workspace(key.workspace)
   if (workspace === undefined) return failure(notRun(RefusalReason.Forbidden, 'the workspace of this key no longer exists'))
   return success({ workspace, key })
 }
@@ -37,12 +96,12 @@
  * Decides whether a request may use an entry.
  *
  * @example
- * const admitted = admit(view, request, 'critique')
+ * const admitted = admit(hop, request, 'critique')
  */
-export function admit (view: CatalogueView, request: IncomingMessage, entryName: string): Outcome<{ readonly caller: Caller, readonly entry: Entry }, Refusal> {
-  const entry = view.entry(entryName)
+export function admit (context: AdmissionContext, request: IncomingMessage, entryName: string): Outcome<{ readonly caller: Caller, readonly entry: Entry }, Refusal> {
+  const entry = context.view.entry(entryName)
   if (entry?.open === true && bearerToken(request) === '') return success({ caller: { workspace: OPEN_WORKSPACE, key: undefined }, entry })
-  const caller = authenticate(view, request)
+  const caller = authenticate(context, request, entry?.whenIsolated)
   if (!caller.ok) return caller
   if (entry === undefined) return failure(notRun(RefusalReason.UnknownEntry, `there is no entry ${JSON.stringify(entryName)}`))
   const allowed = caller.value.key?.entries
--- a/packages/cyclamenthread/src/lib/batch-handler.ts
+++ b/packages/cyclamenthread/src/lib/batch-handler.ts
@@ -41,7 +41,7 @@
     sendProblem(response, parsed.failure, hop.requestId)
     return
   }
-  const admitted = admit(hop.view, request, parsed.value.model)
+  const admitted = admit(hop, request, parsed.value.model)
   if (!admitted.ok) {
     sendProblem(response, admitted.failure, hop.requestId)
     return
@@ -117,7 +117,7 @@
 }
 
 function batchTarget (request: IncomingMessage, response: ServerResponse, hop: Hop): BatchTarget | undefined {
-  const caller = authenticate(hop.view, request)
+  const caller = authenticate(hop, request)
   if (!caller.ok) {
     sendProblem(response, caller.failure, hop.requestId)
     return undefined
@@ -159,7 +159,7 @@
     if (answer.events.length === 0) break
   }
   if (response.headersSent) response.end()
-  else sendProblem(response, notRun(RefusalReason.StoreUnavailable, 'the owner of the batch can\'t be reached', 1000), hop.requestId)
+  else sendProblem(response, hop.keyHold.explain(notRun(RefusalReason.StoreUnavailable, 'the owner of the batch can\'t be reached', 1000)), hop.requestId)
 }
 
 function eventDocument (event: BatchEvent): unknown {
--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -60,7 +60,7 @@
 }
 
 async function complete (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop, wanted: CompletionRequest): Promise<void> {
-  const admitted = admit(hop.view, request, wanted.model)
+  const admitted = admit(hop, request, wanted.model)
   if (!admitted.ok) {
     sendProblem(response, admitted.failure, hop.requestId)
     return
@@ -81,14 +81,14 @@
     traceparent: hop.traceparent,
     signal: hop.signal
   }
-  if (wanted.stream) await stream(gateway, response, order, wanted)
-  else await answerWhole(gateway, response, order, wanted)
+  if (wanted.stream) await stream(gateway, response, hop, order, wanted)
+  else await answerWhole(gateway, response, hop, order, wanted)
 }
 
-async function answerWhole (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function answerWhole (gateway: Gateway, response: ServerResponse, hop: Hop, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
   const result = await gateway.completions.run(order)
   if (!result.ok) {
-    sendProblem(response, result.refusal, order.requestId)
+    sendProblem(response, hop.keyHold.explain(result.refusal), order.requestId)
     return
   }
   recordUsage(gateway, order, result.completion)
@@ -96,7 +96,7 @@
   sendJson(response, 200, wholeAnswer(order.requestId, order.entry, result.completion, wanted.chat))
 }
 
-async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function stream (gateway: Gateway, response: ServerResponse, hop: Hop, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
   const result = await gateway.completions.run({
     ...order,
     onPart: (part) => {
@@ -108,7 +108,7 @@
   if (!result.ok) {
     // Once a part went out the answer can't become a problem document: cutting it off without
     // its end tells the caller that it is not whole.
-    sendProblem(response, result.refusal, order.requestId)
+    sendProblem(response, hop.keyHold.explain(result.refusal), order.requestId)
     return
   }
   openStream(response, order.requestId)
--- a/packages/cyclamenthread/src/lib/explain-handler.ts
+++ b/packages/cyclamenthread/src/lib/explain-handler.ts
@@ -11,7 +11,7 @@
 
 /** Answers `GET /v1/requests/{id}/decisions`: every decision on a request of the caller's workspace. */
 export async function handleExplain (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
-  const caller = authenticate(hop.view, request)
+  const caller = authenticate(hop, request)
   if (!caller.ok) {
     sendProblem(response, caller.failure, hop.requestId)
     return
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -3,6 +3,7 @@
 import ApiGateway from 'moleculer-web'
 import { HostState, notRun, RefusalReason } from '@cyclamenthread/state'
 import { SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
+import { KeyHold } from './admission.js'
 import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
 import { handleChat, handleCompletion } from './completion-handler.js'
 import { handleExplain } from './explain-handler.js'
@@ -12,7 +13,7 @@
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
+import type { CatalogueSource, CompletionRunner, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -21,8 +22,10 @@
   readonly traceparent: string
   /** The catalogue revision that holds for the whole request. */
   readonly view: CatalogueView
-  /** Aborts when the caller goes away. */
+  /** Aborts when the caller goes away or its key is withdrawn. */
   readonly signal: AbortSignal
+  /** The caller's key, for as long as the request lasts. */
+  readonly keyHold: KeyHold
   /** Path and query as the caller sent them. */
   readonly url: string
 }
@@ -31,6 +34,7 @@
 export interface GatewayParts {
   readonly settings: ServiceSettings
   readonly catalogue: CatalogueSource
+  readonly keys: KeyGuard
   readonly members: MemberTask
   readonly bus: MessageBus
   readonly ledger: LedgerClient
@@ -56,6 +60,7 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly #keys: KeyGuard
   readonly #registry: Registry
   #running = 0
   readonly #behind = new Set<Promise<unknown>>()
@@ -68,6 +73,7 @@
     this.ledger = parts.ledger
     this.completions = parts.completions
     this.services = parts.services
+    this.#keys = parts.keys
     this.#registry = parts.registry
   }
 
@@ -133,13 +139,15 @@
       response.on('close', () => {
         if (!response.writableFinished) gone.abort()
       })
+      const keyHold = new KeyHold(this.#keys, () => gone.abort())
       this.#running += 1
       try {
         const hop = { name: `gateway.${name}`, kind: SpanKind.SERVER, traceparent: String(request.headers['traceparent'] ?? ''), attributes: { 'request.id': requestId } }
         await traced(hop, async (span) => {
-          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, url: request.originalUrl ?? request.url ?? '/' })
+          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, keyHold, url: request.originalUrl ?? request.url ?? '/' })
         })
       } finally {
+        keyHold.release()
         this.#running -= 1
       }
     }
--- a/packages/cyclamenthread/src/lib/service-handler.ts
+++ b/packages/cyclamenthread/src/lib/service-handler.ts
@@ -28,7 +28,7 @@
 /** Answers `ANY /v1/services/{entry}/*`. */
 export async function handleService (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
   const target = splitTarget(hop.url)
-  const admitted = admit(hop.view, request, target.entry)
+  const admitted = admit(hop, request, target.entry)
   if (!admitted.ok) {
     sendProblem(response, admitted.failure, hop.requestId)
     return
@@ -59,7 +59,7 @@
     signal: hop.signal
   })
   if (result.ok) sendAnswer(response, result.answer, result.replayed, hop.requestId)
-  else sendProblem(response, result.refusal, hop.requestId)
+  else sendProblem(response, hop.keyHold.explain(result.refusal), hop.requestId)
 }
 
 /** The entry and the rest of the path, query included, exactly as the caller sent it. */
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -47,7 +47,13 @@
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
     this.#members = new MemberTask(this.#host, this.#platform, async (host, message) => await this.#bus.post(host, message))
-    this.#catalogue = new CatalogueTask(this.#host, this.#store)
+    this.#catalogue = new CatalogueTask({
+      settings: this.#host,
+      store: this.#store,
+      members: this.#members,
+      send: async (host, message, options) => await this.#bus.send(host, message, options),
+      post: async (host, message) => await this.#bus.post(host, message)
+    })
     this.#decisions = new DecisionLog(this.#host)
     this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions)
     this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus)
@@ -59,6 +65,7 @@
     this.#gateway = new Gateway({
       settings,
       catalogue: this.#catalogue,
+      keys: this.#catalogue,
       members: this.#members,
       bus: this.#bus,
       ledger,
@@ -72,6 +79,7 @@
   /** Starts every task; the port for callers opens last. */
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
+    this.#broker.createService(this.#catalogue.service())
     this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#ledger.service())
