Catalogue spread by relays, proof that a catalogue is current, withdrawn keys by two ways

Cause: every host held a watch of its own on the store (360 waiting watches at the planned size), a host cut off went on with an old catalogue without knowing, and a withdrawn key only stopped new requests.

Chosen: two relays a region, in different failure domains, watch the store and announce; the others fetch the head and the parts they lack, by content digest. Each host asks a relay once a second how far it is; the answer is also its proof that the catalogue is current, dated from before the question on the asker's own clock, so that answers that waited in a paused host prove nothing. A proof is kept only when every revision it covers is known. Relays of the store's region may say that the store gives no answer; a relay elsewhere may not, since it can't tell an outage from a cut. Withdrawn keys also ride on membership traffic as a set that only grows. Ruled out: pushed heartbeats as proof. One that waited in the buffers of a paused host would look fresh. Requests and batch reads now hold their key: its withdrawal aborts waiting and restartable work, never a call that may not be repeated.

Changes outside the catalogue: Gateway takes a KeyGuard; a hop holds the key; the runners refuse work that was cancelled before it ran, and a completion cancelled while it ran no longer says "not run"; restartable service calls take the signal.

--- a/packages/bench/src/test/catalogue-spread.test.ts
+++ b/packages/bench/src/test/catalogue-spread.test.ts
@@ -114,6 +114,16 @@
   t.is(revisionOf(outsider), accepted)
 })
 
+test('a host that hears of a revision but can\'t fetch it has no proof', async (t) => {
+  const network = await started(t)
+  const outsider = network.all().find((item) => !isRelay(item)) as NetworkHost
+  network.faults.lost = (from, _to, message) => from === outsider.host.id && (message.kind === PeerMessageKind.FetchCatalogue || message.kind === PeerMessageKind.FetchParts)
+  network.faults.toStore = (from) => from !== outsider.host.id
+  const accepted = await network.apply(catalogue(false, 2))
+  await network.until(() => !outsider.catalogue.isCurrent())
+  t.true(revisionOf(outsider) < accepted)
+})
+
 test('with the store down everywhere hosts stay current; with one region cut off only that one is isolated', async (t) => {
   const network = await started(t)
   const away = hosts.find((host) => host.region !== storeRegion)?.region
