Peer port: both sides prove the cluster secret, TLS with certificates, idle links closed

Cause: only the client proved the secret, so a process that took over an address got every message sent to it; a proof did not name its side, so it could have been sent back. Bytes after the proof in the same chunk were lost with the reader that was replaced. An answer larger than a frame ended the process (unhandled rejection); a call larger than a frame rejected although it says it never does; a call whose signal was already aborted was sent. Links were kept for good: 359 a host at 360 hosts.

Chosen: challenge, proof and welcome, each proof an HMAC over side, host and both nonces; nothing else is sent before. With certificates, TLS both ways, and the common name must be the id that is proved; addresses are not compared, since hosts are replaced. Links without a call for 30 s are closed, so a host that probes one a second keeps some 30 of its own. Ruled out: a MAC a frame, which TLS gives already.

--- a/packages/coordination/src/lib/host-settings.ts
+++ b/packages/coordination/src/lib/host-settings.ts
@@ -1,4 +1,5 @@
 import type { Host } from '@cyclamenthread/state'
+import type { PeerCertificates } from '@cyclamenthread/transport'
 
 /** What the tasks of one process need to know of it. All periods are in milliseconds. */
 export interface HostSettings {
@@ -6,6 +7,8 @@
   /** Distinguishes this life of the process from earlier ones under the same id. */
   readonly incarnation: string
   readonly clusterSecret: string
+  /** Turns TLS between hosts on. */
+  readonly certificates?: PeerCertificates
   /** Region in which the platform's object service runs. */
   readonly storeRegion: string
   readonly ledgerPartitions: number
--- a/packages/coordination/src/lib/message-bus.ts
+++ b/packages/coordination/src/lib/message-bus.ts
@@ -40,13 +40,16 @@
   constructor (settings: HostSettings, broker: ServiceBroker) {
     this.#settings = settings
     this.#broker = broker
-    const { self, clusterSecret } = settings
-    this.#client = new PeerClient({ host: self.id, secret: clusterSecret, connectTimeoutMs: settings.storeTimeoutMs })
+    const { self, clusterSecret, certificates } = settings
+    const tls = certificates === undefined ? {} : { certificates }
+    this.#client = new PeerClient({ host: self.id, secret: clusterSecret, connectTimeoutMs: settings.storeTimeoutMs, ...tls })
     const cut = self.peerAddress.lastIndexOf(':')
     this.#server = new PeerServer({
       host: self.peerAddress.slice(0, cut),
       port: Number(self.peerAddress.slice(cut + 1)),
+      id: self.id,
       secret: clusterSecret,
+      ...tls,
       handler: async (body, context) => await this.#receive(body, context)
     })
   }
--- a/packages/cyclamenthread/src/lib/settings.ts
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -1,8 +1,10 @@
 import { randomBytes } from 'node:crypto'
+import { existsSync, readFileSync } from 'node:fs'
 import { z } from 'zod'
 import { failure, success } from '@cyclamenthread/state'
 import type { HostSettings } from '@cyclamenthread/coordination'
 import type { Outcome } from '@cyclamenthread/state'
+import type { PeerCertificates } from '@cyclamenthread/transport'
 
 /** Prefix of the environment variables that carry settings. */
 export const ENVIRONMENT_PREFIX = 'CYCLAMENTHREAD_'
@@ -12,6 +14,7 @@
 
 const address = z.string().regex(/^[0-9a-fA-F.:[\]]+:\d{1,5}$/, 'an IP number and a port, as 127.0.0.1:7000')
 const milliseconds = z.coerce.number().int().positive()
+const file = z.string().refine((path) => existsSync(path), 'a file that exists')
 const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'lower-case letters, digits, dots and dashes')
 
 /** Settings of the service, by flag name. Each is also read from the environment. */
@@ -25,6 +28,9 @@
   storeRegion: name.describe('Region in which the object service runs.'),
   platformUrl: z.url().describe('Base URL of the platform\'s host list, endpoint ordering and usage intake.'),
   clusterSecret: z.string().min(16, 'at least 16 characters').describe('Secret that all hosts of the deployment share; set it by the environment.'),
+  peerCertificate: file.optional().describe('File of this host\'s certificate for other hosts (PEM, common name = host id); turns TLS between hosts on.'),
+  peerKey: file.optional().describe('File of the private key of the certificate for other hosts (PEM).'),
+  peerAuthority: file.optional().describe('File of the certificate of the authority that signs all hosts\' certificates (PEM).'),
   dataFolder: z.string().optional().describe('Folder for bulk data; hosts without one keep nothing.'),
   ledgerPartitions: z.coerce.number().int().min(1).max(1024).default(16).describe('Partitions of the ledger; the same on all hosts, fixed for the life of a deployment.'),
   usageWindowMs: milliseconds.default(60_000).describe('Length of a usage window, in milliseconds; the same on all hosts.'),
@@ -67,7 +73,13 @@
     if (value !== undefined) given[setting] = value
   }
   const parsed = serviceSettingsSchema.safeParse(given)
-  if (parsed.success) return success(parsed.data)
+  if (parsed.success) {
+    const { peerCertificate, peerKey, peerAuthority } = parsed.data
+    const files = [peerCertificate, peerKey, peerAuthority].filter((path) => path !== undefined)
+    // Falling back to no TLS because one file is missing would be silent.
+    if (files.length > 0 && files.length < 3) return failure(['--peer-certificate, --peer-key, --peer-authority: all three or none'])
+    return success(parsed.data)
+  }
   return failure(parsed.error.issues.map((issue) => {
     const setting = String(issue.path[0])
     const problem = given[setting] === undefined ? 'is missing' : issue.message
@@ -75,10 +87,23 @@
   }))
 }
 
+/** The certificates of this host; undefined unless all three files are given. */
+function readCertificates (settings: ServiceSettings): PeerCertificates | undefined {
+  const { peerCertificate, peerKey, peerAuthority } = settings
+  if (peerCertificate === undefined || peerKey === undefined || peerAuthority === undefined) return undefined
+  return {
+    certificate: readFileSync(peerCertificate, 'utf8'),
+    key: readFileSync(peerKey, 'utf8'),
+    authority: readFileSync(peerAuthority, 'utf8')
+  }
+}
+
 /** What the tasks need of the settings, for one life of the process. */
 export function hostSettings (settings: ServiceSettings): HostSettings {
+  const certificates = readCertificates(settings)
   return {
     ...settings,
+    ...(certificates === undefined ? {} : { certificates }),
     self: {
       id: settings.hostId,
       region: settings.region,
--- a/packages/transport/src/lib/peer-client.ts
+++ b/packages/transport/src/lib/peer-client.ts
@@ -1,10 +1,16 @@
 import { connect } from 'node:net'
+import { connect as connectTls } from 'node:tls'
 import { timeLeft } from './deadline.js'
 import { encodeFrame, FrameReader } from './frame.js'
-import { proofOf, WireKind } from './peer-wire.js'
+import { isCertified } from './peer-tls.js'
+import { createNonce, isProof, PeerSide, proofOf, WireKind } from './peer-wire.js'
 import type { Socket } from 'node:net'
 import type { PeerTraffic } from './peer-server.js'
-import type { WireFrame, WireReply } from './peer-wire.js'
+import type { PeerCertificates } from './peer-tls.js'
+import type { WireFrame, WireReply, WireWelcome } from './peer-wire.js'
+
+/** A connection without any call for this long is closed, in milliseconds: a host talks to every other, but not to all at once. */
+const IDLE_MS = 30_000
 
 /** Why a call to another process gave no reply. */
 export enum PeerFailure {
@@ -37,6 +43,10 @@
   readonly host: string
   readonly secret: string
   readonly connectTimeoutMs: number
+  /** Turns TLS on. */
+  readonly certificates?: PeerCertificates
+  /** Time without a call after which a connection is closed, in milliseconds. */
+  readonly idleMs?: number
 }
 
 type Settle = (reply: PeerReply) => void
@@ -49,6 +59,8 @@
   readonly #waiting = new Map<number, Settle>()
   readonly #unsent: Array<() => void> = []
   #reader = new FrameReader()
+  readonly #nonce = createNonce()
+  #serverNonce: string | undefined
   #proved = false
   #nextId = 1
   closed = false
@@ -56,15 +68,15 @@
   constructor (address: string, settings: PeerClientSettings, traffic: PeerTraffic, onClose: () => void) {
     this.#settings = settings
     this.#traffic = traffic
-    const cut = address.lastIndexOf(':')
-    this.#socket = connect({ host: address.slice(0, cut), port: Number(address.slice(cut + 1)) })
+    this.#socket = openSocket(address, settings.certificates)
     this.#socket.setNoDelay(true)
-    this.#socket.setTimeout(settings.connectTimeoutMs, () => {
-      if (!this.#proved) this.#socket.destroy()
-    })
+    const connecting = setTimeout(() => this.#closeUnproved(), settings.connectTimeoutMs)
+    this.#socket.setTimeout(settings.idleMs ?? IDLE_MS)
+    this.#socket.on('timeout', () => this.#closeIdle())
     this.#socket.on('data', (chunk: Buffer) => this.#receive(chunk))
     this.#socket.on('error', () => this.#socket.destroy())
     this.#socket.on('close', () => {
+      clearTimeout(connecting)
       this.closed = true
       onClose()
       this.#failAll()
@@ -73,6 +85,10 @@
 
   call (call: PeerCall): Promise<PeerReply> {
     return new Promise((resolve) => {
+      if (call.signal?.aborted === true) {
+        resolve({ ok: false, failure: PeerFailure.NotSent, detail: 'the call was cancelled before it was sent' })
+        return
+      }
       const id = this.#nextId++
       const timer = setTimeout(() => settle(this.#abandon(id)), timeLeft(call.deadline))
       const onAbort = (): void => settle(this.#abandon(id))
@@ -85,13 +101,15 @@
       call.signal?.addEventListener('abort', onAbort)
       this.#waiting.set(id, settle)
       this.#whenProved(() => {
-        if (this.#waiting.has(id)) this.#send({ kind: WireKind.Call, id, left: timeLeft(call.deadline), traceparent: call.traceparent, body: call.body })
+        if (!this.#waiting.has(id)) return
+        const sent = this.#trySend({ kind: WireKind.Call, id, left: timeLeft(call.deadline), traceparent: call.traceparent, body: call.body })
+        if (!sent) settle({ ok: false, failure: PeerFailure.NotSent, detail: 'the call is larger than a frame' })
       })
     })
   }
 
   notify (body: unknown, traceparent: string): void {
-    this.#whenProved(() => this.#send({ kind: WireKind.Call, id: 0, left: 0, traceparent, body }))
+    this.#whenProved(() => this.#trySend({ kind: WireKind.Call, id: 0, left: 0, traceparent, body }))
   }
 
   close (): void {
@@ -120,17 +138,39 @@
 
   #handle (frame: WireFrame): void {
     this.#traffic.framesIn += 1
-    if (frame.kind === WireKind.Challenge && !this.#proved) this.#prove(frame.nonce)
-    else if (frame.kind === WireKind.Reply) this.#reply(frame)
+    if (frame.kind === WireKind.Challenge && this.#serverNonce === undefined) this.#prove(String(frame.nonce))
+    else if (frame.kind === WireKind.Welcome && !this.#proved) this.#checkWelcome(frame)
+    else if (frame.kind === WireKind.Reply && this.#proved) this.#reply(frame)
+    else this.#socket.destroy()
   }
 
-  #prove (nonce: string): void {
+  #prove (serverNonce: string): void {
     const { host, secret } = this.#settings
-    this.#send({ kind: WireKind.Proof, host, proof: proofOf(secret, nonce, host) })
+    this.#serverNonce = serverNonce
+    const proof = proofOf(secret, { side: PeerSide.Client, host, clientNonce: this.#nonce, serverNonce })
+    this.#send({ kind: WireKind.Proof, host, nonce: this.#nonce, proof })
+  }
+
+  /** Nothing but the proof is sent before the server has proved the secret too. */
+  #checkWelcome (welcome: WireWelcome): void {
+    const host = String(welcome.host)
+    const claim = { side: PeerSide.Server, host, clientNonce: this.#nonce, serverNonce: this.#serverNonce ?? '' }
+    if (!isProof(this.#settings.secret, claim, String(welcome.proof)) || !isCertified(this.#socket, host)) {
+      this.#socket.destroy()
+      return
+    }
     this.#proved = true
     for (const action of this.#unsent.splice(0)) action()
   }
 
+  #closeUnproved (): void {
+    if (!this.#proved) this.#socket.destroy()
+  }
+
+  #closeIdle (): void {
+    if (this.#waiting.size === 0) this.#socket.destroy()
+  }
+
   #reply (reply: WireReply): void {
     const settle = this.#waiting.get(reply.id)
     if (settle === undefined) return
@@ -143,6 +183,16 @@
     for (const settle of [...this.#waiting.values()]) settle({ ok: false, failure, detail: 'the connection closed' })
   }
 
+  /** Whether the frame could be made; one that is too large can't. */
+  #trySend (frame: WireFrame): boolean {
+    try {
+      this.#send(frame)
+      return true
+    } catch {
+      return false
+    }
+  }
+
   #send (frame: WireFrame): void {
     if (this.#socket.destroyed) return
     const bytes = encodeFrame(frame)
@@ -152,6 +202,15 @@
   }
 }
 
+function openSocket (address: string, certificates: PeerCertificates | undefined): Socket {
+  const cut = address.lastIndexOf(':')
+  const target = { host: address.slice(0, cut), port: Number(address.slice(cut + 1)) }
+  if (certificates === undefined) return connect(target)
+  const { certificate, key, authority } = certificates
+  // Which host it is, `isCertified` checks by the id once that is known.
+  return connectTls({ ...target, cert: certificate, key, ca: authority, checkServerIdentity: () => undefined })
+}
+
 /**
  * Calls other processes, over one connection an address.
  *
@@ -167,6 +226,11 @@
     this.#settings = settings
   }
 
+  /** Connections that are open now. */
+  get connections (): number {
+    return this.#links.size
+  }
+
   /** Makes a call and waits for its reply until the deadline. Never rejects. */
   call (call: PeerCall): Promise<PeerReply> {
     return this.#link(call.address).call(call)
--- a/packages/transport/src/lib/peer-server.ts
+++ b/packages/transport/src/lib/peer-server.ts
@@ -1,8 +1,11 @@
 import { createServer } from 'node:net'
+import { createServer as createTlsServer } from 'node:tls'
 import { deadlineAfter } from './deadline.js'
 import { encodeFrame, FrameReader } from './frame.js'
-import { createNonce, isProof, WireKind } from './peer-wire.js'
+import { isCertified } from './peer-tls.js'
+import { createNonce, isCall, isProof, PeerSide, proofOf, WireKind } from './peer-wire.js'
 import type { AddressInfo, Server, Socket } from 'node:net'
+import type { PeerCertificates } from './peer-tls.js'
 import type { WireCall, WireFrame, WireProof } from './peer-wire.js'
 
 /** Largest frame accepted before the peer has proved the cluster secret, in bytes. */
@@ -11,6 +14,9 @@
 /** Longest a new connection may take to prove the cluster secret, in milliseconds. */
 const PROOF_TIMEOUT_MS = 5_000
 
+/** Most connections that have not proved the cluster secret yet. */
+const MAX_UNPROVED = 1024
+
 /** What a handler learns of a call besides its body. */
 export interface CallContext {
   /** Host that called, as proved. */
@@ -37,7 +43,11 @@
 export interface PeerServerSettings {
   readonly host: string
   readonly port: number
+  /** Id of this host, proved to the other side. */
+  readonly id: string
   readonly secret: string
+  /** Turns TLS on; the other side then needs a certificate of the same authority. */
+  readonly certificates?: PeerCertificates
   readonly handler: CallHandler
 }
 
@@ -58,6 +68,11 @@
     this.#traffic = traffic
   }
 
+  /** Whether the other side has proved the cluster secret. */
+  get proved (): boolean {
+    return this.#from !== undefined
+  }
+
   start (): void {
     const timer = setTimeout(() => this.#socket.destroy(), PROOF_TIMEOUT_MS)
     timer.unref()
@@ -91,19 +106,26 @@
       this.#prove(frame)
       return
     }
-    if (frame.kind === WireKind.Call) void this.#call(frame)
+    if (isCall(frame)) void this.#call(frame)
     else if (frame.kind === WireKind.Abort) this.#calls.get(frame.id)?.abort()
+    else this.#socket.destroy()
   }
 
   #prove (frame: WireFrame): void {
     const proof = frame as WireProof
-    const accepted = proof.kind === WireKind.Proof && isProof(this.#settings.secret, this.#nonce, String(proof.host), String(proof.proof))
+    const host = String(proof.host)
+    const nonces = { clientNonce: String(proof.nonce), serverNonce: this.#nonce }
+    const accepted = proof.kind === WireKind.Proof &&
+      isProof(this.#settings.secret, { side: PeerSide.Client, host, ...nonces }, String(proof.proof)) &&
+      isCertified(this.#socket, host)
     if (!accepted) {
       this.#socket.destroy()
       return
     }
-    this.#from = proof.host
+    this.#from = host
     this.#reader = new FrameReader()
+    const { id, secret } = this.#settings
+    this.#send({ kind: WireKind.Welcome, host: id, proof: proofOf(secret, { side: PeerSide.Server, host: id, ...nonces }) })
   }
 
   async #call (call: WireCall): Promise<void> {
@@ -120,7 +142,15 @@
       (error: unknown) => ({ ok: false, body: error instanceof Error ? error.message : String(error) })
     )
     this.#calls.delete(call.id)
-    if (call.id !== 0) this.#send({ kind: WireKind.Reply, id: call.id, ...reply })
+    if (call.id !== 0) this.#reply(call.id, reply)
+  }
+
+  #reply (id: number, reply: { readonly ok: boolean, readonly body: unknown }): void {
+    try {
+      this.#send({ kind: WireKind.Reply, id, ...reply })
+    } catch {
+      this.#send({ kind: WireKind.Reply, id, ok: false, body: 'the answer is larger than a frame' })
+    }
   }
 
   #send (frame: WireFrame): void {
@@ -140,11 +170,14 @@
   readonly traffic: PeerTraffic = { bytesIn: 0, bytesOut: 0, framesIn: 0, framesOut: 0 }
   readonly #settings: PeerServerSettings
   readonly #server: Server
-  readonly #sockets = new Set<Socket>()
+  readonly #connections = new Map<Socket, PeerConnection>()
 
   constructor (settings: PeerServerSettings) {
     this.#settings = settings
-    this.#server = createServer((socket) => this.#accept(socket))
+    const { certificates } = settings
+    this.#server = certificates === undefined
+      ? createServer((socket) => this.#accept(socket))
+      : createTlsServer({ cert: certificates.certificate, key: certificates.key, ca: certificates.authority, requestCert: true, rejectUnauthorized: true, handshakeTimeout: PROOF_TIMEOUT_MS }, (socket) => this.#accept(socket))
   }
 
   /**
@@ -165,13 +198,19 @@
   /** Closes the port and every connection. */
   async close (): Promise<void> {
     const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()))
-    for (const socket of this.#sockets) socket.destroy()
+    for (const socket of this.#connections.keys()) socket.destroy()
     await closed
   }
 
   #accept (socket: Socket): void {
-    this.#sockets.add(socket)
-    socket.on('close', () => this.#sockets.delete(socket))
-    new PeerConnection(socket, this.#settings, this.traffic).start()
+    const unproved = [...this.#connections.values()].filter((connection) => !connection.proved).length
+    if (unproved >= MAX_UNPROVED) {
+      socket.destroy()
+      return
+    }
+    const connection = new PeerConnection(socket, this.#settings, this.traffic)
+    this.#connections.set(socket, connection)
+    socket.on('close', () => this.#connections.delete(socket))
+    connection.start()
   }
 }
--- a/packages/transport/src/lib/peer-wire.ts
+++ b/packages/transport/src/lib/peer-wire.ts
@@ -4,6 +4,7 @@
 export enum WireKind {
   Challenge = 'challenge',
   Proof = 'proof',
+  Welcome = 'welcome',
   Call = 'call',
   Reply = 'reply',
   Abort = 'abort'
@@ -33,10 +34,18 @@
   readonly nonce: string
 }
 
-/** The client's proof that it holds the cluster secret, with a nonce of its own. */
+/** The client's proof that it holds the cluster secret, with a nonce that the server has to answer. */
 export interface WireProof {
   readonly kind: WireKind.Proof
   readonly host: string
+  readonly nonce: string
+  readonly proof: string
+}
+
+/** The server's proof that it holds the cluster secret too. */
+export interface WireWelcome {
+  readonly kind: WireKind.Welcome
+  readonly host: string
   readonly proof: string
 }
 
@@ -47,7 +56,7 @@
 }
 
 /** Every frame between two processes of the service. */
-export type WireFrame = WireChallenge | WireProof | WireCall | WireReply | WireAbort
+export type WireFrame = WireChallenge | WireProof | WireWelcome | WireCall | WireReply | WireAbort
 
 /** Bytes of a nonce. */
 const NONCE_BYTES = 24
@@ -57,14 +66,40 @@
   return randomBytes(NONCE_BYTES).toString('hex')
 }
 
-/** The proof that belongs to a nonce and a host id under the cluster secret. */
-export function proofOf (secret: string, nonce: string, host: string): string {
-  return createHmac('sha256', secret).update(`${nonce}\u0000${host}`).digest('hex')
+/** The two sides of a connection. Each is part of its proof, so that a proof can't be sent back to its maker. */
+export enum PeerSide {
+  Client = 'client',
+  Server = 'server'
+}
+
+/** What a proof is made over. */
+export interface PeerClaim {
+  readonly side: PeerSide
+  /** Host that makes the proof. */
+  readonly host: string
+  readonly clientNonce: string
+  readonly serverNonce: string
+}
+
+/**
+ * The proof of a claim under the cluster secret.
+ *
+ * @example
+ * proofOf(secret, { side: PeerSide.Client, host: 'h1', clientNonce, serverNonce })
+ */
+export function proofOf (secret: string, claim: PeerClaim): string {
+  const { side, host, clientNonce, serverNonce } = claim
+  return createHmac('sha256', secret).update(JSON.stringify([side, host, clientNonce, serverNonce])).digest('hex')
 }
 
-/** Whether a proof fits, in constant time. */
-export function isProof (secret: string, nonce: string, host: string, proof: string): boolean {
-  const expected = Buffer.from(proofOf(secret, nonce, host))
+/** Whether a proof fits its claim, in constant time. */
+export function isProof (secret: string, claim: PeerClaim, proof: string): boolean {
+  const expected = Buffer.from(proofOf(secret, claim))
   const actual = Buffer.from(proof)
   return expected.length === actual.length && timingSafeEqual(expected, actual)
 }
+
+/** Whether a frame is a call of the right shape. */
+export function isCall (frame: WireFrame): frame is WireCall {
+  return frame.kind === WireKind.Call && Number.isSafeInteger(frame.id) && frame.id >= 0 && Number.isFinite(frame.left) && typeof frame.traceparent === 'string'
+}
--- /dev/null
+++ b/packages/transport/src/test/peer-security.test.ts
@@ -0,0 +1,194 @@
+import { readFileSync } from 'node:fs'
+import { connect, createServer } from 'node:net'
+import test from 'ava'
+import fc from 'fast-check'
+import { deadlineAfter } from '../lib/deadline.js'
+import { encodeFrame, FrameReader, MAX_FRAME_BYTES } from '../lib/frame.js'
+import { PeerClient, PeerFailure } from '../lib/peer-client.js'
+import { PeerServer } from '../lib/peer-server.js'
+import { PeerSide, proofOf, WireKind } from '../lib/peer-wire.js'
+import type { AddressInfo, Socket } from 'node:net'
+import type { ExecutionContext } from 'ava'
+import type { PeerCertificates } from '../lib/peer-tls.js'
+import type { WireFrame } from '../lib/peer-wire.js'
+
+const SEED = Number(process.env['PROPERTY_SEED'] ?? 20_261_204)
+const RUNS = Number(process.env['PROPERTY_RUNS'] ?? 1_000)
+const SECRET = 'secret-of-all-hosts'
+
+/** Longer than any test takes: what is waited for here does not come by timeout. */
+const LONG_MS = 30_000
+
+interface Listener {
+  readonly address: string
+  readonly port: number
+  /** Bodies that reached the handler, with the host they came from. */
+  readonly calls: Array<{ readonly from: string, readonly body: unknown }>
+}
+
+async function listen (t: ExecutionContext, certificates?: PeerCertificates): Promise<Listener> {
+  const calls: Listener['calls'] = []
+  const server = new PeerServer({
+    host: '127.0.0.1',
+    port: 0,
+    id: 'host-a',
+    secret: SECRET,
+    handler: async (body, { from }) => {
+      calls.push({ from, body })
+      return body === 'large' ? Buffer.alloc(MAX_FRAME_BYTES) : body
+    },
+    ...(certificates === undefined ? {} : { certificates })
+  })
+  const port = await server.listen()
+  t.teardown(async () => await server.close())
+  return { address: `127.0.0.1:${port}`, port, calls }
+}
+
+function client (t: ExecutionContext, changes: Partial<ConstructorParameters<typeof PeerClient>[0]> = {}): PeerClient {
+  const made = new PeerClient({ host: 'host-b', secret: SECRET, connectTimeoutMs: LONG_MS, ...changes })
+  t.teardown(() => made.close())
+  return made
+}
+
+async function call (from: PeerClient, address: string, body: unknown): ReturnType<PeerClient['call']> {
+  return await from.call({ address, body, deadline: deadlineAfter(LONG_MS), traceparent: '' })
+}
+
+/** Connects, answers the challenge as told, and returns what came until the connection was cut. */
+async function speak (port: number, answer: (challenge: WireFrame, socket: Socket) => void): Promise<WireFrame[]> {
+  return await new Promise((resolve) => {
+    const frames: WireFrame[] = []
+    const reader = new FrameReader()
+    const socket = connect(port, '127.0.0.1')
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(frames))
+    socket.on('data', (chunk: Buffer) => {
+      for (const frame of reader.push(chunk) as WireFrame[]) {
+        frames.push(frame)
+        if (frame.kind === WireKind.Challenge) answer(frame, socket)
+      }
+    })
+  })
+}
+
+function proofFrame (challenge: WireFrame, host = 'host-b'): Buffer {
+  const serverNonce = challenge.kind === WireKind.Challenge ? challenge.nonce : ''
+  return encodeFrame({ kind: WireKind.Proof, host, nonce: 'n', proof: proofOf(SECRET, { side: PeerSide.Client, host, clientNonce: 'n', serverNonce }) })
+}
+
+test('a host with the secret is served under the id that it proved', async (t) => {
+  const { address, calls } = await listen(t)
+  t.deepEqual(await call(client(t), address, { a: 1 }), { ok: true, body: { a: 1 } })
+  t.deepEqual(calls, [{ from: 'host-b', body: { a: 1 } }])
+})
+
+test('a client with another secret reaches no handler', async (t) => {
+  const { address, calls } = await listen(t)
+  const reply = await call(client(t, { secret: 'another-secret-of-hosts' }), address, 1)
+  t.false(reply.ok)
+  t.deepEqual(calls, [])
+})
+
+test('a proof for one id is not a proof for another, nor for another connection', async (t) => {
+  const { port, calls } = await listen(t)
+  let recorded: Buffer = Buffer.alloc(0)
+  const other = await speak(port, (challenge, socket) => {
+    recorded = proofFrame(challenge)
+    const { kind, proof, nonce } = new FrameReader().push(recorded)[0] as Record<string, unknown>
+    socket.write(encodeFrame({ kind, proof, nonce, host: 'host-c' }))
+  })
+  const replayed = await speak(port, (_, socket) => socket.write(recorded))
+  t.deepEqual([...other, ...replayed].map((frame) => frame.kind), [WireKind.Challenge, WireKind.Challenge])
+  t.deepEqual(calls, [])
+})
+
+test('a server without the secret gets no call, not even by sending the client\'s proof back', async (t) => {
+  let received = ''
+  const impostor = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.on('data', (chunk: Buffer) => {
+      received += chunk.toString('latin1')
+      const proof = new FrameReader().push(chunk)[0] as { proof: string, host: string }
+      socket.write(encodeFrame({ kind: WireKind.Welcome, host: proof.host, proof: proof.proof }))
+    })
+    socket.write(encodeFrame({ kind: WireKind.Challenge, nonce: 'n' }))
+  })
+  await new Promise<void>((resolve) => impostor.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => impostor.close())
+  const reply = await call(client(t), `127.0.0.1:${(impostor.address() as AddressInfo).port}`, 'private')
+  t.like(reply, { ok: false, failure: PeerFailure.NotSent })
+  t.false(received.includes('private'))
+  t.false(received.includes(SECRET))
+})
+
+test(`bytes that are no protocol are cut off and reach no handler (seed ${SEED})`, async (t) => {
+  const { port, address, calls } = await listen(t)
+  const garbage = fc.oneof(
+    fc.uint8Array({ minLength: 4, maxLength: 200 }).map((bytes) => Buffer.concat([Buffer.from([255]), bytes])),
+    fc.record({ kind: fc.constant(WireKind.Call), id: fc.oneof(fc.string(), fc.constant(-1)), left: fc.constant(1), traceparent: fc.constant('') }).map(encodeFrame),
+    fc.anything().filter((value) => typeof value !== 'symbol' && typeof value !== 'bigint').map((value) => {
+      try {
+        return encodeFrame(value)
+      } catch {
+        return encodeFrame(null)
+      }
+    })
+  )
+  await fc.assert(fc.asyncProperty(garbage, fc.boolean(), async (bytes, proved) => {
+    const frames = await speak(port, (challenge, socket) => {
+      if (proved) socket.write(proofFrame(challenge))
+      socket.write(bytes)
+    })
+    if (frames.some((frame) => frame.kind === WireKind.Reply)) throw new Error('garbage was answered')
+  }), { seed: SEED, numRuns: RUNS })
+  t.deepEqual(calls, [])
+  t.true((await call(client(t), address, 'still served')).ok)
+})
+
+test('a frame that is announced too large is cut off before it is read', async (t) => {
+  const { port, calls } = await listen(t)
+  const length = Buffer.alloc(4)
+  length.writeUInt32BE(MAX_FRAME_BYTES + 1)
+  t.is((await speak(port, (_, socket) => socket.write(length))).length, 1)
+  await speak(port, (challenge, socket) => {
+    socket.write(proofFrame(challenge))
+    socket.write(length)
+  })
+  t.deepEqual(calls, [])
+})
+
+test('calls and answers larger than a frame fail alone', async (t) => {
+  const { address } = await listen(t)
+  const from = client(t)
+  t.like(await call(from, address, Buffer.alloc(MAX_FRAME_BYTES)), { ok: false, failure: PeerFailure.NotSent })
+  t.like(await call(from, address, 'large'), { ok: false, failure: PeerFailure.Rejected })
+  t.true((await call(from, address, 'small')).ok)
+})
+
+test('an idle connection is closed and opened again by the next call', async (t) => {
+  const { address, calls } = await listen(t)
+  const from = client(t, { idleMs: 20 })
+  t.true((await call(from, address, 1)).ok)
+  while (from.connections > 0) await new Promise((resolve) => setTimeout(resolve, 10))
+  t.true((await call(from, address, 2)).ok)
+  t.is(calls.length, 2)
+})
+
+function certificatesOf (host: string): PeerCertificates {
+  const read = (name: string): string => readFileSync(new URL(`certificates/${name}.pem`, import.meta.url), 'utf8')
+  return { certificate: read(host), key: read(`${host}.key`), authority: read('authority') }
+}
+
+test('with certificates only a host that its certificate names is served', async (t) => {
+  const { address, calls } = await listen(t, certificatesOf('host-a'))
+  t.true((await call(client(t, { certificates: certificatesOf('host-b') }), address, 1)).ok)
+  t.false((await call(client(t, { host: 'host-c', certificates: certificatesOf('host-b') }), address, 2)).ok)
+  t.false((await call(client(t, { connectTimeoutMs: 500 }), address, 3)).ok)
+  t.deepEqual(calls, [{ from: 'host-b', body: 1 }])
+})
+
+test('with certificates a client calls no server whose certificate names another host', async (t) => {
+  const { address, calls } = await listen(t, certificatesOf('host-b'))
+  t.false((await call(client(t, { certificates: certificatesOf('host-b') }), address, 1)).ok)
+  t.deepEqual(calls, [])
+})
