--- a/packages/coordination/src/lib/key-guard.ts
+++ b/packages/coordination/src/lib/key-guard.ts
@@ -41,8 +41,8 @@
   }
 
   watchKey (keyId: string, onWithdrawn: () => void): () => void {
-    this.#events.once(keyId, onWithdrawn)
-    return () => this.#events.off(keyId, onWithdrawn)
+    this.#events.once(eventOf(keyId), onWithdrawn)
+    return () => this.#events.off(eventOf(keyId), onWithdrawn)
   }
 
   /** Withdrawals for one message to another host. */
@@ -64,7 +64,7 @@
 
   #tell (keyIds: readonly string[]): void {
     if (keyIds.length === 0) return
-    for (const keyId of keyIds) this.#events.emit(keyId)
+    for (const keyId of keyIds) this.#events.emit(eventOf(keyId))
     this.#onNews()
   }
 
@@ -74,3 +74,8 @@
     return view === undefined || view.key(keyId)?.withdrawn === false
   }
 }
+
+/** The name of a key's event: prefixed, since `error` is a valid id but a special event. */
+function eventOf (keyId: string): string {
+  return `key ${keyId}`
+}
--- a/packages/cyclamenthread/src/lib/batch-handler.ts
+++ b/packages/cyclamenthread/src/lib/batch-handler.ts
@@ -147,7 +147,9 @@
   let cursor = after
   while (timeLeft(deadline) > 0 && !hop.signal.aborted) {
     const page = { after: cursor, limit: PAGE_SIZE, waitMs: cursor > after ? 0 : timeLeft(deadline) / 2 }
-    const answer = await gateway.ledger.readBatch(target.workspace, target.batchId, page, { deadline, traceparent: hop.traceparent, signal: hop.signal })
+    const read = gateway.ledger.readBatch(target.workspace, target.batchId, page, { deadline, traceparent: hop.traceparent, signal: hop.signal })
+    // An owner in this process goes on waiting; a key that was withdrawn must not.
+    const answer = await Promise.race([read, aborted(hop.signal)])
     if (answer?.status === 'none') {
       sendProblem(response, notRun(RefusalReason.UnknownBatch, 'there is no such batch'), hop.requestId)
       return
@@ -162,6 +164,12 @@
   else sendProblem(response, hop.keyHold.explain(notRun(RefusalReason.StoreUnavailable, 'the owner of the batch can\'t be reached', 1000)), hop.requestId)
 }
 
+/** Comes when the signal aborts. */
+async function aborted (signal: AbortSignal): Promise<undefined> {
+  if (signal.aborted) return
+  await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }))
+}
+
 function eventDocument (event: BatchEvent): unknown {
   if (event.kind === 'failure') return { cursor: event.cursor, id: event.sampleId, failed: event.refusal.reason, detail: event.refusal.detail }
   const { sampleId, group, text, versions, finishReason } = event.sample
