--- a/packages/bench/src/test/host-network.ts
+++ b/packages/bench/src/test/host-network.ts
@@ -39,7 +39,7 @@
     await this.platform.listen()
     this.platform.hosts = hosts.map((host) => ({ ...host, leaving: false }))
     await this.apply(catalogue)
-    const settings = { hostListPeriodMs: 500, storeTimeoutMs: 1_000, storeRegion: hosts[0]?.region ?? '', clusterSecret: '', ledgerPartitions: 1, usageWindowMs: 1_000, leaseMs: 1_000, summaryPeriodMs: 1_000, cellQueueLimit: 1 }
+    const settings = { hostListPeriodMs: 500, storeTimeoutMs: 1_000, storeRegion: hosts[0]?.region ?? '', clusterSecret: '', ledgerPartitions: 1, usageWindowMs: 1_000, leaseMs: 1_000, summaryPeriodMs: 1_000, cellQueueLimit: 1, storeWritesPerSecond: 100, storeReadsPerSecond: 100, answerRetentionMs: 1_000, claimRetentionMs: 1_000 }
     for (const host of hosts) this.hosts.set(host.id, this.#create(host, { ...settings, self: host, incarnation: host.id }))
     await Promise.all([...this.hosts.values()].map(async (item) => await item.members.start()))
     await Promise.all([...this.hosts.values()].map(async (item) => await item.catalogue.start()))
--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -14,8 +14,8 @@
 /** Tokens of an answer when the caller sets no bound. */
 const DEFAULT_MAX_TOKENS = 256
 
-/** How long usage is tried to be recorded after the answer, in milliseconds. */
-const USAGE_COMMIT_MS = 60_000
+/** Bytes of an answer that may wait for a slow caller before its request is given up. */
+const MAX_BUFFERED_BYTES = 1024 * 1024
 
 const options = {
   model: z.string(),
@@ -81,11 +81,11 @@
     traceparent: hop.traceparent,
     signal: hop.signal
   }
-  if (wanted.stream) await stream(gateway, response, hop, order, wanted)
-  else await answerWhole(gateway, response, hop, order, wanted)
+  if (wanted.stream) await stream(gateway, response, order, wanted, hop)
+  else await answerWhole(gateway, response, order, wanted, hop)
 }
 
-async function answerWhole (gateway: Gateway, response: ServerResponse, hop: Hop, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function answerWhole (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest, hop: Hop): Promise<void> {
   const result = await gateway.completions.run(order)
   if (!result.ok) {
     sendProblem(response, hop.keyHold.explain(result.refusal), order.requestId)
@@ -96,13 +96,14 @@
   sendJson(response, 200, wholeAnswer(order.requestId, order.entry, result.completion, wanted.chat))
 }
 
-async function stream (gateway: Gateway, response: ServerResponse, hop: Hop, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest, hop: Hop): Promise<void> {
   const result = await gateway.completions.run({
     ...order,
     onPart: (part) => {
       if (part.kind !== CompletionPartKind.Text) return
       openStream(response, order.requestId)
       response.write(event(chunk(order, part.text, part.version, wanted.chat)))
+      if (response.writableLength > MAX_BUFFERED_BYTES) hop.cancel()
     }
   })
   if (!result.ok) {
@@ -164,8 +165,5 @@
     calls: 0
   }
   const partition = gateway.ledger.partitionOf(`usage/${order.requestId}`)
-  gateway.behind(gateway.ledger.commit(partition, [{ kind: LedgerRecordKind.Usage, usage }], {
-    deadline: deadlineAfter(USAGE_COMMIT_MS),
-    traceparent: order.traceparent
-  }))
+  void gateway.writeBehind.add(partition, { kind: LedgerRecordKind.Usage, usage })
 }
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -9,11 +9,13 @@
 import { handleExplain } from './explain-handler.js'
 import { sendJson, sendProblem } from './problem.js'
 import { handleService } from './service-handler.js'
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner } from '@cyclamenthread/coordination'
+import type {
+  CatalogueSource, CompletionRunner, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind
+} from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -26,10 +28,24 @@
   readonly signal: AbortSignal
   /** The caller's key, for as long as the request lasts. */
   readonly keyHold: KeyHold
+  /** Gives the request up, as if the caller had gone away. */
+  readonly cancel: () => void
   /** Path and query as the caller sent them. */
   readonly url: string
 }
 
+/** Longest a caller may take to send the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000
+
+/** Longest a connection may be idle between two requests, in milliseconds. */
+const KEEP_ALIVE_MS = 30_000
+
+/** Longest a connection may move no byte while a request is open on it, in milliseconds. */
+const STALLED_MS = 120_000
+
+/** How often a drain looks whether it is over, in milliseconds. */
+const DRAIN_POLL_MS = 20
+
 /** What the gateway works with. */
 export interface GatewayParts {
   readonly settings: ServiceSettings
@@ -40,6 +56,7 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly writeBehind: WriteBehind
   readonly registry: Registry
 }
 
@@ -61,9 +78,9 @@
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
   readonly #keys: KeyGuard
+  readonly writeBehind: WriteBehind
   readonly #registry: Registry
   #running = 0
-  readonly #behind = new Set<Promise<unknown>>()
 
   constructor (parts: GatewayParts) {
     this.settings = parts.settings
@@ -74,6 +91,7 @@
     this.completions = parts.completions
     this.services = parts.services
     this.#keys = parts.keys
+    this.writeBehind = parts.writeBehind
     this.#registry = parts.registry
   }
 
@@ -82,27 +100,27 @@
     return this.#running
   }
 
-  /** Keeps account of work that goes on after its caller was answered. */
-  behind (work: Promise<unknown>): void {
-    this.#behind.add(work)
-    void work.finally(() => this.#behind.delete(work))
-  }
-
   /** Waits until no request runs and nothing is left to be written behind one. */
   async drained (): Promise<void> {
-    while (this.#running > 0 || this.#behind.size > 0) await new Promise((resolve) => setTimeout(resolve, 20))
+    while (this.#running > 0 || this.writeBehind.waiting > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
   }
 
   /** The broker service that listens for callers. */
   service (): ServiceSchema {
     const cut = this.settings.callerAddress.lastIndexOf(':')
+    const { maxConnections } = this.settings
     return {
       name: 'gateway',
       mixins: [ApiGateway as unknown as ServiceSchema],
       settings: {
         ip: this.settings.callerAddress.slice(0, cut),
         port: Number(this.settings.callerAddress.slice(cut + 1)),
+        requestTimeout: this.settings.requestTimeoutMs,
+        onError: (_: WebRequest, response: ServerResponse) => sendProblem(response, notRun(RefusalReason.NotFound, 'there is nothing at this path, or not by this method'), ''),
         routes: [{ path: '/', mappingPolicy: 'restrict', bodyParsers: false, mergeParams: false, aliases: this.#aliases() }]
+      },
+      created () {
+        limitConnections(this['server'] as Server, maxConnections)
       }
     }
   }
@@ -140,11 +158,21 @@
         if (!response.writableFinished) gone.abort()
       })
       const keyHold = new KeyHold(this.#keys, () => gone.abort())
+      // A leaving host lets its callers go with the answer, so that none is cut off when it closes.
+      if (this.#leaving()) response.setHeader('connection', 'close')
       this.#running += 1
       try {
         const hop = { name: `gateway.${name}`, kind: SpanKind.SERVER, traceparent: String(request.headers['traceparent'] ?? ''), attributes: { 'request.id': requestId } }
         await traced(hop, async (span) => {
-          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, keyHold, url: request.originalUrl ?? request.url ?? '/' })
+          await handler(this, request, response, {
+            requestId,
+            traceparent: traceparentOf(span),
+            view,
+            signal: gone.signal,
+            cancel: () => gone.abort(),
+            keyHold,
+            url: request.originalUrl ?? request.url ?? '/'
+          })
         })
       } finally {
         keyHold.release()
@@ -155,10 +183,14 @@
 
   #ready (response: ServerResponse): void {
     const revision = this.catalogue.current()?.revision
-    const leaving = this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+    const leaving = this.#leaving()
     sendJson(response, revision === undefined || leaving ? 503 : 200, { ready: revision !== undefined && !leaving, catalogueRevision: revision ?? 0, leaving })
   }
 
+  #leaving (): boolean {
+    return this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+  }
+
   /** The hosts a caller may connect to, and until when it may keep the answer. */
   #addresses (response: ServerResponse): void {
     const notAfter = new Date(Date.now() + this.settings.addressTtlMs).toISOString()
@@ -172,3 +204,11 @@
     response.end(text)
   }
 }
+
+/** Bounds what one caller, or many idle ones, can hold of the port. */
+function limitConnections (server: Server, maxConnections: number): void {
+  server.maxConnections = maxConnections
+  server.headersTimeout = HEADERS_TIMEOUT_MS
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  server.timeout = STALLED_MS
+}
--- a/packages/cyclamenthread/src/lib/settings.ts
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -36,10 +36,18 @@
   usageWindowMs: milliseconds.default(60_000).describe('Length of a usage window, in milliseconds; the same on all hosts.'),
   leaseMs: milliseconds.default(10_000).describe('Length of the leaders\' leases, in milliseconds.'),
   storeTimeoutMs: milliseconds.default(2_000).describe('Longest wait for one answer of the store, in milliseconds.'),
+  storeWritesPerSecond: z.coerce.number().positive().default(300).describe('Writes a second that the object service bears from the whole deployment; the same on all hosts.'),
+  storeReadsPerSecond: z.coerce.number().positive().default(2_000).describe('Reads a second that the object service bears from the whole deployment; the same on all hosts.'),
+  answerRetentionMs: milliseconds.default(3_600_000).describe('How long the recorded answer of a call that may not be repeated can be had again, in milliseconds.'),
+  claimRetentionMs: milliseconds.default(86_400_000).describe('How long idempotency keys and finished batches are remembered, in milliseconds.'),
   hostListPeriodMs: milliseconds.default(2_000).describe('Period of reading the platform\'s host list, in milliseconds.'),
   summaryPeriodMs: milliseconds.default(500).describe('Period of the cells\' summaries, in milliseconds.'),
   cellQueueLimit: z.coerce.number().int().positive().default(10_000).describe('Requests that may wait in one cell.'),
   maxBodyBytes: z.coerce.number().int().positive().default(4 * 1024 * 1024).describe('Largest body of a caller\'s request, in bytes.'),
+  maxConnections: z.coerce.number().int().positive().default(4_096).describe('Connections of callers that are held at once; further ones are closed.'),
+  requestTimeoutMs: milliseconds.default(30_000).describe('Longest a caller may take to send a whole request, in milliseconds.'),
+  traceFile: z.string().optional().describe('File to which finished spans are appended, a JSON document a line; none are kept without it.'),
+  traceRatio: z.coerce.number().min(0).max(1).default(0.01).describe('Share of requests that are traced when their caller does not decide, from 0 to 1.'),
   addressTtlMs: milliseconds.default(10_000).describe('How long a caller may keep an answer of the address list, in milliseconds.'),
   drainTimeoutMs: milliseconds.default(60_000).describe('Longest a planned stop waits for running requests, in milliseconds.')
 })
--- a/packages/state/src/lib/ledger-record.ts
+++ b/packages/state/src/lib/ledger-record.ts
@@ -5,6 +5,8 @@
   Claim = 'claim',
   ClaimRelease = 'claim-release',
   Answer = 'answer',
+  /** The call of a claim went out and nobody can know whether it ran. */
+  ClaimUncertainty = 'claim-uncertainty',
   BatchOpen = 'batch-open',
   BatchCancel = 'batch-cancel',
   Delivery = 'delivery',
@@ -23,6 +25,8 @@
   readonly answerTokens: number
   /** 1 for a call of a plain service, 0 for model work. */
   readonly calls: number
+  /** Usage window in which the work was done, when it was journaled first; becomes a correction if that window has closed. */
+  readonly window?: number
 }
 
 /** A run of answer tokens that one weight version produced. */
@@ -64,12 +68,15 @@
   readonly status: number
   readonly headers: ReadonlyArray<readonly [string, string]>
   readonly body: Uint8Array
+  /** The call has run, but its answer is older than answers are kept. */
+  readonly forgotten?: boolean
 }
 
 /** Everything a partition can commit. */
 export type LedgerRecord =
   | { readonly kind: LedgerRecordKind.Claim, readonly claimId: string, readonly workspace: string, readonly requestDigest: string, readonly requestId: string, readonly claimedAt: number }
   | { readonly kind: LedgerRecordKind.ClaimRelease, readonly claimId: string, readonly requestId: string }
+  | { readonly kind: LedgerRecordKind.ClaimUncertainty, readonly claimId: string, readonly requestId: string }
   | { readonly kind: LedgerRecordKind.Answer, readonly claimId: string, readonly requestId: string, readonly answer: RecordedAnswer, readonly usage: UsageItem }
   | { readonly kind: LedgerRecordKind.BatchOpen, readonly order: BatchOrder, readonly digest: string }
   | { readonly kind: LedgerRecordKind.BatchCancel, readonly workspace: string, readonly batchId: string }
