--- a/packages/coordination/src/lib/completion-runner.ts
+++ b/packages/coordination/src/lib/completion-runner.ts
@@ -1,4 +1,4 @@
-import { digest, Ran, RefusalReason, RetryBudget, SlotEnd } from '@cyclamenthread/state'
+import { digest, notRun, Ran, RefusalReason, RetryBudget, SlotEnd } from '@cyclamenthread/state'
 import { CompletionBuilder, CompletionPartKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, SpanKind, timeLeft, traced, traceparentOf } from '@cyclamenthread/transport'
 import type { Endpoint, Entry, Refusal, Workspace } from '@cyclamenthread/state'
@@ -90,6 +90,7 @@
   }
 
   async #attempt (order: CompletionOrder, excluded: readonly string[]): Promise<Attempt> {
+    if (order.signal?.aborted === true) return { kind: 'done', result: { ok: false, refusal: notRun(RefusalReason.Cancelled, 'the request was cancelled before it ran') } }
     const answer = await this.#router.acquire({
       requestId: order.requestId,
       pool: order.entry.pool,
--- a/packages/cyclamenthread/src/lib/read-settings.ts
+++ b/packages/cyclamenthread/src/lib/read-settings.ts
@@ -6,6 +6,9 @@
 /** Fewest store timeouts that a lease has to outlast: a renewal that times out and the read that settles it. */
 const STORE_TIMEOUTS_IN_LEASE = 2
 
+/** Settings that turn TLS between hosts on, together. */
+const CERTIFICATE_SETTINGS = ['peerCertificate', 'peerKey', 'peerAuthority'] as const
+
 const SETTINGS = Object.keys(serviceSettingsSchema.shape)
 
 /**
@@ -87,6 +90,11 @@
   if (given['callerAddress'] !== undefined && given['callerAddress'] === given['peerAddress']) {
     errors.push(`${titleOf('peerAddress')}: expected another address than ${titleOf('callerAddress')}`)
   }
+  const certificateFiles = CERTIFICATE_SETTINGS.filter((setting) => given[setting] !== undefined)
+  // Falling back to no TLS because one file is missing would be silent.
+  if (certificateFiles.length > 0 && certificateFiles.length < CERTIFICATE_SETTINGS.length) {
+    errors.push(`${CERTIFICATE_SETTINGS.map(titleOf).join(', ')}: expected all three or none`)
+  }
   if (given['operatorToken'] !== undefined && given['operatorToken'] === given['clusterSecret']) {
     errors.push(`${titleOf('operatorToken')}: expected another secret than ${titleOf('clusterSecret')}`)
   }
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -73,13 +73,19 @@
     this.#store = new HttpObjectStore(settings.storeUrl)
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
-    this.#members = new MemberTask(this.#host, this.#platform)
+    this.#members = new MemberTask(this.#host, this.#platform, async (host, message) => await this.#bus.post(host, message))
     this.#budgeted = new BudgetedStore({
       store: this.#store,
       allowance: { writesPerSecond: settings.storeWritesPerSecond, readsPerSecond: settings.storeReadsPerSecond },
       share: () => ({ hosts: this.#members.workers().length, ownedPartitions: this.#ledger?.owned().length ?? 0, partitions: settings.ledgerPartitions })
     })
-    this.#catalogue = new CatalogueTask(this.#host, this.#budgeted)
+    this.#catalogue = new CatalogueTask({
+      settings: this.#host,
+      store: this.#budgeted,
+      members: this.#members,
+      send: async (host, message, options) => await this.#bus.send(host, message, options),
+      post: async (host, message) => await this.#bus.post(host, message)
+    })
     this.#decisions = new DecisionLog(this.#host)
     this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions, this.#bus, this.#endpoints)
     this.#limits = new LimitTask(this.#host, this.#members, this.#catalogue, this.#bus)
@@ -109,6 +115,7 @@
     this.#gateway = new Gateway({
       settings,
       catalogue: this.#catalogue,
+      keys: this.#catalogue,
       members: this.#members,
       bus: this.#bus,
       ledger,
@@ -128,6 +135,7 @@
   /** Starts every task; the port for callers opens last. */
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
+    this.#broker.createService(this.#catalogue.service())
     this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#archive.service())
     this.#broker.createService(this.#dispatcher.service())
