--- a/packages/bench/src/lib/free-ports.ts
+++ b/packages/bench/src/lib/free-ports.ts
@@ -1,22 +1,38 @@
 import { createServer } from 'node:net'
-import type { AddressInfo, Server } from 'node:net'
 
 /**
- * Finds ports of the loopback address that are free now.
+ * Ports below the range that the system gives to outgoing connections: one of
+ * those could be taken between the look and the use.
+ */
+const FIRST_PORT = 10_000
+const LAST_PORT = 32_000
+
+/** Spreads the processes of one machine over the range. */
+const PORTS_PER_PROCESS = 61
+
+let next = FIRST_PORT + process.pid * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT)
+
+/**
+ * Finds ports of the loopback address that are free now, none twice.
  *
  * @param count how many
  * @example
  * const [peer, caller] = await freePorts(2)
  */
 export async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, openPort))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise<void>((resolve) => server.close(() => resolve()))))
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = next
+    next = next < LAST_PORT ? next + 1 : FIRST_PORT
+    if (await isFree(port)) ports.push(port)
+  }
   return ports
 }
 
-async function openPort (): Promise<Server> {
-  const server = createServer()
-  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', () => resolve()))
-  return server
+async function isFree (port: number): Promise<boolean> {
+  return await new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
 }
