--- a/packages/cyclamenctl/src/lib/main.ts
+++ b/packages/cyclamenctl/src/lib/main.ts
@@ -119,6 +119,10 @@
 
 /** Runs the command line of this process. */
 export async function main (): Promise<void> {
+  // A reader that has seen enough, as `head`, closes the pipe; that is no failure of the command.
+  process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code !== 'EPIPE') throw error
+  })
   process.exitCode = await run(process.argv.slice(2), {
     environment: process.env,
     out: (line) => process.stdout.write(`${line}\n`),
