--- a/packages/coordination/src/lib/decision-log.ts
+++ b/packages/coordination/src/lib/decision-log.ts
@@ -17,15 +17,15 @@
   record (decision: Decision): void
 }
 
+/** Finds decisions that are kept elsewhere than in memory. */
+export type DecisionSearch = (requestId: string) => Promise<readonly ChainedDecision[]>
+
 /** The decisions this process keeps. */
 export interface DecisionSource {
   /** Records of the chain of this process after a sequence number, in order. */
   page (after: number, limit: number): Promise<ChainedDecision[]>
 }
 
-/** Finds decisions that are kept elsewhere than in memory. */
-export type DecisionSearch = (requestId: string) => Promise<readonly ChainedDecision[]>
-
 /**
  * Chains the decisions of this process and answers for them.
  *
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -4,6 +4,7 @@
 import { Counter } from 'prom-client'
 import { HostState, notRun, RefusalReason } from '@cyclamenthread/state'
 import { SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
+import { KeyHold } from './admission.js'
 import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
 import { handleChat, handleCompletion } from './completion-handler.js'
 import { handleExplain } from './explain-handler.js'
@@ -14,7 +15,9 @@
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, DecisionSource, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind } from '@cyclamenthread/coordination'
+import type {
+  CatalogueSource, CompletionRunner, DecisionSource, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind
+} from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -23,8 +26,10 @@
   readonly traceparent: string
   /** The catalogue revision that holds for the whole request. */
   readonly view: CatalogueView
-  /** Aborts when the caller goes away. */
+  /** Aborts when the caller goes away or its key is withdrawn. */
   readonly signal: AbortSignal
+  /** The caller's key, for as long as the request lasts. */
+  readonly keyHold: KeyHold
   /** Gives the request up, as if the caller had gone away. */
   readonly cancel: () => void
   /** Path and query as the caller sent them. */
@@ -47,6 +52,7 @@
 export interface GatewayParts {
   readonly settings: ServiceSettings
   readonly catalogue: CatalogueSource
+  readonly keys: KeyGuard
   readonly members: MemberTask
   readonly bus: MessageBus
   readonly ledger: LedgerClient
@@ -78,6 +84,7 @@
   readonly services: ServiceRunner
   readonly decisions: DecisionSource
   readonly leave: () => void
+  readonly #keys: KeyGuard
   readonly writeBehind: WriteBehind
   readonly #registry: Registry
   readonly #requests: Counter
@@ -93,6 +100,7 @@
     this.services = parts.services
     this.decisions = parts.decisions
     this.leave = parts.leave
+    this.#keys = parts.keys
     this.writeBehind = parts.writeBehind
     this.#registry = parts.registry
     this.#requests = new Counter({
@@ -167,15 +175,25 @@
         this.#requests.inc({ route: name, status: response.headersSent ? response.statusCode : 0 })
         if (!response.writableFinished) gone.abort()
       })
+      const keyHold = new KeyHold(this.#keys, () => gone.abort())
       // A leaving host lets its callers go with the answer, so that none is cut off when it closes.
       if (this.#leaving()) response.setHeader('connection', 'close')
       this.#running += 1
       try {
         const hop = { name: `gateway.${name}`, kind: SpanKind.SERVER, traceparent: String(request.headers['traceparent'] ?? ''), attributes: { 'request.id': requestId } }
         await traced(hop, async (span) => {
-          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, cancel: () => gone.abort(), url: request.originalUrl ?? request.url ?? '/' })
+          await handler(this, request, response, {
+            requestId,
+            traceparent: traceparentOf(span),
+            view,
+            signal: gone.signal,
+            cancel: () => gone.abort(),
+            keyHold,
+            url: request.originalUrl ?? request.url ?? '/'
+          })
         })
       } finally {
+        keyHold.release()
         this.#running -= 1
       }
     }
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -2,7 +2,7 @@
 import { z } from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
 import { withDeadline } from '@cyclamenthread/transport'
-import { heldBody } from './held-body.js'
+import { leasedBody } from './leased-body.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
 const hostListSchema = z.object({
@@ -95,7 +95,11 @@
     return parsed.success ? success(parsed.data.endpoints) : failure(PlatformFailure.Malformed)
   }
 
-  /** Sends one order; `Refused` when none are to be had. */
+  /**
+   * Sends one order; `Refused` when none are to be had.
+   *
+   * @param call its deadline is that of the lease behind the order: no byte leaves after it
+   */
   async order (order: FleetOrder, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
     return await this.#send('POST', '/fleet/orders', order, call)
   }
@@ -118,7 +122,7 @@
         const response = await request(this.#baseUrl + path, {
           method,
           headers: { 'content-type': 'application/json', ...length },
-          body: text === undefined ? null : heldBody(text, call.deadline),
+          body: text === undefined ? null : leasedBody(text, call.deadline).bytes(),
           dispatcher: this.#agent,
           signal
         })
