--- a/packages/bench/src/lib/refusal-notes.ts
+++ b/packages/bench/src/lib/refusal-notes.ts
@@ -16,7 +16,7 @@
 /** Every refusal a caller can see. The type asks for a note on each new one. */
 export const REFUSAL_NOTES: Readonly<Record<RefusalReason, RefusalNote>> = {
   [RefusalReason.BadRequest]: { ran: NO, cause: 'The body, a parameter or a header is not what the route takes; `detail` names every fault.', remedy: 'Mend the request.' },
-  [RefusalReason.Unauthorized]: { ran: NO, cause: 'No key, an unknown one, or one that was withdrawn.', remedy: 'Use a key in force; ask the operators for a new one.' },
+  [RefusalReason.Unauthorized]: { ran: NO_OR_MAYBE, cause: 'No key, an unknown one, or one that was withdrawn, also while the request waited or ran.', remedy: 'Use a key in force; ask the operators for a new one.' },
   [RefusalReason.Forbidden]: { ran: NO, cause: 'The key is valid but may not use this entry, or its workspace is gone.', remedy: 'Ask the operators.' },
   [RefusalReason.NotFound]: { ran: NO, cause: 'There is nothing at this path, or not by this method.', remedy: 'Mend the path.' },
   [RefusalReason.UnknownEntry]: { ran: NO, cause: 'The catalogue has no entry of this name.', remedy: 'Mend the name; see the declarations.' },
--- a/packages/bench/src/test/planned-stop.test.ts
+++ b/packages/bench/src/test/planned-stop.test.ts
@@ -21,8 +21,6 @@
   endpoint.faults.delayMs = ANSWER_DELAY_MS
   const answer = new Caller(deployment.urls[0] ?? '', tokenOf('desk')).book({ pitch: 1 })
   while (endpoint.bookings.length === 0) await new Promise((resolve) => setTimeout(resolve, 20))
-  // The platform's list tells the other host to take over; without it the claim's answer waits for an owner.
-  deployment.platform.hosts = deployment.platform.hosts.map((listed, index) => ({ ...listed, leaving: index === 0 }))
   host.signal('SIGTERM')
   await new Promise((resolve) => setTimeout(resolve, 100))
   host.signal('SIGTERM')
