--- a/packages/cyclamenctl/src/lib/commands/usage.ts
+++ b/packages/cyclamenctl/src/lib/commands/usage.ts
@@ -1,9 +1,10 @@
-import { z } from 'zod'
-import { StorePurpose, usageWindowKey } from '@cyclamenthread/protocol'
+import { parseUsageWindow, StorePurpose, usageWindowKey } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { failed } from '../command.js'
 import { ExitCode } from '../exit-code.js'
 import { withStore } from '../operator-store.js'
+import type { UsageTotal } from '@cyclamenthread/state'
+import type { UsageWindow } from '@cyclamenthread/protocol'
 import type { Command, CommandFlags } from '../command.js'
 
 /** Longest the store may take to list the windows, in milliseconds. */
@@ -12,12 +13,6 @@
 /** Digits at the end of the key of a usage window. */
 const WINDOW_DIGITS = 12
 
-const totalSchema = z.object({ workspace: z.string(), entry: z.string(), promptTokens: z.int(), answerTokens: z.int(), calls: z.int(), items: z.int() })
-const windowSchema = z.object({ window: z.int(), from: z.int(), to: z.int(), complete: z.boolean(), totals: z.array(totalSchema) })
-
-/** A sealed window as it lies in the store, which is also what was reported. */
-export type SealedWindow = z.infer<typeof windowSchema>
-
 /** What a workspace used over the windows listed. */
 export interface WorkspaceUsage {
   readonly workspace: string
@@ -28,7 +23,7 @@
 
 /** Sealed windows and their sums. */
 export interface UsageResult {
-  readonly windows: readonly SealedWindow[]
+  readonly windows: readonly UsageWindow[]
   readonly workspaces: readonly WorkspaceUsage[]
   /** Windows that say themselves that they lost something. */
   readonly incomplete: number
@@ -53,7 +48,7 @@
       const listed = await store.objects.list(prefix, { purpose: StorePurpose.Other, deadline: deadlineAfter(LIST_MS) })
       if (!listed.ok) return failed(ExitCode.Unavailable, `the store can't be read (${listed.failure})`)
       const windows = listed.value
-        .flatMap((object) => windowSchema.safeParse(object.value).data ?? [])
+        .flatMap((object) => parseUsageWindow(object.value) ?? [])
         .filter((window) => window.to > range.from && window.from < range.to)
         .map((window) => onlyWorkspace(window, context.flags.workspace))
       return { ok: true, exit: ExitCode.Success, result: { windows, workspaces: sumByWorkspace(windows), incomplete: windows.filter((window) => !window.complete).length } }
@@ -73,7 +68,7 @@
   return faulty.length > 0 ? failed(ExitCode.Usage, ...faulty.map((flag) => `${flag}: expected a time as 2026-01-31T00:00:00Z`)) : { from, to }
 }
 
-function onlyWorkspace (window: SealedWindow, workspace: string | undefined): SealedWindow {
+function onlyWorkspace (window: UsageWindow, workspace: string | undefined): UsageWindow {
   return workspace === undefined ? window : { ...window, totals: window.totals.filter((total) => total.workspace === workspace) }
 }
 
@@ -83,7 +78,7 @@
  * @example
  * sumByWorkspace(windows)[0]?.answerTokens
  */
-export function sumByWorkspace (windows: readonly SealedWindow[]): WorkspaceUsage[] {
+export function sumByWorkspace (windows: readonly UsageWindow[]): WorkspaceUsage[] {
   const sums = new Map<string, WorkspaceUsage>()
   for (const { workspace, promptTokens, answerTokens, calls } of windows.flatMap((window) => window.totals)) {
     const sum = sums.get(workspace) ?? { workspace, promptTokens: 0, answerTokens: 0, calls: 0 }
@@ -97,9 +92,13 @@
   return [...sums.values()].sort((a, b) => a.workspace < b.workspace ? -1 : 1)
 }
 
-function windowLines (window: SealedWindow): string[] {
+function windowLines (window: UsageWindow): string[] {
   return [
     `window ${window.window}, ${new Date(window.from).toISOString()} to ${new Date(window.to).toISOString()}${window.complete ? '' : ', incomplete'}`,
-    ...window.totals.map((total) => `  ${total.workspace} ${total.entry}: ${total.promptTokens} + ${total.answerTokens} tokens, ${total.calls} calls`)
+    ...window.totals.map((total) => `  ${total.workspace} ${total.entry}: ${total.promptTokens} + ${total.answerTokens} tokens, ${total.calls} calls${correctionText(total)}`)
   ]
 }
+
+function correctionText ({ correctionOf }: UsageTotal): string {
+  return correctionOf === undefined ? '' : `, a correction of window ${correctionOf}`
+}
