--- /dev/null
+++ b/packages/bench/src/lib/slopes/dispatch.ts
@@ -0,0 +1,114 @@
+import { Cell, CellEffectKind, CellEventKind, FencingSupport, SlotEnd, WorkClass } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { isDue } from '@cyclamenthread/coordination'
+import { encodeFrame } from '@cyclamenthread/transport'
+import { seededRandom } from '../random.js'
+import type { CellSummary, Endpoint, SlotRequest } from '@cyclamenthread/state'
+
+/** Requests that are run through a cell for one row. */
+const REQUESTS = 20_000
+
+/** What grows from row to row. */
+export enum DispatchAxis {
+  WaitingRequests = 'waiting requests in a cell',
+  EndpointsPerCell = 'endpoints in a cell',
+  CellsPerRegion = 'cells in a region'
+}
+
+/** One measured size of the dispatcher. */
+export interface DispatchSlopeRow {
+  readonly axis: DispatchAxis
+  readonly size: number
+  /** Processor time of the cell's decisions for one request, in microseconds; undefined where it does not depend on the size. */
+  readonly cpuMicrosPerRequest: number | undefined
+  /** Heap that the state takes, in bytes; undefined where it was not measured. */
+  readonly stateBytes: number | undefined
+  /** Bytes a second that a gateway receives as summaries; undefined where it was not measured. */
+  readonly summaryBytesPerSecond: number | undefined
+}
+
+/** Measures the dispatcher at four sizes along each axis. */
+export function measureDispatch (): DispatchSlopeRow[] {
+  return [
+    ...[10, 100, 1_000, 10_000].map((size) => cellRow(DispatchAxis.WaitingRequests, size, 24, size)),
+    ...[3, 6, 12, 24].map((size) => cellRow(DispatchAxis.EndpointsPerCell, size, size, 100)),
+    ...[5, 10, 20, 40].map((size) => summaryRow(size))
+  ]
+}
+
+/** Runs requests through a cell that always has as many waiting. */
+function cellRow (axis: DispatchAxis, size: number, endpoints: number, waiting: number): DispatchSlopeRow {
+  const heapBefore = heapBytes()
+  const cell = busyCell(endpoints)
+  const running: string[] = []
+  let now = 0
+  let sequence = 0
+  const step = (event: Parameters<Cell['step']>[0]): void => {
+    for (const effect of cell.step(event, now)) if (effect.kind === CellEffectKind.Grant) running.push(effect.grant.slotId)
+  }
+  const arrive = (): void => step({ kind: CellEventKind.Request, request: request(sequence++) })
+  while (cell.waiting().length < waiting) arrive()
+  const stateBytes = Math.max(0, heapBytes() - heapBefore)
+  const before = process.cpuUsage()
+  for (let index = 0; index < REQUESTS; index++) {
+    now += 1
+    arrive()
+    step({ kind: CellEventKind.Release, slotId: running.shift() ?? '', end: SlotEnd.Finished, actualTokens: 200 })
+  }
+  const spent = process.cpuUsage(before)
+  return { axis, size, cpuMicrosPerRequest: (spent.user + spent.system) / REQUESTS, stateBytes, summaryBytesPerSecond: undefined }
+}
+
+function busyCell (endpoints: number): Cell {
+  const cell = new Cell({ name: 'engines/domain-1/0', incarnation: 'life', queueLimit: 100_000, leaseGraceMs: 5_000, opensAt: 0 })
+  for (let index = 0; index < endpoints; index++) {
+    const endpoint: Endpoint = { id: `engine-${index}`, url: 'http://127.0.0.1:1', region: 'r', failureDomain: 'd', slots: 16, cheap: false, fencing: FencingSupport.Checked }
+    cell.step({ kind: CellEventKind.EndpointUp, endpoint }, 0)
+  }
+  return cell
+}
+
+function request (index: number): SlotRequest {
+  return {
+    requestId: `request-${index}`,
+    workspace: `workspace-${index % 17}`,
+    weight: 1,
+    class: WorkClass.Training,
+    entry: `entry-${index % 5}`,
+    gateway: `host-${index % 60}`,
+    expectedTokens: 100 + index % 200,
+    promptTokens: 50,
+    prefix: `prefix-${index % 1_000}`,
+    digest: `digest-${index}`,
+    suspect: false,
+    excluded: [],
+    deadline: 1e12
+  }
+}
+
+/** A minute of summaries of busy cells, by the rule that decides which are sent. */
+function summaryRow (cells: number): DispatchSlopeRow {
+  const random = seededRandom(cells)
+  const periodMs = 500
+  const seconds = 60
+  let bytes = 0
+  for (let cell = 0; cell < cells; cell++) {
+    let sent: { readonly summary: CellSummary, readonly at: number } | undefined
+    let freeSlots = 40
+    for (let now = 0; now < seconds * 1_000; now += periodMs) {
+      freeSlots = Math.min(384, Math.max(0, freeSlots + Math.round((random() - 0.5) * 40)))
+      const summary: CellSummary = { cell: `engines/domain-${cell}/0`, freeSlots, totalSlots: 384, waiting: 0, expectedTokensQueued: 0, waitMs: 0 }
+      if (!isDue(summary, sent, now)) continue
+      sent = { summary, at: now }
+      const body = { kind: PeerMessageKind.PushSummaries, cells: [summary] }
+      bytes += encodeFrame({ kind: 'call', id: 0, left: 0, traceparent: '', body }).length
+    }
+  }
+  return { axis: DispatchAxis.CellsPerRegion, size: cells, cpuMicrosPerRequest: undefined, stateBytes: undefined, summaryBytesPerSecond: bytes / seconds }
+}
+
+/** Heap in use, after a collection where the process allows one. */
+function heapBytes (): number {
+  globalThis.gc?.()
+  return process.memoryUsage().heapUsed
+}
--- a/packages/bench/src/lib/task-fleet.ts
+++ b/packages/bench/src/lib/task-fleet.ts
@@ -214,7 +214,7 @@
 function settingsOf (host: Host): HostSettings {
   return {
     self: host,
-    incarnation: 'first',
+    incarnation: `life-of-${host.id}`,
     clusterSecret: CLUSTER_SECRET,
     storeRegion: 'lothian',
     ledgerPartitions: 1,
--- a/packages/coordination/src/lib/dispatcher-task.ts
+++ b/packages/coordination/src/lib/dispatcher-task.ts
@@ -65,6 +65,7 @@
   readonly #push: SummaryPush
   readonly #pusher: Periodic
   readonly #dead = new Set<string>()
+  #cellLives = 0
 
   constructor (settings: HostSettings, members: MemberView, catalogue: CatalogueSource, decisions: DecisionSink, bus: MessageBus, endpoints: EndpointClient) {
     this.#settings = settings
@@ -153,13 +154,7 @@
 
   #place (placement: CellPlacement): void {
     const known = this.#cells.get(placement.name)
-    const cell = known?.cell ?? new Cell({
-      name: placement.name,
-      incarnation: this.#settings.incarnation,
-      queueLimit: this.#settings.cellQueueLimit,
-      leaseGraceMs: LEASE_GRACE_MS,
-      opensAt: deadlineAfter(RECALL_MS)
-    })
+    const cell = known?.cell ?? this.#openCell(placement.name)
     const kept = new Set(placement.endpoints.map((endpoint) => endpoint.id))
     const gone = (known?.placement.endpoints ?? []).filter((endpoint) => !kept.has(endpoint.id))
     this.#cells.set(placement.name, { cell, placement })
@@ -168,6 +163,18 @@
     if (known === undefined) void this.#recall(placement.name, cell)
   }
 
+  /** A cell may come back to this host, so each life of it has an incarnation of its own. */
+  #openCell (name: string): Cell {
+    this.#cellLives += 1
+    return new Cell({
+      name,
+      incarnation: `${this.#settings.incarnation}.${this.#cellLives}`,
+      queueLimit: this.#settings.cellQueueLimit,
+      leaseGraceMs: LEASE_GRACE_MS,
+      opensAt: deadlineAfter(RECALL_MS)
+    })
+  }
+
   /**
    * Learns which slots of earlier owners are still held, before anything is
    * granted; and once more later, since an earlier owner with an older view of
@@ -182,7 +189,9 @@
 
   async #askGateways (name: string, cell: Cell): Promise<void> {
     const deadline = deadlineAfter(RECALL_MS)
-    await Promise.all(this.#members.workers().map(async (host) => {
+    // A leaving host still runs what it has.
+    const gateways = this.#members.members().filter((member) => member.state !== HostState.Dead)
+    await Promise.all(gateways.map(async ({ host }) => {
       const answer = await this.#bus.send(host, { kind: PeerMessageKind.ListHeldSlots, cell: name }, { deadline })
       if (!answer.ok || this.#cells.get(name)?.cell !== cell) return
       this.#step(name, { kind: CellEventKind.Held, gateway: host.id, slots: claimsOf(answer.value, host.id) })
--- a/packages/coordination/src/lib/quarantine-task.ts
+++ b/packages/coordination/src/lib/quarantine-task.ts
@@ -1,14 +1,17 @@
-import { Quarantine } from '@cyclamenthread/state'
+import { HostState, Quarantine } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
-import { monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Suspicion } from '@cyclamenthread/state'
-import type { PeerMessage } from '@cyclamenthread/protocol'
+import type { ClearSuspect, NoteLoss } from '@cyclamenthread/protocol'
 import type { HostSettings } from './host-settings.js'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
 
+/** Longest wait for other hosts to note a loss, in milliseconds. */
+const TELL_MS = 500
+
 /**
  * Shares between hosts which requests took endpoints down. Losses are rare, so
  * each is sent to every host once; a host that misses the message learns of the
@@ -50,8 +53,10 @@
     if (this.#quarantine.clear(digest)) await this.#tellOthers({ kind: PeerMessageKind.ClearSuspect, digest })
   }
 
-  async #tellOthers (message: PeerMessage): Promise<void> {
-    const others = this.#members.workers().filter((host) => host.id !== this.#settings.self.id)
-    await Promise.all(others.map(async (host) => await this.#bus.post(host, message)))
+  /** Waits until the others have it, so that a caller who sends the request again finds it known everywhere. */
+  async #tellOthers (message: NoteLoss | ClearSuspect): Promise<void> {
+    const deadline = deadlineAfter(TELL_MS)
+    const others = this.#members.members().filter(({ host, state }) => state !== HostState.Dead && host.id !== this.#settings.self.id)
+    await Promise.all(others.map(async ({ host }) => await this.#bus.send(host, message, { deadline })))
   }
 }
--- a/packages/protocol/src/lib/quarantine-message.ts
+++ b/packages/protocol/src/lib/quarantine-message.ts
@@ -13,3 +13,6 @@
   kind: z.literal(PeerMessageKind.ClearSuspect),
   digest: z.string()
 })
+
+export type NoteLoss = z.infer<typeof noteLossSchema>
+export type ClearSuspect = z.infer<typeof clearSuspectSchema>
--- a/packages/state/src/lib/cell-endpoint.ts
+++ b/packages/state/src/lib/cell-endpoint.ts
@@ -25,7 +25,7 @@
 export interface HeldSlot {
   readonly grant: SlotGrant
   readonly request: SlotRequest
-  /** Minus infinity for an adopted slot: it was granted at some time before. */
+  /** For an adopted slot the time of its adoption; it was granted at some time before. */
   readonly grantedAt: number
   /** Whether an earlier owner of the cell granted it. */
   readonly adopted: boolean
@@ -100,7 +100,7 @@
   /** Gives a slot back. */
   end (slot: HeldSlot, now: number): void {
     this.held.delete(slot.grant.slotId)
-    this.#ended.push({ grantedAt: slot.grantedAt, endedAt: now })
+    this.#ended.push({ grantedAt: firstHeldAt(slot), endedAt: now })
     if (this.#ended.length > MAX_ENDED) this.#ended = this.#ended.slice(-MAX_ENDED / 2)
   }
 
@@ -151,7 +151,12 @@
   #mineAt (observedAt: number): number {
     this.#ended = this.#ended.filter((slot) => slot.endedAt >= observedAt - RELEASE_GRACE_MS)
     const ended = this.#ended.filter((slot) => slot.grantedAt <= observedAt + RELEASE_GRACE_MS)
-    const held = [...this.held.values()].filter((slot) => slot.grantedAt <= observedAt + RELEASE_GRACE_MS)
+    const held = [...this.held.values()].filter((slot) => firstHeldAt(slot) <= observedAt + RELEASE_GRACE_MS)
     return ended.length + held.length
   }
 }
+
+/** From when on a slot may have shown in the endpoint's load. */
+function firstHeldAt (slot: HeldSlot): number {
+  return slot.adopted ? -Infinity : slot.grantedAt
+}
--- a/packages/state/src/lib/cell.ts
+++ b/packages/state/src/lib/cell.ts
@@ -292,7 +292,7 @@
   #hold (endpoint: CellEndpoint, slotId: string, request: SlotRequest, adopted: boolean, now: number): SlotGrant {
     const leaseDeadline = Math.max(request.deadline, now) + this.#settings.leaseGraceMs
     const grant: SlotGrant = { slotId, requestId: request.requestId, endpoint: endpoint.endpoint, leaseDeadline }
-    const slot: HeldSlot = { grant, request, grantedAt: adopted ? -Infinity : now, adopted }
+    const slot: HeldSlot = { grant, request, grantedAt: now, adopted }
     endpoint.hold(slot, now)
     this.#held.set(slotId, slot)
     this.#leases.put(slot)
--- a/packages/state/src/lib/fair-queue.ts
+++ b/packages/state/src/lib/fair-queue.ts
@@ -18,7 +18,7 @@
  * comes back from idle. Without it, one that uses most of its share waits behind
  * its own bursts as soon as another floods the cell.
  */
-export const BURST_REQUESTS = 8
+export const BURST_REQUESTS = 16
 
 /** Weight of the newest request in the mean size. */
 const MEAN_SMOOTHING = 0.02
