--- a/packages/bench/src/lib/scenarios/index.ts
+++ b/packages/bench/src/lib/scenarios/index.ts
@@ -3,6 +3,9 @@
 import { lag } from './lag.js'
 import { limits } from './limits.js'
 import { poison } from './poison.js'
+import { reclaim } from './reclaim.js'
+import { stragglers } from './stragglers.js'
+import { weights } from './weights.js'
 import type { Scenario } from '../scenario.js'
 
 /** All experiments, a line each. */
@@ -11,5 +14,8 @@
   handover,
   lag,
   limits,
-  poison
+  poison,
+  reclaim,
+  stragglers,
+  weights
 ]
--- a/packages/bench/src/lib/task-fleet.ts
+++ b/packages/bench/src/lib/task-fleet.ts
@@ -223,7 +223,11 @@
     storeTimeoutMs: 2_000,
     hostListPeriodMs: 2_000,
     summaryPeriodMs: 500,
-    cellQueueLimit: 10_000
+    cellQueueLimit: 10_000,
+    storeWritesPerSecond: 300,
+    storeReadsPerSecond: 2_000,
+    answerRetentionMs: 86_400_000,
+    claimRetentionMs: 604_800_000
   }
 }
 
--- a/packages/cyclamenthread/src/lib/batch-handler.ts
+++ b/packages/cyclamenthread/src/lib/batch-handler.ts
@@ -41,7 +41,7 @@
     sendProblem(response, parsed.failure, hop.requestId)
     return
   }
-  const admitted = admit(hop.view, request, parsed.value.model)
+  const admitted = admit(hop, request, parsed.value.model)
   if (!admitted.ok) {
     sendProblem(response, admitted.failure, hop.requestId)
     return
@@ -117,7 +117,7 @@
 }
 
 function batchTarget (request: IncomingMessage, response: ServerResponse, hop: Hop): BatchTarget | undefined {
-  const caller = authenticate(hop.view, request)
+  const caller = authenticate(hop, request)
   if (!caller.ok) {
     sendProblem(response, caller.failure, hop.requestId)
     return undefined
@@ -147,7 +147,9 @@
   let cursor = after
   while (timeLeft(deadline) > 0 && !hop.signal.aborted) {
     const page = { after: cursor, limit: PAGE_SIZE, waitMs: cursor > after ? 0 : timeLeft(deadline) / 2 }
-    const answer = await gateway.ledger.readBatch(target.workspace, target.batchId, page, { deadline, traceparent: hop.traceparent, signal: hop.signal })
+    const read = gateway.ledger.readBatch(target.workspace, target.batchId, page, { deadline, traceparent: hop.traceparent, signal: hop.signal })
+    // An owner in this process goes on waiting; a key that was withdrawn must not.
+    const answer = await Promise.race([read, aborted(hop.signal)])
     if (answer?.status === 'none') {
       sendProblem(response, notRun(RefusalReason.UnknownBatch, 'there is no such batch'), hop.requestId)
       return
@@ -155,11 +157,17 @@
     if (answer?.status !== 'found') break
     if (!response.headersSent) response.writeHead(200, { 'content-type': 'application/x-ndjson', 'x-request-id': hop.requestId, 'x-batch-total': answer.total })
     for (const event of answer.events) response.write(`${JSON.stringify(eventDocument(event))}\n`)
-    cursor += answer.events.length
+    cursor = answer.events.at(-1)?.cursor ?? cursor
     if (answer.events.length === 0) break
   }
   if (response.headersSent) response.end()
-  else sendProblem(response, notRun(RefusalReason.StoreUnavailable, 'the owner of the batch can\'t be reached', 1000), hop.requestId)
+  else sendProblem(response, hop.keyHold.explain(notRun(RefusalReason.StoreUnavailable, 'the owner of the batch can\'t be reached', 1000)), hop.requestId)
+}
+
+/** Comes when the signal aborts. */
+async function aborted (signal: AbortSignal): Promise<undefined> {
+  if (signal.aborted) return
+  await new Promise((resolve) => signal.addEventListener('abort', resolve, { once: true }))
 }
 
 function eventDocument (event: BatchEvent): unknown {
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -10,9 +10,15 @@
   NoteLoss = 'quarantine.note',
   ClearSuspect = 'quarantine.clear',
   ExplainRequest = 'decisions.explain',
+  KeepDecisions = 'archive.keep',
   CommitRecord = 'ledger.commit',
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
   OpenBatch = 'batches.open',
-  Probe = 'member.probe'
+  Probe = 'member.probe',
+  Membership = 'member.gossip',
+  CheckCatalogue = 'catalogue.check',
+  FetchCatalogue = 'catalogue.fetch',
+  FetchParts = 'catalogue.parts',
+  AnnounceCatalogue = 'catalogue.announce'
 }
