--- a/packages/coordination/src/lib/batch-context.ts
+++ b/packages/coordination/src/lib/batch-context.ts
@@ -1,4 +1,4 @@
-import type { Staleness, StragglerPlan } from '@cyclamenthread/state'
+import type { Clock, Staleness, StragglerPlan } from '@cyclamenthread/state'
 import type { EndpointClient } from '@cyclamenthread/protocol'
 import type { CatalogueSource } from './catalogue-task.js'
 import type { CellRouter } from './cell-router.js'
@@ -40,4 +40,5 @@
   readonly staleness: Staleness
   readonly policy: BatchPolicy
   readonly counters: BatchCounters
+  readonly clock: Clock
 }
--- a/packages/coordination/src/lib/batch-run.ts
+++ b/packages/coordination/src/lib/batch-run.ts
@@ -43,7 +43,7 @@
   readonly #running = new Map<string, SampleRun>()
   readonly #onFree: () => void
   #failed: SampleOrder[] = []
-  #retryTimer: NodeJS.Timeout | undefined
+  #retrying = false
   #ended = false
   #traceparent = ''
 
@@ -128,7 +128,6 @@
   /** Ends the run; what it has not delivered is left to the next owner, or to nobody. */
   end (): void {
     this.#ended = true
-    clearTimeout(this.#retryTimer)
     for (const run of this.#running.values()) run.end()
     for (const group of this.#groups) this.#context.plan.forget(this.#batch.order.entry, group)
   }
@@ -152,10 +151,12 @@
   #retryLater (sample: SampleOrder): void {
     this.#context.counters.retried += 1
     this.#failed.push(sample)
-    this.#retryTimer ??= setTimeout(() => {
-      this.#retryTimer = undefined
+    if (this.#retrying) return
+    this.#retrying = true
+    void this.#context.clock.sleep(RETRY_MS).then(() => {
+      this.#retrying = false
       this.#queue.unshift(...this.#failed.splice(0))
       this.#onFree()
-    }, RETRY_MS)
+    })
   }
 }
--- a/packages/coordination/src/lib/batch-task.ts
+++ b/packages/coordination/src/lib/batch-task.ts
@@ -5,6 +5,7 @@
 import { BatchRun } from './batch-run.js'
 import { LedgerNewsKind } from './ledger-task.js'
 import { Periodic } from './periodic.js'
+import { SYSTEM_CLOCK } from './system-clock.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { CatalogueView } from '@cyclamenthread/state'
@@ -18,7 +19,7 @@
 const TAIL_PERIOD_MS = 100
 
 /** What the task is made from; the policy is the service's unless an experiment says otherwise. */
-export type BatchTaskParts = Omit<BatchContext, 'plan' | 'staleness' | 'counters' | 'policy'> & Partial<Pick<BatchContext, 'policy'>>
+export type BatchTaskParts = Omit<BatchContext, 'plan' | 'staleness' | 'counters' | 'clock' | 'policy'> & Partial<Pick<BatchContext, 'policy'>>
 
 /**
  * Runs the samples of the batches whose partitions this host owns, and commits
@@ -40,7 +41,7 @@
 
   constructor (ledger: LedgerTask, parts: BatchTaskParts) {
     this.#ledger = ledger
-    this.#context = { policy: BATCH_POLICY, ...parts, plan: new StragglerPlan(), staleness: new Staleness(), counters: this.counters }
+    this.#context = { policy: BATCH_POLICY, ...parts, plan: new StragglerPlan(), staleness: new Staleness(), counters: this.counters, clock: SYSTEM_CLOCK }
     this.#tail = new Periodic(TAIL_PERIOD_MS, async () => this.#look())
   }
 
--- a/packages/coordination/src/lib/sample-run.ts
+++ b/packages/coordination/src/lib/sample-run.ts
@@ -71,7 +71,7 @@
   /** Monotonic milliseconds since when the sample waits for its first slot; undefined when it does not. */
   get waitingSince (): number | undefined {
     const [copy] = this.#copies
-    return this.#copies.size === 1 && copy?.startedAt === undefined ? copy?.askedAt : undefined
+    return !this.#committing && this.#copies.size === 1 && copy?.startedAt === undefined ? copy?.askedAt : undefined
   }
 
   /** Asks anew for a slot, as one may be free in another cell than the one it waits in. */
