Samples bind when a slot is free; asking anew backs off

Kept, as a sample that asks anew again and again can be kept from its turn. Suspected and not yet shown: within a workspace the cell's queue is not first come first served, since settling a request lowers the tags of later ones.

--- a/packages/coordination/src/lib/batch-run.ts
+++ b/packages/coordination/src/lib/batch-run.ts
@@ -6,13 +6,12 @@
 import type { PartitionOwner } from './partition-owner.js'
 
 /**
- * Samples that run or ask for slots, as a multiple of the slots of the pool:
- * enough to fill each slot as it gets free, few enough that the rest can still go
- * to whichever cell is free then.
+ * Samples that run or ask for slots, as a multiple of the slots of the pool. Not
+ * more: what waits in one cell can't use the slot that gets free in another.
  */
-const AHEAD = 1.25
+const AHEAD = 1
 
-/** Wait in one cell after which a sample asks anew, in milliseconds. */
+/** Wait in one cell after which a sample asks anew, in milliseconds; doubles each time, so that none is kept from its turn. */
 const ASK_AGAIN_MS = 200
 
 /** Samples that ask for slots even when no slot of the pool is known. */
@@ -98,7 +97,7 @@
    */
   #askAgain (now: number): void {
     const runs = [...this.#running.values()]
-    const waiting = runs.filter((run) => now - (run.waitingSince ?? Infinity) > ASK_AGAIN_MS)
+    const waiting = runs.filter((run) => now - (run.waitingSince ?? Infinity) > ASK_AGAIN_MS * 2 ** run.asks)
     if (waiting.length === 0) return
     waiting.sort((a, b) => (b.waitingSince ?? 0) - (a.waitingSince ?? 0))
     const unused = this.#context.slots.totalSlots(this.pool) - runs.filter((run) => run.progress !== undefined && !run.committing).length
--- a/packages/coordination/src/lib/sample-run.ts
+++ b/packages/coordination/src/lib/sample-run.ts
@@ -39,6 +39,8 @@
   readonly #copies = new Set<SampleCopy>()
   readonly #settled: Promise<boolean>
   #finish: (settled: boolean) => void = () => {}
+  /** How often the sample has asked anew. */
+  asks = 0
   #attempts = 0
   #committing = false
   #copying = false
@@ -79,6 +81,7 @@
     if (this.#over || this.waitingSince === undefined) return
     const [copy] = this.#copies
     if (copy === undefined) return
+    this.asks += 1
     copy.abandon()
     this.#copies.delete(copy)
     this.#start([], copy.given)
