--- a/packages/bench/src/lib/scenarios/index.ts
+++ b/packages/bench/src/lib/scenarios/index.ts
@@ -1,11 +1,21 @@
-import { RECLAIM } from './reclaim.js'
-import { STRAGGLERS } from './stragglers.js'
-import { WEIGHTS } from './weights.js'
+import { flood } from './flood.js'
+import { handover } from './handover.js'
+import { lag } from './lag.js'
+import { limits } from './limits.js'
+import { poison } from './poison.js'
+import { reclaim } from './reclaim.js'
+import { stragglers } from './stragglers.js'
+import { weights } from './weights.js'
 import type { Scenario } from '../scenario.js'
 
 /** All experiments, a line each. */
 export const SCENARIOS: readonly Scenario[] = [
-  RECLAIM,
-  STRAGGLERS,
-  WEIGHTS
+  flood,
+  handover,
+  lag,
+  limits,
+  poison,
+  reclaim,
+  stragglers,
+  weights
 ]
--- a/packages/bench/src/lib/scenarios/reclaim.ts
+++ b/packages/bench/src/lib/scenarios/reclaim.ts
@@ -73,7 +73,7 @@
 }
 
 /** The cheap endpoints of a failure domain are taken back in the middle of a step. */
-export const RECLAIM: Scenario = {
+export const reclaim: Scenario = {
   name: 'reclaim',
   question: 'what does a step lose when the cheap endpoints of a failure domain are taken back, and how much runs on cheap ones?',
   async run (seed) {
--- a/packages/bench/src/lib/scenarios/stragglers.ts
+++ b/packages/bench/src/lib/scenarios/stragglers.ts
@@ -34,7 +34,7 @@
 }
 
 /** A step with long samples, and one engine that is slow without saying so. */
-export const STRAGGLERS: Scenario = {
+export const stragglers: Scenario = {
   name: 'stragglers',
   question: 'how much longer than its lower bound does a step take when lengths differ and one engine is slow?',
   async run (seed) {
--- a/packages/bench/src/lib/scenarios/weights.ts
+++ b/packages/bench/src/lib/scenarios/weights.ts
@@ -52,7 +52,7 @@
 }
 
 /** New weights every few minutes while trainers pull rollouts. */
-export const WEIGHTS: Scenario = {
+export const weights: Scenario = {
   name: 'weights',
   question: 'how soon have all endpoints new weights, and how many of them serve meanwhile?',
   async run (seed) {
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,11 +1,14 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionLog, DispatcherTask, DomainLeaderTask, LedgerClient, LedgerTask, LimitTask, MemberTask,
-  MessageBus, QuarantineTask, ServiceRunner, UsageTask
+  BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask,
+  DomainLeaderTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
+  UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
+import { deadlineAfter } from '@cyclamenthread/transport'
 import { Gateway } from './gateway.js'
+import { measureForOperators } from './operator-metrics.js'
 import { hostSettings } from './settings.js'
 import type { BatchCounters, BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
@@ -29,6 +32,7 @@
   readonly #host: HostSettings
   readonly #broker: ServiceBroker
   readonly #store: HttpObjectStore
+  readonly #budgeted: BudgetedStore
   readonly #platform: PlatformClient
   readonly #endpoints = new EndpointClient()
   readonly #registry = new Registry()
@@ -36,6 +40,7 @@
   readonly #members: MemberTask
   readonly #catalogue: CatalogueTask
   readonly #decisions: DecisionLog
+  readonly #archive: DecisionArchive
   readonly #dispatcher: DispatcherTask
   readonly #limits: LimitTask
   readonly #quarantine: QuarantineTask
@@ -43,28 +48,47 @@
   readonly #ledger: LedgerTask
   readonly #batches: BatchTask
   readonly #usage: UsageTask
+  readonly #behind: WriteBehind
   readonly #domains: DomainLeaderTask
   readonly #capacity: CapacityTask
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
+  #onLeft: () => void = () => {}
+  /** Resolves when a planned stop has come to its end, whoever began it. */
+  readonly left = new Promise<void>((resolve) => {
+    this.#onLeft = resolve
+  })
 
   constructor (settings: ServiceSettings, options: ServiceOptions = {}) {
     this.#settings = settings
     this.#host = hostSettings(settings)
-    this.#broker = new ServiceBroker({ nodeID: settings.hostId, logger: false, tracing: false, metrics: false })
+    this.#broker = new ServiceBroker({
+      nodeID: settings.hostId,
+      logger: false,
+      tracing: false,
+      metrics: false,
+      // Left to itself the broker ends the process at the first signal, before any drain.
+      skipProcessEventRegistration: true
+    })
     this.#store = new HttpObjectStore(settings.storeUrl)
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
     this.#members = new MemberTask(this.#host, this.#platform)
-    this.#catalogue = new CatalogueTask(this.#host, this.#store)
+    this.#budgeted = new BudgetedStore({
+      store: this.#store,
+      allowance: { writesPerSecond: settings.storeWritesPerSecond, readsPerSecond: settings.storeReadsPerSecond },
+      share: () => ({ hosts: this.#members.workers().length, ownedPartitions: this.#ledger?.owned().length ?? 0, partitions: settings.ledgerPartitions })
+    })
+    this.#catalogue = new CatalogueTask(this.#host, this.#budgeted)
     this.#decisions = new DecisionLog(this.#host)
     this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions, this.#bus, this.#endpoints)
     this.#limits = new LimitTask(this.#host, this.#members, this.#catalogue, this.#bus)
     this.#quarantine = new QuarantineTask(this.#host, this.#members, this.#bus)
     this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus, this.#limits, this.#quarantine)
-    this.#ledger = new LedgerTask(this.#host, this.#members, this.#store)
+    this.#ledger = new LedgerTask(this.#host, this.#members, this.#budgeted)
     const completions = new CompletionRunner(this.#router, this.#endpoints, this.#quarantine)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
+    this.#behind = new WriteBehind(ledger)
     this.#batches = new BatchTask(this.#ledger, {
       catalogue: this.#catalogue,
       runner: completions,
@@ -72,13 +96,14 @@
       slots: this.#router,
       ...(options.batchPolicy === undefined ? {} : { policy: options.batchPolicy })
     })
+    this.#archive = new DecisionArchive(this.#host, { log: this.#decisions, members: this.#members, bus: this.#bus, ledger, behind: this.#behind })
     this.#usage = new UsageTask(this.#host, {
       members: this.#members,
       advance: async (partition) => await this.#ledger.advance(partition),
-      store: this.#store,
+      store: this.#budgeted,
       platform: this.#platform
     })
-    const leaderContext = { members: this.#members, catalogue: this.#catalogue, store: this.#store, endpoints: this.#endpoints }
+    const leaderContext = { members: this.#members, catalogue: this.#catalogue, store: this.#budgeted, endpoints: this.#endpoints }
     this.#domains = new DomainLeaderTask(this.#host, settings, leaderContext)
     this.#capacity = new CapacityTask(this.#host, settings, { ...leaderContext, bus: this.#bus, platform: this.#platform })
     this.#gateway = new Gateway({
@@ -88,16 +113,23 @@
       bus: this.#bus,
       ledger,
       completions,
-      services: new ServiceRunner(this.#router, this.#endpoints, ledger),
-      registry: this.#registry
+      services: new ServiceRunner({ router: this.#router, endpoints: this.#endpoints, ledger, behind: this.#behind }),
+      writeBehind: this.#behind,
+      decisions: this.#decisions,
+      registry: this.#registry,
+      leave: () => {
+        void this.drain()
+      }
     })
     this.#measure()
+    measureForOperators(this.#registry, { catalogue: this.#catalogue, members: this.#members, usage: this.#usage })
   }
 
   /** Starts every task; the port for callers opens last. */
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
     this.#broker.createService(this.#decisions.service())
+    this.#broker.createService(this.#archive.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#router.service())
     this.#broker.createService(this.#limits.service())
@@ -116,6 +148,7 @@
     await this.#usage.start()
     await this.#domains.start()
     await this.#capacity.start()
+    await this.#archive.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
@@ -137,7 +170,9 @@
     await new Promise((resolve) => setTimeout(resolve, this.#settings.addressTtlMs))
     const limit = new Promise((resolve) => setTimeout(resolve, this.#settings.drainTimeoutMs).unref())
     await Promise.race([this.#gateway.drained(), limit])
+    await this.#behind.drain(deadlineAfter(this.#settings.drainTimeoutMs))
     await this.stop()
+    this.#onLeft()
   }
 
   /** Stops at once. */
@@ -145,6 +180,7 @@
     await this.#batches.stop()
     await this.#capacity.stop()
     await this.#domains.stop()
+    await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
     await this.#limits.stop()
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { unreachable } from '@cyclamenthread/state'
-import { deadlineSignal } from '@cyclamenthread/transport'
+import { openDeadline, withDeadline } from '@cyclamenthread/transport'
 import { leasedBody } from './leased-body.js'
 import type { Endpoint, VersionSpan } from '@cyclamenthread/state'
 
@@ -164,13 +164,14 @@
   /** Streams a completion. The stream always ends with `End` or `Failure`; it does not throw. */
   async * complete (endpoint: Endpoint, call: CompletionCall): AsyncGenerator<CompletionPart> {
     let sent = false
+    const scope = openDeadline(call.deadline, call.signal)
     try {
       const response = await request(`${endpoint.url}/v1/completions`, {
         method: 'POST',
         headers: { 'content-type': 'application/json', 'x-request-id': call.requestId, traceparent: call.traceparent },
         body: JSON.stringify({ prompt: call.prompt, max_tokens: call.maxTokens, stream: true, request_id: call.requestId, resume: call.resume }),
         dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
+        signal: scope.signal
       })
       sent = true
       if (response.statusCode !== 200) {
@@ -181,21 +182,25 @@
       yield * this.#parts(response.body, call.requestId)
     } catch (error) {
       yield { kind: CompletionPartKind.Failure, sent: sent || !neverSent(error), detail: messageOf(error) }
+    } finally {
+      scope.close()
     }
   }
 
   /** Calls a plain service and reads its whole answer. Does not throw. */
   async callService (endpoint: Endpoint, call: ServiceCall): Promise<ServiceReply> {
     try {
-      const response = await request(endpoint.url + call.path, {
-        method: call.method as 'GET',
-        headers: call.headers.flat(),
-        body: call.body.length > 0 ? call.body : null,
-        dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
-      })
-      const body = new Uint8Array(await response.body.arrayBuffer())
-      return { ok: true, status: response.statusCode, headers: headerPairs(response.headers), body }
+      return await withDeadline(call.deadline, async (signal): Promise<ServiceReply> => {
+        const response = await request(endpoint.url + call.path, {
+          method: call.method as 'GET',
+          headers: call.headers.flat(),
+          body: call.body.length > 0 ? call.body : null,
+          dispatcher: this.#agent,
+          signal
+        })
+        const body = new Uint8Array(await response.body.arrayBuffer())
+        return { ok: true, status: response.statusCode, headers: headerPairs(response.headers), body }
+      }, call.signal)
     } catch (error) {
       return { ok: false, sent: !neverSent(error), detail: messageOf(error) }
     }
@@ -204,8 +209,10 @@
   /** Reads an engine's load report; undefined when it gives none in time. */
   async readLoad (endpoint: Endpoint, deadline: number): Promise<LoadReport | undefined> {
     try {
-      const response = await request(`${endpoint.url}/load`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
-      return loadReportSchema.safeParse(await response.body.json()).data
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${endpoint.url}/load`, { dispatcher: this.#agent, signal })
+        return loadReportSchema.safeParse(await response.body.json()).data
+      })
     } catch {
       return undefined
     }
@@ -214,8 +221,10 @@
   /** Reads the changes of an engine's prefix cache after a sequence number; undefined when it gives none in time. */
   async readCacheChanges (endpoint: Endpoint, after: number, deadline: number): Promise<readonly CacheChange[] | undefined> {
     try {
-      const response = await request(`${endpoint.url}/cache-events?after=${after}`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
-      return cacheEventsSchema.safeParse(await response.body.json()).data?.events
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${endpoint.url}/cache-events?after=${after}`, { dispatcher: this.#agent, signal })
+        return cacheEventsSchema.safeParse(await response.body.json()).data?.events
+      })
     } catch {
       return undefined
     }
@@ -224,14 +233,16 @@
   /** Takes over what a running request has produced, with its KV cache; undefined when the endpoint does not give it. */
   async exportKv (endpoint: Endpoint, requestId: string, deadline: number): Promise<CompletionResumption | undefined> {
     try {
-      const response = await request(`${endpoint.url}/kv/export`, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: JSON.stringify({ request_id: requestId }),
-        dispatcher: this.#agent,
-        signal: deadlineSignal(deadline)
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${endpoint.url}/kv/export`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: JSON.stringify({ request_id: requestId }),
+          dispatcher: this.#agent,
+          signal
+        })
+        return resumptionSchema.safeParse(await response.body.json()).data
       })
-      return resumptionSchema.safeParse(await response.body.json()).data
     } catch {
       return undefined
     }
@@ -248,17 +259,19 @@
   async order (endpoint: Endpoint, order: EndpointOrder, deadline: number): Promise<OrderStatus> {
     const body = leasedBody(JSON.stringify(order), deadline)
     try {
-      const response = await request(`${endpoint.url}/orders`, {
-        method: 'POST',
-        headers: { 'content-type': 'application/json' },
-        body: body.bytes(),
-        dispatcher: this.#agent,
-        signal: deadlineSignal(deadline)
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${endpoint.url}/orders`, {
+          method: 'POST',
+          headers: { 'content-type': 'application/json' },
+          body: body.bytes(),
+          dispatcher: this.#agent,
+          signal
+        })
+        await response.body.dump()
+        if (response.statusCode === 200) return OrderStatus.Accepted
+        return response.statusCode === 409 ? OrderStatus.Fenced : OrderStatus.Unknown
       })
-      await response.body.dump()
-      if (response.statusCode === 200) return OrderStatus.Accepted
-      return response.statusCode === 409 ? OrderStatus.Fenced : OrderStatus.Unknown
-    } catch (error) {
+    } catch {
       return body.started ? OrderStatus.Unknown : OrderStatus.NotSent
     }
   }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 import { openBatchSchema } from './batch-message.js'
-import { explainRequestSchema, explanationSchema } from './decision-message.js'
+import { explainRequestSchema, explanationSchema, keepDecisionsSchema } from './decision-message.js'
 import {
   acquireSlotSchema, cancelRequestSchema, cellSummariesSchema, heldSlotsSchema, listHeldSlotsSchema, pushSummariesSchema, releaseSlotSchema,
   slotAnswerSchema, summariseCellsSchema
@@ -17,7 +17,7 @@
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, pushSummariesSchema, listHeldSlotsSchema,
-  askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema,
+  askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema
 ])
 
@@ -33,6 +33,7 @@
   [PeerMessageKind.NoteLoss]: receiptSchema,
   [PeerMessageKind.ClearSuspect]: receiptSchema,
   [PeerMessageKind.ExplainRequest]: explanationSchema,
+  [PeerMessageKind.KeepDecisions]: receiptSchema,
   [PeerMessageKind.CommitRecord]: commitAnswerSchema,
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
   [PeerMessageKind.ReadBatch]: batchAnswerSchema,
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
-import { deadlineSignal } from '@cyclamenthread/transport'
+import { withDeadline } from '@cyclamenthread/transport'
 import { leasedBody } from './leased-body.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
@@ -115,18 +115,22 @@
   }
 
   async #send (method: 'GET' | 'POST' | 'PUT', path: string, body: unknown, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+    const text = body === undefined ? undefined : JSON.stringify(body)
+    const length = text === undefined ? {} : { 'content-length': String(Buffer.byteLength(text)) }
     try {
-      const response = await request(this.#baseUrl + path, {
-        method,
-        headers: { 'content-type': 'application/json' },
-        body: body === undefined ? null : leasedBody(JSON.stringify(body), call.deadline).bytes(),
-        dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
-      })
-      const text = await response.body.text()
-      if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
-      if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
-      return success(text === '' ? undefined : JSON.parse(text))
+      return await withDeadline(call.deadline, async (signal) => {
+        const response = await request(this.#baseUrl + path, {
+          method,
+          headers: { 'content-type': 'application/json', ...length },
+          body: text === undefined ? null : leasedBody(text, call.deadline).bytes(),
+          dispatcher: this.#agent,
+          signal
+        })
+        const answer = await response.body.text()
+        if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
+        if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
+        return success<unknown>(answer === '' ? undefined : JSON.parse(answer))
+      }, call.signal)
     } catch {
       return failure(PlatformFailure.Unavailable)
     }
--- a/packages/protocol/src/lib/weight-store-client.ts
+++ b/packages/protocol/src/lib/weight-store-client.ts
@@ -1,6 +1,6 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
-import { deadlineSignal } from '@cyclamenthread/transport'
+import { withDeadline } from '@cyclamenthread/transport'
 
 const releaseListSchema = z.object({
   releases: z.array(z.object({ pool: z.string(), version: z.int().nonnegative() }))
@@ -31,8 +31,10 @@
    */
   async releases (deadline: number): Promise<readonly WeightRelease[] | undefined> {
     try {
-      const response = await request(`${this.#baseUrl}/releases`, { dispatcher: this.#agent, signal: deadlineSignal(deadline) })
-      return releaseListSchema.safeParse(await response.body.json()).data?.releases
+      return await withDeadline(deadline, async (signal) => {
+        const response = await request(`${this.#baseUrl}/releases`, { dispatcher: this.#agent, signal })
+        return releaseListSchema.safeParse(await response.body.json()).data?.releases
+      })
     } catch {
       return undefined
     }
--- a/packages/standins/src/test/engine-standin.test.ts
+++ b/packages/standins/src/test/engine-standin.test.ts
@@ -10,6 +10,10 @@
 import type { EngineSettings } from '../lib/engine-settings-standin.js'
 
 const PROMPT = 'chalk '.repeat(40)
+
+/** Time of a token where a test acts in mid-stream: a loaded machine must not end the stream before that. */
+const SLOW_TOKEN_MS = 30
+
 const call = { requestId: 'r', prompt: PROMPT, maxTokens: 64, traceparent: '' }
 
 async function started (settings: Partial<EngineSettings> = {}): Promise<{ readonly engine: EngineStandin, readonly endpoint: Endpoint, readonly client: EndpointClient }> {
@@ -25,7 +29,7 @@
 }
 
 test('a change of weights in mid-stream names both versions', async (t) => {
-  const { engine, endpoint, client } = await started()
+  const { engine, endpoint, client } = await started({ tokenMs: SLOW_TOKEN_MS })
   const running = completed(client, endpoint)
   while (engine.counts.tokens < 16) await new Promise((resolve) => setTimeout(resolve, 1))
   engine.load(2)
@@ -61,7 +65,7 @@
 })
 
 test('a stream goes on elsewhere from its exported KV cache without prefill', async (t) => {
-  const first = await started()
+  const first = await started({ tokenMs: SLOW_TOKEN_MS })
   const second = await started()
   const abort = new AbortController()
   const cut = completed(first.client, first.endpoint, { signal: abort.signal })
