--- /dev/null
+++ b/packages/bench/src/lib/slopes/fleet.ts
@@ -0,0 +1,172 @@
+import { DomainLeader } from '@cyclamenthread/coordination'
+import { CatalogueView, EMPTY_ROSTER, EntryKind, FencingSupport, StragglerPlan } from '@cyclamenthread/state'
+import { EndpointClient } from '@cyclamenthread/protocol'
+import { answerJson, HttpStandin, MemoryStore, seededRandom } from '@cyclamenthread/standins'
+import type { Endpoint, SampleOrder } from '@cyclamenthread/state'
+import type { CatalogueSource, FleetSettings, HostSettings, MemberView } from '@cyclamenthread/coordination'
+import type { StandinRequest } from '@cyclamenthread/standins'
+
+/** Endpoints of one failure domain; 2,700 in 16 domains are about 170. */
+const DOMAIN_SIZES = [40, 80, 160, 320]
+
+/** Samples of the batches of one owner; a trainer's step has 2,048. */
+const BATCH_SIZES = [512, 1_024, 2_048, 4_096]
+
+/** Time from an order until an endpoint tells of its new weights, in milliseconds. */
+const SWAP_MS = 500
+
+/** Size of the run before the measured ones. */
+const WARM_UP_SIZE = 320
+
+const FETCHES_PER_SECOND = 400
+const LEASE_MS = 10_000
+const LOOK_MS = 10
+const TOKENS = 250
+
+/** What one wave costs the leader of a failure domain. */
+export interface WaveSlope {
+  readonly endpoints: number
+  /** Processor time with the HTTP client and the stand-in's server, in microseconds. */
+  readonly cpuMicrosPerEndpoint: number
+  readonly messagesPerEndpoint: number
+  readonly durationMs: number
+  readonly storeCallsPerSecond: number
+  /** Size of the roster's part for one ordered endpoint, in bytes. */
+  readonly rosterBytesPerEndpoint: number
+}
+
+/** What planning a step costs the owner of its batch. */
+export interface StepSlope {
+  readonly samples: number
+  /** Processor time of ordering, learning and looking for late samples, in microseconds. */
+  readonly cpuMicrosPerSample: number
+  /** Size of the order that is held while the batch is open, in bytes. */
+  readonly stateBytesPerSample: number
+}
+
+/** Endpoints under one port, each with a version of its own. */
+class EndpointFarm {
+  readonly http = new HttpStandin(async (request) => this.#answer(request))
+  readonly versions = new Map<string, number>()
+  messages = 0
+
+  #answer (request: StandinRequest): void {
+    this.messages += 1
+    const [, id = '', action = ''] = request.url.pathname.split('/')
+    const version = this.versions.get(id) ?? 1
+    if (action === 'load') {
+      answerJson(request.response, 200, { running: 0, waiting: 0, version, ageMs: 0 })
+      return
+    }
+    const order = JSON.parse(request.body.toString('utf8')) as { version: number }
+    setTimeout(() => this.versions.set(id, order.version), SWAP_MS)
+    answerJson(request.response, 200, {})
+  }
+}
+
+/**
+ * Measures one wave of weights at four sizes of a failure domain.
+ *
+ * @example
+ * for (const row of await measureWaves(1)) console.log(row)
+ */
+export async function measureWaves (seed: number): Promise<WaveSlope[]> {
+  // The first run pays for the compiler and is not counted.
+  await measureWave(WARM_UP_SIZE, seed)
+  const rows: WaveSlope[] = []
+  for (const size of DOMAIN_SIZES) rows.push(await measureWave(size, seed))
+  return rows
+}
+
+async function measureWave (size: number, seed: number): Promise<WaveSlope> {
+  const farm = new EndpointFarm()
+  const url = await farm.http.listen()
+  const endpoints = Array.from({ length: size }, (_, index): Endpoint => ({
+    id: `e${index}`, url: `${url}/e${index}`, region: 'r', failureDomain: 'd', slots: 16, cheap: false, fencing: FencingSupport.Checked
+  }))
+  const store = new MemoryStore({ sleep: async () => await Promise.resolve() }, seededRandom(seed))
+  const client = new EndpointClient()
+  let view = viewOf(endpoints, 1)
+  const catalogue: CatalogueSource = { current: () => view, onChange: () => {} }
+  const leader = new DomainLeader(hostSettings(), fleetSettings(), { region: 'r', failureDomain: 'd' }, { members: memberView(), catalogue, store, endpoints: client })
+  await leader.start()
+  while (!leader.leads || farm.messages < size) await sleep(LOOK_MS)
+  const before = { messages: farm.messages, calls: store.counts.reads + store.counts.writes, at: performance.now(), cpu: process.cpuUsage() }
+  view = viewOf(endpoints, 2)
+  while ([...farm.versions.values()].filter((version) => version === 2).length < size) await sleep(LOOK_MS)
+  const cpu = process.cpuUsage(before.cpu)
+  const durationMs = performance.now() - before.at
+  const row: WaveSlope = {
+    endpoints: size,
+    cpuMicrosPerEndpoint: (cpu.user + cpu.system) / size,
+    messagesPerEndpoint: (farm.messages - before.messages) / size,
+    durationMs,
+    storeCallsPerSecond: (store.counts.reads + store.counts.writes - before.calls) * 1_000 / durationMs,
+    rosterBytesPerEndpoint: JSON.stringify({ endpoint: endpoints[0], pool: 'engines', state: 'running' }).length
+  }
+  await leader.stop()
+  await client.close()
+  await farm.http.close()
+  return row
+}
+
+function viewOf (endpoints: Endpoint[], version: number): CatalogueView {
+  const pools = [{ name: 'engines', kind: EntryKind.Model, endpoints, capacity: [] }]
+  return new CatalogueView(1, { workspaces: [], keys: [], entries: [], pools }, EMPTY_ROSTER, { sequence: version, releases: [{ pool: 'engines', version }] })
+}
+
+function memberView (): MemberView {
+  const { self } = hostSettings()
+  return { workers: () => [self], members: () => [], find: () => self, onChange: () => {} }
+}
+
+function hostSettings (): HostSettings {
+  const self = { id: 'h', region: 'r', failureDomain: 'd', peerAddress: '', callerUrl: '', hasDataFolder: false }
+  return { self, incarnation: 'i', leaseMs: LEASE_MS, storeTimeoutMs: 1_000 } as unknown as HostSettings
+}
+
+function fleetSettings (): FleetSettings {
+  return {
+    weightFetchesPerSecond: FETCHES_PER_SECOND,
+    weightServingShare: 0.5,
+    weightSwapTimeoutMs: 5_000,
+    endpointStartMs: 1_000,
+    endpointHoldMs: 1_000,
+    endpointBackOffMs: 1_000,
+    endpointSlots: 16
+  }
+}
+
+/**
+ * Measures the planning of a step at four sizes.
+ *
+ * @example
+ * for (const row of measureSteps(1)) console.log(row)
+ */
+export function measureSteps (seed: number): StepSlope[] {
+  const random = seededRandom(seed)
+  measureStep(WARM_UP_SIZE, random)
+  return BATCH_SIZES.map((size) => measureStep(size, random))
+}
+
+function measureStep (size: number, random: () => number): StepSlope {
+  const samples = Array.from({ length: size }, (_, index): SampleOrder => ({
+    sampleId: `s${index}`, group: `g${Math.floor(index / 8)}`, prompt: 'critique the composition of a drawing', maxTokens: 2 * TOKENS, expectedTokens: Math.round(2 * TOKENS * random())
+  }))
+  const plan = new StragglerPlan()
+  const cpu = process.cpuUsage()
+  const ordered = plan.order('critique', samples)
+  for (const sample of ordered) plan.learn('critique', sample.group, sample.expectedTokens, sample.expectedTokens * 10)
+  const running = ordered.map((sample) => ({ sampleId: sample.sampleId, entry: 'critique', expectedTokens: sample.expectedTokens, startedAt: 0, tokens: sample.expectedTokens / 2, copies: 1 }))
+  plan.copies(running, size, TOKENS * 10)
+  const used = process.cpuUsage(cpu)
+  return {
+    samples: size,
+    cpuMicrosPerSample: (used.user + used.system) / size,
+    stateBytesPerSample: JSON.stringify(samples).length / size
+  }
+}
+
+async function sleep (milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
