An expectation above the maximum is an expectation; ahead of the slots by a quarter again

Cause of the one long sample that started last: an expected length at or over the maximum was taken for none, so the longest samples were ordered by the learned average, after all others. What was suspected before, the order of the cell's queue, was ruled out by reading it: it is first come first served within a workspace.

--- a/packages/coordination/src/lib/batch-run.ts
+++ b/packages/coordination/src/lib/batch-run.ts
@@ -6,10 +6,11 @@
 import type { PartitionOwner } from './partition-owner.js'
 
 /**
- * Samples that run or ask for slots, as a multiple of the slots of the pool. Not
- * more: what waits in one cell can't use the slot that gets free in another.
+ * Samples that run or ask for slots, as a multiple of the slots of the pool:
+ * enough to fill each slot as it gets free, few enough that the rest can still go
+ * to whichever cell is free then.
  */
-const AHEAD = 1
+const AHEAD = 1.25
 
 /** Wait in one cell after which a sample asks anew, in milliseconds; doubles each time, so that none is kept from its turn. */
 const ASK_AGAIN_MS = 200
--- a/packages/state/src/lib/straggler-plan.ts
+++ b/packages/state/src/lib/straggler-plan.ts
@@ -62,7 +62,8 @@
 
   /** Tokens a sample is expected to have: what its trainer says, else the average of its group or its entry. */
   expectedTokens (entry: string, sample: SampleOrder): number {
-    if (sample.expectedTokens < sample.maxTokens) return sample.expectedTokens
+    // An order without an expectation carries the maximum in its place; one above the maximum is an expectation.
+    if (sample.expectedTokens !== sample.maxTokens) return Math.min(sample.expectedTokens, sample.maxTokens)
     const learned = [this.#lengths.get(`${entry}\u0000${sample.group}`), this.#lengths.get(entry)]
     const average = learned.find((item) => item !== undefined && item.observations >= MIN_OBSERVATIONS)
     return average === undefined ? sample.expectedTokens : Math.min(sample.maxTokens, average.value)
--- a/packages/state/src/test/straggler-plan.test.ts
+++ b/packages/state/src/test/straggler-plan.test.ts
@@ -48,6 +48,7 @@
   for (let count = 0; count < 10; count++) plan.learn('e', 'long', 500, 500)
   for (let count = 0; count < 10; count++) plan.learn('e', 'short', 20, 20)
   const unsaid = [sample('s', 'short', 1_000), sample('l', 'long', 1_000)]
+  t.is(plan.expectedTokens('e', sample('x', 'short', 1_200)), 1_000, 'an expectation above the maximum is one')
   t.deepEqual(plan.order('e', unsaid).map((item) => item.sampleId), ['l', 's'])
 })
 
