--- a/packages/cyclamenthread/src/lib/settings.ts
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -1,7 +1,9 @@
 import { randomBytes } from 'node:crypto'
+import { existsSync, readFileSync } from 'node:fs'
 import { isIPv4 } from 'node:net'
 import { z } from 'zod'
 import type { HostSettings } from '@cyclamenthread/coordination'
+import type { PeerCertificates } from '@cyclamenthread/transport'
 
 /** Prefix of the environment variables that carry settings. */
 export const ENVIRONMENT_PREFIX = 'CYCLAMENTHREAD_'
@@ -22,6 +24,7 @@
 const httpUrl = z.url({ protocol: /^https?$/, error: 'expected a URL, as http://10.0.0.9:9000' })
 const secret = z.string().min(MIN_SECRET_LENGTH, `expected at least ${MIN_SECRET_LENGTH} characters`)
 const milliseconds = z.coerce.number('expected a whole number of milliseconds').int('expected a whole number of milliseconds').positive('expected a number above 0')
+const file = z.string().refine((path) => existsSync(path), 'expected a file that exists')
 const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'expected lower-case letters, digits, dots and dashes, at most 63')
 
 /** Settings of the service, by flag name. Each is also read from the environment. */
@@ -36,6 +39,9 @@
   platformUrl: httpUrl.describe('Base URL of the platform\'s host list, endpoint ordering and usage intake.'),
   clusterSecret: secret.describe('Secret that all hosts of the deployment share; set it by the environment.'),
   operatorToken: secret.optional().describe('Token that proves an operator; without it the host has no operators\' interface. Set it by the environment.'),
+  peerCertificate: file.optional().describe('File of this host\'s certificate for other hosts (PEM, common name = host id); turns TLS between hosts on.'),
+  peerKey: file.optional().describe('File of the private key of the certificate for other hosts (PEM).'),
+  peerAuthority: file.optional().describe('File of the certificate of the authority that signs all hosts\' certificates (PEM).'),
   dataFolder: z.string().optional().describe('Folder for bulk data; hosts without one keep nothing.'),
   ledgerPartitions: z.coerce.number().int().min(1).max(1024).default(16).describe('Partitions of the ledger; the same on all hosts, fixed for the life of a deployment.'),
   usageWindowMs: milliseconds.default(60_000).describe('Length of a usage window, in milliseconds; the same on all hosts.'),
@@ -95,10 +101,23 @@
   return rest.length === 0 && isIPv4(ip) && ip !== '0.0.0.0' && inRange
 }
 
+/** The certificates of this host; undefined unless all three files are given. */
+function readCertificates (settings: ServiceSettings): PeerCertificates | undefined {
+  const { peerCertificate, peerKey, peerAuthority } = settings
+  if (peerCertificate === undefined || peerKey === undefined || peerAuthority === undefined) return undefined
+  return {
+    certificate: readFileSync(peerCertificate, 'utf8'),
+    key: readFileSync(peerKey, 'utf8'),
+    authority: readFileSync(peerAuthority, 'utf8')
+  }
+}
+
 /** What the tasks need of the settings, for one life of the process. */
 export function hostSettings (settings: ServiceSettings): HostSettings {
+  const certificates = readCertificates(settings)
   return {
     ...settings,
+    ...(certificates === undefined ? {} : { certificates }),
     self: {
       id: settings.hostId,
       region: settings.region,
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -1,6 +1,9 @@
 import { z } from 'zod'
 import { openBatchSchema } from './batch-message.js'
 import { explainRequestSchema, explanationSchema, keepDecisionsSchema } from './decision-message.js'
+import {
+  announceCatalogueSchema, catalogueAnswerSchema, checkAnswerSchema, checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, partsAnswerSchema
+} from './catalogue-message.js'
 import {
   acquireSlotSchema, cancelRequestSchema, cellSummariesSchema, heldSlotsSchema, listHeldSlotsSchema, pushSummariesSchema, releaseSlotSchema,
   slotAnswerSchema, summariseCellsSchema
@@ -9,7 +12,7 @@
 import {
   batchAnswerSchema, claimAnswerSchema, commitAnswerSchema, commitRecordSchema, readBatchSchema, readClaimSchema
 } from './ledger-message.js'
-import { probeAnswerSchema, probeSchema } from './member-message.js'
+import { membershipSchema, probeAnswerSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
 import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
 import { receiptSchema } from './receipt.js'
@@ -18,7 +21,8 @@
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, pushSummariesSchema, listHeldSlotsSchema,
   askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema,
-  commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema
+  commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
+  checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema
 ])
 
 /** The schema of the answer to each kind of message. */
@@ -38,7 +42,12 @@
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
   [PeerMessageKind.ReadBatch]: batchAnswerSchema,
   [PeerMessageKind.OpenBatch]: receiptSchema,
-  [PeerMessageKind.Probe]: probeAnswerSchema
+  [PeerMessageKind.Probe]: probeAnswerSchema,
+  [PeerMessageKind.Membership]: receiptSchema,
+  [PeerMessageKind.CheckCatalogue]: checkAnswerSchema,
+  [PeerMessageKind.FetchCatalogue]: catalogueAnswerSchema,
+  [PeerMessageKind.FetchParts]: partsAnswerSchema,
+  [PeerMessageKind.AnnounceCatalogue]: receiptSchema
 } as const
 
 /** A message between two processes. */
