--- a/packages/coordination/src/lib/batch-run.ts
+++ b/packages/coordination/src/lib/batch-run.ts
@@ -12,7 +12,7 @@
  */
 const AHEAD = 1.25
 
-/** Wait in one cell after which a sample asks anew, in milliseconds. */
+/** Wait in one cell after which a sample asks anew, in milliseconds; doubles each time, so that none is kept from its turn. */
 const ASK_AGAIN_MS = 200
 
 /** Samples that ask for slots even when no slot of the pool is known. */
@@ -43,7 +43,7 @@
   readonly #running = new Map<string, SampleRun>()
   readonly #onFree: () => void
   #failed: SampleOrder[] = []
-  #retryTimer: NodeJS.Timeout | undefined
+  #retrying = false
   #ended = false
   #traceparent = ''
 
@@ -98,7 +98,7 @@
    */
   #askAgain (now: number): void {
     const runs = [...this.#running.values()]
-    const waiting = runs.filter((run) => now - (run.waitingSince ?? Infinity) > ASK_AGAIN_MS)
+    const waiting = runs.filter((run) => now - (run.waitingSince ?? Infinity) > ASK_AGAIN_MS * 2 ** run.asks)
     if (waiting.length === 0) return
     waiting.sort((a, b) => (b.waitingSince ?? 0) - (a.waitingSince ?? 0))
     const unused = this.#context.slots.totalSlots(this.pool) - runs.filter((run) => run.progress !== undefined && !run.committing).length
@@ -128,7 +128,6 @@
   /** Ends the run; what it has not delivered is left to the next owner, or to nobody. */
   end (): void {
     this.#ended = true
-    clearTimeout(this.#retryTimer)
     for (const run of this.#running.values()) run.end()
     for (const group of this.#groups) this.#context.plan.forget(this.#batch.order.entry, group)
   }
@@ -152,10 +151,12 @@
   #retryLater (sample: SampleOrder): void {
     this.#context.counters.retried += 1
     this.#failed.push(sample)
-    this.#retryTimer ??= setTimeout(() => {
-      this.#retryTimer = undefined
+    if (this.#retrying) return
+    this.#retrying = true
+    void this.#context.clock.sleep(RETRY_MS).then(() => {
+      this.#retrying = false
       this.#queue.unshift(...this.#failed.splice(0))
       this.#onFree()
-    }, RETRY_MS)
+    })
   }
 }
--- a/packages/coordination/src/lib/sample-run.ts
+++ b/packages/coordination/src/lib/sample-run.ts
@@ -39,6 +39,8 @@
   readonly #copies = new Set<SampleCopy>()
   readonly #settled: Promise<boolean>
   #finish: (settled: boolean) => void = () => {}
+  /** How often the sample has asked anew. */
+  asks = 0
   #attempts = 0
   #committing = false
   #copying = false
@@ -71,7 +73,7 @@
   /** Monotonic milliseconds since when the sample waits for its first slot; undefined when it does not. */
   get waitingSince (): number | undefined {
     const [copy] = this.#copies
-    return this.#copies.size === 1 && copy?.startedAt === undefined ? copy?.askedAt : undefined
+    return !this.#committing && this.#copies.size === 1 && copy?.startedAt === undefined ? copy?.askedAt : undefined
   }
 
   /** Asks anew for a slot, as one may be free in another cell than the one it waits in. */
@@ -79,6 +81,7 @@
     if (this.#over || this.waitingSince === undefined) return
     const [copy] = this.#copies
     if (copy === undefined) return
+    this.asks += 1
     copy.abandon()
     this.#copies.delete(copy)
     this.#start([], copy.given)
