Journals for outages: usage and deliveries outlive their host, losses are said

What waits longer than a second goes to two hosts with a data folder in different failure domains, on the disk before it is accepted; whoever keeps an entry commits it after 30 s, whether or not its origin lives, since every kind is counted once. Weighed: a new owner that reads the journals before it opens (as planned first) needs to know who died and who keeps what; committing from the keepers needs neither, and costs at most a sample run again. A damaged line is left out, and its window reported as incomplete, once. Switched off: no replay (test hangs until ava's timeout), usage without its window (fails), loss not reported (hangs until ava's timeout), head that ignores a loss (fails), dedupe of usage (fails; only after the test kept the keepers from hearing of the origin's commit).

--- a/packages/coordination/src/lib/batch-task.ts
+++ b/packages/coordination/src/lib/batch-task.ts
@@ -2,7 +2,6 @@
 import { batchKey, LedgerRecordKind, RefusalReason } from '@cyclamenthread/state'
 import { CommitStatus, PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
-import { Backoff } from './backoff.js'
 import { LedgerNewsKind } from './ledger-task.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
@@ -12,6 +11,7 @@
 import type { CompletionRunner } from './completion-runner.js'
 import type { LedgerNews, LedgerTask } from './ledger-task.js'
 import type { PartitionOwner } from './partition-owner.js'
+import type { WriteBehind } from './write-behind.js'
 
 /** Samples of one batch that ask for slots at the same time. */
 const BATCH_CONCURRENCY = 256
@@ -37,12 +37,14 @@
   readonly #ledger: LedgerTask
   readonly #catalogue: CatalogueSource
   readonly #runner: CompletionRunner
+  readonly #behind: WriteBehind
   readonly #running = new Map<string, RunningBatch>()
   /** Newest weight version seen in any stream, by entry. */
   readonly #newestVersion = new Map<string, number>()
   readonly counters = { delivered: 0, discardedStale: 0, discardedUnnamed: 0, retried: 0 }
 
-  constructor (ledger: LedgerTask, catalogue: CatalogueSource, runner: CompletionRunner) {
+  constructor (ledger: LedgerTask, catalogue: CatalogueSource, runner: CompletionRunner, behind: WriteBehind) {
+    this.#behind = behind
     this.#ledger = ledger
     this.#catalogue = catalogue
     this.#runner = runner
@@ -109,19 +111,22 @@
 
   /** Long samples first, so that none of them starts when the others have ended. */
   async #runBatch (owner: PartitionOwner, batch: BatchState, open: readonly SampleOrder[], signal: AbortSignal): Promise<void> {
+    /** Samples whose delivery is written behind: the batch goes on running others meanwhile. */
+    const behind: Array<Promise<void>> = []
     const queue = [...open].sort((a, b) => b.expectedTokens - a.expectedTokens)
     const worker = async (): Promise<void> => {
-      for (let sample = queue.shift(); sample !== undefined; sample = queue.shift()) await this.#settle(owner, batch, sample, signal)
+      for (let sample = queue.shift(); sample !== undefined; sample = queue.shift()) await this.#settle(owner, batch, sample, signal, behind)
     }
     await Promise.all(Array.from({ length: Math.min(BATCH_CONCURRENCY, open.length) }, worker))
+    await Promise.all(behind)
   }
 
   /** Runs one sample until it is settled or the batch is no longer ours. */
-  async #settle (owner: PartitionOwner, batch: BatchState, sample: SampleOrder, signal: AbortSignal): Promise<void> {
+  async #settle (owner: PartitionOwner, batch: BatchState, sample: SampleOrder, signal: AbortSignal, behind: Array<Promise<void>>): Promise<void> {
     for (let attempt = 0; !signal.aborted && !owner.deposed; attempt++) {
       const record = await this.#runSample(batch, sample, attempt, signal)
       if (record !== undefined) {
-        const status = await this.#deliver(owner, record, signal)
+        const status = await this.#deliver(owner, record, behind)
         if (status === CommitStatus.Committed) this.counters.delivered += 1
         if (status === CommitStatus.Committed || status === CommitStatus.Rejected) return
       }
@@ -130,15 +135,12 @@
     }
   }
 
-  /** Commits what was run; while the store is down it is kept and tried again rather than run again. */
-  async #deliver (owner: PartitionOwner, record: LedgerRecord, signal: AbortSignal): Promise<CommitStatus> {
-    const backoff = new Backoff(Math.random)
-    for (;;) {
-      const { status } = await owner.commit([record], deadlineAfter(DELIVERY_MS))
-      const unsettled = status === CommitStatus.Unavailable || status === CommitStatus.Unknown
-      if (!unsettled || signal.aborted || owner.deposed) return status
-      await new Promise((resolve) => setTimeout(resolve, backoff.next()))
-    }
+  /** Commits what was run. If the store can't take it now it is written behind rather than run again. */
+  async #deliver (owner: PartitionOwner, record: LedgerRecord, behind: Array<Promise<void>>): Promise<CommitStatus> {
+    const { status } = await owner.commit([record], deadlineAfter(DELIVERY_MS))
+    if (status !== CommitStatus.Unavailable && status !== CommitStatus.Unknown) return status
+    behind.push(this.#behind.add(owner.partition, record))
+    return CommitStatus.Committed
   }
 
   /** One run of a sample; undefined when it has to be run again. */
--- a/packages/coordination/src/lib/commit-group.ts
+++ b/packages/coordination/src/lib/commit-group.ts
@@ -101,6 +101,7 @@
     case LedgerRecordKind.Delivery: return sampleSubjects(record.workspace, record.batchId, record.sample.sampleId)
     case LedgerRecordKind.SampleFailure: return sampleSubjects(record.workspace, record.batchId, record.sampleId)
     case LedgerRecordKind.Usage: return { exclusive: `usage/${record.usage.requestId}` }
+    case LedgerRecordKind.UsageLoss: return { exclusive: `loss/${record.lossId}` }
     case LedgerRecordKind.ChainHead: return { exclusive: `chain/${record.chain}` }
     default: return unreachable(record)
   }
--- a/packages/coordination/src/lib/decision-archive.ts
+++ b/packages/coordination/src/lib/decision-archive.ts
@@ -1,8 +1,9 @@
 import { join } from 'node:path'
-import { HostState, LedgerRecordKind, rankOwners } from '@cyclamenthread/state'
+import { LedgerRecordKind } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { AppendLog } from './append-log.js'
+import { findKeepers } from './keepers.js'
 import { Periodic } from './periodic.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
@@ -20,9 +21,6 @@
 /** Decisions in one message. */
 const SHIP_RECORDS = 500
 
-/** Hosts that keep each chain, in different failure domains where there are such. */
-const KEEPERS = 2
-
 /** How often the head of this process's chain goes into the ledger, in milliseconds. */
 const WITNESS_MS = 10_000
 
@@ -99,7 +97,7 @@
    */
   async ship (): Promise<void> {
     for (let records = this.#context.log.unshipped(SHIP_RECORDS); records.length > 0; records = this.#context.log.unshipped(SHIP_RECORDS)) {
-      const keepers = this.#keepers()
+      const keepers = findKeepers(`decisions/${this.#settings.self.id}`, this.#context.members)
       const answers = await Promise.all(keepers.map(async (host) => await this.#send(host, records)))
       if (!answers.includes(true)) break
       this.#context.log.shipped(records.at(-1)?.sequence ?? 0)
@@ -114,19 +112,6 @@
     return answer.ok && answer.value.accepted
   }
 
-  /** The first hosts with a data folder by rendezvous, the second from another failure domain if there is one. */
-  #keepers (): Host[] {
-    const hosts = this.#context.members.members()
-      .filter((member) => member.state === HostState.Alive && member.host.hasDataFolder)
-      .map((member) => member.host)
-    const ranked = rankOwners(`decisions/${this.#settings.self.id}`, hosts.map((host) => host.id))
-      .flatMap((id) => hosts.find((host) => host.id === id) ?? [])
-    const [first] = ranked
-    if (first === undefined) return []
-    const apart = ranked.filter((host) => host.failureDomain !== first.failureDomain)
-    return [first, ...apart, ...ranked.slice(1)].slice(0, KEEPERS)
-  }
-
   async #keep (records: readonly ChainedDecision[]): Promise<boolean> {
     if (this.#kept === undefined) return false
     await this.#kept.append(records.map((record) => JSON.stringify(record)))
--- a/packages/coordination/src/lib/head-draft.ts
+++ b/packages/coordination/src/lib/head-draft.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto'
+import { LedgerRecordKind } from '@cyclamenthread/state'
 import { recordCharacters, storedCharacters } from './commit-group.js'
 import { pagesOf } from './partition-storage.js'
 import type { LedgerPartition, LedgerRecord, PartitionItem } from '@cyclamenthread/state'
@@ -122,7 +123,7 @@
       open: [...sealed.open, ...added],
       summaries,
       obsolete: [...sealed.obsolete.filter((object) => !this.#removed.has(object.key)), ...unused],
-      complete: window === sealed.window ? sealed.complete : true
+      complete: (window > sealed.window || sealed.complete) && !records.some((record) => record.kind === LedgerRecordKind.UsageLoss)
     })
   }
 
--- a/packages/coordination/src/lib/partition-owner.ts
+++ b/packages/coordination/src/lib/partition-owner.ts
@@ -99,6 +99,11 @@
     return loaded === undefined ? undefined : new PartitionOwner(settings, store, clock, onCommit, { ...loaded, head }, written.version)
   }
 
+  /** The partition. */
+  get partition (): number {
+    return this.#settings.partition
+  }
+
   /** What is committed. */
   get state (): LedgerPartition {
     return this.#draft.state
--- a/packages/coordination/src/lib/write-behind.ts
+++ b/packages/coordination/src/lib/write-behind.ts
@@ -1,7 +1,9 @@
+import { randomUUID } from 'node:crypto'
 import { CommitStatus } from '@cyclamenthread/protocol'
 import { Backoff } from './backoff.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Clock, LedgerRecord } from '@cyclamenthread/state'
+import type { JournalTask } from './journal-task.js'
 import type { LedgerClient } from './ledger-client.js'
 
 /** Most records that go into one commit. */
@@ -13,9 +15,17 @@
 /** How often a drain looks whether everything is committed, in milliseconds. */
 const DRAIN_POLL_MS = 50
 
+/** Age at which a record that waits is journaled, in milliseconds. */
+const JOURNAL_AFTER_MS = 1_000
+
 /** A record that waits for its commit. */
 interface WaitingRecord {
-  readonly record: LedgerRecord
+  readonly id: string
+  record: LedgerRecord
+  /** Monotonic time in milliseconds. */
+  readonly since: number
+  /** Whether hosts with a data folder keep the record as well. */
+  journaled: boolean
   /** Told when the record is committed, or contradicts what is. */
   readonly done: () => void
 }
@@ -29,10 +39,23 @@
 /** What the queue commits through. */
 export type CommitPath = Pick<LedgerClient, 'commit'>
 
+/** Where records are kept that can't be committed for a while. */
+export type RecordJournal = Pick<JournalTask, 'append' | 'trim'>
+
+/** What a {@link WriteBehind} works with besides the ledger; each has a default. */
+export interface WriteBehindOptions {
+  readonly clock?: Clock
+  readonly random?: () => number
+  readonly journal?: RecordJournal
+  /** Length of a usage window, in milliseconds; journaled usage names the window it belongs to. */
+  readonly usageWindowMs?: number
+}
+
 /**
  * Commits records that nobody waits for: usage, answers of calls that have
  * run, claims whose outcome is lost. They are kept and tried until the ledger
- * has them, however long the store is down. Every kind that comes here may be
+ * has them, however long the store is down; what waits for more than a moment
+ * is journaled by hosts with a data folder as well. Every kind that comes here may be
  * committed again without a second effect.
  *
  * Invariant: a record leaves the queue only when it is committed or
@@ -42,13 +65,17 @@
   readonly #ledger: CommitPath
   readonly #clock: Clock
   readonly #random: () => number
+  readonly #journal: RecordJournal | undefined
+  readonly #usageWindowMs: number | undefined
   readonly #queues = new Map<number, PartitionQueue>()
-  readonly counters = { committed: 0, rejected: 0 }
+  readonly counters = { committed: 0, rejected: 0, journaled: 0 }
 
-  constructor (ledger: CommitPath, clock: Clock = SYSTEM_CLOCK, random: () => number = Math.random) {
+  constructor (ledger: CommitPath, options: WriteBehindOptions = {}) {
     this.#ledger = ledger
-    this.#clock = clock
-    this.#random = random
+    this.#clock = options.clock ?? SYSTEM_CLOCK
+    this.#random = options.random ?? Math.random
+    this.#journal = options.journal
+    this.#usageWindowMs = options.usageWindowMs
   }
 
   /** Records that wait. */
@@ -69,7 +96,7 @@
     const queue = this.#queues.get(partition) ?? { waiting: [], running: false }
     this.#queues.set(partition, queue)
     await new Promise<void>((resolve) => {
-      queue.waiting.push({ record, done: resolve })
+      queue.waiting.push({ id: randomUUID(), record, since: this.#clock.now(), journaled: false, done: resolve })
       void this.#run(partition, queue)
     })
   }
@@ -89,7 +116,10 @@
       const status = await this.#commit(partition, batch)
       if (status === CommitStatus.Committed) this.#finish(queue, batch)
       else if (status === CommitStatus.Rejected) await this.#commitSingly(partition, queue, batch)
-      else await this.#clock.sleep(backoff.next())
+      else {
+        await this.#journalOld(partition, queue)
+        await this.#clock.sleep(backoff.next())
+      }
     }
     queue.running = false
     this.#queues.delete(partition)
@@ -116,7 +146,28 @@
     this.#remove(queue, batch)
   }
 
+  /** Lets hosts with a data folder keep what waits for long, so that it outlives this process. */
+  async #journalOld (partition: number, queue: PartitionQueue): Promise<void> {
+    const now = this.#clock.now()
+    const old = queue.waiting.filter((item) => !item.journaled && now - item.since >= JOURNAL_AFTER_MS).slice(0, BATCH_RECORDS)
+    if (this.#journal === undefined || old.length === 0) return
+    for (const item of old) item.record = this.#named(item.record, now - item.since)
+    const kept = await this.#journal.append(old.map(({ id, record }) => ({ id, partition, record })))
+    if (!kept) return
+    this.counters.journaled += old.length
+    for (const item of old) item.journaled = true
+  }
+
+  /** A record with the window in which its usage arose: once that window has closed, the usage is a correction of it. */
+  #named (record: LedgerRecord, ageMs: number): LedgerRecord {
+    if (this.#usageWindowMs === undefined || !('usage' in record) || record.usage.window !== undefined) return record
+    const window = Math.floor((this.#clock.wall() - ageMs) / this.#usageWindowMs)
+    return { ...record, usage: { ...record.usage, window } }
+  }
+
   #remove (queue: PartitionQueue, batch: readonly WaitingRecord[]): void {
+    const journaled = batch.filter((item) => item.journaled).map((item) => item.id)
+    if (journaled.length > 0) void this.#journal?.trim(journaled)
     queue.waiting = queue.waiting.filter((item) => !batch.includes(item))
     for (const item of batch) item.done()
   }
--- a/packages/coordination/src/test/claim-history.ts
+++ b/packages/coordination/src/test/claim-history.ts
@@ -130,7 +130,7 @@
     router: routerOf(gateway, random),
     endpoints: endpointsOf(gateway, random, executions),
     ledger,
-    behind: new WriteBehind(ledger, gateway, random),
+    behind: new WriteBehind(ledger, { clock: gateway, random }),
     clock: gateway
   })
 }
--- a/packages/coordination/src/test/decision-archive.test.ts
+++ b/packages/coordination/src/test/decision-archive.test.ts
@@ -49,6 +49,7 @@
       }
     })
     this.#archives.set(settings.self.id, archive)
+    this.#t.teardown(async () => await archive.stop())
     return archive
   }
 
--- a/packages/coordination/src/test/usage-history.ts
+++ b/packages/coordination/src/test/usage-history.ts
@@ -59,7 +59,7 @@
 
 async function record (gateway: ProcessClock, owners: ReadonlyArray<readonly Candidate[]>, random: () => number, lost: () => boolean, index: number): Promise<void> {
   const ledger = lossyLedger(gateway, owners, random, lost)
-  const behind = new WriteBehind(ledger, gateway, random)
+  const behind = new WriteBehind(ledger, { clock: gateway, random })
   for (let item = 0; item < ITEMS; item++) {
     await gateway.sleep(random() * 600)
     const usage = { requestId: `${index}/${item}`, workspace: 'w', entry: 'e', promptTokens: 1, answerTokens: 0, calls: 0 }
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,7 +1,7 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, BudgetedStore, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask, LedgerClient, LedgerTask, MemberTask,
+  BatchTask, BudgetedStore, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask, JournalTask, LedgerClient, LedgerTask, MemberTask,
   MessageBus, ServiceRunner, UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
@@ -40,6 +40,7 @@
   readonly #batches: BatchTask
   readonly #usage: UsageTask
   readonly #behind: WriteBehind
+  readonly #journal: JournalTask
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
 
@@ -63,9 +64,10 @@
     this.#ledger = new LedgerTask(this.#host, this.#members, this.#budgeted)
     const completions = new CompletionRunner(this.#router, this.#endpoints)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
-    this.#behind = new WriteBehind(ledger)
+    this.#journal = new JournalTask(this.#host, { members: this.#members, bus: this.#bus, ledger })
+    this.#behind = new WriteBehind(ledger, { journal: this.#journal, usageWindowMs: settings.usageWindowMs })
     this.#archive = new DecisionArchive(this.#host, { log: this.#decisions, members: this.#members, bus: this.#bus, ledger, behind: this.#behind })
-    this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions)
+    this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions, this.#behind)
     this.#usage = new UsageTask(this.#host, {
       members: this.#members,
       advance: async (partition) => await this.#ledger.advance(partition),
@@ -91,6 +93,7 @@
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
     this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#archive.service())
+    this.#broker.createService(this.#journal.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#ledger.service())
     this.#broker.createService(this.#batches.service())
@@ -104,6 +107,7 @@
     this.#batches.start()
     await this.#usage.start()
     await this.#archive.start()
+    await this.#journal.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
@@ -127,6 +131,7 @@
   /** Stops at once. */
   async stop (): Promise<void> {
     this.#batches.stop()
+    await this.#journal.stop()
     await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
--- a/packages/protocol/src/lib/ledger-message.ts
+++ b/packages/protocol/src/lib/ledger-message.ts
@@ -3,7 +3,8 @@
 import { PeerMessageKind } from './message-kind.js'
 import type { BatchEvent, LedgerRecord } from '@cyclamenthread/state'
 
-function isLedgerRecord (value: unknown): boolean {
+/** @internal */
+export function isLedgerRecord (value: unknown): boolean {
   const kinds: readonly string[] = Object.values(LedgerRecordKind)
   return typeof value === 'object' && value !== null && 'kind' in value && kinds.includes(String(value.kind))
 }
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -6,6 +6,8 @@
   SummariseCells = 'dispatcher.summarise',
   ExplainRequest = 'decisions.explain',
   KeepDecisions = 'archive.keep',
+  AppendJournal = 'journal.append',
+  TrimJournal = 'journal.trim',
   CommitRecord = 'ledger.commit',
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -7,13 +7,14 @@
 import {
   batchAnswerSchema, claimAnswerSchema, commitAnswerSchema, commitRecordSchema, readBatchSchema, readClaimSchema
 } from './ledger-message.js'
+import { appendJournalSchema, trimJournalSchema } from './journal-message.js'
 import { probeAnswerSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
 import { receiptSchema } from './receipt.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
-  acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, explainRequestSchema, keepDecisionsSchema,
+  acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, explainRequestSchema, keepDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema
 ])
 
@@ -25,6 +26,8 @@
   [PeerMessageKind.SummariseCells]: cellSummariesSchema,
   [PeerMessageKind.ExplainRequest]: explanationSchema,
   [PeerMessageKind.KeepDecisions]: receiptSchema,
+  [PeerMessageKind.AppendJournal]: receiptSchema,
+  [PeerMessageKind.TrimJournal]: receiptSchema,
   [PeerMessageKind.CommitRecord]: commitAnswerSchema,
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
   [PeerMessageKind.ReadBatch]: batchAnswerSchema,
--- a/packages/state/src/lib/ledger-partition.ts
+++ b/packages/state/src/lib/ledger-partition.ts
@@ -151,6 +151,7 @@
       case LedgerRecordKind.SampleFailure: return this.#checkSettle(batchKey(record.workspace, record.batchId), record.sampleId)
       case LedgerRecordKind.Acknowledgement: return this.#checkAcknowledgement(batchKey(record.workspace, record.batchId), record.cursor)
       case LedgerRecordKind.Usage: return this.#counted.has(record.usage.requestId) ? ApplyResult.Duplicate : ApplyResult.Applied
+      case LedgerRecordKind.UsageLoss: return this.#counted.has(record.lossId) ? ApplyResult.Duplicate : ApplyResult.Applied
       case LedgerRecordKind.ChainHead: return this.#checkAnchor(record.chain, record.sequence, record.hash)
       default: return unreachable(record)
     }
@@ -235,6 +236,9 @@
         this.#counted.set(record.usage.requestId, window)
         this.#count(record.usage, window)
         return
+      case LedgerRecordKind.UsageLoss:
+        this.#counted.set(record.lossId, window)
+        return
       case LedgerRecordKind.ChainHead:
         this.#anchors.set(record.chain, { chain: record.chain, sequence: record.sequence, hash: record.hash, window })
         return
--- a/packages/state/src/lib/ledger-record.ts
+++ b/packages/state/src/lib/ledger-record.ts
@@ -13,6 +13,8 @@
   SampleFailure = 'sample-failure',
   Acknowledgement = 'acknowledgement',
   Usage = 'usage',
+  /** Usage of the current window is known to be lost; the window is reported as incomplete. */
+  UsageLoss = 'usage-loss',
   ChainHead = 'chain-head'
 }
 
@@ -84,4 +86,5 @@
   | { readonly kind: LedgerRecordKind.SampleFailure, readonly workspace: string, readonly batchId: string, readonly sampleId: string, readonly refusal: Refusal }
   | { readonly kind: LedgerRecordKind.Acknowledgement, readonly workspace: string, readonly batchId: string, readonly cursor: number }
   | { readonly kind: LedgerRecordKind.Usage, readonly usage: UsageItem }
+  | { readonly kind: LedgerRecordKind.UsageLoss, readonly lossId: string, readonly detail: string }
   | { readonly kind: LedgerRecordKind.ChainHead, readonly chain: string, readonly sequence: number, readonly hash: string }
