--- a/packages/coordination/src/lib/service-runner.ts
+++ b/packages/coordination/src/lib/service-runner.ts
@@ -4,7 +4,7 @@
 import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Clock, Entry, RecordedAnswer, Refusal, UsageItem, Workspace } from '@cyclamenthread/state'
 import type { EndpointClient, ServiceReply } from '@cyclamenthread/protocol'
-import type { CellRouter, Slot } from './cell-router.js'
+import type { Slot, SlotResult, SlotSource } from './cell-router.js'
 import type { LedgerClient } from './ledger-client.js'
 import type { WriteBehind } from './write-behind.js'
 
@@ -47,7 +47,7 @@
 
 /** What calls of plain services run with. */
 export interface ServiceContext {
-  readonly router: Pick<CellRouter, 'acquire' | 'release'>
+  readonly router: SlotSource
   readonly endpoints: Pick<EndpointClient, 'callService'>
   readonly ledger: ClaimLedger
   readonly behind: WriteBehind
@@ -65,7 +65,7 @@
  * committed.
  */
 export class ServiceRunner {
-  readonly #router: Pick<CellRouter, 'acquire' | 'release'>
+  readonly #router: SlotSource
   readonly #endpoints: Pick<EndpointClient, 'callService'>
   readonly #ledger: ClaimLedger
   readonly #behind: WriteBehind
@@ -92,7 +92,7 @@
   async #runIdempotent (order: ServiceOrder): Promise<ServiceResult> {
     const acquired = await this.#acquire(order)
     if (!acquired.granted) return { ok: false, refusal: acquired.refusal }
-    const reply = await this.#call(order, acquired.slot)
+    const reply = await this.#call(order, acquired.slot, order.signal)
     if (!reply.ok) return { ok: false, refusal: endpointFailure(reply.sent, reply.detail) }
     const partition = this.#ledger.partitionOf(`usage/${order.requestId}`)
     void this.#behind.add(partition, { kind: LedgerRecordKind.Usage, usage: usageOf(order) })
@@ -172,7 +172,9 @@
     await Promise.race([recorded, this.#clock.sleep(HOLD_MS)])
   }
 
-  async #acquire (order: ServiceOrder): ReturnType<CellRouter['acquire']> {
+  async #acquire (order: ServiceOrder): Promise<SlotResult> {
+    // It may have been cancelled while its claim was committed.
+    if (order.signal.aborted) return { granted: false, refusal: notRun(RefusalReason.Cancelled, 'the request was cancelled before it ran') }
     return await this.#router.acquire({
       requestId: order.requestId,
       pool: order.entry.pool,
@@ -190,14 +192,16 @@
     })
   }
 
-  async #call (order: ServiceOrder, slot: Slot): Promise<ServiceReply> {
+  /** @param signal aborts the call; absent for one that may not be repeated, which is never cut off */
+  async #call (order: ServiceOrder, slot: Slot, signal?: AbortSignal): Promise<ServiceReply> {
     const hop = { name: 'endpoint.call', kind: SpanKind.CLIENT, traceparent: order.traceparent, attributes: { endpoint: slot.endpoint.id } }
     const reply = await traced(hop, async (span) => await this.#endpoints.callService(slot.endpoint, {
       method: order.method,
       path: order.path,
       headers: [...order.headers, ['x-request-id', order.requestId], ['traceparent', traceparentOf(span)]],
       body: order.body,
-      deadline: order.deadline
+      deadline: order.deadline,
+      ...(signal === undefined ? {} : { signal })
     }))
     await this.#router.release(slot, reply.ok ? SlotEnd.Finished : SlotEnd.Failed, 1, order.traceparent)
     return reply
--- a/packages/coordination/src/lib/usage-task.ts
+++ b/packages/coordination/src/lib/usage-task.ts
@@ -1,6 +1,5 @@
 import { rankOwners } from '@cyclamenthread/state'
 import { ExpectationKind, StorePurpose, USAGE_PROGRESS_KEY, WriteStatus } from '@cyclamenthread/protocol'
-import { deadlineSignal } from '@cyclamenthread/transport'
 import { z } from 'zod'
 import { LeaseTask } from './lease-task.js'
 import { Periodic } from './periodic.js'
@@ -123,7 +122,7 @@
     this.counters.sealed = this.#sealer.sealed
     const leadership = this.#lease.leadership()
     if (leadership === undefined) return false
-    const report = await this.#context.platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline, signal: deadlineSignal(leadership.deadline) })
+    const report = await this.#context.platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline })
     if (report.ok) this.counters.reported += 1
     else this.counters.failedReports += 1
     return report.ok
--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -14,6 +14,9 @@
 /** Tokens of an answer when the caller sets no bound. */
 const DEFAULT_MAX_TOKENS = 256
 
+/** Bytes of an answer that may wait for a slow caller before its request is given up. */
+const MAX_BUFFERED_BYTES = 1024 * 1024
+
 const options = {
   model: z.string(),
   max_tokens: z.int().positive().max(1_000_000).default(DEFAULT_MAX_TOKENS),
@@ -57,7 +60,7 @@
 }
 
 async function complete (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop, wanted: CompletionRequest): Promise<void> {
-  const admitted = admit(hop.view, request, wanted.model)
+  const admitted = admit(hop, request, wanted.model)
   if (!admitted.ok) {
     sendProblem(response, admitted.failure, hop.requestId)
     return
@@ -78,14 +81,14 @@
     traceparent: hop.traceparent,
     signal: hop.signal
   }
-  if (wanted.stream) await stream(gateway, response, order, wanted)
-  else await answerWhole(gateway, response, order, wanted)
+  if (wanted.stream) await stream(gateway, response, order, wanted, hop)
+  else await answerWhole(gateway, response, order, wanted, hop)
 }
 
-async function answerWhole (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function answerWhole (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest, hop: Hop): Promise<void> {
   const result = await gateway.completions.run(order)
   if (!result.ok) {
-    sendProblem(response, result.refusal, order.requestId)
+    sendProblem(response, hop.keyHold.explain(result.refusal), order.requestId)
     return
   }
   recordUsage(gateway, order, result.completion)
@@ -93,19 +96,20 @@
   sendJson(response, 200, wholeAnswer(order.requestId, order.entry, result.completion, wanted.chat))
 }
 
-async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest): Promise<void> {
+async function stream (gateway: Gateway, response: ServerResponse, order: CompletionOrder, wanted: CompletionRequest, hop: Hop): Promise<void> {
   const result = await gateway.completions.run({
     ...order,
     onPart: (part) => {
       if (part.kind !== CompletionPartKind.Text) return
       openStream(response, order.requestId)
       response.write(event(chunk(order, part.text, part.version, wanted.chat)))
+      if (response.writableLength > MAX_BUFFERED_BYTES) hop.cancel()
     }
   })
   if (!result.ok) {
     // Once a part went out the answer can't become a problem document: cutting it off without
     // its end tells the caller that it is not whole.
-    sendProblem(response, result.refusal, order.requestId)
+    sendProblem(response, hop.keyHold.explain(result.refusal), order.requestId)
     return
   }
   openStream(response, order.requestId)
--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -1,18 +1,23 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import ApiGateway from 'moleculer-web'
+import { Counter } from 'prom-client'
 import { HostState, notRun, RefusalReason } from '@cyclamenthread/state'
 import { SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
+import { KeyHold } from './admission.js'
 import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
 import { handleChat, handleCompletion } from './completion-handler.js'
 import { handleExplain } from './explain-handler.js'
+import { operatorAliases } from './operator-handler.js'
 import { sendJson, sendProblem } from './problem.js'
 import { handleService } from './service-handler.js'
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { ServiceSchema } from 'moleculer'
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
-import type { CatalogueSource, CompletionRunner, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind } from '@cyclamenthread/coordination'
+import type {
+  CatalogueSource, CompletionRunner, DecisionSource, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind
+} from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
 /** One request of a caller on its way through the gateway. */
@@ -21,23 +26,43 @@
   readonly traceparent: string
   /** The catalogue revision that holds for the whole request. */
   readonly view: CatalogueView
-  /** Aborts when the caller goes away. */
+  /** Aborts when the caller goes away or its key is withdrawn. */
   readonly signal: AbortSignal
+  /** The caller's key, for as long as the request lasts. */
+  readonly keyHold: KeyHold
+  /** Gives the request up, as if the caller had gone away. */
+  readonly cancel: () => void
   /** Path and query as the caller sent them. */
   readonly url: string
 }
 
+/** Longest a caller may take to send the headers of a request, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000
+
+/** Longest a connection may be idle between two requests, in milliseconds. */
+const KEEP_ALIVE_MS = 30_000
+
+/** Longest a connection may move no byte while a request is open on it, in milliseconds. */
+const STALLED_MS = 120_000
+
+/** How often a drain looks whether it is over, in milliseconds. */
+const DRAIN_POLL_MS = 20
+
 /** What the gateway works with. */
 export interface GatewayParts {
   readonly settings: ServiceSettings
   readonly catalogue: CatalogueSource
+  readonly keys: KeyGuard
   readonly members: MemberTask
   readonly bus: MessageBus
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly decisions: DecisionSource
   readonly writeBehind: WriteBehind
   readonly registry: Registry
+  /** Begins a planned stop. */
+  readonly leave: () => void
 }
 
 type Handler = (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop) => Promise<void>
@@ -57,8 +82,12 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly decisions: DecisionSource
+  readonly leave: () => void
+  readonly #keys: KeyGuard
   readonly writeBehind: WriteBehind
   readonly #registry: Registry
+  readonly #requests: Counter
   #running = 0
 
   constructor (parts: GatewayParts) {
@@ -69,8 +98,17 @@
     this.ledger = parts.ledger
     this.completions = parts.completions
     this.services = parts.services
+    this.decisions = parts.decisions
+    this.leave = parts.leave
+    this.#keys = parts.keys
     this.writeBehind = parts.writeBehind
     this.#registry = parts.registry
+    this.#requests = new Counter({
+      name: 'cyclamenthread_requests_total',
+      help: 'Requests of callers by route and status; status 0 when the caller went away before the answer.',
+      labelNames: ['route', 'status'],
+      registers: [this.#registry]
+    })
   }
 
   /** Requests that run now. */
@@ -80,19 +118,25 @@
 
   /** Waits until no request runs and nothing is left to be written behind one. */
   async drained (): Promise<void> {
-    while (this.#running > 0 || this.writeBehind.waiting > 0) await new Promise((resolve) => setTimeout(resolve, 20))
+    while (this.#running > 0 || this.writeBehind.waiting > 0) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
   }
 
   /** The broker service that listens for callers. */
   service (): ServiceSchema {
     const cut = this.settings.callerAddress.lastIndexOf(':')
+    const { maxConnections } = this.settings
     return {
       name: 'gateway',
       mixins: [ApiGateway as unknown as ServiceSchema],
       settings: {
         ip: this.settings.callerAddress.slice(0, cut),
         port: Number(this.settings.callerAddress.slice(cut + 1)),
+        requestTimeout: this.settings.requestTimeoutMs,
+        onError: (_: WebRequest, response: ServerResponse) => sendProblem(response, notRun(RefusalReason.NotFound, 'there is nothing at this path, or not by this method'), ''),
         routes: [{ path: '/', mappingPolicy: 'restrict', bodyParsers: false, mergeParams: false, aliases: this.#aliases() }]
+      },
+      created () {
+        limitConnections(this['server'] as Server, maxConnections)
       }
     }
   }
@@ -103,6 +147,7 @@
       'GET readyz': (_: WebRequest, response: ServerResponse) => this.#ready(response),
       'GET metrics': async (_: WebRequest, response: ServerResponse) => await this.#metrics(response),
       'GET v1/addresses': (_: WebRequest, response: ServerResponse) => this.#addresses(response),
+      ...operatorAliases(this),
       'POST v1/completions': this.#route('completions', handleCompletion),
       'POST v1/chat/completions': this.#route('chat', handleChat),
       'POST v1/batches': this.#route('batch.open', handleBatchOpen),
@@ -127,15 +172,28 @@
       const gone = new AbortController()
       setMaxListeners(0, gone.signal)
       response.on('close', () => {
+        this.#requests.inc({ route: name, status: response.headersSent ? response.statusCode : 0 })
         if (!response.writableFinished) gone.abort()
       })
+      const keyHold = new KeyHold(this.#keys, () => gone.abort())
+      // A leaving host lets its callers go with the answer, so that none is cut off when it closes.
+      if (this.#leaving()) response.setHeader('connection', 'close')
       this.#running += 1
       try {
         const hop = { name: `gateway.${name}`, kind: SpanKind.SERVER, traceparent: String(request.headers['traceparent'] ?? ''), attributes: { 'request.id': requestId } }
         await traced(hop, async (span) => {
-          await handler(this, request, response, { requestId, traceparent: traceparentOf(span), view, signal: gone.signal, url: request.originalUrl ?? request.url ?? '/' })
+          await handler(this, request, response, {
+            requestId,
+            traceparent: traceparentOf(span),
+            view,
+            signal: gone.signal,
+            cancel: () => gone.abort(),
+            keyHold,
+            url: request.originalUrl ?? request.url ?? '/'
+          })
         })
       } finally {
+        keyHold.release()
         this.#running -= 1
       }
     }
@@ -143,10 +201,14 @@
 
   #ready (response: ServerResponse): void {
     const revision = this.catalogue.current()?.revision
-    const leaving = this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+    const leaving = this.#leaving()
     sendJson(response, revision === undefined || leaving ? 503 : 200, { ready: revision !== undefined && !leaving, catalogueRevision: revision ?? 0, leaving })
   }
 
+  #leaving (): boolean {
+    return this.members.members().some((member) => member.host.id === this.settings.hostId && member.state === HostState.Leaving)
+  }
+
   /** The hosts a caller may connect to, and until when it may keep the answer. */
   #addresses (response: ServerResponse): void {
     const notAfter = new Date(Date.now() + this.settings.addressTtlMs).toISOString()
@@ -160,3 +222,11 @@
     response.end(text)
   }
 }
+
+/** Bounds what one caller, or many idle ones, can hold of the port. */
+function limitConnections (server: Server, maxConnections: number): void {
+  server.maxConnections = maxConnections
+  server.headersTimeout = HEADERS_TIMEOUT_MS
+  server.keepAliveTimeout = KEEP_ALIVE_MS
+  server.timeout = STALLED_MS
+}
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,16 +1,23 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, BudgetedStore, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask, JournalTask, LedgerClient, LedgerTask, MemberTask,
-  MessageBus, ServiceRunner, UsageTask, WriteBehind
+  BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask,
+  DomainLeaderTask, JournalTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
+  UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { Gateway } from './gateway.js'
+import { measureForOperators } from './operator-metrics.js'
 import { hostSettings } from './settings.js'
-import type { HostSettings } from '@cyclamenthread/coordination'
+import type { BatchCounters, BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
+/** What an experiment may set to compare a decision with a simpler one; no setting or flag does. */
+export interface ServiceOptions {
+  readonly batchPolicy?: BatchPolicy
+}
+
 /**
  * One process of the service: every role that may fall to a host, wired
  * together over a broker without transporter.
@@ -35,66 +42,109 @@
   readonly #decisions: DecisionLog
   readonly #archive: DecisionArchive
   readonly #dispatcher: DispatcherTask
+  readonly #limits: LimitTask
+  readonly #quarantine: QuarantineTask
   readonly #router: CellRouter
   readonly #ledger: LedgerTask
   readonly #batches: BatchTask
   readonly #usage: UsageTask
   readonly #behind: WriteBehind
   readonly #journal: JournalTask
+  readonly #domains: DomainLeaderTask
+  readonly #capacity: CapacityTask
   readonly #gateway: Gateway
   #draining: Promise<void> | undefined
+  #onLeft: () => void = () => {}
+  /** Resolves when a planned stop has come to its end, whoever began it. */
+  readonly left = new Promise<void>((resolve) => {
+    this.#onLeft = resolve
+  })
 
-  constructor (settings: ServiceSettings) {
+  constructor (settings: ServiceSettings, options: ServiceOptions = {}) {
     this.#settings = settings
     this.#host = hostSettings(settings)
-    this.#broker = new ServiceBroker({ nodeID: settings.hostId, logger: false, tracing: false, metrics: false })
+    this.#broker = new ServiceBroker({
+      nodeID: settings.hostId,
+      logger: false,
+      tracing: false,
+      metrics: false,
+      // Left to itself the broker ends the process at the first signal, before any drain.
+      skipProcessEventRegistration: true
+    })
     this.#store = new HttpObjectStore(settings.storeUrl)
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#host, this.#broker)
-    this.#members = new MemberTask(this.#host, this.#platform)
+    this.#members = new MemberTask(this.#host, this.#platform, async (host, message) => await this.#bus.post(host, message))
     this.#budgeted = new BudgetedStore({
       store: this.#store,
       allowance: { writesPerSecond: settings.storeWritesPerSecond, readsPerSecond: settings.storeReadsPerSecond },
       share: () => ({ hosts: this.#members.workers().length, ownedPartitions: this.#ledger?.owned().length ?? 0, partitions: settings.ledgerPartitions })
     })
-    this.#catalogue = new CatalogueTask(this.#host, this.#budgeted)
+    this.#catalogue = new CatalogueTask({
+      settings: this.#host,
+      store: this.#budgeted,
+      members: this.#members,
+      send: async (host, message, options) => await this.#bus.send(host, message, options),
+      post: async (host, message) => await this.#bus.post(host, message)
+    })
     this.#decisions = new DecisionLog(this.#host)
-    this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions)
-    this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus)
+    this.#dispatcher = new DispatcherTask(this.#host, this.#members, this.#catalogue, this.#decisions, this.#bus, this.#endpoints)
+    this.#limits = new LimitTask(this.#host, this.#members, this.#catalogue, this.#bus)
+    this.#quarantine = new QuarantineTask(this.#host, this.#members, this.#bus)
+    this.#router = new CellRouter(this.#host, this.#members, this.#catalogue, this.#bus, this.#limits, this.#quarantine)
     this.#ledger = new LedgerTask(this.#host, this.#members, this.#budgeted)
-    const completions = new CompletionRunner(this.#router, this.#endpoints)
+    const completions = new CompletionRunner(this.#router, this.#endpoints, this.#quarantine)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
     this.#journal = new JournalTask(this.#host, { members: this.#members, bus: this.#bus, ledger })
     this.#behind = new WriteBehind(ledger, { journal: this.#journal, usageWindowMs: settings.usageWindowMs })
+    this.#batches = new BatchTask(this.#ledger, {
+      catalogue: this.#catalogue,
+      runner: completions,
+      endpoints: this.#endpoints,
+      slots: this.#router,
+      ...(options.batchPolicy === undefined ? {} : { policy: options.batchPolicy })
+    })
     this.#archive = new DecisionArchive(this.#host, { log: this.#decisions, members: this.#members, bus: this.#bus, ledger, behind: this.#behind })
-    this.#batches = new BatchTask(this.#ledger, this.#catalogue, completions, this.#behind)
     this.#usage = new UsageTask(this.#host, {
       members: this.#members,
       advance: async (partition) => await this.#ledger.advance(partition),
       store: this.#budgeted,
       platform: this.#platform
     })
+    const leaderContext = { members: this.#members, catalogue: this.#catalogue, store: this.#budgeted, endpoints: this.#endpoints }
+    this.#domains = new DomainLeaderTask(this.#host, settings, leaderContext)
+    this.#capacity = new CapacityTask(this.#host, settings, { ...leaderContext, bus: this.#bus, platform: this.#platform })
     this.#gateway = new Gateway({
       settings,
       catalogue: this.#catalogue,
+      keys: this.#catalogue,
       members: this.#members,
       bus: this.#bus,
       ledger,
       completions,
       services: new ServiceRunner({ router: this.#router, endpoints: this.#endpoints, ledger, behind: this.#behind }),
       writeBehind: this.#behind,
-      registry: this.#registry
+      decisions: this.#decisions,
+      registry: this.#registry,
+      leave: () => {
+        void this.drain()
+      }
     })
     this.#measure()
+    measureForOperators(this.#registry, { catalogue: this.#catalogue, members: this.#members, usage: this.#usage })
   }
 
   /** Starts every task; the port for callers opens last. */
   async start (): Promise<void> {
     this.#broker.createService(this.#members.service(() => this.#catalogue.current()?.revision ?? 0))
+    this.#broker.createService(this.#catalogue.service())
     this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#archive.service())
     this.#broker.createService(this.#journal.service())
     this.#broker.createService(this.#dispatcher.service())
+    this.#broker.createService(this.#router.service())
+    this.#broker.createService(this.#limits.service())
+    this.#broker.createService(this.#quarantine.service())
     this.#broker.createService(this.#ledger.service())
     this.#broker.createService(this.#batches.service())
     await this.#broker.start()
@@ -103,15 +153,23 @@
     await this.#catalogue.start()
     await this.#dispatcher.start()
     await this.#ledger.start()
+    await this.#limits.start()
     await this.#router.start()
-    this.#batches.start()
+    await this.#batches.start()
     await this.#usage.start()
+    await this.#domains.start()
+    await this.#capacity.start()
     await this.#archive.start()
     await this.#journal.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
 
+  /** What became of the samples of this host's batches. */
+  get sampleCounters (): BatchCounters {
+    return this.#batches.counters
+  }
+
   /** Stops in order and cuts off no request. Calling it again waits for the first call. */
   async drain (): Promise<void> {
     this.#draining ??= this.#drain()
@@ -126,15 +184,19 @@
     await Promise.race([this.#gateway.drained(), limit])
     await this.#behind.drain(deadlineAfter(this.#settings.drainTimeoutMs))
     await this.stop()
+    this.#onLeft()
   }
 
   /** Stops at once. */
   async stop (): Promise<void> {
-    this.#batches.stop()
+    await this.#batches.stop()
+    await this.#capacity.stop()
+    await this.#domains.stop()
     await this.#journal.stop()
     await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
+    await this.#limits.stop()
     await this.#ledger.stop()
     await this.#dispatcher.stop()
     await this.#catalogue.stop()
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -4,6 +4,11 @@
   ReleaseSlot = 'dispatcher.release',
   CancelRequest = 'dispatcher.cancel',
   SummariseCells = 'dispatcher.summarise',
+  PushSummaries = 'router.summaries',
+  ListHeldSlots = 'router.held',
+  AskLimit = 'limits.ask',
+  NoteLoss = 'quarantine.note',
+  ClearSuspect = 'quarantine.clear',
   ExplainRequest = 'decisions.explain',
   KeepDecisions = 'archive.keep',
   AppendJournal = 'journal.append',
@@ -12,5 +17,10 @@
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
   OpenBatch = 'batches.open',
-  Probe = 'member.probe'
+  Probe = 'member.probe',
+  Membership = 'member.gossip',
+  CheckCatalogue = 'catalogue.check',
+  FetchCatalogue = 'catalogue.fetch',
+  FetchParts = 'catalogue.parts',
+  AnnounceCatalogue = 'catalogue.announce'
 }
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -1,8 +1,8 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
-import { deadlineSignal } from '@cyclamenthread/transport'
-import { heldBody } from './held-body.js'
+import { withDeadline } from '@cyclamenthread/transport'
+import { leasedBody } from './leased-body.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
 const hostListSchema = z.object({
@@ -95,7 +95,11 @@
     return parsed.success ? success(parsed.data.endpoints) : failure(PlatformFailure.Malformed)
   }
 
-  /** Sends one order; `Refused` when none are to be had. */
+  /**
+   * Sends one order; `Refused` when none are to be had.
+   *
+   * @param call its deadline is that of the lease behind the order: no byte leaves after it
+   */
   async order (order: FleetOrder, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
     return await this.#send('POST', '/fleet/orders', order, call)
   }
@@ -114,17 +118,19 @@
     const text = body === undefined ? undefined : JSON.stringify(body)
     const length = text === undefined ? {} : { 'content-length': String(Buffer.byteLength(text)) }
     try {
-      const response = await request(this.#baseUrl + path, {
-        method,
-        headers: { 'content-type': 'application/json', ...length },
-        body: text === undefined ? null : heldBody(text, call.deadline),
-        dispatcher: this.#agent,
-        signal: deadlineSignal(call.deadline, call.signal)
-      })
-      const answer = await response.body.text()
-      if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
-      if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
-      return success(answer === '' ? undefined : JSON.parse(answer))
+      return await withDeadline(call.deadline, async (signal) => {
+        const response = await request(this.#baseUrl + path, {
+          method,
+          headers: { 'content-type': 'application/json', ...length },
+          body: text === undefined ? null : leasedBody(text, call.deadline).bytes(),
+          dispatcher: this.#agent,
+          signal
+        })
+        const answer = await response.body.text()
+        if (response.statusCode >= 400 && response.statusCode < 500) return failure(PlatformFailure.Refused)
+        if (response.statusCode !== 200) return failure(PlatformFailure.Unavailable)
+        return success<unknown>(answer === '' ? undefined : JSON.parse(answer))
+      }, call.signal)
     } catch {
       return failure(PlatformFailure.Unavailable)
     }
