--- a/packages/coordination/src/lib/sample-run.ts
+++ b/packages/coordination/src/lib/sample-run.ts
@@ -2,9 +2,10 @@
 import { Freshness, LedgerRecordKind, Ran, RefusalReason } from '@cyclamenthread/state'
 import { CommitStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { Backoff } from './backoff.js'
 import { SampleCopy } from './sample-copy.js'
 import type { BatchOrder, Entry, LedgerRecord, Refusal, RunningSample, SampleOrder } from '@cyclamenthread/state'
-import type { Completion, CompletionSeed } from '@cyclamenthread/protocol'
+import type { CommitAnswer, Completion, CompletionSeed } from '@cyclamenthread/protocol'
 import type { BatchContext } from './batch-context.js'
 import type { CompletionResult } from './completion-runner.js'
 import type { PartitionOwner } from './partition-owner.js'
@@ -206,7 +207,7 @@
     const fresh = record.kind !== LedgerRecordKind.Delivery || entry.stalenessBound === undefined
       ? undefined
       : () => this.#judge(entry, record.sample.versions) === Freshness.Fresh
-    const answer = await this.#owner.commit([record], deadlineAfter(DELIVERY_MS), fresh)
+    const answer = await this.#commit(record, fresh)
     this.#committing = false
     if (answer.status === CommitStatus.Committed) this.#count(copy, record)
     const done = answer.status === CommitStatus.Committed || answer.status === CommitStatus.Rejected
@@ -214,6 +215,22 @@
     else this.#drop(copy)
   }
 
+  /**
+   * Commits what was run. While the store is down it is kept and tried again
+   * rather than run again. It is not journaled: by the time a journal is
+   * committed the sample may be older than its bound, and what is not
+   * delivered is not billed, so that a lost one costs only another run.
+   */
+  async #commit (record: LedgerRecord, fresh?: () => boolean): Promise<CommitAnswer> {
+    const backoff = new Backoff(Math.random)
+    for (;;) {
+      const answer = await this.#owner.commit([record], deadlineAfter(DELIVERY_MS), fresh)
+      const unsettled = answer.status === CommitStatus.Unavailable || answer.status === CommitStatus.Unknown
+      if (!unsettled || this.#over || this.#owner.deposed || fresh?.() === false) return answer
+      await new Promise((resolve) => setTimeout(resolve, backoff.next()))
+    }
+  }
+
   #count (copy: SampleCopy, record: LedgerRecord): void {
     const { counters } = this.#context
     if (record.kind !== LedgerRecordKind.Delivery) {
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -2,7 +2,7 @@
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
   BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask,
-  DomainLeaderTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
+  DomainLeaderTask, JournalTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
   UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
@@ -49,6 +49,7 @@
   readonly #batches: BatchTask
   readonly #usage: UsageTask
   readonly #behind: WriteBehind
+  readonly #journal: JournalTask
   readonly #domains: DomainLeaderTask
   readonly #capacity: CapacityTask
   readonly #gateway: Gateway
@@ -94,7 +95,8 @@
     this.#ledger = new LedgerTask(this.#host, this.#members, this.#budgeted)
     const completions = new CompletionRunner(this.#router, this.#endpoints, this.#quarantine)
     const ledger = new LedgerClient(this.#host, this.#members, this.#bus)
-    this.#behind = new WriteBehind(ledger)
+    this.#journal = new JournalTask(this.#host, { members: this.#members, bus: this.#bus, ledger })
+    this.#behind = new WriteBehind(ledger, { journal: this.#journal, usageWindowMs: settings.usageWindowMs })
     this.#batches = new BatchTask(this.#ledger, {
       catalogue: this.#catalogue,
       runner: completions,
@@ -138,6 +140,7 @@
     this.#broker.createService(this.#catalogue.service())
     this.#broker.createService(this.#decisions.service())
     this.#broker.createService(this.#archive.service())
+    this.#broker.createService(this.#journal.service())
     this.#broker.createService(this.#dispatcher.service())
     this.#broker.createService(this.#router.service())
     this.#broker.createService(this.#limits.service())
@@ -157,6 +160,7 @@
     await this.#domains.start()
     await this.#capacity.start()
     await this.#archive.start()
+    await this.#journal.start()
     this.#broker.createService(this.#gateway.service())
     await this.#broker.waitForServices('gateway')
   }
@@ -188,6 +192,7 @@
     await this.#batches.stop()
     await this.#capacity.stop()
     await this.#domains.stop()
+    await this.#journal.stop()
     await this.#archive.stop()
     await this.#usage.stop()
     await this.#router.stop()
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -11,6 +11,8 @@
   ClearSuspect = 'quarantine.clear',
   ExplainRequest = 'decisions.explain',
   KeepDecisions = 'archive.keep',
+  AppendJournal = 'journal.append',
+  TrimJournal = 'journal.trim',
   CommitRecord = 'ledger.commit',
   ReadClaim = 'ledger.claim',
   ReadBatch = 'ledger.batch',
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -12,6 +12,7 @@
 import {
   batchAnswerSchema, claimAnswerSchema, commitAnswerSchema, commitRecordSchema, readBatchSchema, readClaimSchema
 } from './ledger-message.js'
+import { appendJournalSchema, trimJournalSchema } from './journal-message.js'
 import { membershipSchema, probeAnswerSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
 import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
@@ -20,7 +21,7 @@
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, pushSummariesSchema, listHeldSlotsSchema,
-  askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema,
+  askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
   checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema
 ])
@@ -38,6 +39,8 @@
   [PeerMessageKind.ClearSuspect]: receiptSchema,
   [PeerMessageKind.ExplainRequest]: explanationSchema,
   [PeerMessageKind.KeepDecisions]: receiptSchema,
+  [PeerMessageKind.AppendJournal]: receiptSchema,
+  [PeerMessageKind.TrimJournal]: receiptSchema,
   [PeerMessageKind.CommitRecord]: commitAnswerSchema,
   [PeerMessageKind.ReadClaim]: claimAnswerSchema,
   [PeerMessageKind.ReadBatch]: batchAnswerSchema,
