A store outage is only claimed with a majority of the hosts near the store; caller port

Cause: a host of the store's region that is cut off from everything fails to read the store like in an outage; once it held the others dead it was a relay in its own view, claimed "store down", and had proof for ever: a withdrawn key would have gone on there. Now most hosts known near the store, dead ones counted, must answer at that moment. Cost: while the store is down two hosts ask all hosts of one region once a second. After most of a region is really gone during an outage the rest refuses keyed work unless the entry says `serve`.

Paths with dot segments are refused towards services: once resolved they would leave the service's base URL (without the check the test fails). Ten ambiguous requests on the callers' port are cut off and run nothing.

--- /dev/null
+++ b/packages/bench/src/test/caller-port.test.ts
@@ -0,0 +1,65 @@
+import { connect } from 'node:net'
+import test from 'ava'
+import { Caller } from '../lib/caller.js'
+import { Deployment, tokenOf } from '../lib/deployment.js'
+import { SINGLE_HOST } from '../lib/deployment-plan.js'
+import { EmbeddedHost } from '../lib/service-host.js'
+
+/** A whole booking that must not be taken for a request of its own. */
+const HIDDEN = `POST /v1/services/pitches/hidden HTTP/1.1\r\nhost: h\r\nauthorization: Bearer ${tokenOf('desk')}\r\nidempotency-key: hidden\r\ncontent-length: 0\r\n\r\n`
+const START = `POST /v1/services/pitches/outer HTTP/1.1\r\nhost: h\r\nauthorization: Bearer ${tokenOf('desk')}\r\nidempotency-key: outer\r\n`
+
+/** Requests on whose end two readers could differ. */
+const AMBIGUOUS: ReadonlyArray<readonly [string, string]> = [
+  ['a length and chunks', `${START}content-length: 5\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n${HIDDEN}`],
+  ['two lengths', `${START}content-length: 0\r\ncontent-length: ${HIDDEN.length}\r\n\r\n${HIDDEN}`],
+  ['a length that is no number', `${START}content-length: 0x0\r\n\r\n${HIDDEN}`],
+  ['a signed length', `${START}content-length: +0\r\n\r\n${HIDDEN}`],
+  ['an unknown transfer coding', `${START}transfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n${HIDDEN}`],
+  ['a space before the colon', `${START}transfer-encoding : chunked\r\n\r\n0\r\n\r\n${HIDDEN}`],
+  ['a header folded over two lines', `${START}x: a\r\n transfer-encoding: chunked\r\ncontent-length : 0\r\n\r\n${HIDDEN}`],
+  ['a chunk size that is no number', `${START}transfer-encoding: chunked\r\n\r\n0x0\r\n\r\n${HIDDEN}`],
+  ['no HTTP', `\u0000\u0001\u0002${HIDDEN}`],
+  ['a header without end', `${START}x: ${'a'.repeat(1024 * 1024)}\r\n\r\n${HIDDEN}`]
+]
+
+/** Sends bytes and returns everything that came until the connection was closed. */
+async function speak (port: number, bytes: string): Promise<string> {
+  return await new Promise((resolve) => {
+    let answer = ''
+    const socket = connect(port, '127.0.0.1', () => socket.write(bytes))
+    socket.on('data', (chunk: Buffer) => {
+      answer += chunk.toString('latin1')
+    })
+    socket.on('error', () => {})
+    socket.on('close', () => resolve(answer))
+  })
+}
+
+test.serial('requests whose end is ambiguous are cut off, and nothing hidden in them runs', async (t) => {
+  const deployment = new Deployment(SINGLE_HOST, EmbeddedHost.start)
+  t.teardown(async () => await deployment.stop())
+  await deployment.start()
+  const [url] = deployment.urls
+  const port = Number(new URL(url ?? '').port)
+  for (const [name, bytes] of AMBIGUOUS) {
+    const answer = await speak(port, bytes)
+    t.false(/^HTTP\/1.1 2/m.test(answer), `${name}: ${answer.slice(0, 200)}`)
+  }
+  t.deepEqual(deployment.bookings.flatMap((endpoint) => endpoint.bookings), [])
+  const plain = await speak(port, HIDDEN.replace('\r\n\r\n', '\r\nconnection: close\r\n\r\n'))
+  t.true(/^HTTP\/1.1 201/.test(plain), 'the hidden request alone is one that runs')
+  t.is((await new Caller(url ?? '', tokenOf('desk')).book({ pitch: 1 })).status, 201)
+})
+
+test.serial('a path that leaves the service is refused', async (t) => {
+  const deployment = new Deployment(SINGLE_HOST, EmbeddedHost.start)
+  t.teardown(async () => await deployment.stop())
+  await deployment.start()
+  const port = Number(new URL(deployment.urls[0] ?? '').port)
+  for (const path of ['/../admin', '/a/../../admin', '/%2e%2e/admin', '/a/.%2E/admin', '/./admin', '/..']) {
+    const request = `GET /v1/services/pitches${path} HTTP/1.1\r\nhost: h\r\nconnection: close\r\nauthorization: Bearer ${tokenOf('desk')}\r\n\r\n`
+    t.regex(await speak(port, request), /^HTTP\/1.1 4/, path)
+  }
+  t.deepEqual(deployment.bookings.flatMap((endpoint) => endpoint.seenHeaders), [])
+})
--- a/packages/coordination/src/lib/catalogue-task.ts
+++ b/packages/coordination/src/lib/catalogue-task.ts
@@ -170,7 +170,7 @@
     const observedAt = monotonicNow()
     if (await this.#checkPeers(this.#upstream(isRelay))) return
     const prompt = observedAt - sentAt < settings.storeTimeoutMs + PAUSE_MS
-    if (isRelay && settings.self.region === settings.storeRegion && prompt) this.#prove({ kind: CatalogueProofKind.StoreDown, at: observedAt })
+    if (isRelay && settings.self.region === settings.storeRegion && prompt && await this.#reachesMajority()) this.#prove({ kind: CatalogueProofKind.StoreDown, at: observedAt })
     if (!isRelay && this.#proofAge() > LAST_RESORT_MS) await this.#checkStore()
   }
 
@@ -202,6 +202,20 @@
     return false
   }
 
+  /**
+   * Whether most hosts known near the store answer now, dead ones counted. A host
+   * that is cut off can't tell that from an outage, and must not call it one.
+   */
+  async #reachesMajority (): Promise<boolean> {
+    const { settings, members, send } = this.#parts
+    const near = members.members().map((member) => member.host).filter((host) => host.region === settings.storeRegion)
+    const answers = await Promise.all(near.map(async (host) => {
+      if (host.id === settings.self.id) return true
+      return (await send(host, { kind: PeerMessageKind.CheckCatalogue }, { deadline: deadlineAfter(CHECK_TIMEOUT_MS) })).ok
+    }))
+    return 2 * answers.filter(Boolean).length > near.length
+  }
+
   #answerCheck (): CheckAnswer {
     const revisions = this.#holder.revisions
     if (this.#proof === undefined) return { revisions }
--- a/packages/cyclamenthread/src/lib/service-handler.ts
+++ b/packages/cyclamenthread/src/lib/service-handler.ts
@@ -13,6 +13,9 @@
 /** Longest idempotency key accepted, in characters. */
 const MAX_KEY_CHARACTERS = 255
 
+/** A segment that would lead out of the service's own base URL once the path is resolved. */
+const DOT_SEGMENT = /^[^?]*\/(\.|%2e){1,2}(\/|\?|$)/i
+
 /** Headers of a caller that an endpoint may see. All others are dropped, credentials first of all. */
 const FORWARDED_HEADERS: ReadonlySet<string> = new Set([
   'accept', 'accept-language', 'content-type', 'content-language', 'if-match', 'if-none-match',
@@ -28,6 +31,10 @@
 /** Answers `ANY /v1/services/{entry}/*`. */
 export async function handleService (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop): Promise<void> {
   const target = splitTarget(hop.url)
+  if (DOT_SEGMENT.test(target.path)) {
+    sendProblem(response, notRun(RefusalReason.BadRequest, 'a path may not hold the segments . and ..'), hop.requestId)
+    return
+  }
   const admitted = admit(hop, request, target.entry)
   if (!admitted.ok) {
     sendProblem(response, admitted.failure, hop.requestId)
