--- /dev/null
+++ b/packages/bench/bin/slopes.js
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+import { runSlopes } from '../dist/index.js'
+
+await runSlopes()
+process.exit(0)
--- /dev/null
+++ b/packages/bench/src/lib/line-fit.ts
@@ -0,0 +1,48 @@
+/** A point of a measured relation. */
+export interface Point {
+  readonly x: number
+  readonly y: number
+}
+
+/** A straight line through measured points, and how far they lie from it. */
+export interface LineFit {
+  readonly slope: number
+  readonly intercept: number
+  /** Share of the variance that the line explains, up to 1. */
+  readonly rSquared: number
+  /** Largest distance of a point from the line, as a share of the largest value. */
+  readonly worstError: number
+}
+
+/**
+ * Fits a straight line by least squares.
+ *
+ * @param points at least two with different `x`
+ * @example
+ * fitLine([{ x: 1, y: 2 }, { x: 2, y: 4 }]).slope // 2
+ */
+export function fitLine (points: readonly Point[]): LineFit {
+  const meanX = mean(points.map((point) => point.x))
+  const meanY = mean(points.map((point) => point.y))
+  const covariance = sum(points.map((point) => (point.x - meanX) * (point.y - meanY)))
+  const variance = sum(points.map((point) => (point.x - meanX) ** 2))
+  const slope = covariance / variance
+  const intercept = meanY - slope * meanX
+  const residuals = points.map((point) => point.y - (intercept + slope * point.x))
+  const spread = sum(points.map((point) => (point.y - meanY) ** 2))
+  const largest = Math.max(...points.map((point) => Math.abs(point.y)))
+  return {
+    slope,
+    intercept,
+    rSquared: spread === 0 ? 1 : 1 - sum(residuals.map((residual) => residual ** 2)) / spread,
+    worstError: largest === 0 ? 0 : Math.max(...residuals.map(Math.abs)) / largest
+  }
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
+
+function mean (values: readonly number[]): number {
+  return sum(values) / values.length
+}
--- /dev/null
+++ b/packages/bench/src/lib/slopes.ts
@@ -0,0 +1,75 @@
+import { consola } from 'consola'
+import meow from 'meow'
+import { fitLine } from './line-fit.js'
+import { measureDispatch } from './slopes/dispatch.js'
+import { measureSteps, measureWaves } from './slopes/fleet.js'
+import { measureGateway } from './slopes/gateway.js'
+import { measureLedger } from './slopes/ledger.js'
+import { measureMembership } from './slopes/membership.js'
+
+/** Seed when none is given. */
+const DEFAULT_SEED = 1
+
+/** One table of measured sizes: every row has the same members. */
+type SlopeRow = Readonly<Record<string, number | string | undefined>>
+
+/** A part of the service whose growth is measured. */
+interface SlopeTable {
+  readonly name: string
+  /** Member that is grown. */
+  readonly size: string
+  readonly rows: readonly SlopeRow[]
+}
+
+/** Rows of interfaces, as plain records that can be printed. */
+function table (name: string, size: string, rows: readonly object[]): SlopeTable {
+  return { name, size, rows: rows.map((row) => ({ ...row })) }
+}
+
+/** Measures every slope, or those named, and prints the rows and a line through each column. */
+export async function runSlopes (): Promise<void> {
+  const cli = meow('\n  Usage\n    $ npm run slopes -- [gateway] [membership] [dispatch] [ledger] [waves] [steps] --seed S\n', {
+    importMeta: import.meta,
+    flags: { seed: { type: 'number', default: DEFAULT_SEED } }
+  })
+  const wanted = (name: string): boolean => cli.input.length === 0 || cli.input.includes(name)
+  const { seed } = cli.flags
+  consola.info(`seed ${seed}`)
+  if (wanted('gateway')) print(table('gateway', 'requestsPerSecond', await measureGateway()))
+  if (wanted('membership')) print(table('membership', 'members', measureMembership(seed)))
+  if (wanted('dispatch')) for (const part of dispatchTables()) print(part)
+  if (wanted('ledger')) print(table('ledger', 'operationsPerSecond', await measureLedger(seed)))
+  if (wanted('waves')) print(table('waves', 'endpoints', await measureWaves(seed)))
+  if (wanted('steps')) print(table('steps', 'samples', measureSteps(seed)))
+}
+
+/** The dispatcher is measured along several axes: a table each. */
+function dispatchTables (): SlopeTable[] {
+  const rows = measureDispatch()
+  const axes = [...new Set(rows.map((row) => row.axis))]
+  return axes.map((axis) => table(`dispatch, ${axis}`, 'size', rows.filter((row) => row.axis === axis)))
+}
+
+function print (slopes: SlopeTable): void {
+  const columns = Object.keys(slopes.rows[0] ?? {}).filter((column) => slopes.rows.some((row) => typeof row[column] === 'number'))
+  consola.log(`\n## ${slopes.name}\n`)
+  consola.log(`| ${columns.join(' | ')} |\n|${columns.map(() => '---').join('|')}|`)
+  for (const row of slopes.rows) consola.log(`| ${columns.map((column) => rounded(row[column])).join(' | ')} |`)
+  consola.log(`\n| against ${slopes.size} | slope | intercept | R² | worst error |\n|---|---|---|---|---|`)
+  for (const column of columns) if (column !== slopes.size) printFit(slopes, column)
+}
+
+function printFit (slopes: SlopeTable, column: string): void {
+  const points = slopes.rows.flatMap((row) => {
+    const x = row[slopes.size]
+    const y = row[column]
+    return typeof x === 'number' && typeof y === 'number' ? [{ x, y }] : []
+  })
+  if (points.length < 2) return
+  const fit = fitLine(points)
+  consola.log(`| ${column} | ${rounded(fit.slope)} | ${rounded(fit.intercept)} | ${rounded(fit.rSquared)} | ${(100 * fit.worstError).toFixed(0)}% |`)
+}
+
+function rounded (value: number | string | undefined): string {
+  return typeof value === 'number' ? String(Number(value.toPrecision(4))) : ''
+}
--- /dev/null
+++ b/packages/bench/src/lib/slopes/gateway.ts
@@ -0,0 +1,71 @@
+import { Caller } from '../caller.js'
+import { Deployment, tokenOf } from '../deployment.js'
+import { TODAY } from '../deployment-plan.js'
+import { readHostMetrics } from '../host-metrics.js'
+import { openLoop } from '../open-loop.js'
+import { ProcessHost } from '../service-host.js'
+import type { HostMetrics } from '../host-metrics.js'
+
+/** Requests a second over eight hosts that are measured. */
+const RATES: readonly number[] = [8, 40, 80, 160, 320]
+
+/** How long each rate is held, in seconds. */
+const HOLD_SECONDS = 10
+
+/** Rate and time of the run that warms the compiler up. */
+const WARM_UP = { rate: 160, seconds: 10 } as const
+
+/** Tokens of each answer. */
+const ANSWER_TOKENS = 64
+
+/** What one host spends at one rate of requests, on average over the hosts. */
+export interface GatewaySlopeRow {
+  /** Requests a second that a host takes. */
+  readonly requestsPerSecond: number
+  /** Processor time in microseconds a second, payload included. */
+  readonly cpuMicrosPerSecond: number
+  readonly controlBytesSentPerSecond: number
+  readonly controlBytesReceivedPerSecond: number
+  readonly storeCallsPerSecond: number
+  readonly residentMegabytes: number
+  readonly failed: number
+}
+
+/** Measures whole hosts, as processes, at rising rates of completions. */
+export async function measureGateway (): Promise<GatewaySlopeRow[]> {
+  const deployment = new Deployment(TODAY, ProcessHost.start)
+  await deployment.start()
+  const rows: GatewaySlopeRow[] = []
+  await openLoop(WARM_UP.rate, WARM_UP.seconds, async (index) => await ask(deployment, index))
+  for (const rate of RATES) rows.push(await measureRate(deployment, rate))
+  await deployment.stop()
+  return rows
+}
+
+async function measureRate (deployment: Deployment, rate: number): Promise<GatewaySlopeRow> {
+  const before = await Promise.all(deployment.urls.map(readHostMetrics))
+  const result = await openLoop(rate, HOLD_SECONDS, async (index) => await ask(deployment, index))
+  const after = await Promise.all(deployment.urls.map(readHostMetrics))
+  const perSecond = (read: (metrics: HostMetrics) => number): number => {
+    return (total(after, read) - total(before, read)) / after.length / result.seconds
+  }
+  return {
+    requestsPerSecond: rate / after.length,
+    cpuMicrosPerSecond: 1e6 * perSecond((metrics) => metrics.cpuSeconds),
+    controlBytesSentPerSecond: perSecond((metrics) => metrics.controlBytesSent),
+    controlBytesReceivedPerSecond: perSecond((metrics) => metrics.controlBytesReceived),
+    storeCallsPerSecond: perSecond((metrics) => metrics.storeCalls),
+    residentMegabytes: total(after, (metrics) => metrics.residentBytes) / after.length / 2 ** 20,
+    failed: result.failed
+  }
+}
+
+async function ask (deployment: Deployment, index: number): Promise<boolean> {
+  const url = deployment.urls[index % deployment.urls.length] ?? ''
+  const answer = await new Caller(url, tokenOf('desk')).send('POST', '/v1/completions', { model: 'answers', prompt: `question ${index}`, max_tokens: ANSWER_TOKENS })
+  return answer.status === 200
+}
+
+function total (metrics: readonly HostMetrics[], read: (metrics: HostMetrics) => number): number {
+  return metrics.reduce((sum, item) => sum + read(item), 0)
+}
