--- a/packages/cyclamenthread/src/lib/gateway.ts
+++ b/packages/cyclamenthread/src/lib/gateway.ts
@@ -1,12 +1,14 @@
 import { randomUUID } from 'node:crypto'
 import { setMaxListeners } from 'node:events'
 import ApiGateway from 'moleculer-web'
+import { Counter } from 'prom-client'
 import { HostState, notRun, RefusalReason } from '@cyclamenthread/state'
 import { SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
 import { KeyHold } from './admission.js'
 import { handleBatchAcknowledge, handleBatchCancel, handleBatchOpen, handleBatchRead } from './batch-handler.js'
 import { handleChat, handleCompletion } from './completion-handler.js'
 import { handleExplain } from './explain-handler.js'
+import { operatorAliases } from './operator-handler.js'
 import { sendJson, sendProblem } from './problem.js'
 import { handleService } from './service-handler.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
@@ -14,7 +16,7 @@
 import type { Registry } from 'prom-client'
 import type { CatalogueView } from '@cyclamenthread/state'
 import type {
-  CatalogueSource, CompletionRunner, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind
+  CatalogueSource, CompletionRunner, DecisionSource, KeyGuard, LedgerClient, MemberTask, MessageBus, ServiceRunner, WriteBehind
 } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
@@ -56,8 +58,11 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly decisions: DecisionSource
   readonly writeBehind: WriteBehind
   readonly registry: Registry
+  /** Begins a planned stop. */
+  readonly leave: () => void
 }
 
 type Handler = (gateway: Gateway, request: IncomingMessage, response: ServerResponse, hop: Hop) => Promise<void>
@@ -77,9 +82,12 @@
   readonly ledger: LedgerClient
   readonly completions: CompletionRunner
   readonly services: ServiceRunner
+  readonly decisions: DecisionSource
+  readonly leave: () => void
   readonly #keys: KeyGuard
   readonly writeBehind: WriteBehind
   readonly #registry: Registry
+  readonly #requests: Counter
   #running = 0
 
   constructor (parts: GatewayParts) {
@@ -90,9 +98,17 @@
     this.ledger = parts.ledger
     this.completions = parts.completions
     this.services = parts.services
+    this.decisions = parts.decisions
+    this.leave = parts.leave
     this.#keys = parts.keys
     this.writeBehind = parts.writeBehind
     this.#registry = parts.registry
+    this.#requests = new Counter({
+      name: 'cyclamenthread_requests_total',
+      help: 'Requests of callers by route and status; status 0 when the caller went away before the answer.',
+      labelNames: ['route', 'status'],
+      registers: [this.#registry]
+    })
   }
 
   /** Requests that run now. */
@@ -131,6 +147,7 @@
       'GET readyz': (_: WebRequest, response: ServerResponse) => this.#ready(response),
       'GET metrics': async (_: WebRequest, response: ServerResponse) => await this.#metrics(response),
       'GET v1/addresses': (_: WebRequest, response: ServerResponse) => this.#addresses(response),
+      ...operatorAliases(this),
       'POST v1/completions': this.#route('completions', handleCompletion),
       'POST v1/chat/completions': this.#route('chat', handleChat),
       'POST v1/batches': this.#route('batch.open', handleBatchOpen),
@@ -155,6 +172,7 @@
       const gone = new AbortController()
       setMaxListeners(0, gone.signal)
       response.on('close', () => {
+        this.#requests.inc({ route: name, status: response.headersSent ? response.statusCode : 0 })
         if (!response.writableFinished) gone.abort()
       })
       const keyHold = new KeyHold(this.#keys, () => gone.abort())
