--- a/packages/bench/src/lib/scenarios/reclaim.ts
+++ b/packages/bench/src/lib/scenarios/reclaim.ts
@@ -33,8 +33,8 @@
 
 const LOOK_MS = 50
 
-/** Part of a step in which its load is steady: after its start and before its tail. */
-const STEADY_FROM = 0.15
+/** Part of a step in which its load counts as steady: before its tail. Its start counts, so that slow filling is seen. */
+const STEADY_FROM = 0
 const STEADY_UNTIL = 0.75
 
 const RULES: readonly CapacityRule[] = [
--- /dev/null
+++ b/packages/coordination/src/lib/leave-announcement.ts
@@ -0,0 +1,31 @@
+import type { Host } from '@cyclamenthread/state'
+import type { MemberTask } from './member-task.js'
+import type { MessageBus } from './message-bus.js'
+
+/** Hosts that are told at the same time: each needs a connection. */
+const CONCURRENCY = 32
+
+/**
+ * Tells every other host that this one leaves, and waits until each has taken
+ * note. Membership traffic would spread the news as well, but nobody would
+ * know when: until every host knows, one of them may still give this host's
+ * address to a caller.
+ *
+ * @param deadline monotonic milliseconds; hosts that don't answer by then learn it from membership traffic
+ * @returns how many hosts did not take note
+ * @example
+ * await announceLeave(members, bus, deadlineAfter(5_000))
+ */
+export async function announceLeave (members: MemberTask, bus: MessageBus, deadline: number): Promise<number> {
+  members.leave()
+  const waiting: Host[] = members.workers()
+  let missed = 0
+  const tell = async (): Promise<void> => {
+    for (let host = waiting.pop(); host !== undefined; host = waiting.pop()) {
+      const answer = await bus.send(host, members.noticeTo(host), { deadline })
+      if (!answer.ok) missed += 1
+    }
+  }
+  await Promise.all(Array.from({ length: CONCURRENCY }, tell))
+  return missed
+}
--- a/packages/coordination/src/lib/member-task.ts
+++ b/packages/coordination/src/lib/member-task.ts
@@ -115,6 +115,11 @@
     this.#step({ kind: MembershipEventKind.Leave })
   }
 
+  /** A message that tells a host what this one says of itself. */
+  noticeTo (host: Host): MembershipCarrier {
+    return { kind: PeerMessageKind.Membership, message: this.#membership.gossipTo(host).message, ...this.#rider?.outgoing() }
+  }
+
   /** Sends what the rider has to some hosts at once instead of with the next probes. */
   spread (fanout: number): void {
     for (const host of this.#membership.pickOthers(fanout)) this.#carryOut(this.#membership.gossipTo(host))
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -1,8 +1,8 @@
 import { ServiceBroker } from 'moleculer'
 import { Counter, Gauge, Registry, collectDefaultMetrics } from 'prom-client'
 import {
-  BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive, DecisionLog, DispatcherTask,
-  DomainLeaderTask, JournalTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
+  announceLeave, BatchTask, BudgetedStore, CapacityTask, CatalogueTask, CellRouter, CompletionRunner, DecisionArchive,
+  DecisionLog, DispatcherTask, DomainLeaderTask, JournalTask, LedgerClient, LedgerTask, LimitTask, MemberTask, MessageBus, QuarantineTask, ServiceRunner,
   UsageTask, WriteBehind
 } from '@cyclamenthread/coordination'
 import { EndpointClient, HttpObjectStore, PlatformClient } from '@cyclamenthread/protocol'
@@ -13,6 +13,9 @@
 import type { BatchCounters, BatchPolicy, HostSettings } from '@cyclamenthread/coordination'
 import type { ServiceSettings } from './settings.js'
 
+/** Longest a leaving host waits for the others to take note, in milliseconds. */
+const ANNOUNCE_MS = 5_000
+
 /** What an experiment may set to compare a decision with a simpler one; no setting or flag does. */
 export interface ServiceOptions {
   readonly batchPolicy?: BatchPolicy
@@ -177,7 +180,7 @@
   }
 
   async #drain (): Promise<void> {
-    this.#members.leave()
+    await announceLeave(this.#members, this.#bus, deadlineAfter(ANNOUNCE_MS))
     // An address given out a moment ago may still be used until its `notAfter`.
     await new Promise((resolve) => setTimeout(resolve, this.#settings.addressTtlMs))
     const limit = new Promise((resolve) => setTimeout(resolve, this.#settings.drainTimeoutMs).unref())
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -1,6 +1,7 @@
 export * from './lib/batch-message.js'
 export * from './lib/catalogue-message.js'
 export * from './lib/catalogue-store.js'
+export * from './lib/completion.js'
 export * from './lib/decision-message.js'
 export * from './lib/dispatcher-message.js'
 export * from './lib/endpoint-client.js'
--- a/packages/state/src/lib/membership.ts
+++ b/packages/state/src/lib/membership.ts
@@ -175,7 +175,7 @@
   }
 
   /** A message with news that asks for nothing. */
-  gossipTo (host: Host): MembershipEffect {
+  gossipTo (host: Host): Extract<MembershipEffect, { kind: MembershipEffectKind.Send }> {
     return this.#compose(host, { kind: MembershipMessageKind.Gossip })
   }
 
@@ -401,7 +401,7 @@
     this.#effects.push(this.#compose(to, message, theirDigest))
   }
 
-  #compose (to: Host, message: MessageHead, theirDigest?: readonly number[]): MembershipEffect {
+  #compose (to: Host, message: MessageHead, theirDigest?: readonly number[]): Extract<MembershipEffect, { kind: MembershipEffectKind.Send }> {
     const gossip: MembershipGossip = { self: this.#self, records: this.#records(to.id, theirDigest), digest: [...this.#table.digest] }
     return { kind: MembershipEffectKind.Send, to, message: { ...message, ...gossip } }
   }
