--- a/packages/coordination/src/lib/leave-announcement.ts
+++ b/packages/coordination/src/lib/leave-announcement.ts
@@ -18,7 +18,7 @@
  */
 export async function announceLeave (members: MemberTask, bus: MessageBus, deadline: number): Promise<number> {
   members.leave()
-  const waiting: Host[] = members.workers()
+  const waiting: Host[] = [...members.workers()]
   let missed = 0
   const tell = async (): Promise<void> => {
     for (let host = waiting.pop(); host !== undefined; host = waiting.pop()) {
--- a/packages/coordination/src/lib/member-task.ts
+++ b/packages/coordination/src/lib/member-task.ts
@@ -27,9 +27,9 @@
 /** The view of the hosts that the other tasks work from. */
 export interface MemberView {
   /** Hosts that may own shards and be given new work, this one among them. */
-  workers (): Host[]
+  workers (): readonly Host[]
   /** All hosts known, in any state. */
-  members (): Member[]
+  members (): readonly Member[]
   find (hostId: string): Host | undefined
   /** Calls back after each change of the view. */
   onChange (listener: () => void): void
@@ -125,11 +125,11 @@
     for (const host of this.#membership.pickOthers(fanout)) this.#carryOut(this.#membership.gossipTo(host))
   }
 
-  workers (): Host[] {
+  workers (): readonly Host[] {
     return this.#workers
   }
 
-  members (): Member[] {
+  members (): readonly Member[] {
     return this.#members
   }
 
