One place decides whether a request never left

Cause: the endpoint client and the object store client each held the same check, on which "not run" and "not written" rest; a change of one would have missed the other. Behaviour is the same.

--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -3,6 +3,7 @@
 import { openDeadline, withDeadline } from '@cyclamenthread/transport'
 import { CompletionPartKind } from './completion.js'
 import { leasedBody } from './leased-body.js'
+import { neverSent } from './never-sent.js'
 import type { Endpoint } from '@cyclamenthread/state'
 import type { CompletionPart, CompletionResumption } from './completion.js'
 
@@ -90,11 +91,6 @@
   | { readonly ok: true, readonly status: number, readonly headers: ReadonlyArray<readonly [string, string]>, readonly body: Uint8Array }
   | { readonly ok: false, readonly sent: boolean, readonly detail: string }
 
-function neverSent (error: unknown): boolean {
-  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
-  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT'
-}
-
 function messageOf (error: unknown): string {
   return error instanceof Error ? error.message : String(error)
 }
--- a/packages/protocol/src/lib/http-object-store.ts
+++ b/packages/protocol/src/lib/http-object-store.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod'
 import { failure, success } from '@cyclamenthread/state'
 import { DeadlineError, timeLeft, withDeadline } from '@cyclamenthread/transport'
+import { neverSent } from './never-sent.js'
 import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
 import type { Dispatcher } from 'undici'
 import type { Outcome } from '@cyclamenthread/state'
@@ -24,12 +25,6 @@
   readonly body: unknown
 }
 
-/** Whether an error arose before any byte left, so that a write can't have taken effect. */
-function neverSent (error: unknown): boolean {
-  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
-  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT'
-}
-
 /**
  * The object service over HTTP: `GET`, `PUT` with `If-Match` or `If-None-Match`,
  * `DELETE`, a listing by prefix and a long-polling watch.
