--- a/eslint.config.js
+++ b/eslint.config.js
@@ -26,14 +26,15 @@
     files: [`packages/${directory}/src/lib/**/*.ts`],
     rules: {
       'no-restricted-imports': ['error', {
-        paths: forbidden.map((other) => ({ name: importName(other), message: `${directory} may not import ${other}: imports only go downwards.` }))
+        paths: forbidden.map((other) => ({ name: importName(other), message: `${directory} may not import ${other}: imports only go downwards.` })),
+        patterns: [{ group: ['@cyclamenthread/platform', '**/platform/src/**'], message: 'Only platform/ speaks to the platform.' }]
       }]
     }
   }
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'out/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'out/**', 'target/**', 'journal/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/eslint.format.config.js
+++ b/eslint.format.config.js
@@ -9,6 +9,6 @@
 
 /** Standard style's layout, which `npm run format` mends by itself. */
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'out/**'] }).map(layoutOnly),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'out/**', 'target/**', 'journal/**'] }).map(layoutOnly),
   { linterOptions: { reportUnusedDisableDirectives: 'off' } }
 ]
--- /dev/null
+++ b/packages/coordination/src/lib/call-task.ts
@@ -0,0 +1,288 @@
+import { chooseForCall, drawService, notRun, Ran, RefusalReason, RouteKind, tripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { EndpointReplyKind } from '@cyclamenthread/protocol'
+import { monotonicNow, openDeadline } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import type { EndpointRecord, Refusal, Route, UsageTally, Vantage } from '@cyclamenthread/state'
+import type { EndpointPort, EndpointReply, HeaderPair } from '@cyclamenthread/protocol'
+import type { DeploymentView } from './deployment-view.js'
+import type { EventLog } from './event-log.js'
+
+/** Usual time of a plain call before any was seen, in milliseconds; about the mean of the deployments' sheets. */
+const USUAL_CALL_MS = 40
+
+/** A call is sent a second time after this many times its usual duration. */
+const HEDGE_FACTOR = 3
+
+/** Shortest wait before a call is sent a second time, in milliseconds. */
+const HEDGE_FLOOR_MS = 120
+
+/** Refusals of endpoints after which a call is given up. */
+const MAX_NOT_RUN = 4
+
+/** Pause before endpoints are looked at again while none takes the call, in milliseconds. */
+const LOOK_AGAIN_MS = 25
+
+/** When a caller may come back after no endpoint could take its call, in milliseconds: about the time of a restart. */
+const RETRY_AFTER_MS = 400
+
+/** Share of the time left that may pass before a call that no endpoint takes is refused. */
+const WAIT_SHARE = 0.25
+
+/** Statuses from which on an endpoint's answer is a failure of its own. */
+const FIRST_SERVER_ERROR = 500
+
+/** A plain call of a caller, already admitted. */
+export interface PlainCall {
+  readonly requestId: string
+  readonly route: Route
+  readonly workspace: string | undefined
+  readonly method: string
+  readonly path: string
+  readonly headers: readonly HeaderPair[]
+  readonly body: Uint8Array
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+  /** Aborts when the caller has gone. */
+  readonly signal: AbortSignal
+}
+
+/** What came of a plain call. */
+export type CallOutcome =
+  | { readonly ok: true, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array }
+  | { readonly ok: false, readonly refusal: Refusal }
+
+/** What the task works with. */
+export interface CallContext {
+  readonly deployment: DeploymentView
+  readonly endpoints: EndpointPort
+  readonly vantage: Vantage
+  readonly tally: UsageTally
+  readonly log: EventLog
+}
+
+/** One try of a call at one endpoint. */
+interface CallTry {
+  readonly record: EndpointRecord
+  readonly abort: AbortController
+  readonly sentAt: number
+  readonly done: Promise<{ readonly from: CallTry, readonly reply: EndpointReply }>
+}
+
+/** The state of one call on its way. */
+interface CallRun {
+  readonly call: PlainCall
+  readonly service: string
+  readonly excluded: Set<string>
+  readonly open: Set<CallTry>
+  tries: number
+  notRun: number
+  mayHaveRun: boolean
+  counted: boolean
+  lastFailure: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }> | undefined
+}
+
+/**
+ * Takes plain calls to endpoints: chooses one, goes on to another after a
+ * failure as far as the route allows, and asks a second one when the first
+ * stays silent for long.
+ *
+ * Invariants: a call runs at no more endpoints than its route allows; one that
+ * may not be repeated is sent again only after an endpoint said that it has not
+ * run it; "not run" is said only when nothing may have run.
+ */
+export class CallTask {
+  readonly #context: CallContext
+
+  constructor (context: CallContext) {
+    this.#context = context
+  }
+
+  /** Runs one call to its end. */
+  async run (call: PlainCall): Promise<CallOutcome> {
+    const run: CallRun = {
+      call,
+      service: drawService(call.route, Math.random()),
+      excluded: new Set(),
+      open: new Set(),
+      tries: 0,
+      notRun: 0,
+      mayHaveRun: false,
+      counted: false,
+      lastFailure: undefined
+    }
+    const scope = openDeadline(call.deadline, call.signal)
+    try {
+      return await this.#drive(run, scope.signal)
+    } finally {
+      scope.close()
+      for (const open of run.open) open.abort.abort()
+    }
+  }
+
+  async #drive (run: CallRun, signal: AbortSignal): Promise<CallOutcome> {
+    const ended = new Promise<undefined>((resolve) => signal.addEventListener('abort', () => resolve(undefined), { once: true }))
+    const startedAt = monotonicNow()
+    const refuseAt = startedAt + (run.call.deadline - startedAt) * WAIT_SHARE
+    while (!signal.aborted) {
+      if (run.open.size === 0) {
+        const refusal = this.#begin(run, monotonicNow() >= refuseAt)
+        if (refusal !== undefined) return run.lastFailure === undefined ? { ok: false, refusal } : answerOf(run.lastFailure)
+      }
+      const next = await this.#next(run, ended)
+      if (next === undefined) continue
+      const outcome = this.#settle(run, next.from, next.reply)
+      if (outcome !== undefined) return outcome
+    }
+    return { ok: false, refusal: this.#timedOut(run) }
+  }
+
+  /** Sends the call to one more endpoint; a refusal when that can't be or is of no use any more. */
+  #begin (run: CallRun, late: boolean): Refusal | undefined {
+    const { deployment, vantage } = this.#context
+    if (run.tries >= run.call.route.maxAttempts || (run.mayHaveRun && run.call.route.kind !== RouteKind.Idempotent)) {
+      return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no whole answer after ${run.tries} endpoints` }
+    }
+    const record = chooseForCall(deployment.board, { service: run.service, excluded: run.excluded, usualMs: USUAL_CALL_MS }, vantage, monotonicNow())
+    if (record !== undefined) {
+      this.#send(run, record)
+      return undefined
+    }
+    const listed = deployment.board.ofService(run.service).length
+    if (listed > 0 && !late && run.notRun < MAX_NOT_RUN) {
+      run.excluded.clear()
+      return undefined
+    }
+    const detail = listed === 0 ? `service ${run.service} has no endpoint` : `no endpoint of ${run.service} takes work`
+    return run.mayHaveRun
+      ? { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail }
+      : notRun(listed === 0 ? RefusalReason.NoEndpoint : RefusalReason.Overloaded, detail, RETRY_AFTER_MS)
+  }
+
+  #send (run: CallRun, record: EndpointRecord): void {
+    const { call } = run
+    const { board } = this.#context.deployment
+    const abort = new AbortController()
+    const sentAt = monotonicNow()
+    run.tries += 1
+    run.excluded.add(record.entry.id)
+    board.begin(record.entry.id)
+    const reply = this.#context.endpoints.call({
+      endpoint: record.entry,
+      requestId: call.requestId,
+      method: call.method,
+      path: call.path,
+      headers: call.headers,
+      body: call.body,
+      workspace: call.workspace,
+      deadline: call.deadline,
+      signal: abort.signal
+    })
+    const attempt: CallTry = { record, abort, sentAt, done: reply.then((value) => ({ from: attempt, reply: value })) }
+    run.open.add(attempt)
+    void attempt.done.then(({ reply }) => this.#note(run, attempt, reply))
+    this.#context.log.record(LogEvent.RequestSent, {
+      requestId: call.requestId,
+      route: call.route.name,
+      endpoint: record.entry.id,
+      attempt: run.tries,
+      load: board.load(record, sentAt),
+      paceMs: record.paceMs === undefined ? undefined : Math.round(record.paceMs),
+      declaration: this.#context.deployment.table?.declaration.version,
+      declarationAgeMs: Math.round(this.#context.deployment.declarationAgeMs)
+    })
+  }
+
+  /** The next reply, or nothing when it is time to ask another endpoint or to look again. */
+  async #next (run: CallRun, ended: Promise<undefined>): Promise<{ readonly from: CallTry, readonly reply: EndpointReply } | undefined> {
+    const waits: Array<Promise<{ readonly from: CallTry, readonly reply: EndpointReply } | undefined>> = [...run.open].map(async (open) => await open.done)
+    let timer: NodeJS.Timeout | undefined
+    const mayHedge = run.call.route.kind === RouteKind.Idempotent && run.tries < run.call.route.maxAttempts && run.open.size === 1
+    if (run.open.size === 0 || mayHedge) {
+      const waitMs = run.open.size === 0 ? LOOK_AGAIN_MS : this.#hedgeMs(run)
+      waits.push(new Promise((resolve) => {
+        timer = setTimeout(() => {
+          if (run.open.size > 0) this.#begin(run, false)
+          resolve(undefined)
+        }, waitMs)
+      }))
+    }
+    try {
+      return await Promise.race([ended, ...waits])
+    } finally {
+      clearTimeout(timer)
+    }
+  }
+
+  /** Time after which a second endpoint is asked, in milliseconds. */
+  #hedgeMs (run: CallRun): number {
+    const [open] = run.open
+    if (open === undefined) return LOOK_AGAIN_MS
+    const { board } = this.#context.deployment
+    const now = monotonicNow()
+    const usual = board.pace(open.record, USUAL_CALL_MS, now) * HEDGE_FACTOR + tripMs(this.#context.vantage, open.record.entry.failureDomain)
+    return Math.max(1, open.sentAt + Math.max(usual, HEDGE_FLOOR_MS) - now)
+  }
+
+  /** Tells the board how a try ended, whoever still waits for it. */
+  #note (run: CallRun, attempt: CallTry, reply: EndpointReply): void {
+    const { board } = this.#context.deployment
+    const { entry } = attempt.record
+    const now = monotonicNow()
+    run.open.delete(attempt)
+    const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : endOf(reply)
+    board.end(entry.id, entry.bornAt, end, now)
+    if (reply.kind === EndpointReplyKind.Answer) board.seePace(entry.id, now - attempt.sentAt, now)
+    if (reply.kind !== EndpointReplyKind.Broken && reply.load !== undefined) board.seeLoad(entry.id, reply.load, now)
+    if (reply.kind === EndpointReplyKind.Answer && !run.counted && run.call.workspace !== undefined) {
+      run.counted = true
+      this.#context.tally.count(run.call.workspace, Date.now() - (now - attempt.sentAt))
+    }
+  }
+
+  /** The outcome of the call, if this reply decides it. */
+  #settle (run: CallRun, from: CallTry, reply: EndpointReply): CallOutcome | undefined {
+    run.open.delete(from)
+    this.#context.log.record(LogEvent.RequestEnded, {
+      requestId: run.call.requestId,
+      endpoint: from.record.entry.id,
+      outcome: reply.kind,
+      tookMs: Math.round(monotonicNow() - from.sentAt),
+      status: reply.kind === EndpointReplyKind.Broken ? undefined : reply.status,
+      detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined
+    })
+    switch (reply.kind) {
+      case EndpointReplyKind.Answer:
+        if (reply.status < FIRST_SERVER_ERROR) return answerOf(reply)
+        run.mayHaveRun = true
+        run.lastFailure = reply
+        return undefined
+      case EndpointReplyKind.NotRun:
+        run.tries -= 1
+        run.notRun += 1
+        return undefined
+      case EndpointReplyKind.Broken:
+        if (reply.sent) run.mayHaveRun = true
+        else run.tries -= 1
+        return undefined
+      default: return unreachable(reply)
+    }
+  }
+
+  #timedOut (run: CallRun): Refusal {
+    if (run.mayHaveRun || run.open.size > 0) return { reason: RefusalReason.DeadlineExceeded, ran: Ran.Maybe, detail: 'no answer before the deadline' }
+    return notRun(RefusalReason.DeadlineExceeded, 'no endpoint took the call before its deadline', RETRY_AFTER_MS)
+  }
+}
+
+function answerOf (reply: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }>): CallOutcome {
+  return { ok: true, status: reply.status, headers: reply.headers, body: reply.body }
+}
+
+function endOf (reply: EndpointReply): WorkEnd {
+  switch (reply.kind) {
+    case EndpointReplyKind.Answer: return WorkEnd.Finished
+    case EndpointReplyKind.NotRun: return WorkEnd.Refused
+    case EndpointReplyKind.Broken: return WorkEnd.Broken
+    default: return unreachable(reply)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -0,0 +1,118 @@
+import { EndpointBoard, RouteTable } from '@cyclamenthread/state'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import type { Declaration, EndpointEntry, Outcome } from '@cyclamenthread/state'
+import type { StoredObject } from '@cyclamenthread/protocol'
+import type { EventLog } from './event-log.js'
+import type { StoreMirror } from './store-mirror.js'
+
+/** Age from which a copy of the declaration is confirmed before anything is denied because of it, in milliseconds. */
+const DENIAL_AGE_MS = 500
+
+/** Turns stored objects into the product's own types; a failure says what is wrong with the object. */
+export interface DeploymentDecoder {
+  declaration (object: StoredObject): Outcome<Declaration, string>
+  endpoint (object: StoredObject): Outcome<EndpointEntry, string>
+}
+
+/** What the view is made of. */
+export interface DeploymentSources {
+  readonly declarations: StoreMirror
+  readonly endpoints: StoreMirror
+  readonly decoder: DeploymentDecoder
+  readonly log: EventLog
+}
+
+/**
+ * What this host believes of the deployment: the declaration in force and the
+ * endpoints that run.
+ *
+ * Invariants: the declaration's version only goes up; an object that can't be
+ * read changes nothing but is logged.
+ */
+export class DeploymentView {
+  readonly board = new EndpointBoard()
+  readonly #sources: DeploymentSources
+  readonly #listeners: Array<() => void> = []
+  #table: RouteTable | undefined
+  #endpointIds = ''
+  readonly #rejected = new Set<string>()
+
+  constructor (sources: DeploymentSources) {
+    this.#sources = sources
+    sources.declarations.onChange(() => this.#readDeclarations())
+    sources.endpoints.onChange(() => this.#readEndpoints())
+  }
+
+  /** The declaration in force; undefined before the first. */
+  get table (): RouteTable | undefined {
+    return this.#table
+  }
+
+  /** Whether requests can be served. */
+  get ready (): boolean {
+    return this.#table !== undefined && this.#sources.endpoints.loaded
+  }
+
+  /** Age of the declaration's last confirmation in milliseconds. */
+  get declarationAgeMs (): number {
+    return monotonicNow() - this.#sources.declarations.confirmedAt
+  }
+
+  /** Calls back when the declaration or the endpoints have changed. */
+  onChange (listener: () => void): void {
+    this.#listeners.push(listener)
+  }
+
+  /**
+   * Confirms the declaration before a denial, unless it was confirmed just now.
+   *
+   * @returns whether a denial may rest on the declaration in force
+   */
+  async confirm (): Promise<boolean> {
+    if (this.declarationAgeMs < DENIAL_AGE_MS) return true
+    return await this.#sources.declarations.refresh()
+  }
+
+  #readDeclarations (): void {
+    for (const object of this.#sources.declarations.objects()) {
+      const decoded = this.#sources.decoder.declaration(object)
+      if (!decoded.ok) {
+        this.#reject(object, decoded.failure)
+        continue
+      }
+      const known = this.#table?.declaration.version ?? -1
+      if (decoded.value.version <= known) continue
+      this.#table = new RouteTable(decoded.value)
+      this.#sources.log.record(LogEvent.DeclarationChanged, { version: decoded.value.version, previous: known, routes: decoded.value.routes.length, workspaces: decoded.value.workspaces.length })
+    }
+    this.#tell()
+  }
+
+  #readEndpoints (): void {
+    const entries: EndpointEntry[] = []
+    for (const object of this.#sources.endpoints.objects()) {
+      const decoded = this.#sources.decoder.endpoint(object)
+      if (decoded.ok) entries.push(decoded.value)
+      else this.#reject(object, decoded.failure)
+    }
+    this.board.update(entries)
+    const ids = entries.map((entry) => `${entry.id}:${entry.phase}`).sort().join(' ')
+    if (ids !== this.#endpointIds) {
+      this.#endpointIds = ids
+      this.#sources.log.record(LogEvent.EndpointsChanged, { endpoints: ids.split(' ') })
+    }
+    this.#tell()
+  }
+
+  #reject (object: StoredObject, detail: string): void {
+    const name = `${object.key}@${object.version}`
+    if (this.#rejected.has(name)) return
+    this.#rejected.add(name)
+    this.#sources.log.record(LogEvent.EntryRejected, { key: object.key, version: object.version, detail })
+  }
+
+  #tell (): void {
+    for (const listener of this.#listeners) listener()
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/event-log.ts
@@ -0,0 +1,37 @@
+/** Events that the log has a line for. */
+export enum LogEvent {
+  Started = 'started',
+  Stopping = 'stopping',
+  Stopped = 'stopped',
+  Reloaded = 'reloaded',
+  DependencyLost = 'dependency-lost',
+  DependencyRegained = 'dependency-regained',
+  DeclarationChanged = 'declaration-changed',
+  EndpointsChanged = 'endpoints-changed',
+  MembersChanged = 'members-changed',
+  EntryRejected = 'entry-rejected',
+  RequestSent = 'request-sent',
+  RequestEnded = 'request-ended',
+  RolloutAccepted = 'rollout-accepted',
+  RolloutOwned = 'rollout-owned',
+  RolloutEnded = 'rollout-ended',
+  RolloutCommitted = 'rollout-committed',
+  SampleSent = 'sample-sent',
+  SampleEnded = 'sample-ended',
+  LeaseGained = 'lease-gained',
+  LeaseLost = 'lease-lost',
+  DutyCalled = 'duty-called',
+  WeightsOrdered = 'weights-ordered',
+  RetirementCompleted = 'retirement-completed'
+}
+
+/** Values of one line; times are in milliseconds and say so in their names. */
+export type LogFields = Readonly<Record<string, string | number | boolean | undefined | readonly string[] | readonly number[]>>
+
+/** Takes one line for each decision or change of belief. Never blocks. */
+export interface EventLog {
+  record (event: LogEvent, fields: LogFields): void
+}
+
+/** Keeps no lines; for tests that look at outcomes only. */
+export const SILENT_LOG: EventLog = { record: () => {} }
--- a/packages/coordination/src/lib/member-task.ts
+++ b/packages/coordination/src/lib/member-task.ts
@@ -35,6 +35,12 @@
   onChange (listener: () => void): void
 }
 
+/** What membership needs of the settings. */
+export type MemberSettings = Pick<HostSettings, 'self' | 'hostListPeriodMs' | 'storeTimeoutMs'>
+
+/** Names the hosts that may be members; may lag. */
+export type HostDirectory = Pick<PlatformClient, 'hosts'>
+
 /** Sends a message that gets no answer and may be lost. */
 export type MessagePost = (host: Host, message: PeerMessage) => Promise<void>
 
@@ -52,8 +58,8 @@
  * Invariant: this host is in its own view, whatever others say.
  */
 export class MemberTask implements MemberView {
-  readonly #settings: HostSettings
-  readonly #platform: PlatformClient
+  readonly #settings: MemberSettings
+  readonly #platform: HostDirectory
   readonly #post: MessagePost
   readonly #membership: Membership
   readonly #changes = new EventEmitter()
@@ -64,7 +70,7 @@
   #rider: MembershipRider | undefined
   #listsSkipped = 0
 
-  constructor (settings: HostSettings, platform: PlatformClient, post: MessagePost, random: () => number = Math.random) {
+  constructor (settings: MemberSettings, platform: HostDirectory, post: MessagePost, random: () => number = Math.random) {
     this.#settings = settings
     this.#platform = platform
     this.#post = post
--- a/packages/coordination/src/lib/message-bus.ts
+++ b/packages/coordination/src/lib/message-bus.ts
@@ -24,6 +24,9 @@
   readonly signal?: AbortSignal
 }
 
+/** What the bus needs of the settings. */
+export type BusSettings = Pick<HostSettings, 'self' | 'clusterSecret' | 'certificates' | 'storeTimeoutMs'>
+
 /** A signal that never aborts. */
 const NEVER = new AbortController().signal
 
@@ -32,12 +35,12 @@
  * to other hosts over TCP. A task can't tell the two apart.
  */
 export class MessageBus {
-  readonly #settings: HostSettings
+  readonly #settings: BusSettings
   readonly #broker: ServiceBroker
   readonly #client: PeerClient
   readonly #server: PeerServer
 
-  constructor (settings: HostSettings, broker: ServiceBroker) {
+  constructor (settings: BusSettings, broker: ServiceBroker) {
     this.#settings = settings
     this.#broker = broker
     const { self, clusterSecret, certificates } = settings
--- /dev/null
+++ b/packages/coordination/src/lib/retirement-duty.ts
@@ -0,0 +1,25 @@
+import { LogEvent } from './event-log.js'
+import type { DutyLease } from '@cyclamenthread/protocol'
+import type { Duty, DutyContext } from './duty-context.js'
+
+/**
+ * Answers the retirement of storage hosts. They hold nothing that lasts, so a
+ * retirement is complete as soon as it is seen.
+ */
+export class RetirementDuty implements Duty {
+  readonly #context: DutyContext
+
+  constructor (context: DutyContext) {
+    this.#context = context
+  }
+
+  reset (): void {}
+
+  async turn (lease: () => DutyLease | undefined): Promise<void> {
+    for (const name of this.#context.retirements.pending()) {
+      if (lease() === undefined) return
+      const done = await this.#context.retirements.complete(name)
+      this.#context.log.record(LogEvent.RetirementCompleted, { host: name, outcome: done ? 'done' : 'failed' })
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -0,0 +1,341 @@
+import { setMaxListeners } from 'node:events'
+import { completeGroups, placeSample, SampleState, startOrder, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import { AppendStatus } from './rollout-store.js'
+import { readStream, SampleText, StreamEnd } from './sample-stream.js'
+import type { EndpointRecord, RolloutOrder, RolloutProgress, RolloutSample, SampleResult, Vantage } from '@cyclamenthread/state'
+import type { EndpointPort, HeaderPair } from '@cyclamenthread/protocol'
+import type { DeploymentView } from './deployment-view.js'
+import type { EventLog } from './event-log.js'
+import type { RolloutStore } from './rollout-store.js'
+
+/** Usual time between two events of a stream before any was seen, in milliseconds; from the engines' step times. */
+const USUAL_PACE_MS = 38
+
+/** How often a run looks for room while samples wait, in milliseconds. */
+const LOOK_MS = 40
+
+/** Longest that finished samples wait to be listed while the step is not yet decided, in milliseconds. */
+const COMMIT_MS = 1_000
+
+/** Longest an entry of the log is tried, in milliseconds. */
+const APPEND_MS = 30_000
+
+/** Characters of text after which an entry of the log is closed; well below the largest value of the store. */
+const SEGMENT_CHARACTERS = 500_000
+
+/** Age of the log's last confirmation beyond which an end is looked for before a sample starts, in milliseconds. */
+const CONFIRM_MS = 1_500
+
+/** What the runs of one host share. */
+export interface RolloutContext {
+  readonly deployment: DeploymentView
+  readonly endpoints: EndpointPort
+  readonly store: RolloutStore
+  readonly vantage: Vantage
+  readonly writer: string
+  readonly log: EventLog
+}
+
+/** A sample that runs now. */
+interface RunningSample {
+  readonly abort: AbortController
+}
+
+/**
+ * Runs the open samples of one rollout and lists what comes of them.
+ *
+ * Invariants: a sample waits, runs, is settled or is listed, never two of
+ * these; results can be read only once the store has them.
+ */
+export class RolloutRun {
+  readonly order: RolloutOrder
+  readonly progress: RolloutProgress
+  readonly #context: RolloutContext
+  readonly #waiting: RolloutSample[]
+  readonly #running = new Map<string, RunningSample>()
+  readonly #texts = new Map<string, SampleText>()
+  readonly #failures = new Map<string, number>()
+  readonly #settled = new Map<string, SampleResult>()
+  readonly #warm = new Map<string, Set<string>>()
+  readonly #watchers = new Set<() => void>()
+  #confirmedAt = monotonicNow()
+  #oldestSettledAt = Infinity
+  #committing = false
+  #reached = false
+  #timer: NodeJS.Timeout | undefined
+  #stopped = false
+
+  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress) {
+    this.#context = context
+    this.order = order
+    this.progress = progress
+    this.#waiting = startOrder(order, order.samples.filter((sample) => !progress.has(sample.id)))
+  }
+
+  /** Whether nothing is left to run or to list. */
+  get over (): boolean {
+    return this.#stopped || this.progress.ended || this.progress.results.length === this.order.samples.length
+  }
+
+  start (): void {
+    this.#look()
+  }
+
+  /** Stops running; what is not listed is left to the next owner. */
+  stop (): void {
+    this.#stopped = true
+    clearTimeout(this.#timer)
+    for (const running of this.#running.values()) running.abort.abort()
+    this.#tell()
+  }
+
+  /** Lists what has come, as far as the deadline allows; for a planned stop. */
+  async flush (deadline: number): Promise<void> {
+    while (this.#settled.size > 0 && !this.over && monotonicNow() < deadline) await this.#commit(true)
+  }
+
+  /** Reads the log for an end that another host has written. */
+  async confirm (): Promise<void> {
+    const read = await this.#context.store.catchUp(this.order.id, this.progress, deadlineAfter(CONFIRM_MS))
+    if (read.ok) this.#confirmedAt = monotonicNow()
+    this.#afterChange()
+  }
+
+  /** Appends the end of the rollout; whether the store has it. */
+  async end (deadline: number): Promise<boolean> {
+    while (!this.progress.ended && monotonicNow() < deadline) {
+      const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], ended: true }, deadline)
+      if (status === AppendStatus.Failed) break
+    }
+    this.#afterChange()
+    return this.progress.ended
+  }
+
+  /** Waits until a result stands at a position, the run is over, or the deadline passes. */
+  async wait (position: number, deadline: number): Promise<void> {
+    while (this.progress.results.length <= position && !this.over && monotonicNow() < deadline) {
+      await new Promise<void>((resolve) => {
+        const done = (): void => {
+          clearTimeout(timer)
+          this.#watchers.delete(done)
+          resolve()
+        }
+        const timer = setTimeout(done, Math.max(0, deadline - monotonicNow()))
+        this.#watchers.add(done)
+      })
+    }
+  }
+
+  /** Starts what can start, gives up what has expired, and comes back while anything is open. */
+  #look (): void {
+    clearTimeout(this.#timer)
+    if (this.over) {
+      if (!this.#stopped) this.stop()
+      return
+    }
+    if (Date.now() >= this.order.expiresAt) this.#expire()
+    else this.#startSamples()
+    void this.#commit(false)
+    this.#timer = setTimeout(() => this.#look(), LOOK_MS)
+  }
+
+  #startSamples (): void {
+    if (this.#waiting.length === 0) return
+    if (monotonicNow() - this.#confirmedAt > CONFIRM_MS) {
+      this.#confirmedAt = monotonicNow()
+      void this.confirm()
+    }
+    for (let index = 0; index < this.#waiting.length;) {
+      const sample = this.#waiting[index]
+      const record = sample === undefined ? undefined : this.#place(sample)
+      if (sample === undefined || record === undefined) break
+      this.#waiting.splice(index, 1)
+      void this.#run(sample, record)
+    }
+  }
+
+  #place (sample: RolloutSample): EndpointRecord | undefined {
+    const { deployment, vantage } = this.#context
+    const demand = {
+      service: this.order.service,
+      model: this.order.model,
+      minVersion: this.order.minVersion,
+      warm: this.#warm.get(sample.group) ?? new Set<string>(),
+      excluded: new Set<string>()
+    }
+    return placeSample(deployment.board, demand, vantage, USUAL_PACE_MS, monotonicNow())
+  }
+
+  async #run (sample: RolloutSample, record: EndpointRecord): Promise<void> {
+    const { deployment, endpoints, log } = this.#context
+    const { board } = deployment
+    const { entry } = record
+    const abort = new AbortController()
+    setMaxListeners(0, abort.signal)
+    const text = this.#texts.get(sample.id) ?? new SampleText()
+    this.#texts.set(sample.id, text)
+    this.#running.set(sample.id, { abort })
+    this.#warm.set(sample.group, (this.#warm.get(sample.group) ?? new Set()).add(entry.id))
+    board.begin(entry.id)
+    log.record(LogEvent.SampleSent, {
+      requestId: sample.id,
+      rollout: this.order.id,
+      endpoint: entry.id,
+      held: text.pieces.length,
+      load: record.active,
+      weights: board.version(record, this.order.model),
+      minVersion: this.order.minVersion,
+      group: sample.group
+    })
+    const request = {
+      endpoint: entry,
+      requestId: sample.id,
+      method: 'POST',
+      path: sample.path,
+      headers: [...Object.entries(sample.headers), ['Host', this.order.routeHost]] as HeaderPair[],
+      body: Buffer.from(sample.body, 'base64'),
+      workspace: this.order.workspace,
+      deadline: undefined,
+      signal: abort.signal
+    }
+    const result = await readStream(endpoints, request, text, this.order, {
+      started: ({ version, load }) => {
+        if (version !== undefined) board.seeVersion(entry.id, this.order.model, version)
+        if (load !== undefined) board.seeLoad(entry.id, load, monotonicNow())
+      },
+      versionSeen: (version) => board.seeVersion(entry.id, this.order.model, version)
+    }, abort)
+    const now = monotonicNow()
+    board.end(entry.id, entry.bornAt, workEnd(result.end), now)
+    if (result.events > 1) board.seePace(entry.id, result.tookMs / (result.events - 1), now)
+    log.record(LogEvent.SampleEnded, {
+      requestId: sample.id,
+      rollout: this.order.id,
+      endpoint: entry.id,
+      outcome: result.end,
+      detail: result.detail,
+      events: result.events,
+      tookMs: Math.round(result.tookMs),
+      versions: text.versions
+    })
+    this.#running.delete(sample.id)
+    if (!this.#stopped) this.#settle(sample, text, result.end)
+  }
+
+  #settle (sample: RolloutSample, text: SampleText, end: StreamEnd): void {
+    switch (end) {
+      case StreamEnd.Complete:
+        this.#list({ id: sample.id, state: SampleState.Completed, output: text.pieces.join('\n'), versions: [...text.versions] })
+        break
+      case StreamEnd.Impossible:
+        this.#abandon(sample)
+        break
+      case StreamEnd.Failed: {
+        const failures = (this.#failures.get(sample.id) ?? 0) + 1
+        this.#failures.set(sample.id, failures)
+        text.clear()
+        if (failures >= this.order.maxAttempts) this.#abandon(sample)
+        else this.#waiting.unshift(sample)
+        break
+      }
+      case StreamEnd.Stale:
+        text.clear()
+        this.#waiting.unshift(sample)
+        break
+      case StreamEnd.NotRun:
+      case StreamEnd.Broken:
+      case StreamEnd.Cancelled:
+        this.#waiting.unshift(sample)
+        break
+      default: unreachable(end)
+    }
+    this.#look()
+  }
+
+  #abandon (sample: RolloutSample): void {
+    this.#list({ id: sample.id, state: SampleState.Abandoned, output: '', versions: [] })
+  }
+
+  #list (result: SampleResult): void {
+    this.#texts.delete(result.id)
+    this.#settled.set(result.id, result)
+    this.#oldestSettledAt = Math.min(this.#oldestSettledAt, monotonicNow())
+  }
+
+  /** Gives up every sample that waits; those that run may still end. */
+  #expire (): void {
+    for (const sample of this.#waiting.splice(0)) this.#abandon(sample)
+  }
+
+  /**
+   * Writes what is settled: at once when the step is decided by it, else
+   * together with what comes within a second.
+   */
+  async #commit (now: boolean): Promise<void> {
+    if (this.#committing || this.#settled.size === 0 || this.over) return
+    if (!now && !this.#decided() && monotonicNow() - this.#oldestSettledAt < COMMIT_MS) return
+    this.#committing = true
+    const results = takeSegment([...this.#settled.values()])
+    const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results, ended: false }, deadlineAfter(APPEND_MS))
+    this.#committing = false
+    this.#context.log.record(LogEvent.RolloutCommitted, {
+      rollout: this.order.id, outcome: status, results: results.length, segment: this.progress.segments, listed: this.progress.results.length
+    })
+    if (status !== AppendStatus.Failed) this.#confirmedAt = monotonicNow()
+    for (const id of [...this.#settled.keys()]) {
+      if (this.progress.has(id)) this.#settled.delete(id)
+    }
+    this.#oldestSettledAt = this.#settled.size === 0 ? Infinity : monotonicNow()
+    this.#afterChange()
+  }
+
+  /** Whether the settled samples complete the step, or the rollout. */
+  #decided (): boolean {
+    const settled = new Set([...this.#settled.keys(), ...this.progress.results.map((result) => result.id)])
+    if (settled.size === this.order.samples.length) return true
+    if (this.#reached || completeGroups(this.order, settled) < this.order.targetGroups) return false
+    this.#reached = true
+    return true
+  }
+
+  #afterChange (): void {
+    for (let index = this.#waiting.length - 1; index >= 0; index -= 1) {
+      if (this.progress.has(this.#waiting[index]?.id ?? '')) this.#waiting.splice(index, 1)
+    }
+    for (const [id, running] of this.#running) {
+      if (this.progress.ended || this.progress.has(id)) running.abort.abort()
+    }
+    this.#tell()
+    if (this.progress.ended && !this.#stopped) this.#look()
+  }
+
+  #tell (): void {
+    for (const watcher of [...this.#watchers]) watcher()
+  }
+}
+
+/** The first results that fit one entry of the log. */
+function takeSegment (results: readonly SampleResult[]): SampleResult[] {
+  let characters = 0
+  return results.filter((result, index) => {
+    characters += result.output.length
+    return index === 0 || characters <= SEGMENT_CHARACTERS
+  })
+}
+
+function workEnd (end: StreamEnd): WorkEnd {
+  switch (end) {
+    case StreamEnd.Complete:
+    case StreamEnd.Impossible:
+    case StreamEnd.Failed:
+      return WorkEnd.Finished
+    case StreamEnd.NotRun: return WorkEnd.Refused
+    case StreamEnd.Broken: return WorkEnd.Broken
+    case StreamEnd.Stale:
+    case StreamEnd.Cancelled:
+      return WorkEnd.Cancelled
+    default: return unreachable(end)
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -0,0 +1,118 @@
+import { z } from 'zod'
+import { failure, SampleState, success } from '@cyclamenthread/state'
+import { ExpectationKind, rolloutKey, rolloutSegmentKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { Backoff } from './backoff.js'
+import type { Outcome, RolloutOrder, RolloutProgress, RolloutSegment } from '@cyclamenthread/state'
+import type { ObjectStore, StoreFailure } from '@cyclamenthread/protocol'
+
+/** Longest wait for one call of the store, in milliseconds: far beyond its usual answer, well within a trainer's wait. */
+const CALL_MS = 1_200
+
+const segmentSchema = z.object({
+  writer: z.string(),
+  results: z.array(z.object({ id: z.string(), state: z.enum(SampleState), output: z.string(), versions: z.array(z.int()) })),
+  ended: z.boolean()
+})
+
+/** What became of the creation of a rollout. */
+export enum RolloutCreation {
+  Created = 'created',
+  /** It was accepted before. */
+  Known = 'known',
+  /** The store refused; nothing is stored and nothing will be. */
+  Refused = 'refused',
+  /** It may be stored, now or later. */
+  Unknown = 'unknown'
+}
+
+/** What became of an append to a rollout's log. */
+export enum AppendStatus {
+  Applied = 'applied',
+  /** Another writer has taken that place; its entry is applied. */
+  Overtaken = 'overtaken',
+  Failed = 'failed'
+}
+
+/**
+ * Rollouts as they last: the order in one object, and a log of immutable
+ * entries, each written at its own place or not at all.
+ *
+ * Invariant: what a log entry says never changes, so every host that reads the
+ * log up to the same entry lists the same results at the same positions.
+ */
+export class RolloutStore {
+  readonly #store: ObjectStore
+
+  constructor (store: ObjectStore) {
+    this.#store = store
+  }
+
+  /** Stores a rollout; a lost answer is followed up until the deadline. */
+  async create (order: RolloutOrder, deadline: number): Promise<RolloutCreation> {
+    const backoff = new Backoff(Math.random)
+    let sent = false
+    while (monotonicNow() < deadline) {
+      const result = await this.#store.write(rolloutKey(order.id), order, { kind: ExpectationKind.Absent }, this.#call(deadline))
+      if (result.status === WriteStatus.Applied) return RolloutCreation.Created
+      if (result.status === WriteStatus.Conflict) return sent ? RolloutCreation.Created : RolloutCreation.Known
+      if (result.status === WriteStatus.Unknown) sent = true
+      else if (!sent) return RolloutCreation.Refused
+      await pause(backoff.next())
+    }
+    return sent ? RolloutCreation.Unknown : RolloutCreation.Refused
+  }
+
+  /** Reads the order of a rollout; undefined when there is none. */
+  async order (id: string, deadline: number): Promise<Outcome<RolloutOrder | undefined, StoreFailure>> {
+    const found = await this.#store.read(rolloutKey(id), this.#call(deadline))
+    if (!found.ok) return found
+    // Only hosts of this service write orders, so their form is known.
+    return success(found.value?.value as RolloutOrder | undefined)
+  }
+
+  /** Applies all log entries that come after those a progress holds. */
+  async catchUp (id: string, progress: RolloutProgress, deadline: number): Promise<Outcome<void, StoreFailure>> {
+    for (;;) {
+      const place = progress.segments
+      const found = await this.#store.read(rolloutSegmentKey(id, place), this.#call(deadline))
+      if (!found.ok) return failure(found.failure)
+      if (found.value === undefined) return success(undefined)
+      if (progress.segments === place) progress.apply(segmentSchema.parse(found.value.value))
+    }
+  }
+
+  /**
+   * Appends one entry and applies what then stands at its place. A lost answer
+   * is followed up with the same entry until it or another one stands there.
+   */
+  async append (id: string, progress: RolloutProgress, segment: RolloutSegment, deadline: number): Promise<AppendStatus> {
+    const backoff = new Backoff(Math.random)
+    const place = progress.segments
+    while (monotonicNow() < deadline) {
+      const result = await this.#store.write(rolloutSegmentKey(id, place), segment, { kind: ExpectationKind.Absent }, this.#call(deadline))
+      if (result.status === WriteStatus.Applied) {
+        progress.apply(segment)
+        return AppendStatus.Applied
+      }
+      if (result.status === WriteStatus.Conflict) return await this.#settle(id, progress, segment, place, deadline)
+      await pause(backoff.next())
+    }
+    return AppendStatus.Failed
+  }
+
+  async #settle (id: string, progress: RolloutProgress, segment: RolloutSegment, place: number, deadline: number): Promise<AppendStatus> {
+    const read = await this.catchUp(id, progress, deadline)
+    if (!read.ok || progress.segments <= place) return AppendStatus.Failed
+    const own = segment.results.every((result) => progress.has(result.id)) && (!segment.ended || progress.ended)
+    return own ? AppendStatus.Applied : AppendStatus.Overtaken
+  }
+
+  #call (deadline: number): { readonly purpose: StorePurpose, readonly deadline: number } {
+    return { purpose: StorePurpose.Claim, deadline: Math.min(deadline, deadlineAfter(CALL_MS)) }
+  }
+}
+
+async function pause (milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
--- /dev/null
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -0,0 +1,268 @@
+import { failure, notRun, Ran, rankOwners, RefusalReason, RolloutProgress, success } from '@cyclamenthread/state'
+import { PeerMessageKind, RolloutReadStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import { RolloutCreation } from './rollout-store.js'
+import { RolloutRun } from './rollout-run.js'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { Host, Outcome, Refusal, RolloutOrder } from '@cyclamenthread/state'
+import type { RolloutPage } from '@cyclamenthread/protocol'
+import type { MemberView } from './member-task.js'
+import type { MessageBus } from './message-bus.js'
+import type { RolloutContext } from './rollout-run.js'
+
+/** Longest the acceptance of a rollout waits for the store, in milliseconds. */
+const ACCEPT_MS = 2_500
+
+/** Longest wait for an owner beyond the wait for a result, in milliseconds: a round trip between regions and a busy turn. */
+const OWNER_SLACK_MS = 450
+
+/** Time for which a host that did not answer is passed over, in milliseconds. */
+const PASSED_OVER_MS = 2_000
+
+/** Owners that are tried before a host answers from the store by itself. */
+const MAX_OWNERS = 2
+
+/** Longest a host reads a rollout from the store, in milliseconds. */
+const LOAD_MS = 2_500
+
+/** Longest the end of a rollout is tried, in milliseconds. */
+const END_MS = 3_500
+
+/** When a trainer may come back after a refusal for want of the store, in milliseconds. */
+const RETRY_AFTER_MS = 500
+
+/** Most text of one page of results, in characters. */
+const PAGE_CHARACTERS = 900_000
+
+/** What the task works with. */
+export interface RolloutTaskContext extends RolloutContext {
+  readonly self: Host
+  readonly members: MemberView
+  readonly bus: MessageBus
+}
+
+/**
+ * Accepts rollouts, runs those that fall to this host, and answers reads from
+ * their owners. The owner is found by rendezvous over the live hosts of the
+ * region; the first read after an owner has gone makes the next one take over
+ * from the store.
+ *
+ * Invariants: a rollout is accepted only when the store has it; only what the
+ * store has is ever listed; "no such rollout" rests on an answer of the store.
+ */
+export class RolloutTask {
+  readonly #context: RolloutTaskContext
+  readonly #runs = new Map<string, RolloutRun>()
+  readonly #loading = new Map<string, Promise<Outcome<RolloutRun | undefined, string>>>()
+  readonly #orders = new Map<string, RolloutOrder>()
+  readonly #passedOver = new Map<string, number>()
+  #leaving = false
+
+  constructor (context: RolloutTaskContext) {
+    this.#context = context
+  }
+
+  /** The broker service that answers other hosts. */
+  service (): ServiceSchema {
+    return taskService('rollouts', {
+      [PeerMessageKind.RunRollout]: async ({ rolloutId }) => {
+        if (this.#leaving) return { accepted: false }
+        void this.#load(rolloutId)
+        return { accepted: true }
+      },
+      [PeerMessageKind.ReadRollout]: async ({ rolloutId, workspace, after, waitMs }) =>
+        await this.#readHere(rolloutId, workspace, after, deadlineAfter(waitMs)),
+      [PeerMessageKind.EndRollout]: async ({ rolloutId }) => {
+        await this.#runs.get(rolloutId)?.confirm()
+        return { accepted: true }
+      }
+    })
+  }
+
+  /** Rollouts that this host runs now. */
+  get running (): number {
+    return [...this.#runs.values()].filter((run) => !run.over).length
+  }
+
+  /** Takes on no more rollouts, and lists what has come of those it runs. */
+  async leave (deadline: number): Promise<void> {
+    this.#leaving = true
+    await Promise.all([...this.#runs.values()].map(async (run) => await run.flush(deadline)))
+  }
+
+  /** Stops running. */
+  stop (): void {
+    this.#leaving = true
+    for (const run of this.#runs.values()) run.stop()
+  }
+
+  /** Accepts a rollout; a success says that it lasts. */
+  async accept (order: RolloutOrder): Promise<Outcome<void, Refusal>> {
+    const creation = await this.#context.store.create(order, deadlineAfter(ACCEPT_MS))
+    this.#context.log.record(LogEvent.RolloutAccepted, {
+      requestId: order.id, workspace: order.workspace, route: order.route, step: order.step, minVersion: order.minVersion, samples: order.samples.length, outcome: creation
+    })
+    switch (creation) {
+      case RolloutCreation.Refused:
+        return failure(notRun(RefusalReason.StoreUnavailable, 'the store refused the rollout', RETRY_AFTER_MS))
+      case RolloutCreation.Unknown:
+        return failure({ reason: RefusalReason.OutcomeUnknown, ran: Ran.Maybe, detail: 'the store did not confirm the rollout' })
+      case RolloutCreation.Known:
+      case RolloutCreation.Created:
+        this.#orders.set(order.id, order)
+        void this.#assign(order.id)
+        return success(undefined)
+    }
+  }
+
+  /** Reads results from a position on; waits for one until the deadline. */
+  async read (id: string, workspace: string, after: number, deadline: number): Promise<RolloutPage> {
+    for (const owner of this.#owners(id).slice(0, MAX_OWNERS)) {
+      if (owner.id === this.#context.self.id) return await this.#readHere(id, workspace, after, deadline)
+      const message = { kind: PeerMessageKind.ReadRollout, rolloutId: id, workspace, after, waitMs: timeLeft(deadline) } as const
+      const answer = await this.#context.bus.send(owner, message, { deadline: deadline + OWNER_SLACK_MS })
+      if (answer.ok && answer.value.status !== RolloutReadStatus.Unavailable) return answer.value
+      this.#passOver(owner.id)
+    }
+    return await this.#readStored(id, workspace, after)
+  }
+
+  /** Ends a rollout; a success says that the end lasts. */
+  async end (id: string, workspace: string): Promise<Outcome<void, Refusal>> {
+    const deadline = deadlineAfter(END_MS)
+    const order = await this.#order(id, deadline)
+    if (!order.ok) return order
+    if (order.value.workspace !== workspace) return failure(unknownRollout(id))
+    const run = this.#runs.get(id) ?? new RolloutRun(this.#context, order.value, new RolloutProgress())
+    const read = await this.#context.store.catchUp(id, run.progress, deadline)
+    const ended = read.ok && await run.end(deadline)
+    this.#context.log.record(LogEvent.RolloutEnded, { requestId: id, workspace, listed: run.progress.results.length, outcome: ended ? 'ended' : 'unknown' })
+    if (!ended) return failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.Maybe, detail: 'the store did not confirm the end', retryAfterMs: RETRY_AFTER_MS })
+    await this.#tellEnd(id)
+    return success(undefined)
+  }
+
+  /** The body of a sample of a rollout that has not ended, as the trainer sent it. */
+  async body (id: string, workspace: string, sampleId: string): Promise<Outcome<Uint8Array, Refusal>> {
+    const order = await this.#order(id, deadlineAfter(LOAD_MS))
+    if (!order.ok) return order
+    const sample = order.value.samples.find((candidate) => candidate.id === sampleId)
+    if (order.value.workspace !== workspace || sample === undefined) return failure(unknownRollout(id))
+    return success(Buffer.from(sample.body, 'base64'))
+  }
+
+  /** Live hosts of the region in the order in which the rollout falls to them; those that did not answer come last. */
+  #owners (id: string): Host[] {
+    const workers = this.#context.members.workers()
+    const near = workers.filter((host) => host.region === this.#context.self.region)
+    const hosts = near.length > 0 ? near : workers
+    const byId = new Map(hosts.map((host) => [host.id, host]))
+    const now = monotonicNow()
+    const passedOver = (hostId: string): number => (this.#passedOver.get(hostId) ?? 0) > now ? 1 : 0
+    return rankOwners(`rollout/${id}`, [...byId.keys()])
+      .sort((a, b) => passedOver(a) - passedOver(b))
+      .flatMap((hostId) => byId.get(hostId) ?? [])
+  }
+
+  #passOver (hostId: string): void {
+    this.#passedOver.set(hostId, deadlineAfter(PASSED_OVER_MS))
+  }
+
+  /** Has the first host that answers run the rollout. */
+  async #assign (id: string): Promise<void> {
+    for (const owner of this.#owners(id)) {
+      if (owner.id === this.#context.self.id && !this.#leaving) {
+        await this.#load(id)
+        return
+      }
+      const answer = await this.#context.bus.send(owner, { kind: PeerMessageKind.RunRollout, rolloutId: id }, { deadline: deadlineAfter(OWNER_SLACK_MS) })
+      if (answer.ok && answer.value.accepted) return
+      this.#passOver(owner.id)
+    }
+  }
+
+  async #readHere (id: string, workspace: string, after: number, deadline: number): Promise<RolloutPage> {
+    const loaded = await this.#load(id)
+    if (!loaded.ok) return emptyPage(RolloutReadStatus.Unavailable)
+    const run = loaded.value
+    if (run === undefined || run.order.workspace !== workspace) return emptyPage(RolloutReadStatus.Unknown)
+    if (run.progress.results.length <= after && deadline > monotonicNow()) await run.wait(after, deadline)
+    return pageOf(run.order, run.progress, after)
+  }
+
+  /** Reads a rollout from the store without running it. */
+  async #readStored (id: string, workspace: string, after: number): Promise<RolloutPage> {
+    const deadline = deadlineAfter(LOAD_MS)
+    const order = await this.#context.store.order(id, deadline)
+    if (!order.ok) return emptyPage(RolloutReadStatus.Unavailable)
+    if (order.value === undefined || order.value.workspace !== workspace) return emptyPage(RolloutReadStatus.Unknown)
+    const progress = new RolloutProgress()
+    const read = await this.#context.store.catchUp(id, progress, deadline)
+    return read.ok ? pageOf(order.value, progress, after) : emptyPage(RolloutReadStatus.Unavailable)
+  }
+
+  /** The run of a rollout on this host, taken over from the store if it is not here yet. */
+  async #load (id: string): Promise<Outcome<RolloutRun | undefined, string>> {
+    const known = this.#runs.get(id)
+    if (known !== undefined) return success(known)
+    const loading = this.#loading.get(id) ?? this.#takeOver(id).finally(() => this.#loading.delete(id))
+    this.#loading.set(id, loading)
+    return await loading
+  }
+
+  async #takeOver (id: string): Promise<Outcome<RolloutRun | undefined, string>> {
+    const deadline = deadlineAfter(LOAD_MS)
+    const known = this.#orders.get(id)
+    const order = known === undefined ? await this.#context.store.order(id, deadline) : success(known)
+    if (!order.ok) return failure(order.failure)
+    if (order.value === undefined) return success(undefined)
+    const progress = new RolloutProgress()
+    const read = await this.#context.store.catchUp(id, progress, deadline)
+    if (!read.ok) return failure(read.failure)
+    const run = new RolloutRun(this.#context, order.value, progress)
+    this.#runs.set(id, run)
+    this.#context.log.record(LogEvent.RolloutOwned, {
+      requestId: id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, ageMs: Date.now() - order.value.acceptedAt
+    })
+    if (!this.#leaving) run.start()
+    return success(run)
+  }
+
+  async #order (id: string, deadline: number): Promise<Outcome<RolloutOrder, Refusal>> {
+    const known = this.#runs.get(id)?.order ?? this.#orders.get(id)
+    if (known !== undefined) return success(known)
+    const order = await this.#context.store.order(id, deadline)
+    if (!order.ok) return failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.No, detail: 'the store can\'t be read', retryAfterMs: RETRY_AFTER_MS })
+    if (order.value === undefined) return failure(unknownRollout(id))
+    this.#orders.set(id, order.value)
+    return success(order.value)
+  }
+
+  /** Tells the host that may run the rollout, so that it starts nothing more. */
+  async #tellEnd (id: string): Promise<void> {
+    const others = this.#owners(id).slice(0, MAX_OWNERS).filter((host) => host.id !== this.#context.self.id)
+    await Promise.all(others.map(async (host) =>
+      await this.#context.bus.send(host, { kind: PeerMessageKind.EndRollout, rolloutId: id }, { deadline: deadlineAfter(OWNER_SLACK_MS) })))
+  }
+}
+
+function unknownRollout (id: string): Refusal {
+  return notRun(RefusalReason.UnknownBatch, `there is no rollout ${JSON.stringify(id)}`)
+}
+
+function emptyPage (status: RolloutReadStatus): RolloutPage {
+  return { status, total: 0, results: [], ended: false }
+}
+
+function pageOf (order: RolloutOrder, progress: RolloutProgress, after: number): RolloutPage {
+  let characters = 0
+  const results = []
+  for (const result of progress.results.slice(after)) {
+    characters += result.output.length
+    if (results.length > 0 && characters > PAGE_CHARACTERS) break
+    results.push({ ...result, versions: [...result.versions] })
+  }
+  return { status: RolloutReadStatus.Found, total: order.samples.length, results, ended: progress.ended }
+}
--- /dev/null
+++ b/packages/coordination/src/lib/stored-host-list.ts
@@ -0,0 +1,97 @@
+import { z } from 'zod'
+import { failure, success } from '@cyclamenthread/state'
+import { ExpectationKind, HOSTS_PREFIX, PlatformFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { Backoff } from './backoff.js'
+import type { Host, Outcome } from '@cyclamenthread/state'
+import type { ObjectStore, PlatformCall, PlatformHost } from '@cyclamenthread/protocol'
+import type { HostDirectory } from './member-task.js'
+
+/** Longest wait for one call of the store, in milliseconds. */
+const CALL_MS = 1_500
+
+const hostSchema = z.object({
+  id: z.string(),
+  region: z.string(),
+  failureDomain: z.string(),
+  peerAddress: z.string(),
+  callerUrl: z.string(),
+  hasDataFolder: z.boolean()
+})
+
+/**
+ * The list of hosts, kept in the store: each host writes its own record when it
+ * starts and removes it when it leaves for good.
+ *
+ * @example
+ * const list = new StoredHostList(store)
+ * await list.register(self)
+ */
+export class StoredHostList implements HostDirectory {
+  readonly #store: ObjectStore
+
+  constructor (store: ObjectStore) {
+    this.#store = store
+  }
+
+  async hosts (call: PlatformCall): Promise<Outcome<readonly PlatformHost[], PlatformFailure>> {
+    const listed = await this.#store.list(HOSTS_PREFIX, { purpose: StorePurpose.Other, deadline: call.deadline })
+    if (!listed.ok) return failure(PlatformFailure.Unavailable)
+    return success(listed.value.flatMap((object) => {
+      const host = hostSchema.safeParse(object.value)
+      return host.success ? [{ ...host.data, leaving: false }] : []
+    }))
+  }
+
+  /** Writes this host's record, however long the store takes. */
+  async register (self: Host, stopped: () => boolean): Promise<void> {
+    const backoff = new Backoff(Math.random)
+    while (!stopped() && !await this.#put(self)) await new Promise((resolve) => setTimeout(resolve, backoff.next()))
+  }
+
+  /** Removes the record of a host that is gone for good. */
+  async remove (hostId: string): Promise<void> {
+    const found = await this.#store.read(HOSTS_PREFIX + hostId, this.#call())
+    if (found.ok && found.value !== undefined) await this.#store.remove(HOSTS_PREFIX + hostId, found.value.version, this.#call())
+  }
+
+  async #put (self: Host): Promise<boolean> {
+    const created = await this.#store.write(HOSTS_PREFIX + self.id, self, { kind: ExpectationKind.Absent }, this.#call())
+    if (created.status === WriteStatus.Applied) return true
+    const found = await this.#store.read(HOSTS_PREFIX + self.id, this.#call())
+    if (!found.ok || found.value === undefined) return false
+    const known = hostSchema.safeParse(found.value.value).data
+    if (known?.peerAddress === self.peerAddress && known.callerUrl === self.callerUrl) return true
+    const written = await this.#store.write(HOSTS_PREFIX + self.id, self, { kind: ExpectationKind.Version, version: found.value.version }, this.#call())
+    return written.status === WriteStatus.Applied
+  }
+
+  #call (): { readonly purpose: StorePurpose, readonly deadline: number } {
+    return { purpose: StorePurpose.Other, deadline: deadlineAfter(CALL_MS) }
+  }
+}
+
+/**
+ * The secret that the hosts of a deployment prove to each other; the first host
+ * that needs it draws it.
+ *
+ * @param draw makes a new secret
+ * @param giveUpAt monotonic milliseconds after which there is none
+ * @example
+ * const secret = await clusterSecret(store, () => randomUUID(), deadlineAfter(5_000))
+ */
+export async function clusterSecret (store: ObjectStore, key: string, draw: () => string, giveUpAt: number): Promise<string | undefined> {
+  const backoff = new Backoff(Math.random)
+  while (monotonicNow() < giveUpAt) {
+    const call = { purpose: StorePurpose.Other, deadline: deadlineAfter(CALL_MS) }
+    const found = await store.read(key, call)
+    if (found.ok && typeof found.value?.value === 'string') return found.value.value
+    if (found.ok && found.value === undefined) {
+      const secret = draw()
+      const written = await store.write(key, secret, { kind: ExpectationKind.Absent }, call)
+      if (written.status === WriteStatus.Applied) return secret
+    }
+    await new Promise((resolve) => setTimeout(resolve, backoff.next()))
+  }
+  return undefined
+}
--- /dev/null
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -0,0 +1,116 @@
+import { assignModels, EndpointPhase, unreachable, WeightWaves } from '@cyclamenthread/state'
+import { WeightOrderStatus } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import type { EndpointRecord, WaveSettings } from '@cyclamenthread/state'
+import type { DutyLease } from '@cyclamenthread/protocol'
+import type { Duty, DutyContext } from './duty-context.js'
+
+/** Limits of how a model's endpoints change their weights: half of them serve; several loads at once slow each other. */
+const WAVES: WaveSettings = { servingShare: 0.5, fetchesPerSecond: 6, swapTimeoutMs: 5_000, retryMs: 200 }
+
+/** Time in which a change of weights usually ends, in milliseconds; before that no report is asked for. */
+const USUAL_LOAD_MS = 900
+
+/** How often an endpoint is asked whether its change is done, in milliseconds. */
+const ASK_PERIOD_MS = 250
+
+/** Longest wait for a report, in milliseconds. */
+const REPORT_MS = 600
+
+/** One model's endpoints and their changes. */
+interface ModelWaves {
+  readonly waves: WeightWaves
+  readonly orderedAt: Map<string, number>
+  readonly askedAt: Map<string, number>
+}
+
+/**
+ * Brings each model's newest weights to the endpoints that are its own, half of
+ * them at a time.
+ *
+ * Invariant: an endpoint has the version it was seen with, in its registry
+ * entry, a report or an answer, never the one it was ordered.
+ */
+export class WeightDuty implements Duty {
+  readonly #context: DutyContext
+  readonly #models = new Map<string, ModelWaves>()
+  readonly #assigned = new Map<string, ReadonlyMap<string, string>>()
+
+  constructor (context: DutyContext) {
+    this.#context = context
+  }
+
+  reset (): void {
+    this.#models.clear()
+  }
+
+  async turn (lease: () => DutyLease | undefined): Promise<void> {
+    const table = this.#context.deployment.table
+    for (const service of table?.declaration.services ?? []) {
+      if (service.models.length === 0) continue
+      const records = this.#context.deployment.board.ofService(service.name).filter((record) => record.entry.phase === EndpointPhase.Ready)
+      const holders = records.map((record) => ({ id: record.entry.id, failureDomain: record.entry.failureDomain }))
+      const assigned = assignModels(service.models, holders, this.#assigned.get(service.name) ?? new Map())
+      this.#assigned.set(service.name, assigned)
+      for (const model of service.models) this.#lead(model, records.filter((record) => assigned.get(record.entry.id) === model), lease)
+    }
+  }
+
+  #lead (model: string, records: readonly EndpointRecord[], lease: () => DutyLease | undefined): void {
+    const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), askedAt: new Map() }
+    this.#models.set(model, state)
+    const now = monotonicNow()
+    state.waves.setEndpoints(records.map((record) => record.entry.id))
+    state.waves.release(this.#context.releases().get(model) ?? 0)
+    for (const record of records) {
+      state.waves.see(record.entry.id, this.#context.deployment.board.version(record, model), now)
+      this.#ask(state, model, record, now)
+    }
+    const byId = new Map(records.map((record) => [record.entry.id, record]))
+    for (const order of state.waves.plan(now)) {
+      const record = byId.get(order.endpointId)
+      if (record !== undefined) void this.#order(state, model, record, order.version, lease)
+    }
+  }
+
+  /** Asks an endpoint whose change should be over for its version. */
+  #ask (state: ModelWaves, model: string, record: EndpointRecord, now: number): void {
+    const { id } = record.entry
+    const orderedAt = state.orderedAt.get(id)
+    if (!state.waves.awaits(id) || orderedAt === undefined) return
+    if (now - orderedAt < USUAL_LOAD_MS || now - (state.askedAt.get(id) ?? -Infinity) < ASK_PERIOD_MS) return
+    state.askedAt.set(id, now)
+    void this.#context.endpoints.report(record.entry, deadlineAfter(REPORT_MS)).then((report) => {
+      const version = report?.versions[model]
+      if (version !== undefined) this.#context.deployment.board.seeVersion(id, model, version)
+    })
+  }
+
+  async #order (state: ModelWaves, model: string, record: EndpointRecord, version: number, lease: () => DutyLease | undefined): Promise<void> {
+    const { id } = record.entry
+    const held = lease()
+    if (held === undefined) {
+      state.waves.fail(id, monotonicNow())
+      return
+    }
+    state.orderedAt.set(id, monotonicNow())
+    const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder: held.holder, fence: held.fence, leaseDeadline: held.deadline })
+    this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence: held.fence, outcome: status })
+    switch (status) {
+      case WeightOrderStatus.Holds:
+        this.#context.deployment.board.seeVersion(id, model, version)
+        return
+      case WeightOrderStatus.Accepted:
+      // It may be carried out: only a report or the time limit tells.
+      case WeightOrderStatus.Unknown: // eslint-disable-line no-fallthrough
+        return
+      case WeightOrderStatus.Busy:
+      case WeightOrderStatus.Refused:
+      case WeightOrderStatus.NotSent:
+        state.waves.fail(id, monotonicNow())
+        return
+      default: unreachable(status)
+    }
+  }
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -0,0 +1,158 @@
+import { createServer } from 'node:http'
+import { readBody } from './request-body.js'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { CallerLimits } from '@cyclamenthread/state'
+import type { HeaderPair } from '@cyclamenthread/protocol'
+
+/** How often a drain looks whether it is over, in milliseconds. */
+const DRAIN_POLL_MS = 20
+
+/** Connections that may wait to be accepted. */
+const BACKLOG = 1_024
+
+/** A caller's request, read as a whole. */
+export interface CallerRequest {
+  readonly method: string
+  /** Path and query, exactly as sent. */
+  readonly target: string
+  /** Host name without port. */
+  readonly host: string
+  /** Headers by lower-case name. */
+  readonly headers: Readonly<Record<string, string | undefined>>
+  /** Headers in their order and spelling. */
+  readonly rawHeaders: readonly HeaderPair[]
+  readonly body: Uint8Array
+  /** Aborts when the caller has gone. */
+  readonly signal: AbortSignal
+}
+
+/** The answer to a caller. */
+export interface CallerAnswer {
+  readonly status: number
+  readonly headers: readonly HeaderPair[]
+  readonly body: Uint8Array
+}
+
+/** Answers callers' requests; must not throw. */
+export type CallerHandler = (request: CallerRequest) => Promise<CallerAnswer>
+
+/** The answers that the server gives by itself. */
+export interface CallerServerSettings {
+  readonly host: string
+  readonly port: number
+  readonly handler: CallerHandler
+  /** Limits in force; undefined before the first declaration. */
+  readonly limits: () => CallerLimits | undefined
+}
+
+const TOO_LARGE: CallerAnswer = { status: 413, headers: [], body: new Uint8Array() }
+const FAILED: CallerAnswer = { status: 502, headers: [], body: new Uint8Array() }
+
+/** Largest body before a declaration says otherwise, in bytes. */
+const DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+
+/**
+ * Takes requests of callers over HTTP/1.1 and gives whole answers. Uses Node's
+ * own server rather than a web framework, since paths, headers and bodies go on
+ * exactly as they came.
+ *
+ * Invariants: every request that was read gets one answer; a drain closes no
+ * connection on which a request is open.
+ */
+export class CallerServer {
+  readonly #settings: CallerServerSettings
+  readonly #server: Server
+  #open = 0
+  #leaving = false
+
+  constructor (settings: CallerServerSettings) {
+    this.#settings = settings
+    this.#server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
+      void this.#serve(request, response)
+    })
+    this.#server.requestTimeout = 0
+  }
+
+  /** Requests that are read or answered now. */
+  get open (): number {
+    return this.#open
+  }
+
+  /** Opens the port. */
+  async listen (): Promise<void> {
+    const { host, port } = this.#settings
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen({ host, port, backlog: BACKLOG }, resolve)
+    })
+  }
+
+  /** Tells callers to close their connections after the next answer; the port stays open. */
+  leave (): void {
+    this.#leaving = true
+  }
+
+  /** Closes the port and waits for open requests until the signal aborts. */
+  async close (signal: AbortSignal): Promise<void> {
+    this.#leaving = true
+    this.#server.close()
+    while (this.#open > 0 && !signal.aborted) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
+    this.#server.closeAllConnections()
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.#open += 1
+    const abort = new AbortController()
+    response.on('close', () => {
+      if (!response.writableFinished) abort.abort()
+    })
+    this.#applyLimits()
+    try {
+      const body = await readBody(request, this.#settings.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
+      const answer = body.ok ? await this.#answer(request, body.value, abort.signal) : TOO_LARGE
+      if (!response.destroyed) await this.#send(response, answer, !body.ok)
+    } finally {
+      this.#open -= 1
+    }
+  }
+
+  async #answer (request: IncomingMessage, body: Uint8Array, signal: AbortSignal): Promise<CallerAnswer> {
+    const rawHeaders: HeaderPair[] = []
+    for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
+      rawHeaders.push([request.rawHeaders[index] ?? '', request.rawHeaders[index + 1] ?? ''])
+    }
+    const headers = Object.fromEntries(Object.entries(request.headers).map(([name, value]) => [name, Array.isArray(value) ? value.join(', ') : value]))
+    try {
+      return await this.#settings.handler({
+        method: request.method ?? 'GET',
+        target: request.url ?? '/',
+        host: (request.headers.host ?? '').replace(/:\d+$/, ''),
+        headers,
+        rawHeaders,
+        body,
+        signal
+      })
+    } catch (error) {
+      process.emitWarning(error instanceof Error ? error : String(error))
+      return FAILED
+    }
+  }
+
+  async #send (response: ServerResponse, answer: CallerAnswer, close: boolean): Promise<void> {
+    const headers = answer.headers.flatMap(([name, value]) => [name, value])
+    headers.push('Content-Length', String(answer.body.length))
+    if (close || this.#leaving) headers.push('Connection', 'close')
+    response.writeHead(answer.status, headers)
+    await new Promise<void>((resolve) => {
+      response.on('close', resolve)
+      response.end(answer.body, () => resolve())
+    })
+  }
+
+  #applyLimits (): void {
+    const limits = this.#settings.limits()
+    if (limits === undefined) return
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs
+    this.#server.headersTimeout = limits.headerTimeoutMs
+  }
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -0,0 +1,180 @@
+import { randomUUID } from 'node:crypto'
+import { ServiceBroker } from 'moleculer'
+import {
+  announceLeave, CallTask, clusterSecret, DeploymentView, LeaderTask, LogEvent, MemberTask, MessageBus, RetirementDuty, RolloutStore, RolloutTask,
+  StoredHostList, taskService, UsageDuty, WeightDuty
+} from '@cyclamenthread/coordination'
+import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
+import { UsageTally } from '@cyclamenthread/state'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { hostsFor } from './address-list.js'
+import type { DeploymentDecoder, EventLog, RetirementSource, StoreMirror } from '@cyclamenthread/coordination'
+import type { DutyPort, EndpointPort, SnapshotStore } from '@cyclamenthread/protocol'
+import type { Host, Vantage } from '@cyclamenthread/state'
+import type { CallerPlace } from './address-list.js'
+
+/** Longest a start waits for the store before it begins anew, in milliseconds. */
+const SECRET_MS = 60_000
+
+/** Period of reading the list of hosts, in milliseconds. */
+const HOST_LIST_MS = 2_000
+
+/** Longest wait for one call of the store made for a lease, in milliseconds. */
+const STORE_TIMEOUT_MS = 1_000
+
+/** How often a start looks whether the deployment is known, in milliseconds. */
+const READY_POLL_MS = 20
+
+/** Longest a leaving host waits for the others to take note, in milliseconds. */
+const ANNOUNCE_MS = 500
+
+/** Most addresses in one answer. */
+const MAX_ADDRESSES = 64
+
+/** Time before the end of a planned stop by which finished samples are listed, in milliseconds. */
+const FLUSH_MS = 1_000
+
+/** Settings of an entry host. */
+export interface EntrySettings {
+  readonly self: Host
+  readonly vantage: Vantage
+  readonly storeRegion: string
+  readonly leaseMs: number
+  readonly usageWindowMs: number
+  /** How long callers may keep an answer of the address list, in milliseconds. */
+  readonly addressTtlMs: number
+}
+
+/** The outside of an entry host, as an adapter provides it. */
+export interface EntryPorts {
+  readonly store: SnapshotStore
+  readonly endpoints: EndpointPort
+  readonly platform: DutyPort
+  readonly decoder: DeploymentDecoder
+  readonly declarations: StoreMirror
+  readonly registry: StoreMirror
+  readonly releases: StoreMirror
+  readonly newestVersions: () => ReadonlyMap<string, number>
+  readonly retirements: RetirementSource
+  readonly log: EventLog
+}
+
+/**
+ * One entry host: serves plain calls and rollouts, tells callers which hosts
+ * to use, and leads the duties when the lease falls to it.
+ */
+export class EntryService {
+  readonly calls: CallTask
+  readonly rollouts: RolloutTask
+  readonly deployment: DeploymentView
+  readonly tally: UsageTally
+  readonly #settings: EntrySettings
+  readonly #ports: EntryPorts
+  readonly #broker: ServiceBroker
+  readonly #hosts: StoredHostList
+  readonly #bus: MessageBus
+  readonly #members: MemberTask
+  readonly #leader: LeaderTask
+  #ready = false
+  #leaving = false
+
+  /** Reads the secret of the deployment from the store and makes the service with it. */
+  static async open (settings: EntrySettings, ports: EntryPorts): Promise<EntryService | undefined> {
+    const secret = await clusterSecret(ports.store, CLUSTER_SECRET_KEY, randomUUID, deadlineAfter(SECRET_MS))
+    return secret === undefined ? undefined : new EntryService(settings, ports, secret)
+  }
+
+  private constructor (settings: EntrySettings, ports: EntryPorts, secret: string) {
+    const { self, vantage } = settings
+    const { endpoints, log, platform, store } = ports
+    const incarnation = randomUUID()
+    this.#settings = settings
+    this.#ports = ports
+    this.#broker = new ServiceBroker({ nodeID: self.id, logger: false, tracing: false, metrics: false, skipProcessEventRegistration: true })
+    this.#bus = new MessageBus({ self, clusterSecret: secret, storeTimeoutMs: STORE_TIMEOUT_MS }, this.#broker)
+    this.#hosts = new StoredHostList(store)
+    const memberSettings = { self, hostListPeriodMs: HOST_LIST_MS, storeTimeoutMs: STORE_TIMEOUT_MS }
+    this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message))
+    this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, decoder: ports.decoder, log })
+    this.tally = new UsageTally(settings.usageWindowMs)
+    const shared = { deployment: this.deployment, endpoints, log, vantage }
+    this.calls = new CallTask({ ...shared, tally: this.tally })
+    this.rollouts = new RolloutTask({
+      ...shared, self, members: this.#members, bus: this.#bus, store: new RolloutStore(store), writer: `${self.id}/${incarnation}`
+    })
+    const duties = {
+      hostId: self.id,
+      deployment: this.deployment,
+      endpoints,
+      platform,
+      store,
+      members: this.#members,
+      bus: this.#bus,
+      tally: this.tally,
+      retirements: ports.retirements,
+      releases: ports.newestVersions,
+      log
+    }
+    const leader = { holder: `${self.id}/${incarnation}`, leaseMs: settings.leaseMs, storeTimeoutMs: STORE_TIMEOUT_MS, storeRegion: settings.storeRegion }
+    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties), new RetirementDuty(duties)])
+  }
+
+  /** Whether callers may be sent here. */
+  get ready (): boolean {
+    return this.#ready && !this.#leaving
+  }
+
+  /** Whether a planned stop has begun. */
+  get leaving (): boolean {
+    return this.#leaving
+  }
+
+  /** Starts every task; returns when requests can be served. */
+  async start (): Promise<void> {
+    const { declarations, registry, releases } = this.#ports
+    for (const mirror of [declarations, registry, releases]) mirror.start()
+    this.#broker.createService(this.#members.service(() => this.deployment.table?.declaration.version ?? 0))
+    this.#broker.createService(this.rollouts.service())
+    this.#broker.createService(taskService('tally', {
+      [PeerMessageKind.ReadTally]: async ({ window }) => ({ counts: { ...this.tally.window(window) } })
+    }))
+    await this.#broker.start()
+    await this.#bus.start()
+    while (!this.deployment.ready && !this.#leaving) await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
+    void this.#hosts.register(this.#settings.self, () => this.#leaving)
+    void this.#members.start()
+    this.#ready = true
+    this.#leader.start()
+    this.#ports.log.record(LogEvent.Started, { pid: process.pid, declaration: this.deployment.table?.declaration.version, upMs: Math.round(performance.now()) })
+  }
+
+  /** Addresses that a caller may connect to, and how long the answer holds. */
+  addresses (place: CallerPlace): { readonly hosts: readonly Host[], readonly ttlMs: number } {
+    return { hosts: hostsFor(this.#members.members(), place, MAX_ADDRESSES), ttlMs: this.#settings.addressTtlMs }
+  }
+
+  /**
+   * Begins a planned stop: takes on no more duties and is given out to no more
+   * callers. Requests are served until {@link stop}.
+   */
+  async leave (): Promise<void> {
+    this.#leaving = true
+    this.#ports.log.record(LogEvent.Stopping, { rollouts: this.rollouts.running })
+    void this.#leader.stop()
+    await announceLeave(this.#members, this.#bus, deadlineAfter(ANNOUNCE_MS))
+  }
+
+  /** Stops everything. */
+  async stop (): Promise<void> {
+    this.#leaving = true
+    await this.rollouts.leave(deadlineAfter(FLUSH_MS))
+    this.rollouts.stop()
+    await this.#leader.stop()
+    await this.#members.stop()
+    await this.#broker.stop()
+    await this.#bus.stop()
+    await this.#ports.endpoints.close()
+    await this.#ports.platform.close()
+    this.#ports.log.record(LogEvent.Stopped, {})
+  }
+}
--- /dev/null
+++ b/packages/cyclamenthread/src/lib/json-log.ts
@@ -0,0 +1,80 @@
+import { write } from 'node:fs'
+import { createConsola } from 'consola/core'
+import type { EventLog, LogEvent, LogFields } from '@cyclamenthread/coordination'
+
+/** Bytes of lines that may wait to be written; further lines are dropped and counted. */
+const MAX_WAITING_BYTES = 256 * 1024
+
+/** Pause in which lines are gathered into one write, in milliseconds. */
+const GATHER_MS = 100
+
+/** File descriptor of standard output. */
+const STDOUT = 1
+
+/**
+ * Structured log: a JSON document a line on standard output. Lines are gathered
+ * and written in the background; when the reader does not keep up, lines are
+ * dropped and their number is logged, so that no request ever waits for a log.
+ *
+ * @example
+ * const log = new JsonLog('edge-1')
+ * log.record(LogEvent.Started, { pid: process.pid })
+ */
+export class JsonLog implements EventLog {
+  readonly #host: string
+  readonly #console = createConsola({ level: 3, reporters: [{ log: ({ args }) => this.#append(args[0] as string) }], throttle: 0 })
+  #waiting: string[] = []
+  #waitingBytes = 0
+  #writing = false
+  #timer: NodeJS.Timeout | undefined
+  #dropped = 0
+
+  constructor (host: string) {
+    this.#host = host
+  }
+
+  /** Lines that were dropped since the start. */
+  get dropped (): number {
+    return this.#dropped
+  }
+
+  record (event: LogEvent, fields: LogFields): void {
+    this.#console.info(JSON.stringify({ at: new Date().toISOString(), host: this.#host, event, ...fields }))
+  }
+
+  /** Writes what waits; for the end of the process. */
+  async flush (): Promise<void> {
+    clearTimeout(this.#timer)
+    await this.#write()
+  }
+
+  #append (line: string): void {
+    if (this.#waitingBytes + line.length > MAX_WAITING_BYTES) {
+      this.#dropped += 1
+      return
+    }
+    this.#waiting.push(line)
+    this.#waitingBytes += line.length
+    this.#schedule()
+  }
+
+  #schedule (): void {
+    this.#timer ??= setTimeout(() => {
+      void this.#write()
+    }, GATHER_MS)
+  }
+
+  async #write (): Promise<void> {
+    this.#timer = undefined
+    if (this.#writing || this.#waiting.length === 0) return
+    this.#writing = true
+    const dropped = this.#dropped > 0 ? `${JSON.stringify({ host: this.#host, event: 'lines-dropped', total: this.#dropped })}\n` : ''
+    const bytes = Buffer.from(`${this.#waiting.join('\n')}\n${dropped}`)
+    this.#waiting = []
+    this.#waitingBytes = 0
+    // A failed write loses its lines: there is nowhere else to tell it.
+    await new Promise<void>((resolve) => write(STDOUT, bytes, () => resolve()))
+    this.#writing = false
+    if (this.#waiting.length > 0) this.#schedule()
+  }
+}
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -22,5 +22,9 @@
   CheckCatalogue = 'catalogue.check',
   FetchCatalogue = 'catalogue.fetch',
   FetchParts = 'catalogue.parts',
-  AnnounceCatalogue = 'catalogue.announce'
+  AnnounceCatalogue = 'catalogue.announce',
+  RunRollout = 'rollouts.run',
+  ReadRollout = 'rollouts.read',
+  EndRollout = 'rollouts.end',
+  ReadTally = 'tally.read'
 }
--- a/packages/protocol/src/lib/object-store.ts
+++ b/packages/protocol/src/lib/object-store.ts
@@ -8,6 +8,8 @@
   /** Opaque version; changes with each write. */
   readonly version: string
   readonly value: unknown
+  /** What those who act on the object have said of it; most objects have none. */
+  readonly status?: unknown
 }
 
 /** What the store must hold for a write to take effect. */
@@ -27,7 +29,9 @@
 export enum StoreFailure {
   Unavailable = 'unavailable',
   Timeout = 'timeout',
-  Malformed = 'malformed'
+  Malformed = 'malformed',
+  /** The changes after the given point are no longer kept; a listing starts anew. */
+  HistoryLost = 'history-lost'
 }
 
 /** What became of a conditional write. */
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -17,13 +17,15 @@
 import { PeerMessageKind } from './message-kind.js'
 import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
 import { receiptSchema } from './receipt.js'
+import { endRolloutSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
   acquireSlotSchema, releaseSlotSchema, cancelRequestSchema, summariseCellsSchema, pushSummariesSchema, listHeldSlotsSchema,
   askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
-  checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema
+  checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema,
+  runRolloutSchema, readRolloutSchema, endRolloutSchema, readTallySchema
 ])
 
 /** The schema of the answer to each kind of message. */
@@ -50,7 +52,11 @@
   [PeerMessageKind.CheckCatalogue]: checkAnswerSchema,
   [PeerMessageKind.FetchCatalogue]: catalogueAnswerSchema,
   [PeerMessageKind.FetchParts]: partsAnswerSchema,
-  [PeerMessageKind.AnnounceCatalogue]: receiptSchema
+  [PeerMessageKind.AnnounceCatalogue]: receiptSchema,
+  [PeerMessageKind.RunRollout]: receiptSchema,
+  [PeerMessageKind.ReadRollout]: rolloutPageSchema,
+  [PeerMessageKind.EndRollout]: receiptSchema,
+  [PeerMessageKind.ReadTally]: tallySchema
 } as const
 
 /** A message between two processes. */
--- /dev/null
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -0,0 +1,44 @@
+import { z } from 'zod'
+import { SampleState } from '@cyclamenthread/state'
+import { PeerMessageKind } from './message-kind.js'
+
+/** Tells the owner of a rollout that it was accepted and is to be run. */
+export const runRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.RunRollout), rolloutId: z.string() })
+
+/** Asks the owner of a rollout for its results from a position on. */
+export const readRolloutSchema = z.object({
+  kind: z.literal(PeerMessageKind.ReadRollout),
+  rolloutId: z.string(),
+  workspace: z.string(),
+  after: z.int().nonnegative(),
+  /** Longest the answer may wait for a result, in milliseconds. */
+  waitMs: z.number().nonnegative()
+})
+
+/** What a host can say of a rollout. */
+export enum RolloutReadStatus {
+  Found = 'found',
+  /** There is no rollout of that id for the workspace. */
+  Unknown = 'unknown',
+  /** The host can't be sure. */
+  Unavailable = 'unavailable'
+}
+
+const sampleResultSchema = z.object({ id: z.string(), state: z.enum(SampleState), output: z.string(), versions: z.array(z.int()) })
+
+export const rolloutPageSchema = z.object({
+  status: z.enum(RolloutReadStatus),
+  total: z.int().nonnegative(),
+  results: z.array(sampleResultSchema),
+  ended: z.boolean()
+})
+
+/** Tells the owner of a rollout that its trainer has ended it. */
+export const endRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.EndRollout), rolloutId: z.string() })
+
+/** Asks a host for the requests it has counted in a usage window. */
+export const readTallySchema = z.object({ kind: z.literal(PeerMessageKind.ReadTally), window: z.int() })
+
+export const tallySchema = z.object({ counts: z.record(z.string(), z.int().nonnegative()) })
+
+export type RolloutPage = z.infer<typeof rolloutPageSchema>
--- a/packages/protocol/src/lib/store-key.ts
+++ b/packages/protocol/src/lib/store-key.ts
@@ -84,3 +84,29 @@
 
 /** How far usage windows have been reported. */
 export const USAGE_PROGRESS_KEY = `${STORE_PREFIX}usage-progress`
+
+/**
+ * Key of an accepted rollout.
+ *
+ * @example
+ * rolloutKey('7c41')
+ */
+export function rolloutKey (rolloutId: string): string {
+  return `${STORE_PREFIX}rollouts/${rolloutId}`
+}
+
+/**
+ * Key of one entry of a rollout's log.
+ *
+ * @example
+ * rolloutSegmentKey('7c41', 0)
+ */
+export function rolloutSegmentKey (rolloutId: string, segment: number): string {
+  return `${STORE_PREFIX}rollout-log/${rolloutId}.${segment}`
+}
+
+/** Prefix of the records by which hosts find each other. */
+export const HOSTS_PREFIX = `${STORE_PREFIX}hosts/`
+
+/** Key of the secret that hosts prove to each other. */
+export const CLUSTER_SECRET_KEY = `${STORE_PREFIX}secrets/cluster`
--- /dev/null
+++ b/packages/state/src/lib/route-table.ts
@@ -0,0 +1,83 @@
+import type { Declaration, DeclaredService, Route } from './declaration.js'
+
+/** Why a caller's request may not go to any endpoint. */
+export enum RouteDenial {
+  NoRoute = 'no-route',
+  UnknownKey = 'unknown-key'
+}
+
+/** Where a caller's request may go, and for whom it runs. */
+export type RouteMatch =
+  | { readonly ok: true, readonly route: Route, readonly workspace: string | undefined }
+  | { readonly ok: false, readonly denial: RouteDenial }
+
+/**
+ * One declaration with the indexes that requests need. Immutable, so that a
+ * request sees one version from start to end.
+ *
+ * @example
+ * new RouteTable(declaration).match('desk.example', '/pitches/4', key)
+ */
+export class RouteTable {
+  readonly declaration: Declaration
+  readonly #routes = new Map<string, Route[]>()
+  readonly #workspaces = new Map<string, string>()
+  readonly #services = new Map<string, DeclaredService>()
+
+  constructor (declaration: Declaration) {
+    this.declaration = declaration
+    for (const route of declaration.routes) this.#routes.set(route.host, [...this.#routes.get(route.host) ?? [], route])
+    for (const routes of this.#routes.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    for (const workspace of declaration.workspaces) {
+      for (const key of workspace.keys) this.#workspaces.set(key, workspace.name)
+    }
+    for (const service of declaration.services) this.#services.set(service.name, service)
+  }
+
+  /**
+   * Finds the route of a request and proves its key.
+   *
+   * @param host host name without port
+   * @param path path with or without query
+   * @param key the caller's key, if it sent one
+   */
+  match (host: string, path: string, key: string | undefined): RouteMatch {
+    const route = this.#routes.get(host)?.find((candidate) => path.startsWith(candidate.pathPrefix))
+    if (route === undefined) return { ok: false, denial: RouteDenial.NoRoute }
+    if (route.open || this.#workspaces.size === 0) return { ok: true, route, workspace: undefined }
+    const workspace = this.workspaceOf(key)
+    return workspace === undefined ? { ok: false, denial: RouteDenial.UnknownKey } : { ok: true, route, workspace }
+  }
+
+  /** The workspace for which a key speaks. */
+  workspaceOf (key: string | undefined): string | undefined {
+    return key === undefined ? undefined : this.#workspaces.get(key)
+  }
+
+  /** The declared route of that name. */
+  route (name: string): Route | undefined {
+    return this.declaration.routes.find((route) => route.name === name)
+  }
+
+  /** The declared service of that name. */
+  service (name: string): DeclaredService | undefined {
+    return this.#services.get(name)
+  }
+}
+
+/**
+ * Draws the service of one request from the shares of its route.
+ *
+ * @param draw a number from 0 up to 1
+ * @example
+ * drawService(route, Math.random())
+ */
+export function drawService (route: Route, draw: number): string {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0)
+  let left = draw * total
+  for (const share of route.shares) {
+    left -= share.weight
+    if (left < 0) return share.service
+  }
+  return route.shares.at(-1)?.service ?? ''
+}
