--- /dev/null
+++ b/packages/coordination/src/lib/capacity-duty.ts
@@ -0,0 +1,40 @@
+import { wantedEndpoints } from '@cyclamenthread/state'
+import { DutyStatus } from '@cyclamenthread/protocol'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import type { DutyLease } from '@cyclamenthread/protocol'
+import type { Duty, DutyContext } from './duty-context.js'
+
+/** Pause after an order that was not carried out, in milliseconds. */
+const RETRY_MS = 1_500
+
+/** Orders the endpoints that the declared services should have in each failure domain. */
+export class CapacityDuty implements Duty {
+  readonly #context: DutyContext
+  readonly #ordered = new Map<string, number>()
+  readonly #notBefore = new Map<string, number>()
+
+  constructor (context: DutyContext) {
+    this.#context = context
+  }
+
+  reset (): void {
+    this.#ordered.clear()
+  }
+
+  async turn (lease: () => DutyLease | undefined): Promise<void> {
+    for (const service of this.#context.deployment.table?.declaration.services ?? []) {
+      for (const failureDomain of Object.keys(service.capacity?.prices ?? {})) {
+        const count = wantedEndpoints(service, failureDomain)
+        const name = `${service.name}/${failureDomain}`
+        if (count === undefined || this.#ordered.get(name) === count || monotonicNow() < (this.#notBefore.get(name) ?? 0)) continue
+        const held = lease()
+        if (held === undefined) return
+        const status = await this.#context.platform.orderCapacity({ service: service.name, failureDomain, count, cheap: false }, held)
+        this.#context.log.record(LogEvent.CapacityOrdered, { service: service.name, failureDomain, count, fence: held.fence, outcome: status })
+        if (status === DutyStatus.Done) this.#ordered.set(name, count)
+        else this.#notBefore.set(name, monotonicNow() + RETRY_MS)
+      }
+    }
+  }
+}
--- a/packages/coordination/src/lib/duty-context.ts
+++ b/packages/coordination/src/lib/duty-context.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from './event-log.js'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
+import type { StoreMirror } from './store-mirror.js'
 
 /** Storage hosts that are to be emptied, and how that is answered. */
 export interface RetirementSource {
@@ -24,6 +25,8 @@
   readonly bus: MessageBus
   readonly tally: UsageTally
   readonly retirements: RetirementSource
+  /** Followed only while this host leads. */
+  readonly mirrors: readonly StoreMirror[]
   /** The newest version named for each model. */
   readonly releases: () => ReadonlyMap<string, number>
   readonly log: EventLog
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -18,8 +18,10 @@
   RolloutCommitted = 'rollout-committed',
   SampleSent = 'sample-sent',
   SampleEnded = 'sample-ended',
+  SampleMoved = 'sample-moved',
   LeaseGained = 'lease-gained',
   LeaseLost = 'lease-lost',
+  CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
   RetirementCompleted = 'retirement-completed'
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -79,6 +79,10 @@
 
   #note (epoch: number): void {
     this.#context.log.record(epoch === 0 ? LogEvent.LeaseLost : LogEvent.LeaseGained, { lease: LEASE_NAME, fence: epoch === 0 ? this.#epoch : epoch })
+    for (const mirror of this.#context.mirrors) {
+      if (epoch !== 0 && this.#epoch === 0) mirror.start()
+      if (epoch === 0) mirror.stop()
+    }
     this.#epoch = epoch
     for (const duty of this.#duties) duty.reset()
   }
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -25,6 +25,9 @@
 /** Characters of text after which an entry of the log is closed; well below the largest value of the store. */
 const SEGMENT_CHARACTERS = 500_000
 
+/** A sample is moved from an endpoint that is slower than another by this factor: more than a move costs. */
+const MOVE_RATIO = 1.6
+
 /** Age of the log's last confirmation beyond which an end is looked for before a sample starts, in milliseconds. */
 const CONFIRM_MS = 1_500
 
@@ -40,6 +43,8 @@
 
 /** A sample that runs now. */
 interface RunningSample {
+  readonly sample: RolloutSample
+  readonly record: EndpointRecord
   readonly abort: AbortController
 }
 
@@ -61,6 +66,7 @@
   readonly #warm = new Map<string, Set<string>>()
   readonly #watchers = new Set<() => void>()
   #confirmedAt = monotonicNow()
+  #confirmingAt = -Infinity
   #oldestSettledAt = Infinity
   #committing = false
   #reached = false
@@ -96,11 +102,19 @@
     while (this.#settled.size > 0 && !this.over && monotonicNow() < deadline) await this.#commit(true)
   }
 
-  /** Reads the log for an end that another host has written. */
-  async confirm (): Promise<void> {
+  /**
+   * Reads the log for what another host may have written, unless it was read or
+   * written just now.
+   *
+   * @returns whether the progress is current
+   */
+  async confirm (maxAgeMs: number): Promise<boolean> {
+    const askedAt = monotonicNow()
+    if (askedAt - this.#confirmedAt <= maxAgeMs) return true
     const read = await this.#context.store.catchUp(this.order.id, this.progress, deadlineAfter(CONFIRM_MS))
-    if (read.ok) this.#confirmedAt = monotonicNow()
+    if (read.ok) this.#confirmedAt = askedAt
     this.#afterChange()
+    return read.ok
   }
 
   /** Appends the end of the rollout; whether the store has it. */
@@ -136,16 +150,19 @@
       return
     }
     if (Date.now() >= this.order.expiresAt) this.#expire()
-    else this.#startSamples()
+    else {
+      this.#startSamples()
+      if (this.#waiting.length === 0) this.#moveSlow()
+    }
     void this.#commit(false)
     this.#timer = setTimeout(() => this.#look(), LOOK_MS)
   }
 
   #startSamples (): void {
     if (this.#waiting.length === 0) return
-    if (monotonicNow() - this.#confirmedAt > CONFIRM_MS) {
-      this.#confirmedAt = monotonicNow()
-      void this.confirm()
+    if (monotonicNow() - Math.max(this.#confirmedAt, this.#confirmingAt) > CONFIRM_MS) {
+      this.#confirmingAt = monotonicNow()
+      void this.confirm(CONFIRM_MS)
     }
     for (let index = 0; index < this.#waiting.length;) {
       const sample = this.#waiting[index]
@@ -168,6 +185,23 @@
     return placeSample(deployment.board, demand, vantage, USUAL_PACE_MS, monotonicNow())
   }
 
+  /** Moves samples away from endpoints that have turned slow, as far as faster ones have room; their text goes along. */
+  #moveSlow (): void {
+    const { board } = this.#context.deployment
+    const now = monotonicNow()
+    for (const { sample, record, abort } of this.#running.values()) {
+      if (abort.signal.aborted || record.paceMs === undefined) continue
+      const better = this.#place(sample)
+      if (better === undefined || better.entry.id === record.entry.id) continue
+      if (board.pace(record, USUAL_PACE_MS, now) < board.pace(better, USUAL_PACE_MS, now) * MOVE_RATIO) continue
+      abort.abort()
+      this.#context.log.record(LogEvent.SampleMoved, {
+        requestId: sample.id, rollout: this.order.id, from: record.entry.id, to: better.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(better.paceMs ?? USUAL_PACE_MS)
+      })
+      return
+    }
+  }
+
   async #run (sample: RolloutSample, record: EndpointRecord): Promise<void> {
     const { deployment, endpoints, log } = this.#context
     const { board } = deployment
@@ -176,7 +210,7 @@
     setMaxListeners(0, abort.signal)
     const text = this.#texts.get(sample.id) ?? new SampleText()
     this.#texts.set(sample.id, text)
-    this.#running.set(sample.id, { abort })
+    this.#running.set(sample.id, { sample, record, abort })
     this.#warm.set(sample.group, (this.#warm.get(sample.group) ?? new Set()).add(entry.id))
     board.begin(entry.id)
     log.record(LogEvent.SampleSent, {
@@ -205,11 +239,12 @@
         if (version !== undefined) board.seeVersion(entry.id, this.order.model, version)
         if (load !== undefined) board.seeLoad(entry.id, load, monotonicNow())
       },
-      versionSeen: (version) => board.seeVersion(entry.id, this.order.model, version)
+      versionSeen: (version) => board.seeVersion(entry.id, this.order.model, version),
+      paceSeen: (paceMs) => board.seePace(entry.id, paceMs, monotonicNow())
     }, abort)
     const now = monotonicNow()
     board.end(entry.id, entry.bornAt, workEnd(result.end), now)
-    if (result.events > 1) board.seePace(entry.id, result.tookMs / (result.events - 1), now)
+    if (result.end === StreamEnd.NotRun) board.refuseModel(entry.id, this.order.model, now)
     log.record(LogEvent.SampleEnded, {
       requestId: sample.id,
       rollout: this.order.id,
@@ -331,8 +366,9 @@
     case StreamEnd.Impossible:
     case StreamEnd.Failed:
       return WorkEnd.Finished
-    case StreamEnd.NotRun: return WorkEnd.Refused
     case StreamEnd.Broken: return WorkEnd.Broken
+    // A refusal concerns one model and is noted for that.
+    case StreamEnd.NotRun:
     case StreamEnd.Stale:
     case StreamEnd.Cancelled:
       return WorkEnd.Cancelled
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -1,20 +1,13 @@
-import { z } from 'zod'
-import { failure, SampleState, success } from '@cyclamenthread/state'
-import { ExpectationKind, rolloutKey, rolloutSegmentKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { failure, rolloutOrderSchema, rolloutSegmentSchema, success } from '@cyclamenthread/state'
+import { ExpectationKind, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
 import type { Outcome, RolloutOrder, RolloutProgress, RolloutSegment } from '@cyclamenthread/state'
-import type { ObjectStore, StoreFailure } from '@cyclamenthread/protocol'
+import type { ObjectStore } from '@cyclamenthread/protocol'
 
 /** Longest wait for one call of the store, in milliseconds: far beyond its usual answer, well within a trainer's wait. */
 const CALL_MS = 1_200
 
-const segmentSchema = z.object({
-  writer: z.string(),
-  results: z.array(z.object({ id: z.string(), state: z.enum(SampleState), output: z.string(), versions: z.array(z.int()) })),
-  ended: z.boolean()
-})
-
 /** What became of the creation of a rollout. */
 export enum RolloutCreation {
   Created = 'created',
@@ -67,8 +60,9 @@
   async order (id: string, deadline: number): Promise<Outcome<RolloutOrder | undefined, StoreFailure>> {
     const found = await this.#store.read(rolloutKey(id), this.#call(deadline))
     if (!found.ok) return found
-    // Only hosts of this service write orders, so their form is known.
-    return success(found.value?.value as RolloutOrder | undefined)
+    if (found.value === undefined) return success(undefined)
+    const order = rolloutOrderSchema.safeParse(found.value.value)
+    return order.success ? success(order.data) : failure(StoreFailure.Malformed)
   }
 
   /** Applies all log entries that come after those a progress holds. */
@@ -78,7 +72,7 @@
       const found = await this.#store.read(rolloutSegmentKey(id, place), this.#call(deadline))
       if (!found.ok) return failure(found.failure)
       if (found.value === undefined) return success(undefined)
-      if (progress.segments === place) progress.apply(segmentSchema.parse(found.value.value))
+      if (progress.segments === place) progress.apply(rolloutSegmentSchema.parse(found.value.value))
     }
   }
 
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -30,9 +30,15 @@
 /** Longest the end of a rollout is tried, in milliseconds. */
 const END_MS = 3_500
 
+/** Longest wait for an owner that ends a rollout, in milliseconds. */
+const OWNER_END_MS = 1_200
+
 /** When a trainer may come back after a refusal for want of the store, in milliseconds. */
 const RETRY_AFTER_MS = 500
 
+/** Age of a copy of the log on which an answer without results may rest, in milliseconds: below the time in which a listed result must show everywhere. */
+const EMPTY_AGE_MS = 600
+
 /** Most text of one page of results, in characters. */
 const PAGE_CHARACTERS = 900_000
 
@@ -67,16 +73,17 @@
   /** The broker service that answers other hosts. */
   service (): ServiceSchema {
     return taskService('rollouts', {
-      [PeerMessageKind.RunRollout]: async ({ rolloutId }) => {
+      [PeerMessageKind.RunRollout]: async ({ rolloutId, order }) => {
         if (this.#leaving) return { accepted: false }
-        void this.#load(rolloutId)
+        if (order === undefined) void this.#load(rolloutId)
+        else this.#own(order, new RolloutProgress())
         return { accepted: true }
       },
       [PeerMessageKind.ReadRollout]: async ({ rolloutId, workspace, after, waitMs }) =>
         await this.#readHere(rolloutId, workspace, after, deadlineAfter(waitMs)),
-      [PeerMessageKind.EndRollout]: async ({ rolloutId }) => {
-        await this.#runs.get(rolloutId)?.confirm()
-        return { accepted: true }
+      [PeerMessageKind.EndRollout]: async ({ rolloutId, workspace }) => {
+        const run = this.#runs.get(rolloutId)
+        return { accepted: run?.order.workspace === workspace && await run.end(deadlineAfter(END_MS)) }
       }
     })
   }
@@ -112,14 +119,14 @@
       case RolloutCreation.Known:
       case RolloutCreation.Created:
         this.#orders.set(order.id, order)
-        void this.#assign(order.id)
+        void this.#assign(order, creation === RolloutCreation.Created)
         return success(undefined)
     }
   }
 
   /** Reads results from a position on; waits for one until the deadline. */
   async read (id: string, workspace: string, after: number, deadline: number): Promise<RolloutPage> {
-    for (const owner of this.#owners(id).slice(0, MAX_OWNERS)) {
+    for (const owner of this.#owners(workspace).slice(0, MAX_OWNERS)) {
       if (owner.id === this.#context.self.id) return await this.#readHere(id, workspace, after, deadline)
       const message = { kind: PeerMessageKind.ReadRollout, rolloutId: id, workspace, after, waitMs: timeLeft(deadline) } as const
       const answer = await this.#context.bus.send(owner, message, { deadline: deadline + OWNER_SLACK_MS })
@@ -132,16 +139,32 @@
   /** Ends a rollout; a success says that the end lasts. */
   async end (id: string, workspace: string): Promise<Outcome<void, Refusal>> {
     const deadline = deadlineAfter(END_MS)
+    if (await this.#endAtOwner(id, workspace)) return success(undefined)
     const order = await this.#order(id, deadline)
     if (!order.ok) return order
     if (order.value.workspace !== workspace) return failure(unknownRollout(id))
     const run = this.#runs.get(id) ?? new RolloutRun(this.#context, order.value, new RolloutProgress())
     const read = await this.#context.store.catchUp(id, run.progress, deadline)
     const ended = read.ok && await run.end(deadline)
-    this.#context.log.record(LogEvent.RolloutEnded, { requestId: id, workspace, listed: run.progress.results.length, outcome: ended ? 'ended' : 'unknown' })
-    if (!ended) return failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.Maybe, detail: 'the store did not confirm the end', retryAfterMs: RETRY_AFTER_MS })
-    await this.#tellEnd(id)
-    return success(undefined)
+    this.#logEnd(id, workspace, ended ? 'ended' : 'unknown')
+    return ended
+      ? success(undefined)
+      : failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.Maybe, detail: 'the store did not confirm the end', retryAfterMs: RETRY_AFTER_MS })
+  }
+
+  /** Has the owner end a rollout; whether the end lasts. */
+  async #endAtOwner (id: string, workspace: string): Promise<boolean> {
+    const [owner] = this.#owners(workspace)
+    if (owner === undefined || owner.id === this.#context.self.id) return false
+    const answer = await this.#context.bus.send(owner, { kind: PeerMessageKind.EndRollout, rolloutId: id, workspace }, { deadline: deadlineAfter(OWNER_END_MS) })
+    if (!answer.ok) this.#passOver(owner.id)
+    const ended = answer.ok && answer.value.accepted
+    if (ended) this.#logEnd(id, workspace, 'ended by its owner')
+    return ended
+  }
+
+  #logEnd (id: string, workspace: string, outcome: string): void {
+    this.#context.log.record(LogEvent.RolloutEnded, { requestId: id, workspace, outcome })
   }
 
   /** The body of a sample of a rollout that has not ended, as the trainer sent it. */
@@ -153,15 +176,19 @@
     return success(Buffer.from(sample.body, 'base64'))
   }
 
-  /** Live hosts of the region in the order in which the rollout falls to them; those that did not answer come last. */
-  #owners (id: string): Host[] {
+  /**
+   * Live hosts of the region in the order in which a workspace's rollouts fall
+   * to them; those that did not answer come last. One host owns all rollouts of
+   * a workspace, so it knows the load that its steps put on the endpoints.
+   */
+  #owners (workspace: string): Host[] {
     const workers = this.#context.members.workers()
     const near = workers.filter((host) => host.region === this.#context.self.region)
     const hosts = near.length > 0 ? near : workers
     const byId = new Map(hosts.map((host) => [host.id, host]))
     const now = monotonicNow()
     const passedOver = (hostId: string): number => (this.#passedOver.get(hostId) ?? 0) > now ? 1 : 0
-    return rankOwners(`rollout/${id}`, [...byId.keys()])
+    return rankOwners(`rollouts/${workspace}`, [...byId.keys()])
       .sort((a, b) => passedOver(a) - passedOver(b))
       .flatMap((hostId) => byId.get(hostId) ?? [])
   }
@@ -171,13 +198,15 @@
   }
 
   /** Has the first host that answers run the rollout. */
-  async #assign (id: string): Promise<void> {
-    for (const owner of this.#owners(id)) {
+  async #assign (order: RolloutOrder, isNew: boolean): Promise<void> {
+    for (const owner of this.#owners(order.workspace)) {
       if (owner.id === this.#context.self.id && !this.#leaving) {
-        await this.#load(id)
+        if (isNew) this.#own(order, new RolloutProgress())
+        else await this.#load(order.id)
         return
       }
-      const answer = await this.#context.bus.send(owner, { kind: PeerMessageKind.RunRollout, rolloutId: id }, { deadline: deadlineAfter(OWNER_SLACK_MS) })
+      const message = { kind: PeerMessageKind.RunRollout, rolloutId: order.id, ...(isNew ? { order } : {}) } as const
+      const answer = await this.#context.bus.send(owner, message, { deadline: deadlineAfter(OWNER_SLACK_MS) })
       if (answer.ok && answer.value.accepted) return
       this.#passOver(owner.id)
     }
@@ -188,7 +217,10 @@
     if (!loaded.ok) return emptyPage(RolloutReadStatus.Unavailable)
     const run = loaded.value
     if (run === undefined || run.order.workspace !== workspace) return emptyPage(RolloutReadStatus.Unknown)
+    if (run.progress.results.length < after && !await run.confirm(0)) return emptyPage(RolloutReadStatus.Unavailable)
     if (run.progress.results.length <= after && deadline > monotonicNow()) await run.wait(after, deadline)
+    // Another host may have taken over for a while and listed more: nothing is said to be missing on an old copy.
+    if (run.progress.results.length <= after && !run.progress.ended && !await run.confirm(EMPTY_AGE_MS)) return emptyPage(RolloutReadStatus.Unavailable)
     return pageOf(run.order, run.progress, after)
   }
 
@@ -221,13 +253,20 @@
     const progress = new RolloutProgress()
     const read = await this.#context.store.catchUp(id, progress, deadline)
     if (!read.ok) return failure(read.failure)
-    const run = new RolloutRun(this.#context, order.value, progress)
-    this.#runs.set(id, run)
+    return success(this.#own(order.value, progress))
+  }
+
+  /** Begins to run a rollout on this host, unless it runs here already. */
+  #own (order: RolloutOrder, progress: RolloutProgress): RolloutRun {
+    const known = this.#runs.get(order.id)
+    if (known !== undefined) return known
+    const run = new RolloutRun(this.#context, order, progress)
+    this.#runs.set(order.id, run)
     this.#context.log.record(LogEvent.RolloutOwned, {
-      requestId: id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, ageMs: Date.now() - order.value.acceptedAt
+      requestId: order.id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, ageMs: Date.now() - order.acceptedAt
     })
     if (!this.#leaving) run.start()
-    return success(run)
+    return run
   }
 
   async #order (id: string, deadline: number): Promise<Outcome<RolloutOrder, Refusal>> {
@@ -239,13 +278,6 @@
     this.#orders.set(id, order.value)
     return success(order.value)
   }
-
-  /** Tells the host that may run the rollout, so that it starts nothing more. */
-  async #tellEnd (id: string): Promise<void> {
-    const others = this.#owners(id).slice(0, MAX_OWNERS).filter((host) => host.id !== this.#context.self.id)
-    await Promise.all(others.map(async (host) =>
-      await this.#context.bus.send(host, { kind: PeerMessageKind.EndRollout, rolloutId: id }, { deadline: deadlineAfter(OWNER_SLACK_MS) })))
-  }
 }
 
 function unknownRollout (id: string): Refusal {
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -9,6 +9,9 @@
 /** Silence before the first event after which a stream is given up, in milliseconds: it may wait for a slot. */
 const FIRST_SILENCE_MS = 4_000
 
+/** Events over which the pace of a stream is averaged. */
+const PACE_EVENTS = 4
+
 /** How a stream of a sample came to its end. */
 export enum StreamEnd {
   Complete = 'complete',
@@ -57,6 +60,8 @@
 export interface StreamObserver {
   started (part: Extract<StreamPart, { kind: StreamPartKind.Start }>): void
   versionSeen (version: number): void
+  /** @param paceMs time between two events in milliseconds, averaged over some */
+  paceSeen (paceMs: number): void
 }
 
 /**
@@ -74,6 +79,7 @@
   let firstAt: number | undefined
   let version: number | undefined
   let events = 0
+  let paceFrom = 0
   let stalled = false
   let timer: NodeJS.Timeout | undefined
   const watch = (milliseconds: number): void => {
@@ -98,6 +104,11 @@
         case StreamPartKind.Event:
           watch(SILENCE_MS)
           firstAt ??= monotonicNow()
+          if (events % PACE_EVENTS === 0) {
+            const now = monotonicNow()
+            if (events > 0) observer.paceSeen((now - paceFrom) / PACE_EVENTS)
+            paceFrom = now
+          }
           if (part.version !== undefined) {
             version = part.version
             observer.versionSeen(version)
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -37,8 +37,8 @@
   #next: string | undefined
   #confirmedAt = -Infinity
   #connected: boolean | undefined
-  #stopped = false
-  #loop: Promise<void> | undefined
+  /** Counts starts and stops, so that an earlier loop ends when its wait is over. */
+  #life = 0
   #refreshing: Promise<boolean> | undefined
 
   constructor (settings: MirrorSettings, store: SnapshotStore, log: EventLog, random: () => number = Math.random) {
@@ -75,12 +75,13 @@
 
   /** Begins to follow; does not wait for the first listing. */
   start (): void {
-    this.#loop = this.#follow()
+    this.#life += 1
+    void this.#follow(this.#life)
   }
 
-  async stop (): Promise<void> {
-    this.#stopped = true
-    await Promise.race([this.#loop, new Promise((resolve) => setTimeout(resolve, WATCH_SLACK_MS).unref())])
+  /** Stops following; the copy stays as it is. */
+  stop (): void {
+    this.#life += 1
   }
 
   /**
@@ -96,9 +97,10 @@
     return await this.#refreshing
   }
 
-  async #follow (): Promise<void> {
-    while (!this.#stopped) {
+  async #follow (life: number): Promise<void> {
+    while (this.#life === life) {
       const current = this.#next === undefined ? await this.refresh() : await this.#watch(this.#next)
+      if (this.#life !== life) return
       this.#noteConnection(current)
       if (current) this.#backoff.reset()
       else await pause(this.#backoff.next())
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import { ServiceBroker } from 'moleculer'
 import {
-  announceLeave, CallTask, clusterSecret, DeploymentView, LeaderTask, LogEvent, MemberTask, MessageBus, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallTask, CapacityDuty, clusterSecret, DeploymentView, LeaderTask, LogEvent, MemberTask, MessageBus, RetirementDuty, RolloutStore, RolloutTask,
   StoredHostList, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -53,7 +53,8 @@
   readonly decoder: DeploymentDecoder
   readonly declarations: StoreMirror
   readonly registry: StoreMirror
-  readonly releases: StoreMirror
+  /** What only the leader follows. */
+  readonly leaderMirrors: readonly StoreMirror[]
   readonly newestVersions: () => ReadonlyMap<string, number>
   readonly retirements: RetirementSource
   readonly log: EventLog
@@ -112,11 +113,12 @@
       bus: this.#bus,
       tally: this.tally,
       retirements: ports.retirements,
+      mirrors: ports.leaderMirrors,
       releases: ports.newestVersions,
       log
     }
     const leader = { holder: `${self.id}/${incarnation}`, leaseMs: settings.leaseMs, storeTimeoutMs: STORE_TIMEOUT_MS, storeRegion: settings.storeRegion }
-    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties), new RetirementDuty(duties)])
+    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties), new CapacityDuty(duties), new RetirementDuty(duties)])
   }
 
   /** Whether callers may be sent here. */
@@ -131,8 +133,8 @@
 
   /** Starts every task; returns when requests can be served. */
   async start (): Promise<void> {
-    const { declarations, registry, releases } = this.#ports
-    for (const mirror of [declarations, registry, releases]) mirror.start()
+    const { declarations, registry } = this.#ports
+    for (const mirror of [declarations, registry]) mirror.start()
     this.#broker.createService(this.#members.service(() => this.deployment.table?.declaration.version ?? 0))
     this.#broker.createService(this.rollouts.service())
     this.#broker.createService(taskService('tally', {
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -1,9 +1,14 @@
 import { z } from 'zod'
-import { SampleState } from '@cyclamenthread/state'
+import { rolloutOrderSchema, sampleResultSchema } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 
 /** Tells the owner of a rollout that it was accepted and is to be run. */
-export const runRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.RunRollout), rolloutId: z.string() })
+export const runRolloutSchema = z.object({
+  kind: z.literal(PeerMessageKind.RunRollout),
+  rolloutId: z.string(),
+  /** The order, where it has just been stored and its log is empty; else the owner reads both from the store. */
+  order: rolloutOrderSchema.optional()
+})
 
 /** Asks the owner of a rollout for its results from a position on. */
 export const readRolloutSchema = z.object({
@@ -24,8 +29,6 @@
   Unavailable = 'unavailable'
 }
 
-const sampleResultSchema = z.object({ id: z.string(), state: z.enum(SampleState), output: z.string(), versions: z.array(z.int()) })
-
 export const rolloutPageSchema = z.object({
   status: z.enum(RolloutReadStatus),
   total: z.int().nonnegative(),
@@ -33,8 +36,8 @@
   ended: z.boolean()
 })
 
-/** Tells the owner of a rollout that its trainer has ended it. */
-export const endRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.EndRollout), rolloutId: z.string() })
+/** Has the owner of a rollout end it; accepted when the end lasts. */
+export const endRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.EndRollout), rolloutId: z.string(), workspace: z.string() })
 
 /** Asks a host for the requests it has counted in a usage window. */
 export const readTallySchema = z.object({ kind: z.literal(PeerMessageKind.ReadTally), window: z.int() })
--- a/packages/state/src/lib/endpoint-board.ts
+++ b/packages/state/src/lib/endpoint-board.ts
@@ -47,6 +47,9 @@
 /** Pause after a refusal, in milliseconds: a few steps of an engine. */
 const REFUSAL_PAUSE_MS = 60
 
+/** Time for which a model is left alone at an endpoint that refused it with slots free, in milliseconds: part of a change of weights. */
+const LOADING_PAUSE_MS = 150
+
 /** Age at which an endpoint's own load figures no longer count, in milliseconds. */
 const SIGHTING_MS = 1_000
 
@@ -130,6 +133,12 @@
     }
   }
 
+  /** Takes note that an endpoint refused a model: its weights are changing, or it is full. */
+  refuseModel (id: string, model: string, now: number): void {
+    const record = this.#records.get(id)
+    if (record !== undefined) record.loadingUntil[model] = now + LOADING_PAUSE_MS
+  }
+
   /** Takes note of what an endpoint said of its load. */
   seeLoad (id: string, load: LoadSighting, now: number): void {
     const record = this.#records.get(id)
--- a/packages/state/src/lib/model-assignment.ts
+++ b/packages/state/src/lib/model-assignment.ts
@@ -30,8 +30,9 @@
     const model = previous.get(holder.id)
     if (model !== undefined && totals.has(model) && (totals.get(model) ?? 0) < most) give(holder, model)
   }
-  for (const holder of holders) {
-    if (assigned.has(holder.id)) continue
+  const unassigned = holders.filter((holder) => !assigned.has(holder.id))
+  // One failure domain after the other, so that filling up the totals spreads the models within each.
+  for (const holder of unassigned.sort((a, b) => a.failureDomain.localeCompare(b.failureDomain))) {
     const [model] = [...models].sort((a, b) =>
       (totals.get(a) ?? 0) - (totals.get(b) ?? 0) ||
       (domains.get(`${a}\u0000${holder.failureDomain}`) ?? 0) - (domains.get(`${b}\u0000${holder.failureDomain}`) ?? 0))
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -1,41 +1,46 @@
+import { z } from 'zod'
+
 /** One sample of a rollout: a request for tokens that runs at an endpoint. */
-export interface RolloutSample {
-  readonly id: string
-  readonly group: string
-  readonly path: string
+export const rolloutSampleSchema = z.object({
+  id: z.string(),
+  group: z.string(),
+  path: z.string(),
   /** Headers for the endpoint, as the trainer gave them. */
-  readonly headers: Readonly<Record<string, string>>
+  headers: z.record(z.string(), z.string()),
   /** Base64, as the trainer sent it. */
-  readonly body: string
+  body: z.string(),
   /** Prompt tokens and most answer tokens together. */
-  readonly tokens: number
+  tokens: z.number(),
   /** The trainer's estimate of answer tokens; 0 when it gave none. */
-  readonly expectedTokens: number
-}
+  expectedTokens: z.number()
+})
 
 /** A batch of samples that a trainer asked for, as it was accepted. */
-export interface RolloutOrder {
-  readonly id: string
-  readonly workspace: string
-  readonly route: string
-  readonly routeHost: string
-  readonly service: string
-  readonly model: string
-  readonly step: number
+export const rolloutOrderSchema = z.object({
+  id: z.string(),
+  workspace: z.string(),
+  route: z.string(),
+  routeHost: z.string(),
+  service: z.string(),
+  model: z.string(),
+  step: z.int(),
   /** Oldest weight version that may write text of its samples. */
-  readonly minVersion: number
+  minVersion: z.int(),
   /** Complete groups the trainer waits for. */
-  readonly targetGroups: number
-  readonly maxAttempts: number
-  readonly singleVersion: boolean
+  targetGroups: z.int(),
+  maxAttempts: z.int(),
+  singleVersion: z.boolean(),
   /** Milliseconds since 1970 at which it was accepted. */
-  readonly acceptedAt: number
+  acceptedAt: z.number(),
   /** Milliseconds since 1970 at which its samples are due. */
-  readonly dueAt: number
+  dueAt: z.number(),
   /** Milliseconds since 1970 from which open samples may be given up. */
-  readonly expiresAt: number
-  readonly samples: readonly RolloutSample[]
-}
+  expiresAt: z.number(),
+  samples: z.array(rolloutSampleSchema)
+})
+
+export type RolloutSample = z.infer<typeof rolloutSampleSchema>
+export type RolloutOrder = z.infer<typeof rolloutOrderSchema>
 
 /** What became of a sample. */
 export enum SampleState {
@@ -44,21 +49,24 @@
 }
 
 /** A sample as it is listed for its trainer. */
-export interface SampleResult {
-  readonly id: string
-  readonly state: SampleState
-  readonly output: string
+export const sampleResultSchema = z.object({
+  id: z.string(),
+  state: z.enum(SampleState),
+  output: z.string(),
   /** Every weight version that wrote a part of the text, in order. */
-  readonly versions: readonly number[]
-}
+  versions: z.array(z.int())
+})
 
 /** One entry of a rollout's log in the store: results in their order, or the end. */
-export interface RolloutSegment {
+export const rolloutSegmentSchema = z.object({
   /** Host and incarnation of the writer. */
-  readonly writer: string
-  readonly results: readonly SampleResult[]
-  readonly ended: boolean
-}
+  writer: z.string(),
+  results: z.array(sampleResultSchema),
+  ended: z.boolean()
+})
+
+export type SampleResult = z.infer<typeof sampleResultSchema>
+export type RolloutSegment = z.infer<typeof rolloutSegmentSchema>
 
 /**
  * What the log of a rollout says: listed results in their order, and whether
--- /dev/null
+++ b/packages/state/src/test/endpoint-board.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava'
+import { EndpointBoard, EndpointPhase, WorkEnd } from '@cyclamenthread/state'
+import { endpointEntry } from './endpoint-entry.js'
+
+test('an endpoint that drains or has left the registry gets no work', (t) => {
+  const board = new EndpointBoard()
+  board.update([endpointEntry('a'), endpointEntry('b', { phase: EndpointPhase.Draining })])
+  t.deepEqual(board.usable('models', 0).map((record) => record.entry.id), ['a'])
+  board.update([endpointEntry('b', { phase: EndpointPhase.Draining })])
+  t.deepEqual(board.usable('models', 0), [])
+})
+
+test('a new life under a known id starts with an empty record', (t) => {
+  const board = new EndpointBoard()
+  board.update([endpointEntry('a')])
+  board.begin('a')
+  board.seePace('a', 500, 0)
+  board.seeVersion('a', 'critic', 9)
+  board.update([endpointEntry('a', { bornAt: 2 })])
+  const record = board.find('a')
+  t.is(record?.active, 0)
+  t.is(record?.paceMs, undefined)
+  t.is(record && board.version(record, 'critic'), 3)
+})
+
+test('the end of work of an earlier life is not counted for the new one', (t) => {
+  const board = new EndpointBoard()
+  board.update([endpointEntry('a')])
+  board.begin('a')
+  board.update([endpointEntry('a', { bornAt: 2 })])
+  board.begin('a')
+  board.end('a', 1, WorkEnd.Broken, 0)
+  t.is(board.find('a')?.active, 1)
+  t.is(board.usable('models', 0).length, 1)
+})
+
+test('broken work suspends an endpoint, each time for longer, until work succeeds', (t) => {
+  const board = new EndpointBoard()
+  board.update([endpointEntry('a')])
+  board.begin('a')
+  board.end('a', 1, WorkEnd.Broken, 0)
+  const first = board.find('a')?.suspendedUntil ?? 0
+  t.true(first > 0)
+  t.deepEqual(board.usable('models', first - 1), [])
+  board.begin('a')
+  board.end('a', 1, WorkEnd.Broken, first)
+  t.true((board.find('a')?.suspendedUntil ?? 0) - first > first)
+  board.begin('a')
+  board.end('a', 1, WorkEnd.Finished, 10_000)
+  t.is(board.find('a')?.failuresInRow, 0)
+})
+
+test('what is known of a pace is forgotten in time, so that a slow endpoint is tried again', (t) => {
+  const board = new EndpointBoard()
+  board.update([endpointEntry('a')])
+  board.seePace('a', 400, 0)
+  const record = board.find('a')
+  t.truthy(record)
+  if (record === undefined) return
+  t.is(board.pace(record, 40, 0), 400)
+  t.true(board.pace(record, 40, 60_000) < 45)
+})
--- /dev/null
+++ b/packages/state/src/test/endpoint-entry.ts
@@ -0,0 +1,18 @@
+import { EndpointPhase } from '@cyclamenthread/state'
+import type { EndpointEntry } from '@cyclamenthread/state'
+
+/** A ready endpoint, for tests that care about a few of its fields. */
+export function endpointEntry (id: string, changes: Partial<EndpointEntry> = {}): EndpointEntry {
+  return {
+    id,
+    service: 'models',
+    address: `10.0.0.${id.length}:80`,
+    failureDomain: 'leith-walk',
+    slots: 4,
+    phase: EndpointPhase.Ready,
+    versions: { critic: 3 },
+    bornAt: 1,
+    cheap: false,
+    ...changes
+  }
+}
