--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -86,7 +86,8 @@
     while (monotonicNow() < deadline) {
       const result = await this.#store.write(rolloutSegmentKey(id, place), segment, { kind: ExpectationKind.Absent }, this.#call(deadline))
       if (result.status === WriteStatus.Applied) {
-        progress.apply(segment)
+        // A read that overlapped may have applied the entry already.
+        if (progress.segments === place) progress.apply(segment)
         return AppendStatus.Applied
       }
       if (result.status === WriteStatus.Conflict) return await this.#settle(id, progress, segment, place, deadline)
--- /dev/null
+++ b/packages/coordination/src/test/rollout-store.test.ts
@@ -0,0 +1,80 @@
+import test from 'ava'
+import { RolloutProgress, SampleState } from '@cyclamenthread/state'
+import { AppendStatus, RolloutCreation, RolloutStore } from '@cyclamenthread/coordination'
+import { rolloutOrder } from '@cyclamenthread/state/testing'
+import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
+import { deadlineAfter } from '@cyclamenthread/transport'
+
+import type { RolloutSegment } from '@cyclamenthread/state'
+
+/** Time that a test lets pass for real, in milliseconds. */
+const TEST_MS = 10_000
+
+function segment (writer: string, ids: readonly string[], ended = false): RolloutSegment {
+  return { writer, results: ids.map((id) => ({ id, state: SampleState.Completed, output: id, versions: [1] })), ended }
+}
+
+function openStore (seed: number): { readonly memory: MemoryStore, readonly store: RolloutStore } {
+  const memory = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(seed))
+  return { memory, store: new RolloutStore(memory) }
+}
+
+async function readBack (store: RolloutStore): Promise<RolloutProgress> {
+  const progress = new RolloutProgress()
+  await store.catchUp('r1', progress, deadlineAfter(TEST_MS))
+  return progress
+}
+
+test('a log that is read while it is appended to keeps every entry at its place', async (t) => {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    const { memory, store } = openStore(seed)
+    memory.faults.jitterMs = 20
+    const progress = new RolloutProgress()
+    const deadline = deadlineAfter(TEST_MS)
+    for (const ids of [['a'], ['b', 'c'], ['d']]) {
+      const reading = Promise.all([1, 2, 3].map(async () => await store.catchUp('r1', progress, deadline)))
+      t.is(await store.append('r1', progress, segment('w', ids), deadline), AppendStatus.Applied)
+      await reading
+    }
+    t.is(progress.segments, 3, `seed ${seed}`)
+    t.deepEqual((await readBack(store)).results.map(({ id }) => id), ['a', 'b', 'c', 'd'])
+  }
+})
+
+test('two writers whose answers are lost or late agree on one log', async (t) => {
+  for (const seed of [1, 2, 3]) {
+    const { memory, store } = openStore(seed)
+    Object.assign(memory.faults, { lostAnswers: 0.3, lostWrites: 0.2, lateWrites: 0.2, latenessMs: 30, jitterMs: 4 })
+    const deadline = deadlineAfter(TEST_MS)
+    const ids = ['a', 'b', 'c', 'd']
+    const writers = await Promise.all(['x', 'y'].map(async (writer) => {
+      const progress = new RolloutProgress()
+      for (const id of ids) {
+        while (!progress.has(id)) await store.append('r1', progress, segment(writer, [id]), deadline)
+      }
+      return progress
+    }))
+    const last = await readBack(store)
+    t.deepEqual(last.results.map(({ id }) => id).sort(), ids)
+    for (const progress of writers) {
+      t.deepEqual(progress.results, last.results.slice(0, progress.results.length), `seed ${seed}`)
+    }
+  }
+})
+
+test('a rollout whose creation was answered by nobody is accepted once', async (t) => {
+  const { memory, store } = openStore(7)
+  memory.faults.lostAnswers = 1
+  setTimeout(() => {
+    memory.faults.lostAnswers = 0
+  }, 50)
+  t.is(await store.create(rolloutOrder(1, 2), deadlineAfter(TEST_MS)), RolloutCreation.Created)
+  t.is(await store.create(rolloutOrder(1, 2), deadlineAfter(TEST_MS)), RolloutCreation.Known)
+})
+
+test('a store that is down refuses a rollout, so that nothing of it will ever run', async (t) => {
+  const { memory, store } = openStore(8)
+  memory.faults.down = true
+  t.is(await store.create(rolloutOrder(1, 2), deadlineAfter(TEST_MS)), RolloutCreation.Refused)
+  t.deepEqual(memory.keys(''), [])
+})
--- a/packages/state/src/test/rollout-order.ts
+++ b/packages/state/src/lib/testing/rollout-order.ts
@@ -1,4 +1,4 @@
-import type { RolloutOrder } from '@cyclamenthread/state'
+import type { RolloutOrder } from '../rollout.js'
 
 /** A rollout of `groups` groups of `size` samples each, named `g0.0`, `g0.1` and so on. */
 export function rolloutOrder (groups: number, size: number, changes: Partial<RolloutOrder> = {}): RolloutOrder {
--- a/packages/state/src/test/endpoint-board.test.ts
+++ b/packages/state/src/test/endpoint-board.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { EndpointBoard, EndpointPhase, WorkEnd } from '@cyclamenthread/state'
-import { endpointEntry } from './endpoint-entry.js'
+import { endpointEntry } from '@cyclamenthread/state/testing'
 
 test('an endpoint that drains or has left the registry gets no work', (t) => {
   const board = new EndpointBoard()
--- a/packages/state/src/test/endpoint-route.test.ts
+++ b/packages/state/src/test/endpoint-route.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { chooseForCall, EndpointBoard } from '@cyclamenthread/state'
-import { endpointEntry } from './endpoint-entry.js'
+import { endpointEntry } from '@cyclamenthread/state/testing'
 import type { Vantage } from '@cyclamenthread/state'
 
 const VANTAGE: Vantage = {
--- a/packages/state/src/test/rollout.test.ts
+++ b/packages/state/src/test/rollout.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { completeGroups, RolloutProgress, SampleState } from '@cyclamenthread/state'
-import { rolloutOrder } from './rollout-order.js'
+import { rolloutOrder } from '@cyclamenthread/state/testing'
 import type { SampleResult } from '@cyclamenthread/state'
 
 function result (id: string): SampleResult {
--- /dev/null
+++ b/packages/state/src/testing.ts
@@ -0,0 +1,2 @@
+export * from './lib/testing/endpoint-entry.js'
+export * from './lib/testing/rollout-order.js'
