--- a/packages/bench/src/lib/reference.ts
+++ b/packages/bench/src/lib/reference.ts
@@ -1,7 +1,7 @@
 import { COMMANDS, declarationSchemas, EXIT_CODE_MEANING, FLAG_TABLE, flagText } from 'cyclamenctl'
 import { environmentName, flagName, serviceSettingsSchema, statusOf } from 'cyclamenthread'
 import { RefusalReason } from '@cyclamenthread/state'
-import { z } from 'zod'
+import * as z from 'zod'
 import { REFUSAL_NOTES } from './refusal-notes.js'
 
 /** What the tables need of a JSON schema. */
--- a/packages/coordination/src/lib/capacity-orders.ts
+++ b/packages/coordination/src/lib/capacity-orders.ts
@@ -1,5 +1,5 @@
 import { FleetOrderKind, PlatformFailure } from '@cyclamenthread/protocol'
-import { z } from 'zod'
+import * as z from 'zod'
 import { IntentLog } from './intent-log.js'
 import type { FleetOrder, ObjectStore, PlatformClient } from '@cyclamenthread/protocol'
 import type { Leadership } from './lease-task.js'
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -4,6 +4,7 @@
   Stopping = 'stopping',
   Stopped = 'stopped',
   Reloaded = 'reloaded',
+  SettingsRefused = 'settings-refused',
   DependencyLost = 'dependency-lost',
   DependencyRegained = 'dependency-regained',
   DeclarationChanged = 'declaration-changed',
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -62,6 +62,8 @@
   async stop (): Promise<void> {
     await Promise.all(this.#loops.map(async (loop) => await loop.stop()))
     await this.#lease.stop()
+    await this.#lease.release()
+    if (this.#epoch !== 0) this.#note(0)
   }
 
   async #turn (duty: Duty): Promise<void> {
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -1,12 +1,12 @@
 import { leaseDeadline, mayTakeOver } from '@cyclamenthread/state'
 import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Periodic } from './periodic.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Clock, LeaseRecord, LeaseSighting } from '@cyclamenthread/state'
 import type { ObjectStore, StoredObject } from '@cyclamenthread/protocol'
 
-const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative() })
+const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative(), released: z.boolean().optional() })
 
 /** Part of the lease after which it is renewed. */
 const RENEWAL_SHARE = 1 / 3
@@ -58,6 +58,15 @@
     await this.#loop.stop()
   }
 
+  /** Gives the lease up, so that another may act at once. Nothing may be sent under it any more. */
+  async release (): Promise<void> {
+    const held = this.#held
+    this.#held = undefined
+    if (held === undefined || this.#clock.now() >= held.leadership.deadline) return
+    const record = { ...held.record, renewal: held.record.renewal + 1, released: true }
+    await this.#store.write(leaseKey(this.#settings.name), record, { kind: ExpectationKind.Version, version: held.version }, this.#call())
+  }
+
   /**
    * The leadership, if this process has it now. To be asked in the same turn
    * of the event loop as the write it permits.
@@ -79,7 +88,7 @@
   }
 
   async #renew (record: LeaseRecord, version: string): Promise<void> {
-    await this.#write({ ...record, renewal: record.renewal + 1 }, version)
+    await this.#write({ ...record, renewal: record.renewal + 1, released: undefined }, version)
   }
 
   async #contend (): Promise<void> {
--- a/packages/coordination/src/lib/message-bus.ts
+++ b/packages/coordination/src/lib/message-bus.ts
@@ -1,11 +1,11 @@
 import { failure, success } from '@cyclamenthread/state'
 import { peerAnswerSchemas, peerMessageSchema } from '@cyclamenthread/protocol'
 import { PeerClient, PeerFailure, PeerServer, SpanKind, traced, traceparentOf } from '@cyclamenthread/transport'
-import type { ServiceBroker } from 'moleculer'
 import type { Host, Outcome } from '@cyclamenthread/state'
 import type { PeerAnswer, PeerMessage, PeerMessageKind } from '@cyclamenthread/protocol'
 import type { CallContext } from '@cyclamenthread/transport'
 import type { HostSettings } from './host-settings.js'
+import type { ActionCaller } from './local-broker.js'
 
 /** What a task's action learns of a message besides its body; travels as the broker's `meta`. */
 export interface MessageMeta {
@@ -36,11 +36,11 @@
  */
 export class MessageBus {
   readonly #settings: BusSettings
-  readonly #broker: ServiceBroker
+  readonly #broker: ActionCaller
   readonly #client: PeerClient
   readonly #server: PeerServer
 
-  constructor (settings: BusSettings, broker: ServiceBroker) {
+  constructor (settings: BusSettings, broker: ActionCaller) {
     this.#settings = settings
     this.#broker = broker
     const { self, clusterSecret, certificates } = settings
--- a/packages/coordination/src/lib/partition-storage.ts
+++ b/packages/coordination/src/lib/partition-storage.ts
@@ -4,7 +4,7 @@
   cutPages, decodeJson, encodeJson, ExpectationKind, ledgerHeadKey, LedgerObjectKind, ledgerObjectKey, parseLedgerHead, parseLedgerSegment,
   parsePage, restoreRecord, StoreFailure, StorePurpose, storeRecord, USAGE_PROGRESS_KEY, WriteStatus
 } from '@cyclamenthread/protocol'
-import { z } from 'zod'
+import * as z from 'zod'
 import { LARGE_RECORD_CHARACTERS, recordCharacters } from './commit-group.js'
 import type { Clock, LedgerRecord, Outcome, PartitionItem, UsageTotal } from '@cyclamenthread/state'
 import type { LedgerHead, ObjectReference, ObjectStore, StoreCall, StoredRecord } from '@cyclamenthread/protocol'
--- a/packages/coordination/src/lib/stored-host-list.ts
+++ b/packages/coordination/src/lib/stored-host-list.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { failure, success } from '@cyclamenthread/state'
 import { ExpectationKind, HOSTS_PREFIX, PlatformFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
--- a/packages/coordination/src/lib/usage-task.ts
+++ b/packages/coordination/src/lib/usage-task.ts
@@ -1,6 +1,6 @@
 import { rankOwners } from '@cyclamenthread/state'
 import { ExpectationKind, StorePurpose, USAGE_PROGRESS_KEY, WriteStatus } from '@cyclamenthread/protocol'
-import { z } from 'zod'
+import * as z from 'zod'
 import { LeaseTask } from './lease-task.js'
 import { Periodic } from './periodic.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -6,14 +6,20 @@
 import type { DutyLease } from '@cyclamenthread/protocol'
 import type { Duty, DutyContext } from './duty-context.js'
 
-/** Limits of how a model's endpoints change their weights: half of them serve; several loads at once slow each other. */
-const WAVES: WaveSettings = { servingShare: 0.5, fetchesPerSecond: 6, swapTimeoutMs: 5_000, retryMs: 200 }
+/**
+ * Limits of how a model's endpoints change their weights: half of them serve,
+ * and each is changed at every second version, since steps allow the version before.
+ */
+const WAVES: WaveSettings = { servingShare: 0.5, fetchesPerSecond: 6, swapTimeoutMs: 5_000, retryMs: 200, tolerance: 1 }
+
+/** Changes of weights that may run at once over all models before each takes longer; from the deployments' sheets. */
+const LOADS_AT_ONCE = 2
 
 /** Time in which a change of weights usually ends, in milliseconds; before that no report is asked for. */
 const USUAL_LOAD_MS = 900
 
 /** How often an endpoint is asked whether its change is done, in milliseconds. */
-const ASK_PERIOD_MS = 250
+const ASK_PERIOD_MS = 300
 
 /** Longest wait for a report, in milliseconds. */
 const REPORT_MS = 600
@@ -53,11 +59,14 @@
       const holders = records.map((record) => ({ id: record.entry.id, failureDomain: record.entry.failureDomain }))
       const assigned = assignModels(service.models, holders, this.#assigned.get(service.name) ?? new Map())
       this.#assigned.set(service.name, assigned)
-      for (const model of service.models) this.#lead(model, records.filter((record) => assigned.get(record.entry.id) === model), lease)
+      for (const model of service.models) this.#look(model, records.filter((record) => assigned.get(record.entry.id) === model))
+      const byNeed = [...service.models].sort((a, b) => (this.#models.get(b)?.waves.behind ?? 0) - (this.#models.get(a)?.waves.behind ?? 0))
+      for (const model of byNeed) this.#orderDue(model, records, lease)
     }
   }
 
-  #lead (model: string, records: readonly EndpointRecord[], lease: () => DutyLease | undefined): void {
+  /** Takes note of what is known of a model's endpoints. */
+  #look (model: string, records: readonly EndpointRecord[]): void {
     const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), askedAt: new Map() }
     this.#models.set(model, state)
     const now = monotonicNow()
@@ -67,8 +76,15 @@
       state.waves.see(record.entry.id, this.#context.deployment.board.version(record, model), now)
       this.#ask(state, model, record, now)
     }
+  }
+
+  /** Orders what is due for one model, as far as all models together leave room. */
+  #orderDue (model: string, records: readonly EndpointRecord[], lease: () => DutyLease | undefined): void {
+    const state = this.#models.get(model)
+    if (state === undefined) return
+    const loading = [...this.#models.values()].reduce((sum, other) => sum + other.waves.swapping, 0)
     const byId = new Map(records.map((record) => [record.entry.id, record]))
-    for (const order of state.waves.plan(now)) {
+    for (const order of state.waves.plan(monotonicNow(), Math.max(0, LOADS_AT_ONCE - loading))) {
       const record = byId.get(order.endpointId)
       if (record !== undefined) void this.#order(state, model, record, order.version, lease)
     }
--- a/packages/cyclamenctl/src/lib/declaration-fault.ts
+++ b/packages/cyclamenctl/src/lib/declaration-fault.ts
@@ -1,7 +1,7 @@
 import { declarationSchemas, DeclarationKind } from './declaration.js'
 import { nearestName } from '@cyclamenthread/state'
 import type { LineCounter, Document, Node } from 'yaml'
-import type { z } from 'zod'
+import type * as z from 'zod'
 
 /** A fault in a declaration and where it stands. */
 export interface DeclarationFault {
--- a/packages/cyclamenctl/src/lib/declaration.ts
+++ b/packages/cyclamenctl/src/lib/declaration.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { entrySchema, keySchema, poolSchema, workspaceSchema } from '@cyclamenthread/state'
 
 /** Kinds of documents in a folder of declarations. */
--- a/packages/cyclamenctl/src/lib/host-directory.ts
+++ b/packages/cyclamenctl/src/lib/host-directory.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { PlatformClient } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { failed } from './command.js'
--- a/packages/cyclamenctl/src/lib/operator-client.ts
+++ b/packages/cyclamenctl/src/lib/operator-client.ts
@@ -1,5 +1,5 @@
 import { request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { HostState } from '@cyclamenthread/state'
 import { failed } from './command.js'
 import { ExitCode } from './exit-code.js'
--- a/packages/cyclamenctl/src/lib/plan-file.ts
+++ b/packages/cyclamenctl/src/lib/plan-file.ts
@@ -1,5 +1,5 @@
 import { readFile } from 'node:fs/promises'
-import { z } from 'zod'
+import * as z from 'zod'
 import { digest } from '@cyclamenthread/state'
 import { failed } from './command.js'
 import { ExitCode } from './exit-code.js'
--- a/packages/cyclamenthread/src/lib/batch-handler.ts
+++ b/packages/cyclamenthread/src/lib/batch-handler.ts
@@ -1,7 +1,7 @@
 import { ApplyResult, digest, EntryKind, LedgerRecordKind, notRun, RefusalReason } from '@cyclamenthread/state'
 import { CommitStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, timeLeft } from '@cyclamenthread/transport'
-import { z } from 'zod'
+import * as z from 'zod'
 import { admit, authenticate } from './admission.js'
 import { sendJson, sendProblem } from './problem.js'
 import { parseJson, readBody } from './request-body.js'
--- a/packages/cyclamenthread/src/lib/completion-handler.ts
+++ b/packages/cyclamenthread/src/lib/completion-handler.ts
@@ -1,7 +1,7 @@
 import { EntryKind, LedgerRecordKind, notRun, RefusalReason } from '@cyclamenthread/state'
 import { CompletionPartKind } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
-import { z } from 'zod'
+import * as z from 'zod'
 import { admit } from './admission.js'
 import { sendJson, sendProblem } from './problem.js'
 import { parseJson, readBody } from './request-body.js'
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,7 +1,6 @@
 import { randomUUID } from 'node:crypto'
-import { ServiceBroker } from 'moleculer'
 import {
-  announceLeave, CallTask, CapacityDuty, clusterSecret, DeploymentView, LeaderTask, LogEvent, MemberTask, MessageBus, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallTask, CapacityDuty, clusterSecret, DeploymentView, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, RetirementDuty, RolloutStore, RolloutTask,
   StoredHostList, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -71,7 +70,7 @@
   readonly tally: UsageTally
   readonly #settings: EntrySettings
   readonly #ports: EntryPorts
-  readonly #broker: ServiceBroker
+  readonly #broker = new LocalBroker()
   readonly #hosts: StoredHostList
   readonly #bus: MessageBus
   readonly #members: MemberTask
@@ -91,7 +90,6 @@
     const incarnation = randomUUID()
     this.#settings = settings
     this.#ports = ports
-    this.#broker = new ServiceBroker({ nodeID: self.id, logger: false, tracing: false, metrics: false, skipProcessEventRegistration: true })
     this.#bus = new MessageBus({ self, clusterSecret: secret, storeTimeoutMs: STORE_TIMEOUT_MS }, this.#broker)
     this.#hosts = new StoredHostList(store)
     const memberSettings = { self, hostListPeriodMs: HOST_LIST_MS, storeTimeoutMs: STORE_TIMEOUT_MS }
@@ -140,7 +138,6 @@
     this.#broker.createService(taskService('tally', {
       [PeerMessageKind.ReadTally]: async ({ window }) => ({ counts: { ...this.tally.window(window) } })
     }))
-    await this.#broker.start()
     await this.#bus.start()
     while (!this.deployment.ready && !this.#leaving) await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
     void this.#hosts.register(this.#settings.self, () => this.#leaving)
@@ -173,7 +170,6 @@
     this.rollouts.stop()
     await this.#leader.stop()
     await this.#members.stop()
-    await this.#broker.stop()
     await this.#bus.stop()
     await this.#ports.endpoints.close()
     await this.#ports.platform.close()
--- a/packages/cyclamenthread/src/lib/request-body.ts
+++ b/packages/cyclamenthread/src/lib/request-body.ts
@@ -1,6 +1,6 @@
 import { failure, notRun, RefusalReason, success } from '@cyclamenthread/state'
 import type { IncomingMessage } from 'node:http'
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { Outcome, Refusal } from '@cyclamenthread/state'
 
 /**
--- a/packages/cyclamenthread/src/lib/settings.ts
+++ b/packages/cyclamenthread/src/lib/settings.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from 'node:crypto'
 import { existsSync, readFileSync } from 'node:fs'
 import { isIPv4 } from 'node:net'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { HostSettings } from '@cyclamenthread/coordination'
 import type { PeerCertificates } from '@cyclamenthread/transport'
 
--- a/packages/protocol/src/lib/batch-message.ts
+++ b/packages/protocol/src/lib/batch-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { PeerMessageKind } from './message-kind.js'
 
 /** Tells the owner of a partition that a batch was opened there and is to be run. */
--- a/packages/protocol/src/lib/catalogue-message.ts
+++ b/packages/protocol/src/lib/catalogue-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { CatalogueProofKind, rosterSchema, weightReleasesSchema } from '@cyclamenthread/state'
 import { catalogueHeadSchema, cataloguePartSchema } from './catalogue-store.js'
 import { PeerMessageKind } from './message-kind.js'
--- a/packages/protocol/src/lib/catalogue-store.ts
+++ b/packages/protocol/src/lib/catalogue-store.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { catalogueSchema, digest, failure, keySchema, success, unreachable, workspaceSchema } from '@cyclamenthread/state'
 import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
 import { CATALOGUE_HEAD, cataloguePartKey } from './store-key.js'
--- a/packages/protocol/src/lib/decision-message.ts
+++ b/packages/protocol/src/lib/decision-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { PeerMessageKind } from './message-kind.js'
 import type { ChainedDecision } from '@cyclamenthread/state'
 
--- a/packages/protocol/src/lib/dispatcher-message.ts
+++ b/packages/protocol/src/lib/dispatcher-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { endpointSchema, SlotEnd, WorkClass } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 import { refusalSchema } from './refusal-schema.js'
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { openDeadline, withDeadline } from '@cyclamenthread/transport'
 import { CompletionPartKind } from './completion.js'
 import { leasedBody } from './leased-body.js'
--- a/packages/protocol/src/lib/journal-message.ts
+++ b/packages/protocol/src/lib/journal-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { isLedgerRecord } from './ledger-message.js'
 import { PeerMessageKind } from './message-kind.js'
 import type { LedgerRecord } from '@cyclamenthread/state'
--- a/packages/protocol/src/lib/ledger-head.ts
+++ b/packages/protocol/src/lib/ledger-head.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { LedgerRecordKind } from '@cyclamenthread/state'
 import type { LedgerRecord, UsageTotal } from '@cyclamenthread/state'
 import type { UsageWindow } from './platform-client.js'
--- a/packages/protocol/src/lib/ledger-message.ts
+++ b/packages/protocol/src/lib/ledger-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { ApplyResult, LedgerRecordKind } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 import type { BatchEvent, LedgerRecord } from '@cyclamenthread/state'
--- a/packages/protocol/src/lib/limit-message.ts
+++ b/packages/protocol/src/lib/limit-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { limitsSchema } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 
--- a/packages/protocol/src/lib/member-message.ts
+++ b/packages/protocol/src/lib/member-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { HostState, MembershipMessageKind } from '@cyclamenthread/state'
 import { revisionsSchema } from './catalogue-message.js'
 import { PeerMessageKind } from './message-kind.js'
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { openBatchSchema } from './batch-message.js'
 import { explainRequestSchema, explanationSchema, keepDecisionsSchema } from './decision-message.js'
 import {
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
 import { withDeadline } from '@cyclamenthread/transport'
 import { leasedBody } from './leased-body.js'
--- a/packages/protocol/src/lib/quarantine-message.ts
+++ b/packages/protocol/src/lib/quarantine-message.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { PeerMessageKind } from './message-kind.js'
 
 /** Tells a host that an endpoint was lost while it ran a request. */
--- a/packages/protocol/src/lib/receipt.ts
+++ b/packages/protocol/src/lib/receipt.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** The answer of messages that only need to arrive. */
 export const receiptSchema = z.object({ accepted: z.boolean() })
--- a/packages/protocol/src/lib/refusal-schema.ts
+++ b/packages/protocol/src/lib/refusal-schema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { Ran, RefusalReason } from '@cyclamenthread/state'
 
 /** A refusal as it travels between processes. */
--- a/packages/protocol/src/lib/weight-store-client.ts
+++ b/packages/protocol/src/lib/weight-store-client.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { withDeadline } from '@cyclamenthread/transport'
 
 const releaseListSchema = z.object({
--- a/packages/state/src/lib/catalogue.ts
+++ b/packages/state/src/lib/catalogue.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Classes of work, from the most urgent to the least. */
 export enum WorkClass {
--- a/packages/state/src/lib/endpoint-board.ts
+++ b/packages/state/src/lib/endpoint-board.ts
@@ -47,8 +47,8 @@
 /** Pause after a refusal, in milliseconds: a few steps of an engine. */
 const REFUSAL_PAUSE_MS = 60
 
-/** Time for which a model is left alone at an endpoint that refused it with slots free, in milliseconds: part of a change of weights. */
-const LOADING_PAUSE_MS = 150
+/** Time for which a model is left alone at an endpoint that refused it, in milliseconds: about a change of weights, whose end the registry tells sooner. */
+const LOADING_PAUSE_MS = 900
 
 /** Age at which an endpoint's own load figures no longer count, in milliseconds. */
 const SIGHTING_MS = 1_000
@@ -181,6 +181,7 @@
   #put (entry: EndpointEntry): void {
     const known = this.#records.get(entry.id)
     if (known !== undefined && known.entry.bornAt === entry.bornAt && known.entry.address === entry.address) {
+      if (!sameVersions(known.entry, entry)) known.loadingUntil = {}
       known.entry = entry
       return
     }
@@ -198,3 +199,7 @@
     })
   }
 }
+
+function sameVersions (a: EndpointEntry, b: EndpointEntry): boolean {
+  return Object.keys({ ...a.versions, ...b.versions }).every((model) => a.versions[model] === b.versions[model])
+}
--- a/packages/state/src/lib/lease.ts
+++ b/packages/state/src/lib/lease.ts
@@ -5,6 +5,8 @@
   readonly epoch: number
   /** Grows with each renewal, so that an observer sees that the holder lives. */
   readonly renewal: number
+  /** Whether the holder has given the lease up and acts no more. */
+  readonly released?: boolean | undefined
 }
 
 /** What an observer saw of a lease and when, by its own monotonic clock. */
@@ -28,7 +30,7 @@
  * mayTakeOver(sighting, 10_000, performance.now())
  */
 export function mayTakeOver (sighting: LeaseSighting, leaseMs: number, now: number): boolean {
-  return now - sighting.firstSeenAt > leaseMs * (1 + DRIFT_SHARE)
+  return sighting.record.released === true || now - sighting.firstSeenAt > leaseMs * (1 + DRIFT_SHARE)
 }
 
 /**
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** One sample of a rollout: a request for tokens that runs at an endpoint. */
 export const rolloutSampleSchema = z.object({
--- a/packages/state/src/lib/roster.ts
+++ b/packages/state/src/lib/roster.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { endpointSchema } from './catalogue.js'
 
 /** What may be sent to an endpoint that was ordered from the platform. */
--- a/packages/state/src/lib/weight-waves.ts
+++ b/packages/state/src/lib/weight-waves.ts
@@ -8,6 +8,13 @@
   readonly swapTimeoutMs: number
   /** Pause before a failed change is ordered again, in milliseconds; grows with each failure in a row. */
   readonly retryMs: number
+  /**
+   * Versions by which an endpoint may stay behind while half of the group has the
+   * newest; 0 when every version goes to every endpoint. With 1, each endpoint
+   * is changed at every second version, and half of the group can serve a step
+   * that allows the version before.
+   */
+  readonly tolerance?: number
 }
 
 /** Longest pause before a failed change is ordered again, as a multiple of the first. */
@@ -127,14 +134,16 @@
    * The orders that are due; each counts as open from now on.
    *
    * @param now monotonic milliseconds
+   * @param most most orders, where groups share what the weight store gives
    * @example
    * for (const order of waves.plan(now)) await send(order)
    */
-  plan (now: number): WaveOrder[] {
+  plan (now: number, most = Infinity): WaveOrder[] {
     this.#timeOut(now)
     const orders: WaveOrder[] = []
-    let room = mostSwapping(this.#endpoints.size, this.#settings.servingShare) - this.swapping
+    let room = Math.min(most, mostSwapping(this.#endpoints.size, this.#settings.servingShare) - this.swapping)
     for (const [endpointId, endpoint] of this.#due(now)) {
+      if (!this.#needs(endpoint)) continue
       if (room <= 0 || now < this.#nextFetchAt) break
       this.#nextFetchAt = Math.max(this.#nextFetchAt, now - CATCH_UP_MS) + 1_000 / this.#settings.fetchesPerSecond
       endpoint.target = this.#released
@@ -150,6 +159,14 @@
     return endpoint.version !== undefined && endpoint.version < this.#released
   }
 
+  /** Whether an endpoint is too far behind, or too few have the newest version. */
+  #needs (endpoint: EndpointWeights): boolean {
+    const tolerance = this.#settings.tolerance ?? 0
+    if (tolerance === 0 || (endpoint.version ?? 0) < this.#released - tolerance) return true
+    const newest = [...this.#endpoints.values()].filter((other) => (other.target ?? other.version ?? 0) >= this.#released)
+    return newest.length < this.#endpoints.size / 2
+  }
+
   /** Endpoints to be ordered, oldest version first; one that failed comes after those that did not. */
   #due (now: number): Array<[string, EndpointWeights]> {
     const due = [...this.#endpoints].filter(([, endpoint]) => endpoint.target === undefined && this.#isBehind(endpoint) && now >= endpoint.notBefore)
--- a/packages/state/src/test/lease.test.ts
+++ b/packages/state/src/test/lease.test.ts
@@ -18,3 +18,9 @@
   }), { seed: SEED, numRuns: RUNS })
   t.pass()
 })
+
+test('a lease that was given up may be taken over at once', (t) => {
+  const record = { holder: 'h', epoch: 1, renewal: 4 }
+  t.false(mayTakeOver({ record, version: '1', firstSeenAt: 0 }, LEASE_MS, 1))
+  t.true(mayTakeOver({ record: { ...record, released: true }, version: '1', firstSeenAt: 0 }, LEASE_MS, 1))
+})
--- a/packages/state/src/test/sample-placement.test.ts
+++ b/packages/state/src/test/sample-placement.test.ts
@@ -1,7 +1,6 @@
 import test from 'ava'
 import { EndpointBoard, placeSample, startOrder } from '@cyclamenthread/state'
-import { endpointEntry } from '@cyclamenthread/state/testing'
-import { rolloutOrder } from '@cyclamenthread/state/testing'
+import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import type { SampleDemand, Vantage } from '@cyclamenthread/state'
 
 const VANTAGE: Vantage = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian', castlegate: 'grampian' } }
--- a/packages/state/src/test/weight-waves.test.ts
+++ b/packages/state/src/test/weight-waves.test.ts
@@ -99,3 +99,26 @@
   t.deepEqual(waves.plan(1_201), [{ endpointId: 'a', version: 2 }])
   t.is(waves.counters.failed, 1)
 })
+
+test('with a tolerance of one version, half of the group can serve each step at once and loads are halved', (t) => {
+  const waves = new WeightWaves({ servingShare: 0.5, fetchesPerSecond: 100, swapTimeoutMs: 5_000, retryMs: 100, tolerance: 1 })
+  const versions = new Map(['a', 'b', 'c', 'd', 'e', 'f'].map((id) => [id, 1]))
+  waves.setEndpoints([...versions.keys()])
+  let now = 0
+  let loads = 0
+  for (let released = 2; released <= 9; released += 1) {
+    waves.release(released)
+    const usable = [...versions.values()].filter((version) => version >= released - 1).length
+    t.true(usable >= 3, `version ${released}: ${usable} of 6 serve a step that allows ${released - 1}`)
+    for (let round = 0; round < 10; round += 1) {
+      now += 200
+      for (const [id, version] of versions) waves.see(id, version, now)
+      const orders = waves.plan(now, 2)
+      t.true(orders.length <= 2)
+      loads += orders.length
+      for (const order of orders) versions.set(order.endpointId, order.version)
+    }
+    t.true([...versions.values()].every((version) => version >= released - 1))
+  }
+  t.is(loads, 8 * 3)
+})
