--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -15,6 +15,7 @@
   RequestEnded = 'request-ended',
   RolloutAccepted = 'rollout-accepted',
   RolloutOwned = 'rollout-owned',
+  RolloutHandedOver = 'rollout-handed-over',
   RolloutEnded = 'rollout-ended',
   RolloutCommitted = 'rollout-committed',
   SampleSent = 'sample-sent',
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,11 +1,12 @@
 import { setMaxListeners } from 'node:events'
 import { completeGroups, placeSample, SampleState, startOrder, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { AppendStatus } from './rollout-store.js'
 import { readStream, SampleText, StreamEnd } from './sample-stream.js'
 import type { EndpointRecord, RolloutOrder, RolloutProgress, RolloutSample, SampleResult, Vantage } from '@cyclamenthread/state'
-import type { EndpointPort, HeaderPair } from '@cyclamenthread/protocol'
+import type { AdoptRollout, EndpointPort, HeaderPair } from '@cyclamenthread/protocol'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
 import type { RolloutStore } from './rollout-store.js'
@@ -97,6 +98,33 @@
     this.#tell()
   }
 
+  /** Stops running and gives what the next owner needs to go on. */
+  handOver (): AdoptRollout {
+    this.stop()
+    const texts = [...this.#texts].filter(([, text]) => text.pieces.length > 0)
+    return {
+      kind: PeerMessageKind.AdoptRollout,
+      order: this.order,
+      results: [...this.#settled.values()],
+      texts: texts.map(([sampleId, { pieces, versions }]) => ({ sampleId, pieces: [...pieces], versions: [...versions] }))
+    }
+  }
+
+  /** Takes over what an earlier owner had; to be called before the run starts. */
+  adopt (handover: Pick<AdoptRollout, 'results' | 'texts'>): void {
+    for (const result of handover.results) {
+      if (this.progress.has(result.id)) continue
+      this.#list(result)
+      this.#unqueue(result.id)
+    }
+    for (const { sampleId, pieces, versions } of handover.texts) {
+      const text = new SampleText()
+      text.pieces.push(...pieces)
+      text.versions.push(...versions)
+      this.#texts.set(sampleId, text)
+    }
+  }
+
   /** Lists what has come, as far as the deadline allows; for a planned stop. */
   async flush (deadline: number): Promise<void> {
     while (this.#settled.size > 0 && !this.over && monotonicNow() < deadline) await this.#commit(true)
@@ -336,8 +364,8 @@
   }
 
   #afterChange (): void {
-    for (let index = this.#waiting.length - 1; index >= 0; index -= 1) {
-      if (this.progress.has(this.#waiting[index]?.id ?? '')) this.#waiting.splice(index, 1)
+    for (const { id } of [...this.#waiting]) {
+      if (this.progress.has(id)) this.#unqueue(id)
     }
     for (const [id, running] of this.#running) {
       if (this.progress.ended || this.progress.has(id)) running.abort.abort()
@@ -346,6 +374,11 @@
     if (this.progress.ended && !this.#stopped) this.#look()
   }
 
+  #unqueue (sampleId: string): void {
+    const index = this.#waiting.findIndex((sample) => sample.id === sampleId)
+    if (index >= 0) this.#waiting.splice(index, 1)
+  }
+
   #tell (): void {
     for (const watcher of [...this.#watchers]) watcher()
   }
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -7,7 +7,7 @@
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Host, Outcome, Refusal, RolloutOrder } from '@cyclamenthread/state'
-import type { RolloutPage } from '@cyclamenthread/protocol'
+import type { AdoptRollout, RolloutPage } from '@cyclamenthread/protocol'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
 import type { RolloutContext } from './rollout-run.js'
@@ -79,6 +79,7 @@
         else this.#own(order, new RolloutProgress())
         return { accepted: true }
       },
+      [PeerMessageKind.AdoptRollout]: async (handover) => ({ accepted: await this.#adopt(handover) }),
       [PeerMessageKind.ReadRollout]: async ({ rolloutId, workspace, after, waitMs }) =>
         await this.#readHere(rolloutId, workspace, after, deadlineAfter(waitMs)),
       [PeerMessageKind.EndRollout]: async ({ rolloutId, workspace }) => {
@@ -93,10 +94,40 @@
     return [...this.#runs.values()].filter((run) => !run.over).length
   }
 
-  /** Takes on no more rollouts, and lists what has come of those it runs. */
+  /**
+   * Takes on no more rollouts, and hands those it runs on to their next owners;
+   * what nobody takes is listed as far as it has come and left to be found.
+   */
   async leave (deadline: number): Promise<void> {
     this.#leaving = true
-    await Promise.all([...this.#runs.values()].map(async (run) => await run.flush(deadline)))
+    await Promise.all([...this.#runs.values()].filter((run) => !run.over).map(async (run) => {
+      await run.flush(deadline)
+      if (!run.over) await this.#handOver(run, deadline)
+    }))
+  }
+
+  async #handOver (run: RolloutRun, deadline: number): Promise<void> {
+    const handover = run.handOver()
+    for (const owner of this.#owners(run.order.workspace)) {
+      if (owner.id === this.#context.self.id) continue
+      const answer = await this.#context.bus.send(owner, handover, { deadline: Math.min(deadline, deadlineAfter(OWNER_END_MS)) })
+      const accepted = answer.ok && answer.value.accepted
+      this.#context.log.record(LogEvent.RolloutHandedOver, { requestId: run.order.id, to: owner.id, texts: handover.texts.length, results: handover.results.length, outcome: accepted ? 'accepted' : 'refused' })
+      if (accepted) return
+    }
+  }
+
+  /** Goes on with a rollout of a host that leaves. */
+  async #adopt (handover: AdoptRollout): Promise<boolean> {
+    if (this.#leaving) return false
+    const { order } = handover
+    const known = this.#runs.get(order.id)
+    if (known !== undefined) return true
+    const progress = new RolloutProgress()
+    const read = await this.#context.store.catchUp(order.id, progress, deadlineAfter(LOAD_MS))
+    if (!read.ok) return false
+    this.#own(order, progress, handover)
+    return true
   }
 
   /** Stops running. */
@@ -257,7 +288,7 @@
   }
 
   /** Begins to run a rollout on this host, unless it runs here already. */
-  #own (order: RolloutOrder, progress: RolloutProgress): RolloutRun {
+  #own (order: RolloutOrder, progress: RolloutProgress, handover?: AdoptRollout): RolloutRun {
     const known = this.#runs.get(order.id)
     if (known !== undefined) return known
     const run = new RolloutRun(this.#context, order, progress)
@@ -265,6 +296,7 @@
     this.#context.log.record(LogEvent.RolloutOwned, {
       requestId: order.id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, ageMs: Date.now() - order.acceptedAt
     })
+    if (handover !== undefined) run.adopt(handover)
     if (!this.#leaving) run.start()
     return run
   }
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -3,7 +3,7 @@
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import type { EndpointRecord, WaveSettings } from '@cyclamenthread/state'
-import type { DutyLease } from '@cyclamenthread/protocol'
+import type { DutyLease, EndpointReport } from '@cyclamenthread/protocol'
 import type { Duty, DutyContext } from './duty-context.js'
 
 /**
@@ -18,6 +18,9 @@
 /** Time in which a change of weights usually ends, in milliseconds; before that no report is asked for. */
 const USUAL_LOAD_MS = 900
 
+/** Time after which an order without an answer is given up when the endpoint reports that it carries none out, in milliseconds. */
+const UNANSWERED_MS = 1_100
+
 /** How often an endpoint is asked whether its change is done, in milliseconds. */
 const ASK_PERIOD_MS = 300
 
@@ -28,6 +31,7 @@
 interface ModelWaves {
   readonly waves: WeightWaves
   readonly orderedAt: Map<string, number>
+  readonly unanswered: Set<string>
   readonly askedAt: Map<string, number>
 }
 
@@ -42,6 +46,8 @@
   readonly #context: DutyContext
   readonly #models = new Map<string, ModelWaves>()
   readonly #assigned = new Map<string, ReadonlyMap<string, string>>()
+  /** Orders each endpoint has taken, by id and start; unknown before its first report and after an order without an answer. */
+  readonly #orders = new Map<string, number>()
 
   constructor (context: DutyContext) {
     this.#context = context
@@ -49,6 +55,7 @@
 
   reset (): void {
     this.#models.clear()
+    this.#orders.clear()
   }
 
   async turn (lease: () => DutyLease | undefined): Promise<void> {
@@ -60,14 +67,14 @@
       const assigned = assignModels(service.models, holders, this.#assigned.get(service.name) ?? new Map())
       this.#assigned.set(service.name, assigned)
       for (const model of service.models) this.#look(model, records.filter((record) => assigned.get(record.entry.id) === model))
-      const byNeed = [...service.models].sort((a, b) => (this.#models.get(b)?.waves.behind ?? 0) - (this.#models.get(a)?.waves.behind ?? 0))
+      const byNeed = [...service.models].sort((a, b) => (this.#models.get(a)?.waves.servingShare ?? 1) - (this.#models.get(b)?.waves.servingShare ?? 1))
       for (const model of byNeed) this.#orderDue(model, records, lease)
     }
   }
 
   /** Takes note of what is known of a model's endpoints. */
   #look (model: string, records: readonly EndpointRecord[]): void {
-    const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), askedAt: new Map() }
+    const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), unanswered: new Set(), askedAt: new Map() }
     this.#models.set(model, state)
     const now = monotonicNow()
     state.waves.setEndpoints(records.map((record) => record.entry.id))
@@ -97,29 +104,47 @@
     if (!state.waves.awaits(id) || orderedAt === undefined) return
     if (now - orderedAt < USUAL_LOAD_MS || now - (state.askedAt.get(id) ?? -Infinity) < ASK_PERIOD_MS) return
     state.askedAt.set(id, now)
-    void this.#context.endpoints.report(record.entry, deadlineAfter(REPORT_MS)).then((report) => {
-      const version = report?.versions[model]
-      if (version !== undefined) this.#context.deployment.board.seeVersion(id, model, version)
+    void this.#report(record).then((report) => {
+      if (report === undefined) return
+      const isIdle = !report.busy && (report.versions[model] ?? 0) < state.waves.released
+      // An order that was not answered may still come; the number of orders that it expects keeps it from undoing another.
+      if (isIdle && state.unanswered.has(id) && monotonicNow() - orderedAt > UNANSWERED_MS) state.waves.fail(id, monotonicNow())
     })
   }
 
+  /** Asks an endpoint for a report and takes note of what it says. */
+  async #report (record: EndpointRecord): Promise<EndpointReport | undefined> {
+    const { entry } = record
+    const report = await this.#context.endpoints.report(entry, deadlineAfter(REPORT_MS))
+    if (report === undefined) return undefined
+    for (const [model, version] of Object.entries(report.versions)) this.#context.deployment.board.seeVersion(entry.id, model, version)
+    this.#orders.set(lifeOf(record), report.orders)
+    return report
+  }
+
   async #order (state: ModelWaves, model: string, record: EndpointRecord, version: number, lease: () => DutyLease | undefined): Promise<void> {
     const { id } = record.entry
+    const expectedOrders = this.#orders.get(lifeOf(record)) ?? (await this.#report(record))?.orders
     const held = lease()
-    if (held === undefined) {
+    if (held === undefined || expectedOrders === undefined) {
       state.waves.fail(id, monotonicNow())
       return
     }
     state.orderedAt.set(id, monotonicNow())
-    const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder: held.holder, fence: held.fence, leaseDeadline: held.deadline })
-    this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence: held.fence, outcome: status })
+    state.unanswered.delete(id)
+    const { holder, fence, deadline } = held
+    const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder, fence, expectedOrders, leaseDeadline: deadline })
+    this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence, expectedOrders, outcome: status })
+    if (status === WeightOrderStatus.Accepted) this.#orders.set(lifeOf(record), expectedOrders + 1)
+    else if (status !== WeightOrderStatus.Holds) this.#orders.delete(lifeOf(record))
     switch (status) {
       case WeightOrderStatus.Holds:
         this.#context.deployment.board.seeVersion(id, model, version)
         return
-      case WeightOrderStatus.Accepted:
-      // It may be carried out: only a report or the time limit tells.
-      case WeightOrderStatus.Unknown: // eslint-disable-line no-fallthrough
+      case WeightOrderStatus.Accepted: return
+      case WeightOrderStatus.Unknown:
+        // It may be carried out: only a report or the time limit tells.
+        state.unanswered.add(id)
         return
       case WeightOrderStatus.Busy:
       case WeightOrderStatus.Refused:
@@ -130,3 +155,8 @@
     }
   }
 }
+
+/** Names one life of an endpoint. */
+function lifeOf (record: EndpointRecord): string {
+  return `${record.entry.id}@${record.entry.bornAt}`
+}
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -30,8 +30,8 @@
 /** Most addresses in one answer. */
 const MAX_ADDRESSES = 64
 
-/** Time before the end of a planned stop by which finished samples are listed, in milliseconds. */
-const FLUSH_MS = 1_000
+/** Longest that handing rollouts on to other hosts may take, in milliseconds. */
+const HANDOVER_MS = 2_000
 
 /** Settings of an entry host. */
 export interface EntrySettings {
@@ -161,12 +161,12 @@
     this.#ports.log.record(LogEvent.Stopping, { rollouts: this.rollouts.running })
     void this.#leader.stop()
     await announceLeave(this.#members, this.#bus, deadlineAfter(ANNOUNCE_MS))
+    await this.rollouts.leave(deadlineAfter(HANDOVER_MS))
   }
 
   /** Stops everything. */
   async stop (): Promise<void> {
     this.#leaving = true
-    await this.rollouts.leave(deadlineAfter(FLUSH_MS))
     this.rollouts.stop()
     await this.#leader.stop()
     await this.#members.stop()
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -66,6 +66,8 @@
   readonly holder: string
   /** Fencing number of the lease. */
   readonly fence: number
+  /** Orders the endpoint has taken so far; with another number it refuses, so that a late order can't undo a newer one. */
+  readonly expectedOrders: number
   /** Monotonic milliseconds at which the lease ends; no byte leaves after it. */
   readonly leaseDeadline: number
 }
@@ -76,7 +78,7 @@
   Accepted = 'accepted',
   /** The endpoint has the version already. */
   Holds = 'holds',
-  /** The endpoint is busy with another order. */
+  /** The endpoint is busy with another order, or has taken orders that this one does not know of. */
   Busy = 'busy',
   Refused = 'refused',
   /** No answer; it may be carried out, also later. */
@@ -89,6 +91,8 @@
   readonly versions: Readonly<Record<string, number>>
   /** Whether an order is being carried out. */
   readonly busy: boolean
+  /** Orders it has taken since it started. */
+  readonly orders: number
   readonly load: LoadSighting
 }
 
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -24,6 +24,7 @@
   FetchParts = 'catalogue.parts',
   AnnounceCatalogue = 'catalogue.announce',
   RunRollout = 'rollouts.run',
+  AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
   EndRollout = 'rollouts.end',
   ReadTally = 'tally.read'
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -10,6 +10,17 @@
   order: rolloutOrderSchema.optional()
 })
 
+/** Hands a rollout on to its next owner, with the text of samples that have not ended. */
+export const adoptRolloutSchema = z.object({
+  kind: z.literal(PeerMessageKind.AdoptRollout),
+  order: rolloutOrderSchema,
+  /** Results that are not listed yet. */
+  results: z.array(sampleResultSchema),
+  texts: z.array(z.object({ sampleId: z.string(), pieces: z.array(z.string()), versions: z.array(z.int()) }))
+})
+
+export type AdoptRollout = z.infer<typeof adoptRolloutSchema>
+
 /** Asks the owner of a rollout for its results from a position on. */
 export const readRolloutSchema = z.object({
   kind: z.literal(PeerMessageKind.ReadRollout),
--- a/packages/state/src/lib/weight-waves.ts
+++ b/packages/state/src/lib/weight-waves.ts
@@ -120,6 +120,18 @@
     return endpoint !== undefined && (endpoint.target !== undefined || endpoint.version === undefined)
   }
 
+  /** The newest released version. */
+  get released (): number {
+    return this.#released
+  }
+
+  /** Share of the endpoints that are within the tolerance of the newest version; 1 when there are none. */
+  get servingShare (): number {
+    const oldest = this.#released - (this.#settings.tolerance ?? 0)
+    const serving = [...this.#endpoints.values()].filter((endpoint) => (endpoint.version ?? 0) >= oldest).length
+    return this.#endpoints.size === 0 ? 1 : serving / this.#endpoints.size
+  }
+
   /** Endpoints that don't have the released version yet. */
   get behind (): number {
     return [...this.#endpoints.values()].filter((endpoint) => this.#isBehind(endpoint)).length
