--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -7,7 +7,7 @@
 import type { StoreMirror } from './store-mirror.js'
 
 /** Age from which a copy of the declaration is confirmed before anything is denied because of it, in milliseconds. */
-const DENIAL_AGE_MS = 500
+const DENIAL_AGE_MS = 1_500
 
 /** Turns stored objects into the product's own types; a failure says what is wrong with the object. */
 export interface DeploymentDecoder {
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -8,6 +8,9 @@
 /** Name of the lease under which all duties are done. */
 const LEASE_NAME = 'duties'
 
+/** Hosts that contend for the lease: the holder and one that takes over. */
+const CANDIDATES = 2
+
 /** Pause between two looks at what is due, in milliseconds. */
 const TURN_MS = 100
 
@@ -43,7 +46,7 @@
     this.#context = context
     this.#duties = duties
     const place = { region: settings.storeRegion, failureDomain: '' }
-    const eligible = (): boolean => isLeaseCandidate(LEASE_NAME, context.hostId, context.members.workers(), place)
+    const eligible = (): boolean => isLeaseCandidate(LEASE_NAME, context.hostId, context.members.workers(), place, CANDIDATES)
     this.#lease = new LeaseTask({ name: LEASE_NAME, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
     this.#loops = duties.map((duty) => new Periodic(TURN_MS, async () => await this.#turn(duty)))
   }
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -18,7 +18,7 @@
 const LOOK_MS = 40
 
 /** Longest that finished samples wait to be listed while the step is not yet decided, in milliseconds. */
-const COMMIT_MS = 1_000
+const COMMIT_MS = 1_500
 
 /** Longest an entry of the log is tried, in milliseconds. */
 const APPEND_MS = 30_000
@@ -27,7 +27,10 @@
 const SEGMENT_CHARACTERS = 500_000
 
 /** A sample is moved from an endpoint that is slower than another by this factor: more than a move costs. */
-const MOVE_RATIO = 1.6
+const MOVE_RATIO = 1.2
+
+/** Events after which a sample is taken for a straggler, which is worth a move. */
+const STRAGGLER_EVENTS = 12
 
 /** Age of the log's last confirmation beyond which an end is looked for before a sample starts, in milliseconds. */
 const CONFIRM_MS = 1_500
@@ -218,7 +221,7 @@
     const { board } = this.#context.deployment
     const now = monotonicNow()
     for (const { sample, record, abort } of this.#running.values()) {
-      if (abort.signal.aborted || record.paceMs === undefined) continue
+      if (abort.signal.aborted || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < STRAGGLER_EVENTS) continue
       const better = this.#place(sample)
       if (better === undefined || better.entry.id === record.entry.id) continue
       if (board.pace(record, USUAL_PACE_MS, now) < board.pace(better, USUAL_PACE_MS, now) * MOVE_RATIO) continue
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -37,7 +37,7 @@
 const RETRY_AFTER_MS = 500
 
 /** Age of a copy of the log on which an answer without results may rest, in milliseconds: below the time in which a listed result must show everywhere. */
-const EMPTY_AGE_MS = 600
+const EMPTY_AGE_MS = 900
 
 /** Most text of one page of results, in characters. */
 const PAGE_CHARACTERS = 900_000
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -1,5 +1,5 @@
 import { assignModels, EndpointPhase, unreachable, WeightWaves } from '@cyclamenthread/state'
-import { WeightOrderStatus } from '@cyclamenthread/protocol'
+import { PeerMessageKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import type { EndpointRecord, WaveSettings } from '@cyclamenthread/state'
@@ -55,6 +55,7 @@
 
   reset (): void {
     this.#models.clear()
+    this.#assigned.clear()
     this.#orders.clear()
   }
 
@@ -64,7 +65,7 @@
       if (service.models.length === 0) continue
       const records = this.#context.deployment.board.ofService(service.name).filter((record) => record.entry.phase === EndpointPhase.Ready)
       const holders = records.map((record) => ({ id: record.entry.id, failureDomain: record.entry.failureDomain }))
-      const assigned = assignModels(service.models, holders, this.#assigned.get(service.name) ?? new Map())
+      const assigned = assignModels(service.models, holders, this.#assigned.get(service.name) ?? this.#assignedBefore(service.models, records))
       this.#assigned.set(service.name, assigned)
       for (const model of service.models) this.#look(model, records.filter((record) => assigned.get(record.entry.id) === model))
       const byNeed = [...service.models].sort((a, b) => (this.#models.get(a)?.waves.servingShare ?? 1) - (this.#models.get(b)?.waves.servingShare ?? 1))
@@ -72,6 +73,17 @@
     }
   }
 
+  /** What an earlier leader has assigned, as the versions show: it kept one model current on each endpoint. */
+  #assignedBefore (models: readonly string[], records: readonly EndpointRecord[]): Map<string, string> {
+    const { board } = this.#context.deployment
+    const released = this.#context.releases()
+    return new Map(records.map((record) => {
+      const lag = (model: string): number => (released.get(model) ?? 1) - board.version(record, model)
+      const [model = ''] = [...models].sort((a, b) => lag(a) - lag(b))
+      return [record.entry.id, model]
+    }))
+  }
+
   /** Takes note of what is known of a model's endpoints. */
   #look (model: string, records: readonly EndpointRecord[]): void {
     const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), unanswered: new Set(), askedAt: new Map() }
@@ -117,11 +129,24 @@
     const { entry } = record
     const report = await this.#context.endpoints.report(entry, deadlineAfter(REPORT_MS))
     if (report === undefined) return undefined
-    for (const [model, version] of Object.entries(report.versions)) this.#context.deployment.board.seeVersion(entry.id, model, version)
+    for (const [model, version] of Object.entries(report.versions)) {
+      if (version > this.#context.deployment.board.version(record, model)) this.#tell(record, model, version)
+      this.#context.deployment.board.seeVersion(entry.id, model, version)
+    }
     this.#orders.set(lifeOf(record), report.orders)
     return report
   }
 
+  /** Tells every host of a change of weights that begins or has ended, sooner than the registry does. */
+  #tell (record: EndpointRecord, model: string, version: number | undefined): void {
+    const { id: endpointId, bornAt } = record.entry
+    const message = { kind: PeerMessageKind.NoteWeights, endpointId, bornAt, model, ...(version === undefined ? {} : { version }) } as const
+    for (const host of this.#context.members.workers()) {
+      if (host.id !== this.#context.hostId) void this.#context.bus.post(host, message)
+    }
+    if (version === undefined) this.#context.deployment.board.refuseModel(endpointId, model, monotonicNow())
+  }
+
   async #order (state: ModelWaves, model: string, record: EndpointRecord, version: number, lease: () => DutyLease | undefined): Promise<void> {
     const { id } = record.entry
     const expectedOrders = this.#orders.get(lifeOf(record)) ?? (await this.#report(record))?.orders
@@ -132,6 +157,7 @@
     }
     state.orderedAt.set(id, monotonicNow())
     state.unanswered.delete(id)
+    this.#tell(record, model, undefined)
     const { holder, fence, deadline } = held
     const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder, fence, expectedOrders, leaseDeadline: deadline })
     this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence, expectedOrders, outcome: status })
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -135,6 +135,15 @@
     for (const mirror of [declarations, registry]) mirror.start()
     this.#broker.createService(this.#members.service(() => this.deployment.table?.declaration.version ?? 0))
     this.#broker.createService(this.rollouts.service())
+    this.#broker.createService(taskService('weights', {
+      [PeerMessageKind.NoteWeights]: async ({ endpointId, bornAt, model, version }) => {
+        const { board } = this.deployment
+        const isKnown = board.find(endpointId)?.entry.bornAt === bornAt
+        if (isKnown && version === undefined) board.refuseModel(endpointId, model, performance.now())
+        if (isKnown && version !== undefined) board.seeVersion(endpointId, model, version)
+        return { accepted: isKnown }
+      }
+    }))
     this.#broker.createService(taskService('tally', {
       [PeerMessageKind.ReadTally]: async ({ window }) => ({ counts: { ...this.tally.window(window) } })
     }))
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -27,5 +27,6 @@
   AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
   EndRollout = 'rollouts.end',
+  NoteWeights = 'weights.note',
   ReadTally = 'tally.read'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -17,7 +17,7 @@
 import { PeerMessageKind } from './message-kind.js'
 import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
 import { receiptSchema } from './receipt.js'
-import { adoptRolloutSchema, endRolloutSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
+import { adoptRolloutSchema, endRolloutSchema, noteWeightsSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -25,7 +25,7 @@
   askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
   checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema,
-  runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, readTallySchema
+  runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, noteWeightsSchema, readTallySchema
 ])
 
 /** The schema of the answer to each kind of message. */
@@ -57,6 +57,7 @@
   [PeerMessageKind.AdoptRollout]: receiptSchema,
   [PeerMessageKind.ReadRollout]: rolloutPageSchema,
   [PeerMessageKind.EndRollout]: receiptSchema,
+  [PeerMessageKind.NoteWeights]: receiptSchema,
   [PeerMessageKind.ReadTally]: tallySchema
 } as const
 
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -50,6 +50,16 @@
 /** Has the owner of a rollout end it; accepted when the end lasts. */
 export const endRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.EndRollout), rolloutId: z.string(), workspace: z.string() })
 
+/** Tells what the leader knows of an endpoint's weights before the registry does. */
+export const noteWeightsSchema = z.object({
+  kind: z.literal(PeerMessageKind.NoteWeights),
+  endpointId: z.string(),
+  bornAt: z.number(),
+  model: z.string(),
+  /** The version it has now; absent while a change is under way. */
+  version: z.int().optional()
+})
+
 /** Asks a host for the requests it has counted in a usage window. */
 export const readTallySchema = z.object({ kind: z.literal(PeerMessageKind.ReadTally), window: z.int() })
 
--- a/packages/state/src/lib/endpoint-board.ts
+++ b/packages/state/src/lib/endpoint-board.ts
@@ -57,7 +57,7 @@
 const PACE_SHARE = 0.3
 
 /** Time in which half of what is known about an endpoint's pace is forgotten, in milliseconds. */
-const PACE_HALF_LIFE_MS = 6_000
+const PACE_HALF_LIFE_MS = 15_000
 
 /** All that this process knows of one endpoint. */
 export interface EndpointRecord {
@@ -155,10 +155,12 @@
     record.paceSeenAt = now
   }
 
-  /** Takes note of the weight version an answer named. */
+  /** Takes note of the weight version an answer, a report or the leader named. */
   seeVersion (id: string, model: string, version: number): void {
     const record = this.#records.get(id)
-    if (record !== undefined) record.seenVersions[model] = version
+    if (record === undefined) return
+    if (version > this.version(record, model)) delete record.loadingUntil[model]
+    record.seenVersions[model] = version
   }
 
   /** Work at an endpoint, of this process and as far as known of others. */
