--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -65,7 +65,12 @@
   readonly record: EndpointRecord
   readonly abort: AbortController
   readonly sentAt: number
-  readonly done: Promise<{ readonly from: CallTry, readonly reply: EndpointReply }>
+}
+
+/** What came of one try. */
+interface CallArrival {
+  readonly from: CallTry
+  readonly reply: EndpointReply
 }
 
 /** The state of one call on its way. */
@@ -74,6 +79,10 @@
   readonly service: string
   readonly excluded: Set<string>
   readonly open: Set<CallTry>
+  /** Replies that have come and are not looked at yet. */
+  readonly arrived: CallArrival[]
+  /** Wakes whoever waits for a reply. */
+  wake: () => void
   tries: number
   notRun: number
   mayHaveRun: boolean
@@ -104,6 +113,8 @@
       service: drawService(call.route, Math.random()),
       excluded: new Set(),
       open: new Set(),
+      arrived: [],
+      wake: () => {},
       tries: 0,
       notRun: 0,
       mayHaveRun: false,
@@ -120,15 +131,16 @@
   }
 
   async #drive (run: CallRun, signal: AbortSignal): Promise<CallOutcome> {
-    const ended = new Promise<undefined>((resolve) => signal.addEventListener('abort', () => resolve(undefined), { once: true }))
+    signal.addEventListener('abort', () => run.wake(), { once: true })
     const startedAt = monotonicNow()
     const refuseAt = startedAt + (run.call.deadline - startedAt) * WAIT_SHARE
     while (!signal.aborted) {
-      if (run.open.size === 0) {
+      if (run.open.size === 0 && run.arrived.length === 0) {
         const refusal = this.#begin(run, monotonicNow() >= refuseAt)
         if (refusal !== undefined) return run.lastFailure === undefined ? { ok: false, refusal } : answerOf(run.lastFailure)
       }
-      const next = await this.#next(run, ended)
+      await this.#wait(run, signal)
+      const next = run.arrived.shift()
       if (next === undefined) continue
       const outcome = this.#settle(run, next.from, next.reply)
       if (outcome !== undefined) return outcome
@@ -166,6 +178,8 @@
     run.tries += 1
     run.excluded.add(record.entry.id)
     board.begin(record.entry.id)
+    const attempt: CallTry = { record, abort, sentAt }
+    run.open.add(attempt)
     const reply = this.#context.endpoints.call({
       endpoint: record.entry,
       requestId: call.requestId,
@@ -177,9 +191,7 @@
       deadline: call.deadline,
       signal: abort.signal
     })
-    const attempt: CallTry = { record, abort, sentAt, done: reply.then((value) => ({ from: attempt, reply: value })) }
-    run.open.add(attempt)
-    void attempt.done.then(({ reply }) => this.#note(run, attempt, reply))
+    void reply.then((value) => this.#note(run, attempt, value))
     this.#context.log.record(LogEvent.RequestSent, {
       requestId: call.requestId,
       route: call.route.name,
@@ -192,25 +204,19 @@
     })
   }
 
-  /** The next reply, or nothing when it is time to ask another endpoint or to look again. */
-  async #next (run: CallRun, ended: Promise<undefined>): Promise<{ readonly from: CallTry, readonly reply: EndpointReply } | undefined> {
-    const waits: Array<Promise<{ readonly from: CallTry, readonly reply: EndpointReply } | undefined>> = [...run.open].map(async (open) => await open.done)
-    let timer: NodeJS.Timeout | undefined
+  /** Waits for a reply, the end of the call, or the time to ask another endpoint or to look again. */
+  async #wait (run: CallRun, signal: AbortSignal): Promise<void> {
+    if (run.arrived.length > 0 || signal.aborted) return
     const mayHedge = run.call.route.kind === RouteKind.Idempotent && run.tries < run.call.route.maxAttempts && run.open.size === 1
-    if (run.open.size === 0 || mayHedge) {
-      const waitMs = run.open.size === 0 ? LOOK_AGAIN_MS : this.#hedgeMs(run)
-      waits.push(new Promise((resolve) => {
-        timer = setTimeout(() => {
-          if (run.open.size > 0) this.#begin(run, false)
-          resolve(undefined)
-        }, waitMs)
-      }))
-    }
-    try {
-      return await Promise.race([ended, ...waits])
-    } finally {
-      clearTimeout(timer)
-    }
+    let timer: NodeJS.Timeout | undefined
+    await new Promise<void>((resolve) => {
+      run.wake = resolve
+      if (run.open.size === 0) timer = setTimeout(resolve, LOOK_AGAIN_MS)
+      else if (mayHedge) timer = setTimeout(resolve, this.#hedgeMs(run))
+    })
+    clearTimeout(timer)
+    const isSilent = mayHedge && run.arrived.length === 0 && !signal.aborted
+    if (isSilent) this.#begin(run, false)
   }
 
   /** Time after which a second endpoint is asked, in milliseconds. */
@@ -225,6 +231,8 @@
 
   /** Tells the board how a try ended, whoever still waits for it. */
   #note (run: CallRun, attempt: CallTry, reply: EndpointReply): void {
+    run.arrived.push({ from: attempt, reply })
+    run.wake()
     const { board } = this.#context.deployment
     const { entry } = attempt.record
     const now = monotonicNow()
@@ -241,7 +249,6 @@
 
   /** The outcome of the call, if this reply decides it. */
   #settle (run: CallRun, from: CallTry, reply: EndpointReply): CallOutcome | undefined {
-    run.open.delete(from)
     this.#context.log.record(LogEvent.RequestEnded, {
       requestId: run.call.requestId,
       endpoint: from.record.entry.id,
--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -9,6 +9,9 @@
 /** Age from which a copy of the declaration is confirmed before anything is denied because of it, in milliseconds. */
 const DENIAL_AGE_MS = 1_500
 
+/** Time after the store's return in which endpoints whose entries lapsed are back, in milliseconds; one that is missing then is gone. */
+const LAPSE_MS = 2_500
+
 /** Turns stored objects into the product's own types; a failure says what is wrong with the object. */
 export interface DeploymentDecoder {
   declaration (object: StoredObject): Outcome<Declaration, string>
@@ -36,6 +39,8 @@
   readonly #listeners: Array<() => void> = []
   #table: RouteTable | undefined
   #endpointIds = ''
+  #entries: readonly EndpointEntry[] = []
+  #lapseTimer: NodeJS.Timeout | undefined
   readonly #rejected = new Set<string>()
 
   constructor (sources: DeploymentSources) {
@@ -96,6 +101,8 @@
       if (decoded.ok) entries.push(decoded.value)
       else this.#reject(object, decoded.failure)
     }
+    entries.push(...this.#lapsed(entries))
+    this.#entries = entries
     this.board.update(entries)
     const ids = entries.map((entry) => `${entry.id}:${entry.phase}`).sort().join(' ')
     if (ids !== this.#endpointIds) {
@@ -105,6 +112,17 @@
     this.#tell()
   }
 
+  /** Endpoints that went missing while the store was away, for as long as they may still come back. */
+  #lapsed (entries: readonly EndpointEntry[]): EndpointEntry[] {
+    const leftMs = this.#sources.endpoints.regainedAt + LAPSE_MS - monotonicNow()
+    if (leftMs <= 0) return []
+    const ids = new Set(entries.map((entry) => entry.id))
+    const missing = this.#entries.filter((entry) => !ids.has(entry.id))
+    clearTimeout(this.#lapseTimer)
+    if (missing.length > 0) this.#lapseTimer = setTimeout(() => this.#readEndpoints(), leftMs + 1).unref()
+    return missing
+  }
+
   #reject (object: StoredObject, detail: string): void {
     const name = `${object.key}@${object.version}`
     if (this.#rejected.has(name)) return
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -13,6 +13,8 @@
   EntryRejected = 'entry-rejected',
   RequestSent = 'request-sent',
   RequestEnded = 'request-ended',
+  /** The final answer to a caller. */
+  RequestAnswered = 'request-answered',
   RolloutAccepted = 'rollout-accepted',
   RolloutOwned = 'rollout-owned',
   RolloutHandedOver = 'rollout-handed-over',
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -37,6 +37,7 @@
   #next: string | undefined
   #confirmedAt = -Infinity
   #connected: boolean | undefined
+  #regainedAt = -Infinity
   /** Counts starts and stops, so that an earlier loop ends when its wait is over. */
   #life = 0
   #refreshing: Promise<boolean> | undefined
@@ -68,6 +69,11 @@
     return this.#confirmedAt
   }
 
+  /** Monotonic milliseconds at which the store came back after a failure. */
+  get regainedAt (): number {
+    return this.#regainedAt
+  }
+
   /** Calls back after each change. */
   onChange (listener: () => void): void {
     this.#listeners.push(listener)
@@ -101,7 +107,7 @@
     while (this.#life === life) {
       const current = this.#next === undefined ? await this.refresh() : await this.#watch(this.#next)
       if (this.#life !== life) return
-      this.#noteConnection(current)
+      if (!current) this.#noteConnection(false)
       if (current) this.#backoff.reset()
       else await pause(this.#backoff.next())
     }
@@ -116,6 +122,7 @@
     for (const object of answer.value.objects) this.#objects.set(object.key, object)
     this.#next = answer.value.next
     this.#confirmedAt = askedAt
+    this.#noteConnection(true)
     this.#tell()
     return true
   }
@@ -127,6 +134,7 @@
       return answer.failure === StoreFailure.HistoryLost && await this.refresh()
     }
     this.#confirmedAt = monotonicNow()
+    this.#noteConnection(true)
     if (this.#next !== after) return true
     this.#next = answer.value.next
     if (answer.value.changes.length === 0) return true
@@ -147,6 +155,7 @@
     if (this.#connected === connected) return
     const event = connected ? LogEvent.DependencyRegained : LogEvent.DependencyLost
     this.#log.record(event, { dependency: 'store', prefix: this.#settings.prefix, ageMs: Math.round(monotonicNow() - this.#confirmedAt) })
+    if (connected && this.#connected === false) this.#regainedAt = monotonicNow()
     this.#connected = connected
   }
 }
--- /dev/null
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -0,0 +1,138 @@
+import test from 'ava'
+import { CallTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { EndpointReplyKind } from '@cyclamenthread/protocol'
+import { Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
+import { endpointEntry } from '@cyclamenthread/state/testing'
+import { openDeployment, until } from './deployment-fixture.js'
+import { answerWith, ScriptedEndpoints, waits } from './scripted-endpoints.js'
+import type { CallOutcome, PlainCall } from '@cyclamenthread/coordination'
+import type { Route } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+const VANTAGE = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
+
+const ROUTE: Route = {
+  name: 'desk',
+  host: 'desk.example',
+  pathPrefix: '/',
+  kind: RouteKind.Idempotent,
+  shares: [{ service: 'desk', weight: 1 }],
+  timeoutMs: 1_000,
+  targetMs: 200,
+  maxAttempts: 2,
+  open: false,
+  dueMs: 0,
+  sampleLifetimeMs: 0,
+  singleVersion: false
+}
+
+interface Fixture {
+  readonly endpoints: ScriptedEndpoints
+  readonly tally: UsageTally
+  run (changes?: Partial<PlainCall>): Promise<CallOutcome>
+}
+
+async function openCalls (t: ExecutionContext, ids: readonly string[]): Promise<Fixture> {
+  const { store, view } = openDeployment(t)
+  for (const id of ids) store.set(`servers/${id}`, endpointEntry(id, { service: 'desk' }))
+  await until(t, () => view.board.ofService('desk').length === ids.length)
+  const endpoints = new ScriptedEndpoints()
+  const tally = new UsageTally(60_000_000)
+  const task = new CallTask({ deployment: view, endpoints, vantage: VANTAGE, tally, log: SILENT_LOG })
+  return {
+    endpoints,
+    tally,
+    run: async (changes = {}) => await task.run({
+      requestId: 'r1',
+      route: ROUTE,
+      workspace: 'office',
+      method: 'POST',
+      path: '/1',
+      headers: [],
+      body: new Uint8Array(),
+      deadline: performance.now() + 800,
+      signal: new AbortController().signal,
+      ...changes
+    })
+  }
+}
+
+test('a call that broke off is sent to another endpoint, no more often than its route allows', async (t) => {
+  const { endpoints, run } = await openCalls(t, ['a', 'bb', 'ccc'])
+  for (const id of ['a', 'bb', 'ccc']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
+  const outcome = await run()
+  t.is(endpoints.calls.length, 2)
+  t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
+})
+
+test('a call that may not be repeated is not sent again once it may have run', async (t) => {
+  const { endpoints, run } = await openCalls(t, ['a', 'bb'])
+  for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
+  const outcome = await run({ route: { ...ROUTE, kind: RouteKind.NonIdempotent } })
+  t.is(endpoints.calls.length, 1)
+  t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
+})
+
+test('a call that an endpoint says it has not run goes to the next, whatever its kind', async (t) => {
+  const { endpoints, run } = await openCalls(t, ['a', 'bb'])
+  endpoints.callScripts.set('a', async () => ({ kind: EndpointReplyKind.NotRun, status: 503, load: undefined }))
+  endpoints.callScripts.set('bb', async () => ({ kind: EndpointReplyKind.NotRun, status: 503, load: undefined }))
+  setTimeout(() => endpoints.callScripts.set('bb', async () => answerWith(200)), 60)
+  const outcome = await run({ route: { ...ROUTE, kind: RouteKind.NonIdempotent, maxAttempts: 1 } })
+  t.true(outcome.ok)
+})
+
+test('one silent endpoint among bookings: a second one is asked and the first is let go', async (t) => {
+  const { endpoints, run } = await openCalls(t, ['a', 'bb'])
+  let isLetGo = false
+  const silent = async (request: { readonly signal: AbortSignal }): Promise<ReturnType<typeof answerWith>> => {
+    isLetGo = !await waits(5_000, request.signal)
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'aborted' }
+  }
+  endpoints.callScripts.set('a', silent)
+  const startedAt = performance.now()
+  const outcome = await run()
+  t.true(outcome.ok)
+  t.true(performance.now() - startedAt < 400)
+  await until(t, () => isLetGo || endpoints.calls.length === 1)
+})
+
+test('a service without endpoints is refused at once, with a time to come back', async (t) => {
+  const { run } = await openCalls(t, [])
+  const startedAt = performance.now()
+  const outcome = await run()
+  t.true(performance.now() - startedAt < 100)
+  t.deepEqual(outcome.ok ? undefined : [outcome.refusal.reason, outcome.refusal.ran], [RefusalReason.NoEndpoint, Ran.No])
+  t.true(!outcome.ok && (outcome.refusal.retryAfterMs ?? 0) > 0)
+})
+
+test('a call still at work at its deadline is not said to be not run', async (t) => {
+  const { endpoints, run } = await openCalls(t, ['a'])
+  endpoints.callScripts.set('a', async (request) => {
+    await waits(5_000, request.signal)
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'aborted' }
+  })
+  const outcome = await run({ deadline: performance.now() + 150 })
+  t.deepEqual(outcome.ok ? undefined : [outcome.refusal.reason, outcome.refusal.ran], [RefusalReason.DeadlineExceeded, Ran.Maybe])
+})
+
+test('an endpoint\'s own failure goes back as it is when no other may be asked', async (t) => {
+  const { endpoints, run } = await openCalls(t, ['a'])
+  endpoints.callScripts.set('a', async () => answerWith(500))
+  const outcome = await run({ route: { ...ROUTE, maxAttempts: 1 } })
+  t.is(outcome.ok ? outcome.status : 0, 500)
+})
+
+test('usage counts a request once, however often it was sent', async (t) => {
+  const { endpoints, run, tally } = await openCalls(t, ['a', 'bb'])
+  let calls = 0
+  const failsOnce = async (): Promise<ReturnType<typeof answerWith>> => {
+    calls += 1
+    return answerWith(calls === 1 ? 500 : 200)
+  }
+  endpoints.callScripts.set('a', failsOnce)
+  endpoints.callScripts.set('bb', failsOnce)
+  t.true((await run()).ok)
+  t.is(calls, 2)
+  t.deepEqual(tally.window(tally.windowOf(Date.now())), { office: 1 })
+})
--- /dev/null
+++ b/packages/coordination/src/test/deployment-fixture.ts
@@ -0,0 +1,44 @@
+import { success } from '@cyclamenthread/state'
+import { seededRandom, MemoryStore } from '@cyclamenthread/standins'
+import { DeploymentView, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
+import type { DeploymentDecoder } from '@cyclamenthread/coordination'
+import type { Declaration, EndpointEntry } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+/** Objects of the store hold the product's own types here. */
+const DECODER: DeploymentDecoder = {
+  declaration: (object) => success(object.value as Declaration),
+  endpoint: (object) => success(object.value as EndpointEntry)
+}
+
+/** A view of a store in memory that the test writes to. */
+export interface DeploymentFixture {
+  readonly store: MemoryStore
+  readonly view: DeploymentView
+}
+
+/** Opens a view that follows a store until the test ends. */
+export function openDeployment (t: ExecutionContext): DeploymentFixture {
+  const store = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
+  const mirrors = ['config/', 'servers/'].map((prefix) => new StoreMirror({ prefix, waitMs: 50, restMs: 0 }, store, SILENT_LOG, () => 0))
+  const [declarations, endpoints] = mirrors
+  if (declarations === undefined || endpoints === undefined) throw new Error('two mirrors were made')
+  const view = new DeploymentView({ declarations, endpoints, decoder: DECODER, log: SILENT_LOG })
+  for (const mirror of mirrors) mirror.start()
+  t.teardown(() => {
+    for (const mirror of mirrors) mirror.stop()
+  })
+  return { store, view }
+}
+
+/** Waits until a condition holds; fails the test after five seconds. */
+export async function until (t: ExecutionContext, holds: () => boolean): Promise<void> {
+  const deadline = performance.now() + 5_000
+  while (!holds()) {
+    if (performance.now() > deadline) {
+      t.fail('the condition did not come to hold')
+      return
+    }
+    await new Promise((resolve) => setTimeout(resolve, 5))
+  }
+}
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -44,6 +44,17 @@
   readonly addressTtlMs: number
 }
 
+/** A request of a caller that has its answer. */
+export interface AnsweredRequest {
+  readonly requestId: string
+  readonly target: string
+  readonly status: number
+  /** Monotonic milliseconds at which it was read. */
+  readonly startedAt: number
+  /** Why it was refused; undefined for answers of endpoints. */
+  readonly detail: string | undefined
+}
+
 /** The outside of an entry host, as an adapter provides it. */
 export interface EntryPorts {
   readonly store: SnapshotStore
@@ -119,6 +130,14 @@
     this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties), new CapacityDuty(duties), new RetirementDuty(duties)])
   }
 
+  /** Writes the line that says how a caller's request ended. */
+  noteAnswer (answer: AnsweredRequest): void {
+    const { requestId, target, status, startedAt, detail } = answer
+    this.#ports.log.record(LogEvent.RequestAnswered, {
+      requestId, target, status, tookMs: Math.round(performance.now() - startedAt), detail, declaration: this.deployment.table?.declaration.version
+    })
+  }
+
   /** Whether callers may be sent here. */
   get ready (): boolean {
     return this.#ready && !this.#leaving
--- a/packages/standins/src/lib/memory-store.ts
+++ b/packages/standins/src/lib/memory-store.ts
@@ -1,7 +1,7 @@
 import { failure, success } from '@cyclamenthread/state'
 import { ExpectationKind, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
 import type { Outcome } from '@cyclamenthread/state'
-import type { Expectation, ObjectStore, StoreCall, StoredObject, WatchBatch, WriteResult } from '@cyclamenthread/protocol'
+import type { Expectation, SnapshotStore, StoreCall, StoreChange, StoredObject, StoreSnapshot, WatchBatch, WriteResult } from '@cyclamenthread/protocol'
 
 /** Largest value the object service holds, in bytes. */
 const MAX_VALUE_BYTES = 1024 * 1024
@@ -9,6 +9,9 @@
 /** Shortest way to the store and back, in milliseconds. */
 const FASTEST_MS = 2
 
+/** How long a watch waits for changes, in milliseconds. */
+const WATCH_MS = 5
+
 /** Faults of the store; shares are from 0 to 1. */
 export interface MemoryStoreFaults {
   /** Refuses every call. */
@@ -37,15 +40,19 @@
 
 /**
  * The object service in memory, for tests that need thousands of runs: conditional
- * updates with every outcome that a network between can make of them. It doesn't watch.
+ * updates with every outcome that a network between can make of them, and watches
+ * that answer at once or after a short wait.
  */
-export class MemoryStore implements ObjectStore {
+export class MemoryStore implements SnapshotStore {
   readonly faults: MemoryStoreFaults = { down: false, jitterMs: 0, lostAnswers: 0, lostWrites: 0, lateWrites: 0, latenessMs: 0 }
   /** Calls made, and bytes of values written. */
   readonly counts = { reads: 0, writes: 0, bytesWritten: 0, largestValue: 0 }
   readonly #time: StoreTime
   readonly #random: () => number
   readonly #objects = new Map<string, HeldValue>()
+  #changes: StoreChange[] = []
+  /** Version up to which changes have been forgotten. */
+  #forgottenTo = 0
   #version = 0
 
   constructor (time: StoreTime, random: () => number) {
@@ -92,8 +99,39 @@
     })
   }
 
-  async watch (_prefix: string, _after: string, _call: StoreCall): Promise<Outcome<WatchBatch, StoreFailure>> {
-    return failure(StoreFailure.Unavailable)
+  async snapshot (prefix: string, call: StoreCall): Promise<Outcome<StoreSnapshot, StoreFailure>> {
+    if (this.faults.down) return failure(StoreFailure.Unavailable)
+    const next = String(this.#version)
+    const listed = await this.list(prefix, call)
+    return listed.ok ? success({ objects: listed.value, next }) : listed
+  }
+
+  async watch (prefix: string, after: string, _call: StoreCall): Promise<Outcome<WatchBatch, StoreFailure>> {
+    await this.#time.sleep(WATCH_MS)
+    if (this.faults.down) return failure(StoreFailure.Unavailable)
+    if (Number(after) < this.#forgottenTo) return failure(StoreFailure.HistoryLost)
+    const changes = this.#changes.filter((change) => change.key.startsWith(prefix) && Number(change.version) > Number(after))
+    return success({ changes, next: String(this.#version) })
+  }
+
+  /** Forgets which changes were made; watches from before start anew. */
+  forgetHistory (): void {
+    this.#changes = []
+    this.#forgottenTo = this.#version
+  }
+
+  /** Sets an object as an operator or an endpoint would, without a condition. */
+  set (key: string, value: unknown): void {
+    this.#version += 1
+    this.#objects.set(key, { version: this.#version, text: JSON.stringify(value) })
+    this.#changes.push({ key, version: String(this.#version), value })
+  }
+
+  /** Removes an object as an operator or an endpoint would. */
+  unset (key: string): void {
+    this.#version += 1
+    this.#objects.delete(key)
+    this.#changes.push({ key, version: String(this.#version) })
   }
 
   async #change (effect: () => WriteResult): Promise<WriteResult> {
@@ -120,6 +158,7 @@
     if (bytes > MAX_VALUE_BYTES) return { status: WriteStatus.NotWritten, detail: 'too large' }
     this.#version += 1
     this.#objects.set(key, { version: this.#version, text })
+    this.#changes.push({ key, version: String(this.#version), value: JSON.parse(text) as unknown })
     this.counts.bytesWritten += bytes
     this.counts.largestValue = Math.max(this.counts.largestValue, bytes)
     return { status: WriteStatus.Applied, version: String(this.#version) }
