--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -26,8 +26,11 @@
 /** Characters of text after which an entry of the log is closed; well below the largest value of the store. */
 const SEGMENT_CHARACTERS = 500_000
 
+/** Time for which samples start on an old copy of the log after the store gave no answer, in milliseconds. */
+const UNCONFIRMED_MS = 500
+
 /** A sample is moved from an endpoint that is slower than another by this factor: more than a move costs. */
-const MOVE_RATIO = 1.2
+const MOVE_RATIO = 1.25
 
 /** Events after which a sample is taken for a straggler, which is worth a move. */
 const STRAGGLER_EVENTS = 12
@@ -67,10 +70,12 @@
   readonly #texts = new Map<string, SampleText>()
   readonly #failures = new Map<string, number>()
   readonly #settled = new Map<string, SampleResult>()
+  /** Samples that were moved already: a second move would follow the noise of a pace. */
+  readonly #moved = new Set<string>()
   readonly #warm = new Map<string, Set<string>>()
   readonly #watchers = new Set<() => void>()
   #confirmedAt = monotonicNow()
-  #confirmingAt = -Infinity
+  #confirming = false
   #oldestSettledAt = Infinity
   #committing = false
   #reached = false
@@ -191,9 +196,9 @@
 
   #startSamples (): void {
     if (this.#waiting.length === 0) return
-    if (monotonicNow() - Math.max(this.#confirmedAt, this.#confirmingAt) > CONFIRM_MS) {
-      this.#confirmingAt = monotonicNow()
-      void this.confirm(CONFIRM_MS)
+    if (monotonicNow() - this.#confirmedAt > CONFIRM_MS) {
+      this.#confirmThenStart()
+      return
     }
     for (let index = 0; index < this.#waiting.length;) {
       const sample = this.#waiting[index]
@@ -204,6 +209,20 @@
     }
   }
 
+  /**
+   * Looks for an end that another host has written before anything starts. When
+   * the store can't tell, samples start all the same: no end is acknowledged then.
+   */
+  #confirmThenStart (): void {
+    if (this.#confirming) return
+    this.#confirming = true
+    void this.confirm(CONFIRM_MS).then(() => {
+      this.#confirming = false
+      this.#confirmedAt = Math.max(this.#confirmedAt, monotonicNow() - CONFIRM_MS + UNCONFIRMED_MS)
+      if (!this.over) this.#startSamples()
+    })
+  }
+
   #place (sample: RolloutSample): EndpointRecord | undefined {
     const { deployment, vantage } = this.#context
     const demand = {
@@ -221,10 +240,11 @@
     const { board } = this.#context.deployment
     const now = monotonicNow()
     for (const { sample, record, abort } of this.#running.values()) {
-      if (abort.signal.aborted || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < STRAGGLER_EVENTS) continue
+      if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < STRAGGLER_EVENTS) continue
       const better = this.#place(sample)
       if (better === undefined || better.entry.id === record.entry.id) continue
       if (board.pace(record, USUAL_PACE_MS, now) < board.pace(better, USUAL_PACE_MS, now) * MOVE_RATIO) continue
+      this.#moved.add(sample.id)
       abort.abort()
       this.#context.log.record(LogEvent.SampleMoved, {
         requestId: sample.id, rollout: this.order.id, from: record.entry.id, to: better.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(better.paceMs ?? USUAL_PACE_MS)
@@ -275,7 +295,8 @@
     }, abort)
     const now = monotonicNow()
     board.end(entry.id, entry.bornAt, workEnd(result.end), now)
-    if (result.end === StreamEnd.NotRun) board.refuseModel(entry.id, this.order.model, now)
+    // An endpoint that is full, changes its weights or has older ones than it says is left alone for a while.
+    if (result.end === StreamEnd.NotRun || result.end === StreamEnd.Stale) board.refuseModel(entry.id, this.order.model, now)
     log.record(LogEvent.SampleEnded, {
       requestId: sample.id,
       rollout: this.order.id,
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -1,4 +1,4 @@
-import { assignModels, EndpointPhase, unreachable, WeightWaves } from '@cyclamenthread/state'
+import { assignModels, EndpointPhase, LoadAllowance, unreachable, WeightWaves } from '@cyclamenthread/state'
 import { PeerMessageKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
@@ -12,9 +12,6 @@
  */
 const WAVES: WaveSettings = { servingShare: 0.5, fetchesPerSecond: 6, swapTimeoutMs: 5_000, retryMs: 200, tolerance: 1 }
 
-/** Changes of weights that may run at once over all models before each takes longer; from the deployments' sheets. */
-const LOADS_AT_ONCE = 2
-
 /** Time in which a change of weights usually ends, in milliseconds; before that no report is asked for. */
 const USUAL_LOAD_MS = 900
 
@@ -32,6 +29,8 @@
   readonly waves: WeightWaves
   readonly orderedAt: Map<string, number>
   readonly unanswered: Set<string>
+  /** Versions of accepted orders that have not been seen yet, by endpoint. */
+  readonly awaited: Map<string, number>
   readonly askedAt: Map<string, number>
 }
 
@@ -45,6 +44,7 @@
 export class WeightDuty implements Duty {
   readonly #context: DutyContext
   readonly #models = new Map<string, ModelWaves>()
+  readonly #allowance = new LoadAllowance()
   readonly #assigned = new Map<string, ReadonlyMap<string, string>>()
   /** Orders each endpoint has taken, by id and start; unknown before its first report and after an order without an answer. */
   readonly #orders = new Map<string, number>()
@@ -86,24 +86,39 @@
 
   /** Takes note of what is known of a model's endpoints. */
   #look (model: string, records: readonly EndpointRecord[]): void {
-    const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), unanswered: new Set(), askedAt: new Map() }
+    const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), unanswered: new Set(), awaited: new Map(), askedAt: new Map() }
     this.#models.set(model, state)
     const now = monotonicNow()
     state.waves.setEndpoints(records.map((record) => record.entry.id))
     state.waves.release(this.#context.releases().get(model) ?? 0)
     for (const record of records) {
+      this.#noteEnd(state, model, record, now)
       state.waves.see(record.entry.id, this.#context.deployment.board.version(record, model), now)
       this.#ask(state, model, record, now)
     }
   }
 
+  /** Changes of weights under way over all models. */
+  get #loading (): number {
+    return [...this.#models.values()].reduce((sum, state) => sum + state.waves.swapping, 0)
+  }
+
+  /** Takes note of how long a change took, once the version it was for is seen. */
+  #noteEnd (state: ModelWaves, model: string, record: EndpointRecord, now: number): void {
+    const { id } = record.entry
+    const awaited = state.awaited.get(id)
+    if (awaited === undefined || this.#context.deployment.board.version(record, model) < awaited) return
+    state.awaited.delete(id)
+    this.#allowance.finished(now - (state.orderedAt.get(id) ?? now), this.#loading)
+  }
+
   /** Orders what is due for one model, as far as all models together leave room. */
   #orderDue (model: string, records: readonly EndpointRecord[], lease: () => DutyLease | undefined): void {
     const state = this.#models.get(model)
     if (state === undefined) return
-    const loading = [...this.#models.values()].reduce((sum, other) => sum + other.waves.swapping, 0)
+    const loading = this.#loading
     const byId = new Map(records.map((record) => [record.entry.id, record]))
-    for (const order of state.waves.plan(monotonicNow(), Math.max(0, LOADS_AT_ONCE - loading))) {
+    for (const order of state.waves.plan(monotonicNow(), Math.max(0, this.#allowance.most - loading))) {
       const record = byId.get(order.endpointId)
       if (record !== undefined) void this.#order(state, model, record, order.version, lease)
     }
@@ -161,8 +176,10 @@
     const { holder, fence, deadline } = held
     const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder, fence, expectedOrders, leaseDeadline: deadline })
     this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence, expectedOrders, outcome: status })
-    if (status === WeightOrderStatus.Accepted) this.#orders.set(lifeOf(record), expectedOrders + 1)
-    else if (status !== WeightOrderStatus.Holds) this.#orders.delete(lifeOf(record))
+    if (status === WeightOrderStatus.Accepted) {
+      this.#orders.set(lifeOf(record), expectedOrders + 1)
+      state.awaited.set(id, version)
+    } else if (status !== WeightOrderStatus.Holds) this.#orders.delete(lifeOf(record))
     switch (status) {
       case WeightOrderStatus.Holds:
         this.#context.deployment.board.seeVersion(id, model, version)
--- /dev/null
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -0,0 +1,175 @@
+import test from 'ava'
+import { RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
+import { StreamPartKind } from '@cyclamenthread/protocol'
+import { RolloutProgress, SampleState } from '@cyclamenthread/state'
+import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
+import { openDeployment, until } from './deployment-fixture.js'
+import { ScriptedEndpoints, streamOf, waits } from './scripted-endpoints.js'
+import type { RolloutContext } from '@cyclamenthread/coordination'
+import type { RolloutOrder } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+const VANTAGE = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
+
+interface Fixture {
+  readonly endpoints: ScriptedEndpoints
+  readonly context: RolloutContext
+  open (order: RolloutOrder): RolloutRun
+}
+
+async function openRuns (t: ExecutionContext, ids: readonly string[]): Promise<Fixture> {
+  const { store, view } = openDeployment(t)
+  for (const id of ids) store.set(`servers/${id}`, endpointEntry(id))
+  await until(t, () => view.board.ofService('models').length === ids.length)
+  const endpoints = new ScriptedEndpoints()
+  const context = { deployment: view, endpoints, store: new RolloutStore(store), vantage: VANTAGE, writer: 'w', log: SILENT_LOG }
+  return {
+    endpoints,
+    context,
+    open: (order) => {
+      const run = new RolloutRun(context, order, new RolloutProgress())
+      t.teardown(() => run.stop())
+      return run
+    }
+  }
+}
+
+test('a step of groups: every sample is listed once, with the versions that wrote it', async (t) => {
+  const { open } = await openRuns(t, ['a', 'bb'])
+  const run = open(rolloutOrder(3, 4))
+  run.start()
+  await until(t, () => run.over)
+  t.is(run.progress.results.length, 12)
+  t.is(new Set(run.progress.results.map(({ id }) => id)).size, 12)
+  t.deepEqual(run.progress.results[0], { id: run.progress.results[0]?.id ?? '', state: SampleState.Completed, output: 'e1\ne2\ne3', versions: [3] })
+})
+
+test('an endpoint crashes in mid-stream: the sample goes on elsewhere after its last event', async (t) => {
+  const { endpoints, open } = await openRuns(t, ['a', 'bb'])
+  let hasCrashed = false
+  const crashing: Parameters<typeof endpoints.streamScripts.set>[1] = async function * (request, resumeAfter) {
+    if (hasCrashed) {
+      yield * streamOf(4, 3)(request, resumeAfter)
+      return
+    }
+    hasCrashed = true
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    yield { kind: StreamPartKind.Event, id: 1, data: 'e1', version: undefined }
+    yield { kind: StreamPartKind.Event, id: 2, data: 'e2', version: undefined }
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+  for (const id of ['a', 'bb']) endpoints.streamScripts.set(id, crashing)
+  const run = open(rolloutOrder(1, 1))
+  run.start()
+  await until(t, () => run.over)
+  t.deepEqual(endpoints.streams.map(({ resumeAfter }) => resumeAfter), [0, 2])
+  t.is(run.progress.results[0]?.output, 'e1\ne2\ne3\ne4')
+})
+
+test('an event that is missing or comes twice is never put into a text', async (t) => {
+  for (const wrong of [1, 3]) {
+    const { endpoints, open } = await openRuns(t, ['a'])
+    let isFirst = true
+    endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+      if (!isFirst) {
+        yield * streamOf(3, 3)(request, resumeAfter)
+        return
+      }
+      isFirst = false
+      yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+      yield { kind: StreamPartKind.Event, id: 1, data: 'e1', version: undefined }
+      yield { kind: StreamPartKind.Event, id: wrong, data: 'wrong', version: undefined }
+      yield { kind: StreamPartKind.End }
+    })
+    const run = open(rolloutOrder(1, 1))
+    run.start()
+    await until(t, () => run.over)
+    t.is(run.progress.results[0]?.output, 'e1\ne2\ne3')
+  }
+})
+
+test('text of weights that are too old is thrown away and written anew', async (t) => {
+  const { endpoints, open } = await openRuns(t, ['a', 'bb'])
+  endpoints.streamScripts.set('a', streamOf(3, 2))
+  const run = open(rolloutOrder(1, 2))
+  run.start()
+  await until(t, () => run.over)
+  t.true(run.progress.results.every(({ versions }) => versions.every((version) => version >= 3)))
+})
+
+test('a sample that fails at each run is given up after the attempts of its route', async (t) => {
+  const { endpoints, open } = await openRuns(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.Failure, status: 500 }
+  })
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await until(t, () => run.over)
+  t.is(endpoints.streams.length, 3)
+  t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Abandoned])
+})
+
+test('a sample that can never be done is asked once', async (t) => {
+  const { endpoints, open } = await openRuns(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.Failure, status: 422 }
+  })
+  const run = open(rolloutOrder(1, 1))
+  run.start()
+  await until(t, () => run.over)
+  t.is(endpoints.streams.length, 1)
+})
+
+test('after the end nothing starts, also when another host has written it', async (t) => {
+  const { context, endpoints, open } = await openRuns(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const run = open(rolloutOrder(1, 2))
+  run.start()
+  await until(t, () => endpoints.streams.length > 0)
+  const other = open(rolloutOrder(1, 2))
+  t.true(await other.end(performance.now() + 2_000))
+  await until(t, () => run.over)
+  const asked = endpoints.streams.length
+  await new Promise((resolve) => setTimeout(resolve, 1_200))
+  t.is(endpoints.streams.length, asked)
+  t.is(context.deployment.board.find('a')?.active, 0)
+})
+
+test('a planned stop: the next owner goes on with the text of the one before', async (t) => {
+  const { endpoints, open } = await openRuns(t, ['a'])
+  endpoints.streamScripts.set('a', streamOf(40, 3, 10))
+  const order = rolloutOrder(1, 1)
+  const first = open(order)
+  first.start()
+  await new Promise((resolve) => setTimeout(resolve, 150))
+  const handover = first.handOver()
+  t.true((handover.texts[0]?.pieces.length ?? 0) > 2)
+  const second = open(order)
+  second.adopt(handover)
+  second.start()
+  await until(t, () => second.over)
+  t.true((endpoints.streams.at(-1)?.resumeAfter ?? 0) > 2)
+  t.is(second.progress.results[0]?.output.split('\n').length, 40)
+})
+
+test('a sample that breaks off after another host has ended the rollout is not sent again', async (t) => {
+  const { endpoints, open } = await openRuns(t, ['a', 'bb'])
+  const breaking: Parameters<typeof endpoints.streamScripts.set>[1] = async function * (request) {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    for (let id = 1; id <= 20; id += 1) {
+      await waits(100, request.signal)
+      yield { kind: StreamPartKind.Event, id, data: `e${id}`, version: undefined }
+    }
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+  for (const id of ['a', 'bb']) endpoints.streamScripts.set(id, breaking)
+  const run = open(rolloutOrder(1, 1))
+  run.start()
+  await until(t, () => endpoints.streams.length > 0)
+  const other = open(rolloutOrder(1, 1))
+  t.true(await other.end(performance.now() + 2_000))
+  await until(t, () => run.over)
+  t.is(endpoints.streams.length, 1)
+})
--- /dev/null
+++ b/packages/state/src/lib/load-allowance.ts
@@ -0,0 +1,40 @@
+/** Loads that may run at once before anything is known; the least that any deployment's sheet gives. */
+const FIRST_ALLOWANCE = 2
+
+/** How much longer than the shortest load one may take before the allowance is too high: the reports that show its end are this coarse. */
+const SLOWER = 1.45
+
+/** Part of the allowance that is kept after loads have slowed each other. */
+const DECREASE = 0.75
+
+/**
+ * How many changes of weights may run at once. A weight store gives some at
+ * full speed and slows all when there are more; nobody tells how many, so the
+ * allowance grows with each load that was as fast as the fastest and shrinks
+ * when they slow each other.
+ *
+ * @example
+ * allowance.finished(920, 2) // a load took 920 ms while two were running
+ */
+export class LoadAllowance {
+  #allowance = FIRST_ALLOWANCE
+  #shortestMs = Infinity
+
+  /** Loads that may run at once now. */
+  get most (): number {
+    return Math.floor(this.#allowance)
+  }
+
+  /**
+   * Takes note of a load that ended.
+   *
+   * @param tookMs milliseconds from its order until it was seen
+   * @param running loads that ran at the same time, itself included
+   */
+  finished (tookMs: number, running: number): void {
+    this.#shortestMs = Math.min(this.#shortestMs, tookMs)
+    if (tookMs > this.#shortestMs * SLOWER) this.#allowance = Math.max(FIRST_ALLOWANCE, this.#allowance * DECREASE)
+    // Only loads that used the whole allowance say that there may be more.
+    else if (running >= this.most) this.#allowance += 1 / this.#allowance
+  }
+}
