--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -118,14 +118,16 @@
     }
   }
 
-  /** Takes over what an earlier owner had; to be called before the run starts. */
+  /** Takes over what an earlier owner had, as far as this run has not come further itself. */
   adopt (handover: Pick<AdoptRollout, 'results' | 'texts'>): void {
     for (const result of handover.results) {
       if (this.progress.has(result.id)) continue
       this.#list(result)
       this.#unqueue(result.id)
+      this.#running.get(result.id)?.abort.abort()
     }
     for (const { sampleId, pieces, versions } of handover.texts) {
+      if (this.#running.has(sampleId) || (this.#texts.get(sampleId)?.pieces.length ?? 0) >= pieces.length) continue
       const text = new SampleText()
       text.pieces.push(...pieces)
       text.versions.push(...versions)
@@ -312,6 +314,8 @@
   }
 
   #settle (sample: RolloutSample, text: SampleText, end: StreamEnd): void {
+    // An earlier owner may have brought its result meanwhile.
+    if (this.#settled.has(sample.id) || this.progress.has(sample.id)) return
     switch (end) {
       case StreamEnd.Complete:
         this.#list({ id: sample.id, state: SampleState.Completed, output: text.pieces.join('\n'), versions: [...text.versions] })
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -122,7 +122,10 @@
     if (this.#leaving) return false
     const { order } = handover
     const known = this.#runs.get(order.id)
-    if (known !== undefined) return true
+    if (known !== undefined) {
+      known.adopt(handover)
+      return true
+    }
     const progress = new RolloutProgress()
     const read = await this.#context.store.catchUp(order.id, progress, deadlineAfter(LOAD_MS))
     if (!read.ok) return false
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -188,8 +188,9 @@
     this.#leaving = true
     this.#ports.log.record(LogEvent.Stopping, { rollouts: this.rollouts.running })
     void this.#leader.stop()
-    await announceLeave(this.#members, this.#bus, deadlineAfter(ANNOUNCE_MS))
+    // Before others know of the leave: a read would make the next owner begin anew without the text.
     await this.rollouts.leave(deadlineAfter(HANDOVER_MS))
+    await announceLeave(this.#members, this.#bus, deadlineAfter(ANNOUNCE_MS))
   }
 
   /** Stops everything. */
