--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -19,7 +19,7 @@
 const UNANSWERED_MS = 1_100
 
 /** How often an endpoint is asked whether its change is done, in milliseconds. */
-const ASK_PERIOD_MS = 300
+const ASK_PERIOD_MS = 120
 
 /** Longest wait for a report, in milliseconds. */
 const REPORT_MS = 600
