--- a/packages/bench/src/test/pages.test.ts
+++ b/packages/bench/src/test/pages.test.ts
@@ -4,7 +4,7 @@
 import { parseEnv } from 'node:util'
 import test from 'ava'
 import { COMMANDS, FLAG_TABLE, flagText, readDeclarations } from 'cyclamenctl'
-import { readSettings } from 'cyclamenthread'
+import { exposeEntryFigures, MeasuredLog, readSettings } from 'cyclamenthread'
 import { EntryKind, WorkClass } from '@cyclamenthread/state'
 import { Deployment } from '../lib/deployment.js'
 import { SINGLE_HOST } from '../lib/deployment-plan.js'
@@ -66,7 +66,11 @@
   t.teardown(async () => await deployment.stop())
   await deployment.start()
   await fetch(`${deployment.urls[0]}/v1/requests/x/decisions`)
-  const metrics = await (await fetch(`${deployment.urls[0]}/metrics`)).text()
+  const own = await (await fetch(`${deployment.urls[0]}/metrics`)).text()
+  const log = new MeasuredLog({ record: () => {} })
+  exposeEntryFigures(log, { lines: { dropped: 0 }, service: { ready: true, rollouts: { running: 0 } }, storeCalls: new Map() })
+  // The pages name the metrics of both programs.
+  const metrics = own + await log.exposition()
   const text = (await pages()).map((page) => page.text).join('\n')
   const named = [...text.matchAll(/(cyclamenthread_[a-z_]+)(\{\w+="\w+")?/g)]
   t.true(named.length > 5)
