--- /dev/null
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -0,0 +1,124 @@
+import test from 'ava'
+import { LocalBroker, RolloutStore, RolloutTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { RolloutReadStatus } from '@cyclamenthread/protocol'
+import { Ran } from '@cyclamenthread/state'
+import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
+import { openDeployment, until } from './deployment-fixture.js'
+import { ScriptedEndpoints, streamOf } from './scripted-endpoints.js'
+import type { MemberView, MessageBus } from '@cyclamenthread/coordination'
+import type { RolloutPage } from '@cyclamenthread/protocol'
+import type { Host, RolloutOrder } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+const VANTAGE = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
+const IDS = ['h1', 'h2', 'h3']
+
+interface Fixture {
+  readonly tasks: ReadonlyMap<string, RolloutTask>
+  readonly endpoints: ScriptedEndpoints
+  /** Hosts that answer nobody. */
+  readonly silent: Set<string>
+  readonly store: ReturnType<typeof openDeployment>['store']
+}
+
+function hostOf (id: string): Host {
+  return { id, region: 'lothian', failureDomain: 'leith-walk', peerAddress: id, callerUrl: '', hasDataFolder: false }
+}
+
+/** Three hosts over one store, which reach each other unless one is silent. */
+async function openHosts (t: ExecutionContext): Promise<Fixture> {
+  const { store, view } = openDeployment(t)
+  store.set('servers/a', endpointEntry('a', { slots: 32 }))
+  await until(t, () => view.board.find('a') !== undefined)
+  const endpoints = new ScriptedEndpoints()
+  const silent = new Set<string>()
+  const brokers = new Map(IDS.map((id) => [id, new LocalBroker()]))
+  const bus = {
+    send: async (host: Host, message: { readonly kind: string }) => {
+      const broker = brokers.get(host.id)
+      if (silent.has(host.id) || broker === undefined) return { ok: false, failure: 'no-reply' }
+      return { ok: true, value: await broker.call(message.kind, message, { meta: { from: '', deadline: Infinity, traceparent: '', signal: new AbortController().signal } }) }
+    }
+  } as unknown as MessageBus
+  const members = { workers: () => IDS.map(hostOf) } as unknown as MemberView
+  const tasks = new Map(IDS.map((id) => {
+    const task = new RolloutTask({
+      self: hostOf(id), members, bus, deployment: view, endpoints, store: new RolloutStore(store), vantage: VANTAGE, writer: id, log: SILENT_LOG
+    })
+    brokers.get(id)?.createService(task.service())
+    t.teardown(() => task.stop())
+    return [id, task] as const
+  }))
+  return { tasks, endpoints, silent, store }
+}
+
+async function readAll (t: ExecutionContext, task: RolloutTask | undefined, order: RolloutOrder): Promise<RolloutPage> {
+  let page: RolloutPage | undefined
+  const deadline = performance.now() + 8_000
+  while (page?.results.length !== order.samples.length && performance.now() < deadline) {
+    page = await task?.read(order.id, order.workspace, 0, performance.now())
+    await new Promise((resolve) => setTimeout(resolve, 20))
+  }
+  t.truthy(page)
+  return page ?? { status: RolloutReadStatus.Unknown, total: 0, results: [], ended: false }
+}
+
+test('every host reads the same results at the same positions', async (t) => {
+  const { tasks } = await openHosts(t)
+  const order = rolloutOrder(2, 3)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  const pages = await Promise.all(IDS.map(async (id) => await readAll(t, tasks.get(id), order)))
+  for (const page of pages) t.deepEqual(page.results, pages[0]?.results)
+})
+
+test('an owner falls silent: the next read makes another host go on from what is listed', async (t) => {
+  const { tasks, endpoints, silent } = await openHosts(t)
+  endpoints.streamScripts.set('a', streamOf(6, 3, 40))
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await until(t, () => [...tasks.values()].some((task) => task.running > 0))
+  const owner = IDS.find((id) => (tasks.get(id)?.running ?? 0) > 0) ?? ''
+  silent.add(owner)
+  tasks.get(owner)?.stop()
+  const reader = IDS.find((id) => id !== owner) ?? ''
+  const page = await readAll(t, tasks.get(reader), order)
+  t.is(page.results.length, 4)
+})
+
+test('a rollout is accepted once; sent again it is accepted again and runs no second time', async (t) => {
+  const { tasks, endpoints } = await openHosts(t)
+  const order = rolloutOrder(1, 3)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  t.true((await tasks.get('h2')?.accept(order))?.ok)
+  await readAll(t, tasks.get('h3'), order)
+  t.is(endpoints.streams.length, 3)
+})
+
+test('another workspace, or an id that was never accepted, reads nothing', async (t) => {
+  const { tasks } = await openHosts(t)
+  const order = rolloutOrder(1, 1)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  for (const id of IDS) {
+    t.is((await tasks.get(id)?.read(order.id, 'stranger', 0, performance.now()))?.status, RolloutReadStatus.Unknown)
+    t.is((await tasks.get(id)?.read('no-such', order.workspace, 0, performance.now()))?.status, RolloutReadStatus.Unknown)
+  }
+})
+
+test('while the store is down a rollout is refused, and "unknown" is never said', async (t) => {
+  const { tasks, store } = await openHosts(t)
+  store.faults.down = true
+  const accepted = await tasks.get('h1')?.accept(rolloutOrder(1, 1))
+  t.is(accepted?.ok === false ? accepted.failure.ran : undefined, Ran.No)
+  t.is((await tasks.get('h2')?.read('r1', 'office', 0, performance.now()))?.status, RolloutReadStatus.Unavailable)
+})
+
+test('an end lasts at every host, whoever was asked for it', async (t) => {
+  const { tasks, endpoints } = await openHosts(t)
+  endpoints.streamScripts.set('a', streamOf(50, 3, 50))
+  const order = rolloutOrder(1, 2)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  t.true((await tasks.get('h2')?.end(order.id, order.workspace))?.ok)
+  t.true((await tasks.get('h3')?.end(order.id, order.workspace))?.ok)
+  for (const id of IDS) t.true((await tasks.get(id)?.read(order.id, order.workspace, 0, performance.now()))?.ended)
+  await until(t, () => [...tasks.values()].every((task) => task.running === 0))
+})
--- /dev/null
+++ b/packages/cyclamenthread/src/test/caller-server.test.ts
@@ -0,0 +1,90 @@
+import { Socket } from 'node:net'
+import { EventEmitter, once } from 'node:events'
+import test from 'ava'
+import { CallerServer } from '../lib/caller-server.js'
+import type { CallerAnswer, CallerHandler, CallerRequest } from '../lib/caller-server.js'
+import type { ExecutionContext } from 'ava'
+
+const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 64, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
+
+let nextPort = 21_400 + process.pid % 1_000 * 8
+
+async function openServer (t: ExecutionContext, handler: CallerHandler): Promise<{ readonly server: CallerServer, readonly url: string, readonly port: number }> {
+  for (;;) {
+    nextPort += 1
+    const port = nextPort
+    const server = new CallerServer({ host: '127.0.0.1', port, handler, limits: () => LIMITS })
+    try {
+      await server.listen()
+    } catch (error) {
+      if (error instanceof Error && 'code' in error && error.code === 'EADDRINUSE') continue
+      throw error
+    }
+    t.teardown(async () => await server.close(AbortSignal.timeout(10)))
+    return { server, url: `http://127.0.0.1:${port}`, port }
+  }
+}
+
+function answer (status: number, body = ''): CallerAnswer {
+  return { status, headers: [['X-Own', 'Kept']], body: Buffer.from(body) }
+}
+
+test('a request reaches its handler as it was sent, and the answer goes back whole', async (t) => {
+  let seen: CallerRequest | undefined
+  const { url } = await openServer(t, async (request) => {
+    seen = request
+    return answer(201, 'done')
+  })
+  const response = await fetch(`${url}/a/b%2Fc?x=1`, { method: 'POST', body: 'hello', headers: { 'X-Some': 'Thing' } })
+  t.is(response.status, 201)
+  t.is(response.headers.get('x-own'), 'Kept')
+  t.is(await response.text(), 'done')
+  t.deepEqual([seen?.target, seen?.method, seen?.host, Buffer.from(seen?.body ?? []).toString()], ['/a/b%2Fc?x=1', 'POST', '127.0.0.1', 'hello'])
+})
+
+test('a body over the declared limit is refused with 413', async (t) => {
+  const { url } = await openServer(t, async () => answer(200))
+  const response = await fetch(url, { method: 'POST', body: 'x'.repeat(65) })
+  t.is(response.status, 413)
+})
+
+test('a handler that breaks is answered with 502, which promises nothing', async (t) => {
+  const { url } = await openServer(t, async () => await Promise.reject(new Error('broken')))
+  t.is((await fetch(url)).status, 502)
+})
+
+test('a caller that goes away aborts its request', async (t) => {
+  const aborted = new Promise<void>((resolve) => {
+    void openServer(t, async (request) => {
+      socket.destroy()
+      await once(request.signal, 'abort')
+      resolve()
+      return answer(200)
+    }).then(({ port }) => {
+      socket.connect(port, '127.0.0.1')
+      socket.write('GET / HTTP/1.1\r\nHost: h\r\n\r\n')
+    })
+  })
+  const socket = new Socket()
+  await aborted
+  t.pass()
+})
+
+test('a planned stop lets an open request end and asks callers to close their connections', async (t) => {
+  const arrived = new EventEmitter()
+  const { server, url } = await openServer(t, async () => {
+    arrived.emit('request')
+    await new Promise((resolve) => setTimeout(resolve, 100))
+    return answer(200, 'late')
+  })
+  const request = once(arrived, 'request')
+  const open = fetch(url)
+  await request
+  server.leave()
+  const closed = server.close(AbortSignal.timeout(5_000))
+  const response = await open
+  t.is(await response.text(), 'late')
+  t.is(response.headers.get('connection'), 'close')
+  await closed
+  await t.throwsAsync(fetch(url))
+})
