Removes what nothing calls and lets one sleep serve three modules

Found on reading the change: a mirror's find, a view's listeners, a list's remove, a route by name, a log event and a set of excluded endpoints had no caller; two modules had a pause of their own beside the system clock's. The list's comment said that hosts remove their records, which none does. No behaviour changes; one test's literal loses the field that is gone.

--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -36,7 +36,6 @@
 export class DeploymentView {
   readonly board = new EndpointBoard()
   readonly #sources: DeploymentSources
-  readonly #listeners: Array<() => void> = []
   #table: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
@@ -64,11 +63,6 @@
     return monotonicNow() - this.#sources.declarations.confirmedAt
   }
 
-  /** Calls back when the declaration or the endpoints have changed. */
-  onChange (listener: () => void): void {
-    this.#listeners.push(listener)
-  }
-
   /**
    * Confirms the declaration before a denial, unless it was confirmed just now.
    *
@@ -91,7 +85,6 @@
       this.#table = new RouteTable(decoded.value)
       this.#sources.log.record(LogEvent.DeclarationChanged, { version: decoded.value.version, previous: known, routes: decoded.value.routes.length, workspaces: decoded.value.workspaces.length })
     }
-    this.#tell()
   }
 
   #readEndpoints (): void {
@@ -109,7 +102,6 @@
       this.#endpointIds = ids
       this.#sources.log.record(LogEvent.EndpointsChanged, { endpoints: ids.split(' ') })
     }
-    this.#tell()
   }
 
   /** Endpoints that went missing while the store was away, for as long as they may still come back. */
@@ -129,8 +121,4 @@
     this.#rejected.add(name)
     this.#sources.log.record(LogEvent.EntryRejected, { key: object.key, version: object.version, detail })
   }
-
-  #tell (): void {
-    for (const listener of this.#listeners) listener()
-  }
 }
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -9,7 +9,6 @@
   DependencyRegained = 'dependency-regained',
   DeclarationChanged = 'declaration-changed',
   EndpointsChanged = 'endpoints-changed',
-  MembersChanged = 'members-changed',
   EntryRejected = 'entry-rejected',
   RequestSent = 'request-sent',
   RequestEnded = 'request-ended',
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -231,8 +231,7 @@
       service: this.order.service,
       model: this.order.model,
       minVersion: this.order.minVersion,
-      warm: this.#warm.get(sample.group) ?? new Set<string>(),
-      excluded: new Set<string>()
+      warm: this.#warm.get(sample.group) ?? new Set<string>()
     }
     return placeSample(deployment.board, demand, vantage, USUAL_PACE_MS, monotonicNow())
   }
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -2,6 +2,7 @@
 import { ExpectationKind, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
+import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Outcome, RolloutOrder, RolloutProgress, RolloutSegment } from '@cyclamenthread/state'
 import type { ObjectStore } from '@cyclamenthread/protocol'
 
@@ -51,7 +52,7 @@
       if (result.status === WriteStatus.Conflict) return sent ? RolloutCreation.Created : RolloutCreation.Known
       if (result.status === WriteStatus.Unknown) sent = true
       else if (!sent) return RolloutCreation.Refused
-      await pause(backoff.next())
+      await SYSTEM_CLOCK.sleep(backoff.next())
     }
     return sent ? RolloutCreation.Unknown : RolloutCreation.Refused
   }
@@ -91,7 +92,7 @@
         return AppendStatus.Applied
       }
       if (result.status === WriteStatus.Conflict) return await this.#settle(id, progress, segment, place, deadline)
-      await pause(backoff.next())
+      await SYSTEM_CLOCK.sleep(backoff.next())
     }
     return AppendStatus.Failed
   }
@@ -107,7 +108,3 @@
     return { purpose: StorePurpose.Claim, deadline: Math.min(deadline, deadlineAfter(CALL_MS)) }
   }
 }
-
-async function pause (milliseconds: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, milliseconds))
-}
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -2,6 +2,7 @@
 import { StoreFailure, StorePurpose } from '@cyclamenthread/protocol'
 import { Backoff } from './backoff.js'
 import { LogEvent } from './event-log.js'
+import { SYSTEM_CLOCK } from './system-clock.js'
 import type { SnapshotStore, StoredObject } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 
@@ -54,11 +55,6 @@
     return [...this.#objects.values()]
   }
 
-  /** One object as it was last known. */
-  find (key: string): StoredObject | undefined {
-    return this.#objects.get(key)
-  }
-
   /** Whether the objects were ever listed. */
   get loaded (): boolean {
     return this.#next !== undefined
@@ -109,7 +105,7 @@
       if (this.#life !== life) return
       if (!current) this.#noteConnection(false)
       if (current) this.#backoff.reset()
-      else await pause(this.#backoff.next())
+      else await SYSTEM_CLOCK.sleep(this.#backoff.next())
     }
   }
 
@@ -143,7 +139,7 @@
       else this.#objects.set(change.key, { key: change.key, version: change.version, value: change.value })
     }
     this.#tell()
-    await pause(restMs)
+    await SYSTEM_CLOCK.sleep(restMs)
     return true
   }
 
@@ -159,7 +155,3 @@
     this.#connected = connected
   }
 }
-
-async function pause (milliseconds: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, milliseconds))
-}
--- a/packages/coordination/src/lib/stored-host-list.ts
+++ b/packages/coordination/src/lib/stored-host-list.ts
@@ -3,6 +3,7 @@
 import { ExpectationKind, HOSTS_PREFIX, PlatformFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
+import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Host, Outcome } from '@cyclamenthread/state'
 import type { ObjectStore, PlatformCall, PlatformHost } from '@cyclamenthread/protocol'
 import type { HostDirectory } from './member-task.js'
@@ -21,7 +22,7 @@
 
 /**
  * The list of hosts, kept in the store: each host writes its own record when it
- * starts and removes it when it leaves for good.
+ * starts. Records of hosts that are gone stay; membership finds them dead.
  *
  * @example
  * const list = new StoredHostList(store)
@@ -46,13 +47,7 @@
   /** Writes this host's record, however long the store takes. */
   async register (self: Host, stopped: () => boolean): Promise<void> {
     const backoff = new Backoff(Math.random)
-    while (!stopped() && !await this.#put(self)) await new Promise((resolve) => setTimeout(resolve, backoff.next()))
-  }
-
-  /** Removes the record of a host that is gone for good. */
-  async remove (hostId: string): Promise<void> {
-    const found = await this.#store.read(HOSTS_PREFIX + hostId, this.#call())
-    if (found.ok && found.value !== undefined) await this.#store.remove(HOSTS_PREFIX + hostId, found.value.version, this.#call())
+    while (!stopped() && !await this.#put(self)) await SYSTEM_CLOCK.sleep(backoff.next())
   }
 
   async #put (self: Host): Promise<boolean> {
@@ -91,7 +86,7 @@
       const written = await store.write(key, secret, { kind: ExpectationKind.Absent }, call)
       if (written.status === WriteStatus.Applied) return secret
     }
-    await new Promise((resolve) => setTimeout(resolve, backoff.next()))
+    await SYSTEM_CLOCK.sleep(backoff.next())
   }
   return undefined
 }
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -143,11 +143,6 @@
     return this.#ready && !this.#leaving
   }
 
-  /** Whether a planned stop has begun. */
-  get leaving (): boolean {
-    return this.#leaving
-  }
-
   /** Starts every task; returns when requests can be served. */
   async start (): Promise<void> {
     const { declarations, registry } = this.#ports
--- a/packages/state/src/lib/route-table.ts
+++ b/packages/state/src/lib/route-table.ts
@@ -54,11 +54,6 @@
     return key === undefined ? undefined : this.#workspaces.get(key)
   }
 
-  /** The declared route of that name. */
-  route (name: string): Route | undefined {
-    return this.declaration.routes.find((route) => route.name === name)
-  }
-
   /** The declared service of that name. */
   service (name: string): DeclaredService | undefined {
     return this.#services.get(name)
--- a/packages/state/src/lib/sample-placement.ts
+++ b/packages/state/src/lib/sample-placement.ts
@@ -19,8 +19,6 @@
   readonly minVersion: number
   /** Endpoints that have read the prompt of the sample's group. */
   readonly warm: ReadonlySet<string>
-  /** Endpoints at which this sample has just failed. */
-  readonly excluded: ReadonlySet<string>
 }
 
 /**
@@ -54,7 +52,7 @@
   let bestScore = Infinity
   for (const record of board.usable(demand.service, now)) {
     const load = board.load(record, now)
-    if (load >= record.entry.slots || demand.excluded.has(record.entry.id)) continue
+    if (load >= record.entry.slots) continue
     if (board.version(record, demand.model) < demand.minVersion || now < (record.loadingUntil[demand.model] ?? 0)) continue
     const pace = board.pace(record, usualPaceMs, now) / usualPaceMs
     const score = pace * (1 + CROWDING_SHARE * load) + tripMs(vantage, record.entry.failureDomain) * TRIP_WEIGHT -
--- a/packages/state/src/test/sample-placement.test.ts
+++ b/packages/state/src/test/sample-placement.test.ts
@@ -4,7 +4,7 @@
 import type { SampleDemand, Vantage } from '@cyclamenthread/state'
 
 const VANTAGE: Vantage = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian', castlegate: 'grampian' } }
-const DEMAND: SampleDemand = { service: 'models', model: 'critic', minVersion: 3, warm: new Set(), excluded: new Set() }
+const DEMAND: SampleDemand = { service: 'models', model: 'critic', minVersion: 3, warm: new Set() }
 const PACE_MS = 40
 
 test('a step with stragglers: the longest expected samples start first', (t) => {
