Endpoints are shared out by the work of steps, and a version is brought to them before the step that needs it

Ruled out: want of slots (384 slots for about 390 samples of all steps together), preemption (0).

The test that a version reaches half of the endpoints is replaced: it reaches all of them, none of the orders before the step has started, never more than half at once; where texts need one version, half as before.

--- /dev/null
+++ b/packages/coordination/src/lib/demand-notice.ts
@@ -0,0 +1,61 @@
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { DUTIES_LEASE, DUTY_CANDIDATES } from './leader-task.js'
+import { leaseCandidates } from './lease-candidate.js'
+import { taskService } from './task.js'
+import type { ServiceSchema } from 'moleculer'
+import type { RolloutOrder, StepDemand } from '@cyclamenthread/state'
+import type { LeasePlace } from './lease-candidate.js'
+import type { MemberView } from './member-task.js'
+import type { MessageBus } from './message-bus.js'
+
+/** Hosts beyond the candidates that are told, so that one that has just become a candidate knows already. */
+const SPARE_CANDIDATES = 1
+
+/** What the notice works with. */
+export interface DemandNoticeContext {
+  readonly hostId: string
+  readonly members: MemberView
+  readonly bus: MessageBus
+  readonly demand: StepDemand
+  /** Where the leader of the duties should be. */
+  readonly place: LeasePlace
+}
+
+/** Expected answer tokens of all samples of a step; where a trainer estimates none, its bound counts. */
+export function stepTokens (order: RolloutOrder): number {
+  return order.samples.reduce((sum, sample) => sum + (sample.expectedTokens > 0 ? sample.expectedTokens : sample.tokens), 0)
+}
+
+/**
+ * Tells the hosts that may lead the duties what each accepted rollout brings in
+ * work. A notice that is lost costs a worse share of the endpoints until the next.
+ */
+export class DemandNotice {
+  readonly #context: DemandNoticeContext
+
+  constructor (context: DemandNoticeContext) {
+    this.#context = context
+  }
+
+  /** The broker service that takes other hosts' notices. */
+  service (): ServiceSchema {
+    return taskService('demand', {
+      [PeerMessageKind.NoteDemand]: async ({ service, model, tokens }) => {
+        this.#context.demand.note(service, model, tokens, monotonicNow())
+        return { accepted: true }
+      }
+    })
+  }
+
+  /** Tells of a rollout that was accepted here. */
+  tell (order: RolloutOrder): void {
+    const { hostId, members, bus, demand, place } = this.#context
+    const { service, model } = order
+    const tokens = stepTokens(order)
+    for (const host of leaseCandidates(DUTIES_LEASE, members.workers(), place, DUTY_CANDIDATES + SPARE_CANDIDATES)) {
+      if (host.id === hostId) demand.note(service, model, tokens, monotonicNow())
+      else void bus.post(host, { kind: PeerMessageKind.NoteDemand, service, model, tokens })
+    }
+  }
+}
--- a/packages/coordination/src/lib/duty-context.ts
+++ b/packages/coordination/src/lib/duty-context.ts
@@ -1,5 +1,5 @@
 import type { DutyLease, DutyPort, EndpointPort, ObjectStore } from '@cyclamenthread/protocol'
-import type { UsageTally } from '@cyclamenthread/state'
+import type { StepDemand, UsageTally } from '@cyclamenthread/state'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
 import type { MemberView } from './member-task.js'
@@ -24,6 +24,8 @@
   readonly members: MemberView
   readonly bus: MessageBus
   readonly tally: UsageTally
+  /** What the steps of each model bring in work, as far as this host was told. */
+  readonly demand: StepDemand
   readonly retirements: RetirementSource
   /** Followed only while this host leads. */
   readonly mirrors: readonly StoreMirror[]
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -6,10 +6,10 @@
 import type { Duty, DutyContext } from './duty-context.js'
 
 /** Name of the lease under which all duties are done. */
-const LEASE_NAME = 'duties'
+export const DUTIES_LEASE = 'duties'
 
 /** Hosts that contend for the lease: the holder and one that takes over. */
-const CANDIDATES = 2
+export const DUTY_CANDIDATES = 2
 
 /** Pause between two looks at what is due, in milliseconds. */
 const TURN_MS = 100
@@ -46,8 +46,8 @@
     this.#context = context
     this.#duties = duties
     const place = { region: settings.storeRegion, failureDomain: '' }
-    const eligible = (): boolean => isLeaseCandidate(LEASE_NAME, context.hostId, context.members.workers(), place, CANDIDATES)
-    this.#lease = new LeaseTask({ name: LEASE_NAME, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
+    const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, context.members.workers(), place, DUTY_CANDIDATES)
+    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
     this.#loops = duties.map((duty) => new Periodic(TURN_MS, async () => await this.#turn(duty)))
   }
 
@@ -83,7 +83,7 @@
   }
 
   #note (epoch: number): void {
-    this.#context.log.record(epoch === 0 ? LogEvent.LeaseLost : LogEvent.LeaseGained, { lease: LEASE_NAME, fence: epoch === 0 ? this.#epoch : epoch })
+    this.#context.log.record(epoch === 0 ? LogEvent.LeaseLost : LogEvent.LeaseGained, { lease: DUTIES_LEASE, fence: epoch === 0 ? this.#epoch : epoch })
     for (const mirror of this.#context.mirrors) {
       if (epoch !== 0 && this.#epoch === 0) mirror.start()
       if (epoch === 0) mirror.stop()
--- a/packages/coordination/src/lib/lease-candidate.ts
+++ b/packages/coordination/src/lib/lease-candidate.ts
@@ -11,16 +11,27 @@
 }
 
 /**
- * Whether a host should contend for a lease: few by rendezvous, in the failure
+ * Hosts that should contend for a lease: few by rendezvous, in the failure
  * domain that is led if it has hosts, else in its region, else anywhere.
  *
  * @param candidates how many hosts contend
  * @example
- * isLeaseCandidate('domain/leith-walk', 'h1', members.workers(), place)
+ * leaseCandidates('domain/leith-walk', members.workers(), place)
  */
-export function isLeaseCandidate (lease: string, hostId: string, workers: readonly Host[], place?: LeasePlace, candidates = CANDIDATES): boolean {
+export function leaseCandidates (lease: string, workers: readonly Host[], place?: LeasePlace, candidates = CANDIDATES): Host[] {
   const near = workers.filter((host) => host.failureDomain === place?.failureDomain)
   const regional = workers.filter((host) => host.region === place?.region)
   const hosts = [near, regional].find((list) => list.length > 0) ?? workers
-  return rankOwners(`lease/${lease}`, hosts.map((host) => host.id)).slice(0, candidates).includes(hostId)
+  const byId = new Map(hosts.map((host) => [host.id, host]))
+  return rankOwners(`lease/${lease}`, [...byId.keys()]).slice(0, candidates).flatMap((id) => byId.get(id) ?? [])
+}
+
+/**
+ * Whether a host should contend for a lease.
+ *
+ * @example
+ * isLeaseCandidate('domain/leith-walk', 'h1', members.workers(), place)
+ */
+export function isLeaseCandidate (lease: string, hostId: string, workers: readonly Host[], place?: LeasePlace, candidates = CANDIDATES): boolean {
+  return leaseCandidates(lease, workers, place, candidates).some((host) => host.id === hostId)
 }
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -233,22 +233,28 @@
       minVersion: this.order.minVersion,
       warm: this.#warm.get(sample.group) ?? new Set<string>()
     }
-    return placeSample(deployment.board, demand, vantage, USUAL_PACE_MS, monotonicNow())
+    return placeSample(deployment.board, demand, vantage, this.#typicalPace(), monotonicNow())
+  }
+
+  /** Time between two events of a stream as endpoints of the service usually take it, in milliseconds. */
+  #typicalPace (): number {
+    return this.#context.deployment.board.typicalPace(this.order.service, USUAL_PACE_MS, monotonicNow())
   }
 
   /** Moves samples away from endpoints that have turned slow, as far as faster ones have room; their text goes along. */
   #moveSlow (): void {
     const { board } = this.#context.deployment
     const now = monotonicNow()
+    const typicalMs = this.#typicalPace()
     for (const { sample, record, abort } of this.#running.values()) {
       if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < STRAGGLER_EVENTS) continue
       const better = this.#place(sample)
       if (better === undefined || better.entry.id === record.entry.id) continue
-      if (board.pace(record, USUAL_PACE_MS, now) < board.pace(better, USUAL_PACE_MS, now) * MOVE_RATIO) continue
+      if (board.pace(record, typicalMs, now) < board.pace(better, typicalMs, now) * MOVE_RATIO) continue
       this.#moved.add(sample.id)
       abort.abort()
       this.#context.log.record(LogEvent.SampleMoved, {
-        requestId: sample.id, rollout: this.order.id, from: record.entry.id, to: better.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(better.paceMs ?? USUAL_PACE_MS)
+        requestId: sample.id, rollout: this.order.id, from: record.entry.id, to: better.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(better.paceMs ?? typicalMs)
       })
       return
     }
@@ -265,6 +271,7 @@
     this.#running.set(sample.id, { sample, record, abort })
     this.#warm.set(sample.group, (this.#warm.get(sample.group) ?? new Set()).add(entry.id))
     board.begin(entry.id)
+    board.tryModel(entry.id, this.order.model, monotonicNow())
     log.record(LogEvent.SampleSent, {
       requestId: sample.id,
       rollout: this.order.id,
@@ -288,6 +295,7 @@
     }
     const result = await readStream(endpoints, request, text, this.order, {
       started: ({ version, load }) => {
+        board.acceptModel(entry.id, this.order.model)
         if (version !== undefined) board.seeVersion(entry.id, this.order.model, version)
         if (load !== undefined) board.seeLoad(entry.id, load, monotonicNow())
       },
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -47,6 +47,8 @@
   readonly self: Host
   readonly members: MemberView
   readonly bus: MessageBus
+  /** Called with each rollout that was stored here. */
+  readonly accepted?: (order: RolloutOrder) => void
 }
 
 /**
@@ -154,6 +156,7 @@
       case RolloutCreation.Created:
         this.#orders.set(order.id, order)
         void this.#assign(order, creation === RolloutCreation.Created)
+        this.#context.accepted?.(order)
         return success(undefined)
     }
   }
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -3,7 +3,7 @@
 import { Backoff } from './backoff.js'
 import { LogEvent } from './event-log.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
-import type { SnapshotStore, StoredObject } from '@cyclamenthread/protocol'
+import type { MirrorUpdate, SnapshotStore, StoreChange, StoredObject } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 
 /** Longest wait for a listing, in milliseconds. */
@@ -12,6 +12,26 @@
 /** Time an answer may take beyond the wait that was asked for, in milliseconds. */
 const WATCH_SLACK_MS = 800
 
+/** How long a relay's watch waits, and its rest after a change, in milliseconds; each return of the watch tells followers that the copy is current. */
+const RELAY_PERIOD_MS = 600
+
+/**
+ * Age of a copy at which a host stops relying on relays and watches by itself, in
+ * milliseconds: a relay's rest, its watch and half of both again, which leaves
+ * time for a listing of the 2.5 s in which a declaration has to be in force.
+ */
+export const RELAY_SILENCE_MS = 1_800
+
+/** How a mirror learns of changes. */
+export enum MirrorRole {
+  /** It watches the store for itself alone. */
+  Alone = 'alone',
+  /** It watches the store for others too. */
+  Relay = 'relay',
+  /** Relays tell it; it watches the store only while they are silent. */
+  Follower = 'follower'
+}
+
 /** How a mirror follows its prefix. */
 export interface MirrorSettings {
   readonly prefix: string
@@ -34,6 +54,8 @@
   readonly #log: EventLog
   readonly #objects = new Map<string, StoredObject>()
   readonly #listeners: Array<() => void> = []
+  readonly #updateListeners: Array<(update: MirrorUpdate) => void> = []
+  #role: () => MirrorRole = () => MirrorRole.Alone
   readonly #backoff: Backoff
   #next: string | undefined
   #confirmedAt = -Infinity
@@ -75,6 +97,49 @@
     this.#listeners.push(listener)
   }
 
+  /** The prefix that is followed. */
+  get prefix (): string {
+    return this.#settings.prefix
+  }
+
+  /** Sets how changes are learned; asked anew before each watch. */
+  setRole (role: () => MirrorRole): void {
+    this.#role = role
+  }
+
+  /** Calls back with what this mirror has seen at the store itself, also when nothing has changed. */
+  onUpdate (listener: (update: MirrorUpdate) => void): void {
+    this.#updateListeners.push(listener)
+  }
+
+  /** Point of the store's history up to which this copy is known; undefined before the first listing. */
+  get next (): string | undefined {
+    return this.#next
+  }
+
+  /**
+   * Takes what a relay has seen. An update that leaves a gap makes this mirror
+   * list the objects itself; one that is older than this copy changes nothing.
+   */
+  absorb (update: MirrorUpdate): void {
+    const own = Number(this.#next ?? -1)
+    const isNewer = Number(update.next) > own
+    if (this.#next === undefined || (update.base !== undefined && Number(update.base) > own)) {
+      void this.refresh()
+      return
+    }
+    if (Number(update.next) < own) return
+    const now = monotonicNow()
+    this.#confirmedAt = Math.max(this.#confirmedAt, now - update.ageMs)
+    if (update.regainedMs !== undefined) this.#regainedAt = Math.max(this.#regainedAt, now - update.regainedMs)
+    if (update.ageMs < RELAY_SILENCE_MS) this.#noteConnection(true)
+    if (!isNewer) return
+    this.#next = update.next
+    if (update.base === undefined) this.#objects.clear()
+    this.#apply(update.changes)
+    this.#tell()
+  }
+
   /** Begins to follow; does not wait for the first listing. */
   start (): void {
     this.#life += 1
@@ -101,6 +166,11 @@
 
   async #follow (life: number): Promise<void> {
     while (this.#life === life) {
+      const reliableMs = this.#confirmedAt + RELAY_SILENCE_MS - monotonicNow()
+      if (this.#next !== undefined && reliableMs > 0 && this.#role() === MirrorRole.Follower) {
+        await SYSTEM_CLOCK.sleep(reliableMs)
+        continue
+      }
       const current = this.#next === undefined ? await this.refresh() : await this.#watch(this.#next)
       if (this.#life !== life) return
       if (!current) this.#noteConnection(false)
@@ -119,12 +189,16 @@
     this.#next = answer.value.next
     this.#confirmedAt = askedAt
     this.#noteConnection(true)
+    this.#spread(undefined, [...this.#objects.values()])
     this.#tell()
     return true
   }
 
   async #watch (after: string): Promise<boolean> {
-    const { prefix, waitMs, restMs } = this.#settings
+    const { prefix } = this.#settings
+    const isRelay = this.#role() === MirrorRole.Relay
+    const waitMs = isRelay ? Math.min(RELAY_PERIOD_MS, this.#settings.waitMs) : this.#settings.waitMs
+    const restMs = isRelay ? Math.min(RELAY_PERIOD_MS, this.#settings.restMs) : this.#settings.restMs
     const answer = await this.#store.watch(prefix, after, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(waitMs + WATCH_SLACK_MS) })
     if (!answer.ok) {
       return answer.failure === StoreFailure.HistoryLost && await this.refresh()
@@ -133,16 +207,36 @@
     this.#noteConnection(true)
     if (this.#next !== after) return true
     this.#next = answer.value.next
+    this.#spread(after, answer.value.changes)
     if (answer.value.changes.length === 0) return true
-    for (const change of answer.value.changes) {
-      if (change.value === undefined) this.#objects.delete(change.key)
-      else this.#objects.set(change.key, { key: change.key, version: change.version, value: change.value })
-    }
+    this.#apply(answer.value.changes)
     this.#tell()
     await SYSTEM_CLOCK.sleep(restMs)
     return true
   }
 
+  #apply (changes: readonly StoreChange[]): void {
+    for (const { key, version, value } of changes) {
+      if (value === undefined) this.#objects.delete(key)
+      else this.#objects.set(key, { key, version, value })
+    }
+  }
+
+  /** Tells those that rely on this mirror what it has just learned. */
+  #spread (base: string | undefined, changes: readonly StoreChange[]): void {
+    if (this.#next === undefined) return
+    const now = monotonicNow()
+    const update: MirrorUpdate = {
+      prefix: this.#settings.prefix,
+      ...(base === undefined ? {} : { base }),
+      next: this.#next,
+      changes: [...changes],
+      ageMs: Math.max(0, now - this.#confirmedAt),
+      ...(this.#regainedAt === -Infinity ? {} : { regainedMs: now - this.#regainedAt })
+    }
+    for (const listener of this.#updateListeners) listener(update)
+  }
+
   #tell (): void {
     for (const listener of this.#listeners) listener()
   }
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -7,10 +7,17 @@
 import type { Duty, DutyContext } from './duty-context.js'
 
 /**
- * Limits of how a model's endpoints change their weights: half of them serve,
- * and each is changed at every second version, since steps allow the version before.
+ * Limits of how a model's endpoints change their weights: steps allow the version
+ * before, so a step starts on endpoints that were changed during the one before,
+ * and half of them serve at any time. The allowance over all models bounds the rate.
  */
-const WAVES: WaveSettings = { servingShare: 0.5, fetchesPerSecond: 6, swapTimeoutMs: 5_000, retryMs: 200, tolerance: 1 }
+const WAVES: WaveSettings = { servingShare: 0.5, fetchesPerSecond: 20, swapTimeoutMs: 5_000, retryMs: 200, tolerance: 1, prepareAfterMs: 400 }
+
+/**
+ * The same where a sample's text must come from one version: a change would
+ * spoil what runs, so half of the endpoints get every second version.
+ */
+const SINGLE_VERSION_WAVES: WaveSettings = { ...WAVES, prepareAfterMs: undefined }
 
 /** Time in which a change of weights usually ends, in milliseconds; before that no report is asked for. */
 const USUAL_LOAD_MS = 900
@@ -36,7 +43,7 @@
 
 /**
  * Brings each model's newest weights to the endpoints that are its own, half of
- * them at a time.
+ * them at a time. A model has endpoints in proportion to the work of its steps.
  *
  * Invariant: an endpoint has the version it was seen with, in its registry
  * entry, a report or an answer, never the one it was ordered.
@@ -65,14 +72,22 @@
       if (service.models.length === 0) continue
       const records = this.#context.deployment.board.ofService(service.name).filter((record) => record.entry.phase === EndpointPhase.Ready)
       const holders = records.map((record) => ({ id: record.entry.id, failureDomain: record.entry.failureDomain }))
-      const assigned = assignModels(service.models, holders, this.#assigned.get(service.name) ?? this.#assignedBefore(service.models, records))
+      const previous = this.#assigned.get(service.name) ?? this.#assignedBefore(service.models, records)
+      const assigned = assignModels(service.models, holders, previous, this.#context.demand.work(service.name, monotonicNow()))
       this.#assigned.set(service.name, assigned)
-      for (const model of service.models) this.#look(model, records.filter((record) => assigned.get(record.entry.id) === model))
-      const byNeed = [...service.models].sort((a, b) => (this.#models.get(a)?.waves.servingShare ?? 1) - (this.#models.get(b)?.waves.servingShare ?? 1))
-      for (const model of byNeed) this.#orderDue(model, records, lease)
+      const isSingle = table?.declaration.routes.some((route) => route.singleVersion && route.shares.some((share) => share.service === service.name)) === true
+      for (const model of service.models) this.#look(model, records.filter((record) => assigned.get(record.entry.id) === model), isSingle ? SINGLE_VERSION_WAVES : WAVES)
+      for (const model of this.#byNeed(service.models)) this.#orderDue(model, records, lease)
     }
   }
 
+  /** Models with few endpoints that can serve first; among equals the one whose next version is due first. */
+  #byNeed (models: readonly string[]): string[] {
+    const share = (model: string): number => this.#models.get(model)?.waves.servingShare ?? 1
+    const releasedAt = (model: string): number => this.#models.get(model)?.waves.releasedAt ?? Infinity
+    return [...models].sort((a, b) => share(a) - share(b) || (releasedAt(a) < releasedAt(b) ? -1 : 1))
+  }
+
   /** What an earlier leader has assigned, as the versions show: it kept one model current on each endpoint. */
   #assignedBefore (models: readonly string[], records: readonly EndpointRecord[]): Map<string, string> {
     const { board } = this.#context.deployment
@@ -85,12 +100,12 @@
   }
 
   /** Takes note of what is known of a model's endpoints. */
-  #look (model: string, records: readonly EndpointRecord[]): void {
-    const state = this.#models.get(model) ?? { waves: new WeightWaves(WAVES), orderedAt: new Map(), unanswered: new Set(), awaited: new Map(), askedAt: new Map() }
+  #look (model: string, records: readonly EndpointRecord[], settings: WaveSettings): void {
+    const state = this.#models.get(model) ?? { waves: new WeightWaves(settings), orderedAt: new Map(), unanswered: new Set(), awaited: new Map(), askedAt: new Map() }
     this.#models.set(model, state)
     const now = monotonicNow()
     state.waves.setEndpoints(records.map((record) => record.entry.id))
-    state.waves.release(this.#context.releases().get(model) ?? 0)
+    state.waves.release(this.#context.releases().get(model) ?? 0, now)
     for (const record of records) {
       this.#noteEnd(state, model, record, now)
       state.waves.see(record.entry.id, this.#context.deployment.board.version(record, model), now)
--- a/packages/coordination/src/test/weight-duty.test.ts
+++ b/packages/coordination/src/test/weight-duty.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { SILENT_LOG, WeightDuty } from '@cyclamenthread/coordination'
-import { RouteKind } from '@cyclamenthread/state'
+import { RouteKind, StepDemand } from '@cyclamenthread/state'
 import { WeightOrderStatus } from '@cyclamenthread/protocol'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { openDeployment, until } from './deployment-fixture.js'
@@ -19,6 +19,7 @@
   readonly taken = new Map<string, number>()
   answers = true
   most = 0
+  firstOrderAt: number | undefined
   #loading = 0
 
   override report: (endpoint: EndpointEntry) => Promise<EndpointReport | undefined> = async ({ id }) => ({
@@ -27,6 +28,7 @@
 
   override async orderWeights (endpoint: EndpointEntry, order: WeightOrder): Promise<WeightOrderStatus> {
     this.orders.push({ endpoint: endpoint.id, order })
+    this.firstOrderAt ??= performance.now()
     if (!this.answers) return WeightOrderStatus.Unknown
     if (order.expectedOrders !== (this.taken.get(endpoint.id) ?? 0)) return WeightOrderStatus.Busy
     this.taken.set(endpoint.id, order.expectedOrders + 1)
@@ -46,11 +48,11 @@
   turn (lease?: () => DutyLease | undefined): Promise<void>
 }
 
-async function openDuty (t: ExecutionContext, count: number): Promise<Fixture> {
+async function openDuty (t: ExecutionContext, count: number, singleVersion = false): Promise<Fixture> {
   const { store, view } = openDeployment(t)
   store.set('config/main', {
     version: 1,
-    routes: [{ name: 'r', host: 'h', pathPrefix: '/', kind: RouteKind.Rollout, shares: [] }],
+    routes: [{ name: 'r', host: 'h', pathPrefix: '/', kind: RouteKind.Rollout, singleVersion, shares: [{ service: 'models', weight: 1 }] }],
     services: [{ name: 'models', maxConnections: 1, models: ['critic'], capacity: undefined }],
     workspaces: [],
     limits: {}
@@ -63,6 +65,7 @@
     hostId: 'a',
     deployment: view,
     endpoints,
+    demand: new StepDemand(),
     log: SILENT_LOG,
     releases: () => released,
     members: { workers: () => [] } as unknown as MemberView,
@@ -79,13 +82,23 @@
   }
 }
 
-test('a named version reaches half of the endpoints, two at a time at first, under the lease\'s number', async (t) => {
+test('a named version reaches every endpoint once its step has started, never more than half at a time, under the lease\'s number', async (t) => {
   const fixture = await openDuty(t, 6)
   fixture.released.set('critic', 2)
-  await turns(fixture, () => [...fixture.endpoints.versions.values()].filter((version) => version === 2).length >= 3)
+  const releasedAt = performance.now()
+  await turns(fixture, () => [...fixture.endpoints.versions.values()].filter((version) => version === 2).length === 6)
   t.true(fixture.endpoints.most <= 3)
+  t.true((fixture.endpoints.firstOrderAt ?? 0) - releasedAt >= 400, 'the version before still serves the step that has just been asked for')
   t.true(fixture.endpoints.orders.every(({ order }) => order.fence === 7 && order.version === 2))
+  t.deepEqual(fixture.endpoints.orders.map(({ endpoint }) => endpoint).sort(), ['e0', 'e1', 'e2', 'e3', 'e4', 'e5'])
+})
+
+test('where a text must come from one version, only half of the endpoints get a version, so that running samples are kept', async (t) => {
+  const fixture = await openDuty(t, 6, true)
+  fixture.released.set('critic', 2)
+  await turns(fixture, () => false, 60)
   t.is(new Set(fixture.endpoints.orders.map(({ endpoint }) => endpoint)).size, 3)
+  t.is([...fixture.endpoints.versions.values()].filter((version) => version === 2).length, 3)
 })
 
 test('an order without an answer is given again only with the number of orders that the endpoint reports', async (t) => {
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from 'node:crypto'
 import {
-  announceLeave, CallTask, CapacityDuty, clusterSecret, DeploymentView, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallTask, CapacityDuty, clusterSecret, DemandNotice, DeploymentView, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
   StoredHostList, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
-import { UsageTally } from '@cyclamenthread/state'
+import { StepDemand, UsageTally } from '@cyclamenthread/state'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { hostsFor } from './address-list.js'
 import type { DeploymentDecoder, EventLog, RetirementSource, StoreMirror } from '@cyclamenthread/coordination'
@@ -86,6 +86,8 @@
   readonly #bus: MessageBus
   readonly #members: MemberTask
   readonly #leader: LeaderTask
+  readonly #demand: DemandNotice
+  readonly #relay: MirrorRelay
   #ready = false
   #leaving = false
 
@@ -109,8 +111,18 @@
     this.tally = new UsageTally(settings.usageWindowMs)
     const shared = { deployment: this.deployment, endpoints, log, vantage }
     this.calls = new CallTask({ ...shared, tally: this.tally })
+    this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
+    const demand = new StepDemand()
+    const place = { region: settings.storeRegion, failureDomain: '' }
+    this.#demand = new DemandNotice({ hostId: self.id, members: this.#members, bus: this.#bus, demand, place })
     this.rollouts = new RolloutTask({
-      ...shared, self, members: this.#members, bus: this.#bus, store: new RolloutStore(store), writer: `${self.id}/${incarnation}`
+      ...shared,
+      self,
+      members: this.#members,
+      bus: this.#bus,
+      store: new RolloutStore(store),
+      writer: `${self.id}/${incarnation}`,
+      accepted: (order) => this.#demand.tell(order)
     })
     const duties = {
       hostId: self.id,
@@ -121,6 +133,7 @@
       members: this.#members,
       bus: this.#bus,
       tally: this.tally,
+      demand,
       retirements: ports.retirements,
       mirrors: ports.leaderMirrors,
       releases: ports.newestVersions,
@@ -149,6 +162,8 @@
     for (const mirror of [declarations, registry]) mirror.start()
     this.#broker.createService(this.#members.service(() => this.deployment.table?.declaration.version ?? 0))
     this.#broker.createService(this.rollouts.service())
+    this.#broker.createService(this.#demand.service())
+    this.#broker.createService(this.#relay.service())
     this.#broker.createService(taskService('weights', {
       [PeerMessageKind.NoteWeights]: async ({ endpointId, bornAt, model, version }) => {
         const { board } = this.deployment
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -28,5 +28,7 @@
   ReadRollout = 'rollouts.read',
   EndRollout = 'rollouts.end',
   NoteWeights = 'weights.note',
-  ReadTally = 'tally.read'
+  NoteDemand = 'weights.demand',
+  ReadTally = 'tally.read',
+  RelayMirrors = 'mirrors.relay'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -15,9 +15,10 @@
 import { appendJournalSchema, trimJournalSchema } from './journal-message.js'
 import { membershipSchema, probeAnswerSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
+import { relayMirrorsSchema } from './mirror-message.js'
 import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
 import { receiptSchema } from './receipt.js'
-import { adoptRolloutSchema, endRolloutSchema, noteWeightsSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
+import { adoptRolloutSchema, endRolloutSchema, noteDemandSchema, noteWeightsSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -25,7 +26,7 @@
   askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
   checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema,
-  runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, noteWeightsSchema, readTallySchema
+  runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, noteWeightsSchema, noteDemandSchema, readTallySchema, relayMirrorsSchema
 ])
 
 /** The schema of the answer to each kind of message. */
@@ -58,7 +59,9 @@
   [PeerMessageKind.ReadRollout]: rolloutPageSchema,
   [PeerMessageKind.EndRollout]: receiptSchema,
   [PeerMessageKind.NoteWeights]: receiptSchema,
-  [PeerMessageKind.ReadTally]: tallySchema
+  [PeerMessageKind.NoteDemand]: receiptSchema,
+  [PeerMessageKind.ReadTally]: tallySchema,
+  [PeerMessageKind.RelayMirrors]: receiptSchema
 } as const
 
 /** A message between two processes. */
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -60,6 +60,15 @@
   version: z.int().optional()
 })
 
+/** Tells those who may lead what a step brings in work. */
+export const noteDemandSchema = z.object({
+  kind: z.literal(PeerMessageKind.NoteDemand),
+  service: z.string(),
+  model: z.string(),
+  /** Expected answer tokens of all samples of the step. */
+  tokens: z.number().nonnegative()
+})
+
 /** Asks a host for the requests it has counted in a usage window. */
 export const readTallySchema = z.object({ kind: z.literal(PeerMessageKind.ReadTally), window: z.int() })
 
--- a/packages/state/src/lib/endpoint-board.ts
+++ b/packages/state/src/lib/endpoint-board.ts
@@ -50,6 +50,9 @@
 /** Time for which a model is left alone at an endpoint that refused it, in milliseconds: about a change of weights, whose end the registry tells sooner. */
 const LOADING_PAUSE_MS = 900
 
+/** Time between two samples sent to try whether an endpoint takes a model again, in milliseconds: a round trip between regions and a few steps of an engine. */
+const TRIAL_PERIOD_MS = 120
+
 /** Age at which an endpoint's own load figures no longer count, in milliseconds. */
 const SIGHTING_MS = 1_000
 
@@ -77,6 +80,8 @@
   seenVersions: Record<string, number>
   /** Monotonic milliseconds until which a change of weights makes it refuse new work, by model. */
   loadingUntil: Record<string, number>
+  /** Models that it refused last; they get one sample at a time until one is taken. */
+  readonly onTrial: Set<string>
 }
 
 /**
@@ -136,7 +141,27 @@
   /** Takes note that an endpoint refused a model: its weights are changing, or it is full. */
   refuseModel (id: string, model: string, now: number): void {
     const record = this.#records.get(id)
-    if (record !== undefined) record.loadingUntil[model] = now + LOADING_PAUSE_MS
+    if (record === undefined) return
+    record.loadingUntil[model] = now + LOADING_PAUSE_MS
+    record.onTrial.add(model)
+  }
+
+  /** Whether work for a model may be sent to an endpoint, as far as its weights are concerned. */
+  takesModel (record: EndpointRecord, model: string, minVersion: number, now: number): boolean {
+    return this.version(record, model) >= minVersion && now >= (record.loadingUntil[model] ?? 0)
+  }
+
+  /** Takes note that a sample is about to be sent: after a refusal the next has to wait for what becomes of it. */
+  tryModel (id: string, model: string, now: number): void {
+    const record = this.#records.get(id)
+    if (record?.onTrial.has(model) === true) record.loadingUntil[model] = now + TRIAL_PERIOD_MS
+  }
+
+  /** Takes note that an endpoint took a sample of a model. */
+  acceptModel (id: string, model: string): void {
+    const record = this.#records.get(id)
+    if (record === undefined || !record.onTrial.delete(model)) return
+    delete record.loadingUntil[model]
   }
 
   /** Takes note of what an endpoint said of its load. */
@@ -159,7 +184,10 @@
   seeVersion (id: string, model: string, version: number): void {
     const record = this.#records.get(id)
     if (record === undefined) return
-    if (version > this.version(record, model)) delete record.loadingUntil[model]
+    if (version > this.version(record, model)) {
+      delete record.loadingUntil[model]
+      record.onTrial.delete(model)
+    }
     record.seenVersions[model] = version
   }
 
@@ -168,6 +196,18 @@
     return record.active + (now - record.foreignSeenAt < SIGHTING_MS ? record.foreignLoad : 0)
   }
 
+  /**
+   * The median of the paces seen lately at a service's endpoints, or a usual one
+   * where none was. What slows them all, as a busy host of ours, is no reason to
+   * prefer one that was not seen yet.
+   */
+  typicalPace (service: string, usualMs: number, now: number): number {
+    const paces = this.ofService(service)
+      .flatMap((record) => record.paceMs === undefined || now - record.paceSeenAt > PACE_HALF_LIFE_MS ? [] : [record.paceMs])
+      .sort((a, b) => a - b)
+    return paces[Math.floor(paces.length / 2)] ?? usualMs
+  }
+
   /** The average pace, drawn towards a usual one as it ages. */
   pace (record: EndpointRecord, usualMs: number, now: number): number {
     if (record.paceMs === undefined) return usualMs
@@ -183,7 +223,10 @@
   #put (entry: EndpointEntry): void {
     const known = this.#records.get(entry.id)
     if (known !== undefined && known.entry.bornAt === entry.bornAt && known.entry.address === entry.address) {
-      if (!sameVersions(known.entry, entry)) known.loadingUntil = {}
+      if (!sameVersions(known.entry, entry)) {
+        known.loadingUntil = {}
+        known.onTrial.clear()
+      }
       known.entry = entry
       return
     }
@@ -197,7 +240,8 @@
       paceMs: undefined,
       paceSeenAt: -Infinity,
       seenVersions: {},
-      loadingUntil: {}
+      loadingUntil: {},
+      onTrial: new Set()
     })
   }
 }
--- a/packages/state/src/lib/model-assignment.ts
+++ b/packages/state/src/lib/model-assignment.ts
@@ -5,37 +5,64 @@
 }
 
 /**
- * Shares the endpoints of a service among its models, evenly within each
- * failure domain and over all, and keeps earlier shares where it can, since a
- * model's weights are only kept current on its own endpoints.
+ * How many endpoints each model should have: shared out in proportion to the
+ * work that its steps bring, evenly where none is known, at least one each as
+ * far as there are enough.
+ *
+ * @param work expected tokens of one step, by model; a model that is missing is taken for an average one
+ * @example
+ * modelQuotas(['a', 'b'], 8, new Map([['a', 3_000], ['b', 1_000]])) // a: 6, b: 2
+ */
+export function modelQuotas (models: readonly string[], holders: number, work: ReadonlyMap<string, number>): Map<string, number> {
+  const known = models.flatMap((model) => work.get(model) ?? [])
+  const usual = known.length === 0 ? 1 : known.reduce((sum, value) => sum + value, 0) / known.length
+  const weights = models.map((model) => ({ model, weight: Math.max(work.get(model) ?? usual, Number.EPSILON) }))
+  const total = weights.reduce((sum, { weight }) => sum + weight, 0)
+  const least = holders >= models.length ? 1 : 0
+  const spare = holders - least * models.length
+  const shares = weights.map(({ model, weight }) => ({ model, share: spare * weight / total }))
+  const quotas = new Map(shares.map(({ model, share }) => [model, least + Math.floor(share)]))
+  const given = [...quotas.values()].reduce((sum, quota) => sum + quota, 0)
+  const byRemainder = [...shares].sort((a, b) => (b.share % 1) - (a.share % 1))
+  for (const { model } of byRemainder.slice(0, holders - given)) quotas.set(model, (quotas.get(model) ?? 0) + 1)
+  return quotas
+}
+
+/**
+ * Shares the endpoints of a service among its models by quota, spread over the
+ * failure domains, and keeps earlier shares where it can, since a model's weights
+ * are only kept current on its own endpoints.
  *
  * @param previous model by endpoint id of the last assignment
+ * @param work expected tokens of one step, by model
  * @returns model by endpoint id
  * @example
  * assignModels(['a', 'b'], holders, new Map())
  */
-export function assignModels (models: readonly string[], holders: readonly ModelHolder[], previous: ReadonlyMap<string, string>): Map<string, string> {
+export function assignModels (
+  models: readonly string[], holders: readonly ModelHolder[], previous: ReadonlyMap<string, string>, work: ReadonlyMap<string, number> = new Map()
+): Map<string, string> {
   const assigned = new Map<string, string>()
   const totals = new Map(models.map((model) => [model, 0]))
   const domains = new Map<string, number>()
   if (models.length === 0) return assigned
-  const most = Math.ceil(holders.length / models.length)
+  const quotas = modelQuotas(models, holders.length, work)
+  const room = (model: string): number => (quotas.get(model) ?? 0) - (totals.get(model) ?? 0)
+  const inDomain = (model: string, holder: ModelHolder): number => domains.get(`${model}\u0000${holder.failureDomain}`) ?? 0
   const give = (holder: ModelHolder, model: string): void => {
     assigned.set(holder.id, model)
     totals.set(model, (totals.get(model) ?? 0) + 1)
-    const place = `${model}\u0000${holder.failureDomain}`
-    domains.set(place, (domains.get(place) ?? 0) + 1)
+    domains.set(`${model}\u0000${holder.failureDomain}`, inDomain(model, holder) + 1)
   }
   for (const holder of holders) {
     const model = previous.get(holder.id)
-    if (model !== undefined && totals.has(model) && (totals.get(model) ?? 0) < most) give(holder, model)
+    if (model !== undefined && totals.has(model) && room(model) > 0) give(holder, model)
   }
   const unassigned = holders.filter((holder) => !assigned.has(holder.id))
-  // One failure domain after the other, so that filling up the totals spreads the models within each.
+  // One failure domain after the other, so that filling up the quotas spreads the models within each.
   for (const holder of unassigned.sort((a, b) => a.failureDomain.localeCompare(b.failureDomain))) {
-    const [model] = [...models].sort((a, b) =>
-      (totals.get(a) ?? 0) - (totals.get(b) ?? 0) ||
-      (domains.get(`${a}\u0000${holder.failureDomain}`) ?? 0) - (domains.get(`${b}\u0000${holder.failureDomain}`) ?? 0))
+    const [model] = models.filter((candidate) => room(candidate) > 0)
+      .sort((a, b) => inDomain(a, holder) - inDomain(b, holder) || room(b) - room(a))
     if (model !== undefined) give(holder, model)
   }
   return assigned
--- a/packages/state/src/lib/sample-placement.ts
+++ b/packages/state/src/lib/sample-placement.ts
@@ -53,7 +53,7 @@
   for (const record of board.usable(demand.service, now)) {
     const load = board.load(record, now)
     if (load >= record.entry.slots) continue
-    if (board.version(record, demand.model) < demand.minVersion || now < (record.loadingUntil[demand.model] ?? 0)) continue
+    if (!board.takesModel(record, demand.model, demand.minVersion, now)) continue
     const pace = board.pace(record, usualPaceMs, now) / usualPaceMs
     const score = pace * (1 + CROWDING_SHARE * load) + tripMs(vantage, record.entry.failureDomain) * TRIP_WEIGHT -
       (demand.warm.has(record.entry.id) ? PROMPT_ADVANTAGE : 0)
--- a/packages/state/src/lib/weight-waves.ts
+++ b/packages/state/src/lib/weight-waves.ts
@@ -15,6 +15,13 @@
    * that allows the version before.
    */
   readonly tolerance?: number
+  /**
+   * Time after a release from which endpoints within the tolerance are changed
+   * too, all of them, so that they can serve the step after; in milliseconds. By
+   * then the samples of the present step have started, which a change does not
+   * interrupt. Without it half of the group has the newest version.
+   */
+  readonly prepareAfterMs?: number | undefined
 }
 
 /** Longest pause before a failed change is ordered again, as a multiple of the first. */
@@ -67,6 +74,7 @@
   readonly #settings: WaveSettings
   readonly #endpoints = new Map<string, EndpointWeights>()
   #released = 0
+  #releasedAt = -Infinity
   /** Monotonic milliseconds from which the store's rate allows the next fetch. */
   #nextFetchAt = -Infinity
   readonly counters = { ordered: 0, completed: 0, failed: 0 }
@@ -75,9 +83,15 @@
     this.#settings = settings
   }
 
-  /** Takes note of the newest released version. */
-  release (version: number): void {
-    this.#released = Math.max(this.#released, version)
+  /**
+   * Takes note of the newest released version.
+   *
+   * @param now monotonic milliseconds
+   */
+  release (version: number, now = -Infinity): void {
+    if (version <= this.#released) return
+    this.#released = version
+    this.#releasedAt = now
   }
 
   /** Sets the endpoints of the group; what is known of those that stay is kept. */
@@ -125,6 +139,11 @@
     return this.#released
   }
 
+  /** Monotonic milliseconds at which the newest version was first known. */
+  get releasedAt (): number {
+    return this.#releasedAt
+  }
+
   /** Share of the endpoints that are within the tolerance of the newest version; 1 when there are none. */
   get servingShare (): number {
     const oldest = this.#released - (this.#settings.tolerance ?? 0)
@@ -155,7 +174,7 @@
     const orders: WaveOrder[] = []
     let room = Math.min(most, mostSwapping(this.#endpoints.size, this.#settings.servingShare) - this.swapping)
     for (const [endpointId, endpoint] of this.#due(now)) {
-      if (!this.#needs(endpoint)) continue
+      if (!this.#needs(endpoint, now)) continue
       if (room <= 0 || now < this.#nextFetchAt) break
       this.#nextFetchAt = Math.max(this.#nextFetchAt, now - CATCH_UP_MS) + 1_000 / this.#settings.fetchesPerSecond
       endpoint.target = this.#released
@@ -171,10 +190,11 @@
     return endpoint.version !== undefined && endpoint.version < this.#released
   }
 
-  /** Whether an endpoint is too far behind, or too few have the newest version. */
-  #needs (endpoint: EndpointWeights): boolean {
-    const tolerance = this.#settings.tolerance ?? 0
+  /** Whether an endpoint is too far behind, is to be ready for the next step, or too few have the newest version. */
+  #needs (endpoint: EndpointWeights, now: number): boolean {
+    const { tolerance = 0, prepareAfterMs } = this.#settings
     if (tolerance === 0 || (endpoint.version ?? 0) < this.#released - tolerance) return true
+    if (prepareAfterMs !== undefined) return now >= this.#releasedAt + prepareAfterMs
     const newest = [...this.#endpoints.values()].filter((other) => (other.target ?? other.version ?? 0) >= this.#released)
     return newest.length < this.#endpoints.size / 2
   }
--- a/packages/state/src/test/endpoint-board.test.ts
+++ b/packages/state/src/test/endpoint-board.test.ts
@@ -62,3 +62,35 @@
   t.true(board.pace(record, 40, 4_000) > 300)
   t.true(board.pace(record, 40, 120_000) < 45)
 })
+
+test('a busy host sees every endpoint slow: one that it has not seen yet is not taken for a faster one', (t) => {
+  const board = new EndpointBoard()
+  board.update(['a', 'b', 'c', 'd'].map((id) => endpointEntry(id)))
+  for (const [index, id] of ['a', 'b', 'c'].entries()) board.seePace(id, 190 + index * 10, 0)
+  const typical = board.typicalPace('models', 38, 100)
+  t.is(typical, 200)
+  const [seen, unseen] = ['c', 'd'].map((id) => board.find(id))
+  t.true(seen !== undefined && unseen !== undefined && board.pace(seen, typical, 100) < board.pace(unseen, typical, 100) * 1.25)
+  t.is(board.typicalPace('models', 38, 60_000), 38)
+  t.is(board.typicalPace('others', 38, 0), 38)
+})
+
+test('an endpoint that refused a model gets one sample at a time until it takes one', (t) => {
+  const board = new EndpointBoard()
+  board.update([endpointEntry('a', { slots: 8 })])
+  const takes = (now: number): boolean => {
+    const record = board.find('a')
+    const free = record !== undefined && board.takesModel(record, 'critic', 3, now)
+    if (free) board.tryModel('a', 'critic', now)
+    return free
+  }
+  t.true(takes(0) && takes(0) && takes(0))
+  board.refuseModel('a', 'critic', 10)
+  t.false(takes(500))
+  t.true(takes(1_000))
+  t.false(takes(1_001), 'the first sample after a refusal is out')
+  t.false(takes(1_050))
+  t.true(takes(1_200), 'its answer may be lost')
+  board.acceptModel('a', 'critic')
+  t.true(takes(1_201) && takes(1_201) && takes(1_201))
+})
--- a/packages/state/src/test/model-assignment.test.ts
+++ b/packages/state/src/test/model-assignment.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { assignModels } from '@cyclamenthread/state'
+import { assignModels, modelQuotas } from '@cyclamenthread/state'
 
 const DOMAINS = ['leith-walk', 'grassmarket', 'castlegate']
 
@@ -31,3 +31,36 @@
     t.is(new Set(models).size, 3)
   }
 })
+
+test('quotas add up to the endpoints, follow the work, and leave no model without one', (t) => {
+  const shares = fc.record({ holders: fc.integer({ min: 0, max: 60 }), work: fc.array(fc.integer({ min: 0, max: 100_000 }), { minLength: 1, maxLength: 6 }) })
+  fc.assert(fc.property(shares, ({ holders: count, work }) => {
+    const names = work.map((_, index) => `m${index}`)
+    const known = new Map(names.map((name, index) => [name, work[index] ?? 0]))
+    const quotas = modelQuotas(names, count, known)
+    const sizes = names.map((name) => quotas.get(name) ?? 0)
+    t.is(sizes.reduce((sum, size) => sum + size, 0), count)
+    if (count >= names.length) t.true(sizes.every((size) => size >= 1))
+    for (const [a, one] of sizes.entries()) {
+      for (const [b, other] of sizes.entries()) {
+        if ((work[a] ?? 0) > (work[b] ?? 0)) t.true(one >= other, `${JSON.stringify(work)}: ${sizes.join(' ')}`)
+      }
+    }
+  }), { seed: 20_261_206, numRuns: 1_000 })
+})
+
+test('four trainers of unequal steps: the two with long samples get most endpoints, and a step of any of them waits no longer than in equal shares', (t) => {
+  // Expected tokens of a step and samples a step, as the deployments of 34 and more endpoints have them.
+  const work = new Map([['critique', 58_000], ['palette', 155_000], ['catalogue', 155_000], ['motif', 75_000]])
+  const assigned = assignModels([...work.keys()], holders(48), new Map(), work)
+  const count = (model: string): number => [...assigned.values()].filter((other) => other === model).length
+  t.deepEqual([...work.keys()].map(count), [7, 16, 16, 9])
+  const slowest = Math.max(...[...work].map(([model, tokens]) => tokens / count(model)))
+  t.true(slowest < 155_000 / 12)
+})
+
+test('a change of the work moves only as many endpoints as the quotas ask for', (t) => {
+  const before = assignModels(['a', 'b'], holders(12), new Map(), new Map([['a', 100], ['b', 100]]))
+  const after = assignModels(['a', 'b'], holders(12), before, new Map([['a', 100], ['b', 200]]))
+  t.is([...before].filter(([id, model]) => after.get(id) !== model).length, 2)
+})
--- a/packages/state/src/test/weight-waves.test.ts
+++ b/packages/state/src/test/weight-waves.test.ts
@@ -122,3 +122,29 @@
   }
   t.is(loads, 8 * 3)
 })
+
+test('a trainer that names a version every five seconds: each step finds every endpoint usable, and no change begins while its samples start', (t) => {
+  const PREPARE_MS = 400
+  const LOAD_MS = 900
+  const waves = new WeightWaves({ servingShare: 0.5, fetchesPerSecond: 100, swapTimeoutMs: 5_000, retryMs: 100, tolerance: 1, prepareAfterMs: PREPARE_MS })
+  const versions = new Map(Array.from({ length: 12 }, (_, index) => [`e${index}`, 1]))
+  const loads = new Map<string, { readonly version: number, readonly endsAt: number }>()
+  waves.setEndpoints([...versions.keys()])
+  for (let released = 2; released <= 9; released += 1) {
+    const releasedAt = released * 5_000
+    waves.release(released, releasedAt)
+    t.true([...versions.values()].every((version) => version >= released - 1), `version ${released}: an endpoint can't serve its step`)
+    for (let now = releasedAt; now < releasedAt + 5_000; now += 50) {
+      for (const [id, load] of loads) {
+        if (load.endsAt > now) continue
+        versions.set(id, load.version)
+        loads.delete(id)
+      }
+      for (const [id, version] of versions) waves.see(id, version, now)
+      const orders = waves.plan(now, 4)
+      if (now < releasedAt + PREPARE_MS) t.is(orders.length, 0)
+      for (const order of orders) loads.set(order.endpointId, { version: order.version, endsAt: now + LOAD_MS })
+      t.true(loads.size <= 6)
+    }
+  }
+})
