--- a/packages/coordination/src/lib/demand-notice.ts
+++ b/packages/coordination/src/lib/demand-notice.ts
@@ -4,7 +4,7 @@
 import { leaseCandidates } from './lease-candidate.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { RolloutOrder, StepDemand } from '@cyclamenthread/state'
+import type { RolloutOrder, StepDemand, StepSize } from '@cyclamenthread/state'
 import type { LeasePlace } from './lease-candidate.js'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
@@ -22,9 +22,10 @@
   readonly place: LeasePlace
 }
 
-/** Expected answer tokens of all samples of a step; where a trainer estimates none, its bound counts. */
-export function stepTokens (order: RolloutOrder): number {
-  return order.samples.reduce((sum, sample) => sum + (sample.expectedTokens > 0 ? sample.expectedTokens : sample.tokens), 0)
+/** The size of a step; where a trainer estimates no length of a sample, its bound counts. */
+function sizeOf ({ samples }: RolloutOrder): StepSize {
+  const tokens = samples.reduce((sum, sample) => sum + (sample.expectedTokens > 0 ? sample.expectedTokens : sample.tokens), 0)
+  return { tokens, samples: samples.length }
 }
 
 /**
@@ -41,8 +42,8 @@
   /** The broker service that takes other hosts' notices. */
   service (): ServiceSchema {
     return taskService('demand', {
-      [PeerMessageKind.NoteDemand]: async ({ service, model, tokens }) => {
-        this.#context.demand.note(service, model, tokens, monotonicNow())
+      [PeerMessageKind.NoteDemand]: async ({ service, model, tokens, samples }) => {
+        this.#context.demand.note(service, model, { tokens, samples }, monotonicNow())
         return { accepted: true }
       }
     })
@@ -52,10 +53,10 @@
   tell (order: RolloutOrder): void {
     const { hostId, members, bus, demand, place } = this.#context
     const { service, model } = order
-    const tokens = stepTokens(order)
+    const size = sizeOf(order)
     for (const host of leaseCandidates(DUTIES_LEASE, members.workers(), place, DUTY_CANDIDATES + SPARE_CANDIDATES)) {
-      if (host.id === hostId) demand.note(service, model, tokens, monotonicNow())
-      else void bus.post(host, { kind: PeerMessageKind.NoteDemand, service, model, tokens })
+      if (host.id === hostId) demand.note(service, model, size, monotonicNow())
+      else void bus.post(host, { kind: PeerMessageKind.NoteDemand, service, model, ...size })
     }
   }
 }
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -1,4 +1,4 @@
-import { leaseDeadline, mayTakeOver } from '@cyclamenthread/state'
+import { isPredecessor, leaseDeadline, mayTakeOver } from '@cyclamenthread/state'
 import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import * as z from 'zod'
 import { Periodic } from './periodic.js'
@@ -101,7 +101,9 @@
       return
     }
     const sighting = this.#see(found.value)
-    if (sighting === undefined || !mayTakeOver(sighting, this.#settings.leaseMs, this.#clock.now())) return
+    if (sighting === undefined) return
+    const isFree = isPredecessor(sighting.record, this.#settings.holder) || mayTakeOver(sighting, this.#settings.leaseMs, this.#clock.now())
+    if (!isFree) return
     await this.#write({ holder: this.#settings.holder, epoch: sighting.record.epoch + 1, renewal: 0 }, sighting.version)
   }
 
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,11 +1,11 @@
 import { setMaxListeners } from 'node:events'
-import { completeGroups, placeSample, SampleState, startOrder, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { isListingDue, placeSample, SampleState, startOrder, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { AppendStatus } from './rollout-store.js'
 import { readStream, SampleText, StreamEnd } from './sample-stream.js'
-import type { EndpointRecord, RolloutOrder, RolloutProgress, RolloutSample, SampleResult, Vantage } from '@cyclamenthread/state'
+import type { EndpointRecord, RolloutOrder, RolloutProgress, RolloutSample, SampleResult, TextCheckpoint, Vantage } from '@cyclamenthread/state'
 import type { AdoptRollout, EndpointPort, HeaderPair } from '@cyclamenthread/protocol'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
@@ -17,9 +17,6 @@
 /** How often a run looks for room while samples wait, in milliseconds. */
 const LOOK_MS = 40
 
-/** Longest that finished samples wait to be listed while the step is not yet decided, in milliseconds. */
-const COMMIT_MS = 1_500
-
 /** Longest an entry of the log is tried, in milliseconds. */
 const APPEND_MS = 30_000
 
@@ -35,6 +32,15 @@
 /** Events after which a sample is taken for a straggler, which is worth a move. */
 const STRAGGLER_EVENTS = 12
 
+/** How often the text of samples that run is stored, in milliseconds: what the death of all hosts costs a step. */
+const CHECKPOINT_MS = 2_000
+
+/** Events beyond what is stored after which a sample's text is worth storing: about half a second of an endpoint's work. */
+const CHECKPOINT_EVENTS = 14
+
+/** Most characters of such texts in one entry of the log; with the results well below the largest value of the store. */
+const CHECKPOINT_CHARACTERS = 200_000
+
 /** Age of the log's last confirmation beyond which an end is looked for before a sample starts, in milliseconds. */
 const CONFIRM_MS = 1_500
 
@@ -68,6 +74,8 @@
   readonly #waiting: RolloutSample[]
   readonly #running = new Map<string, RunningSample>()
   readonly #texts = new Map<string, SampleText>()
+  /** Which start of a sample's text this run has stored a part of, by sample. */
+  readonly #storedStarts = new Map<string, number>()
   readonly #failures = new Map<string, number>()
   readonly #settled = new Map<string, SampleResult>()
   /** Samples that were moved already: a second move would follow the noise of a pace. */
@@ -78,7 +86,8 @@
   #confirming = false
   #oldestSettledAt = Infinity
   #committing = false
-  #reached = false
+  #committedAt = -Infinity
+  #checkpointAt = monotonicNow() + CHECKPOINT_MS
   #timer: NodeJS.Timeout | undefined
   #stopped = false
 
@@ -87,6 +96,7 @@
     this.order = order
     this.progress = progress
     this.#waiting = startOrder(order, order.samples.filter((sample) => !progress.has(sample.id)))
+    for (const [sampleId, { pieces, versions }] of progress.texts) this.#seed(sampleId, pieces, versions)
   }
 
   /** Whether nothing is left to run or to list. */
@@ -127,14 +137,18 @@
       this.#running.get(result.id)?.abort.abort()
     }
     for (const { sampleId, pieces, versions } of handover.texts) {
-      if (this.#running.has(sampleId) || (this.#texts.get(sampleId)?.pieces.length ?? 0) >= pieces.length) continue
-      const text = new SampleText()
-      text.pieces.push(...pieces)
-      text.versions.push(...versions)
-      this.#texts.set(sampleId, text)
+      if (!this.#running.has(sampleId) && (this.#texts.get(sampleId)?.pieces.length ?? 0) < pieces.length) this.#seed(sampleId, pieces, versions)
     }
   }
 
+  /** Lets a sample go on after a text that an earlier owner had. */
+  #seed (sampleId: string, pieces: readonly string[], versions: readonly number[]): void {
+    const text = new SampleText()
+    text.pieces.push(...pieces)
+    text.versions.push(...versions)
+    this.#texts.set(sampleId, text)
+  }
+
   /** Lists what has come, as far as the deadline allows; for a planned stop. */
   async flush (deadline: number): Promise<void> {
     while (this.#settled.size > 0 && !this.over && monotonicNow() < deadline) await this.#commit(true)
@@ -158,7 +172,7 @@
   /** Appends the end of the rollout; whether the store has it. */
   async end (deadline: number): Promise<boolean> {
     while (!this.progress.ended && monotonicNow() < deadline) {
-      const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], ended: true }, deadline)
+      const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], texts: [], ended: true }, deadline)
       if (status === AppendStatus.Failed) break
     }
     this.#afterChange()
@@ -367,19 +381,24 @@
     for (const sample of this.#waiting.splice(0)) this.#abandon(sample)
   }
 
-  /**
-   * Writes what is settled: at once when the step is decided by it, else
-   * together with what comes within a second.
-   */
+  /** Writes what is settled, if it is due or has to be written now, and from time to time the text of what runs. */
   async #commit (now: boolean): Promise<void> {
-    if (this.#committing || this.#settled.size === 0 || this.over) return
-    if (!now && !this.#decided() && monotonicNow() - this.#oldestSettledAt < COMMIT_MS) return
+    if (this.#committing || this.over) return
+    const texts = monotonicNow() < this.#checkpointAt ? [] : this.#checkpoints()
+    const isDue = texts.length > 0 || (this.#settled.size > 0 && (now || this.#isListingDue()))
+    if (!isDue) return
     this.#committing = true
+    this.#checkpointAt = deadlineAfter(CHECKPOINT_MS)
+    const starts = texts.map(({ sampleId }) => [sampleId, this.#texts.get(sampleId)?.starts ?? 0] as const)
     const results = takeSegment([...this.#settled.values()])
-    const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results, ended: false }, deadlineAfter(APPEND_MS))
+    const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_MS))
     this.#committing = false
+    this.#committedAt = monotonicNow()
+    if (status === AppendStatus.Applied) {
+      for (const [sampleId, start] of starts) this.#storedStarts.set(sampleId, start)
+    }
     this.#context.log.record(LogEvent.RolloutCommitted, {
-      rollout: this.order.id, outcome: status, results: results.length, segment: this.progress.segments, listed: this.progress.results.length
+      rollout: this.order.id, outcome: status, results: results.length, texts: texts.length, segment: this.progress.segments, listed: this.progress.results.length
     })
     if (status !== AppendStatus.Failed) this.#confirmedAt = monotonicNow()
     for (const id of [...this.#settled.keys()]) {
@@ -389,13 +408,29 @@
     this.#afterChange()
   }
 
-  /** Whether the settled samples complete the step, or the rollout. */
-  #decided (): boolean {
-    const settled = new Set([...this.#settled.keys(), ...this.progress.results.map((result) => result.id)])
-    if (settled.size === this.order.samples.length) return true
-    if (this.#reached || completeGroups(this.order, settled) < this.order.targetGroups) return false
-    this.#reached = true
-    return true
+  /** Texts of samples that have come well beyond what is stored of them, as far as they fit one entry of the log. */
+  #checkpoints (): TextCheckpoint[] {
+    let characters = 0
+    return [...this.#running.keys()].flatMap((sampleId) => {
+      const text = this.#texts.get(sampleId)
+      const stored = this.progress.texts.get(sampleId)
+      if (text === undefined || text.pieces.length < (stored?.pieces.length ?? 0) + CHECKPOINT_EVENTS) return []
+      const goesOn = stored?.writer === this.#context.writer && this.#storedStarts.get(sampleId) === text.starts
+      const from = goesOn ? stored.pieces.length : 0
+      const pieces = text.pieces.slice(from)
+      characters += pieces.reduce((sum, piece) => sum + piece.length, 0)
+      return characters > CHECKPOINT_CHARACTERS ? [] : [{ sampleId, from, pieces, versions: [...text.versions] }]
+    })
+  }
+
+  #isListingDue (): boolean {
+    const now = monotonicNow()
+    return isListingDue(this.order, {
+      listed: new Set(this.progress.results.map((result) => result.id)),
+      settled: new Set(this.#settled.keys()),
+      oldestMs: now - this.#oldestSettledAt,
+      sinceLastMs: now - this.#committedAt
+    })
   }
 
   #afterChange (): void {
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -3,6 +3,7 @@
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { RolloutCreation } from './rollout-store.js'
+import { Periodic } from './periodic.js'
 import { RolloutRun } from './rollout-run.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
@@ -39,6 +40,12 @@
 /** Age of a copy of the log on which an answer without results may rest, in milliseconds: below the time in which a listed result must show everywhere. */
 const EMPTY_AGE_MS = 900
 
+/** How often a host looks whether what it runs belongs to another host, in milliseconds. */
+const RETURN_PERIOD_MS = 1_000
+
+/** Time for which a rollout stays with a host that has taken it over, in milliseconds: until the hosts agree on who lives. */
+const STAY_MS = 1_500
+
 /** Most text of one page of results, in characters. */
 const PAGE_CHARACTERS = 900_000
 
@@ -66,10 +73,19 @@
   readonly #loading = new Map<string, Promise<Outcome<RolloutRun | undefined, string>>>()
   readonly #orders = new Map<string, RolloutOrder>()
   readonly #passedOver = new Map<string, number>()
+  /** Monotonic milliseconds before which a rollout is not handed on, by id. */
+  readonly #staysUntil = new Map<string, number>()
+  readonly #returning: Periodic
   #leaving = false
 
   constructor (context: RolloutTaskContext) {
     this.#context = context
+    this.#returning = new Periodic(RETURN_PERIOD_MS, async () => await this.#returnStrays())
+  }
+
+  /** Begins to hand rollouts back to the hosts that they belong to. */
+  async start (): Promise<void> {
+    await this.#returning.start()
   }
 
   /** The broker service that answers other hosts. */
@@ -111,11 +127,32 @@
   async #handOver (run: RolloutRun, deadline: number): Promise<void> {
     const handover = run.handOver()
     for (const owner of this.#owners(run.order.workspace)) {
-      if (owner.id === this.#context.self.id) continue
-      const answer = await this.#context.bus.send(owner, handover, { deadline: Math.min(deadline, deadlineAfter(OWNER_END_MS)) })
-      const accepted = answer.ok && answer.value.accepted
-      this.#context.log.record(LogEvent.RolloutHandedOver, { requestId: run.order.id, to: owner.id, texts: handover.texts.length, results: handover.results.length, outcome: accepted ? 'accepted' : 'refused' })
-      if (accepted) return
+      if (owner.id !== this.#context.self.id && await this.#give(handover, owner, deadline)) return
+    }
+  }
+
+  /** Gives a rollout to another host; whether it has taken it. */
+  async #give (handover: AdoptRollout, to: Host, deadline: number): Promise<boolean> {
+    const answer = await this.#context.bus.send(to, handover, { deadline: Math.min(deadline, deadlineAfter(OWNER_END_MS)) })
+    const accepted = answer.ok && answer.value.accepted
+    this.#context.log.record(LogEvent.RolloutHandedOver, { requestId: handover.order.id, to: to.id, texts: handover.texts.length, results: handover.results.length, outcome: accepted ? 'accepted' : 'refused' })
+    return accepted
+  }
+
+  /**
+   * Hands rollouts that this host took over in another's place back to it, so
+   * that two hosts don't spend endpoint time on the same samples for long.
+   */
+  async #returnStrays (): Promise<void> {
+    const now = monotonicNow()
+    for (const [id, run] of this.#runs) {
+      const [owner] = this.#owners(run.order.workspace)
+      const isStray = owner !== undefined && owner.id !== this.#context.self.id && (this.#passedOver.get(owner.id) ?? 0) <= now
+      if (run.over || this.#leaving || !isStray || now < (this.#staysUntil.get(id) ?? 0)) continue
+      const handover = run.handOver()
+      const accepted = await this.#give(handover, owner, Infinity)
+      this.#runs.delete(id)
+      if (!accepted) this.#own(run.order, run.progress, handover)
     }
   }
 
@@ -125,6 +162,8 @@
     const { order } = handover
     const known = this.#runs.get(order.id)
     if (known !== undefined) {
+      // A host that can't reach the store could list nothing.
+      if (!await known.confirm(0)) return false
       known.adopt(handover)
       return true
     }
@@ -138,6 +177,7 @@
   /** Stops running. */
   stop (): void {
     this.#leaving = true
+    void this.#returning.stop()
     for (const run of this.#runs.values()) run.stop()
   }
 
@@ -299,6 +339,7 @@
     if (known !== undefined) return known
     const run = new RolloutRun(this.#context, order, progress)
     this.#runs.set(order.id, run)
+    this.#staysUntil.set(order.id, deadlineAfter(STAY_MS))
     this.#context.log.record(LogEvent.RolloutOwned, {
       requestId: order.id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, ageMs: Date.now() - order.acceptedAt
     })
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -36,9 +36,12 @@
   readonly pieces: string[] = []
   /** Weight versions that wrote the text, in order, each once. */
   readonly versions: number[] = []
+  /** Counts how often the sample started anew: parts of different starts never belong together. */
+  starts = 0
 
   /** Forgets the text, so that the sample starts anew. */
   clear (): void {
+    this.starts += 1
     this.pieces.length = 0
     this.versions.length = 0
   }
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -2,7 +2,7 @@
 import { PeerMessageKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
-import type { EndpointRecord, WaveSettings } from '@cyclamenthread/state'
+import type { EndpointRecord, WaveOrder, WaveSettings } from '@cyclamenthread/state'
 import type { DutyLease, EndpointReport } from '@cyclamenthread/protocol'
 import type { Duty, DutyContext } from './duty-context.js'
 
@@ -77,15 +77,16 @@
       this.#assigned.set(service.name, assigned)
       const isSingle = table?.declaration.routes.some((route) => route.singleVersion && route.shares.some((share) => share.service === service.name)) === true
       for (const model of service.models) this.#look(model, records.filter((record) => assigned.get(record.entry.id) === model), isSingle ? SINGLE_VERSION_WAVES : WAVES)
-      for (const model of this.#byNeed(service.models)) this.#orderDue(model, records, lease)
+      this.#orderDue(service.models, records, lease)
     }
   }
 
-  /** Models with few endpoints that can serve first; among equals the one whose next version is due first. */
+  /** Models with few endpoints that can serve first; among equals the one that is least prepared for its next step. */
   #byNeed (models: readonly string[]): string[] {
-    const share = (model: string): number => this.#models.get(model)?.waves.servingShare ?? 1
-    const releasedAt = (model: string): number => this.#models.get(model)?.waves.releasedAt ?? Infinity
-    return [...models].sort((a, b) => share(a) - share(b) || (releasedAt(a) < releasedAt(b) ? -1 : 1))
+    const waves = (model: string): WeightWaves | undefined => this.#models.get(model)?.waves
+    return [...models].sort((a, b) =>
+      (waves(a)?.servingShare ?? 1) - (waves(b)?.servingShare ?? 1) ||
+      (waves(a)?.preparedShare ?? 1) - (waves(b)?.preparedShare ?? 1))
   }
 
   /** What an earlier leader has assigned, as the versions show: it kept one model current on each endpoint. */
@@ -127,16 +128,27 @@
     this.#allowance.finished(now - (state.orderedAt.get(id) ?? now), this.#loading)
   }
 
-  /** Orders what is due for one model, as far as all models together leave room. */
-  #orderDue (model: string, records: readonly EndpointRecord[], lease: () => DutyLease | undefined): void {
-    const state = this.#models.get(model)
-    if (state === undefined) return
-    const loading = this.#loading
+  /** Orders what is due, one by one, as each order changes which model is in need, as far as all models together leave room. */
+  #orderDue (models: readonly string[], records: readonly EndpointRecord[], lease: () => DutyLease | undefined): void {
+    const now = monotonicNow()
     const byId = new Map(records.map((record) => [record.entry.id, record]))
-    for (const order of state.waves.plan(monotonicNow(), Math.max(0, this.#allowance.most - loading))) {
-      const record = byId.get(order.endpointId)
-      if (record !== undefined) void this.#order(state, model, record, order.version, lease)
+    // A plan without room still gives up orders that took too long.
+    for (const model of models) this.#models.get(model)?.waves.plan(now, 0)
+    for (let room = this.#allowance.most - this.#loading; room > 0; room -= 1) {
+      const due = this.#nextOrder(models, now)
+      if (due === undefined) return
+      const record = byId.get(due.order.endpointId)
+      if (record !== undefined) void this.#order(due.state, due.model, record, due.order.version, lease)
+    }
+  }
+
+  #nextOrder (models: readonly string[], now: number): { readonly model: string, readonly state: ModelWaves, readonly order: WaveOrder } | undefined {
+    for (const model of this.#byNeed(models)) {
+      const state = this.#models.get(model)
+      const [order] = state?.waves.plan(now, 1) ?? []
+      if (state !== undefined && order !== undefined) return { model, state, order }
     }
+    return undefined
   }
 
   /** Asks an endpoint whose change should be over for its version. */
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
 import fc from 'fast-check'
+import { LeaseTask } from '@cyclamenthread/coordination'
+import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { runLeaders } from './lease-history.js'
 
 const SEED = Number(process.env['CYCLAMENTHREAD_TEST_SEED'] ?? 20_261_204)
@@ -21,3 +23,20 @@
   t.true(orders > RUNS)
   t.true(epochs > 2 * RUNS)
 })
+
+test('all hosts lose power: the last holder\'s next life leads at once, another host only after the lease', async (t) => {
+  const store = new MemoryStore({ sleep: async () => {} }, seededRandom(1))
+  const clock = { now: () => 0, wall: () => 0, sleep: async () => {} }
+  const open = (holder: string): LeaseTask => new LeaseTask({ name: 'duties', holder, leaseMs: 3_000, storeTimeoutMs: 500 }, store, clock)
+  const first = open('h1/a')
+  await first.turn()
+  t.is(first.leadership()?.epoch, 1)
+  const other = open('h2/a')
+  await other.turn()
+  t.is(other.leadership(), undefined)
+  const next = open('h1/b')
+  await next.turn()
+  t.is(next.leadership()?.epoch, 2)
+  await other.turn()
+  t.is(other.leadership(), undefined)
+})
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -203,3 +203,51 @@
   t.is(second.progress.results.find(({ id }) => id === 'g0.0')?.output, 'kept')
   t.is(endpoints.streams.length, 2)
 })
+
+test('all hosts die in mid-step: the next owner goes on with the text that the store has, and its versions are true', async (t) => {
+  const { endpoints, context, open } = await openRuns(t, ['a'])
+  endpoints.streamScripts.set('a', streamOf(80, 3, 50))
+  const order = rolloutOrder(1, 2)
+  const run = open(order)
+  run.start()
+  await until(t, () => run.progress.texts.size === 2)
+  run.stop()
+  endpoints.streamScripts.set('a', streamOf(80, 4))
+  const progress = new RolloutProgress()
+  await context.store.catchUp(order.id, progress, Infinity)
+  const held = progress.texts.get('g0.0')?.pieces.length ?? 0
+  t.true(held >= 14)
+  const next = new RolloutRun({ ...context, writer: 'v' }, order, progress)
+  t.teardown(() => next.stop())
+  next.start()
+  await until(t, () => next.over)
+  t.true(endpoints.streams.slice(2).every(({ resumeAfter }) => resumeAfter >= 14))
+  for (const result of next.progress.results) {
+    t.is(result.output, Array.from({ length: 80 }, (_, index) => `e${index + 1}`).join('\n'))
+    t.deepEqual(result.versions, [3, 4])
+  }
+})
+
+test('a text that started anew under other weights is never joined to the part that was stored before', async (t) => {
+  const { endpoints, context, open } = await openRuns(t, ['a'])
+  let streams = 0
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    streams += 1
+    if (streams > 1) return yield * streamOf(90, 4, 40)(request, resumeAfter)
+    // Breaks off with a failure of the endpoint's own, after which the sample starts anew.
+    for await (const part of streamOf(60, 3, 45)(request, resumeAfter)) {
+      if (part.kind === StreamPartKind.End) yield { kind: StreamPartKind.Failure, status: 500 }
+      else yield part
+    }
+  })
+  const order = rolloutOrder(1, 1)
+  const run = open(order)
+  run.start()
+  await until(t, () => (run.progress.texts.get('g0.0')?.versions[0] ?? 0) === 3)
+  await until(t, () => streams === 2 && run.progress.texts.get('g0.0')?.versions[0] === 4)
+  const progress = new RolloutProgress()
+  await context.store.catchUp(order.id, progress, Infinity)
+  const text = progress.texts.get('g0.0')
+  t.deepEqual(text?.versions, [4])
+  t.deepEqual(text?.pieces, text?.pieces.map((_, index) => `e${index + 1}`))
+})
--- a/packages/coordination/src/test/rollout-store.test.ts
+++ b/packages/coordination/src/test/rollout-store.test.ts
@@ -11,7 +11,7 @@
 const TEST_MS = 10_000
 
 function segment (writer: string, ids: readonly string[], ended = false): RolloutSegment {
-  return { writer, results: ids.map((id) => ({ id, state: SampleState.Completed, output: id, versions: [1] })), ended }
+  return { writer, results: ids.map((id) => ({ id, state: SampleState.Completed, output: id, versions: [1] })), texts: [], ended }
 }
 
 function openStore (seed: number): { readonly memory: MemoryStore, readonly store: RolloutStore } {
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -122,3 +122,26 @@
   for (const id of IDS) t.true((await tasks.get(id)?.read(order.id, order.workspace, 0, performance.now()))?.ended)
   await until(t, () => [...tasks.values()].every((task) => task.running === 0))
 })
+
+test('an owner was silent for a while: the host that took its rollout over gives it back with its text, and each sample runs to its end once', async (t) => {
+  const { tasks, endpoints, silent } = await openHosts(t)
+  endpoints.streamScripts.set('a', streamOf(60, 3, 100))
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  const runs = (): string[] => IDS.filter((id) => (tasks.get(id)?.running ?? 0) > 0)
+  await until(t, () => runs().length === 1)
+  const [owner = ''] = runs()
+  for (const task of tasks.values()) void task.start()
+  silent.add(owner)
+  const reader = tasks.get(IDS.find((id) => id !== owner) ?? '')
+  await until(t, () => {
+    void reader?.read(order.id, order.workspace, 0, performance.now())
+    return runs().length === 2
+  })
+  silent.delete(owner)
+  await until(t, () => runs().length === 1)
+  t.deepEqual(runs(), [owner])
+  const page = await readAll(t, reader, order)
+  t.is(page.results.length, 4)
+  t.true(page.results.every((result) => result.output.split('\n').length === 60))
+})
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -66,7 +66,8 @@
   service: z.string(),
   model: z.string(),
   /** Expected answer tokens of all samples of the step. */
-  tokens: z.number().nonnegative()
+  tokens: z.number().nonnegative(),
+  samples: z.int().nonnegative()
 })
 
 /** Asks a host for the requests it has counted in a usage window. */
--- a/packages/state/src/lib/lease.ts
+++ b/packages/state/src/lib/lease.ts
@@ -33,6 +33,19 @@
   return sighting.record.released === true || now - sighting.firstSeenAt > leaseMs * (1 + DRIFT_SHARE)
 }
 
+/**
+ * Whether a lease is held by an earlier life of the observer's own host. One
+ * process runs on a host at a time, so that life is over and acts no more.
+ *
+ * @param own holder's name of the observer, as `<host>/<incarnation>`
+ * @example
+ * isPredecessor(record, 'h1/4f2c') // true for a record of 'h1/9a01'
+ */
+export function isPredecessor (record: LeaseRecord, own: string): boolean {
+  const hostOf = (holder: string): string => holder.slice(0, holder.lastIndexOf('/') + 1)
+  return record.holder !== own && hostOf(own) !== '' && hostOf(record.holder) === hostOf(own)
+}
+
 /**
  * Until when a holder may act: counted from before the renewal was sent, so
  * that it ends before any observer's wait does.
--- a/packages/state/src/lib/load-allowance.ts
+++ b/packages/state/src/lib/load-allowance.ts
@@ -10,8 +10,9 @@
 /**
  * How many changes of weights may run at once. A weight store gives some at
  * full speed and slows all when there are more; nobody tells how many, so the
- * allowance grows with each load that was as fast as the fastest and shrinks
- * when they slow each other.
+ * allowance doubles with each round of loads that were as fast as the fastest,
+ * until they slow each other for the first time; then it grows slowly, and
+ * shrinks whenever they do.
  *
  * @example
  * allowance.finished(920, 2) // a load took 920 ms while two were running
@@ -19,6 +20,9 @@
 export class LoadAllowance {
   #allowance = FIRST_ALLOWANCE
   #shortestMs = Infinity
+  #hasSlowed = false
+  /** Loads that ran beside one that was slow, and will be slow too. */
+  #slowBeside = 0
 
   /** Loads that may run at once now. */
   get most (): number {
@@ -33,8 +37,19 @@
    */
   finished (tookMs: number, running: number): void {
     this.#shortestMs = Math.min(this.#shortestMs, tookMs)
-    if (tookMs > this.#shortestMs * SLOWER) this.#allowance = Math.max(FIRST_ALLOWANCE, this.#allowance * DECREASE)
-    // Only loads that used the whole allowance say that there may be more.
+    if (tookMs > this.#shortestMs * SLOWER) {
+      if (this.#slowBeside > 0) {
+        this.#slowBeside -= 1
+        return
+      }
+      this.#hasSlowed = true
+      this.#slowBeside = running - 1
+      this.#allowance = Math.max(FIRST_ALLOWANCE, this.#allowance * DECREASE)
+      return
+    }
+    this.#slowBeside = 0
+    // Only loads that used the allowance say that there may be more; while it doubles, it runs ahead of them.
+    if (!this.#hasSlowed && running * 2 > this.most) this.#allowance += 1
     else if (running >= this.most) this.#allowance += 1 / this.#allowance
   }
 }
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -57,27 +57,48 @@
   versions: z.array(z.int())
 })
 
-/** One entry of a rollout's log in the store: results in their order, or the end. */
+/** Text of a sample that has not ended, as far as a writer had it. */
+export const textCheckpointSchema = z.object({
+  sampleId: z.string(),
+  /** Events of the same writer that earlier entries hold; these go on after them. */
+  from: z.int().nonnegative(),
+  pieces: z.array(z.string()),
+  /** Every weight version that wrote a part of the text up to here, in order. */
+  versions: z.array(z.int())
+})
+
+/** One entry of a rollout's log in the store: results in their order, text of samples that run, or the end. */
 export const rolloutSegmentSchema = z.object({
   /** Host and incarnation of the writer. */
   writer: z.string(),
   results: z.array(sampleResultSchema),
+  texts: z.array(textCheckpointSchema).default([]),
   ended: z.boolean()
 })
 
 export type SampleResult = z.infer<typeof sampleResultSchema>
+export type TextCheckpoint = z.infer<typeof textCheckpointSchema>
 export type RolloutSegment = z.infer<typeof rolloutSegmentSchema>
 
+/** Text of a sample that the log holds. */
+export interface StoredText {
+  readonly writer: string
+  readonly pieces: readonly string[]
+  readonly versions: readonly number[]
+}
+
 /**
  * What the log of a rollout says: listed results in their order, and whether
  * the trainer has ended it.
  *
  * Invariants: a result keeps its position; a sample is listed once; nothing is
- * listed after the end.
+ * listed after the end; a stored text is one writer's alone, so that its versions
+ * are those that wrote it.
  */
 export class RolloutProgress {
   readonly results: SampleResult[] = []
   readonly #listed = new Set<string>()
+  readonly #texts = new Map<string, StoredText>()
   #segments = 0
   #ended = false
 
@@ -95,17 +116,33 @@
     return this.#listed.has(sampleId)
   }
 
+  /** Texts of samples that are not listed, by id. */
+  get texts (): ReadonlyMap<string, StoredText> {
+    return this.#texts
+  }
+
   /** Applies the next segment. */
   apply (segment: RolloutSegment): void {
     this.#segments += 1
     if (this.#ended) return
+    for (const checkpoint of segment.texts) this.#keep(segment.writer, checkpoint)
     for (const result of segment.results) {
       if (this.#listed.has(result.id)) continue
       this.#listed.add(result.id)
+      this.#texts.delete(result.id)
       this.results.push(result)
     }
     this.#ended = segment.ended
   }
+
+  /** Keeps a text that goes on where the same writer's ends, or a whole one that is longer than what is held. */
+  #keep (writer: string, { sampleId, from, pieces, versions }: TextCheckpoint): void {
+    if (this.#listed.has(sampleId)) return
+    const held = this.#texts.get(sampleId)
+    const goesOn = held !== undefined && held.writer === writer && held.pieces.length === from
+    if (goesOn) this.#texts.set(sampleId, { writer, pieces: [...held.pieces, ...pieces], versions })
+    else if (from === 0 && pieces.length > (held?.pieces.length ?? 0)) this.#texts.set(sampleId, { writer, pieces, versions })
+  }
 }
 
 /**
--- a/packages/state/src/lib/step-demand.ts
+++ b/packages/state/src/lib/step-demand.ts
@@ -1,10 +1,15 @@
 /** How long the work of a step is remembered, in milliseconds: several steps of a slow trainer. */
 const MEMORY_MS = 60_000
 
-/** The work of one step. */
-interface StepWork {
-  readonly at: number
+/** The size of one step. */
+export interface StepSize {
+  /** Expected answer tokens of all its samples. */
   readonly tokens: number
+  readonly samples: number
+}
+
+interface StepNote extends StepSize {
+  readonly at: number
 }
 
 /**
@@ -13,29 +18,37 @@
  * few groups says nothing about the next.
  *
  * @example
- * demand.note('models', 'critic', 52_000, now)
+ * demand.note('models', 'critic', { tokens: 52_000, samples: 64 }, now)
  * demand.work('models', now) // Map { 'critic' => 52000 }
  */
 export class StepDemand {
-  readonly #steps = new Map<string, Map<string, StepWork[]>>()
+  readonly #steps = new Map<string, Map<string, StepNote[]>>()
 
   /**
    * Takes note of a step.
    *
-   * @param tokens expected answer tokens of all its samples
    * @param now monotonic milliseconds
    */
-  note (service: string, model: string, tokens: number, now: number): void {
-    const models = this.#steps.get(service) ?? new Map<string, StepWork[]>()
+  note (service: string, model: string, size: StepSize, now: number): void {
+    const models = this.#steps.get(service) ?? new Map<string, StepNote[]>()
     this.#steps.set(service, models)
-    models.set(model, [...(models.get(model) ?? []).filter((step) => now - step.at < MEMORY_MS), { at: now, tokens }])
+    models.set(model, [...(models.get(model) ?? []).filter((step) => now - step.at < MEMORY_MS), { ...size, at: now }])
   }
 
   /** Expected tokens of the largest step of each model that is remembered. */
   work (service: string, now: number): Map<string, number> {
+    return this.#largest(service, now, (step) => step.tokens)
+  }
+
+  /** Samples of the largest step of each model that is remembered. */
+  samples (service: string, now: number): Map<string, number> {
+    return this.#largest(service, now, (step) => step.samples)
+  }
+
+  #largest (service: string, now: number, sizeOf: (step: StepSize) => number): Map<string, number> {
     const largest = [...this.#steps.get(service) ?? []].flatMap(([model, steps]) => {
-      const tokens = steps.filter((step) => now - step.at < MEMORY_MS).map((step) => step.tokens)
-      return tokens.length === 0 ? [] : [[model, Math.max(...tokens)] as const]
+      const sizes = steps.filter((step) => now - step.at < MEMORY_MS).map(sizeOf)
+      return sizes.length === 0 ? [] : [[model, Math.max(...sizes)] as const]
     })
     return new Map(largest)
   }
--- a/packages/state/src/lib/weight-waves.ts
+++ b/packages/state/src/lib/weight-waves.ts
@@ -139,11 +139,6 @@
     return this.#released
   }
 
-  /** Monotonic milliseconds at which the newest version was first known. */
-  get releasedAt (): number {
-    return this.#releasedAt
-  }
-
   /** Share of the endpoints that are within the tolerance of the newest version; 1 when there are none. */
   get servingShare (): number {
     const oldest = this.#released - (this.#settings.tolerance ?? 0)
@@ -151,6 +146,12 @@
     return this.#endpoints.size === 0 ? 1 : serving / this.#endpoints.size
   }
 
+  /** Share of the endpoints that have the newest version or are being changed to it; 1 when there are none. */
+  get preparedShare (): number {
+    const prepared = [...this.#endpoints.values()].filter((endpoint) => (endpoint.target ?? endpoint.version ?? 0) >= this.#released).length
+    return this.#endpoints.size === 0 ? 1 : prepared / this.#endpoints.size
+  }
+
   /** Endpoints that don't have the released version yet. */
   get behind (): number {
     return [...this.#endpoints.values()].filter((endpoint) => this.#isBehind(endpoint)).length
--- a/packages/state/src/test/lease.test.ts
+++ b/packages/state/src/test/lease.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { leaseDeadline, mayTakeOver } from '../lib/lease.js'
+import { isPredecessor, leaseDeadline, mayTakeOver } from '../lib/lease.js'
 
 const SEED = 20_261_204
 const RUNS = 1_000
@@ -24,3 +24,12 @@
   t.false(mayTakeOver({ record, version: '1', firstSeenAt: 0 }, LEASE_MS, 1))
   t.true(mayTakeOver({ record: { ...record, released: true }, version: '1', firstSeenAt: 0 }, LEASE_MS, 1))
 })
+
+test('only an earlier life of the same host is a predecessor', (t) => {
+  const heldBy = (holder: string): boolean => isPredecessor({ holder, epoch: 1, renewal: 0 }, 'h1/b')
+  t.true(heldBy('h1/a'))
+  t.false(heldBy('h1/b'), 'its own record')
+  t.false(heldBy('h11/a'))
+  t.false(heldBy('h2/a'))
+  t.false(isPredecessor({ holder: 'h1', epoch: 1, renewal: 0 }, 'h2'), 'names without an incarnation tell nothing')
+})
--- a/packages/state/src/test/rollout.test.ts
+++ b/packages/state/src/test/rollout.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 import { completeGroups, RolloutProgress, SampleState } from '@cyclamenthread/state'
 import { rolloutOrder } from '@cyclamenthread/state/testing'
-import type { SampleResult } from '@cyclamenthread/state'
+import type { RolloutSegment, SampleResult } from '@cyclamenthread/state'
 
 function result (id: string): SampleResult {
   return { id, state: SampleState.Completed, output: id, versions: [3] }
@@ -16,8 +16,8 @@
 
 test('nothing is listed after the end', (t) => {
   const progress = new RolloutProgress()
-  progress.apply({ writer: 'a', results: [result('g0.0')], ended: true })
-  progress.apply({ writer: 'b', results: [result('g0.1')], ended: false })
+  progress.apply({ writer: 'a', results: [result('g0.0')], texts: [], ended: true })
+  progress.apply({ writer: 'b', results: [result('g0.1')], texts: [], ended: false })
   t.deepEqual(progress.results.map(({ id }) => id), ['g0.0'])
   t.true(progress.ended)
   t.is(progress.segments, 2)
@@ -29,7 +29,7 @@
     const progress = new RolloutProgress()
     let before: string[] = []
     for (const segment of segments) {
-      progress.apply({ writer: 'w', results: segment.map(result), ended: false })
+      progress.apply({ writer: 'w', results: segment.map(result), texts: [], ended: false })
       const now = progress.results.map(({ id }) => id)
       t.deepEqual(now.slice(0, before.length), before)
       t.is(new Set(now).size, now.length)
@@ -37,3 +37,32 @@
     }
   }))
 })
+
+const texts = fc.array(fc.record({ writer: fc.constantFrom('a', 'b'), from: fc.integer({ min: 0, max: 6 }), count: fc.integer({ min: 1, max: 6 }) }), { maxLength: 12 })
+
+test('whatever two writers store of a text, what is held was written by one of them from the start, with that writer\'s versions', (t) => {
+  fc.assert(fc.property(texts, (parts) => {
+    const progress = new RolloutProgress()
+    for (const { writer, from, count } of parts) {
+      const pieces = Array.from({ length: count }, (_, index) => `${writer}${from + index}`)
+      const versions = writer === 'a' ? [3] : [4]
+      progress.apply({ writer, results: [], texts: [{ sampleId: 's', from, pieces, versions }], ended: false })
+      const held = progress.texts.get('s')
+      if (held === undefined) continue
+      t.deepEqual(held.pieces, held.pieces.map((_, index) => `${held.writer}${index}`))
+      t.deepEqual(held.versions, held.writer === 'a' ? [3] : [4])
+    }
+  }), { seed: 20_261_208, numRuns: 1_000 })
+})
+
+test('a stored text goes on, and is gone once its sample is listed', (t) => {
+  const progress = new RolloutProgress()
+  const store = (changes: Partial<RolloutSegment>): void => progress.apply({ writer: 'a', results: [], texts: [], ended: false, ...changes })
+  store({ texts: [{ sampleId: 'g0.0', from: 0, pieces: ['x', 'y'], versions: [3] }] })
+  store({ texts: [{ sampleId: 'g0.0', from: 2, pieces: ['z'], versions: [3, 4] }] })
+  t.deepEqual(progress.texts.get('g0.0'), { writer: 'a', pieces: ['x', 'y', 'z'], versions: [3, 4] })
+  store({ results: [result('g0.0')] })
+  t.is(progress.texts.size, 0)
+  store({ texts: [{ sampleId: 'g0.0', from: 0, pieces: ['late'], versions: [3] }] })
+  t.is(progress.texts.size, 0)
+})
