--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -1,5 +1,5 @@
 import { failure, rolloutOrderSchema, rolloutSegmentSchema, success } from '@cyclamenthread/state'
-import { ExpectationKind, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { ExpectationKind, RolloutCreation, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
@@ -9,17 +9,6 @@
 /** Longest wait for one call of the store, in milliseconds: far beyond its usual answer, well within a trainer's wait. */
 const CALL_MS = 1_200
 
-/** What became of the creation of a rollout. */
-export enum RolloutCreation {
-  Created = 'created',
-  /** It was accepted before. */
-  Known = 'known',
-  /** The store refused; nothing is stored and nothing will be. */
-  Refused = 'refused',
-  /** It may be stored, now or later. */
-  Unknown = 'unknown'
-}
-
 /** What became of an append to a rollout's log. */
 export enum AppendStatus {
   Applied = 'applied',
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -1,8 +1,7 @@
 import { failure, notRun, Ran, rankOwners, RefusalReason, RolloutProgress, success } from '@cyclamenthread/state'
-import { PeerMessageKind, RolloutReadStatus } from '@cyclamenthread/protocol'
+import { PeerMessageKind, RolloutCreation, RolloutReadStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
-import { RolloutCreation } from './rollout-store.js'
 import { Periodic } from './periodic.js'
 import { RolloutRun } from './rollout-run.js'
 import { taskService } from './task.js'
@@ -13,8 +12,11 @@
 import type { MessageBus } from './message-bus.js'
 import type { RolloutContext } from './rollout-run.js'
 
-/** Longest the acceptance of a rollout waits for the store, in milliseconds. */
-const ACCEPT_MS = 2_500
+/** Longest the acceptance of a rollout waits for the store, in milliseconds; another host has as long again, within a caller's wait. */
+const ACCEPT_MS = 900
+
+/** Hosts that are asked one after the other to store a rollout which this host can't store. */
+const OTHER_ACCEPTORS = 2
 
 /** Longest wait for an owner beyond the wait for a result, in milliseconds: a round trip between regions and a busy turn. */
 const OWNER_SLACK_MS = 450
@@ -91,6 +93,7 @@
   /** The broker service that answers other hosts. */
   service (): ServiceSchema {
     return taskService('rollouts', {
+      [PeerMessageKind.AcceptRollout]: async ({ order }) => ({ creation: await this.#create(order) }),
       [PeerMessageKind.RunRollout]: async ({ rolloutId, order }) => {
         if (this.#leaving) return { accepted: false }
         if (order === undefined) void this.#load(rolloutId)
@@ -183,7 +186,7 @@
 
   /** Accepts a rollout; a success says that it lasts. */
   async accept (order: RolloutOrder): Promise<Outcome<void, Refusal>> {
-    const creation = await this.#context.store.create(order, deadlineAfter(ACCEPT_MS))
+    const creation = await this.#createSomewhere(order)
     this.#context.log.record(LogEvent.RolloutAccepted, {
       requestId: order.id, workspace: order.workspace, route: order.route, step: order.step, minVersion: order.minVersion, samples: order.samples.length, outcome: creation
     })
@@ -194,13 +197,42 @@
         return failure({ reason: RefusalReason.OutcomeUnknown, ran: Ran.Maybe, detail: 'the store did not confirm the rollout' })
       case RolloutCreation.Known:
       case RolloutCreation.Created:
-        this.#orders.set(order.id, order)
-        void this.#assign(order, creation === RolloutCreation.Created)
         this.#context.accepted?.(order)
         return success(undefined)
     }
   }
 
+  /** Stores a rollout and has it run. */
+  async #create (order: RolloutOrder): Promise<RolloutCreation> {
+    const creation = await this.#context.store.create(order, deadlineAfter(ACCEPT_MS))
+    if (creation === RolloutCreation.Created || creation === RolloutCreation.Known) {
+      this.#orders.set(order.id, order)
+      void this.#assign(order, creation === RolloutCreation.Created)
+    }
+    return creation
+  }
+
+  /**
+   * Stores a rollout here or, where the store does not answer this host, at hosts
+   * of other failure domains. It is refused only if no try can have stored it.
+   */
+  async #createSomewhere (order: RolloutOrder): Promise<RolloutCreation> {
+    const own = await this.#create(order)
+    if (own === RolloutCreation.Created || own === RolloutCreation.Known) return own
+    const { self, members, bus } = this.#context
+    const others = members.workers().filter((host) => host.failureDomain !== self.failureDomain)
+    let mayBeStored = own === RolloutCreation.Unknown
+    for (const hostId of rankOwners(`accept/${order.id}`, others.map((host) => host.id)).slice(0, OTHER_ACCEPTORS)) {
+      const host = others.find((other) => other.id === hostId)
+      if (host === undefined) continue
+      const answer = await bus.send(host, { kind: PeerMessageKind.AcceptRollout, order }, { deadline: deadlineAfter(ACCEPT_MS + OWNER_SLACK_MS) })
+      const creation = answer.ok ? answer.value.creation : RolloutCreation.Unknown
+      if (creation === RolloutCreation.Created || creation === RolloutCreation.Known) return creation
+      mayBeStored ||= creation === RolloutCreation.Unknown
+    }
+    return mayBeStored ? RolloutCreation.Unknown : RolloutCreation.Refused
+  }
+
   /** Reads results from a position on; waits for one until the deadline. */
   async read (id: string, workspace: string, after: number, deadline: number): Promise<RolloutPage> {
     for (const owner of this.#owners(workspace).slice(0, MAX_OWNERS)) {
--- a/packages/coordination/src/test/rollout-store.test.ts
+++ b/packages/coordination/src/test/rollout-store.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { RolloutProgress, SampleState } from '@cyclamenthread/state'
-import { AppendStatus, RolloutCreation, RolloutStore } from '@cyclamenthread/coordination'
+import { AppendStatus, RolloutStore } from '@cyclamenthread/coordination'
+import { RolloutCreation } from '@cyclamenthread/protocol'
 import { rolloutOrder } from '@cyclamenthread/state/testing'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { deadlineAfter } from '@cyclamenthread/transport'
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -1,12 +1,13 @@
 import test from 'ava'
 import { LocalBroker, RolloutStore, RolloutTask, SILENT_LOG } from '@cyclamenthread/coordination'
-import { RolloutReadStatus } from '@cyclamenthread/protocol'
-import { Ran } from '@cyclamenthread/state'
+import { RolloutReadStatus, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
+import { failure, Ran } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, until } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf } from './scripted-endpoints.js'
 import type { MemberView, MessageBus } from '@cyclamenthread/coordination'
-import type { RolloutPage } from '@cyclamenthread/protocol'
+import type { MemoryStore } from '@cyclamenthread/standins'
+import type { ObjectStore, RolloutPage } from '@cyclamenthread/protocol'
 import type { Host, RolloutOrder } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
@@ -18,11 +19,25 @@
   readonly endpoints: ScriptedEndpoints
   /** Hosts that answer nobody. */
   readonly silent: Set<string>
+  /** Hosts that the store refuses. */
+  readonly refused: Set<string>
   readonly store: ReturnType<typeof openDeployment>['store']
 }
 
 function hostOf (id: string): Host {
-  return { id, region: 'lothian', failureDomain: 'leith-walk', peerAddress: id, callerUrl: '', hasDataFolder: false }
+  return { id, region: 'lothian', failureDomain: id === 'h3' ? 'grassmarket' : 'leith-walk', peerAddress: id, callerUrl: '', hasDataFolder: false }
+}
+
+/** The store as one host sees it: it may refuse that host and serve the others. */
+function storeFor (store: MemoryStore, isRefused: () => boolean): ObjectStore {
+  return {
+    read: async (key, call) => isRefused() ? failure(StoreFailure.Unavailable) : await store.read(key, call),
+    list: async (prefix, call) => isRefused() ? failure(StoreFailure.Unavailable) : await store.list(prefix, call),
+    write: async (key, value, expectation, call) =>
+      isRefused() ? { status: WriteStatus.NotWritten, detail: 'refused' } : await store.write(key, value, expectation, call),
+    remove: async (key, version, call) => await store.remove(key, version, call),
+    watch: async (prefix, after, call) => await store.watch(prefix, after, call)
+  }
 }
 
 /** Three hosts over one store, which reach each other unless one is silent. */
@@ -32,6 +47,7 @@
   await until(t, () => view.board.find('a') !== undefined)
   const endpoints = new ScriptedEndpoints()
   const silent = new Set<string>()
+  const refused = new Set<string>()
   const brokers = new Map(IDS.map((id) => [id, new LocalBroker()]))
   const bus = {
     send: async (host: Host, message: { readonly kind: string }) => {
@@ -43,13 +59,13 @@
   const members = { workers: () => IDS.map(hostOf) } as unknown as MemberView
   const tasks = new Map(IDS.map((id) => {
     const task = new RolloutTask({
-      self: hostOf(id), members, bus, deployment: view, endpoints, store: new RolloutStore(store), vantage: VANTAGE, writer: id, log: SILENT_LOG
+      self: hostOf(id), members, bus, deployment: view, endpoints, store: new RolloutStore(storeFor(store, () => refused.has(id))), vantage: VANTAGE, writer: id, log: SILENT_LOG
     })
     brokers.get(id)?.createService(task.service())
     t.teardown(() => task.stop())
     return [id, task] as const
   }))
-  return { tasks, endpoints, silent, store }
+  return { tasks, endpoints, silent, refused, store }
 }
 
 async function readAll (t: ExecutionContext, task: RolloutTask | undefined, order: RolloutOrder): Promise<RolloutPage> {
@@ -145,3 +161,19 @@
   t.is(page.results.length, 4)
   t.true(page.results.every((result) => result.output.split('\n').length === 60))
 })
+
+test('the store turns the hosts of a failure domain away: a batch is accepted through another, and refused only if none could store it', async (t) => {
+  const { tasks, refused, silent, store } = await openHosts(t)
+  const order = rolloutOrder(1, 3)
+  refused.add('h1')
+  refused.add('h2')
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  t.truthy(store.peek('rollouts/r1') ?? store.keys('').find((key) => key.endsWith('rollouts/r1')))
+  refused.add('h3')
+  const second = await tasks.get('h1')?.accept({ ...order, id: 'r2' })
+  t.true(second?.ok === false && second.failure.ran === Ran.No)
+  // A host that gives no answer may have stored it: nothing is promised then.
+  silent.add('h3')
+  const third = await tasks.get('h1')?.accept({ ...order, id: 'r3' })
+  t.true(third?.ok === false && third.failure.ran === Ran.Maybe)
+})
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -23,6 +23,7 @@
   FetchCatalogue = 'catalogue.fetch',
   FetchParts = 'catalogue.parts',
   AnnounceCatalogue = 'catalogue.announce',
+  AcceptRollout = 'rollouts.accept',
   RunRollout = 'rollouts.run',
   AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -18,7 +18,7 @@
 import { relayMirrorsSchema } from './mirror-message.js'
 import { clearSuspectSchema, noteLossSchema } from './quarantine-message.js'
 import { receiptSchema } from './receipt.js'
-import { adoptRolloutSchema, endRolloutSchema, noteDemandSchema, noteWeightsSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
+import { acceptanceSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, noteDemandSchema, noteWeightsSchema, readRolloutSchema, readTallySchema, rolloutPageSchema, runRolloutSchema, tallySchema } from './rollout-message.js'
 
 /** Every message between two processes. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -26,7 +26,7 @@
   askLimitSchema, noteLossSchema, clearSuspectSchema, explainRequestSchema, keepDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipSchema,
   checkCatalogueSchema, fetchCatalogueSchema, fetchPartsSchema, announceCatalogueSchema,
-  runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, noteWeightsSchema, noteDemandSchema, readTallySchema, relayMirrorsSchema
+  acceptRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, noteWeightsSchema, noteDemandSchema, readTallySchema, relayMirrorsSchema
 ])
 
 /** The schema of the answer to each kind of message. */
@@ -54,6 +54,7 @@
   [PeerMessageKind.FetchCatalogue]: catalogueAnswerSchema,
   [PeerMessageKind.FetchParts]: partsAnswerSchema,
   [PeerMessageKind.AnnounceCatalogue]: receiptSchema,
+  [PeerMessageKind.AcceptRollout]: acceptanceSchema,
   [PeerMessageKind.RunRollout]: receiptSchema,
   [PeerMessageKind.AdoptRollout]: receiptSchema,
   [PeerMessageKind.ReadRollout]: rolloutPageSchema,
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -2,6 +2,22 @@
 import { rolloutOrderSchema, sampleResultSchema } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 
+/** What became of the creation of a rollout. */
+export enum RolloutCreation {
+  Created = 'created',
+  /** It was accepted before. */
+  Known = 'known',
+  /** The store refused; nothing is stored and nothing will be. */
+  Refused = 'refused',
+  /** It may be stored, now or later. */
+  Unknown = 'unknown'
+}
+
+/** Has another host store a rollout, for one that the store does not answer. */
+export const acceptRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.AcceptRollout), order: rolloutOrderSchema })
+
+export const acceptanceSchema = z.object({ creation: z.enum(RolloutCreation) })
+
 /** Tells the owner of a rollout that it was accepted and is to be run. */
 export const runRolloutSchema = z.object({
   kind: z.literal(PeerMessageKind.RunRollout),
