--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -26,8 +26,8 @@
 /** Time for which samples start on an old copy of the log after the store gave no answer, in milliseconds. */
 const UNCONFIRMED_MS = 500
 
-/** A sample is moved from an endpoint that is slower than another by this factor: more than a move costs. */
-const MOVE_RATIO = 1.25
+/** A sample is moved from an endpoint that is slower than another by this factor: beyond the differences of endpoints that are well, whose moves cost more than they save. */
+const MOVE_RATIO = 1.6
 
 /** Events after which a sample is taken for a straggler, which is worth a move. */
 const STRAGGLER_EVENTS = 12
