--- a/packages/coordination/src/lib/mirror-relay.ts
+++ b/packages/coordination/src/lib/mirror-relay.ts
@@ -10,7 +10,7 @@
 import type { MessageBus } from './message-bus.js'
 import type { StoreMirror } from './store-mirror.js'
 
-/** Hosts of a region up to which each watches the store by itself: two relays would save next to nothing. */
+/** Hosts of a region from which on relays watch the store for it; with fewer, two relays would save next to nothing. */
 const FEWEST_RELAYED = 9
 
 /** What the relay works with. */
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -82,7 +82,7 @@
 
   constructor (context: RolloutTaskContext) {
     this.#context = context
-    this.#returning = new Periodic(RETURN_PERIOD_MS, async () => await this.#returnStrays())
+    this.#returning = new Periodic(RETURN_PERIOD_MS, async () => await this.#returnMisplaced())
   }
 
   /** Begins to hand rollouts back to the hosts that they belong to. */
@@ -146,12 +146,12 @@
    * Hands rollouts that this host took over in another's place back to it, so
    * that two hosts don't spend endpoint time on the same samples for long.
    */
-  async #returnStrays (): Promise<void> {
+  async #returnMisplaced (): Promise<void> {
     const now = monotonicNow()
     for (const [id, run] of this.#runs) {
       const [owner] = this.#owners(run.order.workspace)
-      const isStray = owner !== undefined && owner.id !== this.#context.self.id && (this.#passedOver.get(owner.id) ?? 0) <= now
-      if (run.over || this.#leaving || !isStray || now < (this.#staysUntil.get(id) ?? 0)) continue
+      const isMisplaced = owner !== undefined && owner.id !== this.#context.self.id && (this.#passedOver.get(owner.id) ?? 0) <= now
+      if (run.over || this.#leaving || !isMisplaced || now < (this.#staysUntil.get(id) ?? 0)) continue
       const handover = run.handOver()
       const accepted = await this.#give(handover, owner, Infinity)
       this.#runs.delete(id)
