--- a/packages/coordination/src/lib/stored-host-list.ts
+++ b/packages/coordination/src/lib/stored-host-list.ts
@@ -1,6 +1,5 @@
-import * as z from 'zod'
 import { failure, success } from '@cyclamenthread/state'
-import { ExpectationKind, HOSTS_PREFIX, PlatformFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
+import { ExpectationKind, hostSchema, HOSTS_PREFIX, PlatformFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
@@ -11,15 +10,6 @@
 /** Longest wait for one call of the store, in milliseconds. */
 const CALL_MS = 1_500
 
-const hostSchema = z.object({
-  id: z.string(),
-  region: z.string(),
-  failureDomain: z.string(),
-  peerAddress: z.string(),
-  callerUrl: z.string(),
-  hasDataFolder: z.boolean()
-})
-
 /**
  * The list of hosts, kept in the store: each host writes its own record when it
  * starts. Records of hosts that are gone stay; membership finds them dead.
--- a/packages/protocol/src/lib/member-message.ts
+++ b/packages/protocol/src/lib/member-message.ts
@@ -9,7 +9,8 @@
 /** Most ids of withdrawn keys in one message. */
 export const MAX_WITHDRAWN_KEYS = 32
 
-const hostSchema = z.object({
+/** A host, as members tell of it and as it is listed in the store. */
+export const hostSchema = z.object({
   id: z.string(),
   region: z.string(),
   failureDomain: z.string(),
--- a/packages/state/src/lib/weight-waves.ts
+++ b/packages/state/src/lib/weight-waves.ts
@@ -142,14 +142,12 @@
   /** Share of the endpoints that are within the tolerance of the newest version; 1 when there are none. */
   get servingShare (): number {
     const oldest = this.#released - (this.#settings.tolerance ?? 0)
-    const serving = [...this.#endpoints.values()].filter((endpoint) => (endpoint.version ?? 0) >= oldest).length
-    return this.#endpoints.size === 0 ? 1 : serving / this.#endpoints.size
+    return this.#shareOf((endpoint) => (endpoint.version ?? 0) >= oldest)
   }
 
   /** Share of the endpoints that have the newest version or are being changed to it; 1 when there are none. */
   get preparedShare (): number {
-    const prepared = [...this.#endpoints.values()].filter((endpoint) => (endpoint.target ?? endpoint.version ?? 0) >= this.#released).length
-    return this.#endpoints.size === 0 ? 1 : prepared / this.#endpoints.size
+    return this.#shareOf((endpoint) => (endpoint.target ?? endpoint.version ?? 0) >= this.#released)
   }
 
   /** Endpoints that don't have the released version yet. */
@@ -187,6 +185,10 @@
     return orders
   }
 
+  #shareOf (holds: (endpoint: EndpointWeights) => boolean): number {
+    return this.#endpoints.size === 0 ? 1 : [...this.#endpoints.values()].filter(holds).length / this.#endpoints.size
+  }
+
   #isBehind (endpoint: EndpointWeights): boolean {
     return endpoint.version !== undefined && endpoint.version < this.#released
   }
