Rewards: a sample's text is scored by a request of its own before it is listed

Ruled out: listing the text first and the score later (a result never changes).

Change: a sample's life is a discriminated union in packages/state (waiting, generating, generated, scoring, settled, listed), advanced by a pure function; SampleBoard holds the lives of a rollout. A reward request is sent after the text is whole, through the route of its host and path in the declaration in force, without key or workspace, with the sample's expiry as its deadline; it leaves two slots of each endpoint to callers; groups whose texts are all there go first. Whole texts and the failures of their rewards are kept in checkpoints and handovers. Only answers of 500 count towards abandoning a sample.

Not done: reward requests in the product's own batch interface.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -31,10 +31,25 @@
 /** Lowest status code that marks an answer as a failure of the endpoint. */
 const FIRST_SERVER_ERROR = 500
 
+/** Status with which an endpoint states that it ran the call and failed. */
+const FAILURE_STATUS = 500
+
+/** Who waits for a call. */
+export enum CallOrigin {
+  /** A caller, who holds a connection open. */
+  Caller = 'caller',
+  /** A sample whose text is to be scored. */
+  Reward = 'reward'
+}
+
+/** Number of slots of each endpoint that calls of an origin leave free: callers don't wait behind rewards. */
+const RESERVED_SLOTS: Readonly<Record<CallOrigin, number>> = { [CallOrigin.Caller]: 0, [CallOrigin.Reward]: 2 }
+
 /** An admitted call to a plain service. */
 export interface PlainCall {
   readonly requestId: string
   readonly route: Route
+  readonly origin: CallOrigin
   readonly workspace: string | undefined
   readonly method: string
   readonly path: string
@@ -48,8 +63,17 @@
 
 /** Outcome of a plain call. */
 export type CallOutcome =
-  | { readonly ok: true, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array }
-  | { readonly ok: false, readonly refusal: Refusal }
+  | {
+    readonly ok: true
+    readonly status: number
+    readonly headers: readonly HeaderPair[]
+    readonly body: Uint8Array
+    /** Proof of the endpoint that the answer is its own; undefined if it gave none. */
+    readonly signature: string | undefined
+    /** Answers of 500 that endpoints gave to the call. */
+    readonly failures: number
+  }
+  | { readonly ok: false, readonly refusal: Refusal, readonly failures: number }
 
 /** Dependencies of a {@link CallTask}. */
 export interface CallContext {
@@ -85,6 +109,8 @@
   wake: () => void
   attempts: number
   rejections: number
+  /** Answers of 500. */
+  failures: number
   mayHaveRun: boolean
   counted: boolean
   lastFailure: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }> | undefined
@@ -117,6 +143,7 @@
       wake: () => {},
       attempts: 0,
       rejections: 0,
+      failures: 0,
       mayHaveRun: false,
       counted: false,
       lastFailure: undefined
@@ -130,6 +157,12 @@
     }
   }
 
+  /** Whether an endpoint of a service has a slot for a reward request now. */
+  hasRoomFor (service: string): boolean {
+    const demand = { service, excluded: new Set<string>(), typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[CallOrigin.Reward] }
+    return chooseEndpointForCall(this.#context.deployment.endpointTable, demand, this.#context.networkLocation, monotonicNow()) !== undefined
+  }
+
   async #runToOutcome (state: CallState, signal: AbortSignal): Promise<CallOutcome> {
     signal.addEventListener('abort', () => state.wake(), { once: true })
     const startedAt = monotonicNow()
@@ -137,7 +170,7 @@
     while (!signal.aborted) {
       if (state.openAttempts.size === 0 && state.arrived.length === 0) {
         const refusal = this.#startAttempt(state, monotonicNow() >= refuseAt)
-        if (refusal !== undefined) return state.lastFailure === undefined ? { ok: false, refusal } : outcomeOf(state.lastFailure)
+        if (refusal !== undefined) return state.lastFailure === undefined ? { ok: false, refusal, failures: state.failures } : outcomeOf(state.lastFailure, state.failures)
       }
       await this.#waitForReply(state, signal)
       const next = state.arrived.shift()
@@ -145,7 +178,7 @@
       const outcome = this.#decideOutcome(state, next.attempt, next.reply)
       if (outcome !== undefined) return outcome
     }
-    return { ok: false, refusal: this.#deadlineRefusal(state) }
+    return { ok: false, refusal: this.#deadlineRefusal(state), failures: state.failures }
   }
 
   /** Sends the call to another endpoint; returns a refusal if no further attempt is possible or allowed. */
@@ -154,7 +187,8 @@
     if (state.attempts >= state.call.route.maxAttempts || (state.mayHaveRun && state.call.route.kind !== RouteKind.Idempotent)) {
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
-    const record = chooseEndpointForCall(deployment.endpointTable, { service: state.service, excluded: state.excluded, typicalMs: DEFAULT_CALL_MS }, networkLocation, monotonicNow())
+    const demand = { service: state.service, excluded: state.excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[state.call.origin] }
+    const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, monotonicNow())
     if (record !== undefined) {
       this.#send(state, record)
       return undefined
@@ -259,7 +293,8 @@
     })
     switch (reply.kind) {
       case EndpointReplyKind.Answer:
-        if (reply.status < FIRST_SERVER_ERROR) return outcomeOf(reply)
+        if (reply.status < FIRST_SERVER_ERROR) return outcomeOf(reply, state.failures)
+        if (reply.status === FAILURE_STATUS) state.failures += 1
         state.mayHaveRun = true
         state.lastFailure = reply
         return undefined
@@ -281,8 +316,8 @@
   }
 }
 
-function outcomeOf (reply: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }>): CallOutcome {
-  return { ok: true, status: reply.status, headers: reply.headers, body: reply.body }
+function outcomeOf ({ status, headers, body, signature }: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }>, failures: number): CallOutcome {
+  return { ok: true, status, headers, body, signature, failures }
 }
 
 function workEndOf (reply: EndpointReply): WorkEnd {
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -22,6 +22,8 @@
   SampleSent = 'sample-sent',
   SampleEnded = 'sample-ended',
   SampleMoved = 'sample-moved',
+  RewardRequested = 'reward-requested',
+  RewardAnswered = 'reward-answered',
   LeaseGained = 'lease-gained',
   LeaseLost = 'lease-lost',
   CapacityOrdered = 'capacity-ordered',
--- /dev/null
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -0,0 +1,147 @@
+import { isListingDue, SampleEventKind, SamplePhase } from '@cyclamenthread/state'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import { AppendStatus } from './rollout-store.js'
+import type { RolloutOrder, RolloutProgress, SampleBoard, SampleResult, TextCheckpoint } from '@cyclamenthread/state'
+import type { RolloutContext } from './rollout-context.js'
+import type { SampleGenerator } from './sample-generator.js'
+
+/** Timeout for appending a log entry, in milliseconds. */
+const APPEND_TIMEOUT_MS = 30_000
+
+/** Maximum output in one log entry, in characters; well below the store's maximum value size. */
+const MAX_SEGMENT_CHARACTERS = 500_000
+
+/** Interval at which the text of unfinished samples is stored, in milliseconds; bounds what a step loses when all hosts crash. */
+const CHECKPOINT_PERIOD_MS = 2_000
+
+/** Minimum number of unstored events for a checkpoint of a running sample: about half a second of an endpoint's work. */
+const MIN_CHECKPOINT_EVENTS = 14
+
+/** Maximum size of checkpoint texts in one log entry, in characters; together with the results well below the store's maximum value size. */
+const MAX_CHECKPOINT_CHARACTERS = 200_000
+
+/** What a checkpoint of a sample contains. */
+interface CheckpointSource {
+  readonly pieces: readonly string[]
+  readonly versions: readonly number[]
+  readonly generation: number
+  readonly complete: boolean
+  readonly rewardFailures: number
+}
+
+/**
+ * Appends the results of one rollout to its log, and periodically the texts of
+ * samples that have no result yet.
+ */
+export class ResultLister {
+  readonly #context: RolloutContext
+  readonly #order: RolloutOrder
+  readonly #progress: RolloutProgress
+  readonly #board: SampleBoard
+  readonly #generator: SampleGenerator
+  /** Generation of each sample's text that this run has stored a part of, by sample id. */
+  readonly #storedGenerations = new Map<string, number>()
+  #committing = false
+  #committedAt = -Infinity
+  #oldestSettledAt = Infinity
+  #checkpointAt = monotonicNow() + CHECKPOINT_PERIOD_MS
+
+  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress, board: SampleBoard, generator: SampleGenerator) {
+    this.#context = context
+    this.#order = order
+    this.#progress = progress
+    this.#board = board
+    this.#generator = generator
+  }
+
+  /**
+   * Appends settled results if listing is due or `now` is set, and periodically the
+   * text of unfinished samples.
+   *
+   * @returns whether the log was read or written
+   */
+  async commit (now: boolean): Promise<boolean> {
+    if (this.#committing) return false
+    const texts = monotonicNow() < this.#checkpointAt ? [] : this.#takeCheckpoints()
+    const isDue = texts.length > 0 || (this.#board.settled.size > 0 && (now || this.#isListingDue()))
+    if (!isDue) return false
+    this.#committing = true
+    this.#checkpointAt = deadlineAfter(CHECKPOINT_PERIOD_MS)
+    const starts = texts.map(({ sampleId }) => [sampleId, this.#generator.texts.get(sampleId)?.generation ?? 0] as const)
+    const results = takeSegmentResults(this.#board.settledResults())
+    const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS))
+    this.#committing = false
+    this.#committedAt = monotonicNow()
+    if (status === AppendStatus.Applied) {
+      for (const [sampleId, start] of starts) this.#storedGenerations.set(sampleId, start)
+    }
+    this.#context.log.record(LogEvent.RolloutCommitted, {
+      rollout: this.#order.id, outcome: status, results: results.length, texts: texts.length, segment: this.#progress.segments, listed: this.#progress.results.length
+    })
+    this.markListed()
+    this.#oldestSettledAt = this.#board.settled.size === 0 ? Infinity : monotonicNow()
+    return status !== AppendStatus.Failed
+  }
+
+  /** Advances the samples whose results are in the log. */
+  markListed (): void {
+    for (const { id } of this.#progress.results.slice(this.#board.listed.size)) this.#board.apply(id, { kind: SampleEventKind.Listed })
+  }
+
+  #isListingDue (): boolean {
+    const now = monotonicNow()
+    this.#oldestSettledAt = Math.min(this.#oldestSettledAt, now)
+    return isListingDue(this.#order, {
+      listed: this.#board.listed, settled: this.#board.settled, oldestMs: now - this.#oldestSettledAt, sinceLastMs: now - this.#committedAt
+    })
+  }
+
+  /** Returns checkpoints of samples with enough unstored text, as far as they fit into one log entry. */
+  #takeCheckpoints (): TextCheckpoint[] {
+    let characters = 0
+    return [...this.#generator.texts.keys()].flatMap((sampleId) => {
+      const source = this.#checkpointSource(sampleId)
+      const stored = this.#progress.texts.get(sampleId)
+      if (source === undefined) return []
+      const isNews = source.complete
+        ? stored?.complete !== true || source.rewardFailures > stored.rewardFailures
+        : source.pieces.length >= (stored?.pieces.length ?? 0) + MIN_CHECKPOINT_EVENTS
+      if (!isNews) return []
+      const isContinuation = stored?.writer === this.#context.writer && this.#storedGenerations.get(sampleId) === source.generation
+      const from = isContinuation ? stored.pieces.length : 0
+      const pieces = source.pieces.slice(from)
+      characters += pieces.reduce((sum, piece) => sum + piece.length, 0)
+      if (characters > MAX_CHECKPOINT_CHARACTERS) return []
+      return [{ sampleId, from, pieces, versions: [...source.versions], complete: source.complete, rewardFailures: source.rewardFailures }]
+    })
+  }
+
+  #checkpointSource (sampleId: string): CheckpointSource | undefined {
+    const life = this.#board.lifeOf(sampleId)
+    const generation = this.#generator.texts.get(sampleId)?.generation ?? 0
+    switch (life?.phase) {
+      case SamplePhase.Generated:
+      case SamplePhase.Scoring:
+        return { ...life.text, generation, complete: true, rewardFailures: life.rewardFailures }
+      case SamplePhase.Generating: {
+        const text = this.#generator.texts.get(sampleId)
+        return text === undefined ? undefined : { pieces: text.pieces, versions: text.versions, generation, complete: false, rewardFailures: 0 }
+      }
+      case SamplePhase.Waiting:
+      case SamplePhase.Settled:
+      case SamplePhase.Listed:
+      case undefined:
+        return undefined
+    }
+  }
+}
+
+/** Returns the first results that fit into one log entry. */
+function takeSegmentResults (results: readonly SampleResult[]): SampleResult[] {
+  let characters = 0
+  return results.filter((result, index) => {
+    characters += result.output.length
+    return index === 0 || characters <= MAX_SEGMENT_CHARACTERS
+  })
+}
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -10,7 +10,7 @@
 import type { AdoptRollout, RolloutPage } from '@cyclamenthread/protocol'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
-import type { RolloutContext } from './rollout-run.js'
+import type { RolloutContext } from './rollout-context.js'
 
 /** Timeout for storing a rollout, in milliseconds; leaves another host the same time before the caller's timeout. */
 const ACCEPT_TIMEOUT_MS = 900
--- /dev/null
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -0,0 +1,242 @@
+import { setMaxListeners } from 'node:events'
+import { placeSample, SampleEventKind, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import { readSampleStream, SampleText, StreamEnd } from './sample-stream.js'
+import type { EndpointRecord, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
+import type { HeaderPair } from '@cyclamenthread/protocol'
+import type { RolloutContext } from './rollout-context.js'
+
+/** Assumed time between two events of a stream before any was measured, in milliseconds; derived from the engines' step times. */
+const DEFAULT_PACE_MS = 38
+
+/**
+ * Minimum ratio between the event intervals of two endpoints for a sample to be
+ * moved. It exceeds the differences between healthy endpoints, where a move costs
+ * more than it saves.
+ */
+const MIN_MOVE_SPEEDUP = 1.6
+
+/** Number of events from which a running sample counts as a straggler that is worth moving. */
+const MIN_STRAGGLER_EVENTS = 12
+
+/** A sample that is running at an endpoint. */
+interface RunningSample {
+  readonly sample: RolloutSample
+  readonly record: EndpointRecord
+  readonly abort: AbortController
+}
+
+/**
+ * Generates the texts of one rollout's samples at endpoints and keeps the text of
+ * samples that were interrupted.
+ *
+ * Invariant: a sample runs at one endpoint at a time.
+ */
+export class SampleGenerator {
+  readonly #context: RolloutContext
+  readonly #order: RolloutOrder
+  readonly #board: SampleBoard
+  readonly #onEnd: () => void
+  readonly #running = new Map<string, RunningSample>()
+  readonly #texts = new Map<string, SampleText>()
+  /** Samples that were moved once; a second move would only follow noise in the measured pace. */
+  readonly #moved = new Set<string>()
+  readonly #warmEndpoints = new Map<string, Set<string>>()
+  #stopped = false
+
+  /** @param onEnd called after the stream of a sample has ended */
+  constructor (context: RolloutContext, order: RolloutOrder, board: SampleBoard, onEnd: () => void) {
+    this.#context = context
+    this.#order = order
+    this.#board = board
+    this.#onEnd = onEnd
+  }
+
+  /** Texts of samples that aren't decided, by sample id. */
+  get texts (): ReadonlyMap<string, SampleText> {
+    return this.#texts
+  }
+
+  /** Whether a sample is running at an endpoint. */
+  isRunning (sampleId: string): boolean {
+    return this.#running.has(sampleId)
+  }
+
+  /** Makes a sample continue after the text that an earlier owner received. */
+  restoreText (sampleId: string, pieces: readonly string[], versions: readonly number[]): void {
+    const text = new SampleText()
+    text.pieces.push(...pieces)
+    text.versions.push(...versions)
+    this.#texts.set(sampleId, text)
+  }
+
+  /** Drops the text of a sample whose result is known, and ends its stream. */
+  release (sampleId: string): void {
+    this.#texts.delete(sampleId)
+    this.#running.get(sampleId)?.abort.abort()
+  }
+
+  /** Ends all streams; the texts stay. */
+  abortAll (): void {
+    for (const running of this.#running.values()) running.abort.abort()
+  }
+
+  /** Ends all streams for good; their ends no longer change the board. */
+  stop (): void {
+    this.#stopped = true
+    this.abortAll()
+  }
+
+  /** Starts waiting samples as far as endpoints have free slots. */
+  startSamples (): void {
+    for (const sample of [...this.#board.waiting]) {
+      // An aborted stream may not have ended yet.
+      if (this.#running.has(sample.id)) continue
+      const record = this.#chooseEndpoint(sample)
+      if (record === undefined) break
+      this.#board.apply(sample.id, { kind: SampleEventKind.GenerationStarted })
+      void this.#runSample(sample, record)
+    }
+  }
+
+  /** Moves one straggler from a slow endpoint to a faster one with free capacity; its text is kept. */
+  moveSlowSample (): void {
+    const { endpointTable } = this.#context.deployment
+    const now = monotonicNow()
+    const typicalMs = this.#typicalPaceMs()
+    for (const { sample, record, abort } of this.#running.values()) {
+      if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
+      const candidate = this.#chooseEndpoint(sample)
+      if (candidate === undefined || candidate.entry.id === record.entry.id) continue
+      if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
+      this.#moved.add(sample.id)
+      abort.abort()
+      this.#context.log.record(LogEvent.SampleMoved, {
+        requestId: sample.id, rollout: this.#order.id, from: record.entry.id, to: candidate.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
+      })
+      return
+    }
+  }
+
+  #chooseEndpoint (sample: RolloutSample): EndpointRecord | undefined {
+    const { deployment, networkLocation } = this.#context
+    const demand = {
+      service: this.#order.service,
+      model: this.#order.model,
+      minVersion: this.#order.minVersion,
+      warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>()
+    }
+    return placeSample(deployment.endpointTable, demand, networkLocation, this.#typicalPaceMs(), monotonicNow())
+  }
+
+  /** Returns the typical time between two stream events at the service's endpoints, in milliseconds. */
+  #typicalPaceMs (): number {
+    return this.#context.deployment.endpointTable.typicalPace(this.#order.service, DEFAULT_PACE_MS, monotonicNow())
+  }
+
+  async #runSample (sample: RolloutSample, record: EndpointRecord): Promise<void> {
+    const { deployment, endpoints, log } = this.#context
+    const { endpointTable } = deployment
+    const { entry } = record
+    const order = this.#order
+    const abort = new AbortController()
+    setMaxListeners(0, abort.signal)
+    const text = this.#texts.get(sample.id) ?? new SampleText()
+    this.#texts.set(sample.id, text)
+    this.#running.set(sample.id, { sample, record, abort })
+    this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
+    endpointTable.startWork(entry.id)
+    endpointTable.startModelTrial(entry.id, order.model, monotonicNow())
+    log.record(LogEvent.SampleSent, {
+      requestId: sample.id,
+      rollout: order.id,
+      endpoint: entry.id,
+      held: text.pieces.length,
+      load: record.activeWork,
+      weights: endpointTable.newestVersion(record, order.model),
+      minVersion: order.minVersion,
+      group: sample.group
+    })
+    const request = {
+      endpoint: entry,
+      requestId: sample.id,
+      method: 'POST',
+      path: sample.path,
+      headers: [...Object.entries(sample.headers), ['Host', order.routeHost]] as HeaderPair[],
+      body: Buffer.from(sample.body, 'base64'),
+      workspace: order.workspace,
+      deadline: undefined,
+      signal: abort.signal
+    }
+    const result = await readSampleStream(endpoints, request, text, order, {
+      onStart: ({ version, load }) => {
+        endpointTable.recordModelAcceptance(entry.id, order.model)
+        if (version !== undefined) endpointTable.recordVersion(entry.id, order.model, version)
+        if (load !== undefined) endpointTable.recordLoad(entry.id, load, monotonicNow())
+      },
+      onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
+      onPace: (paceMs) => endpointTable.recordPace(entry.id, paceMs, monotonicNow())
+    }, abort)
+    const now = monotonicNow()
+    endpointTable.finishWork(entry.id, entry.bornAt, workEndOf(result.end), now)
+    // An endpoint that is full, is changing weights or has older weights than reported is avoided for a while.
+    if (result.end === StreamEnd.NotRun || result.end === StreamEnd.Stale) endpointTable.recordModelRefusal(entry.id, order.model, now)
+    log.record(LogEvent.SampleEnded, {
+      requestId: sample.id,
+      rollout: order.id,
+      endpoint: entry.id,
+      outcome: result.end,
+      detail: result.detail,
+      events: result.events,
+      tookMs: Math.round(result.tookMs),
+      versions: text.versions
+    })
+    this.#running.delete(sample.id)
+    if (this.#stopped) return
+    this.#applyEnd(sample, text, result.end)
+    this.#onEnd()
+  }
+
+  #applyEnd (sample: RolloutSample, text: SampleText, end: StreamEnd): void {
+    switch (end) {
+      case StreamEnd.Complete:
+        this.#board.apply(sample.id, { kind: SampleEventKind.TextCompleted, text: { pieces: [...text.pieces], versions: [...text.versions] } })
+        break
+      case StreamEnd.Impossible:
+        this.#board.apply(sample.id, { kind: SampleEventKind.GenerationImpossible })
+        break
+      case StreamEnd.Failed:
+        text.clear()
+        this.#board.apply(sample.id, { kind: SampleEventKind.GenerationFailed })
+        break
+      case StreamEnd.Stale:
+        text.clear()
+        this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
+        break
+      case StreamEnd.NotRun:
+      case StreamEnd.Broken:
+      case StreamEnd.Cancelled:
+        this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
+        break
+      default: unreachable(end)
+    }
+    if (this.#board.isDecided(sample.id)) this.#texts.delete(sample.id)
+  }
+}
+
+function workEndOf (end: StreamEnd): WorkEnd {
+  switch (end) {
+    case StreamEnd.Complete:
+    case StreamEnd.Impossible:
+    case StreamEnd.Failed:
+      return WorkEnd.Finished
+    case StreamEnd.Broken: return WorkEnd.Broken
+    // A rejection concerns a single model and is recorded by refuseModel.
+    case StreamEnd.NotRun:
+    case StreamEnd.Stale:
+    case StreamEnd.Cancelled:
+      return WorkEnd.Cancelled
+    default: return unreachable(end)
+  }
+}
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { CallOrigin, CallTask, SILENT_LOG } from '@cyclamenthread/coordination'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
@@ -45,6 +45,7 @@
     run: async (changes = {}) => await task.run({
       requestId: 'r1',
       route: ROUTE,
+      origin: CallOrigin.Caller,
       workspace: 'office',
       method: 'POST',
       path: '/1',
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
+import { CallTask, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
 import { StreamPartKind } from '@cyclamenthread/protocol'
-import { RolloutProgress, SampleState } from '@cyclamenthread/state'
+import { RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf, waitUnlessAborted } from './scripted-endpoints.js'
@@ -22,7 +22,8 @@
   for (const id of ids) store.set(`servers/${id}`, endpointEntry(id))
   await waitUntil(t, () => view.endpointTable.endpointsOfService('models').length === ids.length)
   const endpoints = new ScriptedEndpoints()
-  const context = { deployment: view, endpoints, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
+  const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const context = { deployment: view, endpoints, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
   return {
     endpoints,
     context,
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
-import { LocalBroker, RolloutStore, RolloutTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { CallTask, LocalBroker, RolloutStore, RolloutTask, SILENT_LOG } from '@cyclamenthread/coordination'
 import { RolloutReadStatus, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
-import { failure, Ran } from '@cyclamenthread/state'
+import { failure, Ran, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf } from './scripted-endpoints.js'
@@ -57,9 +57,10 @@
     }
   } as unknown as MessageBus
   const members = { workers: () => IDS.map(createHost) } as unknown as MemberView
+  const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const tasks = new Map(IDS.map((id) => {
     const task = new RolloutTask({
-      self: createHost(id), members, bus, deployment: view, endpoints, store: new RolloutStore(createStoreView(store, () => refused.has(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
+      self: createHost(id), members, bus, deployment: view, endpoints, calls, store: new RolloutStore(createStoreView(store, () => refused.has(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
     })
     brokers.get(id)?.createService(task.service())
     t.teardown(() => task.stop())
--- a/packages/coordination/src/test/scripted-endpoints.ts
+++ b/packages/coordination/src/test/scripted-endpoints.ts
@@ -9,8 +9,8 @@
 export type StreamScript = (request: EndpointRequest, resumeAfter: number) => AsyncGenerator<StreamPart>
 
 /** Creates a complete answer with a status. */
-export function answerWith (status: number): EndpointReply {
-  return { kind: EndpointReplyKind.Answer, status, headers: [], body: Buffer.from('done'), load: undefined }
+export function answerWith (status: number, signature?: string): EndpointReply {
+  return { kind: EndpointReplyKind.Answer, status, headers: [], body: Buffer.from('done'), signature, load: undefined }
 }
 
 /** Waits for a time or an abort, whichever comes first; returns whether the time passed. */
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -117,6 +117,7 @@
     this.#demand = new DemandAnnouncer({ hostId: self.id, members: this.#members, bus: this.#bus, demand, location: place })
     this.rollouts = new RolloutTask({
       ...shared,
+      calls: this.calls,
       self,
       members: this.#members,
       bus: this.#bus,
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -31,7 +31,7 @@
 
 /** The result of a request to one endpoint. */
 export type EndpointReply =
-  | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly load: ObservedLoad | undefined }
+  | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly signature: string | undefined, readonly load: ObservedLoad | undefined }
   | { readonly kind: EndpointReplyKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined }
   | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string }
 
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -26,15 +26,35 @@
   order: rolloutOrderSchema.optional()
 })
 
+/** Text of an unfinished sample, with which the next owner continues. */
+export const recoveredTextSchema = z.object({
+  sampleId: z.string(),
+  pieces: z.array(z.string()),
+  versions: z.array(z.int()),
+  /** Whether the text is whole and only its reward is missing. */
+  complete: z.boolean().default(false),
+  /** Answers of 500 to its reward request. */
+  rewardFailures: z.int().nonnegative().default(0)
+})
+
 /** Hands a rollout over to its next owner, with the text of unfinished samples. */
 export const adoptRolloutSchema = z.object({
   kind: z.literal(PeerMessageKind.AdoptRollout),
   order: rolloutOrderSchema,
   /** Results that haven't been written to the rollout's log yet. */
   results: z.array(sampleResultSchema),
-  texts: z.array(z.object({ sampleId: z.string(), pieces: z.array(z.string()), versions: z.array(z.int()) }))
+  texts: z.array(recoveredTextSchema)
 })
 
+/** Text of an unfinished sample from a handover or the log. */
+export interface RecoveredText {
+  readonly sampleId: string
+  readonly pieces: readonly string[]
+  readonly versions: readonly number[]
+  readonly complete: boolean
+  readonly rewardFailures: number
+}
+
 export type AdoptRollout = z.infer<typeof adoptRolloutSchema>
 
 /** Asks the owner of a rollout for its results after a position. */
--- a/packages/state/src/lib/endpoint-route.ts
+++ b/packages/state/src/lib/endpoint-route.ts
@@ -32,6 +32,8 @@
   readonly excluded: ReadonlySet<string>
   /** Typical duration of a call of this service, in milliseconds. */
   readonly typicalMs: number
+  /** Slots of each endpoint that stay free for more urgent calls; without any, a call may also wait at the endpoint. */
+  readonly reservedSlots: number
 }
 
 /**
@@ -39,14 +41,16 @@
  * duration, scaled by the work already queued there, plus the round-trip time.
  *
  * @example
- * chooseEndpointForCall(endpoints, { service: 'desk', excluded: new Set(), typicalMs: 30 }, location, now)
+ * chooseEndpointForCall(endpoints, { service: 'desk', excluded: new Set(), typicalMs: 30, reservedSlots: 0 }, location, now)
  */
 export function chooseEndpointForCall (endpoints: EndpointTable, demand: CallDemand, location: NetworkLocation, now: number): EndpointRecord | undefined {
   let best: EndpointRecord | undefined
   let bestMs = Infinity
   for (const record of endpoints.usableEndpoints(demand.service, now)) {
     if (demand.excluded.has(record.entry.id)) continue
-    const queueFactor = Math.max(1, (endpoints.currentLoad(record, now) + 1) / Math.max(1, record.entry.slots - 1))
+    const load = endpoints.currentLoad(record, now)
+    if (demand.reservedSlots > 0 && load >= Math.max(1, record.entry.slots - demand.reservedSlots)) continue
+    const queueFactor = Math.max(1, (load + 1) / Math.max(1, record.entry.slots - 1))
     const expectedMs = endpoints.estimatedPace(record, demand.typicalMs, now) * queueFactor + roundTripMs(location, record.entry.failureDomain)
     if (expectedMs < bestMs) {
       best = record
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -1,5 +1,16 @@
 import * as z from 'zod'
 
+/** A request that scores the finished text of a sample; it is sent through the route of its host and path, and may be repeated. */
+export const rewardRequestSchema = z.object({
+  id: z.string(),
+  host: z.string(),
+  path: z.string(),
+  /** Request body in Base64, as sent by the trainer. */
+  body: z.string()
+})
+
+export type RewardRequest = z.infer<typeof rewardRequestSchema>
+
 /** A sample of a rollout: a generation request that runs at an endpoint. */
 export const rolloutSampleSchema = z.object({
   id: z.string(),
@@ -12,7 +23,9 @@
   /** Sum of the prompt tokens and the maximum number of answer tokens. */
   tokens: z.number(),
   /** The trainer's estimate of answer tokens; 0 if it gave none. */
-  expectedTokens: z.number()
+  expectedTokens: z.number(),
+  /** The request for its score; absent if its text is the whole result. */
+  reward: rewardRequestSchema.optional()
 })
 
 /** An accepted order of a trainer for a batch of samples. */
@@ -54,7 +67,9 @@
   state: z.enum(SampleState),
   output: z.string(),
   /** Every weight version that generated a part of the text, in order. */
-  versions: z.array(z.int())
+  versions: z.array(z.int()),
+  /** Signature of the endpoint that answered the reward request; absent without one. */
+  score: z.string().optional()
 })
 
 /** Checkpoint of the text of a running sample. */
@@ -64,7 +79,11 @@
   from: z.int().nonnegative(),
   pieces: z.array(z.string()),
   /** Every weight version that generated a part of the text up to this checkpoint, in order. */
-  versions: z.array(z.int())
+  versions: z.array(z.int()),
+  /** Whether the text is whole and only its reward is missing. */
+  complete: z.boolean().default(false),
+  /** Answers of 500 to its reward request. */
+  rewardFailures: z.int().nonnegative().default(0)
 })
 
 /** A segment of a rollout's log in the store: ordered results, text checkpoints of running samples, or the end. */
@@ -80,11 +99,13 @@
 export type TextCheckpoint = z.infer<typeof textCheckpointSchema>
 export type RolloutSegment = z.infer<typeof rolloutSegmentSchema>
 
-/** Text of a running sample that is stored in the log. */
+/** Text of an unfinished sample that is stored in the log. */
 export interface StoredText {
   readonly writer: string
   readonly pieces: readonly string[]
   readonly versions: readonly number[]
+  readonly complete: boolean
+  readonly rewardFailures: number
 }
 
 /**
@@ -135,13 +156,15 @@
     this.#ended = segment.ended
   }
 
-  /** Stores a text that continues the stored one of the same writer, or a complete one that is longer than the stored one. */
-  #storeText (writer: string, { sampleId, from, pieces, versions }: TextCheckpoint): void {
-    if (this.#listed.has(sampleId)) return
+  /** Stores a text that continues the stored one of the same writer, or one from its start that is further than the stored one. */
+  #storeText (writer: string, checkpoint: TextCheckpoint): void {
+    const { sampleId, from, pieces, versions, complete } = checkpoint
     const held = this.#texts.get(sampleId)
+    if (this.#listed.has(sampleId) || (held?.complete === true && !complete)) return
+    const rewardFailures = Math.max(checkpoint.rewardFailures, held?.rewardFailures ?? 0)
     const continues = held !== undefined && held.writer === writer && held.pieces.length === from
-    if (continues) this.#texts.set(sampleId, { writer, pieces: [...held.pieces, ...pieces], versions })
-    else if (from === 0 && pieces.length > (held?.pieces.length ?? 0)) this.#texts.set(sampleId, { writer, pieces, versions })
+    if (continues) this.#texts.set(sampleId, { writer, pieces: [...held.pieces, ...pieces], versions, complete, rewardFailures })
+    else if (from === 0 && (complete || pieces.length > (held?.pieces.length ?? 0))) this.#texts.set(sampleId, { writer, pieces, versions, complete, rewardFailures })
   }
 }
 
--- a/packages/state/src/lib/route-table.ts
+++ b/packages/state/src/lib/route-table.ts
@@ -42,13 +42,18 @@
    * @param key the caller's key, if it sent one
    */
   match (host: string, path: string, key: string | undefined): RouteMatch {
-    const route = this.#routes.get(host)?.find((candidate) => path.startsWith(candidate.pathPrefix))
+    const route = this.findRoute(host, path)
     if (route === undefined) return { ok: false, denial: RouteDenial.NoRoute }
     if (route.open || this.#workspaces.size === 0) return { ok: true, route, workspace: undefined }
     const workspace = this.workspaceOf(key)
     return workspace === undefined ? { ok: false, denial: RouteDenial.UnknownKey } : { ok: true, route, workspace }
   }
 
+  /** Finds the route with the longest matching prefix, regardless of keys. */
+  findRoute (host: string, path: string): Route | undefined {
+    return this.#routes.get(host)?.find((candidate) => path.startsWith(candidate.pathPrefix))
+  }
+
   /** Looks up the workspace of a key. */
   workspaceOf (key: string | undefined): string | undefined {
     return key === undefined ? undefined : this.#workspaces.get(key)
--- a/packages/state/src/test/endpoint-route.test.ts
+++ b/packages/state/src/test/endpoint-route.test.ts
@@ -9,7 +9,7 @@
   regions: { 'leith-walk': 'lothian', grassmarket: 'lothian', castlegate: 'grampian' }
 }
 
-const DEMAND = { service: 'desk', excluded: new Set<string>(), typicalMs: 40 }
+const DEMAND = { service: 'desk', excluded: new Set<string>(), typicalMs: 40, reservedSlots: 0 }
 
 function deskEndpoints (): EndpointTable {
   const table = new EndpointTable()
@@ -39,3 +39,14 @@
 test('an endpoint to which a call was already sent is not chosen again', (t) => {
   t.is(chooseEndpointForCall(deskEndpoints(), { ...DEMAND, excluded: new Set(['near', 'far']) }, LOCATION, 0), undefined)
 })
+
+test('a call that leaves slots free does not go to an endpoint that is nearly full, and to none if all are', (t) => {
+  const table = deskEndpoints()
+  const demand = { ...DEMAND, reservedSlots: 2 }
+  const slots = table.find('near')?.entry.slots ?? 0
+  for (let call = 0; call < slots - 2; call += 1) table.startWork('near')
+  t.is(chooseEndpointForCall(table, demand, LOCATION, 0)?.entry.id, 'far')
+  for (let call = 0; call < slots - 2; call += 1) table.startWork('far')
+  t.is(chooseEndpointForCall(table, demand, LOCATION, 0), undefined)
+  t.is(chooseEndpointForCall(table, DEMAND, LOCATION, 0)?.entry.id, 'near')
+})
--- a/packages/state/src/test/rollout.test.ts
+++ b/packages/state/src/test/rollout.test.ts
@@ -38,6 +38,9 @@
   }))
 })
 
+/** Properties of a text that is still being generated. */
+const OPEN_TEXT = { complete: false, rewardFailures: 0 }
+
 const texts = fc.array(fc.record({ writer: fc.constantFrom('a', 'b'), from: fc.integer({ min: 0, max: 6 }), count: fc.integer({ min: 1, max: 6 }) }), { maxLength: 12 })
 
 test('for any checkpoints of two writers, a stored text comes from one of them, complete from the start and with that writer\'s versions', (t) => {
@@ -46,7 +49,7 @@
     for (const { writer, from, count } of parts) {
       const pieces = Array.from({ length: count }, (_, index) => `${writer}${from + index}`)
       const versions = writer === 'a' ? [3] : [4]
-      progress.apply({ writer, results: [], texts: [{ sampleId: 's', from, pieces, versions }], ended: false })
+      progress.apply({ writer, results: [], texts: [{ sampleId: 's', from, pieces, versions, ...OPEN_TEXT }], ended: false })
       const held = progress.texts.get('s')
       if (held === undefined) continue
       t.deepEqual(held.pieces, held.pieces.map((_, index) => `${held.writer}${index}`))
@@ -58,11 +61,24 @@
 test('a stored text is continued by later checkpoints and dropped once its sample is listed', (t) => {
   const progress = new RolloutProgress()
   const store = (changes: Partial<RolloutSegment>): void => progress.apply({ writer: 'a', results: [], texts: [], ended: false, ...changes })
-  store({ texts: [{ sampleId: 'g0.0', from: 0, pieces: ['x', 'y'], versions: [3] }] })
-  store({ texts: [{ sampleId: 'g0.0', from: 2, pieces: ['z'], versions: [3, 4] }] })
-  t.deepEqual(progress.texts.get('g0.0'), { writer: 'a', pieces: ['x', 'y', 'z'], versions: [3, 4] })
+  store({ texts: [{ sampleId: 'g0.0', from: 0, pieces: ['x', 'y'], versions: [3], ...OPEN_TEXT }] })
+  store({ texts: [{ sampleId: 'g0.0', from: 2, pieces: ['z'], versions: [3, 4], ...OPEN_TEXT }] })
+  t.deepEqual(progress.texts.get('g0.0'), { writer: 'a', pieces: ['x', 'y', 'z'], versions: [3, 4], ...OPEN_TEXT })
   store({ results: [result('g0.0')] })
   t.is(progress.texts.size, 0)
-  store({ texts: [{ sampleId: 'g0.0', from: 0, pieces: ['late'], versions: [3] }] })
+  store({ texts: [{ sampleId: 'g0.0', from: 0, pieces: ['late'], versions: [3], ...OPEN_TEXT }] })
   t.is(progress.texts.size, 0)
 })
+
+test('a whole text replaces an unfinished one of another writer, and keeps the failures of its reward request', (t) => {
+  const progress = new RolloutProgress()
+  const store = (writer: string, pieces: string[], complete: boolean, rewardFailures: number): void =>
+    progress.apply({ writer, results: [], texts: [{ sampleId: 's', from: 0, pieces, versions: [3], complete, rewardFailures }], ended: false })
+  store('a', ['x', 'y', 'z'], false, 0)
+  store('b', ['p', 'q'], true, 2)
+  t.deepEqual(progress.texts.get('s'), { writer: 'b', pieces: ['p', 'q'], versions: [3], complete: true, rewardFailures: 2 })
+  store('a', ['x', 'y', 'z', 'w'], false, 0)
+  t.deepEqual(progress.texts.get('s')?.pieces, ['p', 'q'])
+  store('c', ['r', 's'], true, 1)
+  t.is(progress.texts.get('s')?.rewardFailures, 2)
+})
