Rollouts: one owner, by assignment or a claim in the rollout's log

Ruled out: membership as the judge (a dead host is declared after 4 s; an item may be at no endpoint for 5 s); a renewed lease for each workspace (a write a second each; the log's condition gives the same fence with a write a takeover).

Change: the order names the host it was assigned to; a later owner appends a claim to the log, after it couldn't reach the owner itself or the owner couldn't read the log. A host that was held up doesn't hold silence against another. An owner that sees a claim stops and sends its texts to the claimant. Work starts only on a log copy of at most 1.5 s, counted from before the call was sent, except while the store has answered nothing for 2.5 s. An end or a claim that the owner didn't write makes it read the log at once. Hosts no longer hand rollouts back.

Tests: a returning owner no longer gets its rollout back (the log names one owner), so that test now checks that the replaced owner stops for good; the count of streams after an adoption falls from 2 to 1, as the log is read before the first sample.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -18,6 +18,7 @@
   RolloutOwned = 'rollout-owned',
   RolloutHandedOver = 'rollout-handed-over',
   RolloutEnded = 'rollout-ended',
+  RolloutOwnership = 'rollout-ownership',
   RolloutCommitted = 'rollout-committed',
   SampleSent = 'sample-sent',
   SampleEnded = 'sample-ended',
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,4 +1,4 @@
-import { SampleBoard, SampleEventKind, SamplePhase } from '@cyclamenthread/state'
+import { decideWorkPermission, hostOfWriter, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { AppendStatus } from './rollout-store.js'
@@ -12,17 +12,24 @@
 /** Interval at which a run tries to start waiting samples and reward requests, in milliseconds. */
 const SCHEDULE_PERIOD_MS = 40
 
-/** Time during which work may start on a stale copy of the log after the store failed to answer, in milliseconds. */
-const UNCONFIRMED_START_MS = 500
+/** Timeout for checking the log before work starts, in milliseconds. */
+const CONFIRMATION_TIMEOUT_MS = 1_500
 
-/** Age of the last log read or write beyond which the log is checked for an end before work starts, in milliseconds. */
-const MAX_CONFIRMATION_AGE_MS = 1_500
+/** Options of a {@link RolloutRun}. */
+export interface RolloutRunOptions {
+  /** Monotonic time in milliseconds before the read of the log that the given progress contains; without it, the log is read before work starts. */
+  readonly confirmedAt?: number
+  /** Called with what the next owner can continue from, once another host has claimed the rollout. */
+  readonly onFenced?: (handover: AdoptRollout) => void
+}
 
 /**
  * Runs the unfinished samples of one rollout and appends their results to the
  * rollout's log. The phases of a sample are those of {@link SampleBoard}.
  *
- * Invariant: results can be read only once the store has them.
+ * Invariants: results can be read only once the store has them; no work starts on a
+ * log copy that may hide an end or a claim of another host; once the log shows
+ * either, the run is stopped.
  */
 export class RolloutRun {
   readonly order: RolloutOrder
@@ -33,13 +40,17 @@
   readonly #rewards: RewardCaller
   readonly #lister: ResultLister
   readonly #watchers = new Set<() => void>()
-  #confirmedAt = monotonicNow()
+  readonly #onFenced: ((handover: AdoptRollout) => void) | undefined
+  #confirmedAt: number
   #confirming = false
+  #contested = false
   #timer: NodeJS.Timeout | undefined
   #stopped = false
 
-  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress) {
+  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress, { confirmedAt = -Infinity, onFenced }: RolloutRunOptions = {}) {
     this.#context = context
+    this.#confirmedAt = confirmedAt
+    this.#onFenced = onFenced
     this.order = order
     this.progress = progress
     this.#board = new SampleBoard(order)
@@ -76,7 +87,7 @@
       const isWhole = life?.phase === SamplePhase.Generated || life?.phase === SamplePhase.Scoring
       return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0 }
     })
-    return { kind: PeerMessageKind.AdoptRollout, order: this.order, results: this.#board.settledResults(), texts }
+    return { kind: PeerMessageKind.AdoptRollout, from: this.#context.writer, order: this.order, results: this.#board.settledResults(), texts }
   }
 
   /** Adopts results and texts of an earlier owner, unless this run has made more progress itself. */
@@ -120,12 +131,45 @@
   async refreshProgress (maxAgeMs: number): Promise<boolean> {
     const requestedAt = monotonicNow()
     if (requestedAt - this.#confirmedAt <= maxAgeMs) return true
-    const read = await this.#context.store.catchUp(this.order.id, this.progress, deadlineAfter(MAX_CONFIRMATION_AGE_MS))
-    if (read.ok) this.#confirmedAt = requestedAt
+    const read = await this.#context.store.catchUp(this.order.id, this.progress, deadlineAfter(CONFIRMATION_TIMEOUT_MS))
+    if (read.ok) this.#confirmedAt = Math.max(this.#confirmedAt, requestedAt)
     this.#handleProgress()
     return read.ok
   }
 
+  /**
+   * Starts nothing until the log has been read: another host has reported an end or
+   * a claim.
+   *
+   * @returns whether the log was read
+   */
+  async recheck (): Promise<boolean> {
+    this.#contested = true
+    const read = await this.refreshProgress(0)
+    if (read) this.#contested = false
+    return read
+  }
+
+  /** Appends a claim of the rollout; returns whether this process owns it. */
+  async claim (deadline: number): Promise<boolean> {
+    const before = this.progress.claimant
+    const sentAt = monotonicNow()
+    while (!this.progress.ended && monotonicNow() < deadline) {
+      const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], texts: [], ended: false, claim: true }, deadline)
+      if (status === AppendStatus.Applied) break
+      if (status === AppendStatus.Failed || this.progress.claimant !== before) return false
+    }
+    this.#confirmedAt = sentAt
+    this.#lister.markListed()
+    return this.progress.ended || this.#isOwner
+  }
+
+  /** Whether the log shows no other process as the owner. */
+  get #isOwner (): boolean {
+    const owner = ownerOf(this.order, this.progress)
+    return owner === '' || owner === this.#context.writer || owner === hostOfWriter(this.#context.writer)
+  }
+
   /** Appends the end of the rollout to the log; returns whether the store has it. */
   async appendEnd (deadline: number): Promise<boolean> {
     while (!this.progress.ended && monotonicNow() < deadline) {
@@ -166,33 +210,35 @@
 
   #startWork (): void {
     const hasWork = this.#board.waiting.length > 0 || this.#board.generated.size > 0
-    if (hasWork && monotonicNow() - this.#confirmedAt > MAX_CONFIRMATION_AGE_MS) {
-      this.#refreshThenStart()
-      return
-    }
+    const permission = this.#workPermission()
+    if (hasWork && permission !== WorkPermission.Granted) this.#refreshThenStart()
+    if (permission === WorkPermission.ConfirmFirst) return
     this.#rewards.startRequests()
     this.#generator.startSamples()
     if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
-  /**
-   * Checks the log for an end written by another host before work starts. If the
-   * store doesn't answer, work starts anyway: no end can be acknowledged then.
-   */
+  #workPermission (): WorkPermission {
+    return decideWorkPermission({ confirmedAt: this.#confirmedAt, storeAnsweredAt: this.#context.store.answeredAt, isContested: this.#contested }, monotonicNow())
+  }
+
+  /** Checks the log for an end or a claim of another host before work starts. */
   #refreshThenStart (): void {
     if (this.#confirming) return
     this.#confirming = true
-    void this.refreshProgress(MAX_CONFIRMATION_AGE_MS).then(() => {
+    const read = this.#contested ? this.recheck() : this.refreshProgress(0)
+    void read.then(() => {
       this.#confirming = false
-      this.#confirmedAt = Math.max(this.#confirmedAt, monotonicNow() - MAX_CONFIRMATION_AGE_MS + UNCONFIRMED_START_MS)
-      if (!this.isFinished) this.#startWork()
+      if (!this.isFinished && this.#workPermission() === WorkPermission.Granted) this.#startWork()
     })
   }
 
   async #commitResults (now: boolean): Promise<void> {
     if (this.isFinished) return
+    const sentAt = monotonicNow()
     const isCurrent = await this.#lister.commit(now)
-    if (isCurrent) this.#confirmedAt = monotonicNow()
+    // Counted from before the write was sent: its answer may be processed late, after a pause of this process.
+    if (isCurrent) this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
     this.#handleProgress()
   }
 
@@ -203,6 +249,9 @@
     if (this.progress.ended) {
       this.#generator.abortAll()
       this.#rewards.abortAll()
+    } else if (!this.#isOwner && !this.#stopped) {
+      const handover = this.handOver()
+      this.#onFenced?.(handover)
     }
     this.#notifyWatchers()
     if (this.progress.ended && !this.#stopped) this.#schedule()
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -26,19 +26,26 @@
  */
 export class RolloutStore {
   readonly #store: ObjectStore
+  #answeredAt = monotonicNow()
 
   constructor (store: ObjectStore) {
     this.#store = store
   }
 
+  /** Monotonic time of the last answer of the store to a call about rollouts, in milliseconds. */
+  get answeredAt (): number {
+    return this.#answeredAt
+  }
+
   /** Stores a rollout; a write without an answer is retried until the deadline. */
   async create (order: RolloutOrder, deadline: number): Promise<RolloutCreationStatus> {
     const backoff = new Backoff(Math.random)
     let sent = false
     while (monotonicNow() < deadline) {
       const result = await this.#store.write(rolloutKey(order.id), order, { kind: ExpectationKind.Absent }, this.#storeCall(deadline))
+      this.#recordWrite(result.status)
       if (result.status === WriteStatus.Applied) return RolloutCreationStatus.Created
-      if (result.status === WriteStatus.Conflict) return sent ? RolloutCreationStatus.Created : RolloutCreationStatus.Known
+      if (result.status === WriteStatus.Conflict) return sent && await this.#isStoredAs(order, deadline) ? RolloutCreationStatus.Created : RolloutCreationStatus.Known
       if (result.status === WriteStatus.Unknown) sent = true
       else if (!sent) return RolloutCreationStatus.Refused
       await SYSTEM_CLOCK.sleep(backoff.nextDelayMs())
@@ -46,10 +53,17 @@
     return sent ? RolloutCreationStatus.Unknown : RolloutCreationStatus.Refused
   }
 
+  /** Whether the stored order is the given one; another host may have accepted the same rollout and assigned another owner. */
+  async #isStoredAs (order: RolloutOrder, deadline: number): Promise<boolean> {
+    const stored = await this.readOrder(order.id, deadline)
+    return stored.ok && stored.value?.owner === order.owner
+  }
+
   /** Reads the order of a rollout; undefined if it doesn't exist. */
   async readOrder (id: string, deadline: number): Promise<Outcome<RolloutOrder | undefined, StoreFailure>> {
     const found = await this.#store.read(rolloutKey(id), this.#storeCall(deadline))
     if (!found.ok) return found
+    this.#answeredAt = monotonicNow()
     if (found.value === undefined) return success(undefined)
     const order = rolloutOrderSchema.safeParse(found.value.value)
     return order.success ? success(order.data) : failure(StoreFailure.Malformed)
@@ -61,6 +75,7 @@
       const position = progress.segments
       const found = await this.#store.read(rolloutSegmentKey(id, position), this.#storeCall(deadline))
       if (!found.ok) return failure(found.failure)
+      this.#answeredAt = monotonicNow()
       if (found.value === undefined) return success(undefined)
       if (progress.segments === position) progress.apply(rolloutSegmentSchema.parse(found.value.value))
     }
@@ -76,6 +91,7 @@
     const position = progress.segments
     while (monotonicNow() < deadline) {
       const result = await this.#store.write(rolloutSegmentKey(id, position), segment, { kind: ExpectationKind.Absent }, this.#storeCall(deadline))
+      this.#recordWrite(result.status)
       if (result.status === WriteStatus.Applied) {
         // A concurrent read may have applied the entry already.
         if (progress.segments === position) progress.apply(segment)
@@ -90,10 +106,14 @@
   async #resolveConflict (id: string, progress: RolloutProgress, segment: RolloutSegment, position: number, deadline: number): Promise<AppendStatus> {
     const read = await this.catchUp(id, progress, deadline)
     if (!read.ok || progress.segments <= position) return AppendStatus.Failed
-    const isOwn = segment.results.every((result) => progress.isListed(result.id)) && (!segment.ended || progress.ended)
+    const isOwn = segment.results.every((result) => progress.isListed(result.id)) && (!segment.ended || progress.ended) && (segment.claim !== true || progress.claimant === segment.writer)
     return isOwn ? AppendStatus.Applied : AppendStatus.Overtaken
   }
 
+  #recordWrite (status: WriteStatus): void {
+    if (status === WriteStatus.Applied || status === WriteStatus.Conflict) this.#answeredAt = monotonicNow()
+  }
+
   #storeCall (deadline: number): { readonly purpose: StorePurpose, readonly deadline: number } {
     return { purpose: StorePurpose.Claim, deadline: Math.min(deadline, deadlineAfter(CALL_TIMEOUT_MS)) }
   }
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -202,7 +202,7 @@
   second.adopt({ results: [{ id: 'g0.0', state: SampleState.Completed, output: 'kept', versions: [3] }], texts: [] })
   await waitUntil(t, () => second.isFinished)
   t.is(second.progress.results.find(({ id }) => id === 'g0.0')?.output, 'kept')
-  t.is(endpoints.streams.length, 2)
+  t.is(endpoints.streams.length, 1)
 })
 
 test('after a crash of all hosts the next owner resumes from the stored text, with correct versions', async (t) => {
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { CallTask, LocalBroker, RolloutStore, RolloutTask, SILENT_LOG } from '@cyclamenthread/coordination'
-import { RolloutReadStatus, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
-import { failure, Ran, UsageTally } from '@cyclamenthread/state'
+import { RolloutReadStatus, StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
+import { failure, Ran, rankOwners, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf } from './scripted-endpoints.js'
@@ -21,6 +21,8 @@
   readonly silent: Set<string>
   /** Hosts whose requests the store refuses. */
   readonly refused: Set<string>
+  /** Directions in which messages get no answer, as `from>to`. */
+  readonly cut: Set<string>
   readonly store: ReturnType<typeof openDeployment>['store']
 }
 
@@ -48,25 +50,26 @@
   const endpoints = new ScriptedEndpoints()
   const silent = new Set<string>()
   const refused = new Set<string>()
+  const cut = new Set<string>()
   const brokers = new Map(IDS.map((id) => [id, new LocalBroker()]))
-  const bus = {
+  const busOf = (from: string): MessageBus => ({
     send: async (host: Host, message: { readonly kind: string }) => {
       const broker = brokers.get(host.id)
-      if (silent.has(host.id) || broker === undefined) return { ok: false, failure: 'no-reply' }
+      if (silent.has(host.id) || cut.has(`${from}>${host.id}`) || broker === undefined) return { ok: false, failure: 'no-reply' }
       return { ok: true, value: await broker.call(message.kind, message, { meta: { from: '', deadline: Infinity, traceparent: '', signal: new AbortController().signal } }) }
     }
-  } as unknown as MessageBus
+  } as unknown as MessageBus)
   const members = { workers: () => IDS.map(createHost) } as unknown as MemberView
   const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const tasks = new Map(IDS.map((id) => {
     const task = new RolloutTask({
-      self: createHost(id), members, bus, deployment: view, endpoints, calls, store: new RolloutStore(createStoreView(store, () => refused.has(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
+      self: createHost(id), members, bus: busOf(id), deployment: view, endpoints, calls, store: new RolloutStore(createStoreView(store, () => refused.has(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
     })
     brokers.get(id)?.createService(task.service())
     t.teardown(() => task.stop())
     return [id, task] as const
   }))
-  return { tasks, endpoints, silent, refused, store }
+  return { tasks, endpoints, silent, refused, cut, store }
 }
 
 async function readAll (t: ExecutionContext, task: RolloutTask | undefined, order: RolloutOrder): Promise<RolloutPage> {
@@ -77,7 +80,7 @@
     await new Promise((resolve) => setTimeout(resolve, 20))
   }
   t.truthy(page)
-  return page ?? { status: RolloutReadStatus.Unknown, total: 0, results: [], ended: false }
+  return page ?? { status: RolloutReadStatus.Unknown, total: 0, results: [], ended: false, owner: '' }
 }
 
 test('every host reads the same results at the same positions', async (t) => {
@@ -140,27 +143,101 @@
   await waitUntil(t, () => [...tasks.values()].every((task) => task.running === 0))
 })
 
-test('when a silent owner returns, it gets its rollout back with its text, and each sample is completed once', async (t) => {
+/** Ids of the hosts that run a rollout. */
+function runnersOf (tasks: ReadonlyMap<string, RolloutTask>): string[] {
+  return IDS.filter((id) => (tasks.get(id)?.running ?? 0) > 0)
+}
+
+test('when a silent owner is replaced, it stops, its text goes to the new owner, and each sample is completed once', async (t) => {
   const { tasks, endpoints, silent } = await openFixture(t)
   endpoints.streamScripts.set('a', streamOf(60, 3, 100))
   const order = rolloutOrder(1, 4)
   t.true((await tasks.get('h1')?.accept(order))?.ok)
-  const runs = (): string[] => IDS.filter((id) => (tasks.get(id)?.running ?? 0) > 0)
-  await waitUntil(t, () => runs().length === 1)
-  const [owner = ''] = runs()
-  for (const task of tasks.values()) void task.start()
+  await waitUntil(t, () => runnersOf(tasks).length === 1 && endpoints.streams.length === 4)
+  const [owner = ''] = runnersOf(tasks)
+  await new Promise((resolve) => setTimeout(resolve, 1_000))
   silent.add(owner)
   const reader = tasks.get(IDS.find((id) => id !== owner) ?? '')
   await waitUntil(t, () => {
     void reader?.readResults(order.id, order.workspace, 0, performance.now())
-    return runs().length === 2
+    return runnersOf(tasks).some((id) => id !== owner)
   })
+  await waitUntil(t, () => runnersOf(tasks).length === 1)
+  t.false(runnersOf(tasks).includes(owner))
   silent.delete(owner)
-  await waitUntil(t, () => runs().length === 1)
-  t.deepEqual(runs(), [owner])
   const page = await readAll(t, reader, order)
   t.is(page.results.length, 4)
   t.true(page.results.every((result) => result.output.split('\n').length === 60))
+  t.deepEqual(runnersOf(tasks).filter((id) => id === owner), [])
+})
+
+test('a reader that gets no answer appoints nobody while another host reaches the owner', async (t) => {
+  const { tasks, endpoints, cut } = await openFixture(t)
+  endpoints.streamScripts.set('a', streamOf(40, 3, 50))
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => runnersOf(tasks).length === 1 && endpoints.streams.length === 4)
+  const [owner = ''] = runnersOf(tasks)
+  // The reader can't reach the owner; its reads go to the next host in order of preference, which can.
+  const reader = rankOwners('rollouts/office', IDS)[2] ?? ''
+  cut.add(`${reader}>${owner}`)
+  for (let read = 0; read < 5; read += 1) {
+    const page = await tasks.get(reader)?.readResults(order.id, order.workspace, 0, performance.now())
+    t.not(page?.status, RolloutReadStatus.Unknown)
+    t.deepEqual(runnersOf(tasks), [owner])
+  }
+  const page = await readAll(t, tasks.get(reader), order)
+  t.is(page.results.length, 4)
+  t.is(endpoints.streams.length, 4)
+})
+
+test('an owner that the store refuses is replaced by a host that the store serves', async (t) => {
+  const { tasks, endpoints, refused } = await openFixture(t)
+  endpoints.streamScripts.set('a', streamOf(20, 3, 50))
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => runnersOf(tasks).length === 1 && endpoints.streams.length === 4)
+  const [owner = ''] = runnersOf(tasks)
+  refused.add(owner)
+  const page = await readAll(t, tasks.get(IDS.find((id) => id !== owner) ?? ''), order)
+  t.is(page.results.length, 4)
+})
+
+test('when many readers lose the owner at once, only one host runs the samples', async (t) => {
+  const { tasks, endpoints, silent } = await openFixture(t)
+  endpoints.streamScripts.set('a', streamOf(40, 3, 50))
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => runnersOf(tasks).length === 1 && endpoints.streams.length === 4)
+  const [owner = ''] = runnersOf(tasks)
+  tasks.get(owner)?.stop()
+  silent.add(owner)
+  const readers = IDS.filter((id) => id !== owner)
+  const reads = readers.flatMap((id) => [1, 2, 3].map(async () => await tasks.get(id)?.readResults(order.id, order.workspace, 0, performance.now() + 500)))
+  await Promise.all(reads)
+  t.is(runnersOf(tasks).length, 1)
+  await readAll(t, tasks.get(readers[0] ?? ''), order)
+  // Each sample was sent once by the old owner and once by the new one.
+  t.is(endpoints.streams.length, 8)
+})
+
+test('an end that is acknowledged by another host stops the owner at once, also if the end was not sent through it', async (t) => {
+  const { tasks, endpoints, cut } = await openFixture(t)
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  const [owner = ''] = runnersOf(tasks)
+  const other = IDS.find((id) => id !== owner) ?? ''
+  const third = IDS.find((id) => id !== owner && id !== other) ?? ''
+  // The end can be sent through neither the owner nor another host.
+  for (const to of [owner, third]) cut.add(`${other}>${to}`)
+  t.true((await tasks.get(other)?.endRollout(order.id, order.workspace))?.ok)
+  const acknowledgedAt = performance.now()
+  await waitUntil(t, () => tasks.get(owner)?.running === 0)
+  t.true(performance.now() - acknowledgedAt < 2_500)
 })
 
 test('when the store refuses the hosts of a failure domain, a rollout is accepted through another one, and refused only if no host can have stored it', async (t) => {
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -182,7 +182,6 @@
     void this.#hosts.register(this.#settings.self, () => this.#leaving)
     void this.#members.start()
     this.#ready = true
-    void this.rollouts.start()
     this.#leader.start()
     this.#ports.log.record(LogEvent.Started, { pid: process.pid, declaration: this.deployment.routeTable?.declaration.version, upMs: Math.round(performance.now()) })
   }
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -28,6 +28,7 @@
   AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
   EndRollout = 'rollouts.end',
+  RecheckRollout = 'rollouts.recheck',
   ReportEndpointWeights = 'weights.note',
   ReportDemand = 'weights.demand',
   ReadRequestCounts = 'tally.read',
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -40,6 +40,8 @@
 /** Hands a rollout over to its next owner, with the text of unfinished samples. */
 export const adoptRolloutSchema = z.object({
   kind: z.literal(PeerMessageKind.AdoptRollout),
+  /** The process that stops running the rollout. */
+  from: z.string().default(''),
   order: rolloutOrderSchema,
   /** Results that haven't been written to the rollout's log yet. */
   results: z.array(sampleResultSchema),
@@ -64,7 +66,9 @@
   workspace: z.string(),
   after: z.int().nonnegative(),
   /** Maximum time to wait for a result, in milliseconds. */
-  waitMs: z.number().nonnegative()
+  waitMs: z.number().nonnegative(),
+  /** Whether another host passes the read on; it isn't passed on again. */
+  forwarded: z.boolean().default(false)
 })
 
 /** Outcome of reading a rollout. */
@@ -80,9 +84,14 @@
   status: z.enum(RolloutReadStatus),
   total: z.int().nonnegative(),
   results: z.array(sampleResultSchema),
-  ended: z.boolean()
+  ended: z.boolean(),
+  /** Host that owns the rollout, as far as the answering host knows. */
+  owner: z.string().default('')
 })
 
+/** Reports that the log of a rollout has an end or a claim of another host; its receiver starts nothing before it has read the log. */
+export const recheckRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.RecheckRollout), rolloutId: z.string() })
+
 /** Asks the owner of a rollout to end it; accepted once the end is durable. */
 export const endRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.EndRollout), rolloutId: z.string(), workspace: z.string() })
 
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -43,6 +43,8 @@
   targetGroups: z.int(),
   maxAttempts: z.int(),
   singleVersion: z.boolean(),
+  /** Host to which it was assigned on acceptance; empty if none was. */
+  owner: z.string().default(''),
   /** Time of acceptance, in milliseconds since 1970. */
   acceptedAt: z.number(),
   /** Time at which its samples are due, in milliseconds since 1970. */
@@ -92,6 +94,8 @@
   writer: z.string(),
   results: z.array(sampleResultSchema),
   texts: z.array(textCheckpointSchema).default([]),
+  /** Whether its writer owns the rollout from here on. */
+  claim: z.boolean().optional(),
   ended: z.boolean()
 })
 
@@ -122,6 +126,7 @@
   readonly #texts = new Map<string, StoredText>()
   #segments = 0
   #ended = false
+  #claimant: string | undefined
 
   /** Number of applied segments, which is also the index of the next one. */
   get segments (): number {
@@ -132,6 +137,11 @@
     return this.#ended
   }
 
+  /** Writer of the last claim; undefined if there is none. */
+  get claimant (): string | undefined {
+    return this.#claimant
+  }
+
   /** Whether the result of a sample is listed. */
   isListed (sampleId: string): boolean {
     return this.#listed.has(sampleId)
@@ -146,6 +156,7 @@
   apply (segment: RolloutSegment): void {
     this.#segments += 1
     if (this.#ended) return
+    if (segment.claim === true) this.#claimant = segment.writer
     for (const checkpoint of segment.texts) this.#storeText(segment.writer, checkpoint)
     for (const result of segment.results) {
       if (this.#listed.has(result.id)) continue
--- a/packages/state/src/lib/testing/rollout-order.ts
+++ b/packages/state/src/lib/testing/rollout-order.ts
@@ -23,6 +23,7 @@
     targetGroups: groups,
     maxAttempts: 3,
     singleVersion: false,
+    owner: '',
     acceptedAt: 0,
     dueAt: 7_500,
     expiresAt: Number.MAX_SAFE_INTEGER,
