--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -12,16 +12,20 @@
 /** Time that a watch call may take in addition to its requested wait, in milliseconds. */
 const WATCH_SLACK_MS = 800
 
-/** Longest wait of a relay's watch, and longest pause after a change, in milliseconds; each completed watch confirms to followers that the copy is current. */
-const RELAY_PERIOD_MS = 600
-
 /**
  * Age of a copy at which a follower stops relying on relays and watches the store
- * itself, in milliseconds: a relay's pause and watch, plus half of both. This
- * leaves time for a list call within the 2.5 s in which a new declaration has to
- * be in force.
+ * itself, as a share of the time within which a change has to be noticed; the rest
+ * is left for a list call.
+ */
+export const RELAY_SILENCE_SHARE = 0.72
+
+/**
+ * Longest wait of a relay's watch, and longest pause after a change, as a share of
+ * the time within which a change has to be noticed: a third of the silence, so that
+ * one pause and one watch may take half as long again. Each completed watch confirms
+ * to followers that the copy is current.
  */
-export const RELAY_SILENCE_MS = 1_800
+const RELAY_PERIOD_SHARE = 0.24
 
 /** How a mirror learns of changes in the store. */
 export enum MirrorRole {
@@ -38,6 +42,8 @@
   readonly prefix: string
   /** Longest wait of one watch, in milliseconds; also bounds how long a dead connection goes unnoticed. */
   readonly waitMs: number
+  /** Time within which this process has to notice a change, in milliseconds. */
+  readonly noticeMs: number
   /** Pause between a change and the next watch, so that changes in quick succession need only one call, in milliseconds. */
   readonly changePauseMs: number
 }
@@ -114,6 +120,11 @@
     this.#updateListeners.push(listener)
   }
 
+  /** Age of a copy at which relays are no longer relied on, in milliseconds. */
+  get #relaySilenceMs (): number {
+    return this.#settings.noticeMs * RELAY_SILENCE_SHARE
+  }
+
   /** Position in the store's history up to which this copy is known; undefined before the first listing. */
   get next (): string | undefined {
     return this.#cursor
@@ -134,7 +145,7 @@
     const now = monotonicNow()
     this.#confirmedAt = Math.max(this.#confirmedAt, now - update.ageMs)
     if (update.regainedMs !== undefined) this.#reconnectedAt = Math.max(this.#reconnectedAt, now - update.regainedMs)
-    if (update.ageMs < RELAY_SILENCE_MS) this.#setConnected(true)
+    if (update.ageMs < this.#relaySilenceMs) this.#setConnected(true)
     if (!isNewer) return
     this.#cursor = update.next
     if (update.base === undefined) this.#objects.clear()
@@ -168,7 +179,7 @@
 
   async #follow (generation: number): Promise<void> {
     while (this.#generation === generation) {
-      const freshForMs = this.#confirmedAt + RELAY_SILENCE_MS - monotonicNow()
+      const freshForMs = this.#confirmedAt + this.#relaySilenceMs - monotonicNow()
       if (this.#cursor !== undefined && freshForMs > 0 && this.#role() === MirrorRole.Follower) {
         await SYSTEM_CLOCK.sleep(freshForMs)
         continue
@@ -199,8 +210,9 @@
   async #watchOnce (after: string): Promise<boolean> {
     const { prefix } = this.#settings
     const isRelay = this.#role() === MirrorRole.Relay
-    const waitMs = isRelay ? Math.min(RELAY_PERIOD_MS, this.#settings.waitMs) : this.#settings.waitMs
-    const changePauseMs = isRelay ? Math.min(RELAY_PERIOD_MS, this.#settings.changePauseMs) : this.#settings.changePauseMs
+    const periodMs = isRelay ? this.#settings.noticeMs * RELAY_PERIOD_SHARE : Infinity
+    const waitMs = Math.min(periodMs, this.#settings.waitMs)
+    const changePauseMs = Math.min(periodMs, this.#settings.changePauseMs)
     const answer = await this.#store.watch(prefix, after, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(waitMs + WATCH_SLACK_MS) })
     if (!answer.ok) {
       return answer.failure === StoreFailure.HistoryLost && await this.refresh()
--- a/packages/coordination/src/test/deployment-fixture.ts
+++ b/packages/coordination/src/test/deployment-fixture.ts
@@ -20,7 +20,7 @@
 /** Opens a deployment view that follows an in-memory store until the test ends. */
 export function openDeployment (t: ExecutionContext): DeploymentFixture {
   const store = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
-  const mirrors = ['config/', 'servers/'].map((prefix) => new StoreMirror({ prefix, waitMs: 50, changePauseMs: 0 }, store, SILENT_LOG, () => 0))
+  const mirrors = ['config/', 'servers/'].map((prefix) => new StoreMirror({ prefix, waitMs: 50, noticeMs: 2_500, changePauseMs: 0 }, store, SILENT_LOG, () => 0))
   const [declarations, endpoints] = mirrors
   if (declarations === undefined || endpoints === undefined) throw new Error('expected two mirrors')
   const view = new DeploymentView({ declarations, endpoints, decoder: DECODER, log: SILENT_LOG })
--- a/packages/coordination/src/test/mirror-relay.test.ts
+++ b/packages/coordination/src/test/mirror-relay.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { LocalBroker, MirrorRelay, MirrorRole, RELAY_SILENCE_MS, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
+import { LocalBroker, MirrorRelay, MirrorRole, RELAY_SILENCE_SHARE, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { HostState } from '@cyclamenthread/state'
 import { waitUntil } from './deployment-fixture.js'
@@ -10,6 +10,12 @@
 import type { ExecutionContext } from 'ava'
 
 const PREFIX = 'servers/'
+
+/** Time within which the hosts of the tests have to notice a change, in milliseconds. */
+const NOTICE_MS = 2_500
+/** Part of a watch's time that is left for its answer, in milliseconds. */
+const WATCH_SLACK_MS = 800
+
 const TIME = { sleep: async (milliseconds: number) => await new Promise<void>((resolve) => setTimeout(resolve, milliseconds)) }
 
 interface TestHost {
@@ -23,12 +29,23 @@
 class CountingStore {
   calls = 0
   down = false
+  /** Whether a watch without changes waits until its deadline. */
+  isPatient = false
   readonly #store: MemoryStore
 
   constructor (store: MemoryStore) {
     this.#store = store
   }
 
+  /** Waits as long as a watch without changes does. */
+  async #waitForChange (store: MemoryStore, [prefix, after, call]: Parameters<MemoryStore['watch']>): Promise<void> {
+    for (;;) {
+      const answer = await store.watch(prefix, after, call)
+      if (!this.isPatient || !answer.ok || answer.value.changes.length > 0 || performance.now() >= call.deadline - WATCH_SLACK_MS) return
+      await TIME.sleep(20)
+    }
+  }
+
   proxy (): MemoryStore {
     return new Proxy(this.#store, {
       get: (target, name) => {
@@ -37,14 +54,16 @@
         return async (...given: unknown[]) => {
           this.calls += 1
           if (this.down) return { ok: false, failure: 'unavailable' }
-          return await (value as (...all: unknown[]) => Promise<unknown>).apply(target, given)
+          const answer = await (value as (...all: unknown[]) => Promise<unknown>).apply(target, given)
+          if (name === 'watch') await this.#waitForChange(target, given as Parameters<MemoryStore['watch']>)
+          return answer
         }
       }
     })
   }
 }
 
-function startRegion (t: ExecutionContext, count: number): { readonly store: MemoryStore, readonly hosts: ReadonlyMap<string, TestHost> } {
+function startRegion (t: ExecutionContext, count: number, noticeMs = NOTICE_MS): { readonly store: MemoryStore, readonly hosts: ReadonlyMap<string, TestHost> } {
   const store = new MemoryStore(TIME, seededRandom(1))
   const all: Host[] = Array.from({ length: count }, (_, index) => ({
     id: `h${index}`, region: 'lothian', failureDomain: index % 2 === 0 ? 'leith-walk' : 'grassmarket', peerAddress: `h${index}`, callerUrl: '', hasDataFolder: false
@@ -58,7 +77,7 @@
   } as unknown as MessageBus
   const hosts = new Map(all.map((self) => {
     const own = new CountingStore(store)
-    const mirror = new StoreMirror({ prefix: PREFIX, waitMs: 300, changePauseMs: 0 }, own.proxy(), SILENT_LOG, () => 0)
+    const mirror = new StoreMirror({ prefix: PREFIX, waitMs: 3_000, noticeMs, changePauseMs: 0 }, own.proxy(), SILENT_LOG, () => 0)
     const relay = new MirrorRelay({ self, members, bus, mirrors: [mirror] })
     const broker = new LocalBroker()
     broker.createService(relay.service())
@@ -93,6 +112,22 @@
   t.deepEqual(followers.map(({ store: own }) => own.calls), before, 'followers made no store calls')
 })
 
+test('calm hours: the calls of a relay are in proportion to the rate at which changes have to be noticed', async (t) => {
+  const callsOf = async (noticeMs: number): Promise<number> => {
+    const { store, hosts } = startRegion(t, 12, noticeMs)
+    for (const { store: own } of hosts.values()) own.isPatient = true
+    store.set(`${PREFIX}a`, 1)
+    await waitUntil(t, () => allHostsHave(hosts, 1))
+    const relays = [...hosts.values()].filter(({ relay }) => relay.role === MirrorRole.Relay)
+    const before = relays.reduce((sum, { store: own }) => sum + own.calls, 0)
+    await TIME.sleep(3_000)
+    return relays.reduce((sum, { store: own }) => sum + own.calls, 0) - before
+  }
+  const [often, seldom] = await Promise.all([callsOf(2_500), callsOf(5_000)])
+  t.true(often >= 8, `${often} calls`)
+  t.true(seldom <= often * 0.7, `${seldom} calls after ${often}`)
+})
+
 test('in a small region, every host watches the store itself', async (t) => {
   const { store, hosts } = startRegion(t, 5)
   store.set(`${PREFIX}a`, 1)
@@ -109,7 +144,7 @@
   const changedAt = performance.now()
   const followers = new Map([...hosts].filter(([, { relay }]) => relay.role === MirrorRole.Follower))
   await waitUntil(t, () => allHostsHave(followers, 2))
-  t.true(performance.now() - changedAt < RELAY_SILENCE_MS + 500)
+  t.true(performance.now() - changedAt < NOTICE_MS * RELAY_SILENCE_SHARE + 500)
 })
 
 const deliveries = fc.array(fc.record({
@@ -132,7 +167,7 @@
       states.set(listed.value.next, JSON.stringify(listed.value.objects.map(({ key, value }) => [key, value])))
       return listed.value.next
     }
-    const follower = new StoreMirror({ prefix: PREFIX, waitMs: 10, changePauseMs: 0 }, store, SILENT_LOG, () => 0)
+    const follower = new StoreMirror({ prefix: PREFIX, waitMs: 10, noticeMs: NOTICE_MS, changePauseMs: 0 }, store, SILENT_LOG, () => 0)
     await current()
     await follower.refresh()
     const seen = [follower.next ?? '0', follower.next ?? '0']
