Owners are chosen by load and processors; the typical pace is computed a few times a second

A profile of an owner with 160 samples showed that a tenth of its time went into sorting the paces of all endpoints, for each running sample each 40 ms and at each end of a stream: work that grows with samples x endpoints.

Ruled out: longer probes alone (an item may be at no endpoint for 5 s).

Change: steps are assigned by trainer (workspace and model); the acceptor asks the first three hosts, ranked in proportion to their cores, and takes the preferred one unless another has clearly less work of other trainers for each core. A read goes to the owner that was last named; the preferred host of the workspace refers to it. The typical pace is kept for 200 ms and stragglers are sought as often.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -18,6 +18,7 @@
   RolloutOwned = 'rollout-owned',
   RolloutHandedOver = 'rollout-handed-over',
   RolloutEnded = 'rollout-ended',
+  RolloutAssigned = 'rollout-assigned',
   RolloutOwnership = 'rollout-ownership',
   RolloutCommitted = 'rollout-committed',
   SampleSent = 'sample-sent',
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -66,6 +66,11 @@
     return this.#stopped || this.progress.ended || this.progress.results.length === this.order.samples.length
   }
 
+  /** Number of samples without a result. */
+  get openSamples (): number {
+    return this.isFinished ? 0 : this.order.samples.length - this.#board.listed.size - this.#board.settled.size
+  }
+
   start (): void {
     this.#schedule()
   }
--- /dev/null
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -0,0 +1,282 @@
+import { decideOwnership, describeOwnershipStep, failure, hostOfWriter, ownerOf, OwnershipStep, RolloutProgress, success } from '@cyclamenthread/state'
+import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import { RolloutRun } from './rollout-run.js'
+import type { Host, Outcome, RolloutOrder } from '@cyclamenthread/state'
+import type { AdoptRollout } from '@cyclamenthread/protocol'
+import type { MessageBus } from './message-bus.js'
+import type { OwnerDirectory } from './owner-directory.js'
+import type { RolloutContext } from './rollout-context.js'
+
+/** Timeout for reading a rollout from the store, in milliseconds. */
+const LOAD_TIMEOUT_MS = 2_500
+
+/** Timeout for a request to another host to adopt a rollout, in milliseconds. */
+const ADOPTION_TIMEOUT_MS = 1_200
+
+/** Timeout for the owner of a rollout to show that it can read the rollout's log, before another host claims the rollout, in milliseconds. */
+const OWNER_PROBE_TIMEOUT_MS = 600
+
+/** A rollout as a host knows it after reading its log. */
+export interface OpenedRollout {
+  readonly order: RolloutOrder
+  readonly progress: RolloutProgress
+  /** The run on this host; undefined if another host owns the rollout. */
+  readonly run: RolloutRun | undefined
+  /** Host that owns the rollout; empty if none does. */
+  readonly owner: string
+}
+
+/** Dependencies of a {@link RunRegistry}. */
+export interface RunRegistryContext extends RolloutContext {
+  readonly self: Host
+  readonly bus: MessageBus
+}
+
+/**
+ * The rollouts that this host runs, and how it comes to own them.
+ *
+ * Invariants: a host runs only rollouts that it owns according to the log; it claims
+ * one only from a process that has ended or that it couldn't reach itself; "no such
+ * rollout" is the result of a read of the store.
+ */
+export class RunRegistry {
+  readonly #context: RunRegistryContext
+  readonly #directory: OwnerDirectory
+  readonly #runs = new Map<string, RolloutRun>()
+  readonly #orders = new Map<string, RolloutOrder>()
+  readonly #opening = new Map<string, Promise<Outcome<OpenedRollout | undefined, string>>>()
+  #leaving = false
+
+  constructor (context: RunRegistryContext, directory: OwnerDirectory) {
+    this.#context = context
+    this.#directory = directory
+  }
+
+  /** Whether this host accepts no more runs. */
+  get isLeaving (): boolean {
+    return this.#leaving
+  }
+
+  /** Number of rollouts that run on this host. */
+  get running (): number {
+    return [...this.#runs.values()].filter((run) => !run.isFinished).length
+  }
+
+  /** Number of unfinished samples of other trainers that this host runs. */
+  foreignSamples (trainer: string): number {
+    return [...this.#runs.values()].reduce((sum, run) => trainerOf(run.order) === trainer ? sum : sum + run.openSamples, 0)
+  }
+
+  /** Returns the run of a rollout on this host, unless another host has claimed the rollout. */
+  find (id: string): RolloutRun | undefined {
+    return this.#runs.get(id)
+  }
+
+  /** Returns the order of a rollout if this host knows it. */
+  knownOrder (id: string): RolloutOrder | undefined {
+    return this.#runs.get(id)?.order ?? this.#orders.get(id)
+  }
+
+  /** Stores the order of a rollout that is in the store. */
+  rememberOrder (order: RolloutOrder): void {
+    this.#orders.set(order.id, order)
+  }
+
+  /** Runs a rollout that was just accepted and assigned to this host. */
+  startAssigned (order: RolloutOrder): void {
+    this.#startRun(this.#createRun(order, new RolloutProgress()))
+  }
+
+  /**
+   * Opens a rollout on this host: its run if this host owns it, otherwise its current
+   * state and owner; undefined if it doesn't exist.
+   */
+  async open (id: string): Promise<Outcome<OpenedRollout | undefined, string>> {
+    const run = this.#runs.get(id)
+    if (run !== undefined) return success({ order: run.order, progress: run.progress, run, owner: ownerHostOf(run.order, run.progress) })
+    const opening = this.#opening.get(id) ?? this.#openFromStore(id).finally(() => this.#opening.delete(id))
+    this.#opening.set(id, opening)
+    return await opening
+  }
+
+  /** Claims a rollout that another host owns if that host doesn't answer this one or can't read the log; returns the run if it did. */
+  async takeOverIfLost ({ order, progress, owner }: OpenedRollout): Promise<RolloutRun | undefined> {
+    if (this.#leaving || await this.#canOwnerRun(order.id, owner)) return undefined
+    const step = decideOwnership({ owner, writer: this.#context.writer, ownerUnreachable: true })
+    this.#logStep(order.id, step, owner)
+    return step === OwnershipStep.Claim ? await this.#claimRun(order, progress, deadlineAfter(LOAD_TIMEOUT_MS)) : undefined
+  }
+
+  /** Runs a rollout if this host owns it or its owner is lost. */
+  async runIfOwnedOrLost (id: string): Promise<void> {
+    const opened = await this.open(id)
+    if (opened.ok && opened.value !== undefined && opened.value.run === undefined) await this.takeOverIfLost(opened.value)
+  }
+
+  /** Continues a rollout that another host hands over, if that host or this one owns it. */
+  async adopt (handover: AdoptRollout): Promise<boolean> {
+    if (this.#leaving) return false
+    const { order, from } = handover
+    const known = this.#runs.get(order.id)
+    if (known !== undefined) {
+      // A host that can't reach the store couldn't list any results.
+      if (!await known.refreshProgress(0)) return false
+      known.adopt(handover)
+      return true
+    }
+    const progress = new RolloutProgress()
+    const deadline = deadlineAfter(LOAD_TIMEOUT_MS)
+    const read = await this.#context.store.catchUp(order.id, progress, deadline)
+    if (!read.ok) return false
+    const owner = ownerHostOf(order, progress)
+    if (owner !== '' && owner !== hostOfWriter(from)) return false
+    return await this.#claimRun(order, progress, deadline, handover) !== undefined
+  }
+
+  /**
+   * Accepts no more runs and hands the current ones over to their next owners.
+   * Settled results are listed first, so a rollout that no host adopts can be
+   * continued from the store.
+   */
+  async leave (deadline: number): Promise<void> {
+    this.#leaving = true
+    await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => {
+      await run.flushResults(deadline)
+      if (!run.isFinished) await this.#handOver(run, deadline)
+    }))
+  }
+
+  /** Stops all runs. */
+  stop (): void {
+    this.#leaving = true
+    for (const run of this.#runs.values()) run.stop()
+  }
+
+  /** Makes the owner of a rollout read the log, so that it learns at once of an end or a claim that it didn't write. */
+  async notifyChange (order: RolloutOrder, owner: string): Promise<void> {
+    const host = this.#directory.findWorker(owner)
+    if (host === undefined || host.id === this.#context.self.id) return
+    await this.#context.bus.send(host, { kind: PeerMessageKind.RecheckRollout, rolloutId: order.id }, { deadline: deadlineAfter(OWNER_PROBE_TIMEOUT_MS) })
+  }
+
+  async #openFromStore (id: string): Promise<Outcome<OpenedRollout | undefined, string>> {
+    const deadline = deadlineAfter(LOAD_TIMEOUT_MS)
+    const known = this.#orders.get(id)
+    const order = known === undefined ? await this.#context.store.readOrder(id, deadline) : success(known)
+    if (!order.ok) return failure(order.failure)
+    if (order.value === undefined) return success(undefined)
+    this.#orders.set(id, order.value)
+    const progress = new RolloutProgress()
+    const readAt = monotonicNow()
+    const read = await this.#context.store.catchUp(id, progress, deadline)
+    if (!read.ok) return failure(read.failure)
+    const run = await this.#runIfOwned(order.value, progress, readAt, deadline)
+    const owner = ownerHostOf(order.value, progress)
+    this.#directory.recordOwner(id, owner)
+    return success({ order: order.value, progress, run, owner })
+  }
+
+  /** Runs a rollout whose log was just read, if this host owns it or an earlier process of this host did. */
+  async #runIfOwned (order: RolloutOrder, progress: RolloutProgress, readAt: number, deadline: number): Promise<RolloutRun | undefined> {
+    if (progress.ended || progress.results.length === order.samples.length) return this.#startRun(this.#createRun(order, progress, readAt))
+    const owner = ownerOf(order, progress)
+    const step = decideOwnership({ owner, writer: this.#context.writer, ownerUnreachable: false })
+    this.#logStep(order.id, step, owner)
+    switch (step) {
+      case OwnershipStep.Run: return this.#startRun(this.#createRun(order, progress, readAt))
+      case OwnershipStep.Claim: return this.#leaving ? undefined : await this.#claimRun(order, progress, deadline)
+      case OwnershipStep.Refer: return undefined
+    }
+  }
+
+  #logStep (id: string, step: OwnershipStep, owner: string): void {
+    if (step !== OwnershipStep.Run) this.#context.log.record(LogEvent.RolloutOwnership, { requestId: id, detail: describeOwnershipStep(step, owner) })
+  }
+
+  /** Whether the owner of a rollout answers this host and can read the rollout's log. */
+  async #canOwnerRun (id: string, hostId: string): Promise<boolean> {
+    const host = this.#directory.findWorker(hostId)
+    if (host === undefined || this.#directory.isUnresponsive(hostId)) return false
+    const deadline = deadlineAfter(OWNER_PROBE_TIMEOUT_MS)
+    const answer = await this.#context.bus.send(host, { kind: PeerMessageKind.RecheckRollout, rolloutId: id }, { deadline })
+    if (!answer.ok) return !this.#directory.recordSilence(hostId, deadline)
+    if (!answer.value.accepted) this.#directory.markUnresponsive(hostId)
+    return answer.value.accepted
+  }
+
+  /** Claims a rollout in its log and runs it; undefined if another claim came first or the store didn't answer. */
+  async #claimRun (order: RolloutOrder, progress: RolloutProgress, deadline: number, handover?: AdoptRollout): Promise<RolloutRun | undefined> {
+    const before = ownerHostOf(order, progress)
+    const run = this.#createRun(order, progress)
+    if (!await run.claim(deadline)) {
+      run.stop()
+      return undefined
+    }
+    void this.notifyChange(order, before)
+    return this.#startRun(run, handover)
+  }
+
+  #createRun (order: RolloutOrder, progress: RolloutProgress, confirmedAt = -Infinity): RolloutRun {
+    const onFenced = (handover: AdoptRollout): void => {
+      void this.#yieldRun(handover, ownerHostOf(order, progress))
+    }
+    return new RolloutRun(this.#context, order, progress, { confirmedAt, onFenced })
+  }
+
+  /** Starts a run on this host, unless there is one of the same rollout. */
+  #startRun (run: RolloutRun, handover?: AdoptRollout): RolloutRun {
+    const { order, progress } = run
+    const known = this.#runs.get(order.id)
+    if (known !== undefined) {
+      run.stop()
+      return known
+    }
+    this.#runs.set(order.id, run)
+    this.#context.log.record(LogEvent.RolloutOwned, {
+      requestId: order.id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, claimant: progress.claimant, ageMs: Date.now() - order.acceptedAt
+    })
+    if (handover !== undefined) run.adopt(handover)
+    if (!this.#leaving) run.start()
+    return run
+  }
+
+  /** Drops a run whose rollout another host has claimed, and sends that host what it can continue from. */
+  async #yieldRun (handover: AdoptRollout, owner: string): Promise<void> {
+    this.#runs.delete(handover.order.id)
+    this.#directory.recordOwner(handover.order.id, owner)
+    const host = this.#directory.findWorker(owner)
+    if (host !== undefined && host.id !== this.#context.self.id) await this.#sendHandover(handover, host, Infinity)
+  }
+
+  async #handOver (run: RolloutRun, deadline: number): Promise<void> {
+    const handover = run.handOver()
+    for (const owner of this.#directory.rank(trainerOf(run.order))) {
+      if (owner.id !== this.#context.self.id && await this.#sendHandover(handover, owner, deadline)) return
+    }
+  }
+
+  /** Sends a rollout to another host; returns whether it has adopted it. */
+  async #sendHandover (handover: AdoptRollout, to: Host, deadline: number): Promise<boolean> {
+    const answer = await this.#context.bus.send(to, handover, { deadline: Math.min(deadline, deadlineAfter(ADOPTION_TIMEOUT_MS)) })
+    const accepted = answer.ok && answer.value.accepted
+    this.#context.log.record(LogEvent.RolloutHandedOver, { requestId: handover.order.id, to: to.id, texts: handover.texts.length, results: handover.results.length, outcome: accepted ? 'accepted' : 'refused' })
+    return accepted
+  }
+}
+
+/**
+ * Names the trainer whose steps should share an owner: its workspace and model.
+ *
+ * @example
+ * trainerOf(order) // 'office/critic'
+ */
+export function trainerOf ({ workspace, model }: Pick<RolloutOrder, 'workspace' | 'model'>): string {
+  return `${workspace}/${model}`
+}
+
+/** Returns the host that owns a rollout according to a read of its log; empty if none does. */
+function ownerHostOf (order: RolloutOrder, progress: RolloutProgress): string {
+  return hostOfWriter(ownerOf(order, progress))
+}
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -20,6 +20,9 @@
 /** Number of events from which a running sample counts as a straggler that is worth moving. */
 const MIN_STRAGGLER_EVENTS = 12
 
+/** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
+const MOVE_PERIOD_MS = 200
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -43,6 +46,7 @@
   /** Samples that were moved once; a second move would only follow noise in the measured pace. */
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
+  #nextMoveAt = -Infinity
   #stopped = false
 
   /** @param onEnd called after the stream of a sample has ended */
@@ -102,8 +106,10 @@
 
   /** Moves one straggler from a slow endpoint to a faster one with free capacity; its text is kept. */
   moveSlowSample (): void {
-    const { endpointTable } = this.#context.deployment
     const now = monotonicNow()
+    if (now < this.#nextMoveAt) return
+    this.#nextMoveAt = now + MOVE_PERIOD_MS
+    const { endpointTable } = this.#context.deployment
     const typicalMs = this.#typicalPaceMs()
     for (const { sample, record, abort } of this.#running.values()) {
       if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -12,6 +12,9 @@
 /** Number of events over which the pace of a stream is averaged. */
 const PACE_WINDOW_EVENTS = 4
 
+/** Abort reason of a stream that has ended by itself; one for all, because creating one for each stream takes time. */
+const STREAM_ENDED = new Error('the stream has ended')
+
 /** How the stream of a sample ended. */
 export enum StreamEnd {
   Complete = 'complete',
@@ -134,6 +137,6 @@
     return finish(StreamEnd.Broken, 'the stream closed without an end event')
   } finally {
     clearTimeout(timer)
-    abort.abort()
+    abort.abort(STREAM_ENDED)
   }
 }
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { CallTask, LocalBroker, RolloutStore, RolloutTask, SILENT_LOG } from '@cyclamenthread/coordination'
 import { RolloutReadStatus, StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
-import { failure, Ran, rankOwners, UsageTally } from '@cyclamenthread/state'
+import { failure, Ran, rankWeightedOwners, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf } from './scripted-endpoints.js'
@@ -179,7 +179,7 @@
   await waitUntil(t, () => runnersOf(tasks).length === 1 && endpoints.streams.length === 4)
   const [owner = ''] = runnersOf(tasks)
   // The reader can't reach the owner; its reads go to the next host in order of preference, which can.
-  const reader = rankOwners('rollouts/office', IDS)[2] ?? ''
+  const reader = rankWeightedOwners('rollouts/office', IDS.map((name) => ({ name, weight: 1 })))[2] ?? ''
   cut.add(`${reader}>${owner}`)
   for (let read = 0; read < 5; read += 1) {
     const page = await tasks.get(reader)?.readResults(order.id, order.workspace, 0, performance.now())
--- a/packages/protocol/src/lib/member-message.ts
+++ b/packages/protocol/src/lib/member-message.ts
@@ -16,7 +16,8 @@
   failureDomain: z.string(),
   peerAddress: z.string(),
   callerUrl: z.string(),
-  hasDataFolder: z.boolean()
+  hasDataFolder: z.boolean(),
+  processorCores: z.number().positive().optional()
 })
 
 const memberRecordSchema = z.object({ host: hostSchema, incarnation: z.int().nonnegative(), state: z.enum(HostState) })
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -24,6 +24,7 @@
   FetchCatalogueParts = 'catalogue.parts',
   AnnounceCatalogue = 'catalogue.announce',
   AcceptRollout = 'rollouts.accept',
+  OfferRollout = 'rollouts.offer',
   RunRollout = 'rollouts.run',
   AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -18,7 +18,7 @@
 import { relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
-import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
+import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, offerRolloutResponseSchema, offerRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
 
 /** All messages between hosts. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -26,7 +26,7 @@
   requestLimitGrantSchema, reportEndpointLossSchema, clearSuspectSchema, readRequestDecisionsSchema, archiveDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
-  acceptRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema
+  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -55,6 +55,7 @@
   [PeerMessageKind.FetchCatalogueParts]: fetchCataloguePartsResponseSchema,
   [PeerMessageKind.AnnounceCatalogue]: acceptedResponseSchema,
   [PeerMessageKind.AcceptRollout]: acceptRolloutResponseSchema,
+  [PeerMessageKind.OfferRollout]: offerRolloutResponseSchema,
   [PeerMessageKind.RunRollout]: acceptedResponseSchema,
   [PeerMessageKind.AdoptRollout]: acceptedResponseSchema,
   [PeerMessageKind.ReadRollout]: rolloutPageSchema,
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -18,6 +18,15 @@
 
 export const acceptRolloutResponseSchema = z.object({ creation: z.enum(RolloutCreationStatus) })
 
+/** Asks a host whether it can own a new rollout of a trainer. */
+export const offerRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.OfferRollout), trainer: z.string() })
+
+export const offerRolloutResponseSchema = z.object({
+  accepted: z.boolean(),
+  /** Unfinished samples of other trainers that the host runs. */
+  foreignSamples: z.int().nonnegative()
+})
+
 /** Notifies the owner of a rollout that it was accepted and has to be run. */
 export const runRolloutSchema = z.object({
   kind: z.literal(PeerMessageKind.RunRollout),
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -62,6 +62,9 @@
 /** Half-life of the confidence in an endpoint's measured pace, in milliseconds. */
 const PACE_HALF_LIFE_MS = 15_000
 
+/** Time for which a typical pace is reused, in milliseconds; it changes little between a few events of a stream. */
+const TYPICAL_PACE_TTL_MS = 200
+
 /** State of an endpoint as known to this process. */
 export interface EndpointRecord {
   entry: EndpointEntry
@@ -93,6 +96,7 @@
  */
 export class EndpointTable {
   readonly #records = new Map<string, EndpointRecord>()
+  readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
 
   /** Replaces the registry entries. */
   update (entries: readonly EndpointEntry[]): void {
@@ -202,10 +206,14 @@
    * preferred when something slows all endpoints, such as a busy local host.
    */
   typicalPace (service: string, fallbackMs: number, now: number): number {
+    const known = this.#typicalPaces.get(service)
+    if (known !== undefined && known.paceMs !== undefined && now - known.computedAt < TYPICAL_PACE_TTL_MS) return known.paceMs
     const paces = this.endpointsOfService(service)
       .flatMap((record) => record.paceMs === undefined || now - record.paceObservedAt > PACE_HALF_LIFE_MS ? [] : [record.paceMs])
       .sort((a, b) => a - b)
-    return paces[Math.floor(paces.length / 2)] ?? fallbackMs
+    const paceMs = paces[Math.floor(paces.length / 2)]
+    this.#typicalPaces.set(service, { paceMs, computedAt: now })
+    return paceMs ?? fallbackMs
   }
 
   /** Average pace of an endpoint, which decays towards a typical one as it ages. */
--- a/packages/state/src/lib/host.ts
+++ b/packages/state/src/lib/host.ts
@@ -17,4 +17,6 @@
   readonly callerUrl: string
   /** Whether the host stores journals and decision records. */
   readonly hasDataFolder: boolean
+  /** Processor cores that the host may use; undefined if it isn't known, which counts as one. */
+  readonly processorCores?: number | undefined
 }
--- a/packages/state/src/lib/rendezvous.ts
+++ b/packages/state/src/lib/rendezvous.ts
@@ -21,6 +21,29 @@
   return scored.map((item) => item.candidate)
 }
 
+/** A candidate for a shard and its share of all shards relative to the others. */
+export interface WeightedCandidate {
+  readonly name: string
+  readonly weight: number
+}
+
+/** Number of values of a 64-bit hash. */
+const HASH_RANGE = 2 ** 64
+
+/**
+ * Ranks candidates as {@link rankOwners} does, but each comes first for a part of
+ * the shards in proportion to its weight. A change of one weight moves only shards
+ * from or to that candidate.
+ *
+ * @example
+ * rankWeightedOwners('rollouts/office', [{ name: 'h1', weight: 0.5 }, { name: 'h2', weight: 1.5 }])[0]
+ */
+export function rankWeightedOwners (shard: string, candidates: readonly WeightedCandidate[]): string[] {
+  const scored = candidates.map(({ name, weight }) => ({ candidate: name, score: -weight / Math.log((Number(h64(`${shard}\u0000${name}`)) + 1) / (HASH_RANGE + 2)) }))
+  scored.sort((a, b) => b.score - a.score || (a.candidate < b.candidate ? -1 : 1))
+  return scored.map((item) => item.candidate)
+}
+
 /**
  * Returns the owner of a shard, or undefined if there are no candidates.
  *
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -94,3 +94,13 @@
   table.recordModelAcceptance('a', 'critic')
   t.true(startsSample(1_201) && startsSample(1_201) && startsSample(1_201))
 })
+
+test('tail of a long step: the typical pace is computed a few times a second, however many samples ask for it', (t) => {
+  const table = new EndpointTable()
+  table.update([endpointEntry('a'), endpointEntry('bb'), endpointEntry('ccc')])
+  for (const id of ['a', 'bb', 'ccc']) table.recordPace(id, 40, 0)
+  t.is(table.typicalPace('models', 38, 0), 40)
+  for (const id of ['a', 'bb', 'ccc']) for (let event = 0; event < 40; event += 1) table.recordPace(id, 80, 10)
+  t.is(table.typicalPace('models', 38, 100), 40)
+  t.true(table.typicalPace('models', 38, 300) > 79)
+})
