Rollouts: a sample's lifetime counts on the steady clock of its owner

Ruled out: a margin (jumps have no bound).

Change: the lifetime, a difference of two times of one clock, is added to the steady clock when a process learns of the rollout; a takeover extends it by at most the time it took. The deadline of reward requests is the same time.

Test: clocks an hour and five seconds off either way; before the change the sample was abandoned at once with a clock behind by an hour, and never with one ahead.

--- a/packages/coordination/src/lib/reward-caller.ts
+++ b/packages/coordination/src/lib/reward-caller.ts
@@ -22,6 +22,14 @@
 /** Lowest and highest status of a successful answer. */
 const SUCCESS_STATUS = { first: 200, last: 299 } as const
 
+/** Options of a {@link RewardCaller}. */
+export interface RewardCallerOptions {
+  /** Monotonic time at which samples may be given up, in milliseconds: the deadline of every repetition of a request. */
+  readonly expiresAt: number
+  /** Called after a reward request has ended. */
+  readonly onEnd: () => void
+}
+
 /**
  * Requests the rewards of whole texts, each through the route of its host and path
  * in the declaration in force when it is sent.
@@ -34,18 +42,17 @@
   readonly #context: RolloutContext
   readonly #order: RolloutOrder
   readonly #board: SampleBoard
-  readonly #onEnd: () => void
+  readonly #options: RewardCallerOptions
   readonly #running = new Map<string, AbortController>()
   /** Requests in a row without a score, by sample id. */
   readonly #attempts = new Map<string, number>()
   #stopped = false
 
-  /** @param onEnd called after a reward request has ended */
-  constructor (context: RolloutContext, order: RolloutOrder, board: SampleBoard, onEnd: () => void) {
+  constructor (context: RolloutContext, order: RolloutOrder, board: SampleBoard, options: RewardCallerOptions) {
     this.#context = context
     this.#order = order
     this.#board = board
-    this.#onEnd = onEnd
+    this.#options = options
   }
 
   /** Ends all requests; their samples keep their texts. */
@@ -98,8 +105,7 @@
       path: reward.path,
       headers: [['Host', reward.host]],
       body: Buffer.from(reward.body, 'base64'),
-      // Every repetition has the same deadline: the time at which the sample may be given up.
-      deadline: monotonicNow() + Math.max(0, this.#order.expiresAt - Date.now()),
+      deadline: this.#options.expiresAt,
       signal: AbortSignal.any([abort.signal, AbortSignal.timeout(ATTEMPT_TIMEOUT_MS)])
     })
     this.#running.delete(sample.id)
@@ -114,7 +120,7 @@
     })
     if (this.#stopped) return
     this.#applyOutcome(sample, route, outcome)
-    this.#onEnd()
+    this.#options.onEnd()
   }
 
   #applyOutcome (sample: RolloutSample, route: Route, outcome: CallOutcome): void {
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -41,6 +41,12 @@
   readonly #lister: ResultLister
   readonly #watchers = new Set<() => void>()
   readonly #onFenced: ((handover: AdoptRollout) => void) | undefined
+  /**
+   * Monotonic time from which samples may be abandoned, in milliseconds. It counts from
+   * when this process learned of the rollout: the wall clocks of two hosts may differ
+   * by seconds, and a sample must not be abandoned before its lifetime has passed.
+   */
+  readonly #expiresAt: number
   #confirmedAt: number
   #confirming = false
   #contested = false
@@ -50,12 +56,13 @@
   constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress, { confirmedAt = -Infinity, onFenced }: RolloutRunOptions = {}) {
     this.#context = context
     this.#confirmedAt = confirmedAt
+    this.#expiresAt = monotonicNow() + order.expiresAt - order.acceptedAt
     this.#onFenced = onFenced
     this.order = order
     this.progress = progress
     this.#board = new SampleBoard(order)
     this.#generator = new SampleGenerator(context, order, this.#board, () => this.#schedule())
-    this.#rewards = new RewardCaller(context, order, this.#board, () => this.#schedule())
+    this.#rewards = new RewardCaller(context, order, this.#board, { expiresAt: this.#expiresAt, onEnd: () => this.#schedule() })
     this.#lister = new ResultLister(context, order, progress, this.#board, this.#generator)
     this.#lister.markListed()
     for (const [sampleId, text] of progress.texts) this.#restoreText({ sampleId, ...text })
@@ -207,7 +214,7 @@
       if (!this.#stopped) this.stop()
       return
     }
-    if (Date.now() >= this.order.expiresAt) this.#board.expire()
+    if (monotonicNow() >= this.#expiresAt) this.#board.expire()
     else this.#startWork()
     void this.#commitResults(false)
     this.#timer = setTimeout(() => this.#schedule(), SCHEDULE_PERIOD_MS)
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -252,3 +252,20 @@
   t.deepEqual(text?.versions, [4])
   t.deepEqual(text?.pieces, text?.pieces.map((_, index) => `e${index + 1}`))
 })
+
+test('a wall clock that is seconds or hours off neither abandons a sample early nor keeps it beyond its lifetime', async (t) => {
+  for (const offMs of [-3_600_000, -5_000, 5_000, 3_600_000]) {
+    const { endpoints, open } = await openFixture(t, ['a'])
+    endpoints.streamScripts.set('a', async function * () {
+      yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+    })
+    const acceptedAt = Date.now() + offMs
+    const run = open(rolloutOrder(1, 1, { acceptedAt, expiresAt: acceptedAt + 600 }))
+    const startedAt = performance.now()
+    run.start()
+    await waitUntil(t, () => run.isFinished)
+    const tookMs = performance.now() - startedAt
+    t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Abandoned])
+    t.true(tookMs >= 600 && tookMs < 3_000, `${Math.round(tookMs)} ms with a clock off by ${offMs} ms`)
+  }
+})
