Rollouts: a failed check of the log is repeated after a pause

Cause: found while counting calls: since work starts only on a confirmed log, a run with waiting samples whose store refuses at once asked it at each pass of 40 ms, 24 calls a second for each run; every call is priced, refused ones too.

Change: 300 ms between a failed check and the next.

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -15,6 +15,9 @@
 /** Timeout for checking the log before work starts, in milliseconds. */
 const CONFIRMATION_TIMEOUT_MS = 1_500
 
+/** Pause after a failed check of the log, in milliseconds: a store that refuses at once must not be asked at each pass. */
+const CONFIRMATION_RETRY_MS = 300
+
 /** Options of a {@link RolloutRun}. */
 export interface RolloutRunOptions {
   /** Monotonic time in milliseconds before the read of the log that the given progress contains; without it, the log is read before work starts. */
@@ -49,6 +52,7 @@
   readonly #expiresAt: number
   #confirmedAt: number
   #confirming = false
+  #nextConfirmationAt = -Infinity
   #contested = false
   #timer: NodeJS.Timeout | undefined
   #stopped = false
@@ -236,11 +240,12 @@
 
   /** Checks the log for an end or a claim of another host before work starts. */
   #refreshThenStart (): void {
-    if (this.#confirming) return
+    if (this.#confirming || monotonicNow() < this.#nextConfirmationAt) return
     this.#confirming = true
     const read = this.#contested ? this.recheck() : this.refreshProgress(0)
-    void read.then(() => {
+    void read.then((isCurrent) => {
       this.#confirming = false
+      if (!isCurrent) this.#nextConfirmationAt = deadlineAfter(CONFIRMATION_RETRY_MS)
       if (!this.isFinished && this.#workPermission() === WorkPermission.Granted) this.#startWork()
     })
   }
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -238,7 +238,7 @@
     case StreamEnd.Failed:
       return WorkEnd.Finished
     case StreamEnd.Broken: return WorkEnd.Broken
-    // A rejection concerns a single model and is recorded by refuseModel.
+    // A refusal concerns a single model and is recorded by recordModelRefusal.
     case StreamEnd.NotRun:
     case StreamEnd.Stale:
     case StreamEnd.Cancelled:
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -13,6 +13,7 @@
 
 interface Fixture {
   readonly endpoints: ScriptedEndpoints
+  readonly store: ReturnType<typeof openDeployment>['store']
   readonly context: RolloutContext
   open (order: RolloutOrder): RolloutRun
 }
@@ -26,6 +27,7 @@
   const context = { deployment: view, endpoints, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
   return {
     endpoints,
+    store,
     context,
     open: (order) => {
       const run = new RolloutRun(context, order, new RolloutProgress())
@@ -269,3 +271,27 @@
     t.true(tookMs >= 600 && tookMs < 3_000, `${Math.round(tookMs)} ms with a clock off by ${offMs} ms`)
   }
 })
+
+test('store that refuses at once: a run with waiting samples asks it a few times a second, and again soon after it is back', async (t) => {
+  const { context, endpoints, store, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  let reads = 0
+  const { catchUp } = context.store
+  context.store.catchUp = async (...given) => {
+    reads += 1
+    return await catchUp.apply(context.store, given)
+  }
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  store.faults.down = true
+  await new Promise((resolve) => setTimeout(resolve, 1_700))
+  const before = reads
+  await new Promise((resolve) => setTimeout(resolve, 2_000))
+  t.true(reads - before >= 2 && reads - before <= 8, `${reads - before} reads in 2 s`)
+  store.faults.down = false
+  endpoints.streamScripts.delete('a')
+  await waitUntil(t, () => run.isFinished)
+})
