Rewards: a silent endpoint is left in time; listed texts are released

Cause of the first: a test failed once in four runs. Its log showed a reward request that ended after 5 s instead of 1.5 s: a signal made by AbortSignal.any from a AbortSignal.timeout can be collected before it fires. In service a reward at a silent endpoint would have waited until its sample expired. Cause of the second, found while reading the change: the owner kept a second copy of the text of each scored sample.

Ruled out: load (the request's own log line shows the missing time-out).

Change: a timer of our own, cleared at the end; ResultLister tells of each sample that enters the log, and RolloutRun releases its text and work.

Tests: a silent endpoint while memory is collected, and no texts held after listing; both failed first.

--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -30,6 +30,17 @@
   readonly rewardFailures: number
 }
 
+/** What a {@link ResultLister} works on. */
+export interface ResultListerOptions {
+  readonly context: RolloutContext
+  readonly order: RolloutOrder
+  readonly progress: RolloutProgress
+  readonly board: SampleBoard
+  readonly generator: SampleGenerator
+  /** Called for each sample whose result has entered the log. */
+  readonly onListed: (sampleId: string) => void
+}
+
 /**
  * Appends the results of one rollout to its log, and periodically the texts of
  * samples that have no result yet.
@@ -40,6 +51,7 @@
   readonly #progress: RolloutProgress
   readonly #board: SampleBoard
   readonly #generator: SampleGenerator
+  readonly #onListed: (sampleId: string) => void
   /** Generation of each sample's text that this run has stored a part of, by sample id. */
   readonly #storedGenerations = new Map<string, number>()
   #committing = false
@@ -47,12 +59,13 @@
   #oldestSettledAt = Infinity
   #checkpointAt = monotonicNow() + CHECKPOINT_PERIOD_MS
 
-  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress, board: SampleBoard, generator: SampleGenerator) {
+  constructor ({ context, order, progress, board, generator, onListed }: ResultListerOptions) {
     this.#context = context
     this.#order = order
     this.#progress = progress
     this.#board = board
     this.#generator = generator
+    this.#onListed = onListed
   }
 
   /**
@@ -86,7 +99,10 @@
 
   /** Advances the samples whose results are in the log. */
   markListed (): void {
-    for (const { id } of this.#progress.results.slice(this.#board.listed.size)) this.#board.apply(id, { kind: SampleEventKind.Listed })
+    for (const { id } of this.#progress.results.slice(this.#board.listed.size)) {
+      this.#board.apply(id, { kind: SampleEventKind.Listed })
+      this.#onListed(id)
+    }
   }
 
   #isListingDue (): boolean {
--- a/packages/coordination/src/lib/reward-caller.ts
+++ b/packages/coordination/src/lib/reward-caller.ts
@@ -13,6 +13,9 @@
  */
 const ATTEMPT_TIMEOUT_MS = 1_500
 
+/** Abort reason of a request that was given up. */
+const ATTEMPT_TIMED_OUT = new Error('the reward request got no answer in time')
+
 /** Delay before a reward is requested again, in milliseconds; doubles with each failure in a row. */
 const INITIAL_RETRY_DELAY_MS = 100
 
@@ -92,6 +95,8 @@
 
   async #request (sample: RolloutSample, reward: RewardRequest, route: Route, service: string): Promise<void> {
     const abort = new AbortController()
+    // A signal composed of a timeout may be collected before it fires, so the timer is held here.
+    const timer = setTimeout(() => abort.abort(ATTEMPT_TIMED_OUT), ATTEMPT_TIMEOUT_MS)
     this.#running.set(sample.id, abort)
     this.#board.apply(sample.id, { kind: SampleEventKind.RewardRequested })
     const sentAt = monotonicNow()
@@ -106,8 +111,9 @@
       headers: [['Host', reward.host]],
       body: Buffer.from(reward.body, 'base64'),
       deadline: this.#options.expiresAt,
-      signal: AbortSignal.any([abort.signal, AbortSignal.timeout(ATTEMPT_TIMEOUT_MS)])
+      signal: abort.signal
     })
+    clearTimeout(timer)
     this.#running.delete(sample.id)
     this.#context.log.record(LogEvent.RewardAnswered, {
       requestId: reward.id,
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -67,7 +67,7 @@
     this.#board = new SampleBoard(order)
     this.#generator = new SampleGenerator(context, order, this.#board, () => this.#schedule())
     this.#rewards = new RewardCaller(context, order, this.#board, { expiresAt: this.#expiresAt, onEnd: () => this.#schedule() })
-    this.#lister = new ResultLister(context, order, progress, this.#board, this.#generator)
+    this.#lister = new ResultLister({ context, order, progress, board: this.#board, generator: this.#generator, onListed: (sampleId) => this.#release(sampleId) })
     this.#lister.markListed()
     for (const [sampleId, text] of progress.texts) this.#restoreText({ sampleId, ...text })
   }
@@ -260,9 +260,7 @@
   }
 
   #handleProgress (): void {
-    const firstNew = this.#board.listed.size
     this.#lister.markListed()
-    for (const { id } of this.progress.results.slice(firstNew)) this.#release(id)
     if (this.progress.ended) {
       this.#generator.abortAll()
       this.#rewards.abortAll()
--- a/packages/coordination/src/test/reward-caller.test.ts
+++ b/packages/coordination/src/test/reward-caller.test.ts
@@ -1,3 +1,5 @@
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import test from 'ava'
 import { CallTask, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
@@ -237,3 +239,33 @@
   await new Promise((resolve) => setTimeout(resolve, 300))
   t.is(endpoints.calls.length, sent)
 })
+
+test('once a scored sample is listed, the owner no longer holds a copy of its text', async (t) => {
+  const { open } = await openFixture(t)
+  const order = rewardedOrder(2, 2)
+  const run = open(order)
+  run.start()
+  await waitUntil(t, () => run.progress.results.length > 0)
+  await waitUntil(t, () => run.isFinished)
+  t.deepEqual(run.handOver().texts, [])
+})
+
+test('a reward request whose endpoint stays silent is given up in time, also when memory is collected meanwhile', async (t) => {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  const { endpoints, open } = await openFixture(t)
+  const order = rewardedOrder(1, 1)
+  endpoints.callScripts.set('desk1', async (request) => {
+    if (performance.now() - startedAt > 1_000) return await signedAnswer(request)
+    await waitUnlessAborted(60_000, request.signal)
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'aborted' }
+  })
+  const startedAt = performance.now()
+  const run = open(order)
+  run.start()
+  const timer = setInterval(collect, 50)
+  await waitUntil(t, () => run.isFinished)
+  clearInterval(timer)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+  t.true(performance.now() - startedAt < 4_000)
+})
