Split what a newcomer would look for: silence, work permission, trainer, plain call

The types of a plain call leave call-task.ts. A boolean called `now` is isForced; hasRoomFor is hasRoomForReward; the two switches of SampleBoard are exhaustive; a few comments give the reason that was missing.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -2,10 +2,12 @@
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
-import type { EndpointRecord, Refusal, Route, UsageTally, NetworkLocation } from '@cyclamenthread/state'
-import type { EndpointPort, EndpointReply, HeaderPair } from '@cyclamenthread/protocol'
+import { CallOrigin } from './plain-call.js'
+import type { EndpointRecord, Refusal, UsageTally, NetworkLocation } from '@cyclamenthread/state'
+import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
+import type { CallOutcome, PlainCall } from './plain-call.js'
 
 /** Assumed duration of a plain call before any was measured, in milliseconds; about the mean in the deployments' data sheets. */
 const DEFAULT_CALL_MS = 40
@@ -34,47 +36,9 @@
 /** Status with which an endpoint states that it ran the call and failed. */
 const FAILURE_STATUS = 500
 
-/** Who waits for a call. */
-export enum CallOrigin {
-  /** A caller, who holds a connection open. */
-  Caller = 'caller',
-  /** A sample whose text is to be scored. */
-  Reward = 'reward'
-}
-
 /** Number of slots of each endpoint that calls of an origin leave free: callers don't wait behind rewards. */
 const RESERVED_SLOTS: Readonly<Record<CallOrigin, number>> = { [CallOrigin.Caller]: 0, [CallOrigin.Reward]: 2 }
 
-/** An admitted call to a plain service. */
-export interface PlainCall {
-  readonly requestId: string
-  readonly route: Route
-  readonly origin: CallOrigin
-  readonly workspace: string | undefined
-  readonly method: string
-  readonly path: string
-  readonly headers: readonly HeaderPair[]
-  readonly body: Uint8Array
-  /** Monotonic deadline in milliseconds. */
-  readonly deadline: number
-  /** Aborted when the caller disconnects. */
-  readonly signal: AbortSignal
-}
-
-/** Outcome of a plain call. */
-export type CallOutcome =
-  | {
-    readonly ok: true
-    readonly status: number
-    readonly headers: readonly HeaderPair[]
-    readonly body: Uint8Array
-    /** Proof of the endpoint that the answer is its own; undefined if it gave none. */
-    readonly signature: string | undefined
-    /** Answers of 500 that endpoints gave to the call. */
-    readonly failures: number
-  }
-  | { readonly ok: false, readonly refusal: Refusal, readonly failures: number }
-
 /** Dependencies of a {@link CallTask}. */
 export interface CallContext {
   readonly deployment: DeploymentView
@@ -158,7 +122,7 @@
   }
 
   /** Whether an endpoint of a service has a slot for a reward request now. */
-  hasRoomFor (service: string): boolean {
+  hasRoomForReward (service: string): boolean {
     const demand = { service, excluded: new Set<string>(), typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[CallOrigin.Reward] }
     return chooseEndpointForCall(this.#context.deployment.endpointTable, demand, this.#context.networkLocation, monotonicNow()) !== undefined
   }
--- /dev/null
+++ b/packages/coordination/src/lib/plain-call.ts
@@ -0,0 +1,40 @@
+import type { Refusal, Route } from '@cyclamenthread/state'
+import type { HeaderPair } from '@cyclamenthread/protocol'
+
+/** Who waits for a call. */
+export enum CallOrigin {
+  /** A caller, who holds a connection open. */
+  Caller = 'caller',
+  /** A sample whose text is to be scored. */
+  Reward = 'reward'
+}
+
+/** An admitted call to a plain service. */
+export interface PlainCall {
+  readonly requestId: string
+  readonly route: Route
+  readonly origin: CallOrigin
+  readonly workspace: string | undefined
+  readonly method: string
+  readonly path: string
+  readonly headers: readonly HeaderPair[]
+  readonly body: Uint8Array
+  /** Monotonic deadline in milliseconds. */
+  readonly deadline: number
+  /** Aborted when the caller disconnects. */
+  readonly signal: AbortSignal
+}
+
+/** Outcome of a plain call. */
+export type CallOutcome =
+  | {
+    readonly ok: true
+    readonly status: number
+    readonly headers: readonly HeaderPair[]
+    readonly body: Uint8Array
+    /** Proof of the endpoint that the answer is its own; undefined if it gave none. */
+    readonly signature: string | undefined
+    /** Answers of 500 that endpoints gave to the call. */
+    readonly failures: number
+  }
+  | { readonly ok: false, readonly refusal: Refusal, readonly failures: number }
--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -69,15 +69,15 @@
   }
 
   /**
-   * Appends settled results if listing is due or `now` is set, and periodically the
-   * text of unfinished samples.
+   * Appends settled results if listing is due or forced, and periodically the text
+   * of unfinished samples.
    *
    * @returns whether the log was read or written
    */
-  async commit (now: boolean): Promise<boolean> {
+  async commit (isForced: boolean): Promise<boolean> {
     if (this.#committing) return false
     const texts = monotonicNow() < this.#checkpointAt ? [] : this.#takeCheckpoints()
-    const isDue = texts.length > 0 || (this.#board.settled.size > 0 && (now || this.#isListingDue()))
+    const isDue = texts.length > 0 || (this.#board.settled.size > 0 && (isForced || this.#isListingDue()))
     if (!isDue) return false
     this.#committing = true
     this.#checkpointAt = deadlineAfter(CHECKPOINT_PERIOD_MS)
--- a/packages/coordination/src/lib/reward-caller.ts
+++ b/packages/coordination/src/lib/reward-caller.ts
@@ -1,9 +1,9 @@
 import { drawService, SampleEventKind, SamplePhase } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
-import { CallOrigin } from './call-task.js'
 import { LogEvent } from './event-log.js'
+import { CallOrigin } from './plain-call.js'
 import type { RewardRequest, RolloutOrder, RolloutSample, Route, SampleBoard } from '@cyclamenthread/state'
-import type { CallOutcome } from './call-task.js'
+import type { CallOutcome } from './plain-call.js'
 import type { RolloutContext } from './rollout-context.js'
 
 /**
@@ -88,7 +88,7 @@
       }
       const service = drawService(route, Math.random())
       if (full.has(service)) continue
-      if (this.#context.calls.hasRoomFor(service)) void this.#request(sample, reward, route, service)
+      if (this.#context.calls.hasRoomForReward(service)) void this.#request(sample, reward, route, service)
       else full.add(service)
     }
   }
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -53,6 +53,7 @@
   #confirmedAt: number
   #confirming = false
   #nextConfirmationAt = -Infinity
+  /** Whether another host has reported an end or a claim that this log copy doesn't show yet. */
   #contested = false
   #timer: NodeJS.Timeout | undefined
   #stopped = false
@@ -82,6 +83,7 @@
     return this.isFinished ? 0 : this.order.samples.length - this.#board.listed.size - this.#board.settled.size
   }
 
+  /** Starts the work; the log is read first unless it was read just now. */
   start (): void {
     this.#schedule()
   }
@@ -250,10 +252,10 @@
     })
   }
 
-  async #commitResults (now: boolean): Promise<void> {
+  async #commitResults (isForced: boolean): Promise<void> {
     if (this.isFinished) return
     const sentAt = monotonicNow()
-    const isCurrent = await this.#lister.commit(now)
+    const isCurrent = await this.#lister.commit(isForced)
     // Counted from before the write was sent: its answer may be processed late, after a pause of this process.
     if (isCurrent) this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
     this.#handleProgress()
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -1,4 +1,4 @@
-import { decideOwnership, describeOwnershipStep, failure, hostOfWriter, ownerOf, OwnershipStep, RolloutProgress, success } from '@cyclamenthread/state'
+import { decideOwnership, describeOwnershipStep, failure, hostOfWriter, ownerOf, OwnershipStep, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
@@ -266,16 +266,6 @@
   }
 }
 
-/**
- * Names the trainer whose steps should share an owner: its workspace and model.
- *
- * @example
- * trainerOf(order) // 'office/critic'
- */
-export function trainerOf ({ workspace, model }: Pick<RolloutOrder, 'workspace' | 'model'>): string {
-  return `${workspace}/${model}`
-}
-
 /** Returns the host that owns a rollout according to a read of its log; empty if none does. */
 function ownerHostOf (order: RolloutOrder, progress: RolloutProgress): string {
   return hostOfWriter(ownerOf(order, progress))
--- a/packages/state/src/lib/endpoint-route.ts
+++ b/packages/state/src/lib/endpoint-route.ts
@@ -32,7 +32,7 @@
   readonly excluded: ReadonlySet<string>
   /** Typical duration of a call of this service, in milliseconds. */
   readonly typicalMs: number
-  /** Slots of each endpoint that stay free for more urgent calls; without any, a call may also wait at the endpoint. */
+  /** Slots of each endpoint that stay free for more urgent calls; if 0, the call may also queue at a full endpoint. */
   readonly reservedSlots: number
 }
 
--- a/packages/state/src/lib/sample-board.ts
+++ b/packages/state/src/lib/sample-board.ts
@@ -1,6 +1,6 @@
 import { advanceSample, SampleEventKind, SamplePhase } from './sample-life.js'
 import { sortForStart } from './sample-placement.js'
-import { invariant } from './invariant.js'
+import { invariant, unreachable } from './invariant.js'
 import type { RolloutOrder, RolloutSample, SampleResult } from './rollout.js'
 import type { SampleEvent, SampleLife, SampleTerms } from './sample-life.js'
 
@@ -134,6 +134,9 @@
         break
       case SamplePhase.Generating:
       case SamplePhase.Scoring:
+        // The generator and the reward caller hold these.
+        break
+      default: unreachable(life)
     }
   }
 
@@ -154,6 +157,9 @@
         break
       case SamplePhase.Generating:
       case SamplePhase.Scoring:
+        // The generator and the reward caller hold these.
+        break
+      default: unreachable(life)
     }
   }
 }
--- /dev/null
+++ b/packages/state/src/lib/work-permission.ts
@@ -0,0 +1,43 @@
+/** How current the log copy behind a permission to start work is. */
+export interface WorkPermissionEvidence {
+  /** Monotonic milliseconds at which the last successful read or write of the log was sent. */
+  readonly confirmedAt: number
+  /** Monotonic milliseconds of the last answer of the store to any call of this process about rollouts. */
+  readonly storeAnsweredAt: number
+  /** Whether another host has reported an end or a claim that the log copy doesn't show yet. */
+  readonly isContested: boolean
+}
+
+/** Whether work of a rollout may start. */
+export enum WorkPermission {
+  Granted = 'granted',
+  /** Work may start, and the log is read meanwhile. */
+  ConfirmMeanwhile = 'confirm-meanwhile',
+  /** The log has to be read first. */
+  ConfirmFirst = 'confirm-first'
+}
+
+/** Age of the log copy up to which work starts without another read, in milliseconds. */
+const MAX_CONFIRMATION_AGE_MS = 1_500
+
+/**
+ * Silence of the store after which it counts as down, in milliseconds: longer than
+ * a call's timeout, so that one late answer of a busy host doesn't count as an
+ * outage, and shorter than the time for which samples may be at no endpoint.
+ */
+const STORE_OUTAGE_MS = 2_500
+
+/**
+ * Decides whether work of a rollout may start now. Another host may have ended or
+ * taken over the rollout, which only the log shows. While the store answers nobody,
+ * neither can happen, so work goes on.
+ *
+ * @param now monotonic milliseconds
+ * @example
+ * decideWorkPermission({ confirmedAt: 0, storeAnsweredAt: 0, isContested: false }, 400) // WorkPermission.Granted
+ */
+export function decideWorkPermission ({ confirmedAt, storeAnsweredAt, isContested }: WorkPermissionEvidence, now: number): WorkPermission {
+  if (isContested) return WorkPermission.ConfirmFirst
+  if (now - confirmedAt <= MAX_CONFIRMATION_AGE_MS) return WorkPermission.Granted
+  return now - storeAnsweredAt > STORE_OUTAGE_MS ? WorkPermission.ConfirmMeanwhile : WorkPermission.ConfirmFirst
+}
