Endpoints: the registry entry has the software version

The registry states the version of an endpoint's software in `version`, but the entry schema didn't read it, so nothing could tell which endpoints may continue a text. `EndpointEntry.softwareVersion` is named apart from the weight versions of the models.

An endpoint that comes back under its id with another software version starts with an empty record, also if its start time is the same.

--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -17,6 +17,8 @@
   readonly versions: Readonly<Record<string, number>>
   /** Start time of this incarnation of the endpoint, in milliseconds since 1970. */
   readonly bornAt: number
+  /** Version of the endpoint's software; what endpoints of two software versions write doesn't fit together. */
+  readonly softwareVersion: string
   /** Whether the platform may reclaim it at short notice. */
   readonly cheap: boolean
 }
@@ -91,8 +93,8 @@
  * Table of the endpoints of a deployment. It alone decides which of them are
  * usable.
  *
- * Invariants: a new incarnation or a new address under a known id starts with an
- * empty record; an endpoint that is draining or was removed is never usable.
+ * Invariants: a new incarnation under a known id, with a new start time, address or
+ * software version, starts with an empty record; an endpoint that is draining or was removed is never usable.
  */
 export class EndpointTable {
   readonly #records = new Map<string, EndpointRecord>()
@@ -230,7 +232,7 @@
 
   #updateEntry (entry: EndpointEntry): void {
     const known = this.#records.get(entry.id)
-    if (known !== undefined && known.entry.bornAt === entry.bornAt && known.entry.address === entry.address) {
+    if (known !== undefined && isSameIncarnation(known.entry, entry)) {
       if (!sameVersions(known.entry, entry)) {
         known.modelPausedUntil = {}
         known.trialModels.clear()
@@ -254,6 +256,16 @@
   }
 }
 
+/**
+ * Whether two entries under one id describe the same running process of an endpoint.
+ *
+ * @example
+ * isSameIncarnation(entryAtSending, endpoints.find(id).entry)
+ */
+export function isSameIncarnation (a: EndpointEntry, b: EndpointEntry): boolean {
+  return a.bornAt === b.bornAt && a.address === b.address && a.softwareVersion === b.softwareVersion
+}
+
 function sameVersions (a: EndpointEntry, b: EndpointEntry): boolean {
   return Object.keys({ ...a.versions, ...b.versions }).every((model) => a.versions[model] === b.versions[model])
 }
--- a/packages/state/src/lib/testing/endpoint-entry.ts
+++ b/packages/state/src/lib/testing/endpoint-entry.ts
@@ -12,6 +12,7 @@
     phase: EndpointPhase.Ready,
     versions: { critic: 3 },
     bornAt: 1,
+    softwareVersion: 's1',
     cheap: false,
     ...changes
   }
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -23,6 +23,14 @@
   t.is(record && table.newestVersion(record, 'critic'), 3)
 })
 
+test('an endpoint that comes back with another software version starts with an empty record', (t) => {
+  const table = new EndpointTable()
+  table.update([endpointEntry('a', { softwareVersion: 's1' })])
+  table.recordPace('a', 500, 0)
+  table.update([endpointEntry('a', { softwareVersion: 's2' })])
+  t.is(table.find('a')?.paceMs, undefined)
+})
+
 test('the end of work of a previous incarnation is not counted for the new one', (t) => {
   const table = new EndpointTable()
   table.update([endpointEntry('a')])
