Samples: log the software version of endpoint and text

The lines sample-sent, sample-ended and sample-moved tell which software version an endpoint has and at which one the text began. The version is only recorded here; no decision reads it.

--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -119,7 +119,14 @@
       this.#moved.add(sample.id)
       abort.abort()
       this.#context.log.record(LogEvent.SampleMoved, {
-        requestId: sample.id, rollout: this.#order.id, from: record.entry.id, to: candidate.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
+        requestId: sample.id,
+        rollout: this.#order.id,
+        from: record.entry.id,
+        to: candidate.entry.id,
+        softwareVersion: candidate.entry.softwareVersion,
+        textVersion: this.#texts.get(sample.id)?.softwareVersion,
+        paceMs: Math.round(record.paceMs),
+        otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
       })
       return
     }
@@ -158,7 +165,9 @@
       requestId: sample.id,
       rollout: order.id,
       endpoint: entry.id,
+      softwareVersion: entry.softwareVersion,
       held: text.pieces.length,
+      textVersion: text.softwareVersion,
       load: record.activeWork,
       weights: endpointTable.newestVersion(record, order.model),
       minVersion: order.minVersion,
@@ -192,6 +201,8 @@
       requestId: sample.id,
       rollout: order.id,
       endpoint: entry.id,
+      softwareVersion: entry.softwareVersion,
+      textVersion: text.softwareVersion,
       outcome: result.end,
       detail: result.detail,
       events: result.events,
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -39,6 +39,8 @@
   readonly pieces: string[] = []
   /** Weight versions that generated the text, in order of appearance, without duplicates. */
   readonly versions: number[] = []
+  /** Software version of the endpoint that began the text; undefined if it is empty, or unknown. */
+  softwareVersion: string | undefined
   /** Number of times that the text was discarded; parts of different generations must never be combined. */
   generation = 0
 
@@ -47,6 +49,7 @@
     this.generation += 1
     this.pieces.length = 0
     this.versions.length = 0
+    this.softwareVersion = undefined
   }
 
   /** Appends the text of one event. */
@@ -122,6 +125,7 @@
           if (part.id !== text.pieces.length + 1) return finish(StreamEnd.Broken, `received event ${part.id} after event ${text.pieces.length}`)
           if (version === undefined || version < rule.minVersion) return finish(StreamEnd.Stale, `weight version ${version ?? 'unknown'}`)
           if (rule.singleVersion && text.versions.some((known) => known !== version)) return finish(StreamEnd.Stale, 'weight version changed')
+          if (text.pieces.length === 0) text.softwareVersion = request.endpoint.softwareVersion
           text.append(part.data, version)
           events += 1
           break
