Log the permission and the age of the log copy behind each sample sent

The log could not tell work that started on an old copy of the rollout's log from work that started in time and arrived late.

The change from "the store answers" to "work goes on without it" and back is one line each, dependency-lost and dependency-regained with the prefix rollout-log/. No decision changes.

Test: while the store is down, waiting samples are still sent, one line names the outage, one its end.

--- a/packages/coordination/src/lib/reward-caller.ts
+++ b/packages/coordination/src/lib/reward-caller.ts
@@ -2,7 +2,7 @@
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
-import type { RewardRequest, RolloutOrder, RolloutSample, Route, SampleBoard } from '@cyclamenthread/state'
+import type { RewardRequest, RolloutOrder, RolloutSample, Route, SampleBoard, WorkPermit } from '@cyclamenthread/state'
 import type { CallOutcome } from './plain-call.js'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -75,7 +75,7 @@
   }
 
   /** Requests rewards as far as their services have slots beyond those kept free for callers. */
-  startRequests (): void {
+  startRequests (permit: WorkPermit): void {
     if (this.#board.generated.size === 0) return
     const full = new Set<string>()
     for (const sample of this.#board.awaitingReward(monotonicNow())) {
@@ -88,19 +88,28 @@
       }
       const service = drawService(route, Math.random())
       if (full.has(service)) continue
-      if (this.#context.calls.hasRoomForReward(service)) void this.#request(sample, reward, route, service)
+      if (this.#context.calls.hasRoomForReward(service)) void this.#request(sample, reward, route, service, permit)
       else full.add(service)
     }
   }
 
-  async #request (sample: RolloutSample, reward: RewardRequest, route: Route, service: string): Promise<void> {
+  async #request (sample: RolloutSample, reward: RewardRequest, route: Route, service: string, permit: WorkPermit): Promise<void> {
     const abort = new AbortController()
     // A signal composed of a timeout may be collected before it fires, so the timer is held here.
     const timer = setTimeout(() => abort.abort(ATTEMPT_TIMED_OUT), ATTEMPT_TIMEOUT_MS)
     this.#running.set(sample.id, abort)
     this.#board.apply(sample.id, { kind: SampleEventKind.RewardRequested })
     const sentAt = monotonicNow()
-    this.#context.log.record(LogEvent.RewardRequested, { requestId: reward.id, sample: sample.id, rollout: this.#order.id, route: route.name, service, attempt: this.#attempts.get(sample.id) ?? 0 })
+    this.#context.log.record(LogEvent.RewardRequested, {
+      requestId: reward.id,
+      sample: sample.id,
+      rollout: this.#order.id,
+      route: route.name,
+      service,
+      attempt: this.#attempts.get(sample.id) ?? 0,
+      outcome: permit.permission,
+      logAgeMs: permit.logAgeMs
+    })
     const outcome = await this.#context.calls.run({
       requestId: reward.id,
       route: { ...route, shares: [{ service, weight: 1 }] },
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -231,13 +231,16 @@
     const permission = this.#workPermission()
     if (hasWork && permission !== WorkPermission.Granted) this.#refreshThenStart()
     if (permission === WorkPermission.ConfirmFirst) return
-    this.#rewards.startRequests()
-    this.#generator.startSamples()
+    const permit = { permission, logAgeMs: Number.isFinite(this.#confirmedAt) ? Math.round(monotonicNow() - this.#confirmedAt) : undefined }
+    this.#rewards.startRequests(permit)
+    this.#generator.startSamples(permit)
     if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
   #workPermission (): WorkPermission {
-    return decideWorkPermission({ confirmedAt: this.#confirmedAt, storeAnsweredAt: this.#context.store.answeredAt, isContested: this.#contested }, monotonicNow())
+    const permission = decideWorkPermission({ confirmedAt: this.#confirmedAt, storeAnsweredAt: this.#context.store.answeredAt, isContested: this.#contested }, monotonicNow())
+    if (permission === WorkPermission.ConfirmMeanwhile) this.#context.store.recordOutage()
+    return permission
   }
 
   /** Checks the log for an end or a claim of another host before work starts. */
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -2,13 +2,18 @@
 import { ExpectationKind, RolloutCreationStatus, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
+import { LogEvent, SILENT_LOG } from './event-log.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Outcome, RolloutOrder, RolloutProgress, RolloutSegment } from '@cyclamenthread/state'
 import type { ObjectStore } from '@cyclamenthread/protocol'
+import type { EventLog } from './event-log.js'
 
 /** Timeout for one call of the store, in milliseconds: far above its usual response time, well below the time a trainer waits. */
 const CALL_TIMEOUT_MS = 1_200
 
+/** Prefix under which the log reports whether the store answers calls about rollouts. */
+const ROLLOUT_LOG_PREFIX = 'rollout-log/'
+
 /** Result of an append to a rollout's log. */
 export enum AppendStatus {
   Applied = 'applied',
@@ -26,10 +31,13 @@
  */
 export class RolloutStore {
   readonly #store: ObjectStore
+  readonly #log: EventLog
   #answeredAt = monotonicNow()
+  #isOutageRecorded = false
 
-  constructor (store: ObjectStore) {
+  constructor (store: ObjectStore, log: EventLog = SILENT_LOG) {
     this.#store = store
+    this.#log = log
   }
 
   /** Monotonic time of the last answer of the store to a call about rollouts, in milliseconds. */
@@ -37,6 +45,21 @@
     return this.#answeredAt
   }
 
+  /** Logs once that work goes on because the store counts as down; its next answer logs the end of that. */
+  recordOutage (): void {
+    if (this.#isOutageRecorded) return
+    this.#isOutageRecorded = true
+    this.#log.record(LogEvent.DependencyLost, { dependency: 'store', prefix: ROLLOUT_LOG_PREFIX, outcome: 'work-goes-on', ageMs: Math.round(monotonicNow() - this.#answeredAt) })
+  }
+
+  #recordAnswer (): void {
+    const silentMs = Math.round(monotonicNow() - this.#answeredAt)
+    this.#answeredAt = monotonicNow()
+    if (!this.#isOutageRecorded) return
+    this.#isOutageRecorded = false
+    this.#log.record(LogEvent.DependencyRegained, { dependency: 'store', prefix: ROLLOUT_LOG_PREFIX, outcome: 'work-waits', ageMs: silentMs })
+  }
+
   /** Stores a rollout; a write without an answer is retried until the deadline. */
   async create (order: RolloutOrder, deadline: number): Promise<RolloutCreationStatus> {
     const backoff = new Backoff(Math.random)
@@ -63,7 +86,7 @@
   async readOrder (id: string, deadline: number): Promise<Outcome<RolloutOrder | undefined, StoreFailure>> {
     const found = await this.#store.read(rolloutKey(id), this.#storeCall(deadline))
     if (!found.ok) return found
-    this.#answeredAt = monotonicNow()
+    this.#recordAnswer()
     if (found.value === undefined) return success(undefined)
     const order = rolloutOrderSchema.safeParse(found.value.value)
     return order.success ? success(order.data) : failure(StoreFailure.Malformed)
@@ -75,7 +98,7 @@
       const position = progress.segments
       const found = await this.#store.read(rolloutSegmentKey(id, position), this.#storeCall(deadline))
       if (!found.ok) return failure(found.failure)
-      this.#answeredAt = monotonicNow()
+      this.#recordAnswer()
       if (found.value === undefined) return success(undefined)
       if (progress.segments === position) progress.apply(rolloutSegmentSchema.parse(found.value.value))
     }
@@ -111,7 +134,7 @@
   }
 
   #recordWrite (status: WriteStatus): void {
-    if (status === WriteStatus.Applied || status === WriteStatus.Conflict) this.#answeredAt = monotonicNow()
+    if (status === WriteStatus.Applied || status === WriteStatus.Conflict) this.#recordAnswer()
   }
 
   #storeCall (deadline: number): { readonly purpose: StorePurpose, readonly deadline: number } {
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -3,7 +3,7 @@
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { readSampleStream, SampleText, StreamEnd } from './sample-stream.js'
-import type { EndpointRecord, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
+import type { EndpointRecord, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -93,14 +93,14 @@
   }
 
   /** Starts waiting samples as far as endpoints have free slots. */
-  startSamples (): void {
+  startSamples (permit: WorkPermit): void {
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
       const record = this.#chooseEndpoint(sample)
       if (record === undefined) break
       this.#board.apply(sample.id, { kind: SampleEventKind.GenerationStarted })
-      void this.#runSample(sample, record)
+      void this.#runSample(sample, record, permit)
     }
   }
 
@@ -141,7 +141,7 @@
     return this.#context.deployment.endpointTable.typicalPace(this.#order.service, DEFAULT_PACE_MS, monotonicNow())
   }
 
-  async #runSample (sample: RolloutSample, record: EndpointRecord): Promise<void> {
+  async #runSample (sample: RolloutSample, record: EndpointRecord, permit: WorkPermit): Promise<void> {
     const { deployment, endpoints, log } = this.#context
     const { endpointTable } = deployment
     const { entry } = record
@@ -162,7 +162,9 @@
       load: record.activeWork,
       weights: endpointTable.newestVersion(record, order.model),
       minVersion: order.minVersion,
-      group: sample.group
+      group: sample.group,
+      outcome: permit.permission,
+      logAgeMs: permit.logAgeMs
     })
     const request = {
       endpoint: entry,
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava'
-import { CallTask, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
+import { CallTask, LogEvent, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf, waitUnlessAborted } from './scripted-endpoints.js'
-import type { RolloutContext } from '@cyclamenthread/coordination'
+import type { LogFields, RolloutContext } from '@cyclamenthread/coordination'
 import type { RolloutOrder } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
@@ -15,6 +15,8 @@
   readonly endpoints: ScriptedEndpoints
   readonly store: ReturnType<typeof openDeployment>['store']
   readonly context: RolloutContext
+  /** Lines of the log of the runs and their store. */
+  readonly lines: ReadonlyArray<LogFields & { readonly event: LogEvent }>
   open (order: RolloutOrder): RolloutRun
 }
 
@@ -24,11 +26,18 @@
   await waitUntil(t, () => view.endpointTable.endpointsOfService('models').length === ids.length)
   const endpoints = new ScriptedEndpoints()
   const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
-  const context = { deployment: view, endpoints, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
+  const lines: Array<LogFields & { event: LogEvent }> = []
+  const log = {
+    record: (event: LogEvent, fields: LogFields) => {
+      lines.push({ ...fields, event })
+    }
+  }
+  const context = { deployment: view, endpoints, calls, store: new RolloutStore(store, log), networkLocation: LOCATION, writer: 'w', log }
   return {
     endpoints,
     store,
     context,
+    lines,
     open: (order) => {
       const run = new RolloutRun(context, order, new RolloutProgress())
       t.teardown(() => run.stop())
@@ -295,3 +304,22 @@
   endpoints.streamScripts.delete('a')
   await waitUntil(t, () => run.isFinished)
 })
+
+// Guards against samples that wait out an outage of the store, and against an outage that the log doesn't show.
+test('while the store is down, waiting samples are sent, and the log names the outage once and the permission of each sample', async (t) => {
+  const { endpoints, lines, store, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  t.true(lines.filter(({ event }) => event === LogEvent.SampleSent).every(({ outcome, logAgeMs }) => outcome === 'granted' && Number(logAgeMs) <= 1_500))
+  store.faults.down = true
+  await waitUntil(t, () => lines.some(({ event, outcome, logAgeMs }) => event === LogEvent.SampleSent && outcome === 'confirm-meanwhile' && Number(logAgeMs) > 2_000))
+  store.faults.down = false
+  endpoints.streamScripts.delete('a')
+  await waitUntil(t, () => run.isFinished)
+  t.is(lines.filter(({ event }) => event === LogEvent.DependencyLost).length, 1)
+  t.is(lines.filter(({ event }) => event === LogEvent.DependencyRegained).length, 1)
+})
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -121,7 +121,7 @@
       self,
       members: this.#members,
       bus: this.#bus,
-      store: new RolloutStore(store),
+      store: new RolloutStore(store, log),
       writer: `${self.id}/${incarnation}`,
       onAccepted: (order) => this.#demand.announce(order)
     })
--- a/packages/state/src/lib/work-permission.ts
+++ b/packages/state/src/lib/work-permission.ts
@@ -17,6 +17,13 @@
   ConfirmFirst = 'confirm-first'
 }
 
+/** On what grounds work of a rollout starts. */
+export interface WorkPermit {
+  readonly permission: WorkPermission
+  /** Age of the log copy behind the permission, in milliseconds; undefined if the log was never read. */
+  readonly logAgeMs: number | undefined
+}
+
 /** Age of the log copy up to which work starts without another read, in milliseconds. */
 const MAX_CONFIRMATION_AGE_MS = 1_500
 
