Regression test: a replaced owner sends nothing after the end that its successor acknowledged

What callers saw: an item reached an endpoint later than 3,000 ms after the acknowledged end of its batch (UNASKED), on a code before.

The present test of an end that another host acknowledges covers one owner only, whose reads are all answered.

--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -3,8 +3,9 @@
 import { RolloutReadStatus, StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
 import { failure, Ran, rankWeightedOwners, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
+import { timeLeft } from '@cyclamenthread/transport'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
-import { ScriptedEndpoints, streamOf } from './scripted-endpoints.js'
+import { ScriptedEndpoints, streamOf, waitUnlessAborted } from './scripted-endpoints.js'
 import type { MemberView, MessageBus } from '@cyclamenthread/coordination'
 import type { MemoryStore } from '@cyclamenthread/standins'
 import type { ObjectStore, RolloutPage } from '@cyclamenthread/protocol'
@@ -23,6 +24,10 @@
   readonly refused: Set<string>
   /** Directions in which messages get no answer, as `from>to`. */
   readonly cut: Set<string>
+  /** Number of the next reads of a host that the store leaves without an answer. */
+  readonly unanswered: Map<string, number>
+  /** Number of reads of a host that the store has answered. */
+  readonly answeredReads: Map<string, number>
   readonly store: ReturnType<typeof openDeployment>['store']
 }
 
@@ -31,9 +36,9 @@
 }
 
 /** Creates a view of the store that may refuse one host while it serves the others. */
-function createStoreView (store: MemoryStore, isRefused: () => boolean): ObjectStore {
+function createStoreView (store: MemoryStore, isRefused: () => boolean, read: ObjectStore['read']): ObjectStore {
   return {
-    read: async (key, call) => isRefused() ? failure(StoreFailure.Unavailable) : await store.read(key, call),
+    read: async (key, call) => isRefused() ? failure(StoreFailure.Unavailable) : await read(key, call),
     list: async (prefix, call) => isRefused() ? failure(StoreFailure.Unavailable) : await store.list(prefix, call),
     write: async (key, value, expectation, call) =>
       isRefused() ? { status: WriteStatus.NotWritten, detail: 'refused' } : await store.write(key, value, expectation, call),
@@ -51,6 +56,19 @@
   const silent = new Set<string>()
   const refused = new Set<string>()
   const cut = new Set<string>()
+  const unanswered = new Map<string, number>()
+  const answeredReads = new Map<string, number>()
+  const readAs = (id: string): ObjectStore['read'] => async (key, call) => {
+    const left = unanswered.get(id) ?? 0
+    if (left > 0) {
+      unanswered.set(id, left - 1)
+      await new Promise((resolve) => setTimeout(resolve, timeLeft(call.deadline)))
+      return failure(StoreFailure.Timeout)
+    }
+    const found = await store.read(key, call)
+    answeredReads.set(id, (answeredReads.get(id) ?? 0) + 1)
+    return found
+  }
   const brokers = new Map(IDS.map((id) => [id, new LocalBroker()]))
   const busOf = (from: string): MessageBus => ({
     send: async (host: Host, message: { readonly kind: string }) => {
@@ -63,13 +81,13 @@
   const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const tasks = new Map(IDS.map((id) => {
     const task = new RolloutTask({
-      self: createHost(id), members, bus: busOf(id), deployment: view, endpoints, calls, store: new RolloutStore(createStoreView(store, () => refused.has(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
+      self: createHost(id), members, bus: busOf(id), deployment: view, endpoints, calls, store: new RolloutStore(createStoreView(store, () => refused.has(id), readAs(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
     })
     brokers.get(id)?.createService(task.service())
     t.teardown(() => task.stop())
     return [id, task] as const
   }))
-  return { tasks, endpoints, silent, refused, cut, store }
+  return { tasks, endpoints, silent, refused, cut, unanswered, answeredReads, store }
 }
 
 async function readAll (t: ExecutionContext, task: RolloutTask | undefined, order: RolloutOrder): Promise<RolloutPage> {
@@ -255,3 +273,44 @@
   const third = await tasks.get('h1')?.accept({ ...order, id: 'r3' })
   t.true(third?.ok === false && third.failure.ran === Ran.Maybe)
 })
+
+/** Time after the acknowledgement of an end from which no sample may reach an endpoint, in milliseconds, as the platform's pages state it. */
+const CANCEL_BOUND_MS = 3_000
+
+for (const lostReads of [0, 1]) {
+  // Guards against an item that reaches an endpoint later than the bound after the acknowledged end of its batch (UNASKED), sent by an earlier owner.
+  test(`an owner that was replaced sends no sample later than the bound after an end that its successor acknowledged, with ${lostReads} of its reads lost`, async (t) => {
+    const { tasks, endpoints, silent, unanswered, answeredReads, store } = await openFixture(t)
+    const sentAt: number[] = []
+    // An endpoint whose stream breaks is avoided for a while, so there are many.
+    const ids = Array.from({ length: 80 }, (_, index) => `a${index}`)
+    for (const id of ids) store.set(`servers/${id}`, endpointEntry(id))
+    const breaking: Parameters<typeof endpoints.streamScripts.set>[1] = async function * (request) {
+      sentAt.push(performance.now())
+      yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+      await waitUnlessAborted(100, request.signal)
+      yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+    }
+    for (const id of ['a', ...ids]) endpoints.streamScripts.set(id, breaking)
+    const order = rolloutOrder(1, 4)
+    t.true((await tasks.get('h1')?.accept(order))?.ok)
+    await waitUntil(t, () => endpoints.streams.length > 0)
+    const owner = IDS.find((id) => (tasks.get(id)?.running ?? 0) > 0) ?? ''
+    silent.add(owner)
+    const successor = (): string | undefined => IDS.find((id) => id !== owner && (tasks.get(id)?.running ?? 0) > 0)
+    const reader = tasks.get(IDS.find((id) => id !== owner) ?? '')
+    // The end follows at once on a read of the earlier owner, so that its log copy is as old as it may get.
+    const before = answeredReads.get(owner) ?? 0
+    await waitUntil(t, () => {
+      if (successor() === undefined) void reader?.readResults(order.id, order.workspace, 0, performance.now())
+      return successor() !== undefined && ((answeredReads.get(owner) ?? 0) > before || tasks.get(owner)?.running === 0)
+    })
+    unanswered.set(owner, lostReads)
+    t.true((await tasks.get(successor() ?? '')?.endRollout(order.id, order.workspace))?.ok)
+    const acknowledgedAt = performance.now()
+    await new Promise((resolve) => setTimeout(resolve, CANCEL_BOUND_MS + 800))
+    const latest = Math.max(...sentAt) - acknowledgedAt
+    t.log(`last sample sent ${Math.round(latest)} ms after the acknowledgement; runs left: ${[...tasks.values()].reduce((sum, task) => sum + task.running, 0)}`)
+    t.true(latest < CANCEL_BOUND_MS)
+  })
+}
