Late handover: never joined to the text that this owner has stored

What callers saw: nothing yet; found while looking for ways in which a text of two streams is joined. A text restored after a loss of all hosts could begin with one run's events and go on with another's.

Cause: a checkpoint continues the stored text if the text is of the same generation, and a generation was a count of discards. A text from a handover replaces the one of this owner, and both had discarded nothing, so their generations were equal: the next checkpoint appended the rest of the new text to the stored part of the old one. A generation is now a unique symbol.

Ruled out: the text in memory. It is replaced as a whole, only its stored form was joined.

Evidence: the new test failed before the change; the stored text began with 'e1', 'e2' instead of 'late1', 'late2'.

--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -25,7 +25,7 @@
 interface CheckpointSource {
   readonly pieces: readonly string[]
   readonly versions: readonly number[]
-  readonly generation: number
+  readonly generation: symbol | undefined
   readonly complete: boolean
   readonly rewardFailures: number
 }
@@ -53,7 +53,7 @@
   readonly #generator: SampleGenerator
   readonly #onListed: (sampleId: string) => void
   /** Generation of each sample's text that this run has stored a part of, by sample id. */
-  readonly #storedGenerations = new Map<string, number>()
+  readonly #storedGenerations = new Map<string, symbol | undefined>()
   #committing = false
   #committedAt = -Infinity
   #oldestSettledAt = Infinity
@@ -81,7 +81,7 @@
     if (!isDue) return false
     this.#committing = true
     this.#checkpointAt = deadlineAfter(CHECKPOINT_PERIOD_MS)
-    const starts = texts.map(({ sampleId }) => [sampleId, this.#generator.texts.get(sampleId)?.generation ?? 0] as const)
+    const starts = texts.map(({ sampleId }) => [sampleId, this.#generator.texts.get(sampleId)?.generation] as const)
     const results = takeSegmentResults(this.#board.settledResults())
     const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS))
     this.#committing = false
@@ -124,7 +124,7 @@
         ? stored?.complete !== true || source.rewardFailures > stored.rewardFailures
         : source.pieces.length >= (stored?.pieces.length ?? 0) + MIN_CHECKPOINT_EVENTS
       if (!isNews) return []
-      const isContinuation = stored?.writer === this.#context.writer && this.#storedGenerations.get(sampleId) === source.generation
+      const isContinuation = stored?.writer === this.#context.writer && source.generation !== undefined && this.#storedGenerations.get(sampleId) === source.generation
       const from = isContinuation ? stored.pieces.length : 0
       const pieces = source.pieces.slice(from)
       characters += pieces.reduce((sum, piece) => sum + piece.length, 0)
@@ -135,7 +135,7 @@
 
   #checkpointSource (sampleId: string): CheckpointSource | undefined {
     const life = this.#board.lifeOf(sampleId)
-    const generation = this.#generator.texts.get(sampleId)?.generation ?? 0
+    const generation = this.#generator.texts.get(sampleId)?.generation
     switch (life?.phase) {
       case SamplePhase.Generated:
       case SamplePhase.Scoring:
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -41,12 +41,16 @@
   readonly versions: number[] = []
   /** Software version of the endpoint that began the text; undefined if it is empty, or unknown. */
   softwareVersion: string | undefined
-  /** Number of times that the text was discarded; parts of different generations must never be combined. */
-  generation = 0
+  #generation = Symbol('generation')
+
+  /** Identifies what was received since the last discard; parts of different generations must never be combined. */
+  get generation (): symbol {
+    return this.#generation
+  }
 
   /** Discards the text, so that the sample starts from the beginning. */
   clear (): void {
-    this.generation += 1
+    this.#generation = Symbol('generation')
     this.pieces.length = 0
     this.versions.length = 0
     this.softwareVersion = undefined
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -255,6 +255,29 @@
   t.deepEqual(text?.pieces, text?.pieces.map((_, index) => `e${index + 1}`))
 })
 
+// Guards against joined texts: the log continued the text that this owner had stored with the text of a late handover.
+test('a late handover replaces a text and is never joined to the part that this owner has stored', async (t) => {
+  const { context, endpoints, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    for await (const part of streamOf(60, 3, 40)(request, resumeAfter)) {
+      if (part.kind === StreamPartKind.End) yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+      else yield part
+    }
+  })
+  const order = rolloutOrder(1, 1)
+  const run = open(order)
+  run.start()
+  await waitUntil(t, () => run.progress.texts.size === 1)
+  await waitUntil(t, () => context.deployment.endpointTable.find('a')?.activeWork === 0)
+  const pieces = Array.from({ length: 100 }, (_, index) => `late${index + 1}`)
+  endpoints.streamScripts.set('a', streamOf(200, 3, 40))
+  run.adopt({ results: [], texts: [{ sampleId: 'g0.0', pieces, versions: [3], complete: false, rewardFailures: 0 }] })
+  await waitUntil(t, () => (run.progress.texts.get('g0.0')?.pieces.length ?? 0) > 100)
+  const progress = new RolloutProgress()
+  await context.store.catchUp(order.id, progress, Infinity)
+  t.deepEqual(progress.texts.get('g0.0')?.pieces.slice(0, 100), pieces)
+})
+
 test('a wall clock that is seconds or hours off neither abandons a sample early nor keeps it beyond its lifetime', async (t) => {
   for (const offMs of [-3_600_000, -5_000, 5_000, 3_600_000]) {
     const { endpoints, open } = await openFixture(t, ['a'])
