--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -24,6 +24,8 @@
   SampleSent = 'sample-sent',
   SampleEnded = 'sample-ended',
   SampleMoved = 'sample-moved',
+  /** An interrupted text waits, or is discarded, because only endpoints of its software version may continue it. */
+  TextInterrupted = 'text-interrupted',
   RewardRequested = 'reward-requested',
   RewardAnswered = 'reward-answered',
   LeaseGained = 'lease-gained',
--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -26,6 +26,7 @@
   readonly pieces: readonly string[]
   readonly versions: readonly number[]
   readonly generation: symbol | undefined
+  readonly softwareVersion: string | undefined
   readonly complete: boolean
   readonly rewardFailures: number
 }
@@ -129,20 +130,21 @@
       const pieces = source.pieces.slice(from)
       characters += pieces.reduce((sum, piece) => sum + piece.length, 0)
       if (characters > MAX_CHECKPOINT_CHARACTERS) return []
-      return [{ sampleId, from, pieces, versions: [...source.versions], complete: source.complete, rewardFailures: source.rewardFailures }]
+      return [{ sampleId, from, pieces, versions: [...source.versions], complete: source.complete, rewardFailures: source.rewardFailures, softwareVersion: source.softwareVersion }]
     })
   }
 
   #checkpointSource (sampleId: string): CheckpointSource | undefined {
     const life = this.#board.lifeOf(sampleId)
-    const generation = this.#generator.texts.get(sampleId)?.generation
+    const text = this.#generator.texts.get(sampleId)
     switch (life?.phase) {
       case SamplePhase.Generated:
       case SamplePhase.Scoring:
-        return { ...life.text, generation, complete: true, rewardFailures: life.rewardFailures }
+        return { ...life.text, generation: text?.generation, softwareVersion: text?.softwareVersion, complete: true, rewardFailures: life.rewardFailures }
       case SamplePhase.Generating: {
-        const text = this.#generator.texts.get(sampleId)
-        return text === undefined ? undefined : { pieces: text.pieces, versions: text.versions, generation, complete: false, rewardFailures: 0 }
+        if (text === undefined) return undefined
+        const { pieces, versions, generation, softwareVersion } = text
+        return { pieces, versions, generation, softwareVersion, complete: false, rewardFailures: 0 }
       }
       case SamplePhase.Waiting:
       case SamplePhase.Settled:
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -100,10 +100,10 @@
   /** Stops the run and returns the results and texts with which the next owner can continue. */
   handOver (): AdoptRollout {
     this.stop()
-    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, { pieces, versions }]) => {
+    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, { pieces, versions, softwareVersion }]) => {
       const life = this.#board.lifeOf(sampleId)
       const isWhole = life?.phase === SamplePhase.Generated || life?.phase === SamplePhase.Scoring
-      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0 }
+      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, softwareVersion }
     })
     return { kind: PeerMessageKind.AdoptRollout, from: this.#context.writer, order: this.order, results: this.#board.settledResults(), texts }
   }
@@ -122,10 +122,12 @@
     }
   }
 
-  /** Makes a sample continue after the text that an earlier owner received. */
-  #restoreText ({ sampleId, pieces, versions, complete, rewardFailures }: RecoveredText): void {
+  /** Makes a sample continue after the text that an earlier owner received, unless no endpoint could be known to fit it. */
+  #restoreText ({ sampleId, complete, rewardFailures, ...text }: RecoveredText): void {
+    if (!complete && text.softwareVersion === undefined) return
+    const { pieces, versions } = text
     this.#generator.release(sampleId)
-    this.#generator.restoreText(sampleId, pieces, versions)
+    this.#generator.restoreText(sampleId, text)
     if (complete) this.#board.apply(sampleId, { kind: SampleEventKind.TextRecovered, text: { pieces, versions }, rewardFailures })
   }
 
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,9 +1,9 @@
 import { setMaxListeners } from 'node:events'
-import { placeSample, SampleEventKind, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
-import { readSampleStream, SampleText, StreamEnd } from './sample-stream.js'
-import type { EndpointRecord, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
+import { readSampleStream, StreamEnd } from './sample-stream.js'
+import type { EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -34,7 +34,8 @@
  * Generates the texts of one rollout's samples at endpoints and keeps the text of
  * samples that were interrupted.
  *
- * Invariant: a sample runs at one endpoint at a time.
+ * Invariants: a sample runs at one endpoint at a time; a text goes on only at an
+ * endpoint of the software version that began it.
  */
 export class SampleGenerator {
   readonly #context: RolloutContext
@@ -68,11 +69,8 @@
   }
 
   /** Makes a sample continue after the text that an earlier owner received. */
-  restoreText (sampleId: string, pieces: readonly string[], versions: readonly number[]): void {
-    const text = new SampleText()
-    text.pieces.push(...pieces)
-    text.versions.push(...versions)
-    this.#texts.set(sampleId, text)
+  restoreText (sampleId: string, text: KnownText): void {
+    this.#texts.set(sampleId, new SampleText(text))
   }
 
   /** Drops the text of a sample whose result is known, and ends its stream. */
@@ -94,11 +92,13 @@
 
   /** Starts waiting samples as far as endpoints have free slots. */
   startSamples (): void {
+    const full = new Set<string | undefined>()
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
-      const record = this.#chooseEndpoint(sample)
-      if (record === undefined) break
+      const record = this.#placeWaiting(sample, full)
+      if (full.has(undefined)) break
+      if (record === undefined) continue
       this.#board.apply(sample.id, { kind: SampleEventKind.GenerationStarted })
       void this.#runSample(sample, record)
     }
@@ -113,7 +113,8 @@
     const typicalMs = this.#typicalPaceMs()
     for (const { sample, record, abort } of this.#running.values()) {
       if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
-      const candidate = this.#chooseEndpoint(sample)
+      const softwareVersion = this.#texts.get(sample.id)?.softwareVersion
+      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion)
       if (candidate === undefined || candidate.entry.id === record.entry.id) continue
       if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
       this.#moved.add(sample.id)
@@ -124,7 +125,7 @@
         from: record.entry.id,
         to: candidate.entry.id,
         softwareVersion: candidate.entry.softwareVersion,
-        textVersion: this.#texts.get(sample.id)?.softwareVersion,
+        textVersion: softwareVersion,
         paceMs: Math.round(record.paceMs),
         otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
       })
@@ -132,12 +133,58 @@
     }
   }
 
-  #chooseEndpoint (sample: RolloutSample): EndpointRecord | undefined {
+  /**
+   * Chooses the endpoint at which a waiting sample starts or goes on; undefined if it has to wait.
+   *
+   * @param full software versions without a free endpoint in this pass; undefined stands for all of them
+   */
+  #placeWaiting (sample: RolloutSample, full: Set<string | undefined>): EndpointRecord | undefined {
+    const text = this.#texts.get(sample.id)
+    if (text === undefined || text.pieces.length === 0) return this.#findRoom(sample, undefined, full)
+    const { softwareVersion } = text
+    const { endpointTable } = this.#context.deployment
+    const room = softwareVersion === undefined ? undefined : this.#findRoom(sample, softwareVersion, full)
+    const isServed = softwareVersion !== undefined && endpointTable.isVersionServed(this.#order.service, softwareVersion)
+    const now = monotonicNow()
+    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline: text.waitDeadline }, now)
+    switch (step) {
+      case ContinuationStep.Continue: return room
+      case ContinuationStep.Wait:
+        if (text.waitDeadline === undefined) this.#logInterruption(sample, text, step, isServed)
+        text.wait(continuationDeadline(text.pieces.length, this.#typicalPaceMs(), now))
+        return undefined
+      case ContinuationStep.StartAnew: {
+        // Until there is room for a new start, an endpoint of its version may still come back.
+        const other = this.#findRoom(sample, undefined, full)
+        if (other === undefined) return undefined
+        this.#logInterruption(sample, text, step, isServed)
+        text.clear()
+        return other
+      }
+      default: return unreachable(step)
+    }
+  }
+
+  #findRoom (sample: RolloutSample, softwareVersion: string | undefined, full: Set<string | undefined>): EndpointRecord | undefined {
+    if (full.has(softwareVersion)) return undefined
+    const record = this.#chooseEndpoint(sample, softwareVersion)
+    if (record === undefined) full.add(softwareVersion)
+    return record
+  }
+
+  #logInterruption (sample: RolloutSample, text: SampleText, step: ContinuationStep, isServed: boolean): void {
+    this.#context.log.record(LogEvent.TextInterrupted, {
+      requestId: sample.id, rollout: this.#order.id, outcome: step, textVersion: text.softwareVersion, isServed, held: text.pieces.length
+    })
+  }
+
+  #chooseEndpoint (sample: RolloutSample, softwareVersion: string | undefined): EndpointRecord | undefined {
     const { deployment, networkLocation } = this.#context
     const demand = {
       service: this.#order.service,
       model: this.#order.model,
       minVersion: this.#order.minVersion,
+      softwareVersion,
       warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>()
     }
     return placeSample(deployment.endpointTable, demand, networkLocation, this.#typicalPaceMs(), monotonicNow())
@@ -157,6 +204,7 @@
     setMaxListeners(0, abort.signal)
     const text = this.#texts.get(sample.id) ?? new SampleText()
     this.#texts.set(sample.id, text)
+    text.startStream(entry)
     this.#running.set(sample.id, { sample, record, abort })
     this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
     endpointTable.startWork(entry.id)
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -2,6 +2,7 @@
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { unreachable } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
+import type { SampleText } from '@cyclamenthread/state'
 
 /** Time without an event after which a stream is aborted, in milliseconds: many times the usual interval between events. */
 const EVENT_TIMEOUT_MS = 1_500
@@ -34,35 +35,6 @@
 /** Status with which an endpoint reports that a request can never be completed. */
 const UNPROCESSABLE_STATUS = 422
 
-/** The text received for a sample so far. */
-export class SampleText {
-  readonly pieces: string[] = []
-  /** Weight versions that generated the text, in order of appearance, without duplicates. */
-  readonly versions: number[] = []
-  /** Software version of the endpoint that began the text; undefined if it is empty, or unknown. */
-  softwareVersion: string | undefined
-  #generation = Symbol('generation')
-
-  /** Identifies what was received since the last discard; parts of different generations must never be combined. */
-  get generation (): symbol {
-    return this.#generation
-  }
-
-  /** Discards the text, so that the sample starts from the beginning. */
-  clear (): void {
-    this.#generation = Symbol('generation')
-    this.pieces.length = 0
-    this.versions.length = 0
-    this.softwareVersion = undefined
-  }
-
-  /** Appends the text of one event. */
-  append (data: string, version: number): void {
-    this.pieces.push(data)
-    if (!this.versions.includes(version)) this.versions.push(version)
-  }
-}
-
 /** Requirements on the weight versions of a sample's text. */
 export interface VersionRule {
   readonly minVersion: number
@@ -129,7 +101,6 @@
           if (part.id !== text.pieces.length + 1) return finish(StreamEnd.Broken, `received event ${part.id} after event ${text.pieces.length}`)
           if (version === undefined || version < rule.minVersion) return finish(StreamEnd.Stale, `weight version ${version ?? 'unknown'}`)
           if (rule.singleVersion && text.versions.some((known) => known !== version)) return finish(StreamEnd.Stale, 'weight version changed')
-          if (text.pieces.length === 0) text.softwareVersion = request.endpoint.softwareVersion
           text.append(part.data, version)
           events += 1
           break
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -271,7 +271,7 @@
   await waitUntil(t, () => context.deployment.endpointTable.find('a')?.activeWork === 0)
   const pieces = Array.from({ length: 100 }, (_, index) => `late${index + 1}`)
   endpoints.streamScripts.set('a', streamOf(200, 3, 40))
-  run.adopt({ results: [], texts: [{ sampleId: 'g0.0', pieces, versions: [3], complete: false, rewardFailures: 0 }] })
+  run.adopt({ results: [], texts: [{ sampleId: 'g0.0', pieces, versions: [3], complete: false, rewardFailures: 0, softwareVersion: 's1' }] })
   await waitUntil(t, () => (run.progress.texts.get('g0.0')?.pieces.length ?? 0) > 100)
   const progress = new RolloutProgress()
   await context.store.catchUp(order.id, progress, Infinity)
--- /dev/null
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -0,0 +1,223 @@
+import test from 'ava'
+import { CallTask, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
+import { StreamPartKind } from '@cyclamenthread/protocol'
+import { EndpointPhase, RolloutProgress, UsageTally } from '@cyclamenthread/state'
+import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
+import { openDeployment, waitUntil } from './deployment-fixture.js'
+import { ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
+import type { EndpointEntry, RolloutOrder } from '@cyclamenthread/state'
+import type { RolloutContext } from '@cyclamenthread/coordination'
+import type { StreamScript } from './scripted-endpoints.js'
+import type { ExecutionContext } from 'ava'
+
+const LOCATION = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
+
+/** Options of {@link markedStream}. */
+interface MarkedStream {
+  /** Software version that is really running, whatever the registry says. */
+  readonly mark: string
+  readonly count: number
+  readonly pauseMs?: number
+  /** Number of events after which the connection breaks. */
+  readonly breakAfter?: number
+}
+
+/** Creates a script whose events carry the mark of a software version; they continue after the event that the caller already has. */
+function markedStream ({ mark, count, pauseMs = 1, breakAfter = Infinity }: MarkedStream): StreamScript {
+  return async function * (request, resumeAfter) {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    for (let id = resumeAfter + 1; id <= count; id += 1) {
+      if (id - resumeAfter > breakAfter || !await waitUnlessAborted(pauseMs, request.signal)) {
+        yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+        return
+      }
+      yield { kind: StreamPartKind.Event, id, data: `${mark}:${id}`, version: undefined }
+    }
+    yield { kind: StreamPartKind.End }
+  }
+}
+
+/** Returns the marks of the software versions that wrote a text. */
+function marksOf (output: string): string[] {
+  return [...new Set(output.split('\n').map((piece) => piece.slice(0, piece.indexOf(':'))))]
+}
+
+interface Fixture {
+  readonly endpoints: ScriptedEndpoints
+  readonly context: RolloutContext
+  readonly store: ReturnType<typeof openDeployment>['store']
+  /** Changes the registry and waits until the view shows it. */
+  register (entries: readonly EndpointEntry[]): Promise<void>
+  /** Sets the measured paces, so that the fastest endpoint is preferred. */
+  setPaces (paces: Readonly<Record<string, number>>): void
+  open (order: RolloutOrder, writer?: string): Promise<RolloutRun>
+}
+
+async function openFixture (t: ExecutionContext, entries: readonly EndpointEntry[]): Promise<Fixture> {
+  const { store, view } = openDeployment(t)
+  const endpoints = new ScriptedEndpoints()
+  const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const context = { deployment: view, endpoints, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
+  const register = async (changed: readonly EndpointEntry[]): Promise<void> => {
+    for (const entry of changed) store.set(`servers/${entry.id}`, entry)
+    await waitUntil(t, () => changed.every(({ id, bornAt, phase }) => {
+      const known = view.endpointTable.find(id)?.entry
+      return known?.bornAt === bornAt && known.phase === phase
+    }))
+  }
+  await register(entries)
+  return {
+    endpoints,
+    context,
+    store,
+    register,
+    setPaces: (paces) => {
+      for (const [id, paceMs] of Object.entries(paces)) {
+        const record = view.endpointTable.find(id)
+        if (record !== undefined) record.paceMs = undefined
+        view.endpointTable.recordPace(id, paceMs, performance.now())
+      }
+    },
+    open: async (order, writer = 'w') => {
+      const progress = new RolloutProgress()
+      await context.store.catchUp(order.id, progress, Infinity)
+      const run = new RolloutRun({ ...context, writer }, order, progress)
+      t.teardown(() => run.stop())
+      return run
+    }
+  }
+}
+
+/** Fails unless each listed text was written by one software version, without a gap. */
+function assertWholeTexts (t: ExecutionContext, run: RolloutRun, count: number): void {
+  for (const { id, output } of run.progress.results) {
+    t.is(marksOf(output).length, 1, `${id} was written by ${marksOf(output).join(' and ')}`)
+    t.deepEqual(output.split('\n').map((piece) => Number(piece.slice(piece.indexOf(':') + 1))), Array.from({ length: count }, (_, index) => index + 1))
+  }
+}
+
+// Guards against joined texts: endpoints of two software versions wrote parts of one sample after the first one had crashed.
+test('when an endpoint crashes in mid-stream, its texts never go on at an endpoint of another software version', async (t) => {
+  const { endpoints, open, setPaces } = await openFixture(t, [
+    endpointEntry('old', { softwareVersion: 's1' }), endpointEntry('older', { softwareVersion: 's1' }), endpointEntry('new', { softwareVersion: 's2', slots: 16 })
+  ])
+  endpoints.streamScripts.set('old', markedStream({ mark: 's1', count: 30, pauseMs: 10, breakAfter: 12 }))
+  endpoints.streamScripts.set('older', markedStream({ mark: 's1', count: 30, pauseMs: 10 }))
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 30, pauseMs: 10 }))
+  setPaces({ old: 10, older: 90, new: 90 })
+  const run = await open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 4)
+  t.true(endpoints.streams.every(({ request }) => request.endpoint.id === 'old'))
+  setPaces({ old: 90, older: 90, new: 10 })
+  await waitUntil(t, () => run.isFinished)
+  t.is(run.progress.results.length, 4)
+  assertWholeTexts(t, run, 30)
+  t.deepEqual(endpoints.streams.slice(4).map(({ request, resumeAfter }) => [request.endpoint.id, resumeAfter]), Array.from({ length: 4 }, () => ['older', 12]))
+})
+
+// Guards against joined texts: a straggler was moved to the fastest endpoint, of whichever software version.
+test('a straggler is never moved to an endpoint of another software version', async (t) => {
+  const { endpoints, open, setPaces } = await openFixture(t, [endpointEntry('slow', { softwareVersion: 's1' }), endpointEntry('new', { softwareVersion: 's2' })])
+  endpoints.streamScripts.set('slow', markedStream({ mark: 's1', count: 60, pauseMs: 30 }))
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 60, pauseMs: 2 }))
+  setPaces({ slow: 30, new: 90 })
+  const run = await open(rolloutOrder(1, 1))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 1)
+  t.is(endpoints.streams[0]?.request.endpoint.id, 'slow')
+  setPaces({ slow: 900, new: 1 })
+  await waitUntil(t, () => run.isFinished)
+  assertWholeTexts(t, run, 60)
+})
+
+// Guards against joined texts: the next owner continued the text of a handover wherever there was room.
+test('a text that is handed over never goes on at an endpoint of another software version', async (t) => {
+  const { endpoints, open, register, setPaces } = await openFixture(t, [endpointEntry('old', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('old', markedStream({ mark: 's1', count: 40, pauseMs: 20 }))
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 40 }))
+  const order = rolloutOrder(1, 2)
+  const first = await open(order)
+  first.start()
+  await waitUntil(t, () => endpoints.streams.length === 2)
+  await new Promise((resolve) => setTimeout(resolve, 200))
+  const handover = first.handOver()
+  t.true((handover.texts[0]?.pieces.length ?? 0) > 2)
+  await register([endpointEntry('new', { softwareVersion: 's2', slots: 16 })])
+  setPaces({ old: 90, new: 10 })
+  const second = await open(order, 'v')
+  second.adopt(handover)
+  second.start()
+  await waitUntil(t, () => second.isFinished)
+  assertWholeTexts(t, second, 40)
+})
+
+// Guards against joined texts: after a loss of all hosts the stored text went on wherever there was room.
+test('a text from the log never goes on at an endpoint of another software version', async (t) => {
+  const { endpoints, open, register, setPaces } = await openFixture(t, [endpointEntry('old', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('old', markedStream({ mark: 's1', count: 80, pauseMs: 40 }))
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 80 }))
+  const order = rolloutOrder(1, 2)
+  const first = await open(order)
+  first.start()
+  await waitUntil(t, () => first.progress.texts.size === 2)
+  first.stop()
+  await register([endpointEntry('new', { softwareVersion: 's2', slots: 16 })])
+  setPaces({ old: 90, new: 10 })
+  const second = await open(order, 'v')
+  t.true((second.progress.texts.get('g0.0')?.pieces.length ?? 0) >= 14)
+  second.start()
+  await waitUntil(t, () => second.isFinished)
+  assertWholeTexts(t, second, 80)
+})
+
+// Guards against joined texts: a host of earlier code hands over, or has stored, a text without its software version.
+test('an unfinished text without a software version starts anew; a whole one is listed as it is', async (t) => {
+  const { endpoints, open } = await openFixture(t, [endpointEntry('new', { softwareVersion: 's2' })])
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 20 }))
+  const run = await open(rolloutOrder(1, 2))
+  const known = { versions: [3], rewardFailures: 0 }
+  run.adopt({ results: [], texts: [{ sampleId: 'g0.0', pieces: ['s1:1', 's1:2'], complete: false, ...known }, { sampleId: 'g0.1', pieces: ['s1:1'], complete: true, ...known }] })
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.deepEqual(endpoints.streams.map(({ resumeAfter }) => resumeAfter), [0])
+  t.deepEqual(marksOf(run.progress.results.find(({ id }) => id === 'g0.0')?.output ?? ''), ['s2'])
+  t.is(run.progress.results.find(({ id }) => id === 'g0.1')?.output, 's1:1')
+})
+
+test('a text whose software version is only at endpoints that leave starts anew at once', async (t) => {
+  const { endpoints, open, register } = await openFixture(t, [endpointEntry('old', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('old', markedStream({ mark: 's1', count: 60, pauseMs: 20, breakAfter: 30 }))
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 60 }))
+  const run = await open(rolloutOrder(1, 1))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 1)
+  await register([endpointEntry('old', { softwareVersion: 's1', phase: EndpointPhase.Draining }), endpointEntry('new', { softwareVersion: 's2' })])
+  const brokenAt = performance.now() + 600
+  await waitUntil(t, () => endpoints.streams.length === 2)
+  t.true(performance.now() - brokenAt < 400, `${Math.round(performance.now() - brokenAt)} ms after the break`)
+  t.is(endpoints.streams[1]?.resumeAfter, 0)
+  await waitUntil(t, () => run.isFinished)
+  assertWholeTexts(t, run, 60)
+})
+
+// Guards against a starved step: a text that waited for its software version kept all other samples from starting.
+test('a text that waits for an endpoint of its software version lets other samples start, and starts anew when waiting costs more', async (t) => {
+  const { endpoints, open, setPaces } = await openFixture(t, [endpointEntry('old', { softwareVersion: 's1', slots: 1 }), endpointEntry('new', { softwareVersion: 's2', slots: 1 })])
+  endpoints.streamScripts.set('old', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 10 }))
+  const run = await open(rolloutOrder(1, 4))
+  setPaces({ old: 40, new: 40 })
+  const pieces = Array.from({ length: 30 }, (_, index) => `s1:${index + 1}`)
+  run.adopt({ results: [], texts: [{ sampleId: 'g0.0', pieces, versions: [3], complete: false, rewardFailures: 0, softwareVersion: 's1' }] })
+  const startedAt = performance.now()
+  run.start()
+  await waitUntil(t, () => endpoints.streams.filter(({ request }) => request.endpoint.id === 'new').length === 3)
+  t.true(performance.now() - startedAt < 1_000, `${Math.round(performance.now() - startedAt)} ms`)
+  t.false(endpoints.streams.some(({ request, resumeAfter }) => request.requestId === 'g0.0' && resumeAfter === 0))
+  await waitUntil(t, () => run.isFinished)
+  t.true(performance.now() - startedAt > 1_000, `${Math.round(performance.now() - startedAt)} ms`)
+  assertWholeTexts(t, run, 10)
+})
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -43,7 +43,9 @@
   /** Whether the text is whole and only its reward is missing. */
   complete: z.boolean().default(false),
   /** Answers of 500 to its reward request. */
-  rewardFailures: z.int().nonnegative().default(0)
+  rewardFailures: z.int().nonnegative().default(0),
+  /** Software version of the endpoint that began the text; only endpoints of it may continue the text. */
+  softwareVersion: z.string().optional()
 })
 
 /** Hands a rollout over to its next owner, with the text of unfinished samples. */
@@ -64,6 +66,8 @@
   readonly versions: readonly number[]
   readonly complete: boolean
   readonly rewardFailures: number
+  /** Software version that began the text; absent if it is unknown. */
+  readonly softwareVersion?: string | undefined
 }
 
 export type AdoptRollout = z.infer<typeof adoptRolloutSchema>
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -98,6 +98,8 @@
  */
 export class EndpointTable {
   readonly #records = new Map<string, EndpointRecord>()
+  /** Services and software versions of the ready endpoints. */
+  readonly #readyVersions = new Set<string>()
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
 
   /** Replaces the registry entries. */
@@ -107,6 +109,10 @@
       if (!ids.has(id)) this.#records.delete(id)
     }
     for (const entry of entries) this.#updateEntry(entry)
+    this.#readyVersions.clear()
+    for (const { service, softwareVersion, phase } of entries) {
+      if (phase === EndpointPhase.Ready) this.#readyVersions.add(versionKey(service, softwareVersion))
+    }
   }
 
   /** Looks up the record of an endpoint. */
@@ -124,6 +130,11 @@
     return this.endpointsOfService(service).filter((record) => record.entry.phase === EndpointPhase.Ready && now >= record.suspendedUntil)
   }
 
+  /** Whether the registry has a ready endpoint of a software version, even if it has no room or was suspended. */
+  isVersionServed (service: string, softwareVersion: string): boolean {
+    return this.#readyVersions.has(versionKey(service, softwareVersion))
+  }
+
   /** Records that work is about to be sent to an endpoint. */
   startWork (id: string): void {
     const record = this.#records.get(id)
@@ -266,6 +277,10 @@
   return a.bornAt === b.bornAt && a.address === b.address && a.softwareVersion === b.softwareVersion
 }
 
+function versionKey (service: string, softwareVersion: string): string {
+  return JSON.stringify([service, softwareVersion])
+}
+
 function sameVersions (a: EndpointEntry, b: EndpointEntry): boolean {
   return Object.keys({ ...a.versions, ...b.versions }).every((model) => a.versions[model] === b.versions[model])
 }
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -85,7 +85,9 @@
   /** Whether the text is whole and only its reward is missing. */
   complete: z.boolean().default(false),
   /** Answers of 500 to its reward request. */
-  rewardFailures: z.int().nonnegative().default(0)
+  rewardFailures: z.int().nonnegative().default(0),
+  /** Software version of the endpoint that began the text; only endpoints of it may continue the text. */
+  softwareVersion: z.string().optional()
 })
 
 /** A segment of a rollout's log in the store: ordered results, text checkpoints of running samples, or the end. */
@@ -110,6 +112,8 @@
   readonly versions: readonly number[]
   readonly complete: boolean
   readonly rewardFailures: number
+  /** Software version that began the text; absent if it is unknown. */
+  readonly softwareVersion?: string | undefined
 }
 
 /**
@@ -169,13 +173,15 @@
 
   /** Stores a text that continues the stored one of the same writer, or one from its start that is further than the stored one. */
   #storeText (writer: string, checkpoint: TextCheckpoint): void {
-    const { sampleId, from, pieces, versions, complete } = checkpoint
+    const { sampleId, from, pieces, versions, complete, softwareVersion } = checkpoint
     const held = this.#texts.get(sampleId)
     if (this.#listed.has(sampleId) || (held?.complete === true && !complete)) return
     const rewardFailures = Math.max(checkpoint.rewardFailures, held?.rewardFailures ?? 0)
-    const continues = held !== undefined && held.writer === writer && held.pieces.length === from
-    if (continues) this.#texts.set(sampleId, { writer, pieces: [...held.pieces, ...pieces], versions, complete, rewardFailures })
-    else if (from === 0 && (complete || pieces.length > (held?.pieces.length ?? 0))) this.#texts.set(sampleId, { writer, pieces, versions, complete, rewardFailures })
+    const continues = held !== undefined && held.writer === writer && held.pieces.length === from && held.softwareVersion === softwareVersion
+    const isFurther = from === 0 && (complete || pieces.length > (held?.pieces.length ?? 0))
+    if (!continues && !isFurther) return
+    const text = { writer, pieces: continues ? [...held.pieces, ...pieces] : pieces, versions, complete, rewardFailures }
+    this.#texts.set(sampleId, softwareVersion === undefined ? text : { ...text, softwareVersion })
   }
 }
 
--- a/packages/state/src/lib/sample-placement.ts
+++ b/packages/state/src/lib/sample-placement.ts
@@ -17,6 +17,8 @@
   readonly service: string
   readonly model: string
   readonly minVersion: number
+  /** The only software version whose endpoints may run the sample, because one of them began its text; undefined if all may. */
+  readonly softwareVersion: string | undefined
   /** Endpoints that have the prompt of the sample's group cached. */
   readonly warm: ReadonlySet<string>
 }
@@ -41,7 +43,7 @@
 
 /**
  * Chooses the endpoint on which a sample is expected to end first, among those with
- * a free slot and recent enough weights; undefined if there is none now.
+ * a free slot, recent enough weights and the required software version; undefined if there is none now.
  *
  * @param typicalPaceMs typical time between two events of a stream, in milliseconds
  * @example
@@ -51,6 +53,7 @@
   let best: EndpointRecord | undefined
   let bestScore = Infinity
   for (const record of endpoints.usableEndpoints(demand.service, now)) {
+    if (demand.softwareVersion !== undefined && record.entry.softwareVersion !== demand.softwareVersion) continue
     const load = endpoints.currentLoad(record, now)
     if (load >= record.entry.slots) continue
     if (!endpoints.acceptsModel(record, demand.model, demand.minVersion, now)) continue
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -31,6 +31,16 @@
   t.is(table.find('a')?.paceMs, undefined)
 })
 
+test('a software version is served while a ready endpoint of its service has it, even one that is suspended', (t) => {
+  const table = new EndpointTable()
+  table.update([endpointEntry('a', { softwareVersion: 's1' }), endpointEntry('b', { softwareVersion: 's2', service: 'others' }), endpointEntry('c', { softwareVersion: 's3', phase: EndpointPhase.Draining })])
+  table.startWork('a')
+  table.finishWork('a', 1, WorkEnd.Broken, 0)
+  t.deepEqual(['s1', 's2', 's3'].map((version) => table.isVersionServed('models', version)), [true, false, false])
+  table.update([endpointEntry('a', { softwareVersion: 's1', phase: EndpointPhase.Draining })])
+  t.false(table.isVersionServed('models', 's1'))
+})
+
 test('the end of work of a previous incarnation is not counted for the new one', (t) => {
   const table = new EndpointTable()
   table.update([endpointEntry('a')])
--- a/packages/state/src/test/rollout.test.ts
+++ b/packages/state/src/test/rollout.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
+import * as z from 'zod'
 import fc from 'fast-check'
-import { countCompleteGroups, RolloutProgress, SampleState } from '@cyclamenthread/state'
+import { countCompleteGroups, RolloutProgress, rolloutSegmentSchema, SampleState, textCheckpointSchema } from '@cyclamenthread/state'
 import { rolloutOrder } from '@cyclamenthread/state/testing'
 import type { RolloutSegment, SampleResult } from '@cyclamenthread/state'
 
@@ -82,3 +83,25 @@
   store('c', ['r', 's'], true, 1)
   t.is(progress.texts.get('s')?.rewardFailures, 2)
 })
+
+test('a stored text keeps the software version that began it; a checkpoint of another one never continues it', (t) => {
+  const progress = new RolloutProgress()
+  const store = (from: number, pieces: string[], softwareVersion?: string): void =>
+    progress.apply({ writer: 'a', results: [], texts: [{ sampleId: 's', from, pieces, versions: [3], ...OPEN_TEXT, ...(softwareVersion === undefined ? {} : { softwareVersion }) }], ended: false })
+  store(0, ['x', 'y'], 's1')
+  store(2, ['z'], 's2')
+  store(2, ['z'])
+  t.deepEqual(progress.texts.get('s')?.pieces, ['x', 'y'])
+  store(2, ['z'], 's1')
+  t.deepEqual([progress.texts.get('s')?.pieces, progress.texts.get('s')?.softwareVersion], [['x', 'y', 'z'], 's1'])
+  store(0, ['p', 'q', 'r', 's'])
+  t.deepEqual([progress.texts.get('s')?.pieces, progress.texts.get('s')?.softwareVersion], [['p', 'q', 'r', 's'], undefined])
+})
+
+test('a log entry of earlier code without software versions is read, and earlier code reads the entries of this one', (t) => {
+  const text = { sampleId: 's', from: 0, pieces: ['x'], versions: [3], ...OPEN_TEXT }
+  const earlier = rolloutSegmentSchema.parse({ writer: 'a', results: [], texts: [text], ended: false })
+  t.is(earlier.texts[0]?.softwareVersion, undefined)
+  const earlierSchema = rolloutSegmentSchema.extend({ texts: z.array(textCheckpointSchema.omit({ softwareVersion: true })) })
+  t.deepEqual(earlierSchema.parse({ writer: 'a', results: [], texts: [{ ...text, softwareVersion: 's1' }], ended: false }).texts, [text])
+})
--- a/packages/state/src/test/sample-placement.test.ts
+++ b/packages/state/src/test/sample-placement.test.ts
@@ -4,7 +4,7 @@
 import type { SampleDemand, NetworkLocation } from '@cyclamenthread/state'
 
 const LOCATION: NetworkLocation = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian', castlegate: 'grampian' } }
-const DEMAND: SampleDemand = { service: 'models', model: 'critic', minVersion: 3, warm: new Set() }
+const DEMAND: SampleDemand = { service: 'models', model: 'critic', minVersion: 3, softwareVersion: undefined, warm: new Set() }
 const PACE_MS = 40
 
 test('the samples with the longest expected duration start first', (t) => {
@@ -32,6 +32,16 @@
   t.is(placeSample(table, DEMAND, LOCATION, PACE_MS, 1_000)?.entry.id, 'a')
 })
 
+test('a sample whose text was begun goes to an endpoint of its software version, even a slow one', (t) => {
+  const table = new EndpointTable()
+  table.update([endpointEntry('slow', { softwareVersion: 's1', slots: 1 }), endpointEntry('fast', { softwareVersion: 's2' })])
+  table.recordPace('slow', PACE_MS * 3, 0)
+  t.is(placeSample(table, { ...DEMAND, softwareVersion: 's1' }, LOCATION, PACE_MS, 0)?.entry.id, 'slow')
+  table.startWork('slow')
+  t.is(placeSample(table, { ...DEMAND, softwareVersion: 's1' }, LOCATION, PACE_MS, 0), undefined)
+  t.is(placeSample(table, DEMAND, LOCATION, PACE_MS, 0)?.entry.id, 'fast')
+})
+
 test('no endpoint gets more samples than it has slots', (t) => {
   const table = new EndpointTable()
   table.update([endpointEntry('a'), endpointEntry('b')])
