--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -221,3 +221,33 @@
   t.true(performance.now() - startedAt > 1_000, `${Math.round(performance.now() - startedAt)} ms`)
   assertWholeTexts(t, run, 10)
 })
+
+// Guards against lost texts: many streams that broke at once were generated again, although endpoints of their software version served.
+test('when many streams break at once, at least as large a share of them goes on as of new samples begins', async (t) => {
+  const { endpoints, open, setPaces } = await openFixture(t, [
+    endpointEntry('crashing', { softwareVersion: 's1', slots: 16 }),
+    endpointEntry('left', { softwareVersion: 's1', slots: 6 }),
+    endpointEntry('right', { softwareVersion: 's1', slots: 6 }),
+    endpointEntry('new', { softwareVersion: 's2', slots: 64 })
+  ])
+  let isDown = false
+  const running = markedStream({ mark: 's1', count: 30, pauseMs: 10, breakAfter: 20 })
+  endpoints.streamScripts.set('crashing', async function * (request, resumeAfter) {
+    if (isDown) yield { kind: StreamPartKind.Broken, sent: false, detail: 'refused' }
+    else yield * running(request, resumeAfter)
+  })
+  for (const id of ['left', 'right']) endpoints.streamScripts.set(id, markedStream({ mark: 's1', count: 30, pauseMs: 10 }))
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 30, pauseMs: 10 }))
+  setPaces({ crashing: 10, left: 90, right: 90, new: 90 })
+  const run = await open(rolloutOrder(2, 16))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 32)
+  const broken = new Set(endpoints.streams.filter(({ request }) => request.endpoint.id === 'crashing').map(({ request }) => request.requestId))
+  isDown = true
+  setPaces({ crashing: 90, left: 90, right: 90, new: 10 })
+  await waitUntil(t, () => run.isFinished)
+  assertWholeTexts(t, run, 30)
+  const goneOn = new Set(endpoints.streams.filter(({ request, resumeAfter }) => resumeAfter >= 20 && request.endpoint.id !== 'crashing').map(({ request }) => request.requestId))
+  t.is(broken.size, 16)
+  t.is(goneOn.size, broken.size, 'every new sample began at once, so every broken stream has to go on')
+})
