Test: a rollout's sample under which many endpoints crash is placed again

Whether the report "a sound sample is never placed again after a burst of crashes" can happen to samples of rollouts. The test breaks seven streams of a sample that may fail three times.

The test can fail: with a broken stream counted as a failed run (a scratch edit of SampleGenerator) it stops at line 138 with 3 streams instead of 8.

--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -112,6 +112,34 @@
   t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Abandoned])
 })
 
+/** Creates a script that breaks off after one event, the given number of times over all endpoints, and then completes the sample. */
+function crashingOf (crashes: number): Parameters<ScriptedEndpoints['streamScripts']['set']>[1] {
+  let left = crashes
+  return async function * (request, resumeAfter) {
+    if (left === 0) {
+      yield * streamOf(20, 3)(request, resumeAfter)
+      return
+    }
+    left -= 1
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    yield { kind: StreamPartKind.Event, id: resumeAfter + 1, data: `e${resumeAfter + 1}`, version: undefined }
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+}
+
+// Guards against giving up a sound sample because several endpoints crashed while they ran it.
+test('unlucky: a sample under which more endpoints crash than it may fail is placed again, and completed', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
+  const script = crashingOf(7)
+  for (const id of ['a', 'bb', 'ccc']) endpoints.streamScripts.set(id, script)
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 8)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+  t.is(run.progress.results[0]?.output, Array.from({ length: 20 }, (_, index) => `e${index + 1}`).join('\n'))
+})
+
 test('a sample that can never be completed is sent once', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
