Samples: answers of 502, 503 and 504 are no failed runs

What trainers would see: a sample is abandoned although no endpoint ran it and failed, when a server in front of an endpoint answers for it while it is down.

Cause: each status but 200 and 422 that isn't marked as not run counted as a failed run, and a sample is abandoned after `maxAttempts` of them. Only 500 states that the sample ran and failed; a reward request already counted only 500.

Change: other server errors end a stream like a broken connection: the sample waits again, the endpoint is suspended for a while, and its text stays.

Evidence: rollout-run.test.ts "unlucky: answers of 502, 503 and 504 ..." failed before at line 157 with 3 streams instead of 4. Not examined: answers of 4xx other than 422 without the mark still count as failed runs.

--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -34,6 +34,15 @@
 /** Status with which an endpoint reports that a request can never be completed. */
 const UNPROCESSABLE_STATUS = 422
 
+/** Status with which an endpoint reports that it ran a request and failed. */
+const FAILURE_STATUS = 500
+
+/** Returns what a failure answer states; server errors other than 500 come from a server in front of an endpoint and don't state that the sample ran. */
+function endOfFailure (status: number): StreamEnd {
+  if (status === UNPROCESSABLE_STATUS) return StreamEnd.Impossible
+  return status > FAILURE_STATUS ? StreamEnd.Broken : StreamEnd.Failed
+}
+
 /** The text received for a sample so far. */
 export class SampleText {
   readonly pieces: string[] = []
@@ -126,7 +135,7 @@
           events += 1
           break
         case StreamPartKind.End: return finish(StreamEnd.Complete)
-        case StreamPartKind.Failure: return finish(part.status === UNPROCESSABLE_STATUS ? StreamEnd.Impossible : StreamEnd.Failed, `status ${part.status}`)
+        case StreamPartKind.Failure: return finish(endOfFailure(part.status), `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
         case StreamPartKind.Broken:
           if (isStalled) return finish(StreamEnd.Broken, 'timed out waiting for the next event')
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -140,6 +140,24 @@
   t.is(run.progress.results[0]?.output, Array.from({ length: 20 }, (_, index) => `e${index + 1}`).join('\n'))
 })
 
+// Guards against counting the answers of a proxy whose endpoint has crashed as failed runs of the sample.
+test('unlucky: answers of 502, 503 and 504 are no failed runs, so the sample is placed again', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
+  const statuses = [502, 503, 504]
+  for (const id of ['a', 'bb', 'ccc']) {
+    endpoints.streamScripts.set(id, async function * (request, resumeAfter) {
+      const status = statuses.pop()
+      if (status === undefined) yield * streamOf(3, 3)(request, resumeAfter)
+      else yield { kind: StreamPartKind.Failure, status }
+    })
+  }
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 4)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+})
+
 test('a sample that can never be completed is sent once', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
