Calls: a stream that is taken up goes on only at the software version that began it

What callers saw, on a system like this one: two software versions were in service, or the endpoints of the old one had just left, when all hosts were killed and came back. It happens here too, also without the kill.

Cause: a call with `Last-Event-Id` was an ordinary call. Nothing remembered which version had begun the stream, and any endpoint of any service of the route was chosen, retried and hedged at. With one version left in service it looks like the only choice, and it is the wrong one.

Ruled out: joins within one answer. An answer is passed on only once it is complete, and a retry begins it anew.

Change: before a host passes on an answer that is an event stream, it records the service and software version of the endpoint under the id of the caller's attempt, in its own memory and at two more hosts, ranked by the id. A call with `Last-Event-Id` is a take-up, whatever its route says: the host looks up the attempt that `Resumes` names, and asks the ranked hosts if it doesn't know. The call then runs only at endpoints of that service and version. If nobody knows, the route no longer leads to that service, or no endpoint of the version is registered, it is refused at once as not run (503 with Retry-After). The answer of an endpoint that was replaced under its id meanwhile is neither recorded nor used for a take-up.

Why it works: an origin is only ever recorded from an answer, never inferred, so lost memory leads to a refusal and not to another version.

Open: an endpoint that comes back under its id with another version, before this host's copy of the registry shows it, still answers as the old one.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,9 +1,9 @@
-import { chooseEndpointForCall, drawService, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { chooseEndpointForCall, drawService, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
-import type { EndpointRecord, Refusal, UsageTally, NetworkLocation } from '@cyclamenthread/state'
+import type { EndpointRecord, Refusal, StreamOrigin, UsageTally, NetworkLocation } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
@@ -77,7 +77,13 @@
   failures: number
   mayHaveRun: boolean
   counted: boolean
-  lastFailure: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }> | undefined
+  lastFailure: AnsweredAttempt | undefined
+}
+
+/** The answer of an endpoint, and what is known about the endpoint. */
+interface AnsweredAttempt {
+  readonly reply: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }>
+  readonly origin: StreamOrigin | undefined
 }
 
 /**
@@ -87,7 +93,8 @@
  *
  * Invariants: a call runs at no more endpoints than its route allows; a
  * non-idempotent call is sent again only after an endpoint reported that it did
- * not run it; a refusal says "not run" only if no endpoint can have run the call.
+ * not run it; a refusal says "not run" only if no endpoint can have run the call; a
+ * stream that is taken up goes on only at the service and software version that began it.
  */
 export class CallTask {
   readonly #context: CallContext
@@ -100,7 +107,7 @@
   async run (call: PlainCall): Promise<CallOutcome> {
     const state: CallState = {
       call,
-      service: drawService(call.route, Math.random()),
+      service: call.continues?.service ?? drawService(call.route, Math.random()),
       excluded: new Set(),
       openAttempts: new Set(),
       arrived: [],
@@ -151,18 +158,19 @@
     if (state.attempts >= state.call.route.maxAttempts || (state.mayHaveRun && state.call.route.kind !== RouteKind.Idempotent)) {
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
-    const demand = { service: state.service, excluded: state.excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[state.call.origin] }
+    const softwareVersion = state.call.continues?.softwareVersion
+    const demand = { service: state.service, excluded: state.excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[state.call.origin], softwareVersion }
     const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, monotonicNow())
     if (record !== undefined) {
       this.#send(state, record)
       return undefined
     }
-    const listed = deployment.endpointTable.endpointsOfService(state.service).length
+    const listed = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion)).length
     if (listed > 0 && !isLate && state.rejections < MAX_REJECTIONS) {
       state.excluded.clear()
       return undefined
     }
-    const detail = listed === 0 ? `service ${state.service} has no endpoint` : `no endpoint of service ${state.service} accepts calls`
+    const detail = listed === 0 ? `service ${state.service} has no endpoint${softwareVersion === undefined ? '' : ` of software version ${softwareVersion}`}` : `no endpoint of service ${state.service} accepts calls`
     return state.mayHaveRun
       ? { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail }
       : notRun(listed === 0 ? RefusalReason.NoEndpoint : RefusalReason.Overloaded, detail, RETRY_AFTER_MS)
@@ -256,12 +264,15 @@
       detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined
     })
     switch (reply.kind) {
-      case EndpointReplyKind.Answer:
-        if (reply.status < FIRST_SERVER_ERROR) return outcomeOf(reply, state.failures)
+      case EndpointReplyKind.Answer: {
+        const answered = { reply, origin: this.#originOf(attempt) }
+        const isJoinable = state.call.continues === undefined || answered.origin !== undefined
+        if (reply.status < FIRST_SERVER_ERROR && isJoinable) return outcomeOf(answered, state.failures)
         if (reply.status === FAILURE_STATUS) state.failures += 1
         state.mayHaveRun = true
-        state.lastFailure = reply
+        if (reply.status >= FIRST_SERVER_ERROR) state.lastFailure = answered
         return undefined
+      }
       case EndpointReplyKind.NotRun:
         state.attempts -= 1
         state.rejections += 1
@@ -274,14 +285,21 @@
     }
   }
 
+  /** Returns what answered an attempt, unless another incarnation may have done so. */
+  #originOf ({ record: { entry } }: CallAttempt): StreamOrigin | undefined {
+    const current = this.#context.deployment.endpointTable.find(entry.id)?.entry
+    if (current !== undefined && !isSameIncarnation(entry, current)) return undefined
+    return { service: entry.service, softwareVersion: entry.softwareVersion }
+  }
+
   #deadlineRefusal (state: CallState): Refusal {
     if (state.mayHaveRun || state.openAttempts.size > 0) return { reason: RefusalReason.DeadlineExceeded, ran: Ran.Maybe, detail: 'no answer before the deadline' }
     return notRun(RefusalReason.DeadlineExceeded, 'no endpoint accepted the call before its deadline', RETRY_AFTER_MS)
   }
 }
 
-function outcomeOf ({ status, headers, body, signature }: Extract<EndpointReply, { kind: EndpointReplyKind.Answer }>, failures: number): CallOutcome {
-  return { ok: true, status, headers, body, signature, failures }
+function outcomeOf ({ reply: { status, headers, body, signature }, origin }: AnsweredAttempt, failures: number): CallOutcome {
+  return { ok: true, status, headers, body, signature, origin, failures }
 }
 
 function workEndOf (reply: EndpointReply): WorkEnd {
--- a/packages/coordination/src/lib/plain-call.ts
+++ b/packages/coordination/src/lib/plain-call.ts
@@ -1,4 +1,4 @@
-import type { Refusal, Route } from '@cyclamenthread/state'
+import type { Refusal, Route, StreamOrigin } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 
 /** Who waits for a call. */
@@ -19,6 +19,8 @@
   readonly path: string
   readonly headers: readonly HeaderPair[]
   readonly body: Uint8Array
+  /** What began the stream that the call takes up; absent if it starts anew. */
+  readonly continues?: StreamOrigin
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
   /** Aborted when the caller disconnects. */
@@ -34,6 +36,8 @@
     readonly body: Uint8Array
     /** Proof of the endpoint that the answer is its own; undefined if it gave none. */
     readonly signature: string | undefined
+    /** Service and software version of the endpoint that answered; undefined if it may have restarted with another one meanwhile. */
+    readonly origin: StreamOrigin | undefined
     /** Answers of 500 that endpoints gave to the call. */
     readonly failures: number
   }
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -29,12 +29,14 @@
 interface Fixture {
   readonly endpoints: ScriptedEndpoints
   readonly tally: UsageTally
+  readonly deployment: ReturnType<typeof openDeployment>
   run (changes?: Partial<PlainCall>): Promise<CallOutcome>
 }
 
-async function openFixture (t: ExecutionContext, ids: readonly string[]): Promise<Fixture> {
-  const { store, view } = openDeployment(t)
-  for (const id of ids) store.set(`servers/${id}`, endpointEntry(id, { service: 'desk' }))
+async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}): Promise<Fixture> {
+  const deployment = openDeployment(t)
+  const { store, view } = deployment
+  for (const id of ids) store.set(`servers/${id}`, endpointEntry(id, { service: 'desk', softwareVersion: versions[id] ?? 's1' }))
   await waitUntil(t, () => view.endpointTable.endpointsOfService('desk').length === ids.length)
   const endpoints = new ScriptedEndpoints()
   const tally = new UsageTally(60_000_000)
@@ -42,6 +44,7 @@
   return {
     endpoints,
     tally,
+    deployment,
     run: async (changes = {}) => await task.run({
       requestId: 'r1',
       route: ROUTE,
@@ -137,3 +140,36 @@
   t.is(calls, 2)
   t.deepEqual(tally.countsOf(tally.windowAt(Date.now())), { office: 1 })
 })
+
+// Guards against joining the text of two software versions when a call is retried or hedged.
+test('rejoined: retries and hedges of a call that takes a stream up reach only the software version that began it', async (t) => {
+  const { endpoints, run } = await openFixture(t, ['a', 'bb', 'ccc', 'dddd'], { ccc: 's2', dddd: 's2' })
+  for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
+  const outcome = await run({ continues: { service: 'desk', softwareVersion: 's1' }, route: { ...ROUTE, maxAttempts: 4 } })
+  t.false(outcome.ok)
+  t.deepEqual(new Set(endpoints.calls.map(({ endpoint }) => endpoint.softwareVersion)), new Set(['s1']))
+})
+
+// Guards against waiting for, or replacing, a software version that has left service.
+test('rejoined: a call that takes a stream up is refused at once as not run if no endpoint of its software version is registered', async (t) => {
+  const { endpoints, run } = await openFixture(t, ['a', 'bb'])
+  const startedAt = performance.now()
+  const outcome = await run({ continues: { service: 'desk', softwareVersion: 's0' }, deadline: startedAt + 60_000 })
+  t.true(performance.now() - startedAt < 5_000)
+  t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.No)
+  t.is(outcome.ok ? undefined : outcome.refusal.reason, RefusalReason.NoEndpoint)
+  t.is(endpoints.calls.length, 0)
+})
+
+// Guards against joining the answer of an endpoint that came back under its id with another software version meanwhile.
+test('rejoined: the answer of an endpoint that was replaced under its id is not used for a stream that is taken up', async (t) => {
+  const { endpoints, run, deployment: { store, view } } = await openFixture(t, ['a'])
+  endpoints.callScripts.set('a', async () => {
+    store.set('servers/a', endpointEntry('a', { service: 'desk', softwareVersion: 's2', bornAt: 2 }))
+    await waitUntil(t, () => view.endpointTable.find('a')?.entry.softwareVersion === 's2')
+    return answerWith(200)
+  })
+  const outcome = await run({ continues: { service: 'desk', softwareVersion: 's1' } })
+  t.false(outcome.ok)
+  t.is(endpoints.calls.length, 1)
+})
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import {
   announceLeave, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
-  StoredHostList, taskService, UsageDuty, WeightDuty
+  StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
 import { StepDemand, UsageTally } from '@cyclamenthread/state'
@@ -77,6 +77,7 @@
 export class EntryService {
   readonly calls: CallTask
   readonly rollouts: RolloutTask
+  readonly streams: StreamOriginTask
   readonly deployment: DeploymentView
   readonly tally: UsageTally
   readonly #settings: EntrySettings
@@ -111,6 +112,7 @@
     this.tally = new UsageTally(settings.usageWindowMs)
     const shared = { deployment: this.deployment, endpoints, log, networkLocation }
     this.calls = new CallTask({ ...shared, tally: this.tally })
+    this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
     this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
     const demand = new StepDemand()
     const place = { region: settings.storeRegion, failureDomain: '' }
@@ -165,6 +167,7 @@
     this.#broker.createService(this.rollouts.service())
     this.#broker.createService(this.#demand.service())
     this.#broker.createService(this.#relay.service())
+    this.#broker.createService(this.streams.service())
     this.#broker.createService(taskService('weights', {
       [PeerMessageKind.ReportEndpointWeights]: async ({ endpointId, bornAt, model, version }) => {
         const { endpointTable } = this.deployment
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -33,5 +33,7 @@
   ReportEndpointWeights = 'weights.note',
   ReportDemand = 'weights.demand',
   ReadRequestCounts = 'tally.read',
-  RelayMirrorUpdate = 'mirrors.relay'
+  RelayMirrorUpdate = 'mirrors.relay',
+  RecordStreamOrigin = 'streams.record',
+  FindStreamOrigin = 'streams.find'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -17,6 +17,7 @@
 import { PeerMessageKind } from './message-kind.js'
 import { relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
+import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
 import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, offerRolloutResponseSchema, offerRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
 
@@ -26,7 +27,8 @@
   requestLimitGrantSchema, reportEndpointLossSchema, clearSuspectSchema, readRequestDecisionsSchema, archiveDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
-  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema
+  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema,
+  recordStreamOriginSchema, findStreamOriginSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -64,7 +66,9 @@
   [PeerMessageKind.ReportEndpointWeights]: acceptedResponseSchema,
   [PeerMessageKind.ReportDemand]: acceptedResponseSchema,
   [PeerMessageKind.ReadRequestCounts]: requestCountsSchema,
-  [PeerMessageKind.RelayMirrorUpdate]: acceptedResponseSchema
+  [PeerMessageKind.RelayMirrorUpdate]: acceptedResponseSchema,
+  [PeerMessageKind.RecordStreamOrigin]: acceptedResponseSchema,
+  [PeerMessageKind.FindStreamOrigin]: findStreamOriginResponseSchema
 } as const
 
 /** A message between hosts. */
--- a/packages/state/src/lib/endpoint-route.ts
+++ b/packages/state/src/lib/endpoint-route.ts
@@ -32,10 +32,22 @@
   readonly excluded: ReadonlySet<string>
   /** Typical duration of a call of this service, in milliseconds. */
   readonly typicalMs: number
+  /** The only software version whose endpoints may be chosen; absent if any may. */
+  readonly softwareVersion?: string | undefined
   /** Slots of each endpoint that stay free for more urgent calls; if 0, the call may also queue at a full endpoint. */
   readonly reservedSlots: number
 }
 
+/**
+ * Whether an endpoint has a software version; without one, any will do.
+ *
+ * @example
+ * isOfVersion(record, 's1')
+ */
+export function isOfVersion ({ entry }: EndpointRecord, softwareVersion: string | undefined): boolean {
+  return softwareVersion === undefined || entry.softwareVersion === softwareVersion
+}
+
 /**
  * Chooses the endpoint that is expected to answer a call first: its typical
  * duration, scaled by the work already queued there, plus the round-trip time.
@@ -47,7 +59,7 @@
   let best: EndpointRecord | undefined
   let bestMs = Infinity
   for (const record of endpoints.usableEndpoints(demand.service, now)) {
-    if (demand.excluded.has(record.entry.id)) continue
+    if (demand.excluded.has(record.entry.id) || !isOfVersion(record, demand.softwareVersion)) continue
     const load = endpoints.currentLoad(record, now)
     if (demand.reservedSlots > 0 && load >= Math.max(1, record.entry.slots - demand.reservedSlots)) continue
     const queueFactor = Math.max(1, (load + 1) / Math.max(1, record.entry.slots - 1))
