--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -31,17 +31,11 @@
   Cancelled = 'cancelled'
 }
 
-/** Status with which an endpoint reports that a request can never be completed. */
-const UNPROCESSABLE_STATUS = 422
-
 /** Status with which an endpoint reports that it ran a request and failed. */
 const FAILURE_STATUS = 500
 
-/** Returns what a failure answer states; server errors other than 500 come from a server in front of an endpoint and don't state that the sample ran. */
-function endOfFailure (status: number): StreamEnd {
-  if (status === UNPROCESSABLE_STATUS) return StreamEnd.Impossible
-  return status > FAILURE_STATUS ? StreamEnd.Broken : StreamEnd.Failed
-}
+/** Status with which an endpoint reports that a request can never be completed. */
+const UNPROCESSABLE_STATUS = 422
 
 /** The text received for a sample so far. */
 export class SampleText {
@@ -149,3 +143,9 @@
     abort.abort(STREAM_ENDED)
   }
 }
+
+/** Returns what a failure answer states; server errors other than 500 come from a server in front of an endpoint and don't state that the sample ran. */
+function endOfFailure (status: number): StreamEnd {
+  if (status === UNPROCESSABLE_STATUS) return StreamEnd.Impossible
+  return status > FAILURE_STATUS ? StreamEnd.Broken : StreamEnd.Failed
+}
