--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -2,6 +2,7 @@
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { unreachable } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
+import type { SampleText } from '@cyclamenthread/state'
 
 /** Time without an event after which a stream is aborted, in milliseconds: many times the usual interval between events. */
 const EVENT_TIMEOUT_MS = 1_500
@@ -31,34 +32,12 @@
   Cancelled = 'cancelled'
 }
 
+/** Status with which an endpoint reports that it ran a request and failed. */
+const FAILURE_STATUS = 500
+
 /** Status with which an endpoint reports that a request can never be completed. */
 const UNPROCESSABLE_STATUS = 422
 
-/** The text received for a sample so far. */
-export class SampleText {
-  readonly pieces: string[] = []
-  /** Weight versions that generated the text, in order of appearance, without duplicates. */
-  readonly versions: number[] = []
-  /** Software version of the endpoint that began the text; undefined if it is empty, or unknown. */
-  softwareVersion: string | undefined
-  /** Number of times that the text was discarded; parts of different generations must never be combined. */
-  generation = 0
-
-  /** Discards the text, so that the sample starts from the beginning. */
-  clear (): void {
-    this.generation += 1
-    this.pieces.length = 0
-    this.versions.length = 0
-    this.softwareVersion = undefined
-  }
-
-  /** Appends the text of one event. */
-  append (data: string, version: number): void {
-    this.pieces.push(data)
-    if (!this.versions.includes(version)) this.versions.push(version)
-  }
-}
-
 /** Requirements on the weight versions of a sample's text. */
 export interface VersionRule {
   readonly minVersion: number
@@ -125,12 +104,11 @@
           if (part.id !== text.pieces.length + 1) return finish(StreamEnd.Broken, `received event ${part.id} after event ${text.pieces.length}`)
           if (version === undefined || version < rule.minVersion) return finish(StreamEnd.Stale, `weight version ${version ?? 'unknown'}`)
           if (rule.singleVersion && text.versions.some((known) => known !== version)) return finish(StreamEnd.Stale, 'weight version changed')
-          if (text.pieces.length === 0) text.softwareVersion = request.endpoint.softwareVersion
           text.append(part.data, version)
           events += 1
           break
         case StreamPartKind.End: return finish(StreamEnd.Complete)
-        case StreamPartKind.Failure: return finish(part.status === UNPROCESSABLE_STATUS ? StreamEnd.Impossible : StreamEnd.Failed, `status ${part.status}`)
+        case StreamPartKind.Failure: return finish(endOfFailure(part.status), `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
         case StreamPartKind.Broken:
           if (isStalled) return finish(StreamEnd.Broken, 'timed out waiting for the next event')
@@ -144,3 +122,9 @@
     abort.abort(STREAM_ENDED)
   }
 }
+
+/** Returns what a failure answer states; server errors other than 500 come from a server in front of an endpoint and don't state that the sample ran. */
+function endOfFailure (status: number): StreamEnd {
+  if (status === UNPROCESSABLE_STATUS) return StreamEnd.Impossible
+  return status > FAILURE_STATUS ? StreamEnd.Broken : StreamEnd.Failed
+}
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -121,6 +121,52 @@
   t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Abandoned])
 })
 
+/** Creates a script that breaks off after one event, the given number of times over all endpoints, and then completes the sample. */
+function crashingOf (crashes: number): Parameters<ScriptedEndpoints['streamScripts']['set']>[1] {
+  let left = crashes
+  return async function * (request, resumeAfter) {
+    if (left === 0) {
+      yield * streamOf(20, 3)(request, resumeAfter)
+      return
+    }
+    left -= 1
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    yield { kind: StreamPartKind.Event, id: resumeAfter + 1, data: `e${resumeAfter + 1}`, version: undefined }
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+}
+
+// Guards against giving up a sound sample because several endpoints crashed while they ran it.
+test('unlucky: a sample under which more endpoints crash than it may fail is placed again, and completed', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
+  const script = crashingOf(7)
+  for (const id of ['a', 'bb', 'ccc']) endpoints.streamScripts.set(id, script)
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 8)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+  t.is(run.progress.results[0]?.output, Array.from({ length: 20 }, (_, index) => `e${index + 1}`).join('\n'))
+})
+
+// Guards against counting the answers of a proxy whose endpoint has crashed as failed runs of the sample.
+test('unlucky: answers of 502, 503 and 504 are no failed runs, so the sample is placed again', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
+  const statuses = [502, 503, 504]
+  for (const id of ['a', 'bb', 'ccc']) {
+    endpoints.streamScripts.set(id, async function * (request, resumeAfter) {
+      const status = statuses.pop()
+      if (status === undefined) yield * streamOf(3, 3)(request, resumeAfter)
+      else yield { kind: StreamPartKind.Failure, status }
+    })
+  }
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 4)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+})
+
 test('a sample that can never be completed is sent once', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
@@ -264,6 +310,29 @@
   t.deepEqual(text?.pieces, text?.pieces.map((_, index) => `e${index + 1}`))
 })
 
+// Guards against joined texts: the log continued the text that this owner had stored with the text of a late handover.
+test('a late handover replaces a text and is never joined to the part that this owner has stored', async (t) => {
+  const { context, endpoints, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    for await (const part of streamOf(60, 3, 40)(request, resumeAfter)) {
+      if (part.kind === StreamPartKind.End) yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+      else yield part
+    }
+  })
+  const order = rolloutOrder(1, 1)
+  const run = open(order)
+  run.start()
+  await waitUntil(t, () => run.progress.texts.size === 1)
+  await waitUntil(t, () => context.deployment.endpointTable.find('a')?.activeWork === 0)
+  const pieces = Array.from({ length: 100 }, (_, index) => `late${index + 1}`)
+  endpoints.streamScripts.set('a', streamOf(200, 3, 40))
+  run.adopt({ results: [], texts: [{ sampleId: 'g0.0', pieces, versions: [3], complete: false, rewardFailures: 0, softwareVersion: 's1' }] })
+  await waitUntil(t, () => (run.progress.texts.get('g0.0')?.pieces.length ?? 0) > 100)
+  const progress = new RolloutProgress()
+  await context.store.catchUp(order.id, progress, Infinity)
+  t.deepEqual(progress.texts.get('g0.0')?.pieces.slice(0, 100), pieces)
+})
+
 test('a wall clock that is seconds or hours off neither abandons a sample early nor keeps it beyond its lifetime', async (t) => {
   for (const offMs of [-3_600_000, -5_000, 5_000, 3_600_000]) {
     const { endpoints, open } = await openFixture(t, ['a'])
