Rollouts: silence of a store that nobody asked is no outage

What callers saw: an item reached an endpoint later than 3,000 ms after the acknowledged end of its batch (UNASKED).

Cause: work may start on an old copy of a rollout's log while the store is down. "Down" was "no answer for 2.5 s", whether or not a call had been sent in that time. An owner whose samples all run, with nothing to commit, makes no call; a stream that breaks then was sent again at once. Calls that this process refuses or delays itself, and refusals for too many calls (429), counted as silence too. Class: silence of something that was not asked is taken as proof.

Change: RolloutStore records for each call when it was written to a connection (or a connection was opened for it in vain) and whether the store served it. An outage needs 2.5 s in which calls were sent and all stayed unanswered, without a gap of a second, up to 1.7 s ago; a call whose timeout this process noticed late proves nothing. Any response but a 5xx shows that the store serves: 429, 404, 409. A 5xx counts as no answer: it may be an outage for all or a refusal of this host, as silence may. Without an outage the log is read first.

The unit tests of decideWorkPermission take the silent span in place of the last answer; the property over log ages stays, and one is added for silences that ended long ago.

Ruled out: counting calls of other parts of the process as answers (it moves the moment, the idle span stays).

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -238,7 +238,7 @@
   }
 
   #workPermission (): WorkPermission {
-    const permission = decideWorkPermission({ confirmedAt: this.#confirmedAt, storeAnsweredAt: this.#context.store.answeredAt, isContested: this.#contested }, monotonicNow())
+    const permission = decideWorkPermission({ confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#contested }, monotonicNow())
     if (permission === WorkPermission.ConfirmMeanwhile) this.#context.store.recordOutage()
     return permission
   }
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -1,11 +1,11 @@
-import { failure, rolloutOrderSchema, rolloutSegmentSchema, success } from '@cyclamenthread/state'
+import { failure, isSilenceConclusive, rolloutOrderSchema, rolloutSegmentSchema, StoreSilence, success } from '@cyclamenthread/state'
 import { ExpectationKind, RolloutCreationStatus, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
 import { LogEvent, SILENT_LOG } from './event-log.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
-import type { Outcome, RolloutOrder, RolloutProgress, RolloutSegment } from '@cyclamenthread/state'
-import type { ObjectStore } from '@cyclamenthread/protocol'
+import type { Outcome, RolloutOrder, RolloutProgress, RolloutSegment, SilentSpan } from '@cyclamenthread/state'
+import type { ObjectStore, StoreCall, StoredObject, WriteResult } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 
 /** Timeout for one call of the store, in milliseconds: far above its usual response time, well below the time a trainer waits. */
@@ -32,7 +32,7 @@
 export class RolloutStore {
   readonly #store: ObjectStore
   readonly #log: EventLog
-  #answeredAt = monotonicNow()
+  readonly #silence = new StoreSilence()
   #isOutageRecorded = false
 
   constructor (store: ObjectStore, log: EventLog = SILENT_LOG) {
@@ -40,21 +40,25 @@
     this.#log = log
   }
 
-  /** Monotonic time of the last answer of the store to a call about rollouts, in milliseconds. */
-  get answeredAt (): number {
-    return this.#answeredAt
+  /** Time during which the store left all calls about rollouts unanswered; undefined if it answered the last one. */
+  get silence (): SilentSpan | undefined {
+    return this.#silence.span
   }
 
   /** Logs once that work goes on because the store counts as down; its next answer logs the end of that. */
   recordOutage (): void {
     if (this.#isOutageRecorded) return
     this.#isOutageRecorded = true
-    this.#log.record(LogEvent.DependencyLost, { dependency: 'store', prefix: ROLLOUT_LOG_PREFIX, outcome: 'work-goes-on', ageMs: Math.round(monotonicNow() - this.#answeredAt) })
+    this.#log.record(LogEvent.DependencyLost, { dependency: 'store', prefix: ROLLOUT_LOG_PREFIX, outcome: 'work-goes-on', ageMs: this.#silentMs })
+  }
+
+  get #silentMs (): number {
+    return Math.round(monotonicNow() - (this.silence?.since ?? monotonicNow()))
   }
 
   #recordAnswer (): void {
-    const silentMs = Math.round(monotonicNow() - this.#answeredAt)
-    this.#answeredAt = monotonicNow()
+    const silentMs = this.#silentMs
+    this.#silence.recordAnswer(monotonicNow())
     if (!this.#isOutageRecorded) return
     this.#isOutageRecorded = false
     this.#log.record(LogEvent.DependencyRegained, { dependency: 'store', prefix: ROLLOUT_LOG_PREFIX, outcome: 'work-waits', ageMs: silentMs })
@@ -65,8 +69,7 @@
     const backoff = new Backoff(Math.random)
     let sent = false
     while (monotonicNow() < deadline) {
-      const result = await this.#store.write(rolloutKey(order.id), order, { kind: ExpectationKind.Absent }, this.#storeCall(deadline))
-      this.#recordWrite(result.status)
+      const result = await this.#createObject(rolloutKey(order.id), order, deadline)
       if (result.status === WriteStatus.Applied) return RolloutCreationStatus.Created
       if (result.status === WriteStatus.Conflict) return sent && await this.#isStoredAs(order, deadline) ? RolloutCreationStatus.Created : RolloutCreationStatus.Known
       if (result.status === WriteStatus.Unknown) sent = true
@@ -84,9 +87,8 @@
 
   /** Reads the order of a rollout; undefined if it doesn't exist. */
   async readOrder (id: string, deadline: number): Promise<Outcome<RolloutOrder | undefined, StoreFailure>> {
-    const found = await this.#store.read(rolloutKey(id), this.#storeCall(deadline))
+    const found = await this.#readObject(rolloutKey(id), deadline)
     if (!found.ok) return found
-    this.#recordAnswer()
     if (found.value === undefined) return success(undefined)
     const order = rolloutOrderSchema.safeParse(found.value.value)
     return order.success ? success(order.data) : failure(StoreFailure.Malformed)
@@ -96,9 +98,8 @@
   async catchUp (id: string, progress: RolloutProgress, deadline: number): Promise<Outcome<void, StoreFailure>> {
     for (;;) {
       const position = progress.segments
-      const found = await this.#store.read(rolloutSegmentKey(id, position), this.#storeCall(deadline))
+      const found = await this.#readObject(rolloutSegmentKey(id, position), deadline)
       if (!found.ok) return failure(found.failure)
-      this.#recordAnswer()
       if (found.value === undefined) return success(undefined)
       if (progress.segments === position) progress.apply(rolloutSegmentSchema.parse(found.value.value))
     }
@@ -113,8 +114,7 @@
     const backoff = new Backoff(Math.random)
     const position = progress.segments
     while (monotonicNow() < deadline) {
-      const result = await this.#store.write(rolloutSegmentKey(id, position), segment, { kind: ExpectationKind.Absent }, this.#storeCall(deadline))
-      this.#recordWrite(result.status)
+      const result = await this.#createObject(rolloutSegmentKey(id, position), segment, deadline)
       if (result.status === WriteStatus.Applied) {
         // A concurrent read may have applied the entry already.
         if (progress.segments === position) progress.apply(segment)
@@ -133,11 +133,34 @@
     return isOwn ? AppendStatus.Applied : AppendStatus.Overtaken
   }
 
-  #recordWrite (status: WriteStatus): void {
-    if (status === WriteStatus.Applied || status === WriteStatus.Conflict) this.#recordAnswer()
+  async #readObject (key: string, deadline: number): Promise<Outcome<StoredObject | undefined, StoreFailure>> {
+    return await this.#observed(deadline, async (call) => await this.#store.read(key, call))
   }
 
-  #storeCall (deadline: number): { readonly purpose: StorePurpose, readonly deadline: number } {
-    return { purpose: StorePurpose.Claim, deadline: Math.min(deadline, deadlineAfter(CALL_TIMEOUT_MS)) }
+  async #createObject (key: string, value: unknown, deadline: number): Promise<WriteResult> {
+    return await this.#observed(deadline, async (call) => await this.#store.write(key, value, { kind: ExpectationKind.Absent }, call))
+  }
+
+  /** Makes a call and records whether it was sent and served. */
+  async #observed<Result> (latest: number, send: (call: StoreCall) => Promise<Result>): Promise<Result> {
+    const deadline = Math.min(latest, deadlineAfter(CALL_TIMEOUT_MS))
+    let sentAt: number | undefined
+    let isServed = false
+    const result = await send({
+      purpose: StorePurpose.Claim,
+      deadline,
+      observer: {
+        onSent: (at) => {
+          sentAt = at
+        },
+        onServed: () => {
+          isServed = true
+          this.#recordAnswer()
+        }
+      }
+    })
+    const failedAt = monotonicNow()
+    if (!isServed && sentAt !== undefined && isSilenceConclusive(deadline, failedAt)) this.#silence.recordUnanswered(sentAt, failedAt)
+    return result
   }
 }
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -1,11 +1,12 @@
 import test from 'ava'
 import { CallTask, LogEvent, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
-import { StreamPartKind } from '@cyclamenthread/protocol'
-import { RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
+import { StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
+import { failure, RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf, waitUnlessAborted } from './scripted-endpoints.js'
 import type { LogFields, RolloutContext } from '@cyclamenthread/coordination'
+import type { ObjectStore } from '@cyclamenthread/protocol'
 import type { RolloutOrder } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
@@ -323,3 +324,51 @@
   t.is(lines.filter(({ event }) => event === LogEvent.DependencyLost).length, 1)
   t.is(lines.filter(({ event }) => event === LogEvent.DependencyRegained).length, 1)
 })
+
+/** Time after the acknowledgement of an end from which no sample may reach an endpoint, in milliseconds, as the platform's pages state it. */
+const CANCEL_BOUND_MS = 3_000
+
+// Guards against an item that reaches an endpoint later than the bound after the acknowledged end of its batch (UNASKED): its owner hadn't called the store.
+test('samples whose streams break after seconds without a call of the store are not sent again if another host has ended the rollout', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb'])
+  const brokenAt = performance.now() + CANCEL_BOUND_MS + 300
+  const breaking: Parameters<typeof endpoints.streamScripts.set>[1] = async function * (request) {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    await waitUnlessAborted(brokenAt - performance.now(), request.signal)
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+  for (const id of ['a', 'bb']) endpoints.streamScripts.set(id, breaking)
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 4)
+  t.true(await open(rolloutOrder(1, 4)).appendEnd(performance.now() + 2_000))
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 4)
+})
+
+// Guards against an item that reaches an endpoint later than the bound after the acknowledged end of its batch (UNASKED): its owner delayed its own calls of the store.
+test('a run whose store calls this process refuses itself sends nothing later than the bound after the end by another host', async (t) => {
+  const { context, endpoints, store, open } = await openFixture(t, ['a'])
+  const sentAt: number[] = []
+  endpoints.streamScripts.set('a', async function * () {
+    sentAt.push(performance.now())
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  let isThrottled = false
+  const throttled: ObjectStore = {
+    read: async (key, call) => isThrottled ? failure(StoreFailure.Timeout) : await store.read(key, call),
+    list: async (prefix, call) => await store.list(prefix, call),
+    write: async (key, value, expectation, call) => isThrottled ? { status: WriteStatus.NotWritten, detail: 'store rate limit exceeded' } : await store.write(key, value, expectation, call),
+    remove: async (key, version, call) => await store.remove(key, version, call),
+    watch: async (prefix, after, call) => await store.watch(prefix, after, call)
+  }
+  const run = new RolloutRun({ ...context, store: new RolloutStore(throttled) }, rolloutOrder(1, 4), new RolloutProgress())
+  t.teardown(() => run.stop())
+  run.start()
+  await waitUntil(t, () => sentAt.length > 0)
+  isThrottled = true
+  t.true(await open(rolloutOrder(1, 4)).appendEnd(performance.now() + 2_000))
+  const acknowledgedAt = performance.now()
+  await new Promise((resolve) => setTimeout(resolve, CANCEL_BOUND_MS + 800))
+  t.true(Math.max(...sentAt) - acknowledgedAt < CANCEL_BOUND_MS, `sent ${Math.round(Math.max(...sentAt) - acknowledgedAt)} ms after the end`)
+})
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -38,10 +38,17 @@
 /** Creates a view of the store that may refuse one host while it serves the others. */
 function createStoreView (store: MemoryStore, isRefused: () => boolean, read: ObjectStore['read']): ObjectStore {
   return {
-    read: async (key, call) => isRefused() ? failure(StoreFailure.Unavailable) : await read(key, call),
+    read: async (key, call) => {
+      if (!isRefused()) return await read(key, call)
+      call.observer?.onSent(performance.now())
+      return failure(StoreFailure.Unavailable)
+    },
     list: async (prefix, call) => isRefused() ? failure(StoreFailure.Unavailable) : await store.list(prefix, call),
-    write: async (key, value, expectation, call) =>
-      isRefused() ? { status: WriteStatus.NotWritten, detail: 'refused' } : await store.write(key, value, expectation, call),
+    write: async (key, value, expectation, call) => {
+      if (!isRefused()) return await store.write(key, value, expectation, call)
+      call.observer?.onSent(performance.now())
+      return { status: WriteStatus.NotWritten, detail: 'refused' }
+    },
     remove: async (key, version, call) => await store.remove(key, version, call),
     watch: async (prefix, after, call) => await store.watch(prefix, after, call)
   }
@@ -62,6 +69,7 @@
     const left = unanswered.get(id) ?? 0
     if (left > 0) {
       unanswered.set(id, left - 1)
+      call.observer?.onSent(performance.now())
       await new Promise((resolve) => setTimeout(resolve, timeLeft(call.deadline)))
       return failure(StoreFailure.Timeout)
     }
--- a/packages/protocol/src/lib/object-store.ts
+++ b/packages/protocol/src/lib/object-store.ts
@@ -65,11 +65,25 @@
   readonly next: string
 }
 
+/** Learns what a call shows about the store itself, beyond the outcome of the call. */
+export interface StoreCallObserver {
+  /**
+   * The call was written, or a connection for it was opened in vain. Never called
+   * for a call that this process delayed or refused itself.
+   *
+   * @param at monotonic milliseconds
+   */
+  onSent (at: number): void
+  /** The store serves calls: it gave any response but a server error. A refusal for too many calls is such a response. */
+  onServed (): void
+}
+
 /** Options of a store call. */
 export interface StoreCall {
   readonly purpose: StorePurpose
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
+  readonly observer?: StoreCallObserver
 }
 
 /** The platform's versioned object store. */
--- a/packages/standins/src/lib/memory-store.ts
+++ b/packages/standins/src/lib/memory-store.ts
@@ -1,5 +1,6 @@
 import { failure, success } from '@cyclamenthread/state'
 import { ExpectationKind, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
+import { monotonicNow } from '@cyclamenthread/transport'
 import type { Outcome } from '@cyclamenthread/state'
 import type { Expectation, SnapshotStore, StoreCall, StoreChange, StoredObject, StoreSnapshot, WatchBatch, WriteResult } from '@cyclamenthread/protocol'
 
@@ -71,13 +72,15 @@
     return [...this.#objects.keys()].filter((key) => key.startsWith(prefix)).sort()
   }
 
-  async read (key: string, _call: StoreCall): Promise<Outcome<StoredObject | undefined, StoreFailure>> {
+  async read (key: string, { observer }: StoreCall): Promise<Outcome<StoredObject | undefined, StoreFailure>> {
     this.counts.reads += 1
+    observer?.onSent(monotonicNow())
     await this.#simulateLatency()
     if (this.faults.down) return failure(StoreFailure.Unavailable)
     const held = this.#objects.get(key)
     const found = held === undefined ? undefined : { key, version: String(held.version), value: JSON.parse(held.text) as unknown }
     await this.#simulateLatency()
+    observer?.onServed()
     return success(found)
   }
 
@@ -86,9 +89,12 @@
     return success(found.flatMap((item) => item.ok && item.value !== undefined ? [item.value] : []))
   }
 
-  async write (key: string, value: unknown, expectation: Expectation, _call: StoreCall): Promise<WriteResult> {
+  async write (key: string, value: unknown, expectation: Expectation, { observer }: StoreCall): Promise<WriteResult> {
     const text = JSON.stringify(value)
-    return await this.#applyWithFaults(() => this.#putIfExpected(key, text, expectation))
+    observer?.onSent(monotonicNow())
+    const result = await this.#applyWithFaults(() => this.#putIfExpected(key, text, expectation))
+    if (result.status === WriteStatus.Applied || result.status === WriteStatus.Conflict) observer?.onServed()
+    return result
   }
 
   async remove (key: string, version: string, _call: StoreCall): Promise<WriteResult> {
--- a/packages/state/src/lib/work-permission.ts
+++ b/packages/state/src/lib/work-permission.ts
@@ -1,9 +1,11 @@
+import type { SilentSpan } from './store-silence.js'
+
 /** How current the log copy behind a permission to start work is. */
 export interface WorkPermissionEvidence {
   /** Monotonic milliseconds at which the last successful read or write of the log was sent. */
   readonly confirmedAt: number
-  /** Monotonic milliseconds of the last answer of the store to any call of this process about rollouts. */
-  readonly storeAnsweredAt: number
+  /** Time during which the store left all calls of this process about rollouts unanswered; undefined if it answered the last one. */
+  readonly storeSilence: SilentSpan | undefined
   /** Whether another host has reported an end or a claim that the log copy doesn't show yet. */
   readonly isContested: boolean
 }
@@ -34,17 +36,28 @@
  */
 const STORE_OUTAGE_MS = 2_500
 
+/**
+ * Time after the last unanswered call for which an outage is taken to go on, in
+ * milliseconds: the pause before the next read of the log and that read's timeout.
+ */
+const MAX_OUTAGE_AGE_MS = 1_700
+
 /**
  * Decides whether work of a rollout may start now. Another host may have ended or
  * taken over the rollout, which only the log shows. While the store answers nobody,
- * neither can happen, so work goes on.
+ * neither can happen, so work goes on. Only calls that were sent and stayed
+ * unanswered show that: a process that sent none knows nothing about the store.
  *
  * @param now monotonic milliseconds
  * @example
- * decideWorkPermission({ confirmedAt: 0, storeAnsweredAt: 0, isContested: false }, 400) // WorkPermission.Granted
+ * decideWorkPermission({ confirmedAt: 0, storeSilence: undefined, isContested: false }, 400) // WorkPermission.Granted
  */
-export function decideWorkPermission ({ confirmedAt, storeAnsweredAt, isContested }: WorkPermissionEvidence, now: number): WorkPermission {
+export function decideWorkPermission ({ confirmedAt, storeSilence, isContested }: WorkPermissionEvidence, now: number): WorkPermission {
   if (isContested) return WorkPermission.ConfirmFirst
   if (now - confirmedAt <= MAX_CONFIRMATION_AGE_MS) return WorkPermission.Granted
-  return now - storeAnsweredAt > STORE_OUTAGE_MS ? WorkPermission.ConfirmMeanwhile : WorkPermission.ConfirmFirst
+  return isOutage(storeSilence, now) ? WorkPermission.ConfirmMeanwhile : WorkPermission.ConfirmFirst
+}
+
+function isOutage (silence: SilentSpan | undefined, now: number): boolean {
+  return silence !== undefined && silence.until - silence.since > STORE_OUTAGE_MS && now - silence.until <= MAX_OUTAGE_AGE_MS
 }
--- a/packages/state/src/test/work-permission.test.ts
+++ b/packages/state/src/test/work-permission.test.ts
@@ -5,16 +5,32 @@
 /** Time within which an end must stop all samples of its rollout, in milliseconds, as the platform's pages state it. */
 const CANCEL_BOUND_MS = 3_000
 
-test('no work starts on a log copy that is older than the bound on ends while the store answers this host', (t) => {
-  const times = fc.record({ now: fc.nat({ max: 60_000 }), confirmedAgo: fc.nat({ max: 20_000 }), answeredAgo: fc.nat({ max: 2_500 }), isContested: fc.boolean() })
-  fc.assert(fc.property(times, ({ now, confirmedAgo, answeredAgo, isContested }) => {
-    const permission = decideWorkPermission({ confirmedAt: now - confirmedAgo, storeAnsweredAt: now - answeredAgo, isContested }, now)
+/** Silence of the store, in milliseconds, that is too short to count as an outage. */
+const SHORT_SILENCE_MS = 2_500
+
+test('no work starts on a log copy that is older than the bound on ends unless calls were sent to the store and unanswered', (t) => {
+  const span = fc.record({ lastedMs: fc.nat({ max: SHORT_SILENCE_MS }), endedAgo: fc.nat({ max: 60_000 }) })
+  const times = fc.record({ now: fc.nat({ max: 60_000 }), confirmedAgo: fc.nat({ max: 20_000 }), span: fc.option(span, { nil: undefined }), isContested: fc.boolean() })
+  fc.assert(fc.property(times, ({ now, confirmedAgo, span, isContested }) => {
+    const storeSilence = span === undefined ? undefined : { since: now - span.endedAgo - span.lastedMs, until: now - span.endedAgo }
+    const permission = decideWorkPermission({ confirmedAt: now - confirmedAgo, storeSilence, isContested }, now)
     if (confirmedAgo >= CANCEL_BOUND_MS || isContested) t.is(permission, WorkPermission.ConfirmFirst)
   }), { seed: 20_261_204, numRuns: 2_000 })
 })
 
+test('no work starts on an old log copy after a silence that ended longer ago than a pause between two calls', (t) => {
+  const times = fc.record({ confirmedAgo: fc.integer({ min: CANCEL_BOUND_MS, max: 20_000 }), lastedMs: fc.nat({ max: 60_000 }), endedAgo: fc.integer({ min: 1_800, max: 60_000 }) })
+  fc.assert(fc.property(times, ({ confirmedAgo, lastedMs, endedAgo }) => {
+    const storeSilence = { since: -endedAgo - lastedMs, until: -endedAgo }
+    t.is(decideWorkPermission({ confirmedAt: -confirmedAgo, storeSilence, isContested: false }, 0), WorkPermission.ConfirmFirst)
+  }), { seed: 20_261_204, numRuns: 500 })
+})
+
 test('in an outage of the store work goes on, and the log is read meanwhile', (t) => {
-  t.is(decideWorkPermission({ confirmedAt: 0, storeAnsweredAt: 0, isContested: false }, 2_000), WorkPermission.ConfirmFirst)
-  t.is(decideWorkPermission({ confirmedAt: 0, storeAnsweredAt: 0, isContested: false }, 2_600), WorkPermission.ConfirmMeanwhile)
-  t.is(decideWorkPermission({ confirmedAt: 0, storeAnsweredAt: 0, isContested: true }, 2_600), WorkPermission.ConfirmFirst)
+  const lasted = (milliseconds: number): { since: number, until: number } => ({ since: 0, until: milliseconds })
+  t.is(decideWorkPermission({ confirmedAt: 0, storeSilence: lasted(2_000), isContested: false }, 2_000), WorkPermission.ConfirmFirst)
+  t.is(decideWorkPermission({ confirmedAt: 0, storeSilence: lasted(2_600), isContested: false }, 2_600), WorkPermission.ConfirmMeanwhile)
+  // A read that gets no answer in time takes as long as its timeout and the pause before it.
+  t.is(decideWorkPermission({ confirmedAt: 0, storeSilence: lasted(2_600), isContested: false }, 4_200), WorkPermission.ConfirmMeanwhile)
+  t.is(decideWorkPermission({ confirmedAt: 0, storeSilence: lasted(2_600), isContested: true }, 2_600), WorkPermission.ConfirmFirst)
 })
