Rollouts: a claim that was never written gives no ownership

What callers could see: two owners of one rollout, the second with a log copy it never read, so items that run after the end of their batch (UNASKED). Found by reading each writer of the time at which a run's log copy was confirmed; no record of it.

Cause: the loop that appends a claim also ended by its deadline, and the code after it took that for success. A read of the log that takes the whole time of the take-over leaves none for the claim.

Change: a claim without a write in time fails; the copy counts as confirmed only by an append that found the tip of the log, from when that append was sent. The other writers hold: refreshProgress (time before the first read, only after a read past the tip), commit (time before the append, only if applied or overtaken, which reads to the tip), and the time given to a run whose log was just read.

Evidence: the new test fails on the code before ("Value is not `false`: true").

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -171,13 +171,15 @@
   /** Appends a claim of the rollout; returns whether this process owns it. */
   async claim (deadline: number): Promise<boolean> {
     const before = this.progress.claimant
-    const sentAt = monotonicNow()
-    while (!this.progress.ended && monotonicNow() < deadline) {
+    while (!this.progress.ended) {
+      if (monotonicNow() >= deadline) return false
+      const sentAt = monotonicNow()
       const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], texts: [], ended: false, claim: true }, deadline)
+      if (status === AppendStatus.Failed) return false
+      this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
       if (status === AppendStatus.Applied) break
-      if (status === AppendStatus.Failed || this.progress.claimant !== before) return false
+      if (this.progress.claimant !== before) return false
     }
-    this.#confirmedAt = sentAt
     this.#lister.markListed()
     return this.progress.ended || this.#isOwner
   }
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -372,3 +372,14 @@
   await new Promise((resolve) => setTimeout(resolve, CANCEL_BOUND_MS + 800))
   t.true(Math.max(...sentAt) - acknowledgedAt < CANCEL_BOUND_MS, `sent ${Math.round(Math.max(...sentAt) - acknowledgedAt)} ms after the end`)
 })
+
+// Guards against a second owner that runs samples beside the first, after the end of their batch (UNASKED): its claim was never written.
+test('a claim that the store could not be asked for in time gives neither ownership nor a current log copy', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a'])
+  const run = open(rolloutOrder(1, 2))
+  t.false(await run.claim(performance.now() - 1))
+  t.true(await open(rolloutOrder(1, 2)).appendEnd(performance.now() + 2_000))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 0)
+})
