--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -226,8 +226,8 @@
 test('when many streams break at once, at least as large a share of them goes on as of new samples begins', async (t) => {
   const { endpoints, open, setPaces } = await openFixture(t, [
     endpointEntry('crashing', { softwareVersion: 's1', slots: 16 }),
-    endpointEntry('left', { softwareVersion: 's1', slots: 6 }),
-    endpointEntry('right', { softwareVersion: 's1', slots: 6 }),
+    endpointEntry('left', { softwareVersion: 's1', slots: 8 }),
+    endpointEntry('right', { softwareVersion: 's1', slots: 8 }),
     endpointEntry('new', { softwareVersion: 's2', slots: 64 })
   ])
   let isDown = false
