--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -12,6 +12,9 @@
 /** Time that endpoints have to register again after a store outage, in milliseconds; entries still missing then are removed. */
 const REREGISTRATION_MS = 2_500
 
+/** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
+const REGISTRATION_MS = 1_500
+
 /** Decodes stored objects; a failure describes what is wrong with the object. */
 export interface DeploymentDecoder {
   declaration (object: StoredObject): Outcome<Declaration, string>
@@ -63,6 +66,12 @@
     return monotonicNow() - this.#sources.declarations.confirmedAt
   }
 
+  /** Monotonic milliseconds before which each start of an endpoint shows in the endpoint table. */
+  get registeredUntil (): number {
+    const { confirmedAt, reconnectedAt } = this.#sources.endpoints
+    return confirmedAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : confirmedAt - REGISTRATION_MS
+  }
+
   /**
    * Confirms the declaration with the store before a denial, unless it was confirmed recently.
    *
--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -143,8 +143,8 @@
         return { ...life.text, generation: text?.generation, softwareVersion: text?.softwareVersion, complete: true, rewardFailures: life.rewardFailures }
       case SamplePhase.Generating: {
         if (text === undefined) return undefined
-        const { pieces, versions, generation, softwareVersion } = text
-        return { pieces, versions, generation, softwareVersion, complete: false, rewardFailures: 0 }
+        const { pieces, versions, softwareVersion } = text.confirmedPart
+        return { pieces, versions, generation: text.generation, softwareVersion, complete: false, rewardFailures: 0 }
       }
       case SamplePhase.Waiting:
       case SamplePhase.Settled:
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -100,10 +100,12 @@
   /** Stops the run and returns the results and texts with which the next owner can continue. */
   handOver (): AdoptRollout {
     this.stop()
-    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, { pieces, versions, softwareVersion }]) => {
+    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, text]) => {
+      const { pieces, versions, softwareVersion } = text
       const life = this.#board.lifeOf(sampleId)
       const isWhole = life?.phase === SamplePhase.Generated || life?.phase === SamplePhase.Scoring
-      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, softwareVersion }
+      const unconfirmed = text.unconfirmedParts(monotonicNow())
+      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, softwareVersion, unconfirmed }
     })
     return { kind: PeerMessageKind.AdoptRollout, from: this.#context.writer, order: this.order, results: this.#board.settledResults(), texts }
   }
@@ -222,6 +224,7 @@
       if (!this.#stopped) this.stop()
       return
     }
+    this.#generator.checkTexts()
     if (monotonicNow() >= this.#expiresAt) this.#board.expire()
     else this.#startWork()
     void this.#commitResults(false)
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,9 +1,9 @@
 import { setMaxListeners } from 'node:events'
-import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
-import type { EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -44,6 +44,8 @@
   readonly #onEnd: () => void
   readonly #running = new Map<string, RunningSample>()
   readonly #texts = new Map<string, SampleText>()
+  /** Samples whose streams are complete, but whose texts may have parts of two software versions. */
+  readonly #unconfirmed = new Set<string>()
   /** Samples that were moved once; a second move would only follow noise in the measured pace. */
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
@@ -70,12 +72,13 @@
 
   /** Makes a sample continue after the text that an earlier owner received. */
   restoreText (sampleId: string, text: KnownText): void {
-    this.#texts.set(sampleId, new SampleText(text))
+    this.#texts.set(sampleId, new SampleText(text, monotonicNow()))
   }
 
   /** Drops the text of a sample whose result is known, and ends its stream. */
   release (sampleId: string): void {
     this.#texts.delete(sampleId)
+    this.#unconfirmed.delete(sampleId)
     this.#running.get(sampleId)?.abort.abort()
   }
 
@@ -90,6 +93,28 @@
     this.abortAll()
   }
 
+  /** Checks texts against the registry, which may show late that an endpoint has restarted with another software version. */
+  checkTexts (): void {
+    const { endpointTable, registeredUntil } = this.#context.deployment
+    const find = (id: string): EndpointEntry | undefined => endpointTable.find(id)?.entry
+    for (const [sampleId, text] of this.#texts) {
+      if (text.isConfirmed) continue
+      const check = text.check(find, registeredUntil)
+      if (check === TextCheck.Kept) {
+        if (text.isUniform && this.#unconfirmed.delete(sampleId)) this.#completeText(sampleId, text)
+        continue
+      }
+      this.#context.log.record(LogEvent.TextInterrupted, { requestId: sampleId, rollout: this.#order.id, outcome: check, textVersion: text.softwareVersion, held: text.pieces.length })
+      this.#running.get(sampleId)?.abort.abort()
+      if (this.#unconfirmed.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
+    }
+  }
+
+  #completeText (sampleId: string, text: SampleText): void {
+    this.#board.apply(sampleId, { kind: SampleEventKind.TextCompleted, text: { pieces: [...text.pieces], versions: [...text.versions] } })
+    if (this.#board.isDecided(sampleId)) this.#texts.delete(sampleId)
+  }
+
   /** Starts waiting samples as far as endpoints have free slots. */
   startSamples (): void {
     const full = new Set<string | undefined>()
@@ -234,6 +259,7 @@
     }
     const result = await readSampleStream(endpoints, request, text, order, {
       onStart: ({ version, load }) => {
+        text.recordAnswer(monotonicNow())
         endpointTable.recordModelAcceptance(entry.id, order.model)
         if (version !== undefined) endpointTable.recordVersion(entry.id, order.model, version)
         if (load !== undefined) endpointTable.recordLoad(entry.id, load, monotonicNow())
@@ -266,7 +292,8 @@
   #applyEnd (sample: RolloutSample, text: SampleText, end: StreamEnd): void {
     switch (end) {
       case StreamEnd.Complete:
-        this.#board.apply(sample.id, { kind: SampleEventKind.TextCompleted, text: { pieces: [...text.pieces], versions: [...text.versions] } })
+        if (text.isUniform) this.#completeText(sample.id, text)
+        else if (this.#texts.get(sample.id) === text) this.#unconfirmed.add(sample.id)
         break
       case StreamEnd.Impossible:
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationImpossible })
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -77,6 +77,9 @@
   const finish = (end: StreamEnd, detail = ''): { readonly end: StreamEnd, readonly detail: string, readonly events: number, readonly tookMs: number } => {
     return { end, detail, events, tookMs: monotonicNow() - (firstAt ?? startedAt) }
   }
+  // The text may have been shortened or replaced with the abort, so it neither grows nor counts as whole afterwards.
+  const finishAborted = (detail = ''): ReturnType<typeof finish> =>
+    isStalled ? finish(StreamEnd.Broken, 'timed out waiting for the next event') : finish(StreamEnd.Cancelled, detail)
   restartTimer(FIRST_EVENT_TIMEOUT_MS)
   try {
     for await (const part of port.streamRequest(request, text.pieces.length)) {
@@ -87,6 +90,7 @@
           if (version !== undefined && version < rule.minVersion) return finish(StreamEnd.Stale, `weight version ${version}`)
           break
         case StreamPartKind.Event:
+          if (abort.signal.aborted) return finishAborted()
           restartTimer(EVENT_TIMEOUT_MS)
           firstAt ??= monotonicNow()
           if (events % PACE_WINDOW_EVENTS === 0) {
@@ -104,12 +108,11 @@
           text.append(part.data, version)
           events += 1
           break
-        case StreamPartKind.End: return finish(StreamEnd.Complete)
+        case StreamPartKind.End: return abort.signal.aborted ? finishAborted() : finish(StreamEnd.Complete)
         case StreamPartKind.Failure: return finish(part.status === UNPROCESSABLE_STATUS ? StreamEnd.Impossible : StreamEnd.Failed, `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
         case StreamPartKind.Broken:
-          if (isStalled) return finish(StreamEnd.Broken, 'timed out waiting for the next event')
-          return finish(abort.signal.aborted ? StreamEnd.Cancelled : StreamEnd.Broken, part.detail)
+          return abort.signal.aborted ? finishAborted(part.detail) : finish(StreamEnd.Broken, part.detail)
         default: unreachable(part)
       }
     }
--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { CallTask, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
-import { StreamPartKind } from '@cyclamenthread/protocol'
+import { adoptRolloutSchema, StreamPartKind } from '@cyclamenthread/protocol'
 import { EndpointPhase, RolloutProgress, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
@@ -251,3 +251,67 @@
   t.is(broken.size, 16)
   t.is(goneOn.size, broken.size, 'every new sample began at once, so every broken stream has to go on')
 })
+
+// Guards against joined texts: an endpoint had restarted with another software version under its id, and the registry showed it late.
+test('a part of a text from an endpoint that turns out to have restarted with another software version is dropped', async (t) => {
+  for (const { name, pauseMs, noticeMs } of [{ name: 'noticed in mid-stream', pauseMs: 20, noticeMs: 700 }, { name: 'noticed after the end', pauseMs: 1, noticeMs: 1_000 }]) {
+    const { endpoints, open, register } = await openFixture(t, [endpointEntry('a', { softwareVersion: 's1' })])
+    endpoints.streamScripts.set('a', markedStream({ mark: 's1', count: 60, pauseMs: 5, breakAfter: 20 }))
+    const run = await open(rolloutOrder(1, 2))
+    run.start()
+    await waitUntil(t, () => endpoints.streams.length === 2)
+    endpoints.streamScripts.set('a', markedStream({ mark: 's2', count: 60, pauseMs }))
+    await waitUntil(t, () => endpoints.streams.some(({ resumeAfter }) => resumeAfter === 20))
+    await new Promise((resolve) => setTimeout(resolve, noticeMs))
+    await register([endpointEntry('a', { softwareVersion: 's2', bornAt: 2 })])
+    await waitUntil(t, () => run.isFinished)
+    t.is(run.progress.results.length, 2, name)
+    assertWholeTexts(t, run, 60)
+  }
+})
+
+// Guards against joined texts: the first part came from a restarted endpoint whose new software version the registry didn't show yet.
+test('a text whose beginning turns out to be from another software version starts anew', async (t) => {
+  const { endpoints, open, register, setPaces } = await openFixture(t, [endpointEntry('a', { softwareVersion: 's1' }), endpointEntry('b', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('a', markedStream({ mark: 's2', count: 60, pauseMs: 5, breakAfter: 20 }))
+  endpoints.streamScripts.set('b', markedStream({ mark: 's1', count: 60, pauseMs: 5 }))
+  setPaces({ a: 10, b: 90 })
+  const run = await open(rolloutOrder(1, 2))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.some(({ request, resumeAfter }) => request.endpoint.id === 'b' && resumeAfter === 20))
+  await new Promise((resolve) => setTimeout(resolve, 600))
+  endpoints.streamScripts.set('a', markedStream({ mark: 's2', count: 60 }))
+  await register([endpointEntry('a', { softwareVersion: 's2', bornAt: 2 })])
+  await waitUntil(t, () => run.isFinished)
+  assertWholeTexts(t, run, 60)
+})
+
+// Guards against joined texts: the next owner trusted the software version of a text that had only just begun at the previous owner.
+test('a text that is handed over before its beginning is confirmed starts anew if it turns out to be from another software version', async (t) => {
+  const { endpoints, open, register } = await openFixture(t, [endpointEntry('a', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('a', markedStream({ mark: 's2', count: 80, pauseMs: 20 }))
+  const order = rolloutOrder(1, 2)
+  const first = await open(order)
+  first.start()
+  await new Promise((resolve) => setTimeout(resolve, 300))
+  const handover = first.handOver()
+  await register([endpointEntry('bb', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('bb', markedStream({ mark: 's1', count: 80, pauseMs: 2 }))
+  const second = await open(order, 'v')
+  second.adopt(adoptRolloutSchema.parse(JSON.parse(JSON.stringify(handover))))
+  second.start()
+  await new Promise((resolve) => setTimeout(resolve, 600))
+  await register([endpointEntry('a', { softwareVersion: 's2', bornAt: 2 })])
+  await waitUntil(t, () => second.isFinished)
+  assertWholeTexts(t, second, 80)
+})
+
+test('a text of one stream is listed without a wait for the registry', async (t) => {
+  const { endpoints, open } = await openFixture(t, [endpointEntry('a', { softwareVersion: 's1' })])
+  endpoints.streamScripts.set('a', markedStream({ mark: 's1', count: 10 }))
+  const run = await open(rolloutOrder(1, 2))
+  const startedAt = performance.now()
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.true(performance.now() - startedAt < 1_000, `${Math.round(performance.now() - startedAt)} ms`)
+})
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod'
 import { rolloutOrderSchema, sampleResultSchema } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
+import type { KnownText } from '@cyclamenthread/state'
 
 /** Outcome of creating a rollout. */
 export enum RolloutCreationStatus {
@@ -45,7 +46,14 @@
   /** Answers of 500 to its reward request. */
   rewardFailures: z.int().nonnegative().default(0),
   /** Software version of the endpoint that began the text; only endpoints of it may continue the text. */
-  softwareVersion: z.string().optional()
+  softwareVersion: z.string().optional(),
+  /** Parts whose software version the sender couldn't confirm yet. */
+  unconfirmed: z.array(z.object({
+    endpoint: z.object({ id: z.string(), address: z.string(), bornAt: z.number(), softwareVersion: z.string() }),
+    from: z.int().nonnegative(),
+    versionsFrom: z.int().nonnegative(),
+    ageMs: z.number()
+  })).optional()
 })
 
 /** Hands a rollout over to its next owner, with the text of unfinished samples. */
@@ -60,14 +68,10 @@
 })
 
 /** Text of an unfinished sample from a handover or the log. */
-export interface RecoveredText {
+export interface RecoveredText extends KnownText {
   readonly sampleId: string
-  readonly pieces: readonly string[]
-  readonly versions: readonly number[]
   readonly complete: boolean
   readonly rewardFailures: number
-  /** Software version that began the text; absent if it is unknown. */
-  readonly softwareVersion?: string | undefined
 }
 
 export type AdoptRollout = z.infer<typeof adoptRolloutSchema>
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -23,6 +23,9 @@
   readonly cheap: boolean
 }
 
+/** What distinguishes a running process of an endpoint from an earlier one under the same id. */
+export type EndpointIncarnation = Pick<EndpointEntry, 'id' | 'address' | 'bornAt' | 'softwareVersion'>
+
 /** How work at an endpoint ended. */
 export enum WorkEnd {
   Finished = 'finished',
@@ -273,7 +276,7 @@
  * @example
  * isSameIncarnation(entryAtSending, endpoints.find(id).entry)
  */
-export function isSameIncarnation (a: EndpointEntry, b: EndpointEntry): boolean {
+export function isSameIncarnation (a: EndpointIncarnation, b: EndpointIncarnation): boolean {
   return a.bornAt === b.bornAt && a.address === b.address && a.softwareVersion === b.softwareVersion
 }
 
--- a/packages/state/src/lib/sample-text.ts
+++ b/packages/state/src/lib/sample-text.ts
@@ -1,20 +1,58 @@
-import type { EndpointEntry } from './endpoint-table.js'
+import { isSameIncarnation } from './endpoint-table.js'
+import type { EndpointIncarnation } from './endpoint-table.js'
+
+/** A part of a text whose software version isn't confirmed yet, as an earlier owner knew it. */
+export interface UnconfirmedPart {
+  /** The endpoint as the registry showed it when the sample was sent. */
+  readonly endpoint: EndpointIncarnation
+  /** Number of events before the part. */
+  readonly from: number
+  /** Number of weight versions before the part. */
+  readonly versionsFrom: number
+  /** Time since the endpoint's answer began, in milliseconds. */
+  readonly ageMs: number
+}
 
 /** A text that an earlier owner received. */
 export interface KnownText {
   readonly pieces: readonly string[]
   readonly versions: readonly number[]
   readonly softwareVersion?: string | undefined
+  readonly unconfirmed?: readonly UnconfirmedPart[] | undefined
+}
+
+/** What a check of a text against the registry has changed. */
+export enum TextCheck {
+  Kept = 'kept',
+  /** The end of the text may come from another software version and was dropped. */
+  Shortened = 'shortened',
+  /** The beginning may come from another software version than the rest; all of it was dropped. */
+  Dropped = 'dropped'
+}
+
+/** A stream whose endpoint isn't known to have been the one that the registry showed. */
+interface UnconfirmedStream {
+  readonly endpoint: EndpointIncarnation
+  readonly from: number
+  readonly versionsFrom: number
+  /** Monotonic milliseconds at which the endpoint's answer began; infinite before. */
+  answeredAt: number
 }
 
 /**
  * The text received for a sample so far.
  *
- * Invariant: all of its events come from endpoints of one software version.
+ * The registry may show the software version of an endpoint that has restarted under
+ * its id since. A stream comes from a single process, so its version is confirmed
+ * once the registry would show a process that started before the stream's answer,
+ * and still shows the one that it showed when the sample was sent.
+ *
+ * Invariant: all of its confirmed events come from endpoints of one software version.
  *
  * @example
  * const text = new SampleText()
  * text.startStream(endpoint.entry)
+ * text.recordAnswer(now)
  * text.append('event 1', 3)
  */
 export class SampleText {
@@ -24,13 +62,19 @@
   #softwareVersion: string | undefined
   #generation = Symbol('generation')
   #waitDeadline: number | undefined
+  /** In the order of their parts; all events before the first one's part are confirmed. */
+  readonly #unconfirmed: UnconfirmedStream[] = []
 
-  /** @param known the text to continue; without it, the sample starts from the beginning */
-  constructor (known?: KnownText) {
+  /**
+   * @param known the text to continue; without it, the sample starts from the beginning
+   * @param now monotonic milliseconds
+   */
+  constructor (known?: KnownText, now = 0) {
     if (known === undefined) return
     this.pieces.push(...known.pieces)
     this.versions.push(...known.versions)
     this.#softwareVersion = known.softwareVersion
+    for (const { ageMs, ...part } of known.unconfirmed ?? []) this.#unconfirmed.push({ ...part, answeredAt: now - ageMs })
   }
 
   /** Identifies what was received since the last discard; parts of different generations must never be combined. */
@@ -48,6 +92,30 @@
     return this.#waitDeadline
   }
 
+  /** Whether the software version of every event is confirmed. */
+  get isConfirmed (): boolean {
+    return this.#unconfirmed.length === 0
+  }
+
+  /** Whether no event may come from another software version than the others: the text is confirmed or comes from one stream. */
+  get isUniform (): boolean {
+    return this.#unconfirmed.every(({ from }) => from === 0)
+  }
+
+  /** The events before the first that isn't confirmed; none if the software version is unknown. */
+  get confirmedPart (): KnownText {
+    if (this.#softwareVersion === undefined) return { pieces: [], versions: [] }
+    const first = this.#unconfirmed[0]
+    return { pieces: this.pieces.slice(0, first?.from), versions: this.versions.slice(0, first?.versionsFrom), softwareVersion: this.#softwareVersion }
+  }
+
+  /** Describes the parts that aren't confirmed for the next owner. */
+  unconfirmedParts (now: number): UnconfirmedPart[] {
+    return this.#unconfirmed
+      .filter(({ from }) => from < this.pieces.length)
+      .map(({ endpoint: { id, address, bornAt, softwareVersion }, answeredAt, ...part }) => ({ ...part, endpoint: { id, address, bornAt, softwareVersion }, ageMs: now - answeredAt }))
+  }
+
   /** Discards the text, so that the sample starts from the beginning. */
   clear (): void {
     this.#generation = Symbol('generation')
@@ -55,6 +123,7 @@
     this.versions.length = 0
     this.#softwareVersion = undefined
     this.#waitDeadline = undefined
+    this.#unconfirmed.length = 0
   }
 
   /** Records that the text has to wait for an endpoint; the deadline stays until the text goes on. */
@@ -62,9 +131,22 @@
     this.#waitDeadline ??= deadline
   }
 
-  /** Records that the sample is about to be sent to an endpoint. */
-  startStream (endpoint: EndpointEntry): void {
-    if (this.pieces.length === 0) this.#softwareVersion = endpoint.softwareVersion
+  /**
+   * Records that the sample is about to be sent to an endpoint.
+   *
+   * @param endpoint the endpoint as the registry shows it
+   */
+  startStream (endpoint: EndpointIncarnation): void {
+    const { length } = this.pieces
+    if (this.#unconfirmed.at(-1)?.from === length) this.#unconfirmed.pop()
+    if (length === 0) this.#softwareVersion = endpoint.softwareVersion
+    this.#unconfirmed.push({ endpoint, from: length, versionsFrom: this.versions.length, answeredAt: Infinity })
+  }
+
+  /** Records that the answer to the last stream has begun. */
+  recordAnswer (now: number): void {
+    const stream = this.#unconfirmed.at(-1)
+    if (stream !== undefined) stream.answeredAt = now
   }
 
   /** Appends the text of one event. */
@@ -73,4 +155,39 @@
     this.pieces.push(data)
     if (!this.versions.includes(version)) this.versions.push(version)
   }
+
+  /**
+   * Confirms the streams whose endpoints the registry still shows, and drops what may
+   * come from an endpoint that has restarted with another software version.
+   *
+   * @param find returns the endpoint that the registry shows under an id
+   * @param registeredUntil monotonic milliseconds before which each start of an endpoint shows in the registry
+   */
+  check (find: (id: string) => EndpointIncarnation | undefined, registeredUntil: number): TextCheck {
+    const index = this.#unconfirmed.findIndex(({ endpoint }) => {
+      const current = find(endpoint.id)
+      return current !== undefined && !isSameIncarnation(current, endpoint)
+    })
+    const doubtful = this.#unconfirmed[index]
+    if (doubtful !== undefined) return this.#dropFrom(index, doubtful)
+    while (this.#unconfirmed[0] !== undefined && this.#unconfirmed[0].answeredAt <= registeredUntil) this.#unconfirmed.shift()
+    return TextCheck.Kept
+  }
+
+  #dropFrom (index: number, { from, versionsFrom }: UnconfirmedStream): TextCheck {
+    if (from > 0) {
+      this.pieces.length = from
+      this.versions.length = versionsFrom
+      this.#unconfirmed.length = index
+      return TextCheck.Shortened
+    }
+    if (this.#unconfirmed.length > 1) {
+      this.clear()
+      return TextCheck.Dropped
+    }
+    // The only stream may be whole or go on, but no other may continue it.
+    this.#softwareVersion = undefined
+    this.#unconfirmed.length = 0
+    return TextCheck.Kept
+  }
 }
