Cell: with free slots a sample is placed whatever its estimated duration

What trainers would see: after a burst in which requests were slow, a long sample is refused at once, again and again, in a cell whose endpoints are all idle.

Cause: a request is refused on arrival if its expected tokens times the learned time per token exceed its deadline. Only requests that finish change the learned time. If the refused samples are all that is left, none runs, nothing corrects the estimate, and each repetition meets the same refusal.

Change: the slot request states its origin. A sample of a batch is not refused by the estimate while its cell has more free slots than waiting requests. Requests of callers are refused as before, since their callers can do better with the time.

Evidence: cell.test.ts "unlucky: with free slots a sample is placed ..." failed before at line 249, - 0 + 1 grants. "a request that cannot end before its deadline is refused on arrival ..." passes unchanged.

--- a/packages/bench/src/lib/slopes/dispatch.ts
+++ b/packages/bench/src/lib/slopes/dispatch.ts
@@ -1,4 +1,4 @@
-import { Cell, CellEffectKind, CellEventKind, FencingSupport, SlotEnd, WorkClass } from '@cyclamenthread/state'
+import { Cell, CellEffectKind, CellEventKind, FencingSupport, RequestOrigin, SlotEnd, WorkClass } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { isSummaryDue } from '@cyclamenthread/coordination'
 import { encodeFrame } from '@cyclamenthread/transport'
@@ -80,6 +80,7 @@
     promptTokens: 50,
     prefix: `prefix-${index % 1_000}`,
     digest: `digest-${index}`,
+    origin: RequestOrigin.Caller,
     suspect: false,
     excluded: [],
     deadline: 1e12
--- a/packages/coordination/src/lib/cell-router.ts
+++ b/packages/coordination/src/lib/cell-router.ts
@@ -278,7 +278,7 @@
 
 /** Converts a demand to the request that is sent to the dispatcher. */
 function toWireRequest (demand: SlotDemand, suspect: boolean): Omit<AcquireSlot, 'kind' | 'cell'> {
-  const { pool, origin, deadline, traceparent, signal, excluded, promptTokens, ...request } = demand
+  const { pool, deadline, traceparent, signal, excluded, promptTokens, ...request } = demand
   return { ...request, suspect, promptTokens: promptTokens ?? 0, excluded: [...excluded], leftMs: timeLeft(deadline) }
 }
 
--- a/packages/protocol/src/lib/dispatcher-message.ts
+++ b/packages/protocol/src/lib/dispatcher-message.ts
@@ -1,5 +1,5 @@
 import * as z from 'zod'
-import { endpointSchema, SlotEnd, WorkClass } from '@cyclamenthread/state'
+import { endpointSchema, RequestOrigin, SlotEnd, WorkClass } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 import { refusalSchema } from './refusal-schema.js'
 
@@ -17,6 +17,7 @@
   suspect: z.boolean(),
   prefix: z.string(),
   digest: z.string(),
+  origin: z.enum(RequestOrigin).default(RequestOrigin.Caller),
   excluded: z.array(z.string()),
   /** Remaining time for queueing and running the request, in milliseconds. */
   leftMs: z.number().nonnegative()
--- a/packages/state/src/lib/cell-event.ts
+++ b/packages/state/src/lib/cell-event.ts
@@ -1,5 +1,6 @@
 import type { Endpoint, WorkClass } from './catalogue.js'
 import type { Refusal } from './refusal.js'
+import type { RequestOrigin } from './request-origin.js'
 
 /** A request for a slot, with the data a cell needs to queue and place it. */
 export interface SlotRequest {
@@ -16,6 +17,7 @@
   readonly prefix: string
   /** Digest of the whole request, to recognise requests that crash endpoints. */
   readonly digest: string
+  readonly origin: RequestOrigin
   /** Tokens of the prompt, some of which a cached prefix saves. */
   readonly promptTokens: number
   /** Whether an endpoint was lost while it ran a request of this digest; such a request runs alone on its endpoint. */
--- a/packages/state/src/lib/cell.ts
+++ b/packages/state/src/lib/cell.ts
@@ -5,6 +5,7 @@
 import { IndexedHeap } from './indexed-heap.js'
 import { invariant, unreachable } from './invariant.js'
 import { notRun, RefusalReason } from './refusal.js'
+import { RequestOrigin } from './request-origin.js'
 import { ServiceRate } from './service-rate.js'
 import type { HeldSlot } from './cell-endpoint.js'
 import type { CellEffect, CellEvent, Decision, SlotClaim, SlotGrant, SlotRequest } from './cell-event.js'
@@ -142,6 +143,8 @@
     if (this.#queue.has(request.requestId)) return notRun(RefusalReason.InProgress, 'a request with this id is already waiting')
     if (this.#endpoints.size === 0) return notRun(RefusalReason.NoEndpoint, 'the cell has no endpoints', 1000)
     if (this.#queue.size >= this.#settings.queueLimit) return notRun(RefusalReason.Overloaded, 'the queue of the cell is full', 500)
+    // No other request may be left to correct the estimate, and a sample that is refused now only asks again.
+    if (request.origin === RequestOrigin.Batch && this.#queue.size < this.summary(now).freeSlots) return undefined
     const neededMs = this.#estimateDurationMs(request, now)
     if (now + ADMISSION_CONFIDENCE * neededMs <= request.deadline) return undefined
     const lateMs = Math.ceil(now + neededMs - request.deadline)
--- a/packages/state/src/test/cell.test.ts
+++ b/packages/state/src/test/cell.test.ts
@@ -3,6 +3,7 @@
 import { Cell } from '../lib/cell.js'
 import { CellEffectKind, CellEventKind, SlotEnd } from '../lib/cell-event.js'
 import { FencingSupport } from '../lib/catalogue.js'
+import { RequestOrigin } from '../lib/request-origin.js'
 import { slotRequest } from './slot-request.js'
 import type { Endpoint } from '../lib/catalogue.js'
 import type { CellEvent, SlotClaim, SlotGrant, SlotRequest } from '../lib/cell-event.js'
@@ -235,3 +236,15 @@
   t.deepEqual(refusals(30_100), ['deadline-exceeded', 'no'])
   t.deepEqual(refusals(31_000), [])
 })
+
+// Guards against refusing a sample again and again by an estimate that nothing updates while no request runs.
+test('unlucky: with free slots a sample is placed although requests were slow before, and a caller\'s request is still refused', (t) => {
+  const cell = openCell()
+  for (let index = 0; index < 20; index++) {
+    const [grant] = grantsFrom(cell, { kind: CellEventKind.Request, request: slotRequest(`slow${index}`, { expectedTokens: 1 }) }, index * 2_000)
+    cell.step({ kind: CellEventKind.Release, slotId: grant?.slotId ?? '', end: SlotEnd.Finished, actualTokens: 1 }, index * 2_000 + 2_000)
+  }
+  const long = { expectedTokens: 1_000, deadline: 160_000 }
+  t.is(grantsFrom(cell, { kind: CellEventKind.Request, request: slotRequest('caller', long) }, 100_000).length, 0)
+  t.is(grantsFrom(cell, { kind: CellEventKind.Request, request: slotRequest('sample', { ...long, origin: RequestOrigin.Batch }) }, 100_000).length, 1)
+})
--- a/packages/state/src/test/slot-request.ts
+++ b/packages/state/src/test/slot-request.ts
@@ -1,4 +1,5 @@
 import { WorkClass } from '../lib/catalogue.js'
+import { RequestOrigin } from '../lib/request-origin.js'
 import type { SlotRequest } from '../lib/cell-event.js'
 
 /** Builds a slot request for tests; `part` overrides the default fields. */
@@ -14,6 +15,7 @@
     promptTokens: 4,
     prefix: '',
     digest: requestId,
+    origin: RequestOrigin.Caller,
     suspect: false,
     excluded: [],
     deadline: Infinity,
