Cell: a suspect that fits no usable endpoint doesn't hold back other suspects

What trainers would see: after a burst of crashes, samples under which an endpoint was lost wait although endpoints are free, until the deadline of one of them.

Cause: the endpoint for suspects was chosen only for the first suspect that waits. If it had already failed at all endpoints that are usable now, while the one left is still down, no endpoint was reserved and no suspect could run. A burst makes each request that ran on a lost endpoint a suspect, so this is when it happens.

Change: the endpoint is chosen for the first waiting suspect that fits one.

Evidence: cell.test.ts "unlucky: a suspect request that fits no usable endpoint ..." failed before at line 261: [ + 's2' ] is missing. The property test of the cell (2,000 runs) and "a suspect request runs alone on its endpoint ..." pass unchanged.

--- a/packages/state/src/lib/cell.ts
+++ b/packages/state/src/lib/cell.ts
@@ -317,20 +317,19 @@
     }
   }
 
-  /** Reserves the least busy suitable endpoint for suspect requests while there are any. */
+  /** Reserves the least busy suitable endpoint for suspect requests while there are any: for the first one that fits an endpoint. */
   #chooseSuspectEndpoint (now: number): void {
-    const [first] = this.#suspects
-    const request = first === undefined ? undefined : this.#queue.find(first)
-    const suspectEndpoint = this.#suspectEndpoint
-    if (suspectEndpoint !== undefined && runsSuspect(suspectEndpoint)) return
-    if (request === undefined) {
-      this.#suspectEndpoint = undefined
+    const reserved = this.#suspectEndpoint
+    if (reserved !== undefined && runsSuspect(reserved)) return
+    this.#suspectEndpoint = undefined
+    const usable = [...this.#endpoints.values()].filter((endpoint) => endpoint.isUsable(now))
+    for (const requestId of this.#suspects) {
+      const request = this.#queue.find(requestId)
+      const fitting = usable.filter(({ endpoint }) => request?.excluded.includes(endpoint.id) === false)
+      if (fitting.length === 0) continue
+      this.#suspectEndpoint = reserved !== undefined && fitting.includes(reserved) ? reserved : fitting.sort((a, b) => a.busySlots - b.busySlots)[0]
       return
     }
-    const fits = (endpoint: CellEndpoint): boolean => endpoint.isUsable(now) && !request.excluded.includes(endpoint.endpoint.id)
-    if (suspectEndpoint !== undefined && fits(suspectEndpoint)) return
-    const candidates = [...this.#endpoints.values()].filter(fits)
-    this.#suspectEndpoint = candidates.sort((a, b) => a.busySlots - b.busySlots)[0]
   }
 
   #removeFromQueue (requestId: string): SlotRequest | undefined {
--- a/packages/state/src/test/cell.test.ts
+++ b/packages/state/src/test/cell.test.ts
@@ -248,3 +248,15 @@
   t.is(grantsFrom(cell, { kind: CellEventKind.Request, request: slotRequest('caller', long) }, 100_000).length, 0)
   t.is(grantsFrom(cell, { kind: CellEventKind.Request, request: slotRequest('sample', { ...long, origin: RequestOrigin.Batch }) }, 100_000).length, 1)
 })
+
+// Guards against holding back all samples under which endpoints crashed behind one that fits no endpoint at the moment.
+test('unlucky: a suspect request that fits no usable endpoint doesn\'t keep other suspects from running', (t) => {
+  const cell = openCell()
+  const held = requestSlots(cell, SLOTS * ENDPOINTS.length)
+  const suspects = [slotRequest('s1', { suspect: true, excluded: ['a', 'b'] }), slotRequest('s2', { suspect: true })]
+  for (const request of suspects) t.is(grantsFrom(cell, { kind: CellEventKind.Request, request }, 1).length, 0)
+  const granted = held.flatMap(({ slotId, endpoint: { id } }) => {
+    return grantsFrom(cell, { kind: CellEventKind.Release, slotId, end: id === 'c' ? SlotEnd.EndpointLost : SlotEnd.Finished, actualTokens: 1 }, 2)
+  })
+  t.deepEqual(granted.map(({ requestId }) => requestId), ['s2'])
+})
