Test: a reward request under which many endpoints crash is sent again

Broken connections never count as failures, and each request is followed by another one.

The older test of refusals and broken connections breaks two of them, fewer than a reward may fail, so it passes also if they count. The new one breaks six where four failures are allowed.

--- a/packages/coordination/src/test/reward-caller.test.ts
+++ b/packages/coordination/src/test/reward-caller.test.ts
@@ -141,6 +141,25 @@
   t.is(run.progress.results[0]?.state, SampleState.Completed)
 })
 
+// Guards against abandoning a sample because several endpoints crashed while they scored it.
+test('unlucky: a reward request under which more endpoints crash than it may fail is sent again, and its sample completed', async (t) => {
+  const crashes = LEDGER_ROUTE.maxAttempts + 2
+  const desks = Array.from({ length: crashes }, (_, index) => `desk${index}`)
+  const { endpoints, open } = await openFixture(t, desks)
+  let count = 0
+  for (const id of desks) {
+    endpoints.callScripts.set(id, async (request) => {
+      count += 1
+      return count > crashes ? await signedAnswer(request) : { kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }
+    })
+  }
+  const run = open(rewardedOrder(1, 1))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.calls.length, crashes + 1)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+})
+
 test('rewards leave slots of each endpoint to callers, however many texts are whole', async (t) => {
   const { endpoints, context, open } = await openFixture(t)
   let running = 0
