--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -100,10 +100,12 @@
   /** Stops the run and returns the results and texts with which the next owner can continue. */
   handOver (): AdoptRollout {
     this.stop()
-    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, { pieces, versions, softwareVersion }]) => {
+    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, text]) => {
+      const { pieces, versions, softwareVersion } = text
       const life = this.#board.lifeOf(sampleId)
       const isWhole = life?.phase === SamplePhase.Generated || life?.phase === SamplePhase.Scoring
-      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, softwareVersion }
+      const unconfirmed = text.unconfirmedParts(monotonicNow())
+      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, softwareVersion, unconfirmed }
     })
     return { kind: PeerMessageKind.AdoptRollout, from: this.#context.writer, order: this.order, results: this.#board.settledResults(), texts }
   }
@@ -173,13 +175,15 @@
   /** Appends a claim of the rollout; returns whether this process owns it. */
   async claim (deadline: number): Promise<boolean> {
     const before = this.progress.claimant
-    const sentAt = monotonicNow()
-    while (!this.progress.ended && monotonicNow() < deadline) {
+    while (!this.progress.ended) {
+      if (monotonicNow() >= deadline) return false
+      const sentAt = monotonicNow()
       const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], texts: [], ended: false, claim: true }, deadline)
+      if (status === AppendStatus.Failed) return false
+      this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
       if (status === AppendStatus.Applied) break
-      if (status === AppendStatus.Failed || this.progress.claimant !== before) return false
+      if (this.progress.claimant !== before) return false
     }
-    this.#confirmedAt = sentAt
     this.#lister.markListed()
     return this.progress.ended || this.#isOwner
   }
@@ -222,6 +226,7 @@
       if (!this.#stopped) this.stop()
       return
     }
+    this.#generator.checkTexts()
     if (monotonicNow() >= this.#expiresAt) this.#board.expire()
     else this.#startWork()
     void this.#commitResults(false)
@@ -240,7 +245,7 @@
   }
 
   #workPermission (): WorkPermission {
-    const permission = decideWorkPermission({ confirmedAt: this.#confirmedAt, storeAnsweredAt: this.#context.store.answeredAt, isContested: this.#contested }, monotonicNow())
+    const permission = decideWorkPermission({ confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#contested }, monotonicNow())
     if (permission === WorkPermission.ConfirmMeanwhile) this.#context.store.recordOutage()
     return permission
   }
--- a/packages/state/src/lib/cell.ts
+++ b/packages/state/src/lib/cell.ts
@@ -5,6 +5,7 @@
 import { IndexedHeap } from './indexed-heap.js'
 import { invariant, unreachable } from './invariant.js'
 import { notRun, RefusalReason } from './refusal.js'
+import { RequestOrigin } from './request-origin.js'
 import { ServiceRate } from './service-rate.js'
 import type { HeldSlot } from './cell-endpoint.js'
 import type { CellEffect, CellEvent, Decision, SlotClaim, SlotGrant, SlotRequest } from './cell-event.js'
@@ -142,6 +143,8 @@
     if (this.#queue.has(request.requestId)) return notRun(RefusalReason.InProgress, 'a request with this id is already waiting')
     if (this.#endpoints.size === 0) return notRun(RefusalReason.NoEndpoint, 'the cell has no endpoints', 1000)
     if (this.#queue.size >= this.#settings.queueLimit) return notRun(RefusalReason.Overloaded, 'the queue of the cell is full', 500)
+    // No other request may be left to correct the estimate, and a sample that is refused now only asks again.
+    if (request.origin === RequestOrigin.Batch && this.#queue.size < this.summary(now).freeSlots) return undefined
     const neededMs = this.#estimateDurationMs(request, now)
     if (now + ADMISSION_CONFIDENCE * neededMs <= request.deadline) return undefined
     const lateMs = Math.ceil(now + neededMs - request.deadline)
@@ -314,20 +317,19 @@
     }
   }
 
-  /** Reserves the least busy suitable endpoint for suspect requests while there are any. */
+  /** Reserves the least busy suitable endpoint for suspect requests while there are any: for the first one that fits an endpoint. */
   #chooseSuspectEndpoint (now: number): void {
-    const [first] = this.#suspects
-    const request = first === undefined ? undefined : this.#queue.find(first)
-    const suspectEndpoint = this.#suspectEndpoint
-    if (suspectEndpoint !== undefined && runsSuspect(suspectEndpoint)) return
-    if (request === undefined) {
-      this.#suspectEndpoint = undefined
+    const reserved = this.#suspectEndpoint
+    if (reserved !== undefined && runsSuspect(reserved)) return
+    this.#suspectEndpoint = undefined
+    const usable = [...this.#endpoints.values()].filter((endpoint) => endpoint.isUsable(now))
+    for (const requestId of this.#suspects) {
+      const request = this.#queue.find(requestId)
+      const fitting = usable.filter(({ endpoint }) => request?.excluded.includes(endpoint.id) === false)
+      if (fitting.length === 0) continue
+      this.#suspectEndpoint = reserved !== undefined && fitting.includes(reserved) ? reserved : fitting.sort((a, b) => a.busySlots - b.busySlots)[0]
       return
     }
-    const fits = (endpoint: CellEndpoint): boolean => endpoint.isUsable(now) && !request.excluded.includes(endpoint.endpoint.id)
-    if (suspectEndpoint !== undefined && fits(suspectEndpoint)) return
-    const candidates = [...this.#endpoints.values()].filter(fits)
-    this.#suspectEndpoint = candidates.sort((a, b) => a.busySlots - b.busySlots)[0]
   }
 
   #removeFromQueue (requestId: string): SlotRequest | undefined {
