A sample's permission to start ends at a stored time, checked when its request is written

What callers saw: an item reached an endpoint later than 3,000 ms after the acknowledged end of its batch (UNASKED).

Cause: a sample or reward request was permitted when it was placed; its bytes left once a connection was there: after a queue for one, a connect, a stall of the event loop, or as a retry or a hedge inside a call. Class: a check whose effect comes later than it.

Change: the permission carries a time, startBefore. Retries and hedges of a call obey the same time. On a log copy the time is 2.2 s after the read of the log was sent, which leaves 0.8 s of the bound for the way to the endpoint; work is still placed only up to 1.5 s. While the store is down it is the time until which the outage is known to go on, 1.7 s after the last unanswered call: an end can be acknowledged only once the store serves again, and a call then pending fails at most 1.2 s later, so a first byte leaves at most 2.9 s after the earliest such end. Usually the next read is answered before.

Ruled out: a streamed body as orders have (requests without a body need the check as well).

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -151,6 +151,7 @@
     if (state.attempts >= state.call.route.maxAttempts || (state.mayHaveRun && state.call.route.kind !== RouteKind.Idempotent)) {
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
+    if (state.call.startBefore !== undefined && monotonicNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
     const demand = { service: state.service, excluded: state.excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[state.call.origin] }
     const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, monotonicNow())
     if (record !== undefined) {
@@ -187,6 +188,7 @@
       body: call.body,
       workspace: call.workspace,
       deadline: call.deadline,
+      startBefore: call.startBefore,
       signal: abort.signal
     })
     void reply.then((value) => this.#recordReply(state, attempt, value))
@@ -238,7 +240,7 @@
     const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : workEndOf(reply)
     endpointTable.finishWork(entry.id, entry.bornAt, end, now)
     if (reply.kind === EndpointReplyKind.Answer) endpointTable.recordPace(entry.id, now - attempt.sentAt, now)
-    if (reply.kind !== EndpointReplyKind.Broken && reply.load !== undefined) endpointTable.recordLoad(entry.id, reply.load, now)
+    if ((reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun) && reply.load !== undefined) endpointTable.recordLoad(entry.id, reply.load, now)
     if (reply.kind === EndpointReplyKind.Answer && !state.counted && state.call.workspace !== undefined) {
       state.counted = true
       this.#context.tally.countRequest(state.call.workspace, Date.now() - (now - attempt.sentAt))
@@ -252,7 +254,7 @@
       endpoint: attempt.record.entry.id,
       outcome: reply.kind,
       tookMs: Math.round(monotonicNow() - attempt.sentAt),
-      status: reply.kind === EndpointReplyKind.Broken ? undefined : reply.status,
+      status: reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun ? reply.status : undefined,
       detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined
     })
     switch (reply.kind) {
@@ -266,6 +268,9 @@
         state.attempts -= 1
         state.rejections += 1
         return undefined
+      case EndpointReplyKind.NotSent:
+        state.attempts -= 1
+        return undefined
       case EndpointReplyKind.Broken:
         if (reply.sent) state.mayHaveRun = true
         else state.attempts -= 1
@@ -288,6 +293,7 @@
   switch (reply.kind) {
     case EndpointReplyKind.Answer: return WorkEnd.Finished
     case EndpointReplyKind.NotRun: return WorkEnd.Refused
+    case EndpointReplyKind.NotSent: return WorkEnd.Cancelled
     case EndpointReplyKind.Broken: return WorkEnd.Broken
     default: return unreachable(reply)
   }
--- a/packages/coordination/src/lib/plain-call.ts
+++ b/packages/coordination/src/lib/plain-call.ts
@@ -21,6 +21,8 @@
   readonly body: Uint8Array
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
+  /** Monotonic milliseconds after which no attempt may begin to be written; undefined if attempts may start until the deadline. */
+  readonly startBefore?: number
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal
 }
--- a/packages/coordination/src/lib/reward-caller.ts
+++ b/packages/coordination/src/lib/reward-caller.ts
@@ -120,6 +120,7 @@
       headers: [['Host', reward.host]],
       body: Buffer.from(reward.body, 'base64'),
       deadline: this.#options.expiresAt,
+      startBefore: permit.startBefore,
       signal: abort.signal
     })
     clearTimeout(timer)
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,11 +1,11 @@
-import { decideWorkPermission, hostOfWriter, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
+import { createWorkPermit, decideWorkPermission, hostOfWriter, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { AppendStatus } from './rollout-store.js'
 import { ResultLister } from './result-lister.js'
 import { RewardCaller } from './reward-caller.js'
 import { SampleGenerator } from './sample-generator.js'
-import type { RolloutOrder, RolloutProgress } from '@cyclamenthread/state'
+import type { RolloutOrder, RolloutProgress, WorkPermissionEvidence } from '@cyclamenthread/state'
 import type { AdoptRollout, RecoveredText } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -233,18 +233,22 @@
     const permission = this.#workPermission()
     if (hasWork && permission !== WorkPermission.Granted) this.#refreshThenStart()
     if (permission === WorkPermission.ConfirmFirst) return
-    const permit = { permission, logAgeMs: Number.isFinite(this.#confirmedAt) ? Math.round(monotonicNow() - this.#confirmedAt) : undefined }
+    const permit = createWorkPermit(permission, this.#workEvidence(), monotonicNow())
     this.#rewards.startRequests(permit)
     this.#generator.startSamples(permit)
     if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
   #workPermission (): WorkPermission {
-    const permission = decideWorkPermission({ confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#contested }, monotonicNow())
+    const permission = decideWorkPermission(this.#workEvidence(), monotonicNow())
     if (permission === WorkPermission.ConfirmMeanwhile) this.#context.store.recordOutage()
     return permission
   }
 
+  #workEvidence (): WorkPermissionEvidence {
+    return { confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#contested }
+  }
+
   /** Checks the log for an end or a claim of another host before work starts. */
   #refreshThenStart (): void {
     if (this.#confirming || monotonicNow() < this.#nextConfirmationAt) return
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -175,6 +175,7 @@
       body: Buffer.from(sample.body, 'base64'),
       workspace: order.workspace,
       deadline: undefined,
+      startBefore: permit.startBefore,
       signal: abort.signal
     }
     const result = await readSampleStream(endpoints, request, text, order, {
@@ -223,6 +224,7 @@
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
         break
       case StreamEnd.NotRun:
+      case StreamEnd.NotSent:
       case StreamEnd.Broken:
       case StreamEnd.Cancelled:
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
@@ -242,6 +244,7 @@
     case StreamEnd.Broken: return WorkEnd.Broken
     // A refusal concerns a single model and is recorded by recordModelRefusal.
     case StreamEnd.NotRun:
+    case StreamEnd.NotSent:
     case StreamEnd.Stale:
     case StreamEnd.Cancelled:
       return WorkEnd.Cancelled
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -24,6 +24,8 @@
   Impossible = 'impossible',
   /** The endpoint did not run it. */
   NotRun = 'not-run',
+  /** The permission to start ended before the request was written. */
+  NotSent = 'not-sent',
   /** The connection broke, the stream stalled, or it contained an unexpected event. */
   Broken = 'broken',
   /** The text comes from weights that are too old or changed within a sample that requires a single version. */
@@ -128,6 +130,7 @@
         case StreamPartKind.End: return finish(StreamEnd.Complete)
         case StreamPartKind.Failure: return finish(part.status === UNPROCESSABLE_STATUS ? StreamEnd.Impossible : StreamEnd.Failed, `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
+        case StreamPartKind.NotSent: return finish(StreamEnd.NotSent)
         case StreamPartKind.Broken:
           if (isStalled) return finish(StreamEnd.Broken, 'timed out waiting for the next event')
           return finish(abort.signal.aborted ? StreamEnd.Cancelled : StreamEnd.Broken, part.detail)
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -137,3 +137,33 @@
   t.is(calls, 2)
   t.deepEqual(tally.countsOf(tally.windowAt(Date.now())), { office: 1 })
 })
+
+// Guards against a reward request that reaches an endpoint after the end of its batch (UNASKED) as a retry or a hedge.
+test('neither a retry nor a hedge of a call begins after its time to start', async (t) => {
+  const broken = { kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' } as const
+  for (const silentMs of [200, 600]) {
+    const { endpoints, run } = await openFixture(t, ['a', 'bb'])
+    for (const id of ['a', 'bb']) {
+      endpoints.callScripts.set(id, async (request) => {
+        await waitUnlessAborted(silentMs, request.signal)
+        return broken
+      })
+    }
+    const startBefore = performance.now() + 100
+    const outcome = await run({ startBefore })
+    t.is(endpoints.calls.length, 1)
+    t.is(endpoints.calls[0]?.startBefore, startBefore)
+    t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
+  }
+})
+
+test('a call that was not written in time has not run', async (t) => {
+  const { endpoints, run } = await openFixture(t, ['a'])
+  const startBefore = performance.now() + 60
+  endpoints.callScripts.set('a', async (request) => {
+    await waitUnlessAborted(startBefore - performance.now() + 20, request.signal)
+    return { kind: EndpointReplyKind.NotSent }
+  })
+  const outcome = await run({ startBefore })
+  t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.No)
+})
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -383,3 +383,22 @@
   await waitUntil(t, () => run.isFinished)
   t.is(endpoints.streams.length, 0)
 })
+
+// Guards against a sample that is lost, or an endpoint that is avoided, because a request was not written in time.
+test('a sample that was not written in time waits again and is sent to the same endpoint, with a later time to start', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a'])
+  let isFirst = true
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    if (!isFirst) return yield * streamOf(3, 3)(request, resumeAfter)
+    isFirst = false
+    await waitUnlessAborted(200, request.signal)
+    yield { kind: StreamPartKind.NotSent }
+  })
+  const run = open(rolloutOrder(1, 1))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Completed])
+  const [first, second] = endpoints.streams.map(({ request }) => request.startBefore ?? Infinity)
+  t.is(endpoints.streams.length, 2)
+  t.true((first ?? 0) <= (second ?? 0) && (second ?? Infinity) < performance.now() + CANCEL_BOUND_MS)
+})
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -16,6 +16,8 @@
   readonly workspace: string | undefined
   /** Monotonic deadline in milliseconds; undefined if no deadline is sent to the endpoint. */
   readonly deadline: number | undefined
+  /** Monotonic milliseconds after which the request must not begin to be written; undefined if it may be written at any time. */
+  readonly startBefore: number | undefined
   readonly signal: AbortSignal
 }
 
@@ -25,6 +27,8 @@
   Answer = 'answer',
   /** The endpoint states that it hasn't run the request and won't. */
   NotRun = 'not-run',
+  /** The time by which the request had to be written passed first; no byte of it was sent. */
+  NotSent = 'not-sent',
   /** No complete response; if the request was sent, it may have run. */
   Broken = 'broken'
 }
@@ -33,6 +37,7 @@
 export type EndpointReply =
   | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly signature: string | undefined, readonly load: ObservedLoad | undefined }
   | { readonly kind: EndpointReplyKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined }
+  | { readonly kind: EndpointReplyKind.NotSent }
   | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string }
 
 /** Kinds of parts of an event stream. */
@@ -46,6 +51,8 @@
   Failure = 'failure',
   /** The endpoint did not run the request. */
   NotRun = 'not-run',
+  /** The time by which the request had to be written passed first; no byte of it was sent. */
+  NotSent = 'not-sent',
   /** The stream was cut off, or the response belongs to another request. */
   Broken = 'broken'
 }
@@ -57,6 +64,7 @@
   | { readonly kind: StreamPartKind.End }
   | { readonly kind: StreamPartKind.Failure, readonly status: number }
   | { readonly kind: StreamPartKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined }
+  | { readonly kind: StreamPartKind.NotSent }
   | { readonly kind: StreamPartKind.Broken, readonly sent: boolean, readonly detail: string }
 
 /** An order to load a weight version on an endpoint, sent under a lease. */
--- a/packages/state/src/lib/work-permission.ts
+++ b/packages/state/src/lib/work-permission.ts
@@ -24,11 +24,19 @@
   readonly permission: WorkPermission
   /** Age of the log copy behind the permission, in milliseconds; undefined if the log was never read. */
   readonly logAgeMs: number | undefined
+  /** Monotonic milliseconds at which the permission ends; no request may begin to be written after it. */
+  readonly startBefore: number
 }
 
 /** Age of the log copy up to which work starts without another read, in milliseconds. */
 const MAX_CONFIRMATION_AGE_MS = 1_500
 
+/**
+ * Age of the log copy up to which a request that was permitted may begin to be
+ * written, in milliseconds. The rest of the bound on ends is for its way to the endpoint.
+ */
+const MAX_WRITE_AGE_MS = 2_200
+
 /**
  * Silence of the store after which it counts as down, in milliseconds: longer than
  * a call's timeout, so that one late answer of a busy host doesn't count as an
@@ -61,3 +69,22 @@
 function isOutage (silence: SilentSpan | undefined, now: number): boolean {
   return silence !== undefined && silence.until - silence.since > STORE_OUTAGE_MS && now - silence.until <= MAX_OUTAGE_AGE_MS
 }
+
+/**
+ * Returns the permit for work that {@link decideWorkPermission} permits, which ends
+ * when the log copy is too old or, in an outage, when the outage is no longer known
+ * to go on.
+ *
+ * @param now monotonic milliseconds
+ * @example
+ * createWorkPermit(WorkPermission.Granted, { confirmedAt: 0, storeSilence: undefined, isContested: false }, 400).startBefore // 2_200
+ */
+export function createWorkPermit (permission: WorkPermission, { confirmedAt, storeSilence }: WorkPermissionEvidence, now: number): WorkPermit {
+  const logEnd = confirmedAt + MAX_WRITE_AGE_MS
+  const isUnconfirmed = permission === WorkPermission.ConfirmMeanwhile && storeSilence !== undefined
+  return {
+    permission,
+    logAgeMs: Number.isFinite(confirmedAt) ? Math.round(now - confirmedAt) : undefined,
+    startBefore: isUnconfirmed ? Math.max(logEnd, storeSilence.until + MAX_OUTAGE_AGE_MS) : logEnd
+  }
+}
--- a/packages/state/src/test/work-permission.test.ts
+++ b/packages/state/src/test/work-permission.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
-import { decideWorkPermission, WorkPermission } from '@cyclamenthread/state'
+import { createWorkPermit, decideWorkPermission, WorkPermission } from '@cyclamenthread/state'
 
 /** Time within which an end must stop all samples of its rollout, in milliseconds, as the platform's pages state it. */
 const CANCEL_BOUND_MS = 3_000
@@ -34,3 +34,16 @@
   t.is(decideWorkPermission({ confirmedAt: 0, storeSilence: lasted(2_600), isContested: false }, 4_200), WorkPermission.ConfirmMeanwhile)
   t.is(decideWorkPermission({ confirmedAt: 0, storeSilence: lasted(2_600), isContested: true }, 2_600), WorkPermission.ConfirmFirst)
 })
+
+// Guards against an item that reaches an endpoint after the end of its batch (UNASKED) because its permission had no end.
+test('a permit ends before the bound on ends, counted from the log copy or, in an outage, from the last unanswered call', (t) => {
+  const confirmed = { confirmedAt: 1_000, storeSilence: undefined, isContested: false }
+  const { startBefore, logAgeMs } = createWorkPermit(WorkPermission.Granted, confirmed, 2_400)
+  t.is(logAgeMs, 1_400)
+  t.true(startBefore > 1_000 + 1_500 && startBefore < 1_000 + CANCEL_BOUND_MS - 500)
+  const down = { confirmedAt: -Infinity, storeSilence: { since: 1_000, until: 4_000 }, isContested: false }
+  const permit = createWorkPermit(WorkPermission.ConfirmMeanwhile, down, 4_100)
+  t.is(permit.logAgeMs, undefined)
+  t.true(permit.startBefore > 4_100 && permit.startBefore < 4_000 + CANCEL_BOUND_MS)
+  t.is(createWorkPermit(WorkPermission.ConfirmFirst, down, 4_100).startBefore, -Infinity)
+})
