--- a/packages/coordination/src/lib/plain-call.ts
+++ b/packages/coordination/src/lib/plain-call.ts
@@ -23,6 +23,8 @@
   readonly continues?: StreamOrigin
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
+  /** Monotonic milliseconds after which no attempt may begin to be written; undefined if attempts may start until the deadline. */
+  readonly startBefore?: number
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal
 }
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -25,6 +25,8 @@
   Impossible = 'impossible',
   /** The endpoint did not run it. */
   NotRun = 'not-run',
+  /** The permission to start ended before the request was written. */
+  NotSent = 'not-sent',
   /** The connection broke, the stream stalled, or it contained an unexpected event. */
   Broken = 'broken',
   /** The text comes from weights that are too old or changed within a sample that requires a single version. */
@@ -114,6 +116,7 @@
         case StreamPartKind.End: return abort.signal.aborted ? finishAborted() : finish(StreamEnd.Complete)
         case StreamPartKind.Failure: return finish(endOfFailure(part.status), `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
+        case StreamPartKind.NotSent: return finish(StreamEnd.NotSent)
         case StreamPartKind.Broken:
           return abort.signal.aborted ? finishAborted(part.detail) : finish(StreamEnd.Broken, part.detail)
         default: unreachable(part)
