Overtaken checkpoint: a text is never joined to an earlier one of its owner

What callers saw: nothing; found while looking for the cause of joined texts elsewhere. After a loss of all hosts a stored text could begin with the events of one run and go on with those of another.

Cause: an entry that holds only texts counts as applied when another writer has taken its place in the log. The owner then took its new text for stored, and the next checkpoint continued the text that really was stored, of an earlier generation.

Change: a generation counts as stored only if the log shows the text that the checkpoint makes.

--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -82,13 +82,15 @@
     if (!isDue) return false
     this.#committing = true
     this.#checkpointAt = deadlineAfter(CHECKPOINT_PERIOD_MS)
-    const starts = texts.map(({ sampleId }) => [sampleId, this.#generator.texts.get(sampleId)?.generation] as const)
+    const generations = texts.map(({ sampleId }) => this.#generator.texts.get(sampleId)?.generation)
     const results = takeSegmentResults(this.#board.settledResults())
     const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS))
     this.#committing = false
     this.#committedAt = monotonicNow()
-    if (status === AppendStatus.Applied) {
-      for (const [sampleId, start] of starts) this.#storedGenerations.set(sampleId, start)
+    for (const [index, { sampleId, from, pieces }] of texts.entries()) {
+      // Another writer may have taken the entry's place in the log.
+      const stored = this.#progress.texts.get(sampleId)
+      if (stored?.writer === this.#context.writer && stored.pieces.length === from + pieces.length) this.#storedGenerations.set(sampleId, generations[index])
     }
     this.#context.log.record(LogEvent.RolloutCommitted, {
       rollout: this.#order.id, outcome: status, results: results.length, texts: texts.length, segment: this.#progress.segments, listed: this.#progress.results.length
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -278,6 +278,43 @@
   t.deepEqual(progress.texts.get('g0.0')?.pieces.slice(0, 100), pieces)
 })
 
+// Guards against joined texts: a checkpoint that lost its place in the log to another writer counted as stored.
+test('a text whose checkpoint another writer has overtaken is never joined to an earlier text of this owner', async (t) => {
+  const { context, endpoints, open } = await openFixture(t, ['a'])
+  let streams = 0
+  const markedStream = (count: number, version: number, pauseMs: number): ReturnType<typeof streamOf> => async function * (request, resumeAfter) {
+    for await (const part of streamOf(count, version, pauseMs)(request, resumeAfter)) yield part.kind === StreamPartKind.Event ? { ...part, data: `${part.data} of ${version}` } : part
+  }
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    streams += 1
+    if (streams > 1) return yield * markedStream(150, 4, 30)(request, resumeAfter)
+    for await (const part of markedStream(60, 3, 45)(request, resumeAfter)) {
+      if (part.kind === StreamPartKind.End) yield { kind: StreamPartKind.Failure, status: 500 }
+      else yield part
+    }
+  })
+  const order = rolloutOrder(1, 1)
+  const other = new RolloutProgress()
+  const { append } = context.store
+  let isOvertaken = false
+  context.store.append = async (id, progress, segment, deadline) => {
+    if (!isOvertaken && segment.texts[0]?.versions[0] === 4) {
+      isOvertaken = true
+      await context.store.catchUp(id, other, deadline)
+      await append.call(context.store, id, other, { writer: 'other', results: [], texts: [], ended: false }, deadline)
+    }
+    return await append.call(context.store, id, progress, segment, deadline)
+  }
+  const run = open(order)
+  run.start()
+  await waitUntil(t, () => (run.progress.texts.get('g0.0')?.pieces.length ?? 0) > 0)
+  await waitUntil(t, () => streams === 2)
+  await waitUntil(t, () => isOvertaken)
+  await waitUntil(t, () => run.progress.texts.get('g0.0')?.versions[0] === 4)
+  const held = run.progress.texts.get('g0.0')
+  t.deepEqual(held?.pieces, held?.pieces.map((_, index) => `e${index + 1} of 4`))
+})
+
 test('a wall clock that is seconds or hours off neither abandons a sample early nor keeps it beyond its lifetime', async (t) => {
   for (const offMs of [-3_600_000, -5_000, 5_000, 3_600_000]) {
     const { endpoints, open } = await openFixture(t, ['a'])
