Registry: a late answer doesn't make the copy current (ORDER)

What callers saw: nothing; found by an independent review of the fix. A text of two parts is listed once the registry would show any restart of their endpoints; a copy that counted as current too early let two software versions through.

Cause: the copy counted as current from the moment at which the answer to a watch, or a relay's update, was processed. An answer that was under way for longer than a heartbeat and a write confirmed what the store had known before.

Change: a mirror also tells the time up to which its copy contains every change, proven by its own calls: the time at which a list was asked for, the end of the wait of a watch without changes, the beginning of one with changes. Relays' updates prove nothing, since nobody knows how long they were under way. A host with whole texts that wait lists the endpoints itself, at most once a second. How relays and denials use the earlier time is as it was.

--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -15,6 +15,9 @@
 /** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
 const REGISTRATION_MS = 1_500
 
+/** Minimum time between two listings of the endpoints that texts wait for, in milliseconds. */
+const LISTING_PERIOD_MS = 1_000
+
 /** Decodes stored objects; a failure describes what is wrong with the object. */
 export interface DeploymentDecoder {
   declaration (object: StoredObject): Outcome<Declaration, string>
@@ -42,6 +45,7 @@
   #routeTable: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
+  #nextListingAt = -Infinity
   #retentionTimer: NodeJS.Timeout | undefined
   readonly #loggedRejections = new Set<string>()
 
@@ -68,8 +72,16 @@
 
   /** Monotonic milliseconds before which each start of an endpoint shows in the endpoint table. */
   get registeredUntil (): number {
-    const { confirmedAt, reconnectedAt } = this.#sources.endpoints
-    return confirmedAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : confirmedAt - REGISTRATION_MS
+    const { currentAt, reconnectedAt } = this.#sources.endpoints
+    return currentAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : currentAt - REGISTRATION_MS
+  }
+
+  /** Lists the endpoints to advance {@link registeredUntil}, unless that has happened recently. */
+  advanceRegistry (): void {
+    const now = monotonicNow()
+    if (now < Math.max(this.#nextListingAt, this.#sources.endpoints.currentAt + LISTING_PERIOD_MS)) return
+    this.#nextListingAt = now + LISTING_PERIOD_MS
+    void this.#sources.endpoints.refresh()
   }
 
   /**
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -12,6 +12,9 @@
 /** Time that a watch call may take in addition to its requested wait, in milliseconds. */
 const WATCH_SLACK_MS = 800
 
+/** Time by which the store may end a wait early, in milliseconds: it is asked for whole milliseconds. */
+const WATCH_ROUNDING_MS = 1
+
 /**
  * Age of a copy at which a follower stops relying on relays and watches the store
  * itself, as a share of the time within which a change has to be noticed; the rest
@@ -67,6 +70,7 @@
   readonly #backoff: Backoff
   #cursor: string | undefined
   #confirmedAt = -Infinity
+  #currentAt = -Infinity
   #connected: boolean | undefined
   #reconnectedAt = -Infinity
   /** Incremented by each start and stop, so that an earlier loop ends after its current wait. */
@@ -95,6 +99,15 @@
     return this.#confirmedAt
   }
 
+  /**
+   * Monotonic time in milliseconds up to which the copy contains every change. Unlike
+   * {@link confirmedAt} it is proven by calls of this mirror alone and doesn't count the
+   * time for which an answer or a relay's update was under way.
+   */
+  get currentAt (): number {
+    return this.#currentAt
+  }
+
   /** Monotonic time at which the store was last reached again after a failure, in milliseconds. */
   get reconnectedAt (): number {
     return this.#reconnectedAt
@@ -196,6 +209,7 @@
     const askedAt = monotonicNow()
     const answer = await this.#store.snapshot(this.#settings.prefix, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(LIST_TIMEOUT_MS) })
     if (!answer.ok) return false
+    this.#currentAt = Math.max(this.#currentAt, askedAt)
     if (this.#cursor !== undefined && Number(answer.value.next) < Number(this.#cursor)) return true
     this.#objects.clear()
     for (const object of answer.value.objects) this.#objects.set(object.key, object)
@@ -213,6 +227,7 @@
     const periodMs = isRelay ? this.#settings.noticeMs * RELAY_PERIOD_SHARE : Infinity
     const waitMs = Math.min(periodMs, this.#settings.waitMs)
     const changePauseMs = Math.min(periodMs, this.#settings.changePauseMs)
+    const askedAt = monotonicNow()
     const answer = await this.#store.watch(prefix, after, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(waitMs + WATCH_SLACK_MS) })
     if (!answer.ok) {
       return answer.failure === StoreFailure.HistoryLost && await this.refresh()
@@ -221,6 +236,9 @@
     this.#setConnected(true)
     if (this.#cursor !== after) return true
     this.#cursor = answer.value.next
+    // The store gives an answer without changes only once the wait is over.
+    const isWaitOver = answer.value.changes.length === 0 && monotonicNow() >= askedAt + waitMs
+    this.#currentAt = Math.max(this.#currentAt, isWaitOver ? askedAt + waitMs - WATCH_ROUNDING_MS : askedAt)
     this.#publishUpdate(after, answer.value.changes)
     if (answer.value.changes.length === 0) return true
     this.#applyChanges(answer.value.changes)
