Joined text: confirmed in two seconds also while the registry is quiet

Change: while such a text waits, the registry is read once it was confirmed or asked for longer ago than 0.5 s; overlapping reads share one call, and a store that refuses is asked twice a second.

Evidence: the new test failed without the read ('the condition did not hold within five seconds', with watches that answer after 10 s) and passes with it in 2.1 s.

--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -15,6 +15,9 @@
 /** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
 const REGISTRATION_MS = 1_500
 
+/** Age of the endpoint table above which it is confirmed for a decision that waits for it, and shortest time between two attempts, in milliseconds. */
+const CONFIRMATION_PERIOD_MS = 500
+
 /** Decodes stored objects; a failure describes what is wrong with the object. */
 export interface DeploymentDecoder {
   declaration (object: StoredObject): Outcome<Declaration, string>
@@ -42,6 +45,7 @@
   #routeTable: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
+  #nextConfirmationAt = -Infinity
   #retentionTimer: NodeJS.Timeout | undefined
   readonly #loggedRejections = new Set<string>()
 
@@ -72,6 +76,14 @@
     return confirmedAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : confirmedAt - REGISTRATION_MS
   }
 
+  /** Confirms the endpoint table with the store unless that was done or tried just now, for work that can't end before {@link registeredUntil} is later. */
+  confirmEndpoints (): void {
+    const now = monotonicNow()
+    if (now < Math.max(this.#nextConfirmationAt, this.#sources.endpoints.confirmedAt + CONFIRMATION_PERIOD_MS)) return
+    this.#nextConfirmationAt = now + CONFIRMATION_PERIOD_MS
+    void this.#sources.endpoints.refresh()
+  }
+
   /**
    * Confirms the declaration with the store before a denial, unless it was confirmed recently.
    *
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -95,7 +95,9 @@
 
   /** Checks texts against the registry, which may show late that an endpoint has restarted with another software version. */
   checkTexts (): void {
-    const { endpointTable, registeredUntil } = this.#context.deployment
+    const { deployment } = this.#context
+    const { endpointTable, registeredUntil } = deployment
+    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints()
     const find = (id: string): EndpointEntry | undefined => endpointTable.find(id)?.entry
     for (const [sampleId, text] of this.#texts) {
       if (text.isConfirmed) continue
--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -53,8 +53,8 @@
   open (order: RolloutOrder, writer?: string): Promise<RolloutRun>
 }
 
-async function openFixture (t: ExecutionContext, entries: readonly EndpointEntry[]): Promise<Fixture> {
-  const { store, view } = openDeployment(t)
+async function openFixture (t: ExecutionContext, entries: readonly EndpointEntry[], quietMs?: number): Promise<Fixture> {
+  const { store, view } = openDeployment(t, quietMs)
   const endpoints = new ScriptedEndpoints()
   const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const context = { deployment: view, endpoints, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
@@ -320,3 +320,16 @@
   await waitUntil(t, () => run.isFinished)
   t.true(performance.now() - startedAt < 1_000, `${Math.round(performance.now() - startedAt)} ms`)
 })
+
+// Guards against late steps: a text of two streams was whole, but not listed before the next change of the registry.
+test('a text of several streams is listed two seconds after its last break, even if the registry is quiet', async (t) => {
+  const { endpoints, open } = await openFixture(t, [endpointEntry('a', { softwareVersion: 's1' })], 10_000)
+  endpoints.streamScripts.set('a', markedStream({ mark: 's1', count: 20, pauseMs: 5, breakAfter: 12 }))
+  const run = await open(rolloutOrder(1, 1))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 2)
+  const resumedAt = performance.now()
+  await waitUntil(t, () => run.isFinished)
+  t.true(performance.now() - resumedAt < 2_400, `${Math.round(performance.now() - resumedAt)} ms`)
+  assertWholeTexts(t, run, 20)
+})
