--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -15,8 +15,8 @@
 /** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
 const REGISTRATION_MS = 1_500
 
-/** Minimum time between two listings of the endpoints that texts wait for, in milliseconds. */
-const LISTING_PERIOD_MS = 1_000
+/** Age of the endpoint table above which it is confirmed for a decision that waits for it, and shortest time between two attempts, in milliseconds. */
+const CONFIRMATION_PERIOD_MS = 500
 
 /** Decodes stored objects; a failure describes what is wrong with the object. */
 export interface DeploymentDecoder {
@@ -45,7 +45,7 @@
   #routeTable: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
-  #nextListingAt = -Infinity
+  #nextConfirmationAt = -Infinity
   #retentionTimer: NodeJS.Timeout | undefined
   readonly #loggedRejections = new Set<string>()
 
@@ -76,11 +76,11 @@
     return currentAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : currentAt - REGISTRATION_MS
   }
 
-  /** Lists the endpoints to advance {@link registeredUntil}, unless that has happened recently. */
-  advanceRegistry (): void {
+  /** Confirms the endpoint table with the store unless that was done or tried just now, for work that can't end before {@link registeredUntil} is later. */
+  confirmEndpoints (): void {
     const now = monotonicNow()
-    if (now < Math.max(this.#nextListingAt, this.#sources.endpoints.currentAt + LISTING_PERIOD_MS)) return
-    this.#nextListingAt = now + LISTING_PERIOD_MS
+    if (now < Math.max(this.#nextConfirmationAt, this.#sources.endpoints.currentAt + CONFIRMATION_PERIOD_MS)) return
+    this.#nextConfirmationAt = now + CONFIRMATION_PERIOD_MS
     void this.#sources.endpoints.refresh()
   }
 
