--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -15,7 +15,7 @@
 /** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
 const REGISTRATION_MS = 1_500
 
-/** Age of the endpoint table above which it is confirmed for a decision that waits for it, and shortest time between two attempts, in milliseconds. */
+/** Shortest time between two attempts to confirm the endpoint table, in milliseconds. */
 const CONFIRMATION_PERIOD_MS = 500
 
 /** Decodes stored objects; a failure describes what is wrong with the object. */
@@ -76,12 +76,16 @@
     return currentAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : currentAt - REGISTRATION_MS
   }
 
-  /** Confirms the endpoint table with the store unless that was done or tried just now, for work that can't end before {@link registeredUntil} is later. */
-  confirmEndpoints (): void {
+  /**
+   * Advances {@link registeredUntil} for texts that wait for it, unless that was tried just now.
+   *
+   * @param maxAgeMs age of the endpoint table up to which it counts as confirmed, in milliseconds
+   */
+  confirmEndpoints (maxAgeMs: number): void {
     const now = monotonicNow()
-    if (now < Math.max(this.#nextConfirmationAt, this.#sources.endpoints.currentAt + CONFIRMATION_PERIOD_MS)) return
+    if (now < Math.max(this.#nextConfirmationAt, this.#sources.endpoints.currentAt + maxAgeMs)) return
     this.#nextConfirmationAt = now + CONFIRMATION_PERIOD_MS
-    void this.#sources.endpoints.refresh()
+    void this.#sources.endpoints.confirm()
   }
 
   /**
--- a/packages/coordination/src/lib/mirror-relay.ts
+++ b/packages/coordination/src/lib/mirror-relay.ts
@@ -1,11 +1,12 @@
 import { HostState } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { MirrorRole } from './store-mirror.js'
 import { relaysOf } from './relay-placement.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Host } from '@cyclamenthread/state'
-import type { MirrorUpdate } from '@cyclamenthread/protocol'
+import type { MirrorAge, MirrorUpdate } from '@cyclamenthread/protocol'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
 import type { StoreMirror } from './store-mirror.js'
@@ -13,6 +14,9 @@
 /** Number of hosts in a region from which on relays are used; in smaller regions, two relays would save almost no store calls. */
 const MIN_RELAYED_HOSTS = 9
 
+/** Timeout for asking a relay for the age of its copy, in milliseconds: a few round trips within a region. */
+const AGE_TIMEOUT_MS = 200
+
 /** Dependencies of the relay. */
 export interface MirrorRelayContext {
   readonly self: Host
@@ -36,6 +40,7 @@
     this.#context = context
     for (const mirror of context.mirrors) {
       mirror.setRole(() => this.role)
+      mirror.setRelayQuery(async () => await this.#askRelay(mirror.prefix))
       mirror.onUpdate((update) => this.#forwardUpdate(update))
     }
   }
@@ -56,10 +61,24 @@
         if (this.role !== MirrorRole.Follower) return { accepted: false }
         this.#context.mirrors.find((mirror) => mirror.prefix === update.prefix)?.applyUpdate(update)
         return { accepted: true }
+      },
+      [PeerMessageKind.ReadMirrorAge]: async ({ prefix }) => {
+        const mirror = this.#context.mirrors.find((candidate) => candidate.prefix === prefix)
+        return this.role !== MirrorRole.Relay || mirror?.next === undefined ? {} : { next: mirror.next, ageMs: monotonicNow() - mirror.currentAt }
       }
     })
   }
 
+  /** Asks the relays of the region in turn for the age of their copies; empty if none answers. */
+  async #askRelay (prefix: string): Promise<MirrorAge> {
+    const { bus, members, self } = this.#context
+    for (const relay of relaysOf(self.region, members.workers())) {
+      const answer = await bus.send(relay, { kind: PeerMessageKind.ReadMirrorAge, prefix }, { deadline: deadlineAfter(AGE_TIMEOUT_MS) })
+      if (answer.ok && answer.value.next !== undefined) return answer.value
+    }
+    return {}
+  }
+
   /** Forwards an update to all hosts of the region that are not dead, if this host is a relay. */
   #forwardUpdate (update: MirrorUpdate): void {
     const { bus, members, self } = this.#context
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -23,6 +23,12 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
+/** Age of the endpoint table from which it is confirmed for a whole text that isn't listed before, in milliseconds. */
+const WHOLE_TEXT_REGISTRY_AGE_MS = 500
+
+/** The same for texts of running samples, in milliseconds: longer than a watch of a quiet registry takes, whose answer confirms the table as well. */
+const RUNNING_TEXT_REGISTRY_AGE_MS = 3_500
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -97,10 +103,11 @@
   checkTexts (): void {
     const { deployment } = this.#context
     const { endpointTable, registeredUntil } = deployment
-    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints()
     const find = (id: string): EndpointEntry | undefined => endpointTable.find(id)?.entry
+    let isAnyUnconfirmed = false
     for (const [sampleId, text] of this.#texts) {
       if (text.isConfirmed) continue
+      isAnyUnconfirmed = true
       const check = text.check(find, registeredUntil)
       if (check === TextCheck.Kept) {
         if (text.isUniform && this.#unconfirmed.delete(sampleId)) this.#completeText(sampleId, text)
@@ -110,6 +117,8 @@
       this.#running.get(sampleId)?.abort.abort()
       if (this.#unconfirmed.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
     }
+    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints(WHOLE_TEXT_REGISTRY_AGE_MS)
+    else if (isAnyUnconfirmed) deployment.confirmEndpoints(RUNNING_TEXT_REGISTRY_AGE_MS)
   }
 
   #completeText (sampleId: string, text: SampleText): void {
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -3,7 +3,7 @@
 import { Backoff } from './backoff.js'
 import { LogEvent } from './event-log.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
-import type { MirrorUpdate, SnapshotStore, StoreChange, StoredObject } from '@cyclamenthread/protocol'
+import type { MirrorAge, MirrorUpdate, SnapshotStore, StoreChange, StoredObject } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 
 /** Longest wait for a list call, in milliseconds. */
@@ -67,6 +67,7 @@
   readonly #listeners: Array<() => void> = []
   readonly #updateListeners: Array<(update: MirrorUpdate) => void> = []
   #role: () => MirrorRole = () => MirrorRole.Independent
+  #askRelay: () => Promise<MirrorAge> = async () => ({})
   readonly #backoff: Backoff
   #cursor: string | undefined
   #confirmedAt = -Infinity
@@ -128,6 +129,11 @@
     this.#role = role
   }
 
+  /** Sets the function with which a follower asks a relay for the age of its copy. */
+  setRelayQuery (askRelay: () => Promise<MirrorAge>): void {
+    this.#askRelay = askRelay
+  }
+
   /** Calls back after each list or watch call of this mirror, even if nothing has changed. */
   onUpdate (listener: (update: MirrorUpdate) => void): void {
     this.#updateListeners.push(listener)
@@ -190,6 +196,20 @@
     return await this.#refreshing
   }
 
+  /**
+   * Advances {@link currentAt}: a follower asks a relay, all others list the objects.
+   *
+   * @returns whether the copy is current
+   */
+  async confirm (): Promise<boolean> {
+    const askedAt = monotonicNow()
+    const { next, ageMs = Infinity } = this.#role() === MirrorRole.Follower ? await this.#askRelay() : {}
+    const isCopyOfRelay = next !== undefined && Number(this.#cursor ?? -1) >= Number(next)
+    if (!isCopyOfRelay || ageMs >= this.#relaySilenceMs) return await this.refresh()
+    this.#currentAt = Math.max(this.#currentAt, askedAt - ageMs)
+    return true
+  }
+
   async #follow (generation: number): Promise<void> {
     while (this.#generation === generation) {
       const freshForMs = this.#confirmedAt + this.#relaySilenceMs - monotonicNow()
--- a/packages/coordination/src/test/registry-age.test.ts
+++ b/packages/coordination/src/test/registry-age.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallTask, DeploymentView, RolloutRun, RolloutStore, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
+import { CallTask, DeploymentView, MirrorRole, RolloutRun, RolloutStore, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { RolloutProgress, success, UsageTally } from '@cyclamenthread/state'
@@ -83,6 +83,28 @@
   t.true(follower.currentAt < changedAt, `called current ${Math.round(follower.currentAt - changedAt)} ms after a change that it doesn't contain`)
 })
 
+// Guards against joined texts, and against a list call of every host: a follower's copy is dated by when it asked its relay.
+test('a follower asks a relay for the age of its copy and counts it from the question; without an answer it lists the objects', async (t) => {
+  const store = new MemoryStore(TIME, seededRandom(1))
+  store.set('servers/z', 1)
+  const follower = new StoreMirror(SETTINGS, store, SILENT_LOG, () => 0)
+  follower.setRole(() => MirrorRole.Follower)
+  t.true(await follower.refresh())
+  const { next } = follower
+  follower.setRelayQuery(async () => {
+    await TIME.sleep(600)
+    return { next, ageMs: 100 }
+  })
+  const askedAt = performance.now()
+  t.true(await follower.confirm())
+  t.true(follower.currentAt >= askedAt - 100 && follower.currentAt <= performance.now() - 650)
+  store.set('servers/a', 1)
+  t.is(follower.objects().length, 1)
+  follower.setRelayQuery(async () => ({}))
+  t.true(await follower.confirm())
+  t.is(follower.objects().length, 2)
+})
+
 function markedStream (mark: string, count: number, breakAfter = Infinity): StreamScript {
   return async function * (request, resumeAfter) {
     yield { kind: StreamPartKind.Start, version: 3, load: undefined }
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -34,6 +34,7 @@
   ReportDemand = 'weights.demand',
   ReadRequestCounts = 'tally.read',
   RelayMirrorUpdate = 'mirrors.relay',
+  ReadMirrorAge = 'mirrors.age',
   RecordStreamOrigin = 'streams.record',
   FindStreamOrigin = 'streams.find'
 }
--- a/packages/protocol/src/lib/mirror-message.ts
+++ b/packages/protocol/src/lib/mirror-message.ts
@@ -21,4 +21,16 @@
 /** Forwards a store update from a relay to another host. */
 export const relayMirrorUpdateSchema = z.object({ kind: z.literal(PeerMessageKind.RelayMirrorUpdate), update: mirrorUpdateSchema })
 
+/** Asks a relay up to when its copy of a prefix contains every change. */
+export const readMirrorAgeSchema = z.object({ kind: z.literal(PeerMessageKind.ReadMirrorAge), prefix: z.string() })
+
+/** Both fields are absent if the answering host has no such copy. */
+export const mirrorAgeSchema = z.object({
+  /** Store revision of the relay's copy. */
+  next: z.string().optional(),
+  /** Time since the relay's copy contained every change, in milliseconds, when the answer was created. */
+  ageMs: z.number().nonnegative().optional()
+})
+
+export type MirrorAge = z.infer<typeof mirrorAgeSchema>
 export type MirrorUpdate = z.infer<typeof mirrorUpdateSchema>
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -15,7 +15,7 @@
 import { appendJournalSchema, trimJournalSchema } from './journal-message.js'
 import { membershipEnvelopeSchema, probeResponseSchema, probeSchema } from './member-message.js'
 import { PeerMessageKind } from './message-kind.js'
-import { relayMirrorUpdateSchema } from './mirror-message.js'
+import { mirrorAgeSchema, readMirrorAgeSchema, relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
@@ -27,7 +27,7 @@
   requestLimitGrantSchema, reportEndpointLossSchema, clearSuspectSchema, readRequestDecisionsSchema, archiveDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
-  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema,
+  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema, readMirrorAgeSchema,
   recordStreamOriginSchema, findStreamOriginSchema
 ])
 
@@ -67,6 +67,7 @@
   [PeerMessageKind.ReportDemand]: acceptedResponseSchema,
   [PeerMessageKind.ReadRequestCounts]: requestCountsSchema,
   [PeerMessageKind.RelayMirrorUpdate]: acceptedResponseSchema,
+  [PeerMessageKind.ReadMirrorAge]: mirrorAgeSchema,
   [PeerMessageKind.RecordStreamOrigin]: acceptedResponseSchema,
   [PeerMessageKind.FindStreamOrigin]: findStreamOriginResponseSchema
 } as const
