A pause of the owner is no reason to give up the wait for an endpoint

What callers saw: nothing; a trial of the test of many streams started 15 of 16 texts anew within 2 ms, after a wait of 333 ms. After a pause of the process the first pass saw the deadlines of all waits passed, before the ends of the streams that had freed the slots were read.

Change: a pass that comes 150 ms or more after the one before lets no wait end in the next 150 ms.

Suspected only: that the trial failed for this reason; no run shows its pause.

Evidence: the new test blocks the process for 0.6 s. It failed before (the second text went on after event 0 instead of 10) and passed in three runs of three with the change, as did the 31 tests of its file and of the rollout run.

--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -23,6 +23,9 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
+/** Time between two passes from which this process was held up, and time that it then gets to read what has arrived, in milliseconds. */
+const HELD_UP_MS = 150
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -50,6 +53,9 @@
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
   #nextMoveAt = -Infinity
+  #passedAt = -Infinity
+  /** Monotonic milliseconds before which no wait for an endpoint ends. */
+  #waitsUntil = -Infinity
   #stopped = false
 
   /** @param onEnd called after the stream of a sample has ended */
@@ -120,6 +126,9 @@
   /** Starts waiting samples as far as endpoints have free slots. */
   startSamples (): void {
     const full = new Set<string | undefined>()
+    const now = monotonicNow()
+    if (now - this.#passedAt >= HELD_UP_MS) this.#waitsUntil = now + HELD_UP_MS
+    this.#passedAt = now
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
@@ -173,7 +182,8 @@
     const room = softwareVersion === undefined ? undefined : this.#findRoom(sample, softwareVersion, full)
     const isServed = softwareVersion !== undefined && endpointTable.isVersionServed(this.#order.service, softwareVersion)
     const now = monotonicNow()
-    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline: text.waitDeadline }, now)
+    const waitDeadline = text.waitDeadline === undefined ? undefined : Math.max(text.waitDeadline, this.#waitsUntil)
+    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline }, now)
     switch (step) {
       case ContinuationStep.Continue: return room
       case ContinuationStep.Wait:
--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -333,3 +333,28 @@
   t.true(performance.now() - resumedAt < 2_400, `${Math.round(performance.now() - resumedAt)} ms`)
   assertWholeTexts(t, run, 20)
 })
+
+// Guards against lost texts: after a pause of this process, texts started anew before it had read that their endpoints have room.
+test('a pause of this process is no reason to give up the wait for an endpoint', async (t) => {
+  const { endpoints, open, setPaces } = await openFixture(t, [endpointEntry('old', { softwareVersion: 's1', slots: 1 }), endpointEntry('new', { softwareVersion: 's2', slots: 1 })])
+  endpoints.streamScripts.set('old', async function * (request, resumeAfter) {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    await waitUnlessAborted(300, request.signal)
+    for (let id = resumeAfter + 1; id <= 20; id += 1) yield { kind: StreamPartKind.Event, id, data: `s1:${id}`, version: undefined }
+    yield { kind: StreamPartKind.End }
+  })
+  endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 20 }))
+  setPaces({ old: 20, new: 20 })
+  const run = await open(rolloutOrder(1, 2))
+  const texts = ['g0.0', 'g0.1'].map((sampleId) => ({
+    sampleId, pieces: Array.from({ length: 10 }, (_, index) => `s1:${index + 1}`), versions: [3], complete: false, rewardFailures: 0, softwareVersion: 's1'
+  }))
+  run.adopt({ results: [], texts })
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 1)
+  await new Promise((resolve) => setTimeout(resolve, 100))
+  for (const end = performance.now() + 600; performance.now() < end;);
+  await waitUntil(t, () => run.isFinished)
+  t.deepEqual(endpoints.streams.map(({ resumeAfter }) => resumeAfter), [10, 10])
+  assertWholeTexts(t, run, 20)
+})
