--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -29,6 +29,9 @@
 /** The same for texts of running samples, in milliseconds: longer than a watch of a quiet registry takes, whose answer confirms the table as well. */
 const RUNNING_TEXT_REGISTRY_AGE_MS = 3_500
 
+/** Time between two passes from which this process was held up, and time that it then gets to read what has arrived, in milliseconds. */
+const HELD_UP_MS = 150
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -56,6 +59,9 @@
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
   #nextMoveAt = -Infinity
+  #passedAt = -Infinity
+  /** Monotonic milliseconds before which no wait for an endpoint ends. */
+  #waitsUntil = -Infinity
   #stopped = false
 
   /** @param onEnd called after the stream of a sample has ended */
@@ -129,6 +135,9 @@
   /** Starts waiting samples as far as endpoints have free slots. */
   startSamples (permit: WorkPermit): void {
     const full = new Set<string | undefined>()
+    const now = monotonicNow()
+    if (now - this.#passedAt >= HELD_UP_MS) this.#waitsUntil = now + HELD_UP_MS
+    this.#passedAt = now
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
@@ -182,7 +191,8 @@
     const room = softwareVersion === undefined ? undefined : this.#findRoom(sample, softwareVersion, full)
     const isServed = softwareVersion !== undefined && endpointTable.isVersionServed(this.#order.service, softwareVersion)
     const now = monotonicNow()
-    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline: text.waitDeadline }, now)
+    const waitDeadline = text.waitDeadline === undefined ? undefined : Math.max(text.waitDeadline, this.#waitsUntil)
+    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline }, now)
     switch (step) {
       case ContinuationStep.Continue: return room
       case ContinuationStep.Wait:
