Test of work during an outage: wait in two steps, each with its own limit

One wait of five seconds covered both the time until the log copy is too old to start work on (1.5 s) and the silence that counts as an outage (2.5 s and a pause), which left little for a busy machine. What is checked stays the same.

--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -308,7 +308,7 @@
 
 // Guards against samples that wait out an outage of the store, and against an outage that the log doesn't show.
 test('while the store is down, waiting samples are sent, and the log names the outage once and the permission of each sample', async (t) => {
-  const { endpoints, lines, store, open } = await openFixture(t, ['a'])
+  const { context, endpoints, lines, store, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
     yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
   })
@@ -317,6 +317,7 @@
   await waitUntil(t, () => endpoints.streams.length > 0)
   t.true(lines.filter(({ event }) => event === LogEvent.SampleSent).every(({ outcome, logAgeMs }) => outcome === 'granted' && Number(logAgeMs) <= 1_500))
   store.faults.down = true
+  await waitUntil(t, () => context.store.silence !== undefined)
   await waitUntil(t, () => lines.some(({ event, outcome, logAgeMs }) => event === LogEvent.SampleSent && outcome === 'confirm-meanwhile' && Number(logAgeMs) > 2_000))
   store.faults.down = false
   endpoints.streamScripts.delete('a')
