Rollouts: a run told to recheck waits for a read of the log that was sent after that

What callers could see: an item that reaches an endpoint later than 3,000 ms after the acknowledged end of its batch (UNASKED).

Cause: a run that hears of an end or a claim of another host kept a flag until a recheck was answered. Of two rechecks that overlap, the earlier one, whose read may have been sent before the end was written, cleared the flag for the later one, whose read had no answer yet.

Change: the run stores the time of the latest report, and is contested while the read or write that confirmed its log copy was sent before that. There is no flag to clear. The run's own reads before work starts no longer count as reports.

Ruled out: counting the open rechecks; a read sent by another path after the report proves as much, and a recheck that fails would have to keep the count.

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -53,8 +53,8 @@
   #confirmedAt: number
   #confirming = false
   #nextConfirmationAt = -Infinity
-  /** Whether another host has reported an end or a claim that this log copy doesn't show yet. */
-  #contested = false
+  /** Monotonic time in milliseconds of the latest report of another host that the log has an end or a claim. */
+  #reportedAt = -Infinity
   #timer: NodeJS.Timeout | undefined
   #stopped = false
 
@@ -166,10 +166,8 @@
    * @returns whether the log was read
    */
   async recheck (): Promise<boolean> {
-    this.#contested = true
-    const read = await this.refreshProgress(0)
-    if (read) this.#contested = false
-    return read
+    this.#reportedAt = monotonicNow()
+    return await this.refreshProgress(0)
   }
 
   /** Appends a claim of the rollout; returns whether this process owns it. */
@@ -251,15 +249,14 @@
   }
 
   #workEvidence (): WorkPermissionEvidence {
-    return { confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#contested }
+    return { confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#confirmedAt < this.#reportedAt }
   }
 
   /** Checks the log for an end or a claim of another host before work starts. */
   #refreshThenStart (): void {
     if (this.#confirming || monotonicNow() < this.#nextConfirmationAt) return
     this.#confirming = true
-    const read = this.#contested ? this.recheck() : this.refreshProgress(0)
-    void read.then((isCurrent) => {
+    void this.refreshProgress(0).then((isCurrent) => {
       this.#confirming = false
       if (!isCurrent) this.#nextConfirmationAt = deadlineAfter(CONFIRMATION_RETRY_MS)
       if (!this.isFinished && this.#workPermission() === WorkPermission.Granted) this.#startWork()
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -12,6 +12,8 @@
 
 const LOCATION = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
 
+const sleep = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
+
 interface Fixture {
   readonly endpoints: ScriptedEndpoints
   readonly store: ReturnType<typeof openDeployment>['store']
@@ -508,3 +510,35 @@
   t.is(endpoints.streams.length, 2)
   t.true((first ?? 0) <= (second ?? 0) && (second ?? Infinity) < performance.now() + CANCEL_BOUND_MS)
 })
+
+// Guards against work after an end that another host has reported (UNASKED): an earlier check of the log ended the wait for a later one.
+test('a run that was told to recheck starts nothing before a read of the log that was sent after that', async (t) => {
+  const { context, endpoints, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  const { catchUp } = context.store
+  let reads = 0
+  context.store.catchUp = async (...given) => {
+    reads += 1
+    if (reads === 1) {
+      const answer = await catchUp.apply(context.store, given)
+      await sleep(200)
+      return answer
+    }
+    // The later read gets no answer in time.
+    await sleep(1_200)
+    return failure(StoreFailure.Timeout)
+  }
+  const first = run.recheck()
+  await sleep(50)
+  const second = run.recheck()
+  t.true(await first)
+  const before = endpoints.streams.length
+  await sleep(800)
+  t.is(endpoints.streams.length, before)
+  t.false(await second)
+})
