Rollouts: a store call with no time left for an answer shows no outage

What callers could see: an item that reaches an endpoint later than 3,000 ms after the acknowledged end of its batch (UNASKED).

Cause: work may start on an old copy of a rollout's log while the store leaves all calls unanswered for 2.5 s. A call that waited in this process until shortly before its deadline, for its own rate limit or for a connection, was sent and then timed out, which counted as unanswered although no store could have answered in time. Class: silence is taken as proof without a fair chance to answer, as with a process that was held up.

Change: StoreSilence takes the deadline of each call and leaves out those with less than 500 ms between sending and deadline. A call sent early that fails at once (a refused connection, a 5xx) still counts, so an outage is recognised as before.

Ruled out: a bound on how long a call took; a refused connection takes no time and is the clearest sign of an outage.

--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -160,7 +160,7 @@
       }
     })
     const failedAt = monotonicNow()
-    if (!isServed && sentAt !== undefined && isSilenceConclusive(deadline, failedAt)) this.#silence.recordUnanswered(sentAt, failedAt)
+    if (!isServed && sentAt !== undefined && isSilenceConclusive(deadline, failedAt)) this.#silence.recordUnanswered({ sentAt, deadline, failedAt })
     return result
   }
 }
--- a/packages/coordination/src/test/rollout-store.test.ts
+++ b/packages/coordination/src/test/rollout-store.test.ts
@@ -1,16 +1,18 @@
 import test from 'ava'
-import { RolloutProgress, SampleState } from '@cyclamenthread/state'
+import { decideWorkPermission, failure, RolloutProgress, SampleState, WorkPermission } from '@cyclamenthread/state'
 import { AppendStatus, RolloutStore } from '@cyclamenthread/coordination'
-import { RolloutCreationStatus } from '@cyclamenthread/protocol'
+import { RolloutCreationStatus, StoreFailure, WriteStatus } from '@cyclamenthread/protocol'
 import { rolloutOrder } from '@cyclamenthread/state/testing'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
-import { deadlineAfter } from '@cyclamenthread/transport'
-
+import { deadlineAfter, timeLeft } from '@cyclamenthread/transport'
+import type { ObjectStore } from '@cyclamenthread/protocol'
 import type { RolloutSegment } from '@cyclamenthread/state'
 
 /** Deadline of store calls in tests, in milliseconds of real time. */
 const TEST_MS = 10_000
 
+const sleep = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
+
 function createSegment (writer: string, ids: readonly string[], ended = false): RolloutSegment {
   return { writer, results: ids.map((id) => ({ id, state: SampleState.Completed, output: id, versions: [1] })), texts: [], ended }
 }
@@ -79,3 +81,41 @@
   t.is(await store.create(rolloutOrder(1, 2), deadlineAfter(TEST_MS)), RolloutCreationStatus.Refused)
   t.deepEqual(memory.keys(''), [])
 })
+
+/** Wraps a store that answers after a round trip; a call that has waited in this process is sent shortly before its deadline. */
+function delayedStore (inner: ObjectStore, leftMs: number, roundTripMs: number): ObjectStore {
+  return {
+    read: async (key, call) => {
+      await sleep(Math.max(0, timeLeft(call.deadline) - leftMs))
+      call.observer?.onSent(performance.now())
+      if (timeLeft(call.deadline) < roundTripMs) {
+        await sleep(Math.max(0, timeLeft(call.deadline)))
+        return failure(StoreFailure.Timeout)
+      }
+      await sleep(roundTripMs)
+      return await inner.read(key, call)
+    },
+    list: async (prefix, call) => await inner.list(prefix, call),
+    write: async () => ({ status: WriteStatus.NotWritten, detail: 'not used' }),
+    remove: async (key, version, call) => await inner.remove(key, version, call),
+    watch: async (prefix, after, call) => await inner.watch(prefix, after, call)
+  }
+}
+
+// Guards against work on old log copies (UNASKED): calls that this process delayed almost to their deadlines count as an outage of the store.
+test('calls that had no time left for an answer when they were sent show no outage, however many there are', async (t) => {
+  const { memory } = openStore(9)
+  const rollouts = new RolloutStore(delayedStore(memory, 10, 24))
+  const startedAt = performance.now()
+  const readers = Array.from({ length: 4 }, async (_, index) => {
+    await sleep(index * 350)
+    while (performance.now() < startedAt + 5_500) {
+      await rollouts.catchUp(`r${index}`, new RolloutProgress(), performance.now() + 1_500)
+      await sleep(300)
+    }
+  })
+  await Promise.all(readers)
+  const span = rollouts.silence
+  t.log(`silence of ${Math.round((span?.until ?? 0) - (span?.since ?? 0))} ms from calls that waited 10 ms each for their answers`)
+  t.is(decideWorkPermission({ confirmedAt: performance.now() - 6_000, storeSilence: span, isContested: false }, performance.now()), WorkPermission.ConfirmFirst)
+})
