Rollouts: no work on a log that was never read, outage or not (UNASKED)

What callers could see: an item of a batch that had been ended before the store went down.

Cause: an outage permitted work on a log copy of any age, also on none at all: a host that was assigned a rollout, or opened one, and hadn't read its log yet. Nothing can be ended while the store is down, but what it held before isn't known then.

Change: without any read or write of the log, it is read first.

Evidence: the new test failed before ('confirm-meanwhile' instead of 'confirm-first').

--- a/packages/state/src/lib/work-permission.ts
+++ b/packages/state/src/lib/work-permission.ts
@@ -2,7 +2,7 @@
 
 /** How current the log copy behind a permission to start work is. */
 export interface WorkPermissionEvidence {
-  /** Monotonic milliseconds at which the last successful read or write of the log was sent. */
+  /** Monotonic milliseconds at which the last successful read or write of the log was sent; -Infinity if there was none. */
   readonly confirmedAt: number
   /** Time during which the store left all calls of this process about rollouts unanswered; undefined if it answered the last one. */
   readonly storeSilence: SilentSpan | undefined
@@ -54,14 +54,15 @@
  * Decides whether work of a rollout may start now. Another host may have ended or
  * taken over the rollout, which only the log shows. While the store answers nobody,
  * neither can happen, so work goes on. Only calls that were sent and stayed
- * unanswered show that: a process that sent none knows nothing about the store.
+ * unanswered show that: a process that sent none knows nothing about the store. A log
+ * that was never read may hold an end from before the outage.
  *
  * @param now monotonic milliseconds
  * @example
  * decideWorkPermission({ confirmedAt: 0, storeSilence: undefined, isContested: false }, 400) // WorkPermission.Granted
  */
 export function decideWorkPermission ({ confirmedAt, storeSilence, isContested }: WorkPermissionEvidence, now: number): WorkPermission {
-  if (isContested) return WorkPermission.ConfirmFirst
+  if (isContested || confirmedAt === -Infinity) return WorkPermission.ConfirmFirst
   if (now - confirmedAt <= MAX_CONFIRMATION_AGE_MS) return WorkPermission.Granted
   return isOutage(storeSilence, now) ? WorkPermission.ConfirmMeanwhile : WorkPermission.ConfirmFirst
 }
--- a/packages/state/src/test/work-permission.test.ts
+++ b/packages/state/src/test/work-permission.test.ts
@@ -47,3 +47,10 @@
   t.true(permit.startBefore > 4_100 && permit.startBefore < 4_000 + CANCEL_BOUND_MS)
   t.is(createWorkPermit(WorkPermission.ConfirmFirst, down, 4_100).startBefore, -Infinity)
 })
+
+// Guards against an item that reaches an endpoint after the end of its batch (UNASKED): its owner had never read the log, and the store was down.
+test('without any read of the log no work starts, not even in an outage of the store', (t) => {
+  const down = { confirmedAt: -Infinity, storeSilence: { since: 0, until: 2_600 }, isContested: false }
+  t.is(decideWorkPermission(down, 2_600), WorkPermission.ConfirmFirst)
+  t.is(decideWorkPermission({ ...down, confirmedAt: -60_000 }, 2_600), WorkPermission.ConfirmMeanwhile)
+})
