Rollouts: an end that can't be stored when it is asked for is kept and stored later

What callers could see: an item that reaches an endpoint later than 3,000 ms after an end that counts as acknowledged (UNASKED).

Cause: a host that was asked for an end while the store was away, or turned this host away, answered "unknown" and forgot the end. A trainer need not ask again; after 5 s of steady state the end counts as acknowledged, and the samples went on.

A run of that rollout on the host starts nothing more from then on; it goes on reading the log. After 1 s, or at once if the store fails earlier, up to three other hosts get a copy (rollouts.keep-ends): the owner as far as it is known, and those that would run the rollout next. Each starts nothing of the rollout, also if it takes it over later, and stores the end itself, so the end gets through if any of them reaches the store. An owner that is asked directly (rollouts.end) keeps the end as well. A planned leave hands over all kept ends before the runs.

An end is stored only after a read of the order shows that the rollout exists and belongs to the workspace; otherwise the end is forgotten. A run is held only if its own order has the workspace. The answer says "unknown" until the log has the end, also where the order couldn't be read, which said "not run" before: the owner may have stored it.

Ruled out: keeping the end only at the owner, since the host that was asked can't always know or reach it; a longer wait before the answer, since outages outlast it.

Remains: a host that is killed forgets its ends; the copies at other hosts stay.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -18,6 +18,8 @@
   RolloutOwned = 'rollout-owned',
   RolloutHandedOver = 'rollout-handed-over',
   RolloutEnded = 'rollout-ended',
+  /** Ends that aren't stored yet were handed to another host. */
+  RolloutEndsCopied = 'rollout-ends-copied',
   RolloutAssigned = 'rollout-assigned',
   RolloutOwnership = 'rollout-ownership',
   RolloutCommitted = 'rollout-committed',
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -55,6 +55,8 @@
   #nextConfirmationAt = -Infinity
   /** Monotonic time in milliseconds of the latest report of another host that the log has an end or a claim. */
   #reportedAt = -Infinity
+  /** Whether the trainer has asked for the end, which the log need not have yet. */
+  #isEndRequested = false
   #timer: NodeJS.Timeout | undefined
   #stopped = false
 
@@ -170,6 +172,11 @@
     return await this.refreshProgress(0)
   }
 
+  /** Starts nothing more: the trainer has asked for the end, which will be stored once the store answers. */
+  holdWork (): void {
+    this.#isEndRequested = true
+  }
+
   /** Appends a claim of the rollout; returns whether this process owns it. */
   async claim (deadline: number): Promise<boolean> {
     const before = this.progress.claimant
@@ -235,7 +242,7 @@
     const hasWork = this.#board.waiting.length > 0 || this.#board.generated.size > 0
     const permission = this.#workPermission()
     if (hasWork && permission !== WorkPermission.Granted) this.#refreshThenStart()
-    if (permission === WorkPermission.ConfirmFirst) return
+    if (permission === WorkPermission.ConfirmFirst || this.#isEndRequested) return
     const permit = createWorkPermit(permission, this.#workEvidence(), monotonicNow())
     this.#rewards.startRequests(permit)
     this.#generator.startSamples(permit)
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -1,6 +1,7 @@
 import { chooseOwner, failure, hostOfWriter, notRun, ownerOf, Ran, rankOwners, RefusalReason, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
 import { PeerMessageKind, RolloutCreationStatus } from '@cyclamenthread/protocol'
-import { deadlineAfter } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { EndKeeper } from './end-keeper.js'
 import { LogEvent } from './event-log.js'
 import { OwnerDirectory } from './owner-directory.js'
 import { RolloutReader } from './rollout-reader.js'
@@ -8,7 +9,7 @@
 import { RunRegistry } from './run-registry.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { Host, Outcome, Refusal, RolloutOrder } from '@cyclamenthread/state'
+import type { Host, Outcome, Refusal, RolloutName, RolloutOrder } from '@cyclamenthread/state'
 import type { RolloutPage } from '@cyclamenthread/protocol'
 import type { MemberView } from './member-task.js'
 import type { RunRegistryContext } from './run-registry.js'
@@ -31,6 +32,24 @@
 /** Timeout for a request to an owner to end a rollout, in milliseconds. */
 const OWNER_REQUEST_TIMEOUT_MS = 1_200
 
+/** Time after which an end that a request tries to store is tried again without it, in milliseconds: well after the request has given up. */
+const END_REQUEST_MS = 10_000
+
+/** Number of other hosts that keep an end which this host couldn't store. */
+const MAX_END_COPIES = 3
+
+/** Time after which other hosts are told of an end that isn't stored yet, in milliseconds: several usual writes. */
+const END_COPY_DELAY_MS = 1_000
+
+/** Timeout for handing ends to another host, in milliseconds. */
+const END_COPY_TIMEOUT_MS = 1_200
+
+/** Maximum number of ends in one message. */
+const MAX_ENDS_PER_MESSAGE = 500
+
+/** Time for which the end of a rollout is kept whose lifetime isn't known, in milliseconds. */
+const UNKNOWN_LIFETIME_MS = 3_600_000
+
 /** Number of hosts that are asked before a new rollout is assigned to one. */
 const MAX_OFFERS = 3
 
@@ -56,18 +75,23 @@
  * end it on any host.
  *
  * Invariants: a rollout is accepted only once the store has it; an end is confirmed
- * only once the log has it.
+ * only once the log has it; an end that couldn't be stored is kept until it
+ * is, or the samples have expired.
  */
 export class RolloutTask {
   readonly #context: RolloutTaskContext
   readonly #directory: OwnerDirectory
   readonly #registry: RunRegistry
   readonly #reader: RolloutReader
+  readonly #ends: EndKeeper
+  /** Ends that are being stored for other hosts, by rollout. */
+  readonly #ending = new Map<string, Promise<boolean>>()
 
   constructor (context: RolloutTaskContext) {
     this.#context = context
     this.#directory = new OwnerDirectory(context.self, context.members)
-    this.#registry = new RunRegistry(context, this.#directory)
+    this.#ends = new EndKeeper({ storeEnd: async ({ rolloutId, workspace }) => isSettled(await this.#storeEnd(rolloutId, workspace)), log: context.log })
+    this.#registry = new RunRegistry(context, this.#directory, ({ id, workspace }) => this.#ends.has({ rolloutId: id, workspace }))
     this.#reader = new RolloutReader(context, this.#directory, this.#registry)
   }
 
@@ -91,7 +115,12 @@
       },
       [PeerMessageKind.EndRollout]: async ({ rolloutId, workspace }) => {
         const run = this.#registry.find(rolloutId)
-        return { accepted: run?.order.workspace === workspace && await this.#appendEnd(run) }
+        return { accepted: run?.order.workspace === workspace && await this.#endRun(run) }
+      },
+      [PeerMessageKind.KeepRolloutEnds]: async ({ ends }) => {
+        if (this.#registry.isLeaving) return { accepted: false }
+        const kept = ends.map(({ rolloutId, workspace }) => this.#keepEnd(rolloutId, workspace, monotonicNow()))
+        return { accepted: kept.every(Boolean) }
       }
     })
   }
@@ -101,13 +130,16 @@
     return this.#registry.running
   }
 
-  /** Accepts no more runs and hands the current ones over to their next owners. */
+  /** Accepts no more runs, and hands the current ones and the ends that aren't stored over to other hosts. */
   async leave (deadline: number): Promise<void> {
+    // Must precede the runs, so that their next owners start nothing of them.
+    await this.#copyEnds(this.#ends.all, Math.min(deadline, deadlineAfter(END_COPY_TIMEOUT_MS)))
     await this.#registry.leave(deadline)
   }
 
   /** Stops all runs. */
   stop (): void {
+    this.#ends.stop()
     this.#registry.stop()
   }
 
@@ -134,8 +166,32 @@
     return await this.#reader.read({ id, workspace, after, deadline, forwarded: false })
   }
 
-  /** Ends a rollout; success means that the end is stored. */
+  /**
+   * Ends a rollout; success means that the end is stored. An end that can't be stored
+   * in time is kept here and at other hosts, and stored as soon as possible.
+   */
   async endRollout (id: string, workspace: string): Promise<Outcome<void, Refusal>> {
+    const name = { rolloutId: id, workspace }
+    const isKept = this.#keepEnd(id, workspace, deadlineAfter(END_REQUEST_MS))
+    const copyEnd = (): void => {
+      void this.#copyEnds([name], deadlineAfter(END_COPY_TIMEOUT_MS))
+    }
+    const copying = isKept ? setTimeout(copyEnd, END_COPY_DELAY_MS) : undefined
+    const ended = await this.#storeEnd(id, workspace).finally(() => clearTimeout(copying))
+    if (ended.ok || isSettled(ended)) {
+      this.#ends.forget(name)
+      return ended
+    }
+    this.#logEnd(id, workspace, isKept ? 'kept' : 'unknown')
+    if (isKept) {
+      this.#ends.retry(name)
+      copyEnd()
+    }
+    return failure({ ...ended.failure, ran: Ran.Maybe })
+  }
+
+  /** Stores the end of a rollout through its owner or from here. */
+  async #storeEnd (id: string, workspace: string): Promise<Outcome<void, Refusal>> {
     const deadline = deadlineAfter(END_TIMEOUT_MS)
     if (await this.#endAtOwner(id, workspace)) return success(undefined)
     const order = await this.#findOrder(id, deadline)
@@ -144,7 +200,7 @@
     const run = this.#registry.find(id) ?? new RolloutRun(this.#context, order.value, new RolloutProgress())
     const read = await this.#context.store.catchUp(id, run.progress, deadline)
     const ended = read.ok && await this.#appendEnd(run)
-    this.#logEnd(id, workspace, ended ? 'ended' : 'unknown')
+    if (ended) this.#logEnd(id, workspace, 'ended')
     return ended
       ? success(undefined)
       : failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.Maybe, detail: 'the store did not confirm the end', retryAfterMs: RETRY_AFTER_MS })
@@ -230,8 +286,71 @@
     }
   }
 
+  /**
+   * Keeps an end until it is stored; a run of its rollout on this host starts nothing more.
+   *
+   * @param tryAt monotonic milliseconds before which no attempt is made in the background
+   * @returns whether the end is kept
+   */
+  #keepEnd (rolloutId: string, workspace: string, tryAt: number): boolean {
+    const order = this.#registry.knownOrder(rolloutId)
+    if (order !== undefined && order.workspace !== workspace) return false
+    const lifetimeMs = order === undefined ? UNKNOWN_LIFETIME_MS : order.expiresAt - order.acceptedAt
+    const isKept = this.#ends.keep({ rolloutId, workspace, keepUntil: deadlineAfter(lifetimeMs), tryAt })
+    if (isKept && order !== undefined) this.#registry.find(rolloutId)?.holdWork()
+    return isKept
+  }
+
+  /** Ends a run of this host for another one, which may ask again meanwhile; returns whether the end is stored. */
+  async #endRun (run: RolloutRun): Promise<boolean> {
+    const { id } = run.order
+    const ending = this.#ending.get(id) ?? this.#endOrKeep(run).finally(() => this.#ending.delete(id))
+    this.#ending.set(id, ending)
+    return await ending
+  }
+
+  /** Ends a run of this host; an end that can't be stored now is kept. Returns whether the end is stored. */
+  async #endOrKeep (run: RolloutRun): Promise<boolean> {
+    const name = { rolloutId: run.order.id, workspace: run.order.workspace }
+    this.#keepEnd(name.rolloutId, name.workspace, deadlineAfter(END_REQUEST_MS))
+    const ended = await this.#appendEnd(run)
+    if (ended) this.#ends.forget(name)
+    else this.#ends.retry(name)
+    return ended
+  }
+
+  /** Hands ends to the hosts that own their rollouts or would own them next. */
+  async #copyEnds (ends: readonly RolloutName[], deadline: number): Promise<void> {
+    const copiesOfHosts = new Map<string, { readonly host: Host, readonly copies: RolloutName[] }>()
+    for (const { rolloutId, workspace } of ends) {
+      for (const host of this.#selectEndKeepers(rolloutId, workspace)) {
+        const copies: RolloutName[] = copiesOfHosts.get(host.id)?.copies ?? []
+        copies.push({ rolloutId, workspace })
+        copiesOfHosts.set(host.id, { host, copies })
+      }
+    }
+    await Promise.all([...copiesOfHosts.values()].map(async ({ host, copies }) => {
+      for (let from = 0; from < copies.length; from += MAX_ENDS_PER_MESSAGE) {
+        const part = copies.slice(from, from + MAX_ENDS_PER_MESSAGE)
+        const answer = await this.#context.bus.send(host, { kind: PeerMessageKind.KeepRolloutEnds, ends: part }, { deadline })
+        this.#context.log.record(LogEvent.RolloutEndsCopied, { to: host.id, ends: part.length, outcome: answer.ok && answer.value.accepted ? 'accepted' : 'refused' })
+      }
+    }))
+  }
+
+  /** Selects the other hosts that keep the end of a rollout: its owner as far as it is known, then those that would run it next. */
+  #selectEndKeepers (id: string, workspace: string): Host[] {
+    const order = this.#registry.knownOrder(id)
+    const owner = this.#directory.findWorker(this.#directory.hintOf(id)) ?? this.#directory.findWorker(order?.owner)
+    const next = order === undefined ? this.#directory.likelyOwners(id, workspace) : this.#directory.rank(trainerOf(order))
+    const hosts = new Map([...(owner === undefined ? [] : [owner]), ...next].map((host) => [host.id, host]))
+    hosts.delete(this.#context.self.id)
+    return [...hosts.values()].slice(0, MAX_END_COPIES)
+  }
+
   /** Asks the owner to end a rollout; returns whether the end is stored. */
   async #endAtOwner (id: string, workspace: string): Promise<boolean> {
+    if (this.#registry.find(id) !== undefined) return false
     const [owner] = this.#directory.likelyOwners(id, workspace)
     if (owner === undefined || owner.id === this.#context.self.id) return false
     const deadline = deadlineAfter(OWNER_REQUEST_TIMEOUT_MS)
@@ -264,6 +383,11 @@
   }
 }
 
+/** Whether nothing is left to do for an end: it is stored, or there is no such rollout. */
+function isSettled (ended: Outcome<void, Refusal>): boolean {
+  return ended.ok || ended.failure.reason === RefusalReason.UnknownBatch
+}
+
 function unknownRollout (id: string): Refusal {
   return notRun(RefusalReason.UnknownBatch, `rollout ${JSON.stringify(id)} does not exist`)
 }
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -34,6 +34,9 @@
   readonly bus: MessageBus
 }
 
+/** Whether the trainer of a rollout has asked for an end that isn't known to be stored. */
+export type EndInquiry = (order: RolloutOrder) => boolean
+
 /**
  * The rollouts that this host runs, and how it comes to own them.
  *
@@ -44,14 +47,16 @@
 export class RunRegistry {
   readonly #context: RunRegistryContext
   readonly #directory: OwnerDirectory
+  readonly #isEndPending: EndInquiry
   readonly #runs = new Map<string, RolloutRun>()
   readonly #orders = new Map<string, RolloutOrder>()
   readonly #opening = new Map<string, Promise<Outcome<OpenedRollout | undefined, string>>>()
   #leaving = false
 
-  constructor (context: RunRegistryContext, directory: OwnerDirectory) {
+  constructor (context: RunRegistryContext, directory: OwnerDirectory, isEndPending: EndInquiry) {
     this.#context = context
     this.#directory = directory
+    this.#isEndPending = isEndPending
   }
 
   /** Whether this host accepts no more runs. */
@@ -234,6 +239,7 @@
       return known
     }
     this.#runs.set(order.id, run)
+    if (this.#isEndPending(order)) run.holdWork()
     this.#context.log.record(LogEvent.RolloutOwned, {
       requestId: order.id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, claimant: progress.claimant, ageMs: Date.now() - order.acceptedAt
     })
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -322,3 +322,100 @@
     t.true(latest < CANCEL_BOUND_MS)
   })
 }
+
+/** Time after which an end without an acknowledgement counts as acknowledged, in milliseconds, as the platform's pages state it. */
+const ACK_BOUND_MS = 5_000
+
+/** Makes an endpoint refuse all samples, so that they are sent again and again; returns the times at which they were. */
+function refuseSamples (endpoints: ScriptedEndpoints): readonly number[] {
+  const sentAt: number[] = []
+  endpoints.streamScripts.set('a', async function * () {
+    sentAt.push(performance.now())
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  return sentAt
+}
+
+for (const asked of ['the owner', 'another host']) {
+  // Guards against items that reach an endpoint after an end that was never acknowledged (UNASKED): the store was away while the trainer asked for it.
+  test(`an end that could not be stored when ${asked} was asked for it stops the rollout, and is stored once the store is back`, async (t) => {
+    t.timeout(60_000)
+    const { tasks, endpoints, refused } = await openFixture(t)
+    const sentAt = refuseSamples(endpoints)
+    const order = rolloutOrder(1, 4)
+    t.true((await tasks.get('h1')?.accept(order))?.ok)
+    await waitUntil(t, () => sentAt.length > 0)
+    const [owner = ''] = runnersOf(tasks)
+    for (const id of IDS) refused.add(id)
+    const host = asked === 'the owner' ? owner : IDS.find((id) => id !== owner) ?? ''
+    const ended = await tasks.get(host)?.endRollout(order.id, order.workspace)
+    t.true(ended?.ok === false && ended.failure.ran === Ran.Maybe)
+    const answeredAt = performance.now()
+    await new Promise((resolve) => setTimeout(resolve, CANCEL_BOUND_MS + 1_000))
+    refused.clear()
+    const backAt = performance.now()
+    await waitUntil(t, () => runnersOf(tasks).length === 0)
+    t.true(performance.now() - backAt < ACK_BOUND_MS)
+    for (const id of IDS) t.true((await tasks.get(id)?.readResults(order.id, order.workspace, 0, performance.now()))?.ended)
+    await new Promise((resolve) => setTimeout(resolve, backAt + ACK_BOUND_MS + CANCEL_BOUND_MS + 1_000 - performance.now()))
+    const latest = Math.max(...sentAt) - answeredAt
+    t.true(latest < CANCEL_BOUND_MS, `a sample was sent ${Math.round(latest)} ms after the answer`)
+  })
+}
+
+// Guards against items after an end (UNASKED) that reached the log through the host that was asked, while the store refused the owner.
+test('an owner that the store refuses sends nothing later than the bound after an end that another host stored', async (t) => {
+  const { tasks, endpoints, refused } = await openFixture(t)
+  const sentAt = refuseSamples(endpoints)
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => sentAt.length > 0)
+  const [owner = ''] = runnersOf(tasks)
+  refused.add(owner)
+  t.true((await tasks.get(IDS.find((id) => id !== owner) ?? '')?.endRollout(order.id, order.workspace))?.ok)
+  const acknowledgedAt = performance.now()
+  await new Promise((resolve) => setTimeout(resolve, CANCEL_BOUND_MS + 2_000))
+  t.true(Math.max(...sentAt) - acknowledgedAt < CANCEL_BOUND_MS)
+})
+
+// Guards against an end that takes effect on a rollout of another workspace because it is kept while the store can't be read.
+test('an end of another workspace or of an unknown rollout that could not be checked at first changes nothing', async (t) => {
+  const { tasks, endpoints, refused, store } = await openFixture(t)
+  const sentAt = refuseSamples(endpoints)
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => sentAt.length > 0)
+  for (const id of IDS) refused.add(id)
+  for (const id of IDS) {
+    t.false((await tasks.get(id)?.endRollout(order.id, 'stranger'))?.ok)
+    t.false((await tasks.get(id)?.endRollout('no-such', order.workspace))?.ok)
+  }
+  refused.clear()
+  endpoints.streamScripts.delete('a')
+  const page = await readAll(t, tasks.get('h2'), order)
+  t.is(page.results.length, 4)
+  await new Promise((resolve) => setTimeout(resolve, 3_000))
+  t.false((await tasks.get('h3')?.readResults(order.id, order.workspace, 0, performance.now()))?.ended)
+  t.deepEqual(store.keys('').filter((key) => key.includes('no-such')), [])
+})
+
+// Guards against an end that is lost with the host that was asked for it (UNASKED), when that host stops as planned.
+test('a host that stops as planned hands over the ends that it could not store', async (t) => {
+  const { tasks, endpoints, refused, cut } = await openFixture(t)
+  const sentAt = refuseSamples(endpoints)
+  const order = rolloutOrder(1, 4)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  await waitUntil(t, () => sentAt.length > 0)
+  const [owner = ''] = runnersOf(tasks)
+  const asked = IDS.find((id) => id !== owner) ?? ''
+  refused.add(asked)
+  const others = IDS.filter((id) => id !== asked)
+  for (const id of others) cut.add(`${asked}>${id}`)
+  const ended = await tasks.get(asked)?.endRollout(order.id, order.workspace)
+  t.true(ended?.ok === false && ended.failure.ran === Ran.Maybe)
+  cut.clear()
+  await tasks.get(asked)?.leave(performance.now() + 2_000)
+  tasks.get(asked)?.stop()
+  await waitUntil(t, () => runnersOf(tasks).length === 0)
+  for (const id of others) t.true((await tasks.get(id)?.readResults(order.id, order.workspace, 0, performance.now()))?.ended)
+})
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -29,6 +29,7 @@
   AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
   EndRollout = 'rollouts.end',
+  KeepRolloutEnds = 'rollouts.keep-ends',
   RecheckRollout = 'rollouts.recheck',
   ReportEndpointWeights = 'weights.note',
   ReportDemand = 'weights.demand',
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -19,7 +19,7 @@
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
-import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, offerRolloutResponseSchema, offerRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
+import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, offerRolloutResponseSchema, offerRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
 
 /** All messages between hosts. */
 export const peerMessageSchema = z.discriminatedUnion('kind', [
@@ -27,7 +27,7 @@
   requestLimitGrantSchema, reportEndpointLossSchema, clearSuspectSchema, readRequestDecisionsSchema, archiveDecisionsSchema, appendJournalSchema, trimJournalSchema,
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
-  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema,
+  acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema,
   recordStreamOriginSchema, findStreamOriginSchema
 ])
 
@@ -62,6 +62,7 @@
   [PeerMessageKind.AdoptRollout]: acceptedResponseSchema,
   [PeerMessageKind.ReadRollout]: rolloutPageSchema,
   [PeerMessageKind.EndRollout]: acceptedResponseSchema,
+  [PeerMessageKind.KeepRolloutEnds]: acceptedResponseSchema,
   [PeerMessageKind.RecheckRollout]: acceptedResponseSchema,
   [PeerMessageKind.ReportEndpointWeights]: acceptedResponseSchema,
   [PeerMessageKind.ReportDemand]: acceptedResponseSchema,
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -112,6 +112,12 @@
 /** Asks the owner of a rollout to end it; accepted once the end is durable. */
 export const endRolloutSchema = z.object({ kind: z.literal(PeerMessageKind.EndRollout), rolloutId: z.string(), workspace: z.string() })
 
+/** Hands over ends that the sender was asked for and couldn't store; the receiver starts nothing more of these rollouts and stores the ends. */
+export const keepRolloutEndsSchema = z.object({
+  kind: z.literal(PeerMessageKind.KeepRolloutEnds),
+  ends: z.array(z.object({ rolloutId: z.string(), workspace: z.string() }))
+})
+
 /** Publishes a weight change of an endpoint that the leader knows of before the registry shows it. */
 export const reportEndpointWeightsSchema = z.object({
   kind: z.literal(PeerMessageKind.ReportEndpointWeights),
