--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -25,7 +25,8 @@
 interface CheckpointSource {
   readonly pieces: readonly string[]
   readonly versions: readonly number[]
-  readonly generation: number
+  readonly generation: symbol | undefined
+  readonly softwareVersion: string | undefined
   readonly complete: boolean
   readonly rewardFailures: number
 }
@@ -53,7 +54,7 @@
   readonly #generator: SampleGenerator
   readonly #onListed: (sampleId: string) => void
   /** Generation of each sample's text that this run has stored a part of, by sample id. */
-  readonly #storedGenerations = new Map<string, number>()
+  readonly #storedGenerations = new Map<string, symbol | undefined>()
   #committing = false
   #committedAt = -Infinity
   #oldestSettledAt = Infinity
@@ -81,13 +82,15 @@
     if (!isDue) return false
     this.#committing = true
     this.#checkpointAt = deadlineAfter(CHECKPOINT_PERIOD_MS)
-    const starts = texts.map(({ sampleId }) => [sampleId, this.#generator.texts.get(sampleId)?.generation ?? 0] as const)
+    const generations = texts.map(({ sampleId }) => this.#generator.texts.get(sampleId)?.generation)
     const results = takeSegmentResults(this.#board.settledResults())
     const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS))
     this.#committing = false
     this.#committedAt = monotonicNow()
-    if (status === AppendStatus.Applied) {
-      for (const [sampleId, start] of starts) this.#storedGenerations.set(sampleId, start)
+    for (const [index, { sampleId, from, pieces }] of texts.entries()) {
+      // Another writer may have taken the entry's place in the log.
+      const stored = this.#progress.texts.get(sampleId)
+      if (stored?.writer === this.#context.writer && stored.pieces.length === from + pieces.length) this.#storedGenerations.set(sampleId, generations[index])
     }
     this.#context.log.record(LogEvent.RolloutCommitted, {
       rollout: this.#order.id, outcome: status, results: results.length, texts: texts.length, segment: this.#progress.segments, listed: this.#progress.results.length
@@ -124,25 +127,26 @@
         ? stored?.complete !== true || source.rewardFailures > stored.rewardFailures
         : source.pieces.length >= (stored?.pieces.length ?? 0) + MIN_CHECKPOINT_EVENTS
       if (!isNews) return []
-      const isContinuation = stored?.writer === this.#context.writer && this.#storedGenerations.get(sampleId) === source.generation
+      const isContinuation = stored?.writer === this.#context.writer && source.generation !== undefined && this.#storedGenerations.get(sampleId) === source.generation
       const from = isContinuation ? stored.pieces.length : 0
       const pieces = source.pieces.slice(from)
       characters += pieces.reduce((sum, piece) => sum + piece.length, 0)
       if (characters > MAX_CHECKPOINT_CHARACTERS) return []
-      return [{ sampleId, from, pieces, versions: [...source.versions], complete: source.complete, rewardFailures: source.rewardFailures }]
+      return [{ sampleId, from, pieces, versions: [...source.versions], complete: source.complete, rewardFailures: source.rewardFailures, softwareVersion: source.softwareVersion }]
     })
   }
 
   #checkpointSource (sampleId: string): CheckpointSource | undefined {
     const life = this.#board.lifeOf(sampleId)
-    const generation = this.#generator.texts.get(sampleId)?.generation ?? 0
+    const text = this.#generator.texts.get(sampleId)
     switch (life?.phase) {
       case SamplePhase.Generated:
       case SamplePhase.Scoring:
-        return { ...life.text, generation, complete: true, rewardFailures: life.rewardFailures }
+        return { ...life.text, generation: text?.generation, softwareVersion: text?.softwareVersion, complete: true, rewardFailures: life.rewardFailures }
       case SamplePhase.Generating: {
-        const text = this.#generator.texts.get(sampleId)
-        return text === undefined ? undefined : { pieces: text.pieces, versions: text.versions, generation, complete: false, rewardFailures: 0 }
+        if (text === undefined) return undefined
+        const { pieces, versions, softwareVersion } = text.confirmedPart
+        return { pieces, versions, generation: text.generation, softwareVersion, complete: false, rewardFailures: 0 }
       }
       case SamplePhase.Waiting:
       case SamplePhase.Settled:
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,9 +1,9 @@
 import { setMaxListeners } from 'node:events'
-import { placeSample, SampleEventKind, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
-import { readSampleStream, SampleText, StreamEnd } from './sample-stream.js'
-import type { EndpointRecord, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
+import { readSampleStream, StreamEnd } from './sample-stream.js'
+import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -34,7 +34,8 @@
  * Generates the texts of one rollout's samples at endpoints and keeps the text of
  * samples that were interrupted.
  *
- * Invariant: a sample runs at one endpoint at a time.
+ * Invariants: a sample runs at one endpoint at a time; a text goes on only at an
+ * endpoint of the software version that began it.
  */
 export class SampleGenerator {
   readonly #context: RolloutContext
@@ -43,6 +44,8 @@
   readonly #onEnd: () => void
   readonly #running = new Map<string, RunningSample>()
   readonly #texts = new Map<string, SampleText>()
+  /** Samples whose streams are complete, but whose texts may have parts of two software versions. */
+  readonly #unconfirmed = new Set<string>()
   /** Samples that were moved once; a second move would only follow noise in the measured pace. */
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
@@ -68,16 +71,14 @@
   }
 
   /** Makes a sample continue after the text that an earlier owner received. */
-  restoreText (sampleId: string, pieces: readonly string[], versions: readonly number[]): void {
-    const text = new SampleText()
-    text.pieces.push(...pieces)
-    text.versions.push(...versions)
-    this.#texts.set(sampleId, text)
+  restoreText (sampleId: string, text: KnownText): void {
+    this.#texts.set(sampleId, new SampleText(text, monotonicNow()))
   }
 
   /** Drops the text of a sample whose result is known, and ends its stream. */
   release (sampleId: string): void {
     this.#texts.delete(sampleId)
+    this.#unconfirmed.delete(sampleId)
     this.#running.get(sampleId)?.abort.abort()
   }
 
@@ -92,13 +93,37 @@
     this.abortAll()
   }
 
+  /** Checks texts against the registry, which may show late that an endpoint has restarted with another software version. */
+  checkTexts (): void {
+    const { endpointTable, registeredUntil } = this.#context.deployment
+    const find = (id: string): EndpointEntry | undefined => endpointTable.find(id)?.entry
+    for (const [sampleId, text] of this.#texts) {
+      if (text.isConfirmed) continue
+      const check = text.check(find, registeredUntil)
+      if (check === TextCheck.Kept) {
+        if (text.isUniform && this.#unconfirmed.delete(sampleId)) this.#completeText(sampleId, text)
+        continue
+      }
+      this.#context.log.record(LogEvent.TextInterrupted, { requestId: sampleId, rollout: this.#order.id, outcome: check, textVersion: text.softwareVersion, held: text.pieces.length })
+      this.#running.get(sampleId)?.abort.abort()
+      if (this.#unconfirmed.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
+    }
+  }
+
+  #completeText (sampleId: string, text: SampleText): void {
+    this.#board.apply(sampleId, { kind: SampleEventKind.TextCompleted, text: { pieces: [...text.pieces], versions: [...text.versions] } })
+    if (this.#board.isDecided(sampleId)) this.#texts.delete(sampleId)
+  }
+
   /** Starts waiting samples as far as endpoints have free slots. */
   startSamples (): void {
+    const full = new Set<string | undefined>()
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
-      const record = this.#chooseEndpoint(sample)
-      if (record === undefined) break
+      const record = this.#placeWaiting(sample, full)
+      if (full.has(undefined)) break
+      if (record === undefined) continue
       this.#board.apply(sample.id, { kind: SampleEventKind.GenerationStarted })
       void this.#runSample(sample, record)
     }
@@ -113,24 +138,78 @@
     const typicalMs = this.#typicalPaceMs()
     for (const { sample, record, abort } of this.#running.values()) {
       if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
-      const candidate = this.#chooseEndpoint(sample)
+      const softwareVersion = this.#texts.get(sample.id)?.softwareVersion
+      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion)
       if (candidate === undefined || candidate.entry.id === record.entry.id) continue
       if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
       this.#moved.add(sample.id)
       abort.abort()
       this.#context.log.record(LogEvent.SampleMoved, {
-        requestId: sample.id, rollout: this.#order.id, from: record.entry.id, to: candidate.entry.id, paceMs: Math.round(record.paceMs), otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
+        requestId: sample.id,
+        rollout: this.#order.id,
+        from: record.entry.id,
+        to: candidate.entry.id,
+        softwareVersion: candidate.entry.softwareVersion,
+        textVersion: softwareVersion,
+        paceMs: Math.round(record.paceMs),
+        otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
       })
       return
     }
   }
 
-  #chooseEndpoint (sample: RolloutSample): EndpointRecord | undefined {
+  /**
+   * Chooses the endpoint at which a waiting sample starts or goes on; undefined if it has to wait.
+   *
+   * @param full software versions without a free endpoint in this pass; undefined stands for all of them
+   */
+  #placeWaiting (sample: RolloutSample, full: Set<string | undefined>): EndpointRecord | undefined {
+    const text = this.#texts.get(sample.id)
+    if (text === undefined || text.pieces.length === 0) return this.#findRoom(sample, undefined, full)
+    const { softwareVersion } = text
+    const { endpointTable } = this.#context.deployment
+    const room = softwareVersion === undefined ? undefined : this.#findRoom(sample, softwareVersion, full)
+    const isServed = softwareVersion !== undefined && endpointTable.isVersionServed(this.#order.service, softwareVersion)
+    const now = monotonicNow()
+    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline: text.waitDeadline }, now)
+    switch (step) {
+      case ContinuationStep.Continue: return room
+      case ContinuationStep.Wait:
+        if (text.waitDeadline === undefined) this.#logInterruption(sample, text, step, isServed)
+        text.wait(continuationDeadline(text.pieces.length, this.#typicalPaceMs(), now))
+        return undefined
+      case ContinuationStep.StartAnew: {
+        // Until there is room for a new start, an endpoint of its version may still come back.
+        const other = this.#findRoom(sample, undefined, full)
+        if (other === undefined) return undefined
+        this.#logInterruption(sample, text, step, isServed)
+        text.clear()
+        return other
+      }
+      default: return unreachable(step)
+    }
+  }
+
+  #findRoom (sample: RolloutSample, softwareVersion: string | undefined, full: Set<string | undefined>): EndpointRecord | undefined {
+    if (full.has(softwareVersion)) return undefined
+    const record = this.#chooseEndpoint(sample, softwareVersion)
+    if (record === undefined) full.add(softwareVersion)
+    return record
+  }
+
+  #logInterruption (sample: RolloutSample, text: SampleText, step: ContinuationStep, isServed: boolean): void {
+    this.#context.log.record(LogEvent.TextInterrupted, {
+      requestId: sample.id, rollout: this.#order.id, outcome: step, textVersion: text.softwareVersion, isServed, held: text.pieces.length
+    })
+  }
+
+  #chooseEndpoint (sample: RolloutSample, softwareVersion: string | undefined): EndpointRecord | undefined {
     const { deployment, networkLocation } = this.#context
     const demand = {
       service: this.#order.service,
       model: this.#order.model,
       minVersion: this.#order.minVersion,
+      softwareVersion,
       warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>()
     }
     return placeSample(deployment.endpointTable, demand, networkLocation, this.#typicalPaceMs(), monotonicNow())
@@ -150,6 +229,7 @@
     setMaxListeners(0, abort.signal)
     const text = this.#texts.get(sample.id) ?? new SampleText()
     this.#texts.set(sample.id, text)
+    text.startStream(entry)
     this.#running.set(sample.id, { sample, record, abort })
     this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
     endpointTable.startWork(entry.id)
@@ -158,7 +238,9 @@
       requestId: sample.id,
       rollout: order.id,
       endpoint: entry.id,
+      softwareVersion: entry.softwareVersion,
       held: text.pieces.length,
+      textVersion: text.softwareVersion,
       load: record.activeWork,
       weights: endpointTable.newestVersion(record, order.model),
       minVersion: order.minVersion,
@@ -177,6 +259,7 @@
     }
     const result = await readSampleStream(endpoints, request, text, order, {
       onStart: ({ version, load }) => {
+        text.recordAnswer(monotonicNow())
         endpointTable.recordModelAcceptance(entry.id, order.model)
         if (version !== undefined) endpointTable.recordVersion(entry.id, order.model, version)
         if (load !== undefined) endpointTable.recordLoad(entry.id, load, monotonicNow())
@@ -192,6 +275,8 @@
       requestId: sample.id,
       rollout: order.id,
       endpoint: entry.id,
+      softwareVersion: entry.softwareVersion,
+      textVersion: text.softwareVersion,
       outcome: result.end,
       detail: result.detail,
       events: result.events,
@@ -207,7 +292,8 @@
   #applyEnd (sample: RolloutSample, text: SampleText, end: StreamEnd): void {
     switch (end) {
       case StreamEnd.Complete:
-        this.#board.apply(sample.id, { kind: SampleEventKind.TextCompleted, text: { pieces: [...text.pieces], versions: [...text.versions] } })
+        if (text.isUniform) this.#completeText(sample.id, text)
+        else if (this.#texts.get(sample.id) === text) this.#unconfirmed.add(sample.id)
         break
       case StreamEnd.Impossible:
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationImpossible })
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -2,6 +2,7 @@
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { unreachable } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
+import type { SampleText } from '@cyclamenthread/state'
 
 /** Time without an event after which a stream is aborted, in milliseconds: many times the usual interval between events. */
 const EVENT_TIMEOUT_MS = 1_500
@@ -34,28 +35,6 @@
 /** Status with which an endpoint reports that a request can never be completed. */
 const UNPROCESSABLE_STATUS = 422
 
-/** The text received for a sample so far. */
-export class SampleText {
-  readonly pieces: string[] = []
-  /** Weight versions that generated the text, in order of appearance, without duplicates. */
-  readonly versions: number[] = []
-  /** Number of times that the text was discarded; parts of different generations must never be combined. */
-  generation = 0
-
-  /** Discards the text, so that the sample starts from the beginning. */
-  clear (): void {
-    this.generation += 1
-    this.pieces.length = 0
-    this.versions.length = 0
-  }
-
-  /** Appends the text of one event. */
-  append (data: string, version: number): void {
-    this.pieces.push(data)
-    if (!this.versions.includes(version)) this.versions.push(version)
-  }
-}
-
 /** Requirements on the weight versions of a sample's text. */
 export interface VersionRule {
   readonly minVersion: number
@@ -98,6 +77,9 @@
   const finish = (end: StreamEnd, detail = ''): { readonly end: StreamEnd, readonly detail: string, readonly events: number, readonly tookMs: number } => {
     return { end, detail, events, tookMs: monotonicNow() - (firstAt ?? startedAt) }
   }
+  // The text may have been shortened or replaced with the abort, so it neither grows nor counts as whole afterwards.
+  const finishAborted = (detail = ''): ReturnType<typeof finish> =>
+    isStalled ? finish(StreamEnd.Broken, 'timed out waiting for the next event') : finish(StreamEnd.Cancelled, detail)
   restartTimer(FIRST_EVENT_TIMEOUT_MS)
   try {
     for await (const part of port.streamRequest(request, text.pieces.length)) {
@@ -108,6 +90,7 @@
           if (version !== undefined && version < rule.minVersion) return finish(StreamEnd.Stale, `weight version ${version}`)
           break
         case StreamPartKind.Event:
+          if (abort.signal.aborted) return finishAborted()
           restartTimer(EVENT_TIMEOUT_MS)
           firstAt ??= monotonicNow()
           if (events % PACE_WINDOW_EVENTS === 0) {
@@ -125,12 +108,11 @@
           text.append(part.data, version)
           events += 1
           break
-        case StreamPartKind.End: return finish(StreamEnd.Complete)
+        case StreamPartKind.End: return abort.signal.aborted ? finishAborted() : finish(StreamEnd.Complete)
         case StreamPartKind.Failure: return finish(part.status === UNPROCESSABLE_STATUS ? StreamEnd.Impossible : StreamEnd.Failed, `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
         case StreamPartKind.Broken:
-          if (isStalled) return finish(StreamEnd.Broken, 'timed out waiting for the next event')
-          return finish(abort.signal.aborted ? StreamEnd.Cancelled : StreamEnd.Broken, part.detail)
+          return abort.signal.aborted ? finishAborted(part.detail) : finish(StreamEnd.Broken, part.detail)
         default: unreachable(part)
       }
     }
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -17,10 +17,15 @@
   readonly versions: Readonly<Record<string, number>>
   /** Start time of this incarnation of the endpoint, in milliseconds since 1970. */
   readonly bornAt: number
+  /** Version of the endpoint's software; what endpoints of two software versions write doesn't fit together. */
+  readonly softwareVersion: string
   /** Whether the platform may reclaim it at short notice. */
   readonly cheap: boolean
 }
 
+/** What distinguishes a running process of an endpoint from an earlier one under the same id. */
+export type EndpointIncarnation = Pick<EndpointEntry, 'id' | 'address' | 'bornAt' | 'softwareVersion'>
+
 /** How work at an endpoint ended. */
 export enum WorkEnd {
   Finished = 'finished',
@@ -91,11 +96,13 @@
  * Table of the endpoints of a deployment. It alone decides which of them are
  * usable.
  *
- * Invariants: a new incarnation or a new address under a known id starts with an
- * empty record; an endpoint that is draining or was removed is never usable.
+ * Invariants: a new incarnation under a known id, with a new start time, address or
+ * software version, starts with an empty record; an endpoint that is draining or was removed is never usable.
  */
 export class EndpointTable {
   readonly #records = new Map<string, EndpointRecord>()
+  /** Services and software versions of the ready endpoints. */
+  readonly #readyVersions = new Set<string>()
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
 
   /** Replaces the registry entries. */
@@ -105,6 +112,10 @@
       if (!ids.has(id)) this.#records.delete(id)
     }
     for (const entry of entries) this.#updateEntry(entry)
+    this.#readyVersions.clear()
+    for (const { service, softwareVersion, phase } of entries) {
+      if (phase === EndpointPhase.Ready) this.#readyVersions.add(versionKey(service, softwareVersion))
+    }
   }
 
   /** Looks up the record of an endpoint. */
@@ -122,6 +133,11 @@
     return this.endpointsOfService(service).filter((record) => record.entry.phase === EndpointPhase.Ready && now >= record.suspendedUntil)
   }
 
+  /** Whether the registry has a ready endpoint of a software version, even if it has no room or was suspended. */
+  isVersionServed (service: string, softwareVersion: string): boolean {
+    return this.#readyVersions.has(versionKey(service, softwareVersion))
+  }
+
   /** Records that work is about to be sent to an endpoint. */
   startWork (id: string): void {
     const record = this.#records.get(id)
@@ -230,7 +246,7 @@
 
   #updateEntry (entry: EndpointEntry): void {
     const known = this.#records.get(entry.id)
-    if (known !== undefined && known.entry.bornAt === entry.bornAt && known.entry.address === entry.address) {
+    if (known !== undefined && isSameIncarnation(known.entry, entry)) {
       if (!sameVersions(known.entry, entry)) {
         known.modelPausedUntil = {}
         known.trialModels.clear()
@@ -254,6 +270,20 @@
   }
 }
 
+/**
+ * Whether two entries under one id describe the same running process of an endpoint.
+ *
+ * @example
+ * isSameIncarnation(entryAtSending, endpoints.find(id).entry)
+ */
+export function isSameIncarnation (a: EndpointIncarnation, b: EndpointIncarnation): boolean {
+  return a.bornAt === b.bornAt && a.address === b.address && a.softwareVersion === b.softwareVersion
+}
+
+function versionKey (service: string, softwareVersion: string): string {
+  return JSON.stringify([service, softwareVersion])
+}
+
 function sameVersions (a: EndpointEntry, b: EndpointEntry): boolean {
   return Object.keys({ ...a.versions, ...b.versions }).every((model) => a.versions[model] === b.versions[model])
 }
