--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -15,6 +15,9 @@
 /** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
 const REGISTRATION_MS = 1_500
 
+/** Shortest time between two attempts to confirm the endpoint table, in milliseconds. */
+const CONFIRMATION_PERIOD_MS = 500
+
 /** Decodes stored objects; a failure describes what is wrong with the object. */
 export interface DeploymentDecoder {
   declaration (object: StoredObject): Outcome<Declaration, string>
@@ -42,6 +45,7 @@
   #routeTable: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
+  #nextConfirmationAt = -Infinity
   #retentionTimer: NodeJS.Timeout | undefined
   readonly #loggedRejections = new Set<string>()
 
@@ -68,8 +72,20 @@
 
   /** Monotonic milliseconds before which each start of an endpoint shows in the endpoint table. */
   get registeredUntil (): number {
-    const { confirmedAt, reconnectedAt } = this.#sources.endpoints
-    return confirmedAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : confirmedAt - REGISTRATION_MS
+    const { currentAt, reconnectedAt } = this.#sources.endpoints
+    return currentAt < reconnectedAt + REREGISTRATION_MS ? -Infinity : currentAt - REGISTRATION_MS
+  }
+
+  /**
+   * Advances {@link registeredUntil} for texts that wait for it, unless that was tried just now.
+   *
+   * @param maxAgeMs age of the endpoint table up to which it counts as confirmed, in milliseconds
+   */
+  confirmEndpoints (maxAgeMs: number): void {
+    const now = monotonicNow()
+    if (now < Math.max(this.#nextConfirmationAt, this.#sources.endpoints.currentAt + maxAgeMs)) return
+    this.#nextConfirmationAt = now + CONFIRMATION_PERIOD_MS
+    void this.#sources.endpoints.confirm()
   }
 
   /**
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,11 +1,11 @@
-import { decideWorkPermission, hostOfWriter, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
+import { createWorkPermit, decideWorkPermission, hostOfWriter, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { AppendStatus } from './rollout-store.js'
 import { ResultLister } from './result-lister.js'
 import { RewardCaller } from './reward-caller.js'
 import { SampleGenerator } from './sample-generator.js'
-import type { RolloutOrder, RolloutProgress } from '@cyclamenthread/state'
+import type { RolloutOrder, RolloutProgress, WorkPermissionEvidence } from '@cyclamenthread/state'
 import type { AdoptRollout, RecoveredText } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -53,8 +53,8 @@
   #confirmedAt: number
   #confirming = false
   #nextConfirmationAt = -Infinity
-  /** Whether another host has reported an end or a claim that this log copy doesn't show yet. */
-  #contested = false
+  /** Monotonic time in milliseconds of the latest report of another host that the log has an end or a claim. */
+  #reportedAt = -Infinity
   #timer: NodeJS.Timeout | undefined
   #stopped = false
 
@@ -166,22 +166,22 @@
    * @returns whether the log was read
    */
   async recheck (): Promise<boolean> {
-    this.#contested = true
-    const read = await this.refreshProgress(0)
-    if (read) this.#contested = false
-    return read
+    this.#reportedAt = monotonicNow()
+    return await this.refreshProgress(0)
   }
 
   /** Appends a claim of the rollout; returns whether this process owns it. */
   async claim (deadline: number): Promise<boolean> {
     const before = this.progress.claimant
-    const sentAt = monotonicNow()
-    while (!this.progress.ended && monotonicNow() < deadline) {
+    while (!this.progress.ended) {
+      if (monotonicNow() >= deadline) return false
+      const sentAt = monotonicNow()
       const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], texts: [], ended: false, claim: true }, deadline)
+      if (status === AppendStatus.Failed) return false
+      this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
       if (status === AppendStatus.Applied) break
-      if (status === AppendStatus.Failed || this.progress.claimant !== before) return false
+      if (this.progress.claimant !== before) return false
     }
-    this.#confirmedAt = sentAt
     this.#lister.markListed()
     return this.progress.ended || this.#isOwner
   }
@@ -236,21 +236,27 @@
     const permission = this.#workPermission()
     if (hasWork && permission !== WorkPermission.Granted) this.#refreshThenStart()
     if (permission === WorkPermission.ConfirmFirst) return
-    this.#rewards.startRequests()
-    this.#generator.startSamples()
+    const permit = createWorkPermit(permission, this.#workEvidence(), monotonicNow())
+    this.#rewards.startRequests(permit)
+    this.#generator.startSamples(permit)
     if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
   #workPermission (): WorkPermission {
-    return decideWorkPermission({ confirmedAt: this.#confirmedAt, storeAnsweredAt: this.#context.store.answeredAt, isContested: this.#contested }, monotonicNow())
+    const permission = decideWorkPermission(this.#workEvidence(), monotonicNow())
+    if (permission === WorkPermission.ConfirmMeanwhile) this.#context.store.recordOutage()
+    return permission
+  }
+
+  #workEvidence (): WorkPermissionEvidence {
+    return { confirmedAt: this.#confirmedAt, storeSilence: this.#context.store.silence, isContested: this.#confirmedAt < this.#reportedAt }
   }
 
   /** Checks the log for an end or a claim of another host before work starts. */
   #refreshThenStart (): void {
     if (this.#confirming || monotonicNow() < this.#nextConfirmationAt) return
     this.#confirming = true
-    const read = this.#contested ? this.recheck() : this.refreshProgress(0)
-    void read.then((isCurrent) => {
+    void this.refreshProgress(0).then((isCurrent) => {
       this.#confirming = false
       if (!isCurrent) this.#nextConfirmationAt = deadlineAfter(CONFIRMATION_RETRY_MS)
       if (!this.isFinished && this.#workPermission() === WorkPermission.Granted) this.#startWork()
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -3,7 +3,7 @@
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
-import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -23,6 +23,15 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
+/** Age of the endpoint table from which it is confirmed for a whole text that isn't listed before, in milliseconds. */
+const WHOLE_TEXT_REGISTRY_AGE_MS = 500
+
+/** The same for texts of running samples, in milliseconds: longer than a watch of a quiet registry takes, whose answer confirms the table as well. */
+const RUNNING_TEXT_REGISTRY_AGE_MS = 3_500
+
+/** Time between two passes from which this process was held up, and time that it then gets to read what has arrived, in milliseconds. */
+const HELD_UP_MS = 150
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -50,6 +59,9 @@
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
   #nextMoveAt = -Infinity
+  #passedAt = -Infinity
+  /** Monotonic milliseconds before which no wait for an endpoint ends. */
+  #waitsUntil = -Infinity
   #stopped = false
 
   /** @param onEnd called after the stream of a sample has ended */
@@ -95,10 +107,13 @@
 
   /** Checks texts against the registry, which may show late that an endpoint has restarted with another software version. */
   checkTexts (): void {
-    const { endpointTable, registeredUntil } = this.#context.deployment
+    const { deployment } = this.#context
+    const { endpointTable, registeredUntil } = deployment
     const find = (id: string): EndpointEntry | undefined => endpointTable.find(id)?.entry
+    let isAnyUnconfirmed = false
     for (const [sampleId, text] of this.#texts) {
       if (text.isConfirmed) continue
+      isAnyUnconfirmed = true
       const check = text.check(find, registeredUntil)
       if (check === TextCheck.Kept) {
         if (text.isUniform && this.#unconfirmed.delete(sampleId)) this.#completeText(sampleId, text)
@@ -108,6 +123,8 @@
       this.#running.get(sampleId)?.abort.abort()
       if (this.#unconfirmed.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
     }
+    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints(WHOLE_TEXT_REGISTRY_AGE_MS)
+    else if (isAnyUnconfirmed) deployment.confirmEndpoints(RUNNING_TEXT_REGISTRY_AGE_MS)
   }
 
   #completeText (sampleId: string, text: SampleText): void {
@@ -116,8 +133,11 @@
   }
 
   /** Starts waiting samples as far as endpoints have free slots. */
-  startSamples (): void {
+  startSamples (permit: WorkPermit): void {
     const full = new Set<string | undefined>()
+    const now = monotonicNow()
+    if (now - this.#passedAt >= HELD_UP_MS) this.#waitsUntil = now + HELD_UP_MS
+    this.#passedAt = now
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
@@ -125,7 +145,7 @@
       if (full.has(undefined)) break
       if (record === undefined) continue
       this.#board.apply(sample.id, { kind: SampleEventKind.GenerationStarted })
-      void this.#runSample(sample, record)
+      void this.#runSample(sample, record, permit)
     }
   }
 
@@ -171,7 +191,8 @@
     const room = softwareVersion === undefined ? undefined : this.#findRoom(sample, softwareVersion, full)
     const isServed = softwareVersion !== undefined && endpointTable.isVersionServed(this.#order.service, softwareVersion)
     const now = monotonicNow()
-    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline: text.waitDeadline }, now)
+    const waitDeadline = text.waitDeadline === undefined ? undefined : Math.max(text.waitDeadline, this.#waitsUntil)
+    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline }, now)
     switch (step) {
       case ContinuationStep.Continue: return room
       case ContinuationStep.Wait:
@@ -220,7 +241,7 @@
     return this.#context.deployment.endpointTable.typicalPace(this.#order.service, DEFAULT_PACE_MS, monotonicNow())
   }
 
-  async #runSample (sample: RolloutSample, record: EndpointRecord): Promise<void> {
+  async #runSample (sample: RolloutSample, record: EndpointRecord, permit: WorkPermit): Promise<void> {
     const { deployment, endpoints, log } = this.#context
     const { endpointTable } = deployment
     const { entry } = record
@@ -244,7 +265,9 @@
       load: record.activeWork,
       weights: endpointTable.newestVersion(record, order.model),
       minVersion: order.minVersion,
-      group: sample.group
+      group: sample.group,
+      outcome: permit.permission,
+      logAgeMs: permit.logAgeMs
     })
     const request = {
       endpoint: entry,
@@ -255,6 +278,7 @@
       body: Buffer.from(sample.body, 'base64'),
       workspace: order.workspace,
       deadline: undefined,
+      startBefore: permit.startBefore,
       signal: abort.signal
     }
     const result = await readSampleStream(endpoints, request, text, order, {
@@ -307,6 +331,7 @@
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
         break
       case StreamEnd.NotRun:
+      case StreamEnd.NotSent:
       case StreamEnd.Broken:
       case StreamEnd.Cancelled:
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
@@ -326,6 +351,7 @@
     case StreamEnd.Broken: return WorkEnd.Broken
     // A refusal concerns a single model and is recorded by recordModelRefusal.
     case StreamEnd.NotRun:
+    case StreamEnd.NotSent:
     case StreamEnd.Stale:
     case StreamEnd.Cancelled:
       return WorkEnd.Cancelled
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -25,6 +25,8 @@
   Impossible = 'impossible',
   /** The endpoint did not run it. */
   NotRun = 'not-run',
+  /** The permission to start ended before the request was written. */
+  NotSent = 'not-sent',
   /** The connection broke, the stream stalled, or it contained an unexpected event. */
   Broken = 'broken',
   /** The text comes from weights that are too old or changed within a sample that requires a single version. */
@@ -32,6 +34,9 @@
   Cancelled = 'cancelled'
 }
 
+/** Status with which an endpoint reports that it ran a request and failed. */
+const FAILURE_STATUS = 500
+
 /** Status with which an endpoint reports that a request can never be completed. */
 const UNPROCESSABLE_STATUS = 422
 
@@ -109,8 +114,9 @@
           events += 1
           break
         case StreamPartKind.End: return abort.signal.aborted ? finishAborted() : finish(StreamEnd.Complete)
-        case StreamPartKind.Failure: return finish(part.status === UNPROCESSABLE_STATUS ? StreamEnd.Impossible : StreamEnd.Failed, `status ${part.status}`)
+        case StreamPartKind.Failure: return finish(endOfFailure(part.status), `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
+        case StreamPartKind.NotSent: return finish(StreamEnd.NotSent)
         case StreamPartKind.Broken:
           return abort.signal.aborted ? finishAborted(part.detail) : finish(StreamEnd.Broken, part.detail)
         default: unreachable(part)
@@ -122,3 +128,9 @@
     abort.abort(STREAM_ENDED)
   }
 }
+
+/** Returns what a failure answer states; server errors other than 500 come from a server in front of an endpoint and don't state that the sample ran. */
+function endOfFailure (status: number): StreamEnd {
+  if (status === UNPROCESSABLE_STATUS) return StreamEnd.Impossible
+  return status > FAILURE_STATUS ? StreamEnd.Broken : StreamEnd.Failed
+}
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -3,7 +3,7 @@
 import { Backoff } from './backoff.js'
 import { LogEvent } from './event-log.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
-import type { MirrorUpdate, SnapshotStore, StoreChange, StoredObject } from '@cyclamenthread/protocol'
+import type { MirrorAge, MirrorUpdate, SnapshotStore, StoreChange, StoredObject } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 
 /** Longest wait for a list call, in milliseconds. */
@@ -12,6 +12,9 @@
 /** Time that a watch call may take in addition to its requested wait, in milliseconds. */
 const WATCH_SLACK_MS = 800
 
+/** Time by which the store may end a wait early, in milliseconds: it is asked for whole milliseconds. */
+const WATCH_ROUNDING_MS = 1
+
 /**
  * Age of a copy at which a follower stops relying on relays and watches the store
  * itself, as a share of the time within which a change has to be noticed; the rest
@@ -64,9 +67,11 @@
   readonly #listeners: Array<() => void> = []
   readonly #updateListeners: Array<(update: MirrorUpdate) => void> = []
   #role: () => MirrorRole = () => MirrorRole.Independent
+  #askRelay: () => Promise<MirrorAge> = async () => ({})
   readonly #backoff: Backoff
   #cursor: string | undefined
   #confirmedAt = -Infinity
+  #currentAt = -Infinity
   #connected: boolean | undefined
   #reconnectedAt = -Infinity
   /** Incremented by each start and stop, so that an earlier loop ends after its current wait. */
@@ -95,6 +100,15 @@
     return this.#confirmedAt
   }
 
+  /**
+   * Monotonic time in milliseconds up to which the copy contains every change. Unlike
+   * {@link confirmedAt} it is proven by calls of this mirror alone and doesn't count the
+   * time for which an answer or a relay's update was under way.
+   */
+  get currentAt (): number {
+    return this.#currentAt
+  }
+
   /** Monotonic time at which the store was last reached again after a failure, in milliseconds. */
   get reconnectedAt (): number {
     return this.#reconnectedAt
@@ -115,6 +129,11 @@
     this.#role = role
   }
 
+  /** Sets the function with which a follower asks a relay for the age of its copy. */
+  setRelayQuery (askRelay: () => Promise<MirrorAge>): void {
+    this.#askRelay = askRelay
+  }
+
   /** Calls back after each list or watch call of this mirror, even if nothing has changed. */
   onUpdate (listener: (update: MirrorUpdate) => void): void {
     this.#updateListeners.push(listener)
@@ -177,6 +196,20 @@
     return await this.#refreshing
   }
 
+  /**
+   * Advances {@link currentAt}: a follower asks a relay, all others list the objects.
+   *
+   * @returns whether the copy is current
+   */
+  async confirm (): Promise<boolean> {
+    const askedAt = monotonicNow()
+    const { next, ageMs = Infinity } = this.#role() === MirrorRole.Follower ? await this.#askRelay() : {}
+    const isCopyOfRelay = next !== undefined && Number(this.#cursor ?? -1) >= Number(next)
+    if (!isCopyOfRelay || ageMs >= this.#relaySilenceMs) return await this.refresh()
+    this.#currentAt = Math.max(this.#currentAt, askedAt - ageMs)
+    return true
+  }
+
   async #follow (generation: number): Promise<void> {
     while (this.#generation === generation) {
       const freshForMs = this.#confirmedAt + this.#relaySilenceMs - monotonicNow()
@@ -196,6 +229,7 @@
     const askedAt = monotonicNow()
     const answer = await this.#store.snapshot(this.#settings.prefix, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(LIST_TIMEOUT_MS) })
     if (!answer.ok) return false
+    this.#currentAt = Math.max(this.#currentAt, askedAt)
     if (this.#cursor !== undefined && Number(answer.value.next) < Number(this.#cursor)) return true
     this.#objects.clear()
     for (const object of answer.value.objects) this.#objects.set(object.key, object)
@@ -213,6 +247,7 @@
     const periodMs = isRelay ? this.#settings.noticeMs * RELAY_PERIOD_SHARE : Infinity
     const waitMs = Math.min(periodMs, this.#settings.waitMs)
     const changePauseMs = Math.min(periodMs, this.#settings.changePauseMs)
+    const askedAt = monotonicNow()
     const answer = await this.#store.watch(prefix, after, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(waitMs + WATCH_SLACK_MS) })
     if (!answer.ok) {
       return answer.failure === StoreFailure.HistoryLost && await this.refresh()
@@ -221,6 +256,9 @@
     this.#setConnected(true)
     if (this.#cursor !== after) return true
     this.#cursor = answer.value.next
+    // The store gives an answer without changes only once the wait is over.
+    const isWaitOver = answer.value.changes.length === 0 && monotonicNow() >= askedAt + waitMs
+    this.#currentAt = Math.max(this.#currentAt, isWaitOver ? askedAt + waitMs - WATCH_ROUNDING_MS : askedAt)
     this.#publishUpdate(after, answer.value.changes)
     if (answer.value.changes.length === 0) return true
     this.#applyChanges(answer.value.changes)
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -1,20 +1,25 @@
 import test from 'ava'
-import { CallTask, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
-import { StreamPartKind } from '@cyclamenthread/protocol'
-import { RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
+import { CallTask, LogEvent, RolloutRun, RolloutStore, SILENT_LOG } from '@cyclamenthread/coordination'
+import { StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
+import { failure, RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints, streamOf, waitUnlessAborted } from './scripted-endpoints.js'
-import type { RolloutContext } from '@cyclamenthread/coordination'
+import type { LogFields, RolloutContext } from '@cyclamenthread/coordination'
+import type { ObjectStore } from '@cyclamenthread/protocol'
 import type { RolloutOrder } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
 const LOCATION = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
 
+const sleep = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
+
 interface Fixture {
   readonly endpoints: ScriptedEndpoints
   readonly store: ReturnType<typeof openDeployment>['store']
   readonly context: RolloutContext
+  /** Lines of the log of the runs and their store. */
+  readonly lines: ReadonlyArray<LogFields & { readonly event: LogEvent }>
   open (order: RolloutOrder): RolloutRun
 }
 
@@ -24,11 +29,18 @@
   await waitUntil(t, () => view.endpointTable.endpointsOfService('models').length === ids.length)
   const endpoints = new ScriptedEndpoints()
   const calls = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
-  const context = { deployment: view, endpoints, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
+  const lines: Array<LogFields & { event: LogEvent }> = []
+  const log = {
+    record: (event: LogEvent, fields: LogFields) => {
+      lines.push({ ...fields, event })
+    }
+  }
+  const context = { deployment: view, endpoints, calls, store: new RolloutStore(store, log), networkLocation: LOCATION, writer: 'w', log }
   return {
     endpoints,
     store,
     context,
+    lines,
     open: (order) => {
       const run = new RolloutRun(context, order, new RolloutProgress())
       t.teardown(() => run.stop())
@@ -112,6 +124,52 @@
   t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Abandoned])
 })
 
+/** Creates a script that breaks off after one event, the given number of times over all endpoints, and then completes the sample. */
+function crashingOf (crashes: number): Parameters<ScriptedEndpoints['streamScripts']['set']>[1] {
+  let left = crashes
+  return async function * (request, resumeAfter) {
+    if (left === 0) {
+      yield * streamOf(20, 3)(request, resumeAfter)
+      return
+    }
+    left -= 1
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    yield { kind: StreamPartKind.Event, id: resumeAfter + 1, data: `e${resumeAfter + 1}`, version: undefined }
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+}
+
+// Guards against giving up a sound sample because several endpoints crashed while they ran it.
+test('unlucky: a sample under which more endpoints crash than it may fail is placed again, and completed', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
+  const script = crashingOf(7)
+  for (const id of ['a', 'bb', 'ccc']) endpoints.streamScripts.set(id, script)
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 8)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+  t.is(run.progress.results[0]?.output, Array.from({ length: 20 }, (_, index) => `e${index + 1}`).join('\n'))
+})
+
+// Guards against counting the answers of a proxy whose endpoint has crashed as failed runs of the sample.
+test('unlucky: answers of 502, 503 and 504 are no failed runs, so the sample is placed again', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
+  const statuses = [502, 503, 504]
+  for (const id of ['a', 'bb', 'ccc']) {
+    endpoints.streamScripts.set(id, async function * (request, resumeAfter) {
+      const status = statuses.pop()
+      if (status === undefined) yield * streamOf(3, 3)(request, resumeAfter)
+      else yield { kind: StreamPartKind.Failure, status }
+    })
+  }
+  const run = open(rolloutOrder(1, 1, { maxAttempts: 3 }))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 4)
+  t.is(run.progress.results[0]?.state, SampleState.Completed)
+})
+
 test('a sample that can never be completed is sent once', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
@@ -355,3 +413,133 @@
   endpoints.streamScripts.delete('a')
   await waitUntil(t, () => run.isFinished)
 })
+
+// Guards against samples that wait out an outage of the store, and against an outage that the log doesn't show.
+test('while the store is down, waiting samples are sent, and the log names the outage once and the permission of each sample', async (t) => {
+  const { context, endpoints, lines, store, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  t.true(lines.filter(({ event }) => event === LogEvent.SampleSent).every(({ outcome, logAgeMs }) => outcome === 'granted' && Number(logAgeMs) <= 1_500))
+  store.faults.down = true
+  await waitUntil(t, () => context.store.silence !== undefined)
+  await waitUntil(t, () => lines.some(({ event, outcome, logAgeMs }) => event === LogEvent.SampleSent && outcome === 'confirm-meanwhile' && Number(logAgeMs) > 2_000))
+  store.faults.down = false
+  endpoints.streamScripts.delete('a')
+  await waitUntil(t, () => run.isFinished)
+  t.is(lines.filter(({ event }) => event === LogEvent.DependencyLost).length, 1)
+  t.is(lines.filter(({ event }) => event === LogEvent.DependencyRegained).length, 1)
+})
+
+/** Time after the acknowledgement of an end from which no sample may reach an endpoint, in milliseconds, as the platform's pages state it. */
+const CANCEL_BOUND_MS = 3_000
+
+// Guards against an item that reaches an endpoint later than the bound after the acknowledged end of its batch (UNASKED): its owner hadn't called the store.
+test('samples whose streams break after seconds without a call of the store are not sent again if another host has ended the rollout', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb'])
+  const brokenAt = performance.now() + CANCEL_BOUND_MS + 300
+  const breaking: Parameters<typeof endpoints.streamScripts.set>[1] = async function * (request) {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    await waitUnlessAborted(brokenAt - performance.now(), request.signal)
+    yield { kind: StreamPartKind.Broken, sent: true, detail: 'reset' }
+  }
+  for (const id of ['a', 'bb']) endpoints.streamScripts.set(id, breaking)
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length === 4)
+  t.true(await open(rolloutOrder(1, 4)).appendEnd(performance.now() + 2_000))
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 4)
+})
+
+// Guards against an item that reaches an endpoint later than the bound after the acknowledged end of its batch (UNASKED): its owner delayed its own calls of the store.
+test('a run whose store calls this process refuses itself sends nothing later than the bound after the end by another host', async (t) => {
+  const { context, endpoints, store, open } = await openFixture(t, ['a'])
+  const sentAt: number[] = []
+  endpoints.streamScripts.set('a', async function * () {
+    sentAt.push(performance.now())
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  let isThrottled = false
+  const throttled: ObjectStore = {
+    read: async (key, call) => isThrottled ? failure(StoreFailure.Timeout) : await store.read(key, call),
+    list: async (prefix, call) => await store.list(prefix, call),
+    write: async (key, value, expectation, call) => isThrottled ? { status: WriteStatus.NotWritten, detail: 'store rate limit exceeded' } : await store.write(key, value, expectation, call),
+    remove: async (key, version, call) => await store.remove(key, version, call),
+    watch: async (prefix, after, call) => await store.watch(prefix, after, call)
+  }
+  const run = new RolloutRun({ ...context, store: new RolloutStore(throttled) }, rolloutOrder(1, 4), new RolloutProgress())
+  t.teardown(() => run.stop())
+  run.start()
+  await waitUntil(t, () => sentAt.length > 0)
+  isThrottled = true
+  t.true(await open(rolloutOrder(1, 4)).appendEnd(performance.now() + 2_000))
+  const acknowledgedAt = performance.now()
+  await new Promise((resolve) => setTimeout(resolve, CANCEL_BOUND_MS + 800))
+  t.true(Math.max(...sentAt) - acknowledgedAt < CANCEL_BOUND_MS, `sent ${Math.round(Math.max(...sentAt) - acknowledgedAt)} ms after the end`)
+})
+
+// Guards against a second owner that runs samples beside the first, after the end of their batch (UNASKED): its claim was never written.
+test('a claim that the store could not be asked for in time gives neither ownership nor a current log copy', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a'])
+  const run = open(rolloutOrder(1, 2))
+  t.false(await run.claim(performance.now() - 1))
+  t.true(await open(rolloutOrder(1, 2)).appendEnd(performance.now() + 2_000))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.is(endpoints.streams.length, 0)
+})
+
+// Guards against a sample that is lost, or an endpoint that is avoided, because a request was not written in time.
+test('a sample that was not written in time waits again and is sent to the same endpoint, with a later time to start', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a'])
+  let isFirst = true
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    if (!isFirst) return yield * streamOf(3, 3)(request, resumeAfter)
+    isFirst = false
+    await waitUnlessAborted(200, request.signal)
+    yield { kind: StreamPartKind.NotSent }
+  })
+  const run = open(rolloutOrder(1, 1))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Completed])
+  const [first, second] = endpoints.streams.map(({ request }) => request.startBefore ?? Infinity)
+  t.is(endpoints.streams.length, 2)
+  t.true((first ?? 0) <= (second ?? 0) && (second ?? Infinity) < performance.now() + CANCEL_BOUND_MS)
+})
+
+// Guards against work after an end that another host has reported (UNASKED): an earlier check of the log ended the wait for a later one.
+test('a run that was told to recheck starts nothing before a read of the log that was sent after that', async (t) => {
+  const { context, endpoints, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  const { catchUp } = context.store
+  let reads = 0
+  context.store.catchUp = async (...given) => {
+    reads += 1
+    if (reads === 1) {
+      const answer = await catchUp.apply(context.store, given)
+      await sleep(200)
+      return answer
+    }
+    // The later read gets no answer in time.
+    await sleep(1_200)
+    return failure(StoreFailure.Timeout)
+  }
+  const first = run.recheck()
+  await sleep(50)
+  const second = run.recheck()
+  t.true(await first)
+  const before = endpoints.streams.length
+  await sleep(800)
+  t.is(endpoints.streams.length, before)
+  t.false(await second)
+})
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -33,5 +33,8 @@
   ReportEndpointWeights = 'weights.note',
   ReportDemand = 'weights.demand',
   ReadRequestCounts = 'tally.read',
-  RelayMirrorUpdate = 'mirrors.relay'
+  RelayMirrorUpdate = 'mirrors.relay',
+  ReadMirrorAge = 'mirrors.age',
+  RecordStreamOrigin = 'streams.record',
+  FindStreamOrigin = 'streams.find'
 }
