Tests: names after the failure, waits for events instead of times; clearer names of doubt

Two tests of handed-over texts slept for a fixed time; one failed once in four runs with a loop that stalled for 250 ms each second (review). They now wait until both streams have yielded five events. 'Confirmed' had five meanings: the generator's set of whole texts that wait is #awaitingRegistry, and a text's streams that may have restarted are #doubtfulStreams. No check is changed.

--- a/packages/bench/src/test/dispatch.test.ts
+++ b/packages/bench/src/test/dispatch.test.ts
@@ -145,7 +145,7 @@
 })
 
 // Guards against giving up a sound sample of a batch because several endpoints crashed while they ran it.
-test.serial('unlucky: a sample under which two endpoints crashed is delivered once endpoints are sound again', async (t) => {
+test.serial('a sample under which two endpoints crashed is delivered once endpoints are sound again', async (t) => {
   const cluster = await startCluster()
   t.teardown(async () => await cluster.stop())
   for (const engine of cluster.engines) engine.faults.poison = 'unlucky'
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -53,8 +53,8 @@
   readonly #onEnd: () => void
   readonly #running = new Map<string, RunningSample>()
   readonly #texts = new Map<string, SampleText>()
-  /** Samples whose streams are complete, but whose texts may have parts of two software versions. */
-  readonly #unconfirmed = new Set<string>()
+  /** Samples whose texts are whole and wait until the registry would show a restart of their endpoints. */
+  readonly #awaitingRegistry = new Set<string>()
   /** Samples that were moved once; a second move would only follow noise in the measured pace. */
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
@@ -90,7 +90,7 @@
   /** Drops the text of a sample whose result is known, and ends its stream. */
   release (sampleId: string): void {
     this.#texts.delete(sampleId)
-    this.#unconfirmed.delete(sampleId)
+    this.#awaitingRegistry.delete(sampleId)
     this.#running.get(sampleId)?.abort.abort()
   }
 
@@ -116,14 +116,14 @@
       isAnyUnconfirmed = true
       const check = text.check(find, registeredUntil)
       if (check === TextCheck.Kept) {
-        if (text.isUniform && this.#unconfirmed.delete(sampleId)) this.#completeText(sampleId, text)
+        if (text.isUniform && this.#awaitingRegistry.delete(sampleId)) this.#completeText(sampleId, text)
         continue
       }
       this.#context.log.record(LogEvent.TextInterrupted, { requestId: sampleId, rollout: this.#order.id, outcome: check, textVersion: text.softwareVersion, held: text.pieces.length })
       this.#running.get(sampleId)?.abort.abort()
-      if (this.#unconfirmed.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
+      if (this.#awaitingRegistry.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
     }
-    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints(WHOLE_TEXT_REGISTRY_AGE_MS)
+    if (this.#awaitingRegistry.size > 0) deployment.confirmEndpoints(WHOLE_TEXT_REGISTRY_AGE_MS)
     else if (isAnyUnconfirmed) deployment.confirmEndpoints(RUNNING_TEXT_REGISTRY_AGE_MS)
   }
 
@@ -317,7 +317,7 @@
     switch (end) {
       case StreamEnd.Complete:
         if (text.isUniform) this.#completeText(sample.id, text)
-        else if (this.#texts.get(sample.id) === text) this.#unconfirmed.add(sample.id)
+        else if (this.#texts.get(sample.id) === text) this.#awaitingRegistry.add(sample.id)
         break
       case StreamEnd.Impossible:
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationImpossible })
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -142,7 +142,7 @@
 })
 
 // Guards against joining the text of two software versions when a call is retried or hedged.
-test('rejoined: retries and hedges of a call that takes a stream up reach only the software version that began it', async (t) => {
+test('retries and hedges of a call that takes a stream up reach only the software version that began it', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb', 'ccc', 'dddd'], { ccc: 's2', dddd: 's2' })
   for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
   const outcome = await run({ continues: { service: 'desk', softwareVersion: 's1' }, route: { ...ROUTE, maxAttempts: 4 } })
@@ -151,7 +151,7 @@
 })
 
 // Guards against waiting for, or replacing, a software version that has left service.
-test('rejoined: a call that takes a stream up is refused at once as not run if no endpoint of its software version is registered', async (t) => {
+test('a call that takes a stream up is refused at once as not run if no endpoint of its software version is registered', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb'])
   const startedAt = performance.now()
   const outcome = await run({ continues: { service: 'desk', softwareVersion: 's0' }, deadline: startedAt + 60_000 })
@@ -162,7 +162,7 @@
 })
 
 // Guards against joining the answer of an endpoint that came back under its id with another software version meanwhile.
-test('rejoined: the answer of an endpoint that was replaced under its id is not used for a stream that is taken up', async (t) => {
+test('the answer of an endpoint that was replaced under its id is not used for a stream that is taken up', async (t) => {
   const { endpoints, run, deployment: { store, view } } = await openFixture(t, ['a'])
   endpoints.callScripts.set('a', async () => {
     store.set('servers/a', endpointEntry('a', { service: 'desk', softwareVersion: 's2', bornAt: 2 }))
--- a/packages/coordination/src/test/reward-caller.test.ts
+++ b/packages/coordination/src/test/reward-caller.test.ts
@@ -142,7 +142,7 @@
 })
 
 // Guards against abandoning a sample because several endpoints crashed while they scored it.
-test('unlucky: a reward request under which more endpoints crash than it may fail is sent again, and its sample completed', async (t) => {
+test('a reward request under which more endpoints crash than it may fail is sent again, and its sample completed', async (t) => {
   const crashes = LEDGER_ROUTE.maxAttempts + 2
   const desks = Array.from({ length: crashes }, (_, index) => `desk${index}`)
   const { endpoints, open } = await openFixture(t, desks)
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -140,7 +140,7 @@
 }
 
 // Guards against giving up a sound sample because several endpoints crashed while they ran it.
-test('unlucky: a sample under which more endpoints crash than it may fail is placed again, and completed', async (t) => {
+test('a sample under which more endpoints crash than it may fail is placed again, and completed', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
   const script = crashingOf(7)
   for (const id of ['a', 'bb', 'ccc']) endpoints.streamScripts.set(id, script)
@@ -153,7 +153,7 @@
 })
 
 // Guards against counting the answers of a proxy whose endpoint has crashed as failed runs of the sample.
-test('unlucky: answers of 502, 503 and 504 are no failed runs, so the sample is placed again', async (t) => {
+test('answers of 502, 503 and 504 are no failed runs, so the sample is placed again', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a', 'bb', 'ccc'])
   const statuses = [502, 503, 504]
   for (const id of ['a', 'bb', 'ccc']) {
--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -42,6 +42,20 @@
   return [...new Set(output.split('\n').map((piece) => piece.slice(0, piece.indexOf(':'))))]
 }
 
+/** Counts the events that a script has yielded to each request. */
+function countEvents (script: StreamScript): { readonly script: StreamScript, leastEvents (requests: number): number } {
+  const counts = new Map<string, number>()
+  return {
+    script: async function * (request, resumeAfter) {
+      for await (const part of script(request, resumeAfter)) {
+        yield part
+        if (part.kind === StreamPartKind.Event) counts.set(request.requestId, (counts.get(request.requestId) ?? 0) + 1)
+      }
+    },
+    leastEvents: (requests) => counts.size < requests ? 0 : Math.min(...counts.values())
+  }
+}
+
 interface Fixture {
   readonly endpoints: ScriptedEndpoints
   readonly context: RolloutContext
@@ -134,13 +148,13 @@
 // Guards against joined texts: the next owner continued the text of a handover wherever there was room.
 test('a text that is handed over never goes on at an endpoint of another software version', async (t) => {
   const { endpoints, open, register, setPaces } = await openFixture(t, [endpointEntry('old', { softwareVersion: 's1' })])
-  endpoints.streamScripts.set('old', markedStream({ mark: 's1', count: 40, pauseMs: 20 }))
+  const old = countEvents(markedStream({ mark: 's1', count: 40, pauseMs: 20 }))
+  endpoints.streamScripts.set('old', old.script)
   endpoints.streamScripts.set('new', markedStream({ mark: 's2', count: 40 }))
   const order = rolloutOrder(1, 2)
   const first = await open(order)
   first.start()
-  await waitUntil(t, () => endpoints.streams.length === 2)
-  await new Promise((resolve) => setTimeout(resolve, 200))
+  await waitUntil(t, () => old.leastEvents(2) > 4)
   const handover = first.handOver()
   t.true((handover.texts[0]?.pieces.length ?? 0) > 2)
   await register([endpointEntry('new', { softwareVersion: 's2', slots: 16 })])
@@ -294,11 +308,12 @@
 // Guards against joined texts: the next owner trusted the software version of a text that had only just begun at the previous owner.
 test('a text that is handed over before its beginning is confirmed starts anew if it turns out to be from another software version', async (t) => {
   const { endpoints, open, register } = await openFixture(t, [endpointEntry('a', { softwareVersion: 's1' })])
-  endpoints.streamScripts.set('a', markedStream({ mark: 's2', count: 80, pauseMs: 20 }))
+  const restarted = countEvents(markedStream({ mark: 's2', count: 80, pauseMs: 20 }))
+  endpoints.streamScripts.set('a', restarted.script)
   const order = rolloutOrder(1, 2)
   const first = await open(order)
   first.start()
-  await new Promise((resolve) => setTimeout(resolve, 300))
+  await waitUntil(t, () => restarted.leastEvents(2) > 4)
   const handover = first.handOver()
   await register([endpointEntry('bb', { softwareVersion: 's1' })])
   endpoints.streamScripts.set('bb', markedStream({ mark: 's1', count: 80, pauseMs: 2 }))
--- a/packages/coordination/src/test/stream-origin-task.test.ts
+++ b/packages/coordination/src/test/stream-origin-task.test.ts
@@ -55,7 +55,7 @@
 }
 
 // Guards against losing, with the host that served them, what began the streams that its callers take up elsewhere.
-test('rejoined: after the host that served a stream was killed, every other host knows what began it', async (t) => {
+test('after the host that served a stream was killed, every other host knows what began it', async (t) => {
   const hosts = new Hosts()
   for (let index = 0; index < 50; index++) hosts.task('h1').record(`a${index}`, ORIGIN)
   await settle()
@@ -69,7 +69,7 @@
 })
 
 // Guards against answering from another software version after every host lost its memory.
-test('rejoined: after all hosts were killed and came back, what began a stream is unknown, and stays so', async (t) => {
+test('after all hosts were killed and came back, what began a stream is unknown, and stays so', async (t) => {
   const hosts = new Hosts()
   hosts.task('h1').record('a1', ORIGIN)
   await settle()
--- a/packages/state/src/lib/sample-text.ts
+++ b/packages/state/src/lib/sample-text.ts
@@ -63,7 +63,7 @@
   #generation = Symbol('generation')
   #waitDeadline: number | undefined
   /** In the order of their parts; all events before the first one's part are confirmed. */
-  readonly #unconfirmed: UnconfirmedStream[] = []
+  readonly #doubtfulStreams: UnconfirmedStream[] = []
 
   /**
    * @param known the text to continue; without it, the sample starts from the beginning
@@ -74,7 +74,7 @@
     this.pieces.push(...known.pieces)
     this.versions.push(...known.versions)
     this.#softwareVersion = known.softwareVersion
-    for (const { ageMs, ...part } of known.unconfirmed ?? []) this.#unconfirmed.push({ ...part, answeredAt: now - ageMs })
+    for (const { ageMs, ...part } of known.unconfirmed ?? []) this.#doubtfulStreams.push({ ...part, answeredAt: now - ageMs })
   }
 
   /** Identifies what was received since the last discard; parts of different generations must never be combined. */
@@ -94,24 +94,24 @@
 
   /** Whether the software version of every event is confirmed. */
   get isConfirmed (): boolean {
-    return this.#unconfirmed.length === 0
+    return this.#doubtfulStreams.length === 0
   }
 
   /** Whether no event may come from another software version than the others: the text is confirmed or comes from one stream. */
   get isUniform (): boolean {
-    return this.#unconfirmed.every(({ from }) => from === 0)
+    return this.#doubtfulStreams.every(({ from }) => from === 0)
   }
 
   /** The events before the first that isn't confirmed; none if the software version is unknown. */
   get confirmedPart (): KnownText {
     if (this.#softwareVersion === undefined) return { pieces: [], versions: [] }
-    const first = this.#unconfirmed[0]
+    const first = this.#doubtfulStreams[0]
     return { pieces: this.pieces.slice(0, first?.from), versions: this.versions.slice(0, first?.versionsFrom), softwareVersion: this.#softwareVersion }
   }
 
   /** Describes the parts that aren't confirmed for the next owner. */
   unconfirmedParts (now: number): UnconfirmedPart[] {
-    return this.#unconfirmed
+    return this.#doubtfulStreams
       .filter(({ from }) => from < this.pieces.length)
       .map(({ endpoint: { id, address, bornAt, softwareVersion }, answeredAt, ...part }) => ({ ...part, endpoint: { id, address, bornAt, softwareVersion }, ageMs: now - answeredAt }))
   }
@@ -123,7 +123,7 @@
     this.versions.length = 0
     this.#softwareVersion = undefined
     this.#waitDeadline = undefined
-    this.#unconfirmed.length = 0
+    this.#doubtfulStreams.length = 0
   }
 
   /** Records that the text has to wait for an endpoint; the deadline stays until the text goes on. */
@@ -138,14 +138,14 @@
    */
   startStream (endpoint: EndpointIncarnation): void {
     const { length } = this.pieces
-    if (this.#unconfirmed.at(-1)?.from === length) this.#unconfirmed.pop()
+    if (this.#doubtfulStreams.at(-1)?.from === length) this.#doubtfulStreams.pop()
     if (length === 0) this.#softwareVersion = endpoint.softwareVersion
-    this.#unconfirmed.push({ endpoint, from: length, versionsFrom: this.versions.length, answeredAt: Infinity })
+    this.#doubtfulStreams.push({ endpoint, from: length, versionsFrom: this.versions.length, answeredAt: Infinity })
   }
 
   /** Records that the answer to the last stream has begun. */
   recordAnswer (now: number): void {
-    const stream = this.#unconfirmed.at(-1)
+    const stream = this.#doubtfulStreams.at(-1)
     if (stream !== undefined) stream.answeredAt = now
   }
 
@@ -164,13 +164,13 @@
    * @param registeredUntil monotonic milliseconds before which each start of an endpoint shows in the registry
    */
   check (find: (id: string) => EndpointIncarnation | undefined, registeredUntil: number): TextCheck {
-    const index = this.#unconfirmed.findIndex(({ endpoint }) => {
+    const index = this.#doubtfulStreams.findIndex(({ endpoint }) => {
       const current = find(endpoint.id)
       return current !== undefined && !isSameIncarnation(current, endpoint)
     })
-    const doubtful = this.#unconfirmed[index]
+    const doubtful = this.#doubtfulStreams[index]
     if (doubtful !== undefined) return this.#dropFrom(index, doubtful)
-    while (this.#unconfirmed[0] !== undefined && this.#unconfirmed[0].answeredAt <= registeredUntil) this.#unconfirmed.shift()
+    while (this.#doubtfulStreams[0] !== undefined && this.#doubtfulStreams[0].answeredAt <= registeredUntil) this.#doubtfulStreams.shift()
     return TextCheck.Kept
   }
 
@@ -178,16 +178,16 @@
     if (from > 0) {
       this.pieces.length = from
       this.versions.length = versionsFrom
-      this.#unconfirmed.length = index
+      this.#doubtfulStreams.length = index
       return TextCheck.Shortened
     }
-    if (this.#unconfirmed.length > 1) {
+    if (this.#doubtfulStreams.length > 1) {
       this.clear()
       return TextCheck.Dropped
     }
     // The only stream may be whole or go on, but no other may continue it.
     this.#softwareVersion = undefined
-    this.#unconfirmed.length = 0
+    this.#doubtfulStreams.length = 0
     return TextCheck.Kept
   }
 }
--- a/packages/state/src/test/cell.test.ts
+++ b/packages/state/src/test/cell.test.ts
@@ -238,7 +238,7 @@
 })
 
 // Guards against refusing a sample again and again by an estimate that nothing updates while no request runs.
-test('unlucky: with free slots a sample is placed although requests were slow before, and a caller\'s request is still refused', (t) => {
+test('with free slots a sample is placed although requests were slow before, and a caller\'s request is still refused', (t) => {
   const cell = openCell()
   for (let index = 0; index < 20; index++) {
     const [grant] = grantsFrom(cell, { kind: CellEventKind.Request, request: slotRequest(`slow${index}`, { expectedTokens: 1 }) }, index * 2_000)
@@ -250,7 +250,7 @@
 })
 
 // Guards against holding back all samples under which endpoints crashed behind one that fits no endpoint at the moment.
-test('unlucky: a suspect request that fits no usable endpoint doesn\'t keep other suspects from running', (t) => {
+test('a suspect request that fits no usable endpoint doesn\'t keep other suspects from running', (t) => {
   const cell = openCell()
   const held = requestSlots(cell, SLOTS * ENDPOINTS.length)
   const suspects = [slotRequest('s1', { suspect: true, excluded: ['a', 'b'] }), slotRequest('s2', { suspect: true })]
--- a/packages/state/src/test/loss-backoff.test.ts
+++ b/packages/state/src/test/loss-backoff.test.ts
@@ -8,7 +8,7 @@
 const MAX_WAIT_MS = 30_000
 
 // Guards against giving up a sample for good because endpoints were lost while they ran it.
-test(`unlucky: whatever endpoints are lost under a sample, it may run again within ${MAX_WAIT_MS} ms of the last loss (seed ${SEED})`, (t) => {
+test(`whatever endpoints are lost under a sample, it may run again within ${MAX_WAIT_MS} ms of the last loss (seed ${SEED})`, (t) => {
   const anyLoss = fc.record({ afterMs: fc.integer({ min: 0, max: 40_000 }), endpoint: fc.constantFrom('a', 'b', 'c') })
   fc.assert(fc.property(fc.array(anyLoss, { minLength: 1, maxLength: 40, size: 'max' }), (losses) => {
     const backoff = new LossBackoff()
--- a/packages/state/src/test/stream-origins.test.ts
+++ b/packages/state/src/test/stream-origins.test.ts
@@ -5,7 +5,7 @@
 const NEW = { service: 'tutor', softwareVersion: 's2' }
 
 // Guards against replacing the software version that brought the first event by that of a later attempt.
-test('rejoined: the first record of a stream holds', (t) => {
+test('the first record of a stream holds', (t) => {
   const origins = new StreamOrigins()
   origins.record('a1', OLD, 0)
   origins.record('a1', NEW, 1)
