--- a/packages/coordination/src/test/rollout-store.test.ts
+++ b/packages/coordination/src/test/rollout-store.test.ts
@@ -119,3 +119,29 @@
   t.log(`silence of ${Math.round((span?.until ?? 0) - (span?.since ?? 0))} ms from calls that waited 10 ms each for their answers`)
   t.is(decideWorkPermission({ confirmedAt: performance.now() - 6_000, storeSilence: span, isContested: false }, performance.now()), WorkPermission.ConfirmFirst)
 })
+
+// Guards against work on old log copies (UNASKED): a process that was held up took answers in its own queue for silence of the store.
+test('a timeout that this process noticed late shows no silence of the store', async (t) => {
+  const { memory } = openStore(1)
+  const blockedMs = { value: 0 }
+  const silentStore: ObjectStore = {
+    read: async (_key, call) => {
+      call.observer?.onSent(performance.now())
+      await sleep(timeLeft(call.deadline))
+      for (const end = performance.now() + blockedMs.value; performance.now() < end;);
+      return failure(StoreFailure.Timeout)
+    },
+    list: async (prefix, call) => await memory.list(prefix, call),
+    write: async (key, value, expectation, call) => await memory.write(key, value, expectation, call),
+    remove: async (key, version, call) => await memory.remove(key, version, call),
+    watch: async (prefix, after, call) => await memory.watch(prefix, after, call)
+  }
+  const store = new RolloutStore(silentStore)
+  blockedMs.value = 400
+  await store.readOrder('r1', deadlineAfter(700))
+  t.is(store.silence, undefined)
+  blockedMs.value = 0
+  // A stall of the machine may hold this process up as well.
+  for (let attempt = 0; attempt < 5 && store.silence === undefined; attempt += 1) await store.readOrder('r1', deadlineAfter(700))
+  t.true((store.silence?.until ?? 0) - (store.silence?.since ?? 0) >= 500)
+})
--- /dev/null
+++ b/packages/coordination/src/test/sample-stream.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava'
+import { readSampleStream, StreamEnd } from '@cyclamenthread/coordination'
+import { StreamPartKind } from '@cyclamenthread/protocol'
+import { SampleText } from '@cyclamenthread/state'
+import { endpointEntry } from '@cyclamenthread/state/testing'
+import { ScriptedEndpoints } from './scripted-endpoints.js'
+import type { EndpointRequest } from '@cyclamenthread/protocol'
+
+function requestTo (id: string, signal: AbortSignal): EndpointRequest {
+  return {
+    endpoint: endpointEntry(id), requestId: 's', method: 'POST', path: '/', headers: [], body: new Uint8Array(), workspace: 'w', deadline: undefined, startBefore: undefined, signal
+  }
+}
+
+// Guards against joined texts: a text that was shortened together with the abort of its stream counted as whole.
+test('a stream that was aborted neither adds an event nor counts as whole, even if its end arrives', async (t) => {
+  for (const last of [{ kind: StreamPartKind.End } as const, { kind: StreamPartKind.Event, id: 2, data: 'e2', version: undefined } as const]) {
+    const abort = new AbortController()
+    const endpoints = new ScriptedEndpoints()
+    endpoints.streamScripts.set('a', async function * () {
+      yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+      yield { kind: StreamPartKind.Event, id: 1, data: 'e1', version: undefined }
+      abort.abort()
+      yield last
+    })
+    const text = new SampleText()
+    const observer = { onStart: () => {}, onVersion: () => {}, onPace: () => {} }
+    const { end } = await readSampleStream(endpoints, requestTo('a', abort.signal), text, { minVersion: 1, singleVersion: false }, observer, abort)
+    t.is(end, StreamEnd.Cancelled)
+    t.deepEqual(text.pieces, ['e1'])
+  }
+})
--- a/packages/coordination/src/test/store-mirror.test.ts
+++ b/packages/coordination/src/test/store-mirror.test.ts
@@ -53,3 +53,17 @@
   await new Promise((resolve) => setTimeout(resolve, 2_800))
   t.deepEqual(view.endpointTable.usableEndpoints('models', performance.now()).map((record) => record.entry.id), ['a'])
 })
+
+// Guards against joined texts: right after an outage of the store, endpoints that restarted in it haven't registered again.
+test('for as long as endpoints register again after a store outage, the registry proves no endpoint to be the same', async (t) => {
+  const { store, view } = openDeployment(t)
+  store.set('servers/a', endpointEntry('a'))
+  await waitUntil(t, () => view.registeredUntil > 0)
+  store.faults.down = true
+  await new Promise((resolve) => setTimeout(resolve, 300))
+  store.faults.down = false
+  const backAt = performance.now()
+  await waitUntil(t, () => view.registeredUntil === -Infinity)
+  await waitUntil(t, () => view.registeredUntil > 0)
+  t.true(performance.now() - backAt > 2_400, `${Math.round(performance.now() - backAt)} ms after the outage`)
+})
