--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -23,6 +23,15 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
+/** Age of the endpoint table from which it is confirmed for a whole text that isn't listed before, in milliseconds. */
+const WHOLE_TEXT_REGISTRY_AGE_MS = 500
+
+/** The same for texts of running samples, in milliseconds: longer than a watch of a quiet registry takes, whose answer confirms the table as well. */
+const RUNNING_TEXT_REGISTRY_AGE_MS = 3_500
+
+/** Time between two passes from which this process was held up, and time that it then gets to read what has arrived, in milliseconds. */
+const HELD_UP_MS = 150
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -50,6 +59,9 @@
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
   #nextMoveAt = -Infinity
+  #passedAt = -Infinity
+  /** Monotonic milliseconds before which no wait for an endpoint ends. */
+  #waitsUntil = -Infinity
   #stopped = false
 
   /** @param onEnd called after the stream of a sample has ended */
@@ -97,10 +109,11 @@
   checkTexts (): void {
     const { deployment } = this.#context
     const { endpointTable, registeredUntil } = deployment
-    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints()
     const find = (id: string): EndpointEntry | undefined => endpointTable.find(id)?.entry
+    let isAnyUnconfirmed = false
     for (const [sampleId, text] of this.#texts) {
       if (text.isConfirmed) continue
+      isAnyUnconfirmed = true
       const check = text.check(find, registeredUntil)
       if (check === TextCheck.Kept) {
         if (text.isUniform && this.#unconfirmed.delete(sampleId)) this.#completeText(sampleId, text)
@@ -110,6 +123,8 @@
       this.#running.get(sampleId)?.abort.abort()
       if (this.#unconfirmed.delete(sampleId)) this.#board.apply(sampleId, { kind: SampleEventKind.GenerationInterrupted })
     }
+    if (this.#unconfirmed.size > 0) deployment.confirmEndpoints(WHOLE_TEXT_REGISTRY_AGE_MS)
+    else if (isAnyUnconfirmed) deployment.confirmEndpoints(RUNNING_TEXT_REGISTRY_AGE_MS)
   }
 
   #completeText (sampleId: string, text: SampleText): void {
@@ -120,6 +135,9 @@
   /** Starts waiting samples as far as endpoints have free slots. */
   startSamples (permit: WorkPermit): void {
     const full = new Set<string | undefined>()
+    const now = monotonicNow()
+    if (now - this.#passedAt >= HELD_UP_MS) this.#waitsUntil = now + HELD_UP_MS
+    this.#passedAt = now
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
@@ -173,7 +191,8 @@
     const room = softwareVersion === undefined ? undefined : this.#findRoom(sample, softwareVersion, full)
     const isServed = softwareVersion !== undefined && endpointTable.isVersionServed(this.#order.service, softwareVersion)
     const now = monotonicNow()
-    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline: text.waitDeadline }, now)
+    const waitDeadline = text.waitDeadline === undefined ? undefined : Math.max(text.waitDeadline, this.#waitsUntil)
+    const step = decideContinuation({ softwareVersion, isServed, hasRoom: room !== undefined, waitDeadline }, now)
     switch (step) {
       case ContinuationStep.Continue: return room
       case ContinuationStep.Wait:
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -12,6 +12,8 @@
 
 const LOCATION = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
 
+const sleep = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
+
 interface Fixture {
   readonly endpoints: ScriptedEndpoints
   readonly store: ReturnType<typeof openDeployment>['store']
@@ -414,7 +416,7 @@
 
 // Guards against samples that wait out an outage of the store, and against an outage that the log doesn't show.
 test('while the store is down, waiting samples are sent, and the log names the outage once and the permission of each sample', async (t) => {
-  const { endpoints, lines, store, open } = await openFixture(t, ['a'])
+  const { context, endpoints, lines, store, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
     yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
   })
@@ -423,6 +425,7 @@
   await waitUntil(t, () => endpoints.streams.length > 0)
   t.true(lines.filter(({ event }) => event === LogEvent.SampleSent).every(({ outcome, logAgeMs }) => outcome === 'granted' && Number(logAgeMs) <= 1_500))
   store.faults.down = true
+  await waitUntil(t, () => context.store.silence !== undefined)
   await waitUntil(t, () => lines.some(({ event, outcome, logAgeMs }) => event === LogEvent.SampleSent && outcome === 'confirm-meanwhile' && Number(logAgeMs) > 2_000))
   store.faults.down = false
   endpoints.streamScripts.delete('a')
@@ -508,3 +511,35 @@
   t.is(endpoints.streams.length, 2)
   t.true((first ?? 0) <= (second ?? 0) && (second ?? Infinity) < performance.now() + CANCEL_BOUND_MS)
 })
+
+// Guards against work after an end that another host has reported (UNASKED): an earlier check of the log ended the wait for a later one.
+test('a run that was told to recheck starts nothing before a read of the log that was sent after that', async (t) => {
+  const { context, endpoints, open } = await openFixture(t, ['a'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
+  })
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => endpoints.streams.length > 0)
+  const { catchUp } = context.store
+  let reads = 0
+  context.store.catchUp = async (...given) => {
+    reads += 1
+    if (reads === 1) {
+      const answer = await catchUp.apply(context.store, given)
+      await sleep(200)
+      return answer
+    }
+    // The later read gets no answer in time.
+    await sleep(1_200)
+    return failure(StoreFailure.Timeout)
+  }
+  const first = run.recheck()
+  await sleep(50)
+  const second = run.recheck()
+  t.true(await first)
+  const before = endpoints.streams.length
+  await sleep(800)
+  t.is(endpoints.streams.length, before)
+  t.false(await second)
+})
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -29,11 +29,13 @@
   AdoptRollout = 'rollouts.adopt',
   ReadRollout = 'rollouts.read',
   EndRollout = 'rollouts.end',
+  KeepRolloutEnds = 'rollouts.keep-ends',
   RecheckRollout = 'rollouts.recheck',
   ReportEndpointWeights = 'weights.note',
   ReportDemand = 'weights.demand',
   ReadRequestCounts = 'tally.read',
   RelayMirrorUpdate = 'mirrors.relay',
+  ReadMirrorAge = 'mirrors.age',
   RecordStreamOrigin = 'streams.record',
   FindStreamOrigin = 'streams.find'
 }
