Log the request limit that endpoints name

No decision changes. Answers of calls, heads of streams, failures and refusals carry a limit; only an answer with the request's own id says something of its endpoint, and 421 comes from another one. endpoint-limited logs that it is named, changed or lifted; request-sent and sample-sent log limit, since when the host knows it, and its age; the limits known are in cyclamenthread_endpoint_limit.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,6 +1,7 @@
 import { chooseEndpointForCall, drawService, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
+import { describeLimit, recordNotice } from './endpoint-notices.js'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
 import type { EndpointRecord, Refusal, StreamOrigin, UsageTally, NetworkLocation } from '@cyclamenthread/state'
@@ -206,6 +207,7 @@
       endpoint: record.entry.id,
       attempt: state.attempts,
       load: endpointTable.currentLoad(record, sentAt),
+      ...describeLimit(record, sentAt),
       paceMs: record.paceMs === undefined ? undefined : Math.round(record.paceMs),
       declaration: this.#context.deployment.routeTable?.declaration.version,
       declarationAgeMs: Math.round(this.#context.deployment.declarationAgeMs)
@@ -245,6 +247,7 @@
     const { entry } = attempt.record
     const now = monotonicNow()
     state.openAttempts.delete(attempt)
+    if (reply.kind !== EndpointReplyKind.NotSent && reply.notice !== undefined) recordNotice(this.#context, entry, { ...reply.notice, sentAt: attempt.sentAt, receivedAt: now })
     const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : workEndOf(reply)
     endpointTable.finishWork(entry.id, entry.bornAt, end, now)
     if (reply.kind === EndpointReplyKind.Answer) endpointTable.recordPace(entry.id, now - attempt.sentAt, now)
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -9,6 +9,8 @@
   DependencyRegained = 'dependency-regained',
   DeclarationChanged = 'declaration-changed',
   EndpointsChanged = 'endpoints-changed',
+  /** An endpoint named a request limit, changed it, or names none any more. */
+  EndpointLimited = 'endpoint-limited',
   EntryRejected = 'entry-rejected',
   RequestSent = 'request-sent',
   RequestEnded = 'request-ended',
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -2,6 +2,7 @@
 import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
+import { describeLimit, recordNotice } from './endpoint-notices.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
 import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
@@ -253,8 +254,9 @@
     text.startStream(entry)
     this.#running.set(sample.id, { sample, record, abort })
     this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
+    const sentAt = monotonicNow()
     endpointTable.startWork(entry.id)
-    endpointTable.startModelTrial(entry.id, order.model, monotonicNow())
+    endpointTable.startModelTrial(entry.id, order.model, sentAt)
     log.record(LogEvent.SampleSent, {
       requestId: sample.id,
       rollout: order.id,
@@ -266,6 +268,7 @@
       weights: endpointTable.newestVersion(record, order.model),
       minVersion: order.minVersion,
       group: sample.group,
+      ...describeLimit(record, sentAt),
       outcome: permit.permission,
       logAgeMs: permit.logAgeMs
     })
@@ -288,6 +291,7 @@
         if (version !== undefined) endpointTable.recordVersion(entry.id, order.model, version)
         if (load !== undefined) endpointTable.recordLoad(entry.id, load, monotonicNow())
       },
+      onNotice: (notice) => recordNotice(this.#context, entry, { ...notice, sentAt, receivedAt: monotonicNow() }),
       onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
       onPace: (paceMs) => endpointTable.recordPace(entry.id, paceMs, monotonicNow())
     }, abort)
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -2,7 +2,7 @@
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { unreachable } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
-import type { SampleText } from '@cyclamenthread/state'
+import type { EndpointNotice, SampleText } from '@cyclamenthread/state'
 
 /** Time without an event after which a stream is aborted, in milliseconds: many times the usual interval between events. */
 const EVENT_TIMEOUT_MS = 1_500
@@ -49,6 +49,7 @@
 /** Receives notifications while a stream is read. */
 export interface StreamObserver {
   onStart (part: Extract<StreamPart, { kind: StreamPartKind.Start }>): void
+  onNotice (notice: EndpointNotice): void
   onVersion (version: number): void
   /** @param paceMs time between two events in milliseconds, averaged over several events */
   onPace (paceMs: number): void
@@ -88,6 +89,7 @@
   restartTimer(FIRST_EVENT_TIMEOUT_MS)
   try {
     for await (const part of port.streamRequest(request, text.pieces.length)) {
+      if ('notice' in part && part.notice !== undefined) observer.onNotice(part.notice)
       switch (part.kind) {
         case StreamPartKind.Start:
           version = part.version
--- a/packages/coordination/src/test/sample-stream.test.ts
+++ b/packages/coordination/src/test/sample-stream.test.ts
@@ -24,7 +24,7 @@
       yield last
     })
     const text = new SampleText()
-    const observer = { onStart: () => {}, onVersion: () => {}, onPace: () => {} }
+    const observer = { onStart: () => {}, onNotice: () => {}, onVersion: () => {}, onPace: () => {} }
     const { end } = await readSampleStream(endpoints, requestTo('a', abort.signal), text, { minVersion: 1, singleVersion: false }, observer, abort)
     t.is(end, StreamEnd.Cancelled)
     t.deepEqual(text.pieces, ['e1'])
--- a/packages/cyclamenthread/src/lib/metered-log.ts
+++ b/packages/cyclamenthread/src/lib/metered-log.ts
@@ -63,6 +63,7 @@
       labelNames: ['kind'],
       registers: [this.#registry],
       collect () {
+        gauge.reset()
         for (const [kind, value] of read()) gauge.set({ kind }, value)
       }
     })
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -1,4 +1,4 @@
-import type { EndpointEntry, ObservedLoad } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointNotice, ObservedLoad } from '@cyclamenthread/state'
 
 /** A header name and value; the name keeps its original case. */
 export type HeaderPair = readonly [name: string, value: string]
@@ -33,12 +33,15 @@
   Broken = 'broken'
 }
 
-/** The result of a request to one endpoint. */
+/**
+ * The result of a request to one endpoint. A notice is what the endpoint itself states
+ * with an answer to this very request; absent if it stated nothing that can be attributed to it.
+ */
 export type EndpointReply =
-  | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly signature: string | undefined, readonly load: ObservedLoad | undefined }
-  | { readonly kind: EndpointReplyKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined }
+  | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly signature: string | undefined, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
+  | { readonly kind: EndpointReplyKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: EndpointReplyKind.NotSent }
-  | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string }
+  | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string, readonly notice?: EndpointNotice | undefined }
 
 /** Kinds of parts of an event stream. */
 export enum StreamPartKind {
@@ -59,11 +62,11 @@
 
 /** One part of an event stream. Every kind except `Start` and `Event` ends the stream. */
 export type StreamPart =
-  | { readonly kind: StreamPartKind.Start, readonly version: number | undefined, readonly load: ObservedLoad | undefined }
+  | { readonly kind: StreamPartKind.Start, readonly version: number | undefined, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: StreamPartKind.Event, readonly id: number, readonly data: string, readonly version: number | undefined }
   | { readonly kind: StreamPartKind.End }
-  | { readonly kind: StreamPartKind.Failure, readonly status: number }
-  | { readonly kind: StreamPartKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined }
+  | { readonly kind: StreamPartKind.Failure, readonly status: number, readonly notice?: EndpointNotice | undefined }
+  | { readonly kind: StreamPartKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: StreamPartKind.NotSent }
   | { readonly kind: StreamPartKind.Broken, readonly sent: boolean, readonly detail: string }
 
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -1,3 +1,6 @@
+import { RequestLimitRecord } from './request-limit.js'
+import type { NoticeEvidence, RequestLimit } from './request-limit.js'
+
 /** Whether an endpoint accepts new work, as reported by itself. */
 export enum EndpointPhase {
   Ready = 'ready',
@@ -90,6 +93,8 @@
   modelPausedUntil: Record<string, number>
   /** Models that the endpoint refused last; they get one trial sample at a time until one is accepted. */
   readonly trialModels: Set<string>
+  /** Requests per second that the endpoint accepts from all hosts, as its answers name them. */
+  readonly requestLimit: RequestLimitRecord
 }
 
 /**
@@ -192,6 +197,21 @@
     record.foreignLoadObservedAt = now
   }
 
+  /**
+   * Records what an answer of an endpoint states about itself, unless another incarnation sent it.
+   *
+   * @returns whether the endpoint's request limit was set, changed or lifted
+   */
+  recordNotice (id: string, bornAt: number, notice: NoticeEvidence): boolean {
+    const record = this.#records.get(id)
+    return record !== undefined && record.entry.bornAt === bornAt && record.requestLimit.apply(notice)
+  }
+
+  /** Endpoints that name a request limit, with the limit. */
+  limitedEndpoints (): Array<readonly [record: EndpointRecord, limit: RequestLimit]> {
+    return [...this.#records.values()].flatMap((record): Array<readonly [EndpointRecord, RequestLimit]> => record.requestLimit.current === undefined ? [] : [[record, record.requestLimit.current]])
+  }
+
   /** Records the time that one unit of work took. */
   recordPace (id: string, paceMs: number, now: number): void {
     const record = this.#records.get(id)
@@ -265,7 +285,8 @@
       paceObservedAt: -Infinity,
       observedVersions: {},
       modelPausedUntil: {},
-      trialModels: new Set()
+      trialModels: new Set(),
+      requestLimit: new RequestLimitRecord()
     })
   }
 }
