--- /dev/null
+++ b/packages/bench/src/test/endpoint-limit.test.ts
@@ -0,0 +1,219 @@
+import test from 'ava'
+import { EntryService } from 'cyclamenthread'
+import { CallOrigin, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
+import { EndpointReplyKind, PlatformCallStatus, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
+import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
+import { Ran, RouteKind, success } from '@cyclamenthread/state'
+import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
+import { findFreePorts } from '../lib/free-ports.js'
+import type { DeploymentDecoder } from '@cyclamenthread/coordination'
+import type { EndpointPort, EndpointReply, EndpointReport, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
+import type { Declaration, EndpointEntry, Route } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+/** Requests per second that each endpoint accepts. */
+const LIMIT = 2
+
+/** Number of hosts. */
+const HOSTS = 5
+
+/** Time from the first answer that names a limit after which the limit holds, in milliseconds. */
+const SETTLE_MS = 4_000
+
+/** Window over which requests are counted, in milliseconds. */
+const WINDOW_MS = 4_000
+
+/** Time for which a host may have known a limit without counting, in milliseconds. */
+const NOTICE_MS = 500
+
+const ROUTE: Route = {
+  name: 'desk',
+  host: 'desk.example',
+  pathPrefix: '/',
+  kind: RouteKind.Idempotent,
+  shares: [{ service: 'desk', weight: 1 }],
+  timeoutMs: 2_000,
+  targetMs: 200,
+  maxAttempts: 2,
+  open: true,
+  dueMs: 0,
+  sampleLifetimeMs: 0,
+  singleVersion: false
+}
+
+const DECLARATION: Declaration = {
+  version: 1,
+  routes: [ROUTE],
+  services: [],
+  workspaces: [],
+  limits: { maxHeaderBytes: 10_000, maxBodyBytes: 10_000, headerTimeoutMs: 1_000, idleTimeoutMs: 10_000 }
+}
+
+/** Returns stored objects unchanged: the test stores decoded values. */
+const DECODER: DeploymentDecoder = {
+  declaration: (object) => success(object.value as Declaration),
+  endpoint: (object) => success(object.value as EndpointEntry)
+}
+
+/** A request that reached an endpoint. */
+interface Arrival {
+  readonly at: number
+  readonly endpoint: string
+  readonly host: number
+}
+
+/** Endpoints that name a limit in each answer, and record what reaches them. */
+class LimitedEndpoints {
+  readonly arrivals: Arrival[] = []
+  /** When each host was first told of the limit, by host and endpoint. */
+  readonly toldAt = new Map<string, number>()
+
+  portOf (host: number): EndpointPort {
+    const arrive = (id: string): void => {
+      this.arrivals.push({ at: performance.now(), endpoint: id, host })
+    }
+    const notice = { requestsPerSecond: LIMIT }
+    const tell = (id: string): void => {
+      const key = `${host}/${id}`
+      this.toldAt.set(key, this.toldAt.get(key) ?? performance.now())
+    }
+    return {
+      sendRequest: async ({ endpoint: { id }, startBefore = Infinity }: EndpointRequest): Promise<EndpointReply> => {
+        if (performance.now() >= startBefore) return { kind: EndpointReplyKind.NotSent }
+        arrive(id)
+        await new Promise((resolve) => setTimeout(resolve, 20))
+        tell(id)
+        return { kind: EndpointReplyKind.Answer, status: 200, headers: [], body: Buffer.from('done'), signature: undefined, load: undefined, notice }
+      },
+      streamRequest: async function * ({ endpoint: { id }, startBefore = Infinity }: EndpointRequest): AsyncGenerator<StreamPart> {
+        if (performance.now() >= startBefore) {
+          yield { kind: StreamPartKind.NotSent }
+          return
+        }
+        arrive(id)
+        await new Promise((resolve) => setTimeout(resolve, 20))
+        tell(id)
+        yield { kind: StreamPartKind.Start, version: 3, load: undefined, notice }
+        await new Promise((resolve) => setTimeout(resolve, 1_000))
+        yield { kind: StreamPartKind.Event, id: 1, data: 'text', version: undefined }
+        yield { kind: StreamPartKind.End }
+      },
+      orderWeights: async () => WeightOrderStatus.Refused,
+      readReport: async (): Promise<EndpointReport | undefined> => undefined,
+      close: async () => {}
+    }
+  }
+
+  /** Returns the largest number of requests that an endpoint got in a window while its limit held. */
+  busiestWindow (id: string): number {
+    const told = [...this.toldAt].filter(([key]) => key.endsWith(`/${id}`)).map(([, at]) => at)
+    const from = Math.min(...told) + SETTLE_MS
+    const counted = this.arrivals.filter(({ at, endpoint, host }) => endpoint === id && at >= (this.toldAt.get(`${host}/${id}`) ?? Infinity) + NOTICE_MS)
+    return Math.max(0, ...counted.filter(({ at }) => at >= from).map(({ at }) => counted.filter((one) => one.at >= at && one.at < at + WINDOW_MS).length))
+  }
+
+  /** Returns the number of requests that an endpoint got within a time. */
+  countBetween (id: string, from: number, to: number): number {
+    return this.arrivals.filter(({ at, endpoint }) => endpoint === id && at >= from && at < to).length
+  }
+}
+
+/** Starts hosts that share an in-memory store and reach each other over loopback. */
+async function startHosts (t: ExecutionContext, endpoints: LimitedEndpoints, entries: readonly EndpointEntry[]): Promise<EntryService[]> {
+  const store = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
+  store.set('config/main', DECLARATION)
+  for (const entry of entries) store.set(`servers/${entry.id}`, entry)
+  const ports = await findFreePorts(HOSTS)
+  const location = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
+  return await Promise.all(ports.map(async (port, index) => {
+    const mirror = (prefix: string): StoreMirror => new StoreMirror({ prefix, waitMs: 500, noticeMs: 2_500, changePauseMs: 0 }, store, SILENT_LOG, () => 0)
+    const mirrors = { declarations: mirror('config/'), registry: mirror('servers/') }
+    const service = await EntryService.open({
+      self: { id: `h${index}`, region: 'lothian', failureDomain: 'leith-walk', peerAddress: `127.0.0.1:${port}`, callerUrl: 'http://127.0.0.1:1', hasDataFolder: false },
+      networkLocation: location,
+      storeRegion: 'lothian',
+      leaseMs: 3_000,
+      usageWindowMs: 5_000,
+      addressTtlMs: 1_000
+    }, {
+      ...mirrors,
+      store,
+      endpoints: endpoints.portOf(index),
+      platform: { reportUsage: async () => PlatformCallStatus.Done, orderCapacity: async () => PlatformCallStatus.Done, close: async () => {} },
+      decoder: DECODER,
+      leaderMirrors: [],
+      newestVersions: () => new Map(),
+      retirements: { pending: () => [], complete: async () => true },
+      log: SILENT_LOG
+    })
+    if (service === undefined) throw new Error('the cluster secret was not read')
+    await service.start()
+    t.teardown(async () => {
+      await service.stop()
+      for (const one of Object.values(mirrors)) one.stop()
+    })
+    return service
+  }))
+}
+
+/** The outcome of a call, and how long its caller waited for it. */
+interface Waited {
+  readonly ok: boolean
+  readonly ran: Ran | undefined
+  readonly retryAfterMs: number | undefined
+  readonly tookMs: number
+}
+
+async function callDesk (service: EntryService, requestId: string): Promise<Waited> {
+  const startedAt = performance.now()
+  const outcome = await service.calls.run({
+    requestId, route: ROUTE, origin: CallOrigin.Caller, workspace: undefined, method: 'GET', path: '/', headers: [], body: new Uint8Array(), deadline: startedAt + 2_000, signal: new AbortController().signal
+  })
+  const refusal = outcome.ok ? undefined : outcome.refusal
+  return { ok: outcome.ok, ran: refusal?.ran, retryAfterMs: refusal?.retryAfterMs, tookMs: performance.now() - startedAt }
+}
+
+// Guards against an endpoint that gets far more requests than the limit that it names (LIMIT), as each host counts for itself or not at all.
+test('hosts together send an endpoint no more calls than it accepts, and refuse the others at once', async (t) => {
+  const endpoints = new LimitedEndpoints()
+  const ids = ['d1', 'd2']
+  const hosts = await startHosts(t, endpoints, ids.map((id) => endpointEntry(id, { service: 'desk' })))
+  const outcomes: Array<Promise<Waited>> = []
+  const until = performance.now() + SETTLE_MS + WINDOW_MS + 4_000
+  for (let index = 0; performance.now() < until; index += 1) {
+    const host = hosts[index % HOSTS]
+    if (host !== undefined) outcomes.push(callDesk(host, `r${index}`))
+    await new Promise((resolve) => setTimeout(resolve, 40))
+  }
+  const ended = await Promise.all(outcomes)
+  for (const id of ids) {
+    const most = endpoints.busiestWindow(id)
+    t.true(most <= LIMIT * 1.5 * WINDOW_MS / 1_000 + 5, `${id} got ${most} requests in ${WINDOW_MS} ms`)
+    const measured = endpoints.countBetween(id, until - 8_000, until)
+    t.true(measured >= LIMIT * 8 * 0.6, `${id} got only ${measured} requests in 8 s`)
+  }
+  for (const { ok, ran, retryAfterMs, tookMs } of ended) {
+    t.true(ok || (ran === Ran.No && (retryAfterMs ?? 0) > 0 && tookMs < 900), `refused after ${Math.round(tookMs)} ms, ran: ${ran}`)
+  }
+})
+
+// Guards against samples of several owners that together exceed the limit of an endpoint (LIMIT).
+test('owners together send an endpoint no more samples than it accepts', async (t) => {
+  const endpoints = new LimitedEndpoints()
+  const ids = ['m1', 'm2']
+  const hosts = await startHosts(t, endpoints, ids.map((id) => endpointEntry(id)))
+  const now = Date.now()
+  for (const [index, host] of hosts.entries()) {
+    const samples = rolloutOrder(100, 2).samples.map((sample) => ({ ...sample, id: `${index}.${sample.id}` }))
+    const accepted = await host.rollouts.accept(rolloutOrder(100, 2, { id: `rollout-${index}`, workspace: `w${index}`, acceptedAt: now, dueAt: now + 60_000, expiresAt: now + 60_000, samples }))
+    t.true(accepted.ok)
+  }
+  const until = performance.now() + SETTLE_MS + WINDOW_MS + 4_000
+  await new Promise((resolve) => setTimeout(resolve, until - performance.now()))
+  for (const id of ids) {
+    const most = endpoints.busiestWindow(id)
+    t.true(most <= LIMIT * 1.5 * WINDOW_MS / 1_000 + 5, `${id} got ${most} requests in ${WINDOW_MS} ms`)
+    const measured = endpoints.countBetween(id, until - 8_000, until)
+    t.true(measured >= LIMIT * 8 * 0.6, `${id} got only ${measured} requests in 8 s`)
+  }
+})
