What all hosts send to an endpoint stays within the limit that it names

Cause: no decision knew the limit (hypothesis 1), and it is a sum over hosts, which no host can keep by counting its own sends (2). Class: what an endpoint says of itself with an answer reaches no decision. Ruled out: repeats (3).

Change: SendAccount in packages/state, one for each incarnation of a limited endpoint at one host, asked by the others through SendPermitTask before calls, retries, rewards and samples; hedges and moves leave such endpoints out; orders and reports are charged. A call that can't be granted in time is refused at once as not run, with the time of the next grant.

--- a/packages/bench/src/test/endpoint-limit.test.ts
+++ b/packages/bench/src/test/endpoint-limit.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { EntryService } from 'cyclamenthread'
-import { CallOrigin, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
+import { accountKeepers, CallOrigin, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
 import { EndpointReplyKind, PlatformCallStatus, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { Ran, RouteKind, success } from '@cyclamenthread/state'
@@ -8,7 +8,7 @@
 import { findFreePorts } from '../lib/free-ports.js'
 import type { DeploymentDecoder } from '@cyclamenthread/coordination'
 import type { EndpointPort, EndpointReply, EndpointReport, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
-import type { Declaration, EndpointEntry, Route } from '@cyclamenthread/state'
+import type { Declaration, EndpointEntry, Host, Route } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
 /** Requests per second that each endpoint accepts. */
@@ -217,3 +217,31 @@
     t.true(measured >= LIMIT * 8 * 0.6, `${id} got only ${measured} requests in 8 s`)
   }
 })
+
+// Guards against an endpoint that stays idle, or gets its limit several times over, when the host that counts for it is lost.
+test('after the host that counts for an endpoint has stopped, the others stay within the limit and go on', async (t) => {
+  const endpoints = new LimitedEndpoints()
+  const hosts = await startHosts(t, endpoints, [endpointEntry('d1', { service: 'desk' })])
+  const [keeper] = accountKeepers('d1', hosts.map((_, index) => ({ id: `h${index}` }) as Host))
+  const lost = hosts.findIndex((_, index) => `h${index}` === keeper?.id)
+  const live = hosts.filter((_, index) => index !== lost)
+  const startedAt = performance.now()
+  const lostAt = startedAt + 6_000
+  const until = startedAt + 16_000
+  const outcomes: Array<Promise<Waited>> = []
+  let isStopped = false
+  for (let index = 0; performance.now() < until; index += 1) {
+    if (!isStopped && performance.now() >= lostAt) {
+      isStopped = true
+      void hosts[lost]?.stop()
+    }
+    const host = live[index % live.length]
+    if (host !== undefined) outcomes.push(callDesk(host, `r${index}`))
+    await new Promise((resolve) => setTimeout(resolve, 40))
+  }
+  await Promise.all(outcomes)
+  const most = endpoints.busiestWindow('d1')
+  t.true(most <= LIMIT * 1.5 * WINDOW_MS / 1_000 + 5, `got ${most} requests in ${WINDOW_MS} ms`)
+  t.true(endpoints.countBetween('d1', lostAt + 500, lostAt + 6_000) > 0, 'nothing was sent until the loss was noticed')
+  t.true(endpoints.countBetween('d1', until - 4_000, until) >= LIMIT * 4 * 0.5, 'the next keeper grants too little')
+})
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,14 +1,16 @@
-import { chooseEndpointForCall, drawService, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { chooseEndpointForCall, drawService, EndpointPhase, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, SendUrgency, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
 import { describeLimit, recordNotice } from './endpoint-notices.js'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
+import { SendPermission } from './send-permit-task.js'
 import type { EndpointRecord, Refusal, StreamOrigin, UsageTally, NetworkLocation } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
 import type { CallOutcome, PlainCall } from './plain-call.js'
+import type { SendPermits } from './send-permit-task.js'
 
 /** Assumed duration of a plain call before any was measured, in milliseconds; about the mean in the deployments' data sheets. */
 const DEFAULT_CALL_MS = 40
@@ -40,10 +42,14 @@
 /** Number of slots of each endpoint that calls of an origin leave free: callers don't wait behind rewards. */
 const RESERVED_SLOTS: Readonly<Record<CallOrigin, number>> = { [CallOrigin.Caller]: 0, [CallOrigin.Reward]: 2 }
 
+/** Urgency of calls of an origin at endpoints that name a limit. */
+const URGENCY: Readonly<Record<CallOrigin, SendUrgency>> = { [CallOrigin.Caller]: SendUrgency.Caller, [CallOrigin.Reward]: SendUrgency.Reward }
+
 /** Dependencies of a {@link CallTask}. */
 export interface CallContext {
   readonly deployment: DeploymentView
   readonly endpoints: EndpointPort
+  readonly sends: SendPermits
   readonly networkLocation: NetworkLocation
   readonly tally: UsageTally
   readonly log: EventLog
@@ -62,10 +68,30 @@
   readonly reply: EndpointReply
 }
 
+/** Kinds of results of a search for an endpoint. */
+enum SearchEnd {
+  Found = 'found',
+  /** The keeper of an endpoint's limit is being asked. */
+  Asking = 'asking',
+  None = 'none'
+}
+
+/** The result of a search for an endpoint that a call may be sent to now. */
+type SearchResult =
+  | { readonly end: SearchEnd.Found, readonly record: EndpointRecord, readonly startBefore: number }
+  | { readonly end: SearchEnd.Asking }
+  | {
+    readonly end: SearchEnd.None
+    /** Monotonic milliseconds at which the limit of an endpoint allows a request; undefined if no limit was in the way. */
+    readonly retryAt: number | undefined
+  }
+
 /** State of a call in progress. */
 interface CallState {
   readonly call: PlainCall
   readonly service: string
+  /** Monotonic milliseconds after which the call is refused if no endpoint accepts it. */
+  readonly refuseAt: number
   readonly excluded: Set<string>
   readonly openAttempts: Set<CallAttempt>
   /** Replies that were received and not processed yet. */
@@ -106,9 +132,11 @@
 
   /** Runs a call until it has an outcome. */
   async run (call: PlainCall): Promise<CallOutcome> {
+    const startedAt = monotonicNow()
     const state: CallState = {
       call,
       service: call.continues?.service ?? drawService(call.route, Math.random()),
+      refuseAt: startedAt + (call.deadline - startedAt) * MAX_WAIT_SHARE,
       excluded: new Set(),
       openAttempts: new Set(),
       arrived: [],
@@ -137,11 +165,9 @@
 
   async #runToOutcome (state: CallState, signal: AbortSignal): Promise<CallOutcome> {
     signal.addEventListener('abort', () => state.wake(), { once: true })
-    const startedAt = monotonicNow()
-    const refuseAt = startedAt + (state.call.deadline - startedAt) * MAX_WAIT_SHARE
     while (!signal.aborted) {
       if (state.openAttempts.size === 0 && state.arrived.length === 0) {
-        const refusal = this.#startAttempt(state, monotonicNow() >= refuseAt)
+        const refusal = this.#startAttempt(state)
         if (refusal !== undefined) return state.lastFailure === undefined ? { ok: false, refusal, failures: state.failures } : outcomeOf(state.lastFailure, state.failures)
       }
       await this.#waitForReply(state, signal)
@@ -154,19 +180,28 @@
   }
 
   /** Sends the call to another endpoint; returns a refusal if no further attempt is possible or allowed. */
-  #startAttempt (state: CallState, isLate: boolean): Refusal | undefined {
-    const { deployment, networkLocation } = this.#context
+  #startAttempt (state: CallState): Refusal | undefined {
+    const { deployment } = this.#context
     if (state.attempts >= state.call.route.maxAttempts || (state.mayHaveRun && state.call.route.kind !== RouteKind.Idempotent)) {
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
     if (state.call.startBefore !== undefined && monotonicNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
     const softwareVersion = state.call.continues?.softwareVersion
-    const demand = { service: state.service, excluded: state.excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[state.call.origin], softwareVersion }
-    const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, monotonicNow())
-    if (record !== undefined) {
-      this.#send(state, record)
-      return undefined
+    const found = this.#findEndpoint(state)
+    switch (found.end) {
+      case SearchEnd.Found:
+        this.#send(state, found.record, found.startBefore)
+        return undefined
+      case SearchEnd.Asking:
+        if (monotonicNow() < state.refuseAt) return undefined
+        break
+      case SearchEnd.None: break
+      default: return unreachable(found)
     }
+    const now = monotonicNow()
+    const retryAt = found.end === SearchEnd.None ? found.retryAt : undefined
+    if (retryAt !== undefined && retryAt > state.refuseAt && !this.#isOtherEndpointExpected(state)) return this.#limitRefusal(state, retryAt - now)
+    const isLate = now >= state.refuseAt
     const listed = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion)).length
     if (listed > 0 && !isLate && state.rejections < MAX_REJECTIONS) {
       state.excluded.clear()
@@ -178,7 +213,48 @@
       : notRun(listed === 0 ? RefusalReason.NoEndpoint : RefusalReason.Overloaded, detail, RETRY_AFTER_MS)
   }
 
-  #send (state: CallState, record: EndpointRecord): void {
+  /** Finds the endpoint that is expected to answer first among those that accept the call and whose limit allows it. */
+  #findEndpoint (state: CallState): SearchResult {
+    const { deployment, networkLocation, sends } = this.#context
+    const { call, service } = state
+    const excluded = new Set(state.excluded)
+    const demand = { service, excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[call.origin], softwareVersion: call.continues?.softwareVersion }
+    let retryAt: number | undefined
+    for (;;) {
+      const now = monotonicNow()
+      const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, now)
+      if (record === undefined) return { end: SearchEnd.None, retryAt }
+      const permit = sends.take(record, URGENCY[call.origin], Math.max(0, state.refuseAt - now))
+      switch (permit.kind) {
+        case SendPermission.Unlimited: return { end: SearchEnd.Found, record, startBefore: Infinity }
+        case SendPermission.Granted: return { end: SearchEnd.Found, record, startBefore: permit.startBefore }
+        case SendPermission.Asking:
+          void permit.answered.then(() => state.wake())
+          return { end: SearchEnd.Asking }
+        case SendPermission.Denied:
+          retryAt = Math.min(retryAt ?? Infinity, permit.retryAt)
+          excluded.add(record.entry.id)
+          break
+        default: return unreachable(permit)
+      }
+    }
+  }
+
+  /** Whether an endpoint without a limit, to which the call can't be sent now, may accept it in time. */
+  #isOtherEndpointExpected ({ service, call, refuseAt }: CallState): boolean {
+    return this.#context.deployment.endpointTable.endpointsOfService(service).some((record) =>
+      isOfVersion(record, call.continues?.softwareVersion) && record.entry.phase === EndpointPhase.Ready && record.requestLimit.current === undefined && record.suspendedUntil < refuseAt)
+  }
+
+  /** Refuses a call because of the limits that the endpoints of its service name. */
+  #limitRefusal (state: CallState, retryAfterMs: number): Refusal {
+    const detail = `the endpoints of service ${state.service} accept no more requests than the limits that they name`
+    return state.mayHaveRun
+      ? { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail }
+      : notRun(RefusalReason.Overloaded, detail, Math.ceil(Math.max(retryAfterMs, 1)))
+  }
+
+  #send (state: CallState, record: EndpointRecord, startBefore: number): void {
     const { call } = state
     const { endpointTable } = this.#context.deployment
     const abort = new AbortController()
@@ -197,7 +273,7 @@
       body: call.body,
       workspace: call.workspace,
       deadline: call.deadline,
-      startBefore: call.startBefore,
+      startBefore: startBefore === Infinity ? call.startBefore : Math.min(startBefore, call.startBefore ?? Infinity),
       signal: abort.signal
     })
     void reply.then((value) => this.#recordReply(state, attempt, value))
@@ -226,7 +302,20 @@
     })
     clearTimeout(timer)
     const shouldHedge = mayHedge && state.arrived.length === 0 && !signal.aborted
-    if (shouldHedge) this.#startAttempt(state, false)
+    if (shouldHedge) this.#startHedge(state)
+  }
+
+  /** Sends a copy of the call to a second endpoint, but not to one in need: a copy would take the place of another call. */
+  #startHedge (state: CallState): void {
+    const { deployment, networkLocation } = this.#context
+    const now = monotonicNow()
+    const { call, service } = state
+    if (call.startBefore !== undefined && now >= call.startBefore) return
+    const excluded = new Set([...state.excluded, ...deployment.endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id)])
+    const demand = { service, excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[call.origin], softwareVersion: call.continues?.softwareVersion }
+    const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, now)
+    if (record === undefined) state.excluded.clear()
+    else this.#send(state, record, Infinity)
   }
 
   /** Time until the call is sent to a second endpoint, in milliseconds. */
@@ -236,7 +325,8 @@
     const { endpointTable } = this.#context.deployment
     const now = monotonicNow()
     const hedgeAfterMs = endpointTable.estimatedPace(attempt.record, DEFAULT_CALL_MS, now) * HEDGE_FACTOR + roundTripMs(this.#context.networkLocation, attempt.record.entry.failureDomain)
-    return Math.max(1, attempt.sentAt + Math.max(hedgeAfterMs, MIN_HEDGE_DELAY_MS) - now)
+    const delayMs = attempt.sentAt + Math.max(hedgeAfterMs, MIN_HEDGE_DELAY_MS) - now
+    return delayMs > 0 ? delayMs : ENDPOINT_RETRY_MS
   }
 
   /** Reports the end of an attempt to the endpoint table, also if the call no longer waits for it. */
--- a/packages/coordination/src/lib/duty-context.ts
+++ b/packages/coordination/src/lib/duty-context.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from './event-log.js'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
+import type { SendPermits } from './send-permit-task.js'
 import type { StoreMirror } from './store-mirror.js'
 
 /** Requests to retire storage hosts, and a way to answer them. */
@@ -19,6 +20,7 @@
   readonly hostId: string
   readonly deployment: DeploymentView
   readonly endpoints: EndpointPort
+  readonly sends: SendPermits
   readonly platform: PlatformPort
   readonly store: ObjectStore
   readonly members: MemberView
--- a/packages/coordination/src/lib/endpoint-notices.ts
+++ b/packages/coordination/src/lib/endpoint-notices.ts
@@ -2,10 +2,12 @@
 import type { EndpointEntry, EndpointRecord, NoticeEvidence } from '@cyclamenthread/state'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog, LogFields } from './event-log.js'
+import type { SendPermits } from './send-permit-task.js'
 
 /** Dependencies of {@link recordNotice}. */
 interface NoticeContext {
   readonly deployment: Pick<DeploymentView, 'endpointTable'>
+  readonly sends: Pick<SendPermits, 'reportLifted'>
   readonly log: EventLog
 }
 
@@ -15,9 +17,10 @@
  * @example
  * recordNotice(context, entry, { requestsPerSecond: 1.2, sentAt, receivedAt: monotonicNow() })
  */
-export function recordNotice ({ deployment, log }: NoticeContext, entry: EndpointEntry, evidence: NoticeEvidence): void {
+export function recordNotice ({ deployment, sends, log }: NoticeContext, entry: EndpointEntry, evidence: NoticeEvidence): void {
   const previous = deployment.endpointTable.find(entry.id)?.requestLimit.current
   if (!deployment.endpointTable.recordNotice(entry.id, entry.bornAt, evidence)) return
+  if (evidence.requestsPerSecond === undefined) sends.reportLifted(entry, evidence.sentAt)
   log.record(LogEvent.EndpointLimited, {
     endpoint: entry.id,
     service: entry.service,
--- a/packages/coordination/src/lib/rollout-context.ts
+++ b/packages/coordination/src/lib/rollout-context.ts
@@ -3,12 +3,14 @@
 import type { CallTask } from './call-task.js'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog } from './event-log.js'
+import type { SendPermits } from './send-permit-task.js'
 import type { RolloutStore } from './rollout-store.js'
 
 /** Dependencies shared by all rollout runs of a host. */
 export interface RolloutContext {
   readonly deployment: DeploymentView
   readonly endpoints: EndpointPort
+  readonly sends: SendPermits
   /** Runs the reward requests of samples. */
   readonly calls: CallTask
   readonly store: RolloutStore
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,8 +1,9 @@
 import { setMaxListeners } from 'node:events'
-import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, SendUrgency, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { describeLimit, recordNotice } from './endpoint-notices.js'
+import { SendPermission } from './send-permit-task.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
 import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
@@ -33,6 +34,16 @@
 /** Time between two passes from which this process was held up, and time that it then gets to read what has arrived, in milliseconds. */
 const HELD_UP_MS = 150
 
+/** Time for which a sample waits for a limited endpoint, in milliseconds: until another one has room. */
+const LIMIT_WAIT_MS = 60_000
+
+/** An endpoint for a sample, and until when the sample may be sent there. */
+interface SamplePlace {
+  readonly record: EndpointRecord
+  /** Monotonic milliseconds. */
+  readonly startBefore: number
+}
+
 /** A sample that is running at an endpoint. */
 interface RunningSample {
   readonly sample: RolloutSample
@@ -142,11 +153,11 @@
     for (const sample of [...this.#board.waiting]) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
-      const record = this.#placeWaiting(sample, full)
+      const place = this.#placeWaiting(sample, full)
       if (full.has(undefined)) break
-      if (record === undefined) continue
+      if (place === undefined) continue
       this.#board.apply(sample.id, { kind: SampleEventKind.GenerationStarted })
-      void this.#runSample(sample, record, permit)
+      void this.#runSample(sample, place, permit)
     }
   }
 
@@ -157,10 +168,12 @@
     this.#nextMoveAt = now + MOVE_PERIOD_MS
     const { endpointTable } = this.#context.deployment
     const typicalMs = this.#typicalPaceMs()
+    // A move is not worth one of the requests that an endpoint in need accepts.
+    const limited = new Set(endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id))
     for (const { sample, record, abort } of this.#running.values()) {
       if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
       const softwareVersion = this.#texts.get(sample.id)?.softwareVersion
-      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion)
+      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion, limited)
       if (candidate === undefined || candidate.entry.id === record.entry.id) continue
       if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
       this.#moved.add(sample.id)
@@ -184,7 +197,7 @@
    *
    * @param full software versions without a free endpoint in this pass; undefined stands for all of them
    */
-  #placeWaiting (sample: RolloutSample, full: Set<string | undefined>): EndpointRecord | undefined {
+  #placeWaiting (sample: RolloutSample, full: Set<string | undefined>): SamplePlace | undefined {
     const text = this.#texts.get(sample.id)
     if (text === undefined || text.pieces.length === 0) return this.#findRoom(sample, undefined, full)
     const { softwareVersion } = text
@@ -212,11 +225,23 @@
     }
   }
 
-  #findRoom (sample: RolloutSample, softwareVersion: string | undefined, full: Set<string | undefined>): EndpointRecord | undefined {
+  #findRoom (sample: RolloutSample, softwareVersion: string | undefined, full: Set<string | undefined>): SamplePlace | undefined {
     if (full.has(softwareVersion)) return undefined
-    const record = this.#chooseEndpoint(sample, softwareVersion)
-    if (record === undefined) full.add(softwareVersion)
-    return record
+    const withoutPermit = new Set<string>()
+    for (let record = this.#chooseEndpoint(sample, softwareVersion, withoutPermit); record !== undefined; record = this.#chooseEndpoint(sample, softwareVersion, withoutPermit)) {
+      const permit = this.#context.sends.take(record, SendUrgency.Sample, LIMIT_WAIT_MS)
+      switch (permit.kind) {
+        case SendPermission.Unlimited: return { record, startBefore: Infinity }
+        case SendPermission.Granted: return { record, startBefore: permit.startBefore }
+        case SendPermission.Asking:
+        case SendPermission.Denied:
+          withoutPermit.add(record.entry.id)
+          break
+        default: return unreachable(permit)
+      }
+    }
+    full.add(softwareVersion)
+    return undefined
   }
 
   #logInterruption (sample: RolloutSample, text: SampleText, step: ContinuationStep, isServed: boolean): void {
@@ -225,14 +250,15 @@
     })
   }
 
-  #chooseEndpoint (sample: RolloutSample, softwareVersion: string | undefined): EndpointRecord | undefined {
+  #chooseEndpoint (sample: RolloutSample, softwareVersion: string | undefined, excluded: ReadonlySet<string>): EndpointRecord | undefined {
     const { deployment, networkLocation } = this.#context
     const demand = {
       service: this.#order.service,
       model: this.#order.model,
       minVersion: this.#order.minVersion,
       softwareVersion,
-      warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>()
+      warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>(),
+      excluded
     }
     return placeSample(deployment.endpointTable, demand, networkLocation, this.#typicalPaceMs(), monotonicNow())
   }
@@ -242,7 +268,7 @@
     return this.#context.deployment.endpointTable.typicalPace(this.#order.service, DEFAULT_PACE_MS, monotonicNow())
   }
 
-  async #runSample (sample: RolloutSample, record: EndpointRecord, permit: WorkPermit): Promise<void> {
+  async #runSample (sample: RolloutSample, { record, startBefore }: SamplePlace, permit: WorkPermit): Promise<void> {
     const { deployment, endpoints, log } = this.#context
     const { endpointTable } = deployment
     const { entry } = record
@@ -281,7 +307,7 @@
       body: Buffer.from(sample.body, 'base64'),
       workspace: order.workspace,
       deadline: undefined,
-      startBefore: permit.startBefore,
+      startBefore: Math.min(permit.startBefore, startBefore),
       signal: abort.signal
     }
     const result = await readSampleStream(endpoints, request, text, order, {
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -29,6 +29,9 @@
 /** How often an endpoint is asked whether its weight change is complete, in milliseconds. */
 const REPORT_PERIOD_MS = 120
 
+/** Lowest rate at which an endpoint is asked for reports, per second. */
+const MIN_REPORT_RATE = 0.5
+
 /** Longest wait for a report, in milliseconds. */
 const REPORT_TIMEOUT_MS = 600
 
@@ -158,7 +161,7 @@
     const { id } = record.entry
     const orderedAt = state.orderedAt.get(id)
     if (!state.planner.isUnsettled(id) || orderedAt === undefined) return
-    if (now - orderedAt < TYPICAL_LOAD_MS || now - (state.askedAt.get(id) ?? -Infinity) < REPORT_PERIOD_MS) return
+    if (now - orderedAt < TYPICAL_LOAD_MS || now - (state.askedAt.get(id) ?? -Infinity) < reportPeriodMs(record)) return
     state.askedAt.set(id, now)
     void this.#fetchReport(record).then((report) => {
       if (report === undefined) return
@@ -171,6 +174,7 @@
   /** Requests a report from an endpoint and records its versions and its number of orders. */
   async #fetchReport (record: EndpointRecord): Promise<EndpointReport | undefined> {
     const { entry } = record
+    this.#context.sends.charge(record)
     const report = await this.#context.endpoints.readReport(entry, deadlineAfter(REPORT_TIMEOUT_MS))
     if (report === undefined) return undefined
     for (const [model, version] of Object.entries(report.versions)) {
@@ -207,6 +211,7 @@
     state.unansweredOrders.delete(id)
     this.#broadcastChange(record, model, undefined)
     const { holder, fence, deadline } = held
+    this.#context.sends.charge(record)
     const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder, fence, expectedOrders, leaseDeadline: deadline })
     this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence, expectedOrders, outcome: status })
     if (status === WeightOrderStatus.Accepted) {
@@ -232,6 +237,11 @@
   }
 }
 
+/** How often an endpoint is asked for a report, in milliseconds: no more often than it accepts requests. */
+function reportPeriodMs ({ requestLimit: { current } }: EndpointRecord): number {
+  return current === undefined ? REPORT_PERIOD_MS : Math.max(REPORT_PERIOD_MS, 1_000 / Math.max(current.requestsPerSecond, MIN_REPORT_RATE))
+}
+
 /** Identifies one run of an endpoint, between a start and the next. */
 function incarnationOf (record: EndpointRecord): string {
   return `${record.entry.id}@${record.entry.bornAt}`
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallOrigin, CallTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { CallOrigin, CallTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
@@ -40,7 +40,7 @@
   await waitUntil(t, () => view.endpointTable.endpointsOfService('desk').length === ids.length)
   const endpoints = new ScriptedEndpoints()
   const tally = new UsageTally(60_000_000)
-  const task = new CallTask({ deployment: view, endpoints, networkLocation: LOCATION, tally, log: SILENT_LOG })
+  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, networkLocation: LOCATION, tally, log: SILENT_LOG })
   return {
     endpoints,
     tally,
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import {
   announceLeave, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
-  StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
+  SendPermitTask, StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
 import { StepDemand, UsageTally } from '@cyclamenthread/state'
@@ -89,6 +89,7 @@
   readonly #leader: LeaderTask
   readonly #demand: DemandAnnouncer
   readonly #relay: MirrorRelay
+  readonly #sends: SendPermitTask
   #ready = false
   #leaving = false
 
@@ -110,7 +111,8 @@
     this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message))
     this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, decoder: ports.decoder, log })
     this.tally = new UsageTally(settings.usageWindowMs)
-    const shared = { deployment: this.deployment, endpoints, log, networkLocation }
+    this.#sends = new SendPermitTask({ self, members: this.#members, bus: this.#bus, log })
+    const shared = { deployment: this.deployment, endpoints, sends: this.#sends, log, networkLocation }
     this.calls = new CallTask({ ...shared, tally: this.tally })
     this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
     this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
@@ -131,6 +133,7 @@
       hostId: self.id,
       deployment: this.deployment,
       endpoints,
+      sends: this.#sends,
       platform,
       store,
       members: this.#members,
@@ -168,6 +171,7 @@
     this.#broker.createService(this.#demand.service())
     this.#broker.createService(this.#relay.service())
     this.#broker.createService(this.streams.service())
+    this.#broker.createService(this.#sends.service())
     this.#broker.createService(taskService('weights', {
       [PeerMessageKind.ReportEndpointWeights]: async ({ endpointId, bornAt, model, version }) => {
         const { endpointTable } = this.deployment
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -37,5 +37,8 @@
   RelayMirrorUpdate = 'mirrors.relay',
   ReadMirrorAge = 'mirrors.age',
   RecordStreamOrigin = 'streams.record',
-  FindStreamOrigin = 'streams.find'
+  FindStreamOrigin = 'streams.find',
+  RequestSends = 'sends.request',
+  ChargeSends = 'sends.charge',
+  ReportLimitLifted = 'sends.lifted'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -17,6 +17,7 @@
 import { PeerMessageKind } from './message-kind.js'
 import { mirrorAgeSchema, readMirrorAgeSchema, relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
+import { chargeSendsSchema, reportLimitLiftedSchema, requestSendsSchema, sendGrantSchema } from './send-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
 import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, offerRolloutResponseSchema, offerRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
@@ -28,7 +29,7 @@
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
   acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema, readMirrorAgeSchema,
-  recordStreamOriginSchema, findStreamOriginSchema
+  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -70,7 +71,10 @@
   [PeerMessageKind.RelayMirrorUpdate]: acceptedResponseSchema,
   [PeerMessageKind.ReadMirrorAge]: mirrorAgeSchema,
   [PeerMessageKind.RecordStreamOrigin]: acceptedResponseSchema,
-  [PeerMessageKind.FindStreamOrigin]: findStreamOriginResponseSchema
+  [PeerMessageKind.FindStreamOrigin]: findStreamOriginResponseSchema,
+  [PeerMessageKind.RequestSends]: sendGrantSchema,
+  [PeerMessageKind.ChargeSends]: acceptedResponseSchema,
+  [PeerMessageKind.ReportLimitLifted]: acceptedResponseSchema
 } as const
 
 /** A message between hosts. */
--- /dev/null
+++ b/packages/protocol/src/lib/send-message.ts
@@ -0,0 +1,45 @@
+import * as z from 'zod'
+import { SendUrgency } from '@cyclamenthread/state'
+import { PeerMessageKind } from './message-kind.js'
+
+/** An incarnation of an endpoint that names a request limit. */
+const limitedEndpointSchema = z.object({
+  endpointId: z.string(),
+  bornAt: z.number()
+})
+
+/** Asks the keeper of an endpoint's account to grant requests to the endpoint. */
+export const requestSendsSchema = limitedEndpointSchema.extend({
+  kind: z.literal(PeerMessageKind.RequestSends),
+  /** The limit that the endpoint named to the sender. */
+  requestsPerSecond: z.number().nonnegative(),
+  /** Time since the endpoint last named it, in milliseconds. */
+  ageMs: z.number().nonnegative(),
+  urgency: z.enum(SendUrgency),
+  /** Number of requests that the sender would send now. */
+  count: z.int().positive(),
+  /** Time for which they can wait, in milliseconds. */
+  waitMs: z.number().nonnegative()
+})
+
+/** The response to {@link requestSendsSchema}. */
+export const sendGrantSchema = z.object({
+  granted: z.int().nonnegative(),
+  /** Expected time until another request is granted, in milliseconds. */
+  retryAfterMs: z.number().nonnegative(),
+  /** Whether a later answer of the endpoint, to another host, named no limit. */
+  lifted: z.boolean()
+})
+
+/** Reports requests that were sent to the endpoint without a grant. */
+export const chargeSendsSchema = limitedEndpointSchema.extend({ kind: z.literal(PeerMessageKind.ChargeSends) })
+
+/** Reports that the endpoint names no limit any more. */
+export const reportLimitLiftedSchema = limitedEndpointSchema.extend({
+  kind: z.literal(PeerMessageKind.ReportLimitLifted),
+  /** Time since the request was sent whose answer named none, in milliseconds. */
+  ageMs: z.number().nonnegative()
+})
+
+export type RequestSends = z.infer<typeof requestSendsSchema>
+export type SendReply = z.infer<typeof sendGrantSchema>
--- a/packages/state/src/lib/sample-placement.ts
+++ b/packages/state/src/lib/sample-placement.ts
@@ -21,6 +21,8 @@
   readonly softwareVersion: string | undefined
   /** Endpoints that have the prompt of the sample's group cached. */
   readonly warm: ReadonlySet<string>
+  /** Endpoints that may get no sample now; absent if there are none. */
+  readonly excluded?: ReadonlySet<string>
 }
 
 /**
@@ -53,6 +55,7 @@
   let best: EndpointRecord | undefined
   let bestScore = Infinity
   for (const record of endpoints.usableEndpoints(demand.service, now)) {
+    if (demand.excluded?.has(record.entry.id) === true) continue
     if (demand.softwareVersion !== undefined && record.entry.softwareVersion !== demand.softwareVersion) continue
     const load = endpoints.currentLoad(record, now)
     if (load >= record.entry.slots) continue
