A connection that is reset doesn't complete an answer without a length

Cause: undici takes ECONNRESET for the end of such a body (onHttpSocketError). Class: the end of a transport taken for the end of a message. Answers framed by their closing still end.

--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -1,12 +1,15 @@
 import { Agent, request } from 'undici'
 import * as z from 'zod'
-import { openDeadlineScope, withDeadline } from '@cyclamenthread/transport'
+import { createConnector, openDeadlineScope, withDeadline } from '@cyclamenthread/transport'
 import { CompletionPartKind } from './completion.js'
 import { createLeasedBody } from './leased-body.js'
 import { failedBeforeSending } from './failed-before-sending.js'
 import type { Endpoint } from '@cyclamenthread/state'
 import type { CompletionPart, CompletionResumption } from './completion.js'
 
+/** Timeout for connecting to an endpoint, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 10_000
+
 /** Maximum number of connections to one endpoint. */
 const MAX_CONNECTIONS_PER_ENDPOINT = 128
 
@@ -119,7 +122,7 @@
  * for await (const part of client.complete(endpoint, call)) …
  */
 export class EndpointClient {
-  readonly #agent = new Agent({ connections: MAX_CONNECTIONS_PER_ENDPOINT, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  readonly #agent = new Agent({ connections: MAX_CONNECTIONS_PER_ENDPOINT, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: createConnector(CONNECT_TIMEOUT_MS) })
 
   /** Streams a completion. The stream always ends with `End` or `Failure` and never throws. */
   async * streamCompletion (endpoint: Endpoint, call: CompletionCall): AsyncGenerator<CompletionPart> {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,3 +1,4 @@
+export * from './lib/connector.js'
 export * from './lib/deadline.js'
 export * from './lib/frame.js'
 export * from './lib/peer-client.js'
