--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -115,7 +115,9 @@
           text.append(part.data, version)
           events += 1
           break
-        case StreamPartKind.End: return abort.signal.aborted ? finishAborted() : finish(StreamEnd.Complete)
+        case StreamPartKind.End:
+          if (abort.signal.aborted) return finishAborted()
+          return text.pieces.length === 0 ? finish(StreamEnd.Broken, 'the stream ended without an event') : finish(StreamEnd.Complete)
         case StreamPartKind.Failure: return finish(endOfFailure(part.status), `status ${part.status}`)
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
         case StreamPartKind.NotSent: return finish(StreamEnd.NotSent)
--- a/packages/coordination/src/test/sample-stream.test.ts
+++ b/packages/coordination/src/test/sample-stream.test.ts
@@ -12,6 +12,19 @@
   }
 }
 
+// Guards against an answer with an empty body that counts as a whole text (MIXED).
+test('a stream that ends without an event is no text', async (t) => {
+  const endpoints = new ScriptedEndpoints()
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    yield { kind: StreamPartKind.End }
+  })
+  const abort = new AbortController()
+  const observer = { onStart: () => {}, onNotice: () => {}, onVersion: () => {}, onPace: () => {} }
+  const { end } = await readSampleStream(endpoints, requestTo('a', abort.signal), new SampleText(), { minVersion: 1, singleVersion: false }, observer, abort)
+  t.is(end, StreamEnd.Broken)
+})
+
 // Guards against joined texts: a text that was shortened together with the abort of its stream counted as whole.
 test('a stream that was aborted neither adds an event nor counts as whole, even if its end arrives', async (t) => {
   for (const last of [{ kind: StreamPartKind.End } as const, { kind: StreamPartKind.Event, id: 2, data: 'e2', version: undefined } as const]) {
