A host that stops answers every request that it has read

Callers saw: of requests that reached a host late in its planned stop, some were passed on and cut without an answer at the end of the grace period, among them calls that may not be repeated (LOST).

Cause: deadlines of requests didn't know the end of their host, and a drain that ran out of time closed connections with open requests. Class: an end that the part which accepts work doesn't know. Tests: both fail before (the call of the first reaches the endpoint; the second gets a closed connection).

Change: CallTask.stopAt. A call that may not be repeated is taken only if its deadline comes before the end; others if ten times their usual duration do (endsInTime); the rest are refused at once as not run, so that callers ask another host. Calls that are taken, and the time passed on to endpoints, end before the host does. CallerServer ends the open handlers when a drain is over and answers 504 for those that don't end, before it closes connections.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,4 +1,4 @@
-import { chooseEndpointForCall, drawService, EndpointPhase, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, SendUrgency, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { chooseEndpointForCall, drawService, EndpointPhase, endsInTime, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, SendUrgency, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
 import { describeLimit, recordNotice } from './endpoint-notices.js'
@@ -30,6 +30,9 @@
 /** Retry delay suggested to a caller whose call no endpoint could accept, in milliseconds: about the time of a restart. */
 const RETRY_AFTER_MS = 400
 
+/** Retry delay suggested to a caller whose call this host won't be able to answer, in milliseconds: another host serves it at once. */
+const LEAVING_RETRY_AFTER_MS = 20
+
 /** Fraction of the time to the deadline after which a call that no endpoint accepts is refused. */
 const MAX_WAIT_SHARE = 0.25
 
@@ -125,17 +128,35 @@
  */
 export class CallTask {
   readonly #context: CallContext
+  /** Monotonic milliseconds at which this host stops. */
+  #endsAt = Infinity
 
   constructor (context: CallContext) {
     this.#context = context
   }
 
+  /**
+   * Takes no more calls that may outlast this host, and ends the others before it stops.
+   *
+   * @param endsAt monotonic milliseconds
+   */
+  stopAt (endsAt: number): void {
+    this.#endsAt = endsAt
+  }
+
   /** Runs a call until it has an outcome. */
-  async run (call: PlainCall): Promise<CallOutcome> {
+  async run (requested: PlainCall): Promise<CallOutcome> {
     const startedAt = monotonicNow()
+    const { kind } = requested.route
+    const service = requested.continues?.service ?? drawService(requested.route, Math.random())
+    const typicalMs = this.#context.deployment.endpointTable.typicalPace(service, DEFAULT_CALL_MS, startedAt)
+    if (!endsInTime({ kind, deadline: requested.deadline, typicalMs }, this.#endsAt, startedAt)) {
+      return { ok: false, refusal: notRun(RefusalReason.Leaving, 'this host stops before the call is sure to end', LEAVING_RETRY_AFTER_MS), failures: 0 }
+    }
+    const call = { ...requested, deadline: Math.min(requested.deadline, this.#endsAt) }
     const state: CallState = {
       call,
-      service: call.continues?.service ?? drawService(call.route, Math.random()),
+      service,
       refuseAt: startedAt + (call.deadline - startedAt) * MAX_WAIT_SHARE,
       excluded: new Set(),
       openAttempts: new Set(),
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -27,6 +27,7 @@
 }
 
 interface Fixture {
+  readonly task: CallTask
   readonly endpoints: ScriptedEndpoints
   readonly tally: UsageTally
   readonly deployment: ReturnType<typeof openDeployment>
@@ -42,6 +43,7 @@
   const tally = new UsageTally(60_000_000)
   const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, networkLocation: LOCATION, tally, log: SILENT_LOG })
   return {
+    task,
     endpoints,
     tally,
     deployment,
@@ -203,3 +205,24 @@
   const outcome = await run({ startBefore })
   t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.No)
 })
+
+// Guards against calls that a host takes late in its planned stop and can't answer any more, although they may not be repeated (LOST).
+test('a host that stops refuses, as not run, calls that may outlast it, and ends the others in time', async (t) => {
+  const { endpoints, run, task } = await openFixture(t, ['a'])
+  endpoints.callScripts.set('a', async (request) => {
+    await waitUnlessAborted(5_000, request.signal)
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'aborted' }
+  })
+  const endsAt = performance.now() + 600
+  task.stopAt(endsAt)
+  const deadline = endsAt + 2_000
+  const refused = await run({ route: { ...ROUTE, kind: RouteKind.NonIdempotent }, deadline })
+  t.deepEqual(refused.ok ? undefined : [refused.refusal.reason, refused.refusal.ran], [RefusalReason.Leaving, Ran.No])
+  t.is(endpoints.calls.length, 0)
+  const ended = await run({ deadline })
+  t.is(ended.ok ? undefined : ended.refusal.ran, Ran.Maybe)
+  t.true(performance.now() < endsAt + 200)
+  t.true((endpoints.calls[0]?.deadline ?? Infinity) <= endsAt)
+  const late = await run({ deadline })
+  t.is(late.ok ? undefined : late.refusal.ran, Ran.No)
+})
--- a/packages/cyclamenthread/src/lib/caller-server.ts
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -7,6 +7,9 @@
 /** Interval at which a drain checks for open requests, in milliseconds. */
 const DRAIN_POLL_MS = 20
 
+/** Time that handlers get to answer once a drain is over, in milliseconds. */
+const LAST_ANSWER_MS = 60
+
 /** Maximum number of connections waiting to be accepted. */
 const BACKLOG = 1_024
 
@@ -33,6 +36,13 @@
   readonly body: Uint8Array
 }
 
+/** A request that was read and has no answer yet. */
+interface OpenRequest {
+  readonly abort: AbortController
+  /** Answers it in place of its handler. */
+  readonly answer: (response: CallerResponse) => void
+}
+
 /** Handles a caller's request; must not throw. */
 export type CallerHandler = (request: CallerRequest) => Promise<CallerResponse>
 
@@ -46,6 +56,7 @@
 }
 
 const PAYLOAD_TOO_LARGE: CallerResponse = { status: 413, headers: [], body: new Uint8Array() }
+const GATEWAY_TIMEOUT: CallerResponse = { status: 504, headers: [], body: new Uint8Array() }
 const BAD_GATEWAY: CallerResponse = { status: 502, headers: [], body: new Uint8Array() }
 
 /** Maximum size of a body while no declaration is known, in bytes. */
@@ -56,13 +67,14 @@
  * own server rather than a web framework, because paths, headers and bodies are
  * forwarded exactly as received.
  *
- * Invariants: every request that was read completely gets exactly one response;
- * a drain closes no connection that has an open request.
+ * Invariants: every request that was read completely gets exactly one response, also when a
+ * drain is over; until then, a drain closes no connection that has an open request.
  */
 export class CallerServer {
   readonly #settings: CallerServerSettings
   readonly #server: Server
   #openRequests = 0
+  readonly #unanswered = new Set<OpenRequest>()
   #keepAliveDisabled = false
 
   constructor (settings: CallerServerSettings) {
@@ -97,9 +109,21 @@
     this.#keepAliveDisabled = true
     this.#server.close()
     while (this.#openRequests > 0 && !signal.aborted) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
+    await this.#answerOpenRequests()
     this.#server.closeAllConnections()
   }
 
+  /** Makes the handlers of open requests end, and answers in place of those that don't. */
+  async #answerOpenRequests (): Promise<void> {
+    const waitForAnswers = async (until: number): Promise<void> => {
+      while (this.#openRequests > 0 && performance.now() < until) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
+    }
+    for (const { abort } of this.#unanswered) abort.abort()
+    await waitForAnswers(performance.now() + LAST_ANSWER_MS)
+    for (const { answer } of this.#unanswered) answer(GATEWAY_TIMEOUT)
+    await waitForAnswers(performance.now() + LAST_ANSWER_MS)
+  }
+
   async #handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openRequests += 1
     const abort = new AbortController()
@@ -109,13 +133,24 @@
     this.#applyLimits()
     try {
       const body = await readBody(request, this.#settings.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
-      const answer = body.ok ? await this.#callHandler(request, body.value, abort.signal) : PAYLOAD_TOO_LARGE
+      const answer = body.ok ? await this.#awaitAnswer(request, body.value, abort) : PAYLOAD_TOO_LARGE
       if (!response.destroyed) await this.#sendResponse(response, answer, !body.ok)
     } finally {
       this.#openRequests -= 1
     }
   }
 
+  async #awaitAnswer (request: IncomingMessage, body: Uint8Array, abort: AbortController): Promise<CallerResponse> {
+    return await new Promise((resolve) => {
+      const open: OpenRequest = { abort, answer: resolve }
+      this.#unanswered.add(open)
+      void this.#callHandler(request, body, abort.signal).then((answer) => {
+        this.#unanswered.delete(open)
+        resolve(answer)
+      })
+    })
+  }
+
   async #callHandler (request: IncomingMessage, body: Uint8Array, signal: AbortSignal): Promise<CallerResponse> {
     const rawHeaders: HeaderPair[] = []
     for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -200,10 +200,13 @@
 
   /**
    * Begins a graceful shutdown: releases leadership, hands rollouts over, and is
-   * no longer listed for callers. Requests are served until {@link stop}.
+   * no longer listed for callers. Requests that end in time are served until {@link stop}.
+   *
+   * @param endsAt monotonic milliseconds by which all calls have ended
    */
-  async leave (): Promise<void> {
+  async leave (endsAt: number): Promise<void> {
     this.#leaving = true
+    this.calls.stopAt(endsAt)
     this.#ports.log.record(LogEvent.Stopping, { rollouts: this.rollouts.running })
     void this.#leader.stop()
     // Must precede the announcement: otherwise a read could make the next owner restart samples without the text generated so far.
--- a/packages/cyclamenthread/src/test/caller-server.test.ts
+++ b/packages/cyclamenthread/src/test/caller-server.test.ts
@@ -88,3 +88,26 @@
   await closed
   await t.throwsAsync(fetch(url))
 })
+
+// Guards against requests that a planned stop ends without an answer (LOST).
+test('a graceful shutdown whose time is over answers the open requests before it closes their connections', async (t) => {
+  const arrived = new EventEmitter()
+  const { server, url } = await openServer(t, async ({ target, signal }) => {
+    arrived.emit(target)
+    if (target === '/deaf') return await new Promise(() => {})
+    await once(signal, 'abort')
+    return answer(503, 'not run')
+  })
+  const requests = ['/deaf', '/attentive'].map(async (path) => {
+    const arrival = once(arrived, path)
+    const response = fetch(url + path)
+    await arrival
+    return response
+  })
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  await server.close(AbortSignal.timeout(50))
+  const [deaf, attentive] = await Promise.all(requests)
+  t.is(deaf?.status, 504)
+  t.is(attentive?.status, 503)
+  t.is(await attentive?.text(), 'not run')
+})
