An endpoint that has said that it is leaving gets no more work

Hypotheses, before any logic: (1) only the registry tells that an endpoint leaves, so while the store is silent, or an endpoint never reports draining, hosts go on for as long as the old entry stays; (2) the word is heard but an older registry entry undoes it. Told apart by endpoint-leaving, which names the phase that the registry shows.

Change: an answer with the request's own id (calls, heads of streams, failures, refusals) and a report may state it; the endpoint table keeps it for that incarnation, whatever the registry says, and it counts for calls, retries, hedges, samples, texts that go on, rewards and orders of weights. Other hosts are told once. Streams that run there end there.

Test: call-task, fails with the mechanism taken out (2 calls reach the endpoint instead of 1), also with an older entry that comes again, and a new incarnation is used. Not done: answers to orders aren't read for it.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,13 +1,14 @@
-import { chooseEndpointForCall, drawService, EndpointPhase, endsInTime, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, SendUrgency, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { chooseEndpointForCall, drawService, endsInTime, isInService, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, SendUrgency, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
-import { describeLimit, recordNotice } from './endpoint-notices.js'
+import { describeLimit } from './endpoint-notice-task.js'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
 import { SendPermission } from './send-permit-task.js'
 import type { EndpointRecord, Refusal, StreamOrigin, UsageTally, NetworkLocation } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
 import type { DeploymentView } from './deployment-view.js'
+import type { EndpointNotices } from './endpoint-notice-task.js'
 import type { EventLog } from './event-log.js'
 import type { CallOutcome, PlainCall } from './plain-call.js'
 import type { SendPermits } from './send-permit-task.js'
@@ -53,6 +54,7 @@
   readonly deployment: DeploymentView
   readonly endpoints: EndpointPort
   readonly sends: SendPermits
+  readonly notices: EndpointNotices
   readonly networkLocation: NetworkLocation
   readonly tally: UsageTally
   readonly log: EventLog
@@ -264,7 +266,7 @@
   /** Whether an endpoint without a limit, to which the call can't be sent now, may accept it in time. */
   #isOtherEndpointExpected ({ service, call, refuseAt }: CallState): boolean {
     return this.#context.deployment.endpointTable.endpointsOfService(service).some((record) =>
-      isOfVersion(record, call.continues?.softwareVersion) && record.entry.phase === EndpointPhase.Ready && record.requestLimit.current === undefined && record.suspendedUntil < refuseAt)
+      isOfVersion(record, call.continues?.softwareVersion) && isInService(record) && record.requestLimit.current === undefined && record.suspendedUntil < refuseAt)
   }
 
   /** Refuses a call because of the limits that the endpoints of its service name. */
@@ -358,7 +360,7 @@
     const { entry } = attempt.record
     const now = monotonicNow()
     state.openAttempts.delete(attempt)
-    if (reply.kind !== EndpointReplyKind.NotSent && reply.notice !== undefined) recordNotice(this.#context, entry, { ...reply.notice, sentAt: attempt.sentAt, receivedAt: now })
+    if (reply.kind !== EndpointReplyKind.NotSent && reply.notice !== undefined) this.#context.notices.record(entry, { ...reply.notice, sentAt: attempt.sentAt, receivedAt: now })
     const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : workEndOf(reply)
     endpointTable.finishWork(entry.id, entry.bornAt, end, now)
     if (reply.kind === EndpointReplyKind.Answer) endpointTable.recordPace(entry.id, now - attempt.sentAt, now)
--- a/packages/coordination/src/lib/capacity-duty.ts
+++ b/packages/coordination/src/lib/capacity-duty.ts
@@ -1,4 +1,4 @@
-import { EndpointPhase, desiredEndpointCount } from '@cyclamenthread/state'
+import { desiredEndpointCount, isInService } from '@cyclamenthread/state'
 import { PlatformCallStatus } from '@cyclamenthread/protocol'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
@@ -26,7 +26,7 @@
   /** Returns the samples that a service's training steps submit at once, and the capacity that is ready for them. */
   #pendingSamples (service: string, failureDomain: string): PeakDemand {
     const { demand, deployment } = this.#context
-    const ready = deployment.endpointTable.endpointsOfService(service).map((record) => record.entry).filter((entry) => entry.phase === EndpointPhase.Ready)
+    const ready = deployment.endpointTable.endpointsOfService(service).filter(isInService).map((record) => record.entry)
     return {
       samples: demand.samplesByModel(service, monotonicNow()),
       slots: Math.max(1, ...ready.map((entry) => entry.slots)),
--- a/packages/coordination/src/lib/duty-context.ts
+++ b/packages/coordination/src/lib/duty-context.ts
@@ -1,6 +1,7 @@
 import type { LeaderLease, PlatformPort, EndpointPort, ObjectStore } from '@cyclamenthread/protocol'
 import type { StepDemand, UsageTally } from '@cyclamenthread/state'
 import type { DeploymentView } from './deployment-view.js'
+import type { EndpointNotices } from './endpoint-notice-task.js'
 import type { EventLog } from './event-log.js'
 import type { MemberView } from './member-task.js'
 import type { MessageBus } from './message-bus.js'
@@ -21,6 +22,7 @@
   readonly deployment: DeploymentView
   readonly endpoints: EndpointPort
   readonly sends: SendPermits
+  readonly notices: EndpointNotices
   readonly platform: PlatformPort
   readonly store: ObjectStore
   readonly members: MemberView
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -11,6 +11,8 @@
   EndpointsChanged = 'endpoints-changed',
   /** An endpoint named a request limit, changed it, or names none any more. */
   EndpointLimited = 'endpoint-limited',
+  /** An endpoint has said that it is leaving. */
+  EndpointLeaving = 'endpoint-leaving',
   /** The keeper of a limited endpoint's account was asked for requests that this host may send. */
   SendsRequested = 'sends-requested',
   EntryRejected = 'entry-rejected',
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -2,7 +2,7 @@
 import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, SendUrgency, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
-import { describeLimit, recordNotice } from './endpoint-notices.js'
+import { describeLimit } from './endpoint-notice-task.js'
 import { SendPermission } from './send-permit-task.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
 import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
@@ -269,7 +269,7 @@
   }
 
   async #runSample (sample: RolloutSample, { record, startBefore }: SamplePlace, permit: WorkPermit): Promise<void> {
-    const { deployment, endpoints, log } = this.#context
+    const { deployment, endpoints, notices, log } = this.#context
     const { endpointTable } = deployment
     const { entry } = record
     const order = this.#order
@@ -317,7 +317,7 @@
         if (version !== undefined) endpointTable.recordVersion(entry.id, order.model, version)
         if (load !== undefined) endpointTable.recordLoad(entry.id, load, monotonicNow())
       },
-      onNotice: (notice) => recordNotice(this.#context, entry, { ...notice, sentAt, receivedAt: monotonicNow() }),
+      onNotice: (notice) => notices.record(entry, { ...notice, sentAt, receivedAt: monotonicNow() }),
       onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
       onPace: (paceMs) => endpointTable.recordPace(entry.id, paceMs, monotonicNow())
     }, abort)
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -1,4 +1,4 @@
-import { assignModels, EndpointPhase, WeightLoadLimit, unreachable, WeightUpdatePlanner } from '@cyclamenthread/state'
+import { assignModels, isInService, WeightLoadLimit, unreachable, WeightUpdatePlanner } from '@cyclamenthread/state'
 import { PeerMessageKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
@@ -75,7 +75,7 @@
     const table = this.#context.deployment.routeTable
     for (const service of table?.declaration.services ?? []) {
       if (service.models.length === 0) continue
-      const records = this.#context.deployment.endpointTable.endpointsOfService(service.name).filter((record) => record.entry.phase === EndpointPhase.Ready)
+      const records = this.#context.deployment.endpointTable.endpointsOfService(service.name).filter(isInService)
       const endpoints = records.map((record) => ({ id: record.entry.id, failureDomain: record.entry.failureDomain }))
       const previous = this.#assignments.get(service.name) ?? this.#inferAssignment(service.models, records)
       const assigned = assignModels(service.models, endpoints, previous, this.#context.demand.tokensByModel(service.name, monotonicNow()))
@@ -177,6 +177,7 @@
     this.#context.sends.charge(record)
     const report = await this.#context.endpoints.readReport(entry, deadlineAfter(REPORT_TIMEOUT_MS))
     if (report === undefined) return undefined
+    if (report.leaving === true) this.#context.notices.recordLeaving(entry)
     for (const [model, version] of Object.entries(report.versions)) {
       if (version > this.#context.deployment.endpointTable.newestVersion(record, model)) this.#broadcastChange(record, model, version)
       this.#context.deployment.endpointTable.recordVersion(entry.id, model, version)
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -1,12 +1,13 @@
 import test from 'ava'
-import { CallOrigin, CallTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
-import { EndpointReplyKind } from '@cyclamenthread/protocol'
+import { CallOrigin, CallTask, EndpointNoticeTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { EndpointReplyKind, PeerMessageKind } from '@cyclamenthread/protocol'
 import { Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { answerWith, ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
 import type { CallOutcome, PlainCall } from '@cyclamenthread/coordination'
-import type { Route } from '@cyclamenthread/state'
+import type { PeerMessage } from '@cyclamenthread/protocol'
+import type { Host, Route } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
 const LOCATION = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
@@ -28,6 +29,8 @@
 
 interface Fixture {
   readonly task: CallTask
+  /** Messages to other hosts. */
+  readonly reported: PeerMessage[]
   readonly endpoints: ScriptedEndpoints
   readonly tally: UsageTally
   readonly deployment: ReturnType<typeof openDeployment>
@@ -41,9 +44,14 @@
   await waitUntil(t, () => view.endpointTable.endpointsOfService('desk').length === ids.length)
   const endpoints = new ScriptedEndpoints()
   const tally = new UsageTally(60_000_000)
-  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, networkLocation: LOCATION, tally, log: SILENT_LOG })
+  const reported: PeerMessage[] = []
+  const bus = { post: async (_host: Host, message: PeerMessage) => { reported.push(message) } }
+  const members = { workers: () => ['h1', 'h2'].map((id) => ({ id }) as Host) }
+  const notices = new EndpointNoticeTask({ self: { id: 'h1' }, deployment: view, sends: UNLIMITED_SENDS, members, bus, log: SILENT_LOG })
+  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, networkLocation: LOCATION, tally, log: SILENT_LOG })
   return {
     task,
+    reported,
     endpoints,
     tally,
     deployment,
@@ -226,3 +234,22 @@
   const late = await run({ deadline })
   t.is(late.ok ? undefined : late.refusal.ran, Ran.No)
 })
+
+// Guards against requests that reach an endpoint long after it has said that it is leaving, as only the registry counted (DRAIN).
+test('an endpoint that has said that it is leaving gets no more calls, whatever the registry says', async (t) => {
+  const { endpoints, run, reported, deployment: { store, view } } = await openFixture(t, ['a', 'bb'])
+  const notice = { requestsPerSecond: undefined, leaving: true }
+  for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.NotRun, status: 503, load: undefined, notice: id === 'a' ? notice : undefined }))
+  await run()
+  t.true(endpoints.calls.some(({ endpoint }) => endpoint.id === 'a'))
+  t.is(endpoints.calls.filter(({ endpoint }) => endpoint.id === 'a').length, 1)
+  t.deepEqual(reported, [{ kind: PeerMessageKind.ReportEndpointLeaving, endpointId: 'a', bornAt: 1 }])
+  store.set('servers/a', endpointEntry('a', { service: 'desk', slots: 9 }))
+  await waitUntil(t, () => view.endpointTable.find('a')?.entry.slots === 9)
+  await run()
+  t.is(endpoints.calls.filter(({ endpoint }) => endpoint.id === 'a').length, 1)
+  endpoints.callScripts.set('a', async () => answerWith(200))
+  store.set('servers/a', endpointEntry('a', { service: 'desk', bornAt: 2 }))
+  await waitUntil(t, () => view.endpointTable.find('a')?.entry.bornAt === 2)
+  t.true((await run()).ok)
+})
--- a/packages/coordination/src/test/weight-duty.test.ts
+++ b/packages/coordination/src/test/weight-duty.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { SILENT_LOG, UNLIMITED_SENDS, WeightDuty } from '@cyclamenthread/coordination'
+import { IGNORED_NOTICES, SILENT_LOG, UNLIMITED_SENDS, WeightDuty } from '@cyclamenthread/coordination'
 import { RouteKind, StepDemand } from '@cyclamenthread/state'
 import { WeightOrderStatus } from '@cyclamenthread/protocol'
 import { endpointEntry } from '@cyclamenthread/state/testing'
@@ -65,7 +65,7 @@
     hostId: 'a',
     deployment: view,
     endpoints,
-    sends: UNLIMITED_SENDS,
+    sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES,
     demand: new StepDemand(),
     log: SILENT_LOG,
     releases: () => released,
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import {
-  announceLeave, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
   SendPermitTask, StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -90,6 +90,7 @@
   readonly #demand: DemandAnnouncer
   readonly #relay: MirrorRelay
   readonly #sends: SendPermitTask
+  readonly #notices: EndpointNoticeTask
   #ready = false
   #leaving = false
 
@@ -112,7 +113,8 @@
     this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, decoder: ports.decoder, log })
     this.tally = new UsageTally(settings.usageWindowMs)
     this.#sends = new SendPermitTask({ self, members: this.#members, bus: this.#bus, log })
-    const shared = { deployment: this.deployment, endpoints, sends: this.#sends, log, networkLocation }
+    this.#notices = new EndpointNoticeTask({ self, deployment: this.deployment, sends: this.#sends, members: this.#members, bus: this.#bus, log })
+    const shared = { deployment: this.deployment, endpoints, sends: this.#sends, notices: this.#notices, log, networkLocation }
     this.calls = new CallTask({ ...shared, tally: this.tally })
     this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
     this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
@@ -134,6 +136,7 @@
       deployment: this.deployment,
       endpoints,
       sends: this.#sends,
+      notices: this.#notices,
       platform,
       store,
       members: this.#members,
@@ -172,6 +175,7 @@
     this.#broker.createService(this.#relay.service())
     this.#broker.createService(this.streams.service())
     this.#broker.createService(this.#sends.service())
+    this.#broker.createService(this.#notices.service())
     this.#broker.createService(taskService('weights', {
       [PeerMessageKind.ReportEndpointWeights]: async ({ endpointId, bornAt, model, version }) => {
         const { endpointTable } = this.deployment
--- a/packages/protocol/src/lib/send-message.ts
+++ b/packages/protocol/src/lib/endpoint-message.ts
@@ -2,14 +2,14 @@
 import { SendUrgency } from '@cyclamenthread/state'
 import { PeerMessageKind } from './message-kind.js'
 
-/** An incarnation of an endpoint that names a request limit. */
-const limitedEndpointSchema = z.object({
+/** An incarnation of an endpoint. */
+const endpointIncarnationSchema = z.object({
   endpointId: z.string(),
   bornAt: z.number()
 })
 
 /** Asks the keeper of an endpoint's account to grant requests to the endpoint. */
-export const requestSendsSchema = limitedEndpointSchema.extend({
+export const requestSendsSchema = endpointIncarnationSchema.extend({
   kind: z.literal(PeerMessageKind.RequestSends),
   /** The limit that the endpoint named to the sender. */
   requestsPerSecond: z.number().nonnegative(),
@@ -32,10 +32,13 @@
 })
 
 /** Reports requests that were sent to the endpoint without a grant. */
-export const chargeSendsSchema = limitedEndpointSchema.extend({ kind: z.literal(PeerMessageKind.ChargeSends) })
+export const chargeSendsSchema = endpointIncarnationSchema.extend({ kind: z.literal(PeerMessageKind.ChargeSends) })
+
+/** Reports that the endpoint has said that it is leaving. */
+export const reportEndpointLeavingSchema = endpointIncarnationSchema.extend({ kind: z.literal(PeerMessageKind.ReportEndpointLeaving) })
 
 /** Reports that the endpoint names no limit any more. */
-export const reportLimitLiftedSchema = limitedEndpointSchema.extend({
+export const reportLimitLiftedSchema = endpointIncarnationSchema.extend({
   kind: z.literal(PeerMessageKind.ReportLimitLifted),
   /** Time since the request was sent whose answer named none, in milliseconds. */
   ageMs: z.number().nonnegative()
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -105,6 +105,8 @@
   /** Number of orders accepted since the endpoint started. */
   readonly orders: number
   readonly load: ObservedLoad
+  /** Whether the endpoint says that it is leaving; absent if it doesn't. */
+  readonly leaving?: boolean
 }
 
 /** Calls to endpoints. No method throws; failures are returned. */
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -40,5 +40,6 @@
   FindStreamOrigin = 'streams.find',
   RequestSends = 'sends.request',
   ChargeSends = 'sends.charge',
-  ReportLimitLifted = 'sends.lifted'
+  ReportLimitLifted = 'sends.lifted',
+  ReportEndpointLeaving = 'endpoints.leaving'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -17,7 +17,7 @@
 import { PeerMessageKind } from './message-kind.js'
 import { mirrorAgeSchema, readMirrorAgeSchema, relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
-import { chargeSendsSchema, reportLimitLiftedSchema, requestSendsSchema, sendGrantSchema } from './send-message.js'
+import { chargeSendsSchema, reportEndpointLeavingSchema, reportLimitLiftedSchema, requestSendsSchema, sendGrantSchema } from './endpoint-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
 import { acceptRolloutResponseSchema, acceptRolloutSchema, adoptRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, offerRolloutResponseSchema, offerRolloutSchema, reportDemandSchema, reportEndpointWeightsSchema, readRolloutSchema, readRequestCountsSchema, recheckRolloutSchema, rolloutPageSchema, runRolloutSchema, requestCountsSchema } from './rollout-message.js'
@@ -29,7 +29,7 @@
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
   acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema, readMirrorAgeSchema,
-  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema
+  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema, reportEndpointLeavingSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -74,7 +74,8 @@
   [PeerMessageKind.FindStreamOrigin]: findStreamOriginResponseSchema,
   [PeerMessageKind.RequestSends]: sendGrantSchema,
   [PeerMessageKind.ChargeSends]: acceptedResponseSchema,
-  [PeerMessageKind.ReportLimitLifted]: acceptedResponseSchema
+  [PeerMessageKind.ReportLimitLifted]: acceptedResponseSchema,
+  [PeerMessageKind.ReportEndpointLeaving]: acceptedResponseSchema
 } as const
 
 /** A message between hosts. */
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -95,6 +95,8 @@
   readonly trialModels: Set<string>
   /** Requests per second that the endpoint accepts from all hosts, as its answers name them. */
   readonly requestLimit: RequestLimitRecord
+  /** Whether this incarnation has said that it is leaving; the registry may learn it later. */
+  isLeaving: boolean
 }
 
 /**
@@ -102,12 +104,11 @@
  * usable.
  *
  * Invariants: a new incarnation under a known id, with a new start time, address or
- * software version, starts with an empty record; an endpoint that is draining or was removed is never usable.
+ * software version, starts with an empty record; an endpoint that is draining, that has said itself that it
+ * is leaving, or that was removed is never usable.
  */
 export class EndpointTable {
   readonly #records = new Map<string, EndpointRecord>()
-  /** Services and software versions of the ready endpoints. */
-  readonly #readyVersions = new Set<string>()
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
 
   /** Replaces the registry entries. */
@@ -117,10 +118,6 @@
       if (!ids.has(id)) this.#records.delete(id)
     }
     for (const entry of entries) this.#updateEntry(entry)
-    this.#readyVersions.clear()
-    for (const { service, softwareVersion, phase } of entries) {
-      if (phase === EndpointPhase.Ready) this.#readyVersions.add(versionKey(service, softwareVersion))
-    }
   }
 
   /** Looks up the record of an endpoint. */
@@ -135,12 +132,15 @@
 
   /** Endpoints of a service that may be given work now. */
   usableEndpoints (service: string, now: number): EndpointRecord[] {
-    return this.endpointsOfService(service).filter((record) => record.entry.phase === EndpointPhase.Ready && now >= record.suspendedUntil)
+    return this.endpointsOfService(service).filter((record) => isInService(record) && now >= record.suspendedUntil)
   }
 
   /** Whether the registry has a ready endpoint of a software version, even if it has no room or was suspended. */
   isVersionServed (service: string, softwareVersion: string): boolean {
-    return this.#readyVersions.has(versionKey(service, softwareVersion))
+    for (const record of this.#records.values()) {
+      if (record.entry.service === service && record.entry.softwareVersion === softwareVersion && isInService(record)) return true
+    }
+    return false
   }
 
   /** Records that work is about to be sent to an endpoint. */
@@ -207,6 +207,18 @@
     return record !== undefined && record.entry.bornAt === bornAt && record.requestLimit.apply(notice)
   }
 
+  /**
+   * Records that an incarnation of an endpoint has said that it is leaving; nothing takes that back.
+   *
+   * @returns whether this wasn't known
+   */
+  recordLeaving (id: string, bornAt: number): boolean {
+    const record = this.#records.get(id)
+    if (record === undefined || record.entry.bornAt !== bornAt || record.isLeaving) return false
+    record.isLeaving = true
+    return true
+  }
+
   /** Endpoints that name a request limit, with the limit. */
   limitedEndpoints (): Array<readonly [record: EndpointRecord, limit: RequestLimit]> {
     return [...this.#records.values()].flatMap((record): Array<readonly [EndpointRecord, RequestLimit]> => record.requestLimit.current === undefined ? [] : [[record, record.requestLimit.current]])
@@ -286,11 +298,22 @@
       observedVersions: {},
       modelPausedUntil: {},
       trialModels: new Set(),
-      requestLimit: new RequestLimitRecord()
+      requestLimit: new RequestLimitRecord(),
+      isLeaving: false
     })
   }
 }
 
+/**
+ * Whether an endpoint may be given new work, as far as the registry and the endpoint itself say.
+ *
+ * @example
+ * endpoints.endpointsOfService('desk').filter(isInService)
+ */
+export function isInService ({ entry, isLeaving }: EndpointRecord): boolean {
+  return entry.phase === EndpointPhase.Ready && !isLeaving
+}
+
 /**
  * Whether two entries under one id describe the same running process of an endpoint.
  *
@@ -301,10 +324,6 @@
   return a.bornAt === b.bornAt && a.address === b.address && a.softwareVersion === b.softwareVersion
 }
 
-function versionKey (service: string, softwareVersion: string): string {
-  return JSON.stringify([service, softwareVersion])
-}
-
 function sameVersions (a: EndpointEntry, b: EndpointEntry): boolean {
   return Object.keys({ ...a.versions, ...b.versions }).every((model) => a.versions[model] === b.versions[model])
 }
--- a/packages/state/src/lib/request-limit.ts
+++ b/packages/state/src/lib/request-limit.ts
@@ -2,6 +2,8 @@
 export interface EndpointNotice {
   /** Requests per second that the endpoint accepts from all hosts together; undefined if it names no limit. */
   readonly requestsPerSecond: number | undefined
+  /** Whether the endpoint says that it is leaving; absent if it doesn't. */
+  readonly leaving?: boolean
 }
 
 /** A notice and the times of the exchange that carried it, in monotonic milliseconds. */
