--- a/packages/transport/src/lib/connector.ts
+++ b/packages/transport/src/lib/connector.ts
@@ -1,15 +1,16 @@
 import { buildConnector } from 'undici'
+import type { Socket } from 'node:net'
 
-/** Code of the error of a connection that the far end has reset. */
-const RESET_CODE = 'ECONNRESET'
-
-/** The code that replaces it. */
-const CONNECTION_RESET = 'CONNECTION_RESET'
+/** Thrown when the far end has reset a connection; its code differs from the system's, by which undici would go. */
+export class ConnectionResetError extends Error {
+  override readonly name = 'ConnectionResetError'
+  readonly code = 'CONNECTION_RESET'
+}
 
 /**
  * Creates a function that opens the connections of an undici client, which then treats a
- * reset as a failure. By itself, undici takes a connection that is reset for the proper end of a
- * response without a length.
+ * reset as a failure. By itself, undici takes a reset for the proper end of a response without a
+ * length, and Node.js reports a reset that arrives together with the last bytes as such an end.
  *
  * @param timeoutMs timeout for opening a connection, in milliseconds
  * @example
@@ -20,13 +21,29 @@
   return (options, callback) => {
     open(options, (...result) => {
       const [error, socket] = result
-      // Must precede undici's own listener, which goes by the code.
-      if (error === null) socket.prependListener('error', renameReset)
+      if (error === null) failOnReset(socket)
       callback(...result)
     })
   }
 }
 
-function renameReset (error: NodeJS.ErrnoException): void {
-  if (error.code === RESET_CODE) error.code = CONNECTION_RESET
+function failOnReset (socket: Socket): void {
+  const { destroy, push } = socket
+  socket.destroy = (error) => destroy.call(socket, isReset(error) ? new ConnectionResetError('the connection was reset', { cause: error }) : error)
+  socket.push = (chunk: unknown, encoding) => {
+    if (chunk !== null || !hasPendingReset(socket)) return push.call(socket, chunk, encoding)
+    socket.destroy(new ConnectionResetError('the connection was reset with its last bytes'))
+    return false
+  }
+}
+
+/** Whether the far end has reset a connection that seems to end: then not even an empty write succeeds. After a proper end, it succeeds or fails otherwise. */
+function hasPendingReset (socket: Socket): boolean {
+  if (!socket.writable) return false
+  socket.write('')
+  return isReset(socket.errored)
+}
+
+function isReset (error: Error | null | undefined): boolean {
+  return error !== null && error !== undefined && 'code' in error && error.code === 'ECONNRESET'
 }
