--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -45,7 +45,11 @@
   const endpoints = new ScriptedEndpoints()
   const tally = new UsageTally(60_000_000)
   const reported: PeerMessage[] = []
-  const bus = { post: async (_host: Host, message: PeerMessage) => { reported.push(message) } }
+  const bus = {
+    post: async (_host: Host, message: PeerMessage) => {
+      reported.push(message)
+    }
+  }
   const members = { workers: () => ['h1', 'h2'].map((id) => ({ id }) as Host) }
   const notices = new EndpointNoticeTask({ self: { id: 'h1' }, deployment: view, sends: UNLIMITED_SENDS, members, bus, log: SILENT_LOG })
   const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, networkLocation: LOCATION, tally, log: SILENT_LOG })
