Calls that come to a host cut off from all endpoints are run by another host

Callers saw: at hosts cut off from all endpoints, calls fail although other hosts reach them.

Cause: a call could only be run by the host that took it, and no host knew that it reaches no endpoint.

Two tries failed first: with three endpoints needed, a route of two attempts never showed a third; and a host whose doubt became certain by time alone never probed, so it stayed cut off.

--- a/packages/bench/src/test/endpoint-limit.test.ts
+++ b/packages/bench/src/test/endpoint-limit.test.ts
@@ -1,21 +1,18 @@
 import test from 'ava'
-import { EntryService } from 'cyclamenthread'
-import { accountKeepers, CallOrigin, SILENT_LOG, StoreMirror } from '@cyclamenthread/coordination'
-import { EndpointReplyKind, PlatformCallStatus, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
-import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
-import { Ran, RouteKind, success } from '@cyclamenthread/state'
+import { accountKeepers, CallOrigin } from '@cyclamenthread/coordination'
+import { EndpointReplyKind, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
+import { Ran } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
-import { findFreePorts } from '../lib/free-ports.js'
-import type { DeploymentDecoder } from '@cyclamenthread/coordination'
+import { DESK_ROUTE, startHosts } from './entry-hosts.js'
+import type { EntryService } from 'cyclamenthread'
 import type { EndpointPort, EndpointReply, EndpointReport, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
-import type { Declaration, EndpointEntry, Host, Route } from '@cyclamenthread/state'
-import type { ExecutionContext } from 'ava'
+import type { Host } from '@cyclamenthread/state'
 
 /** Requests per second that each endpoint accepts. */
 const LIMIT = 2
 
-/** Number of hosts. */
-const HOSTS = 5
+/** Failure domain of each host. */
+const DOMAINS = Array.from({ length: 5 }, () => 'leith-walk')
 
 /** Time from the first answer that names a limit after which the limit holds, in milliseconds. */
 const SETTLE_MS = 4_000
@@ -26,35 +23,6 @@
 /** Time for which a host may have known a limit without counting, in milliseconds. */
 const NOTICE_MS = 500
 
-const ROUTE: Route = {
-  name: 'desk',
-  host: 'desk.example',
-  pathPrefix: '/',
-  kind: RouteKind.Idempotent,
-  shares: [{ service: 'desk', weight: 1 }],
-  timeoutMs: 2_000,
-  targetMs: 200,
-  maxAttempts: 2,
-  open: true,
-  dueMs: 0,
-  sampleLifetimeMs: 0,
-  singleVersion: false
-}
-
-const DECLARATION: Declaration = {
-  version: 1,
-  routes: [ROUTE],
-  services: [],
-  workspaces: [],
-  limits: { maxHeaderBytes: 10_000, maxBodyBytes: 10_000, headerTimeoutMs: 1_000, idleTimeoutMs: 10_000 }
-}
-
-/** Returns stored objects unchanged: the test stores decoded values. */
-const DECODER: DeploymentDecoder = {
-  declaration: (object) => success(object.value as Declaration),
-  endpoint: (object) => success(object.value as EndpointEntry)
-}
-
 /** A request that reached an endpoint. */
 interface Arrival {
   readonly at: number
@@ -118,44 +86,6 @@
   }
 }
 
-/** Starts hosts that share an in-memory store and reach each other over loopback. */
-async function startHosts (t: ExecutionContext, endpoints: LimitedEndpoints, entries: readonly EndpointEntry[]): Promise<EntryService[]> {
-  const store = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
-  store.set('config/main', DECLARATION)
-  for (const entry of entries) store.set(`servers/${entry.id}`, entry)
-  const ports = await findFreePorts(HOSTS)
-  const location = { failureDomain: 'leith-walk', region: 'lothian', regions: { 'leith-walk': 'lothian' } }
-  return await Promise.all(ports.map(async (port, index) => {
-    const mirror = (prefix: string): StoreMirror => new StoreMirror({ prefix, waitMs: 500, noticeMs: 2_500, changePauseMs: 0 }, store, SILENT_LOG, () => 0)
-    const mirrors = { declarations: mirror('config/'), registry: mirror('servers/') }
-    const service = await EntryService.open({
-      self: { id: `h${index}`, region: 'lothian', failureDomain: 'leith-walk', peerAddress: `127.0.0.1:${port}`, callerUrl: 'http://127.0.0.1:1', hasDataFolder: false },
-      networkLocation: location,
-      storeRegion: 'lothian',
-      leaseMs: 3_000,
-      usageWindowMs: 5_000,
-      addressTtlMs: 1_000
-    }, {
-      ...mirrors,
-      store,
-      endpoints: endpoints.portOf(index),
-      platform: { reportUsage: async () => PlatformCallStatus.Done, orderCapacity: async () => PlatformCallStatus.Done, close: async () => {} },
-      decoder: DECODER,
-      leaderMirrors: [],
-      newestVersions: () => new Map(),
-      retirements: { pending: () => [], complete: async () => true },
-      log: SILENT_LOG
-    })
-    if (service === undefined) throw new Error('the cluster secret was not read')
-    await service.start()
-    t.teardown(async () => {
-      await service.stop()
-      for (const one of Object.values(mirrors)) one.stop()
-    })
-    return service
-  }))
-}
-
 /** The outcome of a call, and how long its caller waited for it. */
 interface Waited {
   readonly ok: boolean
@@ -167,7 +97,7 @@
 async function callDesk (service: EntryService, requestId: string): Promise<Waited> {
   const startedAt = performance.now()
   const outcome = await service.calls.run({
-    requestId, route: ROUTE, origin: CallOrigin.Caller, workspace: undefined, method: 'GET', path: '/', headers: [], body: new Uint8Array(), deadline: startedAt + 2_000, signal: new AbortController().signal
+    requestId, route: DESK_ROUTE, origin: CallOrigin.Caller, workspace: undefined, method: 'GET', path: '/', headers: [], body: new Uint8Array(), deadline: startedAt + 2_000, signal: new AbortController().signal
   })
   const refusal = outcome.ok ? undefined : outcome.refusal
   return { ok: outcome.ok, ran: refusal?.ran, retryAfterMs: refusal?.retryAfterMs, tookMs: performance.now() - startedAt }
@@ -177,11 +107,11 @@
 test('hosts together send an endpoint no more calls than it accepts, and refuse the others at once', async (t) => {
   const endpoints = new LimitedEndpoints()
   const ids = ['d1', 'd2']
-  const hosts = await startHosts(t, endpoints, ids.map((id) => endpointEntry(id, { service: 'desk' })))
+  const hosts = await startHosts(t, { domains: DOMAINS, portOf: (host) => endpoints.portOf(host), entries: ids.map((id) => endpointEntry(id, { service: 'desk' })) })
   const outcomes: Array<Promise<Waited>> = []
   const until = performance.now() + SETTLE_MS + WINDOW_MS + 4_000
   for (let index = 0; performance.now() < until; index += 1) {
-    const host = hosts[index % HOSTS]
+    const host = hosts[index % DOMAINS.length]
     if (host !== undefined) outcomes.push(callDesk(host, `r${index}`))
     await new Promise((resolve) => setTimeout(resolve, 40))
   }
@@ -201,7 +131,7 @@
 test('owners together send an endpoint no more samples than it accepts', async (t) => {
   const endpoints = new LimitedEndpoints()
   const ids = ['m1', 'm2']
-  const hosts = await startHosts(t, endpoints, ids.map((id) => endpointEntry(id)))
+  const hosts = await startHosts(t, { domains: DOMAINS, portOf: (host) => endpoints.portOf(host), entries: ids.map((id) => endpointEntry(id)) })
   const now = Date.now()
   for (const [index, host] of hosts.entries()) {
     const samples = rolloutOrder(100, 2).samples.map((sample) => ({ ...sample, id: `${index}.${sample.id}` }))
@@ -221,7 +151,7 @@
 // Guards against an endpoint that stays idle, or gets its limit several times over, when the host that counts for it is lost.
 test('after the host that counts for an endpoint has stopped, the others stay within the limit and go on', async (t) => {
   const endpoints = new LimitedEndpoints()
-  const hosts = await startHosts(t, endpoints, [endpointEntry('d1', { service: 'desk' })])
+  const hosts = await startHosts(t, { domains: DOMAINS, portOf: (host) => endpoints.portOf(host), entries: [endpointEntry('d1', { service: 'desk' })] })
   const [keeper] = accountKeepers('d1', hosts.map((_, index) => ({ id: `h${index}` }) as Host))
   const lost = hosts.findIndex((_, index) => `h${index}` === keeper?.id)
   const live = hosts.filter((_, index) => index !== lost)
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -7,6 +7,7 @@
 import { SendPermission } from './send-permit-task.js'
 import type { EndpointRecord, Refusal, StreamOrigin, UsageTally, NetworkLocation } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
+import type { CallRelay } from './call-forwarder.js'
 import type { DeploymentView } from './deployment-view.js'
 import type { EndpointNotices } from './endpoint-notice-task.js'
 import type { EventLog } from './event-log.js'
@@ -22,6 +23,12 @@
 /** Minimum delay before a call is sent to a second endpoint, in milliseconds. */
 const MIN_HEDGE_DELAY_MS = 120
 
+/** Time without an answer after which an endpoint counts as silent, in milliseconds: many times the usual time of a call. */
+const SILENT_MS = 400
+
+/** Number of endpoints that a call couldn't reach after which it is passed on to another host. */
+const MAX_UNREACHED = 2
+
 /** Number of rejections by endpoints after which a call is refused. */
 const MAX_REJECTIONS = 4
 
@@ -55,6 +62,7 @@
   readonly endpoints: EndpointPort
   readonly sends: SendPermits
   readonly notices: EndpointNotices
+  readonly relay: CallRelay
   readonly networkLocation: NetworkLocation
   readonly tally: UsageTally
   readonly log: EventLog
@@ -98,6 +106,8 @@
   /** Monotonic milliseconds after which the call is refused if no endpoint accepts it. */
   readonly refuseAt: number
   readonly excluded: Set<string>
+  /** Endpoints to which no connection could be opened. */
+  readonly unreached: Set<string>
   readonly openAttempts: Set<CallAttempt>
   /** Replies that were received and not processed yet. */
   readonly arrived: ReceivedReply[]
@@ -109,6 +119,7 @@
   failures: number
   mayHaveRun: boolean
   counted: boolean
+  isForwarded: boolean
   lastFailure: AnsweredAttempt | undefined
 }
 
@@ -161,6 +172,7 @@
       service,
       refuseAt: startedAt + (call.deadline - startedAt) * MAX_WAIT_SHARE,
       excluded: new Set(),
+      unreached: new Set(),
       openAttempts: new Set(),
       arrived: [],
       wake: () => {},
@@ -169,6 +181,7 @@
       failures: 0,
       mayHaveRun: false,
       counted: false,
+      isForwarded: call.isForwarded === true,
       lastFailure: undefined
     }
     const scope = openDeadlineScope(call.deadline, call.signal)
@@ -176,6 +189,7 @@
       return await this.#runToOutcome(state, scope.signal)
     } finally {
       scope.close()
+      this.#recordSilence(state)
       for (const attempt of state.openAttempts) attempt.abort.abort()
     }
   }
@@ -189,6 +203,8 @@
   async #runToOutcome (state: CallState, signal: AbortSignal): Promise<CallOutcome> {
     signal.addEventListener('abort', () => state.wake(), { once: true })
     while (!signal.aborted) {
+      const forwarded = this.#mayForward(state) ? await this.#forward(state) : undefined
+      if (forwarded !== undefined) return forwarded
       if (state.openAttempts.size === 0 && state.arrived.length === 0) {
         const refusal = this.#startAttempt(state)
         if (refusal !== undefined) return state.lastFailure === undefined ? { ok: false, refusal, failures: state.failures } : outcomeOf(state.lastFailure, state.failures)
@@ -202,6 +218,28 @@
     return { ok: false, refusal: this.#deadlineRefusal(state), failures: state.failures }
   }
 
+  /** Whether the call should run at another host: this one reaches no endpoint, and the call may be sent once more. */
+  #mayForward ({ call, isForwarded, unreached, attempts, mayHaveRun, openAttempts, arrived }: CallState): boolean {
+    if (isForwarded || arrived.length > 0 || attempts >= call.route.maxAttempts) return false
+    const isUnsent = !mayHaveRun && openAttempts.size === 0
+    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (unreached.size >= MAX_UNREACHED || this.#context.relay.isCutOff)
+  }
+
+  async #forward (state: CallState): Promise<CallOutcome | undefined> {
+    state.isForwarded = true
+    const outcome = await this.#context.relay.forward(state.call)
+    if (outcome === undefined || outcome.ok || outcome.refusal.ran !== Ran.No || !state.mayHaveRun) return outcome
+    return { ...outcome, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: outcome.refusal.detail } }
+  }
+
+  /** Records the endpoints that have left this call without a sign for long. */
+  #recordSilence ({ openAttempts }: CallState): void {
+    const silentSince = monotonicNow() - SILENT_MS
+    for (const { record, sentAt } of openAttempts) {
+      if (sentAt <= silentSince) this.#context.relay.recordUnreached(record.entry.id)
+    }
+  }
+
   /** Sends the call to another endpoint; returns a refusal if no further attempt is possible or allowed. */
   #startAttempt (state: CallState): Refusal | undefined {
     const { deployment } = this.#context
@@ -325,7 +363,10 @@
     })
     clearTimeout(timer)
     const shouldHedge = mayHedge && state.arrived.length === 0 && !signal.aborted
-    if (shouldHedge) this.#startHedge(state)
+    if (shouldHedge) {
+      this.#recordSilence(state)
+      this.#startHedge(state)
+    }
   }
 
   /** Sends a copy of the call to a second endpoint, but not to one in need: a copy would take the place of another call. */
@@ -360,6 +401,7 @@
     const { entry } = attempt.record
     const now = monotonicNow()
     state.openAttempts.delete(attempt)
+    this.#recordReach(state, attempt, reply)
     if (reply.kind !== EndpointReplyKind.NotSent && reply.notice !== undefined) this.#context.notices.record(entry, { ...reply.notice, sentAt: attempt.sentAt, receivedAt: now })
     const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : workEndOf(reply)
     endpointTable.finishWork(entry.id, entry.bornAt, end, now)
@@ -371,6 +413,23 @@
     }
   }
 
+  #recordReach (state: CallState, { record: { entry }, abort }: CallAttempt, reply: EndpointReply): void {
+    const { relay } = this.#context
+    switch (reply.kind) {
+      case EndpointReplyKind.Answer:
+      case EndpointReplyKind.NotRun:
+        relay.recordReached()
+        return
+      case EndpointReplyKind.Broken:
+        if (abort.signal.aborted) return
+        if (!reply.sent) state.unreached.add(entry.id)
+        relay.recordUnreached(entry.id)
+        return
+      case EndpointReplyKind.NotSent: return
+      default: unreachable(reply)
+    }
+  }
+
   /** Returns the outcome of the call if this reply decides it. */
   #decideOutcome (state: CallState, attempt: CallAttempt, reply: EndpointReply): CallOutcome | undefined {
     this.#context.log.record(LogEvent.RequestEnded, {
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -18,6 +18,8 @@
   EntryRejected = 'entry-rejected',
   RequestSent = 'request-sent',
   RequestEnded = 'request-ended',
+  /** A call was passed on to another host, since this one reaches no endpoint. */
+  CallForwarded = 'call-forwarded',
   /** The final response was sent to the caller. */
   RequestAnswered = 'request-answered',
   RolloutAccepted = 'rollout-accepted',
--- a/packages/coordination/src/lib/plain-call.ts
+++ b/packages/coordination/src/lib/plain-call.ts
@@ -21,6 +21,8 @@
   readonly body: Uint8Array
   /** What began the stream that the call takes up; absent if it starts anew. */
   readonly continues?: StreamOrigin
+  /** Whether another host has passed it on; it goes no further. */
+  readonly isForwarded?: boolean
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
   /** Monotonic milliseconds after which no attempt may begin to be written; undefined if attempts may start until the deadline. */
--- a/packages/coordination/src/lib/rollout-context.ts
+++ b/packages/coordination/src/lib/rollout-context.ts
@@ -1,5 +1,6 @@
 import type { NetworkLocation } from '@cyclamenthread/state'
 import type { EndpointPort } from '@cyclamenthread/protocol'
+import type { CallRelay } from './call-forwarder.js'
 import type { CallTask } from './call-task.js'
 import type { DeploymentView } from './deployment-view.js'
 import type { EndpointNotices } from './endpoint-notice-task.js'
@@ -13,6 +14,7 @@
   readonly endpoints: EndpointPort
   readonly sends: SendPermits
   readonly notices: EndpointNotices
+  readonly relay: CallRelay
   /** Runs the reward requests of samples. */
   readonly calls: CallTask
   readonly store: RolloutStore
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -269,7 +269,7 @@
   }
 
   async #runSample (sample: RolloutSample, { record, startBefore }: SamplePlace, permit: WorkPermit): Promise<void> {
-    const { deployment, endpoints, notices, log } = this.#context
+    const { deployment, endpoints, notices, relay, log } = this.#context
     const { endpointTable } = deployment
     const { entry } = record
     const order = this.#order
@@ -312,6 +312,7 @@
     }
     const result = await readSampleStream(endpoints, request, text, order, {
       onStart: ({ version, load }) => {
+        relay.recordReached()
         text.recordAnswer(monotonicNow())
         endpointTable.recordModelAcceptance(entry.id, order.model)
         if (version !== undefined) endpointTable.recordVersion(entry.id, order.model, version)
@@ -319,10 +320,14 @@
       },
       onNotice: (notice) => notices.record(entry, { ...notice, sentAt, receivedAt: monotonicNow() }),
       onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
-      onPace: (paceMs) => endpointTable.recordPace(entry.id, paceMs, monotonicNow())
+      onPace: (paceMs) => {
+        relay.recordReached()
+        endpointTable.recordPace(entry.id, paceMs, monotonicNow())
+      }
     }, abort)
     const now = monotonicNow()
     endpointTable.finishWork(entry.id, entry.bornAt, workEndOf(result.end), now)
+    if (result.end === StreamEnd.Broken && result.events === 0) relay.recordUnreached(entry.id)
     // An endpoint that is full, is changing weights or has older weights than reported is avoided for a while.
     if (result.end === StreamEnd.NotRun || result.end === StreamEnd.Stale) endpointTable.recordModelRefusal(entry.id, order.model, now)
     log.record(LogEvent.SampleEnded, {
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallOrigin, CallTask, EndpointNoticeTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallOrigin, CallTask, EndpointNoticeTask, NO_RELAY, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { EndpointReplyKind, PeerMessageKind } from '@cyclamenthread/protocol'
 import { Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
@@ -52,7 +52,7 @@
   }
   const members = { workers: () => ['h1', 'h2'].map((id) => ({ id }) as Host) }
   const notices = new EndpointNoticeTask({ self: { id: 'h1' }, deployment: view, sends: UNLIMITED_SENDS, members, bus, log: SILENT_LOG })
-  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, networkLocation: LOCATION, tally, log: SILENT_LOG })
+  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay: NO_RELAY, networkLocation: LOCATION, tally, log: SILENT_LOG })
   return {
     task,
     reported,
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import {
-  announceLeave, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallForwarder, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
   SendPermitTask, StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -91,6 +91,7 @@
   readonly #relay: MirrorRelay
   readonly #sends: SendPermitTask
   readonly #notices: EndpointNoticeTask
+  readonly #forwarder: CallForwarder
   #ready = false
   #leaving = false
 
@@ -114,7 +115,8 @@
     this.tally = new UsageTally(settings.usageWindowMs)
     this.#sends = new SendPermitTask({ self, members: this.#members, bus: this.#bus, log })
     this.#notices = new EndpointNoticeTask({ self, deployment: this.deployment, sends: this.#sends, members: this.#members, bus: this.#bus, log })
-    const shared = { deployment: this.deployment, endpoints, sends: this.#sends, notices: this.#notices, log, networkLocation }
+    this.#forwarder = new CallForwarder({ self, deployment: this.deployment, endpoints, members: this.#members, bus: this.#bus, log })
+    const shared = { deployment: this.deployment, endpoints, sends: this.#sends, notices: this.#notices, relay: this.#forwarder, log, networkLocation }
     this.calls = new CallTask({ ...shared, tally: this.tally })
     this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
     this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
@@ -176,6 +178,7 @@
     this.#broker.createService(this.streams.service())
     this.#broker.createService(this.#sends.service())
     this.#broker.createService(this.#notices.service())
+    this.#broker.createService(this.#forwarder.service(async (call) => await this.calls.run(call)))
     this.#broker.createService(taskService('weights', {
       [PeerMessageKind.ReportEndpointWeights]: async ({ endpointId, bornAt, model, version }) => {
         const { endpointTable } = this.deployment
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -41,5 +41,6 @@
   RequestSends = 'sends.request',
   ChargeSends = 'sends.charge',
   ReportLimitLifted = 'sends.lifted',
-  ReportEndpointLeaving = 'endpoints.leaving'
+  ReportEndpointLeaving = 'endpoints.leaving',
+  ForwardCall = 'calls.forward'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -17,6 +17,7 @@
 import { PeerMessageKind } from './message-kind.js'
 import { mirrorAgeSchema, readMirrorAgeSchema, relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
+import { forwardCallSchema, forwardedCallSchema } from './call-message.js'
 import { chargeSendsSchema, reportEndpointLeavingSchema, reportLimitLiftedSchema, requestSendsSchema, sendGrantSchema } from './endpoint-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
@@ -29,7 +30,7 @@
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
   acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema, readMirrorAgeSchema,
-  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema, reportEndpointLeavingSchema
+  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema, reportEndpointLeavingSchema, forwardCallSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -75,7 +76,8 @@
   [PeerMessageKind.RequestSends]: sendGrantSchema,
   [PeerMessageKind.ChargeSends]: acceptedResponseSchema,
   [PeerMessageKind.ReportLimitLifted]: acceptedResponseSchema,
-  [PeerMessageKind.ReportEndpointLeaving]: acceptedResponseSchema
+  [PeerMessageKind.ReportEndpointLeaving]: acceptedResponseSchema,
+  [PeerMessageKind.ForwardCall]: forwardedCallSchema
 } as const
 
 /** A message between hosts. */
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -130,6 +130,11 @@
     return [...this.#records.values()].filter((record) => record.entry.service === service)
   }
 
+  /** All endpoints that may be given work, as far as the registry and they themselves say. */
+  endpointsInService (): EndpointRecord[] {
+    return [...this.#records.values()].filter(isInService)
+  }
+
   /** Endpoints of a service that may be given work now. */
   usableEndpoints (service: string, now: number): EndpointRecord[] {
     return this.endpointsOfService(service).filter((record) => isInService(record) && now >= record.suspendedUntil)
