A call that is passed on keeps its number of attempts, and one dead endpoint of many passes none on

The served software versions are kept in a set again, since the lookup is made for each interrupted text in each pass.

--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -40,12 +40,18 @@
   recordUnreached (endpointId: string): void
   /** Whether this host reaches no endpoint. */
   readonly isCutOff: boolean
-  /** Has another host run a call; undefined if none took it. */
-  forward (call: PlainCall): Promise<CallOutcome | undefined>
+  /** Whether that is in doubt: several endpoints have given no sign, and none has since. */
+  readonly isDoubtful: boolean
+  /**
+   * Has another host run a call; undefined if none took it.
+   *
+   * @param maxAttempts number of endpoints to which it may be sent there
+   */
+  forward (call: PlainCall, maxAttempts: number): Promise<CallOutcome | undefined>
 }
 
 /** A relay for tests of hosts that reach their endpoints. */
-export const NO_RELAY: CallRelay = { recordReached: () => {}, recordUnreached: () => {}, isCutOff: false, forward: async () => undefined }
+export const NO_RELAY: CallRelay = { recordReached: () => {}, recordUnreached: () => {}, isCutOff: false, isDoubtful: false, forward: async () => undefined }
 
 /** Dependencies of a {@link CallForwarder}. */
 export interface CallForwarderContext {
@@ -86,22 +92,26 @@
     return this.#reach.isCutOff(monotonicNow())
   }
 
+  get isDoubtful (): boolean {
+    return this.#reach.isDoubtful
+  }
+
   recordReached (): void {
     this.#reach.recordReached(monotonicNow())
   }
 
   recordUnreached (endpointId: string): void {
     this.#reach.recordUnreached(endpointId)
-    if (this.#reach.isDoubtful) void this.#probeUntilReached()
+    if (this.isDoubtful) void this.#probeUntilReached()
   }
 
-  async forward (call: PlainCall): Promise<CallOutcome | undefined> {
+  async forward (call: PlainCall, maxAttempts: number): Promise<CallOutcome | undefined> {
     const { bus, log } = this.#context
     for (const helper of this.#helpers().slice(0, MAX_HELPERS)) {
       const sentAt = monotonicNow()
       const { requestId, route, method, path, headers, body, workspace, continues, deadline, signal } = call
       const message: ForwardCall = {
-        kind: PeerMessageKind.ForwardCall, requestId, host: route.host, method, path, headers: headers.map(([name, value]): [string, string] => [name, value]), body, workspace, continues, leftMs: Math.max(0, timeLeft(deadline))
+        kind: PeerMessageKind.ForwardCall, requestId, host: route.host, method, path, headers: headers.map(([name, value]): [string, string] => [name, value]), body, workspace, continues, maxAttempts, leftMs: Math.max(0, timeLeft(deadline))
       }
       const reply = await bus.send(helper, message, { deadline, signal })
       const isTaken = reply.ok ? reply.value.ok || reply.value.taken : reply.failure !== PeerFailure.NotSent
@@ -129,7 +139,7 @@
   }
 
   async #runForwarded (message: ForwardCall, run: CallRunner, signal: AbortSignal): Promise<ForwardedCall> {
-    const { requestId, host, method, path, headers, body, workspace, continues, leftMs } = message
+    const { requestId, host, method, path, headers, body, workspace, continues, maxAttempts, leftMs } = message
     const route = this.#context.deployment.routeTable?.findRoute(host, path)
     const notTaken = (detail: string): ForwardedCall => ({ ok: false, refusal: notRun(RefusalReason.Overloaded, detail, RETRY_AFTER_MS), taken: false, failures: 0 })
     if (route === undefined) return notTaken('no route matches at the other host')
@@ -138,7 +148,7 @@
     this.#forwarded += 1
     try {
       const outcome = await run({
-        requestId, route, origin: CallOrigin.Caller, workspace, method, path, headers, body, ...(continues === undefined ? {} : { continues }), deadline: deadlineAfter(leftMs), signal, isForwarded: true
+        requestId, route: { ...route, maxAttempts: Math.min(route.maxAttempts, maxAttempts) }, origin: CallOrigin.Caller, workspace, method, path, headers, body, ...(continues === undefined ? {} : { continues }), deadline: deadlineAfter(leftMs), signal, isForwarded: true
       })
       if (!outcome.ok) return { ...outcome, taken: true }
       return { ...outcome, headers: outcome.headers.map(([name, value]): [string, string] => [name, value]) }
@@ -153,7 +163,7 @@
     this.#isProbing = true
     const { deployment, endpoints, log } = this.#context
     let cutOffSince: number | undefined
-    for (let index = 0; this.#reach.isDoubtful; index += 1) {
+    for (let index = 0; this.isDoubtful; index += 1) {
       if (this.isCutOff && cutOffSince === undefined) {
         cutOffSince = monotonicNow()
         log.record(LogEvent.DependencyLost, { dependency: 'endpoints', detail: 'no endpoint is reached; calls are passed on to other hosts' })
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -220,14 +220,15 @@
 
   /** Whether the call should run at another host: this one reaches no endpoint, and the call may be sent once more. */
   #mayForward ({ call, isForwarded, unreached, attempts, mayHaveRun, openAttempts, arrived }: CallState): boolean {
+    const { relay } = this.#context
     if (isForwarded || arrived.length > 0 || attempts >= call.route.maxAttempts) return false
     const isUnsent = !mayHaveRun && openAttempts.size === 0
-    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (unreached.size >= MAX_UNREACHED || this.#context.relay.isCutOff)
+    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (relay.isCutOff || (relay.isDoubtful && unreached.size >= MAX_UNREACHED))
   }
 
   async #forward (state: CallState): Promise<CallOutcome | undefined> {
     state.isForwarded = true
-    const outcome = await this.#context.relay.forward(state.call)
+    const outcome = await this.#context.relay.forward(state.call, state.call.route.maxAttempts - state.attempts)
     if (outcome === undefined || outcome.ok || outcome.refusal.ran !== Ran.No || !state.mayHaveRun) return outcome
     return { ...outcome, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: outcome.refusal.detail } }
   }
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -109,6 +109,8 @@
  */
 export class EndpointTable {
   readonly #records = new Map<string, EndpointRecord>()
+  /** Services and software versions of the endpoints in service. */
+  readonly #servedVersions = new Set<string>()
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
 
   /** Replaces the registry entries. */
@@ -118,6 +120,7 @@
       if (!ids.has(id)) this.#records.delete(id)
     }
     for (const entry of entries) this.#updateEntry(entry)
+    this.#updateServedVersions()
   }
 
   /** Looks up the record of an endpoint. */
@@ -142,10 +145,7 @@
 
   /** Whether the registry has a ready endpoint of a software version, even if it has no room or was suspended. */
   isVersionServed (service: string, softwareVersion: string): boolean {
-    for (const record of this.#records.values()) {
-      if (record.entry.service === service && record.entry.softwareVersion === softwareVersion && isInService(record)) return true
-    }
-    return false
+    return this.#servedVersions.has(versionKey(service, softwareVersion))
   }
 
   /** Records that work is about to be sent to an endpoint. */
@@ -221,6 +221,7 @@
     const record = this.#records.get(id)
     if (record === undefined || record.entry.bornAt !== bornAt || record.isLeaving) return false
     record.isLeaving = true
+    this.#updateServedVersions()
     return true
   }
 
@@ -281,6 +282,11 @@
     return Math.max(record.entry.versions[model] ?? 0, record.observedVersions[model] ?? 0)
   }
 
+  #updateServedVersions (): void {
+    this.#servedVersions.clear()
+    for (const { entry } of this.endpointsInService()) this.#servedVersions.add(versionKey(entry.service, entry.softwareVersion))
+  }
+
   #updateEntry (entry: EndpointEntry): void {
     const known = this.#records.get(entry.id)
     if (known !== undefined && isSameIncarnation(known.entry, entry)) {
@@ -329,6 +335,10 @@
   return a.bornAt === b.bornAt && a.address === b.address && a.softwareVersion === b.softwareVersion
 }
 
+function versionKey (service: string, softwareVersion: string): string {
+  return JSON.stringify([service, softwareVersion])
+}
+
 function sameVersions (a: EndpointEntry, b: EndpointEntry): boolean {
   return Object.keys({ ...a.versions, ...b.versions }).every((model) => a.versions[model] === b.versions[model])
 }
