Calls search their endpoints in a module of their own, and a refusal by a helping host is true

EndpointSearch holds the choice of an endpoint within limits, which CallTask had beside its own states. From reading the forwarding again: a refusal as not run became the answer although an attempt of this host was still open; a helping host that stops counts as not having taken the call; and if the helping hosts have too many calls, the caller is refused at once instead of waiting for endpoints out of reach.

--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -43,7 +43,7 @@
   /** Whether that is in doubt: several endpoints have given no sign, and none has since. */
   readonly isDoubtful: boolean
   /**
-   * Has another host run a call; undefined if none took it.
+   * Has another host run a call; undefined if none can, and a refusal if those asked have too many calls.
    *
    * @param maxAttempts number of endpoints to which it may be sent there
    */
@@ -107,6 +107,7 @@
 
   async forward (call: PlainCall, maxAttempts: number): Promise<CallOutcome | undefined> {
     const { bus, log } = this.#context
+    let overload: CallOutcome | undefined
     for (const helper of this.#helpers().slice(0, MAX_HELPERS)) {
       const sentAt = monotonicNow()
       const { requestId, route, method, path, headers, body, workspace, continues, deadline, signal } = call
@@ -118,12 +119,13 @@
       log.record(LogEvent.CallForwarded, { requestId, host: helper.id, outcome: !isTaken ? 'not-taken' : reply.ok ? reply.value.ok ? reply.value.status : reply.value.refusal.reason : reply.failure, tookMs: Math.round(monotonicNow() - sentAt) })
       if (!isTaken) {
         this.#pausedUntil.set(helper.id, deadlineAfter(HELPER_PAUSE_MS))
+        if (reply.ok && !reply.value.ok && reply.value.refusal.reason === RefusalReason.Overloaded) overload = outcomeOf(reply.value)
         continue
       }
       if (reply.ok) return outcomeOf(reply.value)
       return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `host ${helper.id} took the call and gave no answer` }, failures: 0 }
     }
-    return undefined
+    return overload
   }
 
   /** Returns the other hosts: first those of other failure domains, since one may be cut off as a whole, in random order. */
@@ -141,16 +143,16 @@
   async #runForwarded (message: ForwardCall, run: CallRunner, signal: AbortSignal): Promise<ForwardedCall> {
     const { requestId, host, method, path, headers, body, workspace, continues, maxAttempts, leftMs } = message
     const route = this.#context.deployment.routeTable?.findRoute(host, path)
-    const notTaken = (detail: string): ForwardedCall => ({ ok: false, refusal: notRun(RefusalReason.Overloaded, detail, RETRY_AFTER_MS), taken: false, failures: 0 })
-    if (route === undefined) return notTaken('no route matches at the other host')
-    if (this.isCutOff) return notTaken('the other host reaches no endpoint either')
-    if (this.#forwarded >= MAX_FORWARDED_CALLS) return notTaken('the other host runs too many calls for others')
+    const notTaken = (reason: RefusalReason, detail: string): ForwardedCall => ({ ok: false, refusal: notRun(reason, detail, RETRY_AFTER_MS), taken: false, failures: 0 })
+    if (route === undefined) return notTaken(RefusalReason.NotReady, 'no route matches at the other host')
+    if (this.isCutOff) return notTaken(RefusalReason.NoEndpoint, 'the other host reaches no endpoint either')
+    if (this.#forwarded >= MAX_FORWARDED_CALLS) return notTaken(RefusalReason.Overloaded, 'the other host runs too many calls for others')
     this.#forwarded += 1
     try {
       const outcome = await run({
         requestId, route: { ...route, maxAttempts: Math.min(route.maxAttempts, maxAttempts) }, origin: CallOrigin.Caller, workspace, method, path, headers, body, ...(continues === undefined ? {} : { continues }), deadline: deadlineAfter(leftMs), signal, isForwarded: true
       })
-      if (!outcome.ok) return { ...outcome, taken: true }
+      if (!outcome.ok) return { ...outcome, taken: outcome.refusal.reason !== RefusalReason.Leaving }
       return { ...outcome, headers: outcome.headers.map(([name, value]): [string, string] => [name, value]) }
     } finally {
       this.#forwarded -= 1
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,21 +1,17 @@
-import { chooseEndpointForCall, drawService, endsInTime, isInService, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, SendUrgency, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { drawService, endsInTime, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
 import { describeLimit } from './endpoint-notice-task.js'
+import { DEFAULT_CALL_MS, EndpointSearch, SearchEnd } from './endpoint-search.js'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
-import { SendPermission } from './send-permit-task.js'
-import type { EndpointRecord, Refusal, StreamOrigin, UsageTally, NetworkLocation } from '@cyclamenthread/state'
+import type { EndpointRecord, Refusal, StreamOrigin, UsageTally } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
 import type { CallRelay } from './call-forwarder.js'
-import type { DeploymentView } from './deployment-view.js'
 import type { EndpointNotices } from './endpoint-notice-task.js'
+import type { EndpointQuery, EndpointSearchContext } from './endpoint-search.js'
 import type { EventLog } from './event-log.js'
 import type { CallOutcome, PlainCall } from './plain-call.js'
-import type { SendPermits } from './send-permit-task.js'
-
-/** Assumed duration of a plain call before any was measured, in milliseconds; about the mean in the deployments' data sheets. */
-const DEFAULT_CALL_MS = 40
 
 /** Multiple of its usual duration after which a call is also sent to a second endpoint. */
 const HEDGE_FACTOR = 3
@@ -50,20 +46,11 @@
 /** Status with which an endpoint states that it ran the call and failed. */
 const FAILURE_STATUS = 500
 
-/** Number of slots of each endpoint that calls of an origin leave free: callers don't wait behind rewards. */
-const RESERVED_SLOTS: Readonly<Record<CallOrigin, number>> = { [CallOrigin.Caller]: 0, [CallOrigin.Reward]: 2 }
-
-/** Urgency of calls of an origin at endpoints that name a limit. */
-const URGENCY: Readonly<Record<CallOrigin, SendUrgency>> = { [CallOrigin.Caller]: SendUrgency.Caller, [CallOrigin.Reward]: SendUrgency.Reward }
-
 /** Dependencies of a {@link CallTask}. */
-export interface CallContext {
-  readonly deployment: DeploymentView
+export interface CallContext extends EndpointSearchContext {
   readonly endpoints: EndpointPort
-  readonly sends: SendPermits
   readonly notices: EndpointNotices
   readonly relay: CallRelay
-  readonly networkLocation: NetworkLocation
   readonly tally: UsageTally
   readonly log: EventLog
 }
@@ -81,24 +68,6 @@
   readonly reply: EndpointReply
 }
 
-/** Kinds of results of a search for an endpoint. */
-enum SearchEnd {
-  Found = 'found',
-  /** The keeper of an endpoint's limit is being asked. */
-  Asking = 'asking',
-  None = 'none'
-}
-
-/** The result of a search for an endpoint that a call may be sent to now. */
-type SearchResult =
-  | { readonly end: SearchEnd.Found, readonly record: EndpointRecord, readonly startBefore: number }
-  | { readonly end: SearchEnd.Asking }
-  | {
-    readonly end: SearchEnd.None
-    /** Monotonic milliseconds at which the limit of an endpoint allows a request; undefined if no limit was in the way. */
-    readonly retryAt: number | undefined
-  }
-
 /** State of a call in progress. */
 interface CallState {
   readonly call: PlainCall
@@ -141,11 +110,13 @@
  */
 export class CallTask {
   readonly #context: CallContext
+  readonly #search: EndpointSearch
   /** Monotonic milliseconds at which this host stops. */
   #endsAt = Infinity
 
   constructor (context: CallContext) {
     this.#context = context
+    this.#search = new EndpointSearch(context)
   }
 
   /**
@@ -196,8 +167,7 @@
 
   /** Whether an endpoint of a service has a slot for a reward request now. */
   hasRoomForReward (service: string): boolean {
-    const demand = { service, excluded: new Set<string>(), typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[CallOrigin.Reward] }
-    return chooseEndpointForCall(this.#context.deployment.endpointTable, demand, this.#context.networkLocation, monotonicNow()) !== undefined
+    return this.#search.hasRoom(service, CallOrigin.Reward)
   }
 
   async #runToOutcome (state: CallState, signal: AbortSignal): Promise<CallOutcome> {
@@ -229,7 +199,8 @@
   async #forward (state: CallState): Promise<CallOutcome | undefined> {
     state.isForwarded = true
     const outcome = await this.#context.relay.forward(state.call, state.call.route.maxAttempts - state.attempts)
-    if (outcome === undefined || outcome.ok || outcome.refusal.ran !== Ran.No || !state.mayHaveRun) return outcome
+    const mayHaveRun = state.mayHaveRun || state.openAttempts.size > 0
+    if (outcome === undefined || outcome.ok || outcome.refusal.ran !== Ran.No || !mayHaveRun) return outcome
     return { ...outcome, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: outcome.refusal.detail } }
   }
 
@@ -249,21 +220,20 @@
     }
     if (state.call.startBefore !== undefined && monotonicNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
     const softwareVersion = state.call.continues?.softwareVersion
-    const found = this.#findEndpoint(state)
+    const found = this.#search.find(queryOf(state))
     switch (found.end) {
       case SearchEnd.Found:
         this.#send(state, found.record, found.startBefore)
         return undefined
       case SearchEnd.Asking:
+        void found.answered.then(() => state.wake())
         if (monotonicNow() < state.refuseAt) return undefined
         break
+      case SearchEnd.Limited: return this.#limitRefusal(state, found.retryAt - monotonicNow())
       case SearchEnd.None: break
       default: return unreachable(found)
     }
-    const now = monotonicNow()
-    const retryAt = found.end === SearchEnd.None ? found.retryAt : undefined
-    if (retryAt !== undefined && retryAt > state.refuseAt && !this.#isOtherEndpointExpected(state)) return this.#limitRefusal(state, retryAt - now)
-    const isLate = now >= state.refuseAt
+    const isLate = monotonicNow() >= state.refuseAt
     const listed = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion)).length
     if (listed > 0 && !isLate && state.rejections < MAX_REJECTIONS) {
       state.excluded.clear()
@@ -275,39 +245,6 @@
       : notRun(listed === 0 ? RefusalReason.NoEndpoint : RefusalReason.Overloaded, detail, RETRY_AFTER_MS)
   }
 
-  /** Finds the endpoint that is expected to answer first among those that accept the call and whose limit allows it. */
-  #findEndpoint (state: CallState): SearchResult {
-    const { deployment, networkLocation, sends } = this.#context
-    const { call, service } = state
-    const excluded = new Set(state.excluded)
-    const demand = { service, excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[call.origin], softwareVersion: call.continues?.softwareVersion }
-    let retryAt: number | undefined
-    for (;;) {
-      const now = monotonicNow()
-      const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, now)
-      if (record === undefined) return { end: SearchEnd.None, retryAt }
-      const permit = sends.take(record, URGENCY[call.origin], Math.max(0, state.refuseAt - now))
-      switch (permit.kind) {
-        case SendPermission.Unlimited: return { end: SearchEnd.Found, record, startBefore: Infinity }
-        case SendPermission.Granted: return { end: SearchEnd.Found, record, startBefore: permit.startBefore }
-        case SendPermission.Asking:
-          void permit.answered.then(() => state.wake())
-          return { end: SearchEnd.Asking }
-        case SendPermission.Denied:
-          retryAt = Math.min(retryAt ?? Infinity, permit.retryAt)
-          excluded.add(record.entry.id)
-          break
-        default: return unreachable(permit)
-      }
-    }
-  }
-
-  /** Whether an endpoint without a limit, to which the call can't be sent now, may accept it in time. */
-  #isOtherEndpointExpected ({ service, call, refuseAt }: CallState): boolean {
-    return this.#context.deployment.endpointTable.endpointsOfService(service).some((record) =>
-      isOfVersion(record, call.continues?.softwareVersion) && isInService(record) && record.requestLimit.current === undefined && record.suspendedUntil < refuseAt)
-  }
-
   /** Refuses a call because of the limits that the endpoints of its service name. */
   #limitRefusal (state: CallState, retryAfterMs: number): Refusal {
     const detail = `the endpoints of service ${state.service} accept no more requests than the limits that they name`
@@ -370,15 +307,11 @@
     }
   }
 
-  /** Sends a copy of the call to a second endpoint, but not to one in need: a copy would take the place of another call. */
+  /** Sends a copy of the call to a second endpoint. */
   #startHedge (state: CallState): void {
-    const { deployment, networkLocation } = this.#context
-    const now = monotonicNow()
-    const { call, service } = state
-    if (call.startBefore !== undefined && now >= call.startBefore) return
-    const excluded = new Set([...state.excluded, ...deployment.endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id)])
-    const demand = { service, excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[call.origin], softwareVersion: call.continues?.softwareVersion }
-    const record = chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, now)
+    const { startBefore } = state.call
+    if (startBefore !== undefined && monotonicNow() >= startBefore) return
+    const record = this.#search.findForCopy(queryOf(state))
     if (record === undefined) state.excluded.clear()
     else this.#send(state, record, Infinity)
   }
@@ -479,6 +412,10 @@
   }
 }
 
+function queryOf ({ call, service, excluded, refuseAt }: CallState): EndpointQuery {
+  return { service, origin: call.origin, softwareVersion: call.continues?.softwareVersion, excluded, waitUntil: refuseAt }
+}
+
 function outcomeOf ({ reply: { status, headers, body, signature }, origin }: AnsweredAttempt, failures: number): CallOutcome {
   return { ok: true, status, headers, body, signature, origin, failures }
 }
