Three tests wait for what they need instead of a fixed time

Causes: the first handed over after 150 ms, whatever had been read by then; the second closed the server after 50 ms, before its requests had arrived (their connections were refused, so the arrivals that it awaited never came). The third gave all appends of a seed one deadline of 10 s; the pauses after lost writes are drawn at random, seven losses in a row (0.7 each) use it up, and past it append fails without a pause, so the loop never yields.

Each is as strict as before: the same outcomes are checked; the first needs more than two events read, the second waits for both requests, the third gives each append the 10 s.

--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -200,11 +200,18 @@
 
 test('after a planned stop the next owner resumes from the text of the previous one', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
-  endpoints.streamScripts.set('a', streamOf(40, 3, 10))
+  let requestedParts = 0
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    for await (const part of streamOf(40, 3, 10)(request, resumeAfter)) {
+      requestedParts += 1
+      yield part
+    }
+  })
   const order = rolloutOrder(1, 1)
   const first = open(order)
   first.start()
-  await new Promise((resolve) => setTimeout(resolve, 150))
+  // The start of the stream and more than two events have been read once the next part is requested.
+  await waitUntil(t, () => requestedParts > 4)
   const handover = first.handOver()
   t.true((handover.texts[0]?.pieces.length ?? 0) > 2)
   const second = open(order)
--- a/packages/coordination/src/test/rollout-store.test.ts
+++ b/packages/coordination/src/test/rollout-store.test.ts
@@ -48,12 +48,11 @@
   for (const seed of [1, 2, 3]) {
     const { memory, store } = openStore(seed)
     Object.assign(memory.faults, { lostAnswers: 0.3, lostWrites: 0.2, lateWrites: 0.2, latenessMs: 30, jitterMs: 4 })
-    const deadline = deadlineAfter(TEST_MS)
     const ids = ['a', 'b', 'c', 'd']
     const writers = await Promise.all(['x', 'y'].map(async (writer) => {
       const progress = new RolloutProgress()
       for (const id of ids) {
-        while (!progress.isListed(id)) await store.append('r1', progress, createSegment(writer, [id]), deadline)
+        while (!progress.isListed(id)) await store.append('r1', progress, createSegment(writer, [id]), deadlineAfter(TEST_MS))
       }
       return progress
     }))
--- a/packages/cyclamenthread/src/test/caller-server.test.ts
+++ b/packages/cyclamenthread/src/test/caller-server.test.ts
@@ -98,16 +98,12 @@
     await once(signal, 'abort')
     return answer(503, 'not run')
   })
-  const requests = ['/deaf', '/attentive'].map(async (path) => {
-    const arrival = once(arrived, path)
-    const response = fetch(url + path)
-    await arrival
-    return response
-  })
-  await new Promise((resolve) => setTimeout(resolve, 50))
+  const arrivals = Promise.all([once(arrived, '/deaf'), once(arrived, '/attentive')])
+  const responses = Promise.all([fetch(`${url}/deaf`), fetch(`${url}/attentive`)])
+  await arrivals
   await server.close(AbortSignal.timeout(50))
-  const [deaf, attentive] = await Promise.all(requests)
-  t.is(deaf?.status, 504)
-  t.is(attentive?.status, 503)
-  t.is(await attentive?.text(), 'not run')
+  const [deaf, attentive] = await responses
+  t.is(deaf.status, 504)
+  t.is(attentive.status, 503)
+  t.is(await attentive.text(), 'not run')
 })
