--- a/packages/coordination/src/lib/send-permit-task.ts
+++ b/packages/coordination/src/lib/send-permit-task.ts
@@ -24,7 +24,7 @@
 const MAX_RETRY_MS = 1_000
 
 /** Time after which the grants of an endpoint that nobody asked for are forgotten, in milliseconds. */
-const DESK_LIFETIME_MS = 60_000
+const GRANTS_LIFETIME_MS = 60_000
 
 /** Whether a request may be sent to an endpoint. */
 export enum SendPermission {
@@ -87,9 +87,9 @@
 }
 
 /** What this host holds for one incarnation of a limited endpoint. */
-interface SendDesk {
+interface EndpointGrants {
   /** Grants that weren't used yet: monotonic milliseconds until which each may be used. */
-  grants: number[]
+  unused: number[]
   asking: Promise<void> | undefined
   /** Requests for a permit since the keeper was last asked. */
   wanted: number
@@ -113,7 +113,7 @@
 export class SendPermitTask implements SendPermits {
   readonly #context: SendPermitContext
   readonly #keeper: SendAccountKeeper
-  readonly #desks = new Map<string, SendDesk>()
+  readonly #endpoints = new Map<string, EndpointGrants>()
   readonly #unresponsiveUntil = new Map<string, number>()
 
   constructor (context: SendPermitContext) {
@@ -140,17 +140,17 @@
     const limit = record.requestLimit.current
     if (limit === undefined) return { kind: SendPermission.Unlimited }
     const now = monotonicNow()
-    const desk = this.#deskOf(record.entry, now)
-    desk.grants = desk.grants.filter((startBefore) => startBefore > now)
-    const startBefore = desk.grants.shift()
+    const held = this.#grantsOf(record.entry, now)
+    held.unused = held.unused.filter((startBefore) => startBefore > now)
+    const startBefore = held.unused.shift()
     if (startBefore !== undefined) return { kind: SendPermission.Granted, startBefore }
-    desk.wanted += 1
-    if (desk.asking === undefined && (now >= desk.askAt || urgency < desk.deniedUrgency)) {
-      desk.asking = this.#ask(desk, record, limit, urgency, waitMs).finally(() => {
-        desk.asking = undefined
+    held.wanted += 1
+    if (held.asking === undefined && (now >= held.askAt || urgency < held.deniedUrgency)) {
+      held.asking = this.#ask(held, record, limit, urgency, waitMs).finally(() => {
+        held.asking = undefined
       })
     }
-    return desk.asking === undefined ? { kind: SendPermission.Denied, retryAt: Math.max(desk.retryAt, desk.askAt) } : { kind: SendPermission.Asking, answered: desk.asking }
+    return held.asking === undefined ? { kind: SendPermission.Denied, retryAt: Math.max(held.retryAt, held.askAt) } : { kind: SendPermission.Asking, answered: held.asking }
   }
 
   charge (record: EndpointRecord): void {
@@ -167,27 +167,27 @@
     for (const keeper of accountKeepers(endpointId, this.#context.members.workers()).slice(0, most)) void this.#context.bus.post(keeper, message)
   }
 
-  #deskOf (entry: EndpointEntry, now: number): SendDesk {
+  #grantsOf (entry: EndpointEntry, now: number): EndpointGrants {
     const key = `${entry.id}@${entry.bornAt}`
-    const known = this.#desks.get(key)
+    const known = this.#endpoints.get(key)
     if (known !== undefined) {
       known.usedAt = now
       return known
     }
-    for (const [other, { usedAt }] of this.#desks) {
-      if (now - usedAt > DESK_LIFETIME_MS) this.#desks.delete(other)
+    for (const [other, { usedAt }] of this.#endpoints) {
+      if (now - usedAt > GRANTS_LIFETIME_MS) this.#endpoints.delete(other)
     }
-    const desk: SendDesk = { grants: [], asking: undefined, wanted: 0, deniedUrgency: -Infinity, askAt: -Infinity, retryAt: -Infinity, usedAt: now }
-    this.#desks.set(key, desk)
-    return desk
+    const held: EndpointGrants = { unused: [], asking: undefined, wanted: 0, deniedUrgency: -Infinity, askAt: -Infinity, retryAt: -Infinity, usedAt: now }
+    this.#endpoints.set(key, held)
+    return held
   }
 
   /** Asks the first keeper that answers for as many grants as are wanted. */
-  async #ask (desk: SendDesk, record: EndpointRecord, limit: RequestLimit, urgency: SendUrgency, waitMs: number): Promise<void> {
+  async #ask (held: EndpointGrants, record: EndpointRecord, limit: RequestLimit, urgency: SendUrgency, waitMs: number): Promise<void> {
     const { entry } = record
     const askedAt = monotonicNow()
-    const count = desk.wanted
-    desk.wanted = 0
+    const count = held.wanted
+    held.wanted = 0
     const message = {
       kind: PeerMessageKind.RequestSends as const, endpointId: entry.id, bornAt: entry.bornAt, requestsPerSecond: limit.requestsPerSecond, ageMs: askedAt - limit.namedAt, urgency, count, waitMs
     }
@@ -207,10 +207,10 @@
     if (reply?.lifted === true) record.requestLimit.apply({ requestsPerSecond: undefined, sentAt: now, receivedAt: now })
     const { granted = 0, retryAfterMs = UNANSWERED_RETRY_MS } = reply ?? {}
     // Counted from before the keeper was asked: its answer may be processed late.
-    for (let index = 0; index < granted; index += 1) desk.grants.push(askedAt + SEND_GRANT_LIFETIME_MS)
-    desk.deniedUrgency = granted < count ? urgency : -Infinity
-    desk.retryAt = now + retryAfterMs
-    desk.askAt = now + Math.min(retryAfterMs, MAX_RETRY_MS)
+    for (let index = 0; index < granted; index += 1) held.unused.push(askedAt + SEND_GRANT_LIFETIME_MS)
+    held.deniedUrgency = granted < count ? urgency : -Infinity
+    held.retryAt = now + retryAfterMs
+    held.askAt = now + Math.min(retryAfterMs, MAX_RETRY_MS)
     this.#context.log.record(LogEvent.SendsRequested, {
       endpoint: entry.id,
       keeper: answeredBy,
