--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -62,9 +62,12 @@
   process.exit(code)
 }
 
-/** Starts all hosts and waits until they are ready and know each other. */
+/** Time after the start of a host from which it is in touch (`contactMs`), in milliseconds. */
+const CONTACT_MS = 4_000
+
+/** Starts all hosts and waits until they are ready and in touch. */
 export async function startHosts (hosts) {
   for (const host of hosts) host.start()
   for (const host of hosts) await host.waitUntilReady()
-  await sleep(3_000)
+  await sleep(CONTACT_MS)
 }
--- a/review/lib/client.js
+++ b/review/lib/client.js
@@ -23,7 +23,7 @@
     const timer = setTimeout(() => request.destroy(new Error('client deadline')), timeoutMs + 500)
     const finish = (result) => {
       clearTimeout(timer)
-      resolve(result)
+      resolve({ ...result, reused: request.reusedSocket })
     }
     let sentAll = false
     request.once('finish', () => {
--- a/review/lib/engine.js
+++ b/review/lib/engine.js
@@ -1,6 +1,11 @@
 import { createServer } from 'node:http'
 import { listen, sleep } from './network.js'
 
+/** What a body without end consists of: 250 KB each 10 ms are 200 Mbit/s. */
+const FILLER = 'x'.repeat(1_000)
+const POUR_BYTES = 250_000
+const POUR_PERIOD_MS = 10
+
 /**
  * An engine of a plain service or of a model service. It registers in the store, runs
  * `slots` requests at once, and rejects those that it has no room for.
@@ -31,6 +36,8 @@
   /** Called when a run has ended. */
   onEnd = () => {}
   answers = 0
+  /** Whether the engine is in trouble: the body of each stream that it begins goes on until the caller closes. */
+  isEndless = false
 
   constructor ({ id, service, zone, slots = 6, queue = 4, workMs = 36, events = 20, eventMs = 40, models = [], store, record }) {
     Object.assign(this, { id, service, zone, slots, queue, workMs, events, eventMs, models })
@@ -120,6 +127,10 @@
       const first = Number(request.headers['last-event-id'] ?? 0) + 1
       response.writeHead(200, { 'x-cyclamenthread-attempt-id': id, 'x-cyclamenthread-server-seal': `seal.${id}`, 'content-type': 'text/event-stream', 'x-cyclamenthread-weight-versions': String(this.models[0]?.version ?? 1) })
       response.flushHeaders()
+      if (this.isEndless) {
+        await this.#pour(response, first, () => this.#closed || gone)
+        return
+      }
       for (let number = first; number <= this.events; number += 1) {
         await sleep(this.eventMs)
         if (this.#closed || gone) return
@@ -132,4 +143,17 @@
       this.onEnd({ id, engine: this.id, finished })
     }
   }
+
+  /** Writes bytes without end, at well under the rate of a machine's link. */
+  async #pour (response, first, isOver) {
+    for (let number = first; !isOver();) {
+      for (let written = 0; written < POUR_BYTES; number += 1) {
+        const event = `id: ${number}\ndata: ${FILLER}\n\n`
+        written += event.length
+        response.write(event)
+      }
+      await sleep(POUR_PERIOD_MS)
+      while (response.writableNeedDrain && !isOver()) await sleep(POUR_PERIOD_MS)
+    }
+  }
 }
