--- a/review/lib/engine.js
+++ b/review/lib/engine.js
@@ -16,6 +16,7 @@
   #store
   #active = 0
   #closed = false
+  #sockets = new Set()
   id
   service
   zone
@@ -46,6 +47,10 @@
     this.#server = createServer((request, response) => {
       this.#handle(request, response).catch(() => response.destroy())
     })
+    this.#server.on('connection', (socket) => {
+      this.#sockets.add(socket)
+      socket.once('close', () => this.#sockets.delete(socket))
+    })
     this.#server.keepAliveTimeout = 60_000
     this.#server.maxRequestsPerSocket = 0
   }
@@ -54,8 +59,8 @@
     return this.#active
   }
 
-  async listen (host) {
-    this.address = await listen(this.#server, host)
+  async listen (host, port) {
+    this.address = await listen(this.#server, host, port)
     return this.address
   }
 
@@ -66,6 +71,13 @@
     })
   }
 
+  /** Ends like a process that crashes: resets all connections and refuses new ones. */
+  crash () {
+    this.#closed = true
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+    this.#server.close()
+  }
+
   close () {
     this.#closed = true
     this.#server.closeAllConnections()
