--- a/review/1/case.js
+++ b/review/1/case.js
@@ -23,7 +23,7 @@
   return { ...configuration(version), tenants }
 }
 
-await runCase(import.meta.url, { hosts: 3, config: configurationWith(7, KEYS) }, async ({ trouble, record, network, store, hosts, onClose }) => {
+await runCase({ hosts: 3, config: configurationWith(7, KEYS) }, async ({ trouble, record, network, store, hosts, onClose }) => {
   const sent = new Map()
   const withdrawnAt = new Map()
   const broken = []
--- a/review/2/case.js
+++ b/review/2/case.js
@@ -9,7 +9,7 @@
 const ROUNDS = 60
 const BURST = 30
 
-await runCase(import.meta.url, { hosts: 2 }, async ({ trouble, record, network, store, hosts, onClose }) => {
+await runCase({ hosts: 2 }, async ({ trouble, record, network, store, hosts, onClose }) => {
   const runs = new Map()
   const broken = []
   const engines = []
--- a/review/3/case.js
+++ b/review/3/case.js
@@ -25,7 +25,7 @@
 /** Number of lost requests that the rule allows. */
 const ALLOWED = 3
 
-await runCase(import.meta.url, { hosts: 3 }, async ({ trouble, record, network, store, hosts, onClose }) => {
+await runCase({ hosts: 3 }, async ({ trouble, record, network, store, hosts, onClose }) => {
   const ran = new Map()
   const models = []
   const addEngine = async (index, settings) => {
--- a/review/lib/case.js
+++ b/review/lib/case.js
@@ -1,5 +1,3 @@
-import { fileURLToPath } from 'node:url'
-import { join } from 'node:path'
 import { createFolder, Host, ZONES } from './host.js'
 import { configuration } from './config.js'
 import { pickNetwork, sleep } from './network.js'
@@ -16,11 +14,16 @@
 
 /**
  * Runs a case: a store, hosts and what the case adds. The case returns the ways in
- * which the rule was broken.
+ * which the rule was broken. The record goes to the file that the command line names.
  */
-export async function runCase (moduleUrl, { hosts: hostCount, config = configuration() }, play) {
+export async function runCase ({ hosts: hostCount, config = configuration() }, play) {
   const trouble = process.env.TROUBLE !== '0'
-  const record = new Record(join(fileURLToPath(new URL('.', moduleUrl)), 'record.txt'))
+  const path = process.argv[2]
+  if (path === undefined) {
+    console.log('usage: node case.js RECORD')
+    process.exit(COULD_NOT_RUN)
+  }
+  const record = new Record(path)
   const folder = createFolder()
   const network = await pickNetwork()
   const duties = []
