--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -102,6 +102,14 @@
   t.true(outcome.ok)
 })
 
+// Guards against a non-idempotent call that runs twice because a late copy of its own first rejection passes for a second one (TWICE).
+test('a non-idempotent call goes back to an endpoint that rejected it on a connection of its own', async (t) => {
+  const { endpoints, run } = await openFixture(t, ['a'])
+  endpoints.callScripts.set('a', async () => endpoints.calls.length < 3 ? { kind: EndpointReplyKind.NotRun, status: 503, load: undefined } : answerWith(200))
+  t.true((await run({ route: { ...ROUTE, kind: RouteKind.NonIdempotent }, deadline: performance.now() + 8_000 })).ok)
+  t.deepEqual(endpoints.calls.map(({ needsNewConnection }) => needsNewConnection), [false, true, true])
+})
+
 test('a call to a silent endpoint is hedged at a second one, and the first attempt is aborted', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb'])
   let isAborted = false
