--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -430,7 +430,7 @@
     case EndpointReplyKind.Answer: return WorkEnd.Finished
     case EndpointReplyKind.NotRun: return WorkEnd.Refused
     case EndpointReplyKind.NotSent: return WorkEnd.Cancelled
-    case EndpointReplyKind.Broken: return WorkEnd.Broken
+    case EndpointReplyKind.Broken: return reply.isOverrun === true ? WorkEnd.Overrun : WorkEnd.Broken
     default: return unreachable(reply)
   }
 }
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, SendUrgency, TextCheck, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { ContinuationStep, continuationDeadline, decideContinuation, placeSample, SampleEventKind, SampleText, SendUrgency, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { describeLimit } from './endpoint-notice-task.js'
@@ -310,7 +310,7 @@
       startBefore: Math.min(permit.startBefore, startBefore),
       signal: abort.signal
     }
-    const result = await readSampleStream(endpoints, request, text, order, {
+    const result = await readSampleStream(endpoints, request, text, { ...order, limit: textLimitOf(sample) }, {
       onStart: ({ version, load }) => {
         relay.recordReached()
         text.recordAnswer(monotonicNow())
@@ -362,6 +362,7 @@
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationFailed })
         break
       case StreamEnd.Stale:
+      case StreamEnd.Overrun:
         text.clear()
         this.#board.apply(sample.id, { kind: SampleEventKind.GenerationInterrupted })
         break
@@ -384,6 +385,7 @@
     case StreamEnd.Failed:
       return WorkEnd.Finished
     case StreamEnd.Broken: return WorkEnd.Broken
+    case StreamEnd.Overrun: return WorkEnd.Overrun
     // A refusal concerns a single model and is recorded by recordModelRefusal.
     case StreamEnd.NotRun:
     case StreamEnd.NotSent:
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -2,7 +2,7 @@
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { unreachable } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
-import type { EndpointNotice, SampleText } from '@cyclamenthread/state'
+import type { EndpointNotice, SampleText, TextLimit } from '@cyclamenthread/state'
 
 /** Time without an event after which a stream is aborted, in milliseconds: many times the usual interval between events. */
 const EVENT_TIMEOUT_MS = 1_500
@@ -31,6 +31,8 @@
   Broken = 'broken',
   /** The text comes from weights that are too old or changed within a sample that requires a single version. */
   Stale = 'stale',
+  /** The endpoint sent more than the text may hold, so none of it counts as the text. */
+  Overrun = 'overrun',
   Cancelled = 'cancelled'
 }
 
@@ -40,10 +42,11 @@
 /** Status with which an endpoint reports that a request can never be completed. */
 const UNPROCESSABLE_STATUS = 422
 
-/** Requirements on the weight versions of a sample's text. */
-export interface VersionRule {
+/** Requirements on the text of a sample: its weight versions and its length. */
+export interface TextRule {
   readonly minVersion: number
   readonly singleVersion: boolean
+  readonly limit: TextLimit
 }
 
 /** Receives notifications while a stream is read. */
@@ -64,12 +67,13 @@
  * const { end } = await readSampleStream(port, request, text, rule, observer, abort)
  */
 export async function readSampleStream (
-  port: EndpointPort, request: EndpointRequest, text: SampleText, rule: VersionRule, observer: StreamObserver, abort: AbortController
+  port: EndpointPort, request: EndpointRequest, text: SampleText, rule: TextRule, observer: StreamObserver, abort: AbortController
 ): Promise<{ readonly end: StreamEnd, readonly detail: string, readonly events: number, readonly tookMs: number }> {
   const startedAt = monotonicNow()
   let firstAt: number | undefined
   let version: number | undefined
   let events = 0
+  let characters = text.pieces.reduce((sum, { length }) => sum + length, 0)
   let paceWindowStart = 0
   let isStalled = false
   let timer: NodeJS.Timeout | undefined
@@ -112,6 +116,8 @@
           if (part.id !== text.pieces.length + 1) return finish(StreamEnd.Broken, `received event ${part.id} after event ${text.pieces.length}`)
           if (version === undefined || version < rule.minVersion) return finish(StreamEnd.Stale, `weight version ${version ?? 'unknown'}`)
           if (rule.singleVersion && text.versions.some((known) => known !== version)) return finish(StreamEnd.Stale, 'weight version changed')
+          characters += part.data.length
+          if (part.id > rule.limit.maxEvents || characters > rule.limit.maxCharacters) return finish(StreamEnd.Overrun, `${part.id} events with ${characters} characters`)
           text.append(part.data, version)
           events += 1
           break
@@ -122,7 +128,8 @@
         case StreamPartKind.NotRun: return finish(StreamEnd.NotRun, `status ${part.status}`)
         case StreamPartKind.NotSent: return finish(StreamEnd.NotSent)
         case StreamPartKind.Broken:
-          return abort.signal.aborted ? finishAborted(part.detail) : finish(StreamEnd.Broken, part.detail)
+          if (abort.signal.aborted) return finishAborted(part.detail)
+          return finish(part.isOverrun === true ? StreamEnd.Overrun : StreamEnd.Broken, part.detail)
         default: unreachable(part)
       }
     }
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -170,6 +170,23 @@
   t.is(run.progress.results[0]?.state, SampleState.Completed)
 })
 
+// Guards against the bytes of an endpoint in trouble in a listed text, and against the memory that they take (MIXED, LOST).
+test('a sample whose endpoint sends events without end runs once more, elsewhere and from its start', async (t) => {
+  const { endpoints, open } = await openFixture(t, ['a', 'bb'])
+  endpoints.streamScripts.set('a', async function * () {
+    yield { kind: StreamPartKind.Start, version: 3, load: undefined }
+    for (let id = 1; ; id += 1) yield { kind: StreamPartKind.Event, id, data: 'x'.repeat(1_000), version: undefined }
+  })
+  const run = open(rolloutOrder(1, 4))
+  run.start()
+  await waitUntil(t, () => run.isFinished)
+  t.deepEqual(run.progress.results.map(({ output }) => output), Array.from({ length: 4 }, () => 'e1\ne2\ne3'))
+  const overrun = endpoints.streams.filter(({ request }) => request.endpoint.id === 'a').map(({ request }) => request.requestId)
+  t.true(overrun.length > 0)
+  t.is(new Set(overrun).size, overrun.length)
+  t.true(endpoints.streams.every(({ resumeAfter }) => resumeAfter === 0))
+})
+
 test('a sample that can never be completed is sent once', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
   endpoints.streamScripts.set('a', async function * () {
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -38,12 +38,13 @@
 /**
  * The result of a request to one endpoint. A notice is what the endpoint itself states
  * with an answer to this very request; absent if it stated nothing that can be attributed to it.
+ * An overrun is an answer that was given up because it is longer than any proper one.
  */
 export type EndpointReply =
   | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly signature: string | undefined, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: EndpointReplyKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: EndpointReplyKind.NotSent }
-  | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string, readonly notice?: EndpointNotice | undefined }
+  | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string, readonly isOverrun?: boolean, readonly notice?: EndpointNotice | undefined }
 
 /** Kinds of parts of an event stream. */
 export enum StreamPartKind {
@@ -70,7 +71,7 @@
   | { readonly kind: StreamPartKind.Failure, readonly status: number, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: StreamPartKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: StreamPartKind.NotSent }
-  | { readonly kind: StreamPartKind.Broken, readonly sent: boolean, readonly detail: string }
+  | { readonly kind: StreamPartKind.Broken, readonly sent: boolean, readonly detail: string, readonly isOverrun?: boolean }
 
 /** An order to load a weight version on an endpoint, sent under a lease. */
 export interface WeightOrder {
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -36,6 +36,8 @@
   Refused = 'refused',
   /** The connection broke, stalled or could not be opened. */
   Broken = 'broken',
+  /** The endpoint sent more than an answer may hold. */
+  Overrun = 'overrun',
   /** This process cancelled the work. */
   Cancelled = 'cancelled'
 }
@@ -52,6 +54,12 @@
 /** Maximum suspension after connection failures, in milliseconds: about the time an endpoint takes to restart. */
 const MAX_SUSPENSION_MS = 4_000
 
+/** Initial suspension after an overrun, in milliseconds; doubles with each overrun after it, until the endpoint finishes work. */
+const INITIAL_OVERRUN_PAUSE_MS = 1_000
+
+/** Maximum suspension after an overrun, in milliseconds. */
+const MAX_OVERRUN_PAUSE_MS = 30_000
+
 /** Suspension after a refusal, in milliseconds: a few steps of an engine. */
 const REFUSAL_PAUSE_MS = 60
 
@@ -81,6 +89,9 @@
   /** Monotonic milliseconds before which the endpoint gets no new work. */
   suspendedUntil: number
   consecutiveFailures: number
+  consecutiveOverruns: number
+  /** Monotonic milliseconds until which further overruns belong to the last one: work that ran beside it. */
+  overrunUntil: number
   /** Load from other processes, and when it was observed. */
   foreignLoad: number
   foreignLoadObservedAt: number
@@ -159,13 +170,24 @@
     const record = this.#records.get(id)
     if (record === undefined || record.entry.bornAt !== bornAt) return
     record.activeWork = Math.max(0, record.activeWork - 1)
-    if (end === WorkEnd.Finished) record.consecutiveFailures = 0
+    if (end === WorkEnd.Finished) {
+      record.consecutiveFailures = 0
+      if (now >= record.overrunUntil) record.consecutiveOverruns = 0
+    }
     if (end === WorkEnd.Refused) record.suspendedUntil = Math.max(record.suspendedUntil, now + REFUSAL_PAUSE_MS)
     if (end === WorkEnd.Broken) {
       const pause = Math.min(INITIAL_SUSPENSION_MS * 2 ** record.consecutiveFailures, MAX_SUSPENSION_MS)
       record.consecutiveFailures += 1
       record.suspendedUntil = Math.max(record.suspendedUntil, now + pause)
     }
+    if (end === WorkEnd.Overrun) this.#recordOverrun(record, now)
+  }
+
+  #recordOverrun (record: EndpointRecord, now: number): void {
+    if (now < record.overrunUntil) return
+    record.overrunUntil = now + Math.min(INITIAL_OVERRUN_PAUSE_MS * 2 ** record.consecutiveOverruns, MAX_OVERRUN_PAUSE_MS)
+    record.consecutiveOverruns += 1
+    record.suspendedUntil = Math.max(record.suspendedUntil, record.overrunUntil)
   }
 
   /** Records that an endpoint refused work for a model, because it updates its weights or is full. */
@@ -302,6 +324,8 @@
       activeWork: 0,
       suspendedUntil: -Infinity,
       consecutiveFailures: 0,
+      consecutiveOverruns: 0,
+      overrunUntil: -Infinity,
       foreignLoad: 0,
       foreignLoadObservedAt: -Infinity,
       paceMs: undefined,
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -22,6 +22,8 @@
   body: z.string(),
   /** Sum of the prompt tokens and the maximum number of answer tokens. */
   tokens: z.number(),
+  /** Maximum number of answer tokens; absent if its request doesn't state it. */
+  maxAnswerTokens: z.number().optional(),
   /** The trainer's estimate of answer tokens; 0 if it gave none. */
   expectedTokens: z.number(),
   /** The request for its score; absent if its text is the whole result. */
--- a/packages/state/src/lib/testing/rollout-order.ts
+++ b/packages/state/src/lib/testing/rollout-order.ts
@@ -8,7 +8,8 @@
     path: '/drafts/1',
     headers: {},
     body: '',
-    tokens: 100,
+    tokens: 1_100,
+    maxAnswerTokens: 1_000,
     expectedTokens: 10
   }))
   return {
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -68,6 +68,25 @@
   t.is(table.find('a')?.consecutiveFailures, 0)
 })
 
+// Guards against an endpoint that sends answers without end and gets new work at once (LOST).
+test('overruns suspend an endpoint for increasing times until work succeeds; those of work beside it count once', (t) => {
+  const table = new EndpointTable()
+  table.update([endpointEntry('a')])
+  const overrun = (now: number): number => {
+    table.startWork('a')
+    table.finishWork('a', 1, WorkEnd.Overrun, now)
+    return table.find('a')?.suspendedUntil ?? 0
+  }
+  const first = overrun(0)
+  t.true(first >= 1_000)
+  t.is(overrun(10), first)
+  const second = overrun(first)
+  t.true(second - first >= 2 * first)
+  table.startWork('a')
+  table.finishWork('a', 1, WorkEnd.Finished, second)
+  t.is(overrun(100_000) - 100_000, first)
+})
+
 test('a measured pace decays over time, so that a slow endpoint is tried again', (t) => {
   const table = new EndpointTable()
   table.update([endpointEntry('a')])
