--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -108,7 +108,7 @@
       const known = this.#routeTable?.declaration.version ?? -1
       if (decoded.value.version <= known) continue
       this.#routeTable = new RouteTable(decoded.value)
-      this.#sources.log.record(LogEvent.DeclarationChanged, { version: decoded.value.version, previous: known, routes: decoded.value.routes.length, workspaces: decoded.value.workspaces.length })
+      this.#sources.log.record(LogEvent.DeclarationChanged, { version: decoded.value.version, previous: known, routes: decoded.value.routes.length, workspaces: decoded.value.workspaces?.length, keys: decoded.value.workspaces?.reduce((sum, { keys }) => sum + keys.length, 0) })
     }
   }
 
--- a/packages/state/src/lib/declaration.ts
+++ b/packages/state/src/lib/declaration.ts
@@ -77,6 +77,7 @@
   readonly version: number
   readonly routes: readonly Route[]
   readonly services: readonly DeclaredService[]
-  readonly workspaces: readonly DeclaredWorkspace[]
+  /** Undefined if callers need no key; empty if none of them has one. */
+  readonly workspaces: readonly DeclaredWorkspace[] | undefined
   readonly limits: CallerLimits
 }
--- a/packages/state/src/lib/route-table.ts
+++ b/packages/state/src/lib/route-table.ts
@@ -28,12 +28,17 @@
     this.declaration = declaration
     for (const route of declaration.routes) this.#routes.set(route.host, [...this.#routes.get(route.host) ?? [], route])
     for (const routes of this.#routes.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
-    for (const workspace of declaration.workspaces) {
+    for (const workspace of declaration.workspaces ?? []) {
       for (const key of workspace.keys) this.#workspaces.set(key, workspace.name)
     }
     for (const service of declaration.services) this.#services.set(service.name, service)
   }
 
+  /** Whether callers need a key, also if no key is left. */
+  get needsKeys (): boolean {
+    return this.declaration.workspaces !== undefined
+  }
+
   /**
    * Finds the route of a request and checks its key.
    *
@@ -44,7 +49,7 @@
   match (host: string, path: string, key: string | undefined): RouteMatch {
     const route = this.findRoute(host, path)
     if (route === undefined) return { ok: false, denial: RouteDenial.NoRoute }
-    if (route.open || this.#workspaces.size === 0) return { ok: true, route, workspace: undefined }
+    if (route.open || !this.needsKeys) return { ok: true, route, workspace: undefined }
     const workspace = this.workspaceOf(key)
     return workspace === undefined ? { ok: false, denial: RouteDenial.UnknownKey } : { ok: true, route, workspace }
   }
--- a/packages/state/src/test/route-table.test.ts
+++ b/packages/state/src/test/route-table.test.ts
@@ -45,6 +45,17 @@
   t.true(table.match('desk.example', '/o/1', undefined).ok)
 })
 
+// Guards against a deployment that is open to everybody once its last key is withdrawn (ROUTE, CONFIG).
+test('without a key left every request is denied, except on open routes; without declared workspaces none needs a key', (t) => {
+  for (const workspaces of [[], [{ name: 'office', keys: [] }]]) {
+    const table = new RouteTable({ ...DECLARATION, workspaces })
+    for (const key of ['k1', 'k9', '', undefined]) t.deepEqual(table.match('desk.example', '/p/', key), { ok: false, denial: RouteDenial.UnknownKey })
+    t.true(table.match('desk.example', '/o/1', undefined).ok)
+  }
+  const match = new RouteTable({ ...DECLARATION, workspaces: undefined }).match('desk.example', '/p/', undefined)
+  t.true(match.ok && match.workspace === undefined)
+})
+
 test('requests of a split route are distributed by the shares of its services', (t) => {
   const split = route('split', '/', { shares: [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }] })
   t.is(drawService(split, 0), 'a')
