--- a/packages/bench/src/lib/refusal-notes.ts
+++ b/packages/bench/src/lib/refusal-notes.ts
@@ -26,6 +26,11 @@
   [RefusalReason.InProgress]: { ran: MAYBE, cause: 'An earlier copy of the request is running or may have run.', remedy: 'Retry the same request after `Retry-After`: it receives the recorded answer once there is one.' },
   [RefusalReason.BatchChanged]: { ran: NO, cause: 'A batch with this id was opened with different content.', remedy: 'Use a new id, or the original content.' },
   [RefusalReason.TooLarge]: { ran: NO, cause: 'The body exceeds `--max-body-bytes`.', remedy: 'Send a smaller body.' },
+  [RefusalReason.HeldBack]: {
+    ran: [Ran.No],
+    cause: 'Endpoints crashed under the same request (same workspace, method, path and body), one after the other.',
+    remedy: 'Check what the request does to its endpoint; it may run once more after the delay.'
+  },
   [RefusalReason.Quarantined]: { ran: NO_OR_MAYBE, cause: 'Endpoints went down while they ran this request; it is not retried.', remedy: 'Do not retry; report the request to the owner of the entry.' },
   [RefusalReason.Overloaded]: { ran: NO_OR_MAYBE, cause: 'The queue is full.', remedy: 'Retry after `Retry-After`.' },
   [RefusalReason.LimitReached]: { ran: NO, cause: 'A limit of the workspace or the entry is reached.', remedy: 'Retry after `Retry-After`, or ask for a higher limit.' },
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,5 +1,5 @@
 import { drawService, endsInTime, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
-import { EndpointReplyKind } from '@cyclamenthread/protocol'
+import { BreakCause, EndpointReplyKind } from '@cyclamenthread/protocol'
 import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
 import { describeLimit } from './endpoint-notice-task.js'
 import { DEFAULT_CALL_MS, EndpointSearch, SearchEnd } from './endpoint-search.js'
@@ -8,6 +8,7 @@
 import type { EndpointRecord, Refusal, StreamOrigin, UsageTally } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
 import type { CallRelay } from './call-forwarder.js'
+import type { CrashGuard } from './crash-task.js'
 import type { EndpointNotices } from './endpoint-notice-task.js'
 import type { EndpointQuery, EndpointSearchContext } from './endpoint-search.js'
 import type { EventLog } from './event-log.js'
@@ -51,6 +52,7 @@
   readonly endpoints: EndpointPort
   readonly notices: EndpointNotices
   readonly relay: CallRelay
+  readonly crashes: CrashGuard
   readonly tally: UsageTally
   readonly log: EventLog
 }
@@ -222,6 +224,8 @@
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
     if (state.call.startBefore !== undefined && monotonicNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
+    const hold = this.#context.crashes.assess(state.call)
+    if (hold !== undefined) return state.mayHaveRun ? { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: hold.detail } : hold
     const softwareVersion = state.call.continues?.softwareVersion
     const found = this.#search.find(queryOf(state))
     switch (found.end) {
@@ -315,6 +319,7 @@
   #startHedge (state: CallState): void {
     const { startBefore } = state.call
     if (startBefore !== undefined && monotonicNow() >= startBefore) return
+    if (this.#context.crashes.assess(state.call) !== undefined) return
     const record = this.#search.findForCopy(queryOf(state))
     if (record === undefined) state.excluded.clear()
     else this.#send(state, record, Infinity)
@@ -340,6 +345,7 @@
     const now = monotonicNow()
     state.openAttempts.delete(attempt)
     this.#recordReach(state, attempt, reply)
+    this.#recordCrash(state, attempt, reply)
     if (reply.kind !== EndpointReplyKind.NotSent && reply.notice !== undefined) this.#context.notices.record(entry, { ...reply.notice, sentAt: attempt.sentAt, receivedAt: now })
     const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : workEndOf(reply)
     endpointTable.finishWork(entry.id, entry.bornAt, end, now)
@@ -351,6 +357,14 @@
     }
   }
 
+  /** Records whether the endpoint may have crashed under the call. */
+  #recordCrash ({ call }: CallState, { record: { entry }, abort, sentAt }: CallAttempt, reply: EndpointReply): void {
+    const { crashes } = this.#context
+    if (reply.kind === EndpointReplyKind.Answer) crashes.recordCompletion(call, sentAt)
+    const isLost = reply.kind === EndpointReplyKind.Broken && reply.sent && reply.cause === undefined
+    if (isLost && !abort.signal.aborted && call.origin === CallOrigin.Caller) crashes.recordLoss(call, entry, sentAt)
+  }
+
   #recordReach (state: CallState, { record: { entry }, abort }: CallAttempt, reply: EndpointReply): void {
     const { relay } = this.#context
     switch (reply.kind) {
@@ -430,7 +444,7 @@
     case EndpointReplyKind.Answer: return WorkEnd.Finished
     case EndpointReplyKind.NotRun: return WorkEnd.Refused
     case EndpointReplyKind.NotSent: return WorkEnd.Cancelled
-    case EndpointReplyKind.Broken: return reply.isOverrun === true ? WorkEnd.Overrun : WorkEnd.Broken
+    case EndpointReplyKind.Broken: return reply.cause === BreakCause.Overrun ? WorkEnd.Overrun : WorkEnd.Broken
     default: return unreachable(reply)
   }
 }
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -20,6 +20,10 @@
   RequestEnded = 'request-ended',
   /** A call was passed on to another host, since this one reaches no endpoint. */
   CallForwarded = 'call-forwarded',
+  /** A connection was lost while an endpoint ran a call, which counts as a crash under it or doesn't. */
+  CrashSuspected = 'crash-suspected',
+  /** Endpoints crashed under a request so often that no host sends it for a while. */
+  RequestHeldBack = 'request-held-back',
   /** The final response was sent to the caller. */
   RequestAnswered = 'request-answered',
   RolloutAccepted = 'rollout-accepted',
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -1,5 +1,5 @@
 import { monotonicNow } from '@cyclamenthread/transport'
-import { StreamPartKind } from '@cyclamenthread/protocol'
+import { BreakCause, StreamPartKind } from '@cyclamenthread/protocol'
 import { unreachable } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointRequest, StreamPart } from '@cyclamenthread/protocol'
 import type { EndpointNotice, SampleText, TextLimit } from '@cyclamenthread/state'
@@ -129,7 +129,7 @@
         case StreamPartKind.NotSent: return finish(StreamEnd.NotSent)
         case StreamPartKind.Broken:
           if (abort.signal.aborted) return finishAborted(part.detail)
-          return finish(part.isOverrun === true ? StreamEnd.Overrun : StreamEnd.Broken, part.detail)
+          return finish(part.cause === BreakCause.Overrun ? StreamEnd.Overrun : StreamEnd.Broken, part.detail)
         default: unreachable(part)
       }
     }
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -1,11 +1,11 @@
 import test from 'ava'
-import { CallOrigin, CallTask, EndpointNoticeTask, NO_RELAY, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
-import { EndpointReplyKind, PeerMessageKind } from '@cyclamenthread/protocol'
-import { Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
+import { CallOrigin, CallTask, EndpointNoticeTask, NO_CRASHES, NO_RELAY, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { BreakCause, EndpointReplyKind, PeerMessageKind } from '@cyclamenthread/protocol'
+import { notRun, Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { answerWith, ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
-import type { CallOutcome, PlainCall } from '@cyclamenthread/coordination'
+import type { CallOutcome, CrashGuard, PlainCall } from '@cyclamenthread/coordination'
 import type { PeerMessage } from '@cyclamenthread/protocol'
 import type { Host, Route } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
@@ -37,7 +37,7 @@
   run (changes?: Partial<PlainCall>): Promise<CallOutcome>
 }
 
-async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}): Promise<Fixture> {
+async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}, crashes: CrashGuard = NO_CRASHES): Promise<Fixture> {
   const deployment = openDeployment(t)
   const { store, view } = deployment
   for (const id of ids) store.set(`servers/${id}`, endpointEntry(id, { service: 'desk', softwareVersion: versions[id] ?? 's1' }))
@@ -52,7 +52,7 @@
   }
   const members = { workers: () => ['h1', 'h2'].map((id) => ({ id }) as Host) }
   const notices = new EndpointNoticeTask({ self: { id: 'h1' }, deployment: view, sends: UNLIMITED_SENDS, members, bus, log: SILENT_LOG })
-  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay: NO_RELAY, networkLocation: LOCATION, tally, log: SILENT_LOG })
+  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay: NO_RELAY, crashes, networkLocation: LOCATION, tally, log: SILENT_LOG })
   return {
     task,
     reported,
@@ -110,6 +110,49 @@
   t.deepEqual(endpoints.calls.map(({ needsNewConnection }) => needsNewConnection), [false, true, true])
 })
 
+// Guards against a call that crashes endpoints and is sent to one more (BUDGET).
+test('a call that is held back goes to no endpoint; one that may have run before is not reported as not run', async (t) => {
+  let losses = 0
+  const crashes: CrashGuard = {
+    assess: () => losses < 3 ? undefined : notRun(RefusalReason.HeldBack, 'crashes', 600_000),
+    recordLoss: () => {
+      losses += 1
+    },
+    recordCompletion: () => {}
+  }
+  const { endpoints, run } = await openFixture(t, ['a', 'bb', 'ccc', 'dddd'], {}, crashes)
+  for (const id of ['a', 'bb', 'ccc', 'dddd']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
+  const route = { ...ROUTE, maxAttempts: 9 }
+  const first = await run({ route })
+  t.is(endpoints.calls.length, 3)
+  t.is(first.ok ? undefined : first.refusal.ran, Ran.Maybe)
+  const second = await run({ route })
+  t.is(endpoints.calls.length, 3)
+  t.deepEqual(second.ok ? undefined : [second.refusal.reason, second.refusal.ran], [RefusalReason.HeldBack, Ran.No])
+})
+
+test('only a lost connection counts as a crash: neither an overrun nor bytes that are no answer nor an abort do', async (t) => {
+  const causes = [BreakCause.Overrun, BreakCause.NoAnswer, undefined]
+  let losses = 0
+  const crashes: CrashGuard = {
+    ...NO_CRASHES,
+    recordLoss: () => {
+      losses += 1
+    }
+  }
+  const { endpoints, run } = await openFixture(t, ['a'], {}, crashes)
+  endpoints.callScripts.set('a', async (request) => {
+    if (causes.length === 0) await waitUnlessAborted(5_000, request.signal)
+    const cause = causes.shift()
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'broken', ...(cause === undefined ? {} : { cause }) }
+  })
+  for (let call = 0; call < 4; call += 1) {
+    await run({ route: { ...ROUTE, maxAttempts: 1 }, deadline: performance.now() + 700 })
+    await new Promise((resolve) => setTimeout(resolve, 400))
+  }
+  t.is(losses, 1)
+})
+
 test('a call to a silent endpoint is hedged at a second one, and the first attempt is aborted', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb'])
   let isAborted = false
--- /dev/null
+++ b/packages/coordination/src/test/crash-task.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava'
+import { CrashTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { failure, RouteKind, success } from '@cyclamenthread/state'
+import { endpointEntry } from '@cyclamenthread/state/testing'
+import { PeerFailure } from '@cyclamenthread/transport'
+import { waitUntil } from './deployment-fixture.js'
+import type { CrashContext, RepeatableCall } from '@cyclamenthread/coordination'
+import type { Host, Route } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+const HOST_IDS = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6']
+const ROUTE = { name: 'desk', host: 'desk.example', kind: RouteKind.Idempotent } as unknown as Route
+const POISON: RepeatableCall = { workspace: 'office', route: ROUTE, method: 'POST', path: '/1', body: Buffer.from('crash') }
+
+type Handler = (context: { readonly params: unknown, readonly meta: unknown }) => Promise<unknown>
+
+/** Hosts that exchange messages in memory; those that are cut off get none and send none. */
+class Hosts {
+  readonly #tasks = new Map<string, CrashTask>()
+  readonly cutOff = new Set<string>()
+
+  constructor (t: ExecutionContext) {
+    for (const id of HOST_IDS) this.restart(id)
+    t.teardown(async () => await Promise.all([...this.#tasks.values()].map(async (task) => await task.stop())))
+  }
+
+  restart (id: string): void {
+    void this.#tasks.get(id)?.stop()
+    const bus = {
+      post: async (host: Host, message: { readonly kind: string }) => {
+        await this.#deliver(id, host.id, message)
+      },
+      send: async (host: Host, message: { readonly kind: string }) => {
+        const answer = await this.#deliver(id, host.id, message)
+        return answer === undefined ? failure(PeerFailure.NoReply) : success(answer)
+      }
+    } as unknown as CrashContext['bus']
+    const task = new CrashTask({ self: { id }, members: { workers: () => HOST_IDS.map((one) => ({ id: one }) as Host) }, bus, log: SILENT_LOG })
+    this.#tasks.set(id, task)
+    void task.start()
+  }
+
+  task (id: string): CrashTask {
+    const task = this.#tasks.get(id)
+    if (task === undefined) throw new Error(`${id} isn't running`)
+    return task
+  }
+
+  /** Hosts at which a call is held back. */
+  holding (call: RepeatableCall): string[] {
+    return HOST_IDS.filter((id) => this.task(id).assess(call) !== undefined)
+  }
+
+  async #deliver (from: string, to: string, message: { readonly kind: string }): Promise<unknown> {
+    await new Promise((resolve) => setImmediate(resolve))
+    if (this.cutOff.has(from) || this.cutOff.has(to)) return undefined
+    const handler = this.#tasks.get(to)?.service().actions?.[message.kind.replace('crashes.', '')] as Handler | undefined
+    return await handler?.({ params: message, meta: undefined })
+  }
+}
+
+async function settle (): Promise<void> {
+  for (let turn = 0; turn < 8; turn += 1) await new Promise((resolve) => setTimeout(resolve, 1))
+}
+
+/** Lets a call crash one endpoint at each of the given hosts, one after the other. */
+async function crashAt (hosts: Hosts, ids: readonly string[], call: RepeatableCall = POISON): Promise<void> {
+  for (const [index, id] of ids.entries()) {
+    hosts.task(id).recordLoss(call, endpointEntry(`i-${index}`), performance.now())
+    await settle()
+  }
+}
+
+// Guards against a request that comes to another host each time and crashes endpoints there (BUDGET).
+test('a call that crashed an endpoint at each of three hosts is held back at every host, and others are not', async (t) => {
+  const hosts = new Hosts(t)
+  await crashAt(hosts, ['h1', 'h2'])
+  t.deepEqual(hosts.holding(POISON), [])
+  await crashAt(hosts, ['h1', 'h2', 'h3'])
+  t.deepEqual(hosts.holding(POISON), HOST_IDS)
+  for (const other of [{ ...POISON, workspace: 'club' }, { ...POISON, path: '/2' }, { ...POISON, body: Buffer.from('sound') }]) t.deepEqual(hosts.holding(other), [])
+})
+
+// Guards against hosts that missed the message and send the request on (BUDGET).
+test('a host that was cut off, or has just started, soon holds the call back as well', async (t) => {
+  const hosts = new Hosts(t)
+  hosts.cutOff.add('h6')
+  await crashAt(hosts, ['h1', 'h2', 'h3'])
+  hosts.cutOff.clear()
+  for (const id of ['h1', 'h4']) hosts.restart(id)
+  t.deepEqual(hosts.holding(POISON), ['h2', 'h3', 'h5'])
+  await waitUntil(t, () => hosts.holding(POISON).length === HOST_IDS.length)
+})
+
+// Guards against a sound request that is held back for crashes that it did not cause.
+test('a call that completes after two crashes is known as sound at every host', async (t) => {
+  const hosts = new Hosts(t)
+  await crashAt(hosts, ['h1', 'h2'])
+  hosts.task('h5').recordCompletion(POISON, performance.now())
+  await settle()
+  await crashAt(hosts, ['h1', 'h2'])
+  t.deepEqual(hosts.holding(POISON), [])
+})
--- a/packages/coordination/src/test/follower-texts.test.ts
+++ b/packages/coordination/src/test/follower-texts.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallTask, DeploymentView, IGNORED_NOTICES, MirrorRole, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, StoreMirror, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallTask, DeploymentView, IGNORED_NOTICES, MirrorRole, NO_CRASHES, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, StoreMirror, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { StreamPartKind } from '@cyclamenthread/protocol'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { RolloutProgress, success, UsageTally } from '@cyclamenthread/state'
@@ -41,7 +41,7 @@
   }
   await waitUntil(t, () => entries.every(({ id }) => view.endpointTable.find(id) !== undefined))
   const endpoints = new ScriptedEndpoints()
-  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, crashes: NO_CRASHES, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   return { store, endpoints, context: { deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG } }
 }
 
--- a/packages/coordination/src/test/reward-caller.test.ts
+++ b/packages/coordination/src/test/reward-caller.test.ts
@@ -1,7 +1,7 @@
 import { setFlagsFromString } from 'node:v8'
 import { runInNewContext } from 'node:vm'
 import test from 'ava'
-import { CallTask, IGNORED_NOTICES, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallTask, IGNORED_NOTICES, NO_CRASHES, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { EndpointReplyKind } from '@cyclamenthread/protocol'
 import { RolloutProgress, RouteKind, SampleState, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
@@ -63,7 +63,7 @@
   await waitUntil(t, () => view.routeTable !== undefined && view.endpointTable.find('a') !== undefined && view.endpointTable.endpointsOfService('desk').length === desks.length)
   const endpoints = new ScriptedEndpoints()
   for (const id of desks) endpoints.callScripts.set(id, signedAnswer)
-  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, crashes: NO_CRASHES, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const context = { deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
   return {
     endpoints,
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallTask, IGNORED_NOTICES, LogEvent, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallTask, IGNORED_NOTICES, LogEvent, NO_CRASHES, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
 import { failure, RolloutProgress, SampleState, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
@@ -28,7 +28,7 @@
   for (const id of ids) store.set(`servers/${id}`, endpointEntry(id))
   await waitUntil(t, () => view.endpointTable.endpointsOfService('models').length === ids.length)
   const endpoints = new ScriptedEndpoints()
-  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, crashes: NO_CRASHES, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const lines: Array<LogFields & { event: LogEvent }> = []
   const log = {
     record: (event: LogEvent, fields: LogFields) => {
--- a/packages/coordination/src/test/rollout-task.test.ts
+++ b/packages/coordination/src/test/rollout-task.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallTask, IGNORED_NOTICES, LocalBroker, NO_RELAY, RolloutStore, RolloutTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallTask, IGNORED_NOTICES, LocalBroker, NO_CRASHES, NO_RELAY, RolloutStore, RolloutTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { RolloutReadStatus, StoreFailure, StreamPartKind, WriteStatus } from '@cyclamenthread/protocol'
 import { failure, Ran, rankWeightedOwners, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
@@ -86,7 +86,7 @@
     }
   } as unknown as MessageBus)
   const members = { workers: () => IDS.map(createHost) } as unknown as MemberView
-  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, crashes: NO_CRASHES, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const tasks = new Map(IDS.map((id) => {
     const task = new RolloutTask({
       self: createHost(id), members, bus: busOf(id), deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, calls, store: new RolloutStore(createStoreView(store, () => refused.has(id), readAs(id))), networkLocation: LOCATION, writer: id, log: SILENT_LOG
--- a/packages/coordination/src/test/software-version.test.ts
+++ b/packages/coordination/src/test/software-version.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CallTask, IGNORED_NOTICES, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallTask, IGNORED_NOTICES, NO_CRASHES, NO_RELAY, RolloutRun, RolloutStore, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { adoptRolloutSchema, StreamPartKind } from '@cyclamenthread/protocol'
 import { EndpointPhase, RolloutProgress, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
@@ -99,7 +99,7 @@
 async function openFixture (t: ExecutionContext, entries: readonly EndpointEntry[], quietMs?: number): Promise<Fixture> {
   const { store, view } = openDeployment(t, quietMs)
   const endpoints = new ScriptedEndpoints()
-  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
+  const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, crashes: NO_CRASHES, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const context = { deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, calls, store: new RolloutStore(store), networkLocation: LOCATION, writer: 'w', log: SILENT_LOG }
   const register = async (changed: readonly EndpointEntry[]): Promise<void> => {
     for (const entry of changed) store.set(`servers/${entry.id}`, entry)
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import {
-  announceLeave, CallForwarder, CallTask, CapacityDuty, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallForwarder, CallTask, CapacityDuty, CrashTask, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
   SendPermitTask, StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -92,6 +92,7 @@
   readonly #sends: SendPermitTask
   readonly #notices: EndpointNoticeTask
   readonly #forwarder: CallForwarder
+  readonly #crashes: CrashTask
   #ready = false
   #leaving = false
 
@@ -117,7 +118,8 @@
     this.#notices = new EndpointNoticeTask({ self, deployment: this.deployment, sends: this.#sends, members: this.#members, bus: this.#bus, log })
     this.#forwarder = new CallForwarder({ self, deployment: this.deployment, endpoints, members: this.#members, bus: this.#bus, log })
     const shared = { deployment: this.deployment, endpoints, sends: this.#sends, notices: this.#notices, relay: this.#forwarder, log, networkLocation }
-    this.calls = new CallTask({ ...shared, tally: this.tally })
+    this.#crashes = new CrashTask({ self, members: this.#members, bus: this.#bus, log })
+    this.calls = new CallTask({ ...shared, crashes: this.#crashes, tally: this.tally })
     this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
     this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
     const demand = new StepDemand()
@@ -178,6 +180,7 @@
     this.#broker.createService(this.streams.service())
     this.#broker.createService(this.#sends.service())
     this.#broker.createService(this.#notices.service())
+    this.#broker.createService(this.#crashes.service())
     this.#broker.createService(this.#forwarder.service(async (call) => await this.calls.run(call)))
     this.#broker.createService(taskService('weights', {
       [PeerMessageKind.ReportEndpointWeights]: async ({ endpointId, bornAt, model, version }) => {
@@ -195,6 +198,7 @@
     while (!this.deployment.ready && !this.#leaving) await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
     void this.#hosts.register(this.#settings.self, () => this.#leaving)
     void this.#members.start()
+    void this.#crashes.start()
     this.#ready = true
     this.#leader.start()
     this.#ports.log.record(LogEvent.Started, { pid: process.pid, declaration: this.deployment.routeTable?.declaration.version, upMs: Math.round(performance.now()) })
@@ -226,6 +230,7 @@
     this.#leaving = true
     this.rollouts.stop()
     await this.#leader.stop()
+    await this.#crashes.stop()
     await this.#members.stop()
     await this.#bus.stop()
     await this.#ports.endpoints.close()
--- a/packages/cyclamenthread/src/lib/problem.ts
+++ b/packages/cyclamenthread/src/lib/problem.ts
@@ -21,6 +21,7 @@
   [RefusalReason.BatchChanged]: 409,
   [RefusalReason.TooLarge]: 413,
   [RefusalReason.Quarantined]: 422,
+  [RefusalReason.HeldBack]: 503,
   [RefusalReason.Overloaded]: 503,
   [RefusalReason.LimitReached]: 429,
   [RefusalReason.DeadlineExceeded]: 504,
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -23,6 +23,14 @@
   readonly signal: AbortSignal
 }
 
+/** Why an answer broke, if its connection wasn't just lost. */
+export enum BreakCause {
+  /** The answer was given up, because it is longer than any proper one. */
+  Overrun = 'overrun',
+  /** What arrived is no answer, or that to another request. */
+  NoAnswer = 'no-answer'
+}
+
 /** Kinds of results of a request to one endpoint. */
 export enum EndpointReplyKind {
   /** A complete response of the endpoint. */
@@ -38,13 +46,13 @@
 /**
  * The result of a request to one endpoint. A notice is what the endpoint itself states
  * with an answer to this very request; absent if it stated nothing that can be attributed to it.
- * An overrun is an answer that was given up because it is longer than any proper one.
+ * If it doesn't say why an answer broke, the connection was lost.
  */
 export type EndpointReply =
   | { readonly kind: EndpointReplyKind.Answer, readonly status: number, readonly headers: readonly HeaderPair[], readonly body: Uint8Array, readonly signature: string | undefined, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: EndpointReplyKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: EndpointReplyKind.NotSent }
-  | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string, readonly isOverrun?: boolean, readonly notice?: EndpointNotice | undefined }
+  | { readonly kind: EndpointReplyKind.Broken, readonly sent: boolean, readonly detail: string, readonly cause?: BreakCause, readonly notice?: EndpointNotice | undefined }
 
 /** Kinds of parts of an event stream. */
 export enum StreamPartKind {
@@ -71,7 +79,7 @@
   | { readonly kind: StreamPartKind.Failure, readonly status: number, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: StreamPartKind.NotRun, readonly status: number, readonly load: ObservedLoad | undefined, readonly notice?: EndpointNotice | undefined }
   | { readonly kind: StreamPartKind.NotSent }
-  | { readonly kind: StreamPartKind.Broken, readonly sent: boolean, readonly detail: string, readonly isOverrun?: boolean }
+  | { readonly kind: StreamPartKind.Broken, readonly sent: boolean, readonly detail: string, readonly cause?: BreakCause }
 
 /** An order to load a weight version on an endpoint, sent under a lease. */
 export interface WeightOrder {
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -42,5 +42,9 @@
   ChargeSends = 'sends.charge',
   ReportLimitLifted = 'sends.lifted',
   ReportEndpointLeaving = 'endpoints.leaving',
-  ForwardCall = 'calls.forward'
+  ForwardCall = 'calls.forward',
+  ReportCrash = 'crashes.report',
+  ShareCrashes = 'crashes.share',
+  ClearCrashes = 'crashes.clear',
+  ReadHeldRequests = 'crashes.read'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -18,6 +18,7 @@
 import { mirrorAgeSchema, readMirrorAgeSchema, relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
 import { forwardCallSchema, forwardedCallSchema } from './call-message.js'
+import { clearCrashesSchema, heldRequestsSchema, readHeldRequestsSchema, reportCrashSchema, shareCrashesSchema } from './crash-message.js'
 import { chargeSendsSchema, reportEndpointLeavingSchema, reportLimitLiftedSchema, requestSendsSchema, sendGrantSchema } from './endpoint-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
 import { acceptedResponseSchema } from './accepted-response.js'
@@ -30,7 +31,8 @@
   commitRecordSchema, readClaimSchema, readBatchSchema, openBatchSchema, probeSchema, membershipEnvelopeSchema,
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
   acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema, readMirrorAgeSchema,
-  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema, reportEndpointLeavingSchema, forwardCallSchema
+  recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema, reportEndpointLeavingSchema, forwardCallSchema,
+  reportCrashSchema, shareCrashesSchema, clearCrashesSchema, readHeldRequestsSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -77,6 +79,10 @@
   [PeerMessageKind.ChargeSends]: acceptedResponseSchema,
   [PeerMessageKind.ReportLimitLifted]: acceptedResponseSchema,
   [PeerMessageKind.ReportEndpointLeaving]: acceptedResponseSchema,
+  [PeerMessageKind.ReportCrash]: acceptedResponseSchema,
+  [PeerMessageKind.ShareCrashes]: acceptedResponseSchema,
+  [PeerMessageKind.ClearCrashes]: acceptedResponseSchema,
+  [PeerMessageKind.ReadHeldRequests]: heldRequestsSchema,
   [PeerMessageKind.ForwardCall]: forwardedCallSchema
 } as const
 
--- a/packages/state/src/lib/refusal.ts
+++ b/packages/state/src/lib/refusal.ts
@@ -20,6 +20,8 @@
   NoEndpoint = 'no-endpoint',
   EndpointFailed = 'endpoint-failed',
   Quarantined = 'quarantined',
+  /** Endpoints crashed under the same request; it may run again later. */
+  HeldBack = 'held-back',
   KeyRequired = 'idempotency-key-required',
   KeyReused = 'idempotency-key-reused',
   InProgress = 'in-progress',
--- /dev/null
+++ b/packages/state/src/test/crash-records.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import { CrashRecords, MAX_CRASHES } from '@cyclamenthread/state'
+
+const POISON = { target: 't', digest: 'd' }
+
+function crash (number: number, sentAt: number, lostAt = sentAt): { readonly incarnation: string, readonly sentAt: number, readonly lostAt: number } {
+  return { incarnation: `i-${number}@1`, sentAt, lostAt }
+}
+
+// Guards against a request that crashes one endpoint after the other (BUDGET).
+test('a request is held back from its third crash on, for longer after each further one, and its record is kept meanwhile', (t) => {
+  const records = new CrashRecords()
+  for (let number = 0; number < MAX_CRASHES; number += 1) {
+    t.is(records.heldUntil('d', number * 1_000), undefined)
+    t.true(records.record(POISON, crash(number, number * 1_000)))
+  }
+  const first = records.heldUntil('d', 3_000) ?? 0
+  t.true(first > 300_000)
+  t.is(records.heldUntil('d', first), undefined)
+  t.true(records.record(POISON, crash(9, first)))
+  t.true((records.heldUntil('d', first) ?? 0) - first > first)
+})
+
+// Guards against sound requests that are held back because endpoints crash together.
+test('losses at the same time or of the same incarnation count once, old ones are forgotten, and a later completion clears them', (t) => {
+  const records = new CrashRecords()
+  t.true(records.record(POISON, crash(1, 0, 100)))
+  t.false(records.record(POISON, crash(2, 50, 110)))
+  t.false(records.record(POISON, crash(1, 200)))
+  t.false(records.recordCompletion('d', 90))
+  t.true(records.recordCompletion('d', 150))
+  t.false(records.hasTarget('t'))
+  for (let number = 0; number < 10; number += 1) records.record(POISON, crash(number, number * 150_000))
+  t.is(records.heldUntil('d', 1_350_000), undefined)
+})
