--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -77,7 +77,7 @@
    */
   async commit (isForced: boolean): Promise<boolean> {
     if (this.#committing) return false
-    const texts = monotonicNow() < this.#checkpointAt ? [] : this.#takeCheckpoints()
+    const texts = [...monotonicNow() < this.#checkpointAt ? [] : this.#takeCheckpoints(), ...this.#takeFailures()]
     const isDue = texts.length > 0 || (this.#board.settled.size > 0 && (isForced || this.#isListingDue()))
     if (!isDue) return false
     this.#committing = true
@@ -116,6 +116,12 @@
     })
   }
 
+  /** Returns checkpoints without text for failures that aren't stored yet: the next owner must not allow as many again. */
+  #takeFailures (): TextCheckpoint[] {
+    return [...this.#board.failures()].flatMap(([sampleId, failures]) =>
+      failures > (this.#progress.failures.get(sampleId) ?? 0) ? [{ sampleId, from: 0, pieces: [], versions: [], complete: false, rewardFailures: 0, failures }] : [])
+  }
+
   /** Returns checkpoints of samples with enough unstored text, as far as they fit into one log entry. */
   #takeCheckpoints (): TextCheckpoint[] {
     let characters = 0
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -73,6 +73,7 @@
     this.#lister = new ResultLister({ context, order, progress, board: this.#board, generator: this.#generator, onListed: (sampleId) => this.#release(sampleId) })
     this.#lister.markListed()
     for (const [sampleId, text] of progress.texts) this.#restoreText({ sampleId, ...text })
+    for (const [sampleId, failures] of progress.failures) this.#board.apply(sampleId, { kind: SampleEventKind.FailuresRecovered, failures })
   }
 
   /** Whether no sample is left to run or to list, or the run was stopped. */
@@ -102,12 +103,13 @@
   /** Stops the run and returns the results and texts with which the next owner can continue. */
   handOver (): AdoptRollout {
     this.stop()
-    const texts = [...this.#generator.texts].filter(([, text]) => text.pieces.length > 0).map(([sampleId, text]) => {
+    const failures = this.#board.failures()
+    const texts = [...this.#generator.texts].filter(([sampleId, text]) => text.pieces.length > 0 || failures.has(sampleId)).map(([sampleId, text]) => {
       const { pieces, versions, softwareVersion } = text
       const life = this.#board.lifeOf(sampleId)
       const isWhole = life?.phase === SamplePhase.Generated || life?.phase === SamplePhase.Scoring
       const unconfirmed = text.unconfirmedParts(monotonicNow())
-      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, softwareVersion, unconfirmed }
+      return { sampleId, pieces: [...pieces], versions: [...versions], complete: isWhole, rewardFailures: isWhole ? life.rewardFailures : 0, failures: failures.get(sampleId), softwareVersion, unconfirmed }
     })
     return { kind: PeerMessageKind.AdoptRollout, from: this.#context.writer, order: this.order, results: this.#board.settledResults(), texts }
   }
@@ -123,6 +125,7 @@
       const isFurther = (this.#generator.texts.get(text.sampleId)?.pieces.length ?? 0) < text.pieces.length
       const isOpen = phase === SamplePhase.Waiting || (phase === SamplePhase.Generating && text.complete)
       if (isOpen && (isFurther || text.complete)) this.#restoreText(text)
+      if (text.failures !== undefined) this.#board.apply(text.sampleId, { kind: SampleEventKind.FailuresRecovered, failures: text.failures })
     }
   }
 
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -124,6 +124,34 @@
   t.deepEqual(run.progress.results.map(({ state }) => state), [SampleState.Abandoned])
 })
 
+// Guards against an item that fails at each run and gets as many runs again from each owner (BUDGET).
+for (const change of ['crash', 'planned stop'] as const) {
+  test(`a sample that fails in every attempt has no more of them after changes of its owner (${change})`, async (t) => {
+    const { endpoints, context, open } = await openFixture(t, ['a'])
+    endpoints.streamScripts.set('a', async function * () {
+      // Each run takes longer than the store needs for the failure before.
+      await sleep(200)
+      yield { kind: StreamPartKind.Failure, status: 500 }
+    })
+    const order = rolloutOrder(1, 1, { maxAttempts: 3 })
+    const first = open(order)
+    first.start()
+    await waitUntil(t, () => endpoints.streams.length === 2)
+    if (change === 'crash') await waitUntil(t, () => first.progress.failures.get('g0.0') === 1)
+    const handover = first.handOver()
+    const progress = new RolloutProgress()
+    await context.store.catchUp(order.id, progress, performance.now() + 1_000)
+    const second = change === 'crash' ? new RolloutRun(context, order, progress) : open(order)
+    t.teardown(() => second.stop())
+    if (change === 'planned stop') second.adopt(handover)
+    second.start()
+    await waitUntil(t, () => second.isFinished)
+    // The run that was cut off by the change is no failure.
+    t.is(endpoints.streams.length, 4)
+    t.deepEqual(second.progress.results.map(({ state }) => state), [SampleState.Abandoned])
+  })
+}
+
 /** Creates a script that breaks off after one event, the given number of times over all endpoints, and then completes the sample. */
 function crashingOf (crashes: number): Parameters<ScriptedEndpoints['streamScripts']['set']>[1] {
   let left = crashes
--- a/packages/protocol/src/lib/rollout-message.ts
+++ b/packages/protocol/src/lib/rollout-message.ts
@@ -45,6 +45,8 @@
   complete: z.boolean().default(false),
   /** Answers of 500 to its reward request. */
   rewardFailures: z.int().nonnegative().default(0),
+  /** Runs of the sample that ended with an answer of 500; absent if there were none. */
+  failures: z.int().nonnegative().optional(),
   /** Software version of the endpoint that began the text; only endpoints of it may continue the text. */
   softwareVersion: z.string().optional(),
   /** Parts whose software version the sender couldn't confirm yet. */
@@ -72,6 +74,7 @@
   readonly sampleId: string
   readonly complete: boolean
   readonly rewardFailures: number
+  readonly failures?: number | undefined
 }
 
 export type AdoptRollout = z.infer<typeof adoptRolloutSchema>
--- a/packages/state/src/lib/rollout.ts
+++ b/packages/state/src/lib/rollout.ts
@@ -88,6 +88,8 @@
   complete: z.boolean().default(false),
   /** Answers of 500 to its reward request. */
   rewardFailures: z.int().nonnegative().default(0),
+  /** Runs of the sample that ended with an answer of 500; absent if there were none. */
+  failures: z.int().nonnegative().optional(),
   /** Software version of the endpoint that began the text; only endpoints of it may continue the text. */
   softwareVersion: z.string().optional()
 })
@@ -130,6 +132,7 @@
   readonly results: SampleResult[] = []
   readonly #listed = new Set<string>()
   readonly #texts = new Map<string, StoredText>()
+  readonly #failures = new Map<string, number>()
   #segments = 0
   #ended = false
   #claimant: string | undefined
@@ -158,21 +161,34 @@
     return this.#texts
   }
 
+  /** Failed runs of samples that are not listed, by sample id. */
+  get failures (): ReadonlyMap<string, number> {
+    return this.#failures
+  }
+
   /** Applies the next segment. */
   apply (segment: RolloutSegment): void {
     this.#segments += 1
     if (this.#ended) return
     if (segment.claim === true) this.#claimant = segment.writer
-    for (const checkpoint of segment.texts) this.#storeText(segment.writer, checkpoint)
+    for (const checkpoint of segment.texts) {
+      this.#storeText(segment.writer, checkpoint)
+      this.#storeFailures(checkpoint)
+    }
     for (const result of segment.results) {
       if (this.#listed.has(result.id)) continue
       this.#listed.add(result.id)
       this.#texts.delete(result.id)
+      this.#failures.delete(result.id)
       this.results.push(result)
     }
     this.#ended = segment.ended
   }
 
+  #storeFailures ({ sampleId, failures = 0 }: TextCheckpoint): void {
+    if (failures > (this.#failures.get(sampleId) ?? 0) && !this.#listed.has(sampleId)) this.#failures.set(sampleId, failures)
+  }
+
   /** Stores a text that continues the stored one of the same writer, or one from its start that is further than the stored one. */
   #storeText (writer: string, checkpoint: TextCheckpoint): void {
     const { sampleId, from, pieces, versions, complete, softwareVersion } = checkpoint
--- a/packages/state/src/lib/sample-board.ts
+++ b/packages/state/src/lib/sample-board.ts
@@ -69,6 +69,14 @@
     return this.#entries.get(sampleId)?.life
   }
 
+  /** Failed runs of samples without a result, by sample id. */
+  failures (): Map<string, number> {
+    return new Map([...this.#entries].flatMap(([id, { life }]) => {
+      const isOpen = life.phase === SamplePhase.Waiting || life.phase === SamplePhase.Generating
+      return isOpen && life.failures > 0 ? [[id, life.failures] as const] : []
+    }))
+  }
+
   /** Whether the result of a sample is known. */
   isDecided (sampleId: string): boolean {
     return this.#settled.has(sampleId) || this.#listed.has(sampleId)
--- a/packages/state/src/lib/sample-life.ts
+++ b/packages/state/src/lib/sample-life.ts
@@ -45,6 +45,8 @@
   TextCompleted = 'text-completed',
   /** The endpoint ran the sample and failed. */
   GenerationFailed = 'generation-failed',
+  /** The log or an earlier owner shows failed runs. */
+  FailuresRecovered = 'failures-recovered',
   /** The endpoint stated that the sample can never be completed. */
   GenerationImpossible = 'generation-impossible',
   /** Generation ended without a verdict: refused, broken, stale or cancelled. */
@@ -66,6 +68,7 @@
   | { readonly kind: SampleEventKind.GenerationStarted }
   | { readonly kind: SampleEventKind.TextCompleted, readonly text: GeneratedText }
   | { readonly kind: SampleEventKind.GenerationFailed }
+  | { readonly kind: SampleEventKind.FailuresRecovered, readonly failures: number }
   | { readonly kind: SampleEventKind.GenerationImpossible }
   | { readonly kind: SampleEventKind.GenerationInterrupted }
   | { readonly kind: SampleEventKind.RewardRequested }
@@ -121,6 +124,7 @@
     case SampleEventKind.GenerationStarted: return { phase: SamplePhase.Generating, failures: life.failures }
     case SampleEventKind.TextRecovered: return afterText(event.text, event.rewardFailures, terms)
     case SampleEventKind.ResultAdopted: return { phase: SamplePhase.Settled, result: event.result }
+    case SampleEventKind.FailuresRecovered: return withFailures(life, event.failures, terms)
     case SampleEventKind.Expired: return abandoned(terms)
     default: return life
   }
@@ -130,8 +134,8 @@
   switch (event.kind) {
     case SampleEventKind.TextCompleted: return afterText(event.text, 0, terms)
     case SampleEventKind.TextRecovered: return afterText(event.text, event.rewardFailures, terms)
-    case SampleEventKind.GenerationFailed:
-      return life.failures + 1 >= terms.maxFailures ? abandoned(terms) : { phase: SamplePhase.Waiting, failures: life.failures + 1 }
+    case SampleEventKind.GenerationFailed: return withFailures({ phase: SamplePhase.Waiting, failures: 0 }, life.failures + 1, terms)
+    case SampleEventKind.FailuresRecovered: return withFailures(life, event.failures, terms)
     case SampleEventKind.GenerationImpossible: return abandoned(terms)
     case SampleEventKind.GenerationInterrupted: return { phase: SamplePhase.Waiting, failures: life.failures }
     case SampleEventKind.ResultAdopted: return { phase: SamplePhase.Settled, result: event.result }
@@ -139,6 +143,12 @@
   }
 }
 
+/** Returns a life with at least a number of failures, which ends after the most that its sample may have. */
+function withFailures (life: Extract<SampleLife, { phase: SamplePhase.Waiting | SamplePhase.Generating }>, failures: number, terms: SampleTerms): SampleLife {
+  if (failures >= terms.maxFailures) return abandoned(terms)
+  return failures > life.failures ? { ...life, failures } : life
+}
+
 function advanceGenerated (life: Extract<SampleLife, { phase: SamplePhase.Generated }>, event: SampleEvent, terms: SampleTerms): SampleLife {
   switch (event.kind) {
     case SampleEventKind.RewardRequested: return { phase: SamplePhase.Scoring, text: life.text, rewardFailures: life.rewardFailures }
