--- a/packages/protocol/src/lib/failed-before-sending.ts
+++ b/packages/protocol/src/lib/failed-before-sending.ts
@@ -1,3 +1,6 @@
+/** Codes of errors that are thrown before a connection is used: it can't be opened, or the request can't be written at all. */
+const CODES_BEFORE_SENDING: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'ERR_INVALID_URL', 'UND_ERR_INVALID_ARG'])
+
 /**
  * Whether a request failed before any byte was sent, so that it can't have had
  * an effect. All clients share this function: a wrong `true` would report a
@@ -7,5 +10,5 @@
  */
 export function failedBeforeSending (error: unknown): boolean {
   const code = error instanceof Error && 'code' in error ? String(error.code) : ''
-  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT'
+  return CODES_BEFORE_SENDING.has(code)
 }
