--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -88,6 +88,18 @@
     void this.#sources.endpoints.confirm()
   }
 
+  /**
+   * Confirms the endpoint table with the store, unless it was confirmed recently: this
+   * host may have stood still or been cut off while endpoints restarted.
+   *
+   * @param maxAgeMs age up to which the table counts as current, in milliseconds
+   * @returns whether the table is current
+   */
+  async awaitEndpoints (maxAgeMs: number): Promise<boolean> {
+    if (monotonicNow() - this.#sources.endpoints.currentAt <= maxAgeMs) return true
+    return await this.#sources.endpoints.confirm()
+  }
+
   /**
    * Confirms the declaration with the store before a denial, unless it was confirmed recently.
    *
