--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -154,11 +154,14 @@
   async callService (endpoint: Endpoint, call: ServiceCall): Promise<ServiceReply> {
     try {
       return await withDeadline(call.deadline, async (signal): Promise<ServiceReply> => {
-        const response = await request(endpoint.url + call.path, {
+        const { origin, pathname } = new URL(endpoint.url)
+        // Not as a URL: that would normalise the caller's path.
+        const response = await this.#agent.request({
+          origin,
+          path: pathname.replace(/\/$/, '') + call.path,
           method: call.method as 'GET',
           headers: call.headers.flat(),
           body: call.body.length > 0 ? call.body : null,
-          dispatcher: this.#agent,
           signal
         })
         const body = new Uint8Array(await response.body.arrayBuffer())
