--- a/packages/coordination/src/lib/crash-task.ts
+++ b/packages/coordination/src/lib/crash-task.ts
@@ -1,4 +1,4 @@
-import { crashCollectors, CrashRecords, digest, MAX_CRASHES, notRun, RefusalReason } from '@cyclamenthread/state'
+import { crashCollectors, CrashRecords, crashSources, digest, MAX_CRASHES, notRun, RefusalReason } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
@@ -12,7 +12,7 @@
 import type { MessageBus } from './message-bus.js'
 import type { PlainCall } from './plain-call.js'
 
-/** Period of asking a collector for the requests that are held back, in milliseconds. */
+/** Period of asking another host for the requests that are held back, in milliseconds. */
 const READ_PERIOD_MS = 1_000
 
 /** Timeout of such a request, in milliseconds. */
@@ -48,8 +48,9 @@
 /**
  * Shares between hosts under which calls endpoints crashed. Each crash is reported to
  * the collectors, since the same call may come to another host each time. From the
- * second one on every host is told; a host that was down or cut off then learns from
- * a collector which calls are held back.
+ * second one on every host is told. A host that was down or cut off then learns from
+ * others which calls are held back; each host asks a few of its own, so that none is
+ * asked by all.
  */
 export class CrashTask implements CrashGuard {
   readonly #context: CrashContext
@@ -94,7 +95,7 @@
     log.record(LogEvent.CrashSuspected, { digest: identity.digest, endpoint: id, outcome: isCounted ? 'counted' : 'not-counted', crashes: this.#records.find(identity.digest)?.crashes.length })
     if (!isCounted) return
     const record = toMessage({ ...identity, crashes: [crash] })
-    for (const collector of this.#otherCollectors()) void this.#context.bus.post(collector, { kind: PeerMessageKind.ReportCrash, record })
+    for (const collector of this.#selectOthers(crashCollectors)) void this.#context.bus.post(collector, { kind: PeerMessageKind.ReportCrash, record })
     this.#share(identity)
   }
 
@@ -126,13 +127,13 @@
     for (const host of this.#others()) void this.#context.bus.post(host, { kind: PeerMessageKind.ShareCrashes, record: toMessage(record) })
   }
 
-  /** Asks the collectors in turn, since one that has just started knows nothing yet. */
+  /** Asks a few hosts in turn, since one that has just started knows nothing yet. */
   async #readHeldRequests (): Promise<void> {
-    const collectors = this.#otherCollectors()
-    const collector = collectors[this.#reads % Math.max(1, collectors.length)]
+    const sources = this.#selectOthers((hostIds) => crashSources(this.#context.self.id, hostIds))
+    const source = sources[this.#reads % Math.max(1, sources.length)]
     this.#reads += 1
-    if (collector === undefined) return
-    const answer = await this.#context.bus.send(collector, { kind: PeerMessageKind.ReadHeldRequests }, { deadline: deadlineAfter(READ_TIMEOUT_MS) })
+    if (source === undefined) return
+    const answer = await this.#context.bus.send(source, { kind: PeerMessageKind.ReadHeldRequests }, { deadline: deadlineAfter(READ_TIMEOUT_MS) })
     if (!answer.ok) return
     for (const record of answer.value.records) this.#records.adopt(fromMessage(record), monotonicNow())
   }
@@ -141,9 +142,10 @@
     return this.#context.members.workers().filter(({ id }) => id !== this.#context.self.id)
   }
 
-  #otherCollectors (): Host[] {
+  /** Selects from all hosts by their ids, and leaves this host out. */
+  #selectOthers (select: (hostIds: readonly string[]) => readonly string[]): Host[] {
     const byId = new Map(this.#others().map((host) => [host.id, host]))
-    return crashCollectors([this.#context.self.id, ...byId.keys()]).flatMap((id) => byId.get(id) ?? [])
+    return select([this.#context.self.id, ...byId.keys()]).flatMap((id) => byId.get(id) ?? [])
   }
 }
 
--- a/packages/state/src/lib/crash-records.ts
+++ b/packages/state/src/lib/crash-records.ts
@@ -18,6 +18,9 @@
 /** Number of hosts that collect the crashes seen by all hosts. */
 const COLLECTORS = 3
 
+/** Number of hosts that one host asks which requests are held back. */
+const SOURCES = 3
+
 /** What makes two requests the same: who sends them, and what. */
 export interface RequestIdentity {
   /** Everything but the body. */
@@ -162,3 +165,13 @@
 export function crashCollectors (hostIds: readonly string[]): string[] {
   return rankOwners('crashes', hostIds).slice(0, COLLECTORS)
 }
+
+/**
+ * Returns the hosts that a host asks which requests are held back; they differ from host to host.
+ *
+ * @example
+ * crashSources('h1', ['h1', 'h2', 'h3', 'h4', 'h5']) // ['h4', 'h2', 'h5']
+ */
+export function crashSources (hostId: string, hostIds: readonly string[]): string[] {
+  return rankOwners(`crashes/${hostId}`, hostIds.filter((id) => id !== hostId)).slice(0, SOURCES)
+}
--- a/packages/state/src/test/crash-records.test.ts
+++ b/packages/state/src/test/crash-records.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CrashRecords, MAX_CRASHES } from '@cyclamenthread/state'
+import { CrashRecords, crashSources, MAX_CRASHES } from '@cyclamenthread/state'
 
 const POISON = { target: 't', digest: 'd' }
 
@@ -33,3 +33,15 @@
   for (let number = 0; number < 10; number += 1) records.record(POISON, crash(number, number * 150_000))
   t.is(records.heldUntil('d', 1_350_000), undefined)
 })
+
+// Guards against hosts that are asked by the whole fleet each second.
+test('in a large fleet no host is the source of many others, and none asks itself', (t) => {
+  const ids = Array.from({ length: 165 }, (_, index) => `h${index}`)
+  const askedBy = new Map<string, number>()
+  for (const id of ids) {
+    const sources = crashSources(id, ids)
+    t.false(sources.includes(id))
+    for (const source of sources) askedBy.set(source, (askedBy.get(source) ?? 0) + 1)
+  }
+  t.true(Math.max(...askedBy.values()) <= 12)
+})
