--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -359,10 +359,11 @@
 
   /** Records whether the endpoint may have crashed under the call. */
   #recordCrash ({ call }: CallState, { record: { entry }, abort, sentAt }: CallAttempt, reply: EndpointReply): void {
-    const { crashes } = this.#context
+    const { crashes, relay } = this.#context
     if (reply.kind === EndpointReplyKind.Answer) crashes.recordCompletion(call, sentAt)
     const isLost = reply.kind === EndpointReplyKind.Broken && reply.sent && reply.cause === undefined
-    if (isLost && !abort.signal.aborted && call.origin === CallOrigin.Caller) crashes.recordLoss(call, entry, sentAt)
+    // A host that reaches no endpoint loses all connections, whatever the call.
+    if (isLost && !abort.signal.aborted && !relay.isDoubtful && call.origin === CallOrigin.Caller) crashes.recordLoss(call, entry, sentAt)
   }
 
   #recordReach (state: CallState, { record: { entry }, abort }: CallAttempt, reply: EndpointReply): void {
--- a/packages/state/src/lib/crash-records.ts
+++ b/packages/state/src/lib/crash-records.ts
@@ -3,12 +3,18 @@
 /** Number of endpoints that a request has crashed, one after the other, from which it is held back. */
 export const MAX_CRASHES = 3
 
-/** Time until a request that is held back may run once more, in milliseconds; doubles with each further crash. */
-const INITIAL_HOLD_MS = 600_000
+/** Time until a request that is held back may run once more, in milliseconds: soon, since it may be sound. */
+const INITIAL_HOLD_MS = 30_000
+
+/** Factor by which that time grows with each further crash. */
+const HOLD_GROWTH = 4
 
 /** Maximum time for which a request is held back, in milliseconds. */
 const MAX_HOLD_MS = 3_600_000
 
+/** Time after a crash within which further ones belong to the same incident, in milliseconds. */
+const INCIDENT_MS = 1_000
+
 /** Time after which a crash no longer counts, in milliseconds, while a request isn't held back. */
 const RETENTION_MS = 120_000
 
@@ -49,7 +55,8 @@
  * crashed `MAX_CRASHES` of them is held back, and runs once more only after a long time.
  *
  * Endpoints that crash together also take sound requests down. So a crash counts only
- * if the request was sent after the one before it, and a completion clears the record.
+ * if the request was sent a while after the one before it, and a completion clears the
+ * record.
  *
  * @example
  * records.record(identity, { incarnation: 'i-1@99', sentAt, lostAt })
@@ -86,7 +93,7 @@
     const crashes = this.#records.get(digest)?.crashes ?? []
     const last = crashes.at(-1)
     const isKnown = crashes.some(({ incarnation }) => incarnation === crash.incarnation)
-    if (isKnown || (last !== undefined && crash.sentAt < last.lostAt)) return false
+    if (isKnown || (last !== undefined && crash.sentAt < last.lostAt + INCIDENT_MS)) return false
     this.#store({ target, digest, crashes: [...crashes, crash] })
     return true
   }
@@ -153,7 +160,7 @@
 function holdEnd ({ crashes }: CrashRecord): number | undefined {
   const last = crashes.at(-1)
   if (last === undefined || crashes.length < MAX_CRASHES) return undefined
-  return last.lostAt + Math.min(INITIAL_HOLD_MS * 2 ** (crashes.length - MAX_CRASHES), MAX_HOLD_MS)
+  return last.lostAt + Math.min(INITIAL_HOLD_MS * HOLD_GROWTH ** (crashes.length - MAX_CRASHES), MAX_HOLD_MS)
 }
 
 /**
