Logs say why a lost connection counts against a request or not, and which answer cleared it

What callers saw isn't changed. 'not-counted' stood for a known incarnation and for a loss too soon after the one before; a host in doubt whether it reaches endpoints logged nothing; which answer cleared a record was not logged at all. Each is now an outcome of its own, with the incarnations that the host counts. No decision differs.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -360,10 +360,12 @@
   /** Records whether the endpoint may have crashed under the call. */
   #recordCrash ({ call }: CallState, { record: { entry }, abort, sentAt }: CallAttempt, reply: EndpointReply): void {
     const { crashes, relay } = this.#context
-    if (reply.kind === EndpointReplyKind.Answer) crashes.recordCompletion(call, sentAt)
+    if (reply.kind === EndpointReplyKind.Answer) crashes.recordCompletion(call, sentAt, reply.status)
     const isLost = reply.kind === EndpointReplyKind.Broken && reply.sent && reply.cause === undefined
+    if (!isLost || abort.signal.aborted || call.origin !== CallOrigin.Caller) return
     // A host that reaches no endpoint loses all connections, whatever the call.
-    if (isLost && !abort.signal.aborted && !relay.isDoubtful && call.origin === CallOrigin.Caller) crashes.recordLoss(call, entry, sentAt)
+    if (relay.isDoubtful) this.#context.log.record(LogEvent.CrashSuspected, { requestId: call.requestId, endpoint: entry.id, bornAt: entry.bornAt, outcome: 'in-doubt' })
+    else crashes.recordLoss(call, entry, sentAt)
   }
 
   #recordReach (state: CallState, { record: { entry }, abort }: CallAttempt, reply: EndpointReply): void {
--- a/packages/coordination/src/lib/crash-task.ts
+++ b/packages/coordination/src/lib/crash-task.ts
@@ -1,4 +1,4 @@
-import { crashCollectors, CrashRecords, crashSources, digest, MAX_CRASHES, notRun, RefusalReason } from '@cyclamenthread/state'
+import { CrashCount, crashCollectors, CrashRecords, crashSources, digest, MAX_CRASHES, notRun, RefusalReason } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
@@ -31,7 +31,7 @@
   /** Records that the connection to an endpoint was lost while it ran a call. */
   recordLoss (call: RepeatableCall, entry: EndpointEntry, sentAt: number): void
   /** Records that an endpoint has answered a call. */
-  recordCompletion (call: RepeatableCall, sentAt: number): void
+  recordCompletion (call: RepeatableCall, sentAt: number, status: number): void
 }
 
 /** A guard for tests whose endpoints don't crash. */
@@ -91,28 +91,34 @@
     const identity = identityOf(call)
     const crash = { incarnation: `${id}@${bornAt}`, sentAt, lostAt: monotonicNow() }
     const { log } = this.#context
-    const isCounted = this.#records.record(identity, crash)
-    log.record(LogEvent.CrashSuspected, { digest: identity.digest, endpoint: id, outcome: isCounted ? 'counted' : 'not-counted', crashes: this.#records.find(identity.digest)?.crashes.length })
-    if (!isCounted) return
+    const outcome = this.#records.record(identity, crash)
+    log.record(LogEvent.CrashSuspected, { digest: identity.digest, endpoint: id, bornAt, outcome, crashes: this.#incarnationsOf(identity.digest) })
+    if (outcome !== CrashCount.Counted) return
     const record = toMessage({ ...identity, crashes: [crash] })
     for (const collector of this.#selectOthers(crashCollectors)) void this.#context.bus.post(collector, { kind: PeerMessageKind.ReportCrash, record })
     this.#share(identity)
   }
 
-  recordCompletion (call: RepeatableCall, sentAt: number): void {
+  recordCompletion (call: RepeatableCall, sentAt: number, status: number): void {
     if (!this.#mayBeKnown(call)) return
     const { digest: completed } = identityOf(call)
+    const crashes = this.#incarnationsOf(completed)
     if (!this.#records.recordCompletion(completed, sentAt)) return
+    this.#context.log.record(LogEvent.RequestCleared, { digest: completed, status, crashes })
     for (const host of this.#others()) void this.#context.bus.post(host, { kind: PeerMessageKind.ClearCrashes, digest: completed })
   }
 
+  #incarnationsOf (known: string): string[] {
+    return (this.#records.find(known)?.crashes ?? []).map(({ incarnation }) => incarnation)
+  }
+
   /** Whether the digest of a call is worth its time. */
   #mayBeKnown (call: RepeatableCall): boolean {
     return !this.#records.isEmpty && this.#records.hasTarget(targetOf(call))
   }
 
   #recordReport (reported: CrashRecord): boolean {
-    const counted = reported.crashes.filter((crash) => this.#records.record(reported, crash))
+    const counted = reported.crashes.filter((crash) => this.#records.record(reported, crash) === CrashCount.Counted)
     if (counted.length > 0) this.#share(reported)
     return counted.length > 0
   }
@@ -123,7 +129,7 @@
     const record = this.#records.find(shared)
     if (record === undefined || record.crashes.length < MIN_SHARED_CRASHES) return
     const until = this.#records.heldUntil(shared, now)
-    if (until !== undefined) this.#context.log.record(LogEvent.RequestHeldBack, { digest: shared, target: record.target, crashes: record.crashes.length, holdMs: Math.round(until - now) })
+    if (until !== undefined) this.#context.log.record(LogEvent.RequestHeldBack, { digest: shared, target: record.target, crashes: this.#incarnationsOf(shared), holdMs: Math.round(until - now) })
     for (const host of this.#others()) void this.#context.bus.post(host, { kind: PeerMessageKind.ShareCrashes, record: toMessage(record) })
   }
 
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -24,6 +24,8 @@
   CrashSuspected = 'crash-suspected',
   /** Endpoints crashed under a request so often that no host sends it for a while. */
   RequestHeldBack = 'request-held-back',
+  /** A request under which endpoints crashed has been answered by one, and isn't suspected any more. */
+  RequestCleared = 'request-cleared',
   /** The final response was sent to the caller. */
   RequestAnswered = 'request-answered',
   RolloutAccepted = 'rollout-accepted',
--- a/packages/coordination/src/test/crash-task.test.ts
+++ b/packages/coordination/src/test/crash-task.test.ts
@@ -96,7 +96,7 @@
 test('a call that completes after two crashes is known as sound at every host', async (t) => {
   const hosts = new Hosts(t)
   await crashAt(hosts, ['h1', 'h2'])
-  hosts.task('h5').recordCompletion(POISON, performance.now())
+  hosts.task('h5').recordCompletion(POISON, performance.now(), 200)
   await settle()
   await crashAt(hosts, ['h1', 'h2'])
   t.deepEqual(hosts.holding(POISON), [])
--- a/packages/state/src/lib/crash-records.ts
+++ b/packages/state/src/lib/crash-records.ts
@@ -45,6 +45,15 @@
   readonly lostAt: number
 }
 
+/** Whether a lost connection counts against a request. */
+export enum CrashCount {
+  Counted = 'counted',
+  /** The incarnation of the endpoint has been counted before. */
+  Known = 'known',
+  /** The request was sent before, or just after, the crash before. */
+  SameIncident = 'same-incident'
+}
+
 /** The crashes that count against a request. */
 export interface CrashRecord extends RequestIdentity {
   readonly crashes: readonly CrashSighting[]
@@ -88,14 +97,14 @@
    *
    * @returns whether it counts
    */
-  record ({ target, digest }: RequestIdentity, crash: CrashSighting): boolean {
+  record ({ target, digest }: RequestIdentity, crash: CrashSighting): CrashCount {
     this.#forgetOld(crash.lostAt)
     const crashes = this.#records.get(digest)?.crashes ?? []
     const last = crashes.at(-1)
-    const isKnown = crashes.some(({ incarnation }) => incarnation === crash.incarnation)
-    if (isKnown || (last !== undefined && crash.sentAt < last.lostAt + INCIDENT_MS)) return false
+    if (crashes.some(({ incarnation }) => incarnation === crash.incarnation)) return CrashCount.Known
+    if (last !== undefined && crash.sentAt < last.lostAt + INCIDENT_MS) return CrashCount.SameIncident
     this.#store({ target, digest, crashes: [...crashes, crash] })
-    return true
+    return CrashCount.Counted
   }
 
   /** Adopts the record of another host if it has more crashes. */
--- a/packages/state/src/test/crash-records.test.ts
+++ b/packages/state/src/test/crash-records.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { CrashRecords, crashSources, MAX_CRASHES } from '@cyclamenthread/state'
+import { CrashCount, CrashRecords, crashSources, MAX_CRASHES } from '@cyclamenthread/state'
 
 const POISON = { target: 't', digest: 'd' }
 
@@ -12,22 +12,22 @@
   const records = new CrashRecords()
   for (let number = 0; number < MAX_CRASHES; number += 1) {
     t.is(records.heldUntil('d', number * 1_000), undefined)
-    t.true(records.record(POISON, crash(number, number * 1_000)))
+    t.is(records.record(POISON, crash(number, number * 1_000)), CrashCount.Counted)
   }
   const first = records.heldUntil('d', 3_000) ?? 0
   t.true(first > 20_000)
   t.is(records.heldUntil('d', first), undefined)
-  t.true(records.record(POISON, crash(9, first)))
+  t.is(records.record(POISON, crash(9, first)), CrashCount.Counted)
   t.true((records.heldUntil('d', first) ?? 0) - first > first)
 })
 
 // Guards against sound requests that are held back because endpoints crash together.
 test('losses at the same time or of the same incarnation count once, old ones are forgotten, and a later completion clears them', (t) => {
   const records = new CrashRecords()
-  t.true(records.record(POISON, crash(1, 0, 100)))
-  t.false(records.record(POISON, crash(2, 50, 110)))
-  t.false(records.record(POISON, crash(3, 900)))
-  t.false(records.record(POISON, crash(1, 5_000)))
+  t.is(records.record(POISON, crash(1, 0, 100)), CrashCount.Counted)
+  t.is(records.record(POISON, crash(2, 50, 110)), CrashCount.SameIncident)
+  t.is(records.record(POISON, crash(3, 900)), CrashCount.SameIncident)
+  t.is(records.record(POISON, crash(1, 5_000)), CrashCount.Known)
   t.false(records.recordCompletion('d', 90))
   t.true(records.recordCompletion('d', 150))
   t.false(records.hasTarget('t'))
