An answer of 500 doesn't show that a request is sound

What callers saw: BUDGET. Cause: any answer cleared the record of crashes. The rule speaks of requests that crash endpoints; an endpoint that fails without ending says nothing about them, so only answers below 500 clear. Test: 'an answer of 500 does not show that a call is sound' fails before.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -360,7 +360,7 @@
   /** Records whether the endpoint may have crashed under the call. */
   #recordCrash ({ call }: CallState, { record: { entry }, abort, sentAt }: CallAttempt, reply: EndpointReply): void {
     const { crashes, relay } = this.#context
-    if (reply.kind === EndpointReplyKind.Answer) crashes.recordCompletion(call, sentAt, reply.status)
+    if (reply.kind === EndpointReplyKind.Answer) crashes.recordAnswer(call, sentAt, reply.status)
     const isLost = reply.kind === EndpointReplyKind.Broken && reply.sent && reply.cause === undefined
     if (!isLost || abort.signal.aborted || call.origin !== CallOrigin.Caller) return
     // A host that reaches no endpoint loses all connections, whatever the call.
--- a/packages/coordination/src/lib/crash-task.ts
+++ b/packages/coordination/src/lib/crash-task.ts
@@ -21,6 +21,9 @@
 /** Number of crashes from which all hosts learn of them. */
 const MIN_SHARED_CRASHES = MAX_CRASHES - 1
 
+/** Lowest status with which an endpoint says that it failed. */
+const FIRST_SERVER_ERROR = 500
+
 /** The parts of a call by which a repetition is recognised. */
 export type RepeatableCall = Pick<PlainCall, 'workspace' | 'route' | 'method' | 'path' | 'body'>
 
@@ -30,12 +33,12 @@
   assess (call: RepeatableCall): Refusal | undefined
   /** Records that the connection to an endpoint was lost while it ran a call. */
   recordLoss (call: RepeatableCall, entry: EndpointEntry, sentAt: number): void
-  /** Records that an endpoint has answered a call. */
-  recordCompletion (call: RepeatableCall, sentAt: number, status: number): void
+  /** Records that an endpoint has answered a call; a failure says nothing about whether the call is sound. */
+  recordAnswer (call: RepeatableCall, sentAt: number, status: number): void
 }
 
 /** A guard for tests whose endpoints don't crash. */
-export const NO_CRASHES: CrashGuard = { assess: () => undefined, recordLoss: () => {}, recordCompletion: () => {} }
+export const NO_CRASHES: CrashGuard = { assess: () => undefined, recordLoss: () => {}, recordAnswer: () => {} }
 
 /** Dependencies of a {@link CrashTask}. */
 export interface CrashContext {
@@ -99,8 +102,8 @@
     this.#share(identity)
   }
 
-  recordCompletion (call: RepeatableCall, sentAt: number, status: number): void {
-    if (!this.#mayBeKnown(call)) return
+  recordAnswer (call: RepeatableCall, sentAt: number, status: number): void {
+    if (status >= FIRST_SERVER_ERROR || !this.#mayBeKnown(call)) return
     const { digest: completed } = identityOf(call)
     const crashes = this.#incarnationsOf(completed)
     if (!this.#records.recordCompletion(completed, sentAt)) return
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -118,7 +118,7 @@
     recordLoss: () => {
       losses += 1
     },
-    recordCompletion: () => {}
+    recordAnswer: () => {}
   }
   const { endpoints, run } = await openFixture(t, ['a', 'bb', 'ccc', 'dddd'], {}, crashes)
   for (const id of ['a', 'bb', 'ccc', 'dddd']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
--- a/packages/coordination/src/test/crash-task.test.ts
+++ b/packages/coordination/src/test/crash-task.test.ts
@@ -96,12 +96,24 @@
 test('a call that completes after two crashes is known as sound at every host', async (t) => {
   const hosts = new Hosts(t)
   await crashAt(hosts, ['h1', 'h2'])
-  hosts.task('h5').recordCompletion(POISON, performance.now(), 200)
+  hosts.task('h5').recordAnswer(POISON, performance.now(), 200)
   await settle()
   await crashAt(hosts, ['h1', 'h2'])
   t.deepEqual(hosts.holding(POISON), [])
 })
 
+// Guards against a request that crashes most endpoints and makes others answer 500 in between (BUDGET).
+test('an answer of 500 does not show that a call is sound', async (t) => {
+  const hosts = new Hosts(t)
+  await crashAt(hosts, ['h1', 'h2'])
+  hosts.task('h5').recordAnswer(POISON, performance.now(), 500)
+  await settle()
+  await new Promise((resolve) => setTimeout(resolve, 1_050))
+  hosts.task('h3').recordLoss(POISON, endpointEntry('i-9'), performance.now())
+  await settle()
+  t.deepEqual(hosts.holding(POISON), HOST_IDS)
+})
+
 // Guards against a request that many callers send and that no host serves any more, because some hosts were cut off (DENIED, RECOVER).
 test('losses of the same call at several hosts within a second do not hold it back', async (t) => {
   const hosts = new Hosts(t)
