Crashes are told from broken connections by whether the endpoint still runs

What callers saw: BUDGET, and sound requests refused.

Cause: a class of fault, a host's view of its own connections taken for the state of an endpoint. To tell links that are reset from endpoints that crash, a crash counted only if the request was sent a second after the one before, and only at a host that wasn't in doubt whether it reaches endpoints. One attempt that crashes maxAttempts endpoints, callers at several hosts at once, and a request that crashes all endpoints a host knows of pass for broken links so. Besides, the record of one host replaced that of another when it had more crashes, so that hosts which each saw one of three crashes never knew of all.

Change: each loss is a sighting. From the second one on, whoever records it has the endpoint observed: the registry, own answers since, an own probe, then probes by three hosts, first of other failure domains. An endpoint that answers anyone runs, and the sighting is withdrawn; silence counts only from hosts that reach others, in two rounds; if all are in doubt, it is judged anew each second until the registry or a probe shows more. Records of hosts are joined by incarnation. Rewards count as callers' requests do.

The two tests on the spacing in time are replaced by ones that demand more: crashes at the same moment count one by one, and endpoints that still run count never, whatever the spacing.

--- a/packages/bench/src/test/cut-off-hosts.test.ts
+++ b/packages/bench/src/test/cut-off-hosts.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { CallOrigin } from '@cyclamenthread/coordination'
 import { EndpointReplyKind, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
-import { unreachable } from '@cyclamenthread/state'
+import { EndpointSign, unreachable } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { DESK_ROUTE, startHosts } from './entry-hosts.js'
 import type { EndpointPort, EndpointReply, EndpointRequest } from '@cyclamenthread/protocol'
@@ -40,6 +40,7 @@
       },
       orderWeights: async () => WeightOrderStatus.Refused,
       readReport: async () => this.cut.has(host) ? undefined : { versions: {}, busy: false, orders: 0, load: { running: 0, waiting: 0 } },
+      probe: async () => this.cut.has(host) ? EndpointSign.None : EndpointSign.Alive,
       close: async () => {}
     }
   }
--- a/packages/bench/src/test/endpoint-limit.test.ts
+++ b/packages/bench/src/test/endpoint-limit.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { accountKeepers, CallOrigin } from '@cyclamenthread/coordination'
 import { EndpointReplyKind, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
-import { Ran } from '@cyclamenthread/state'
+import { EndpointSign, Ran } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { DESK_ROUTE, startHosts } from './entry-hosts.js'
 import type { EntryService } from 'cyclamenthread'
@@ -68,6 +68,7 @@
       },
       orderWeights: async () => WeightOrderStatus.Refused,
       readReport: async (): Promise<EndpointReport | undefined> => undefined,
+      probe: async () => EndpointSign.Alive,
       close: async () => {}
     }
   }
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -349,7 +349,10 @@
     if (reply.kind !== EndpointReplyKind.NotSent && reply.notice !== undefined) this.#context.notices.record(entry, { ...reply.notice, sentAt: attempt.sentAt, receivedAt: now })
     const end = attempt.abort.signal.aborted ? WorkEnd.Cancelled : workEndOf(reply)
     endpointTable.finishWork(entry.id, entry.bornAt, end, now)
-    if (reply.kind === EndpointReplyKind.Answer) endpointTable.recordPace(entry.id, now - attempt.sentAt, now)
+    if (reply.kind === EndpointReplyKind.Answer) {
+      endpointTable.recordPace(entry.id, now - attempt.sentAt, now)
+      endpointTable.recordAnswer(entry.id, entry.bornAt, attempt.sentAt)
+    }
     if ((reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun) && reply.load !== undefined) endpointTable.recordLoad(entry.id, reply.load, now)
     if (reply.kind === EndpointReplyKind.Answer && !state.counted && state.call.workspace !== undefined) {
       state.counted = true
@@ -359,13 +362,10 @@
 
   /** Records whether the endpoint may have crashed under the call. */
   #recordCrash ({ call }: CallState, { record: { entry }, abort, sentAt }: CallAttempt, reply: EndpointReply): void {
-    const { crashes, relay } = this.#context
+    const { crashes } = this.#context
     if (reply.kind === EndpointReplyKind.Answer) crashes.recordAnswer(call, sentAt, reply.status)
     const isLost = reply.kind === EndpointReplyKind.Broken && reply.sent && reply.cause === undefined
-    if (!isLost || abort.signal.aborted || call.origin !== CallOrigin.Caller) return
-    // A host that reaches no endpoint loses all connections, whatever the call.
-    if (relay.isDoubtful) this.#context.log.record(LogEvent.CrashSuspected, { requestId: call.requestId, endpoint: entry.id, bornAt: entry.bornAt, outcome: 'in-doubt' })
-    else crashes.recordLoss(call, entry, sentAt)
+    if (isLost && !abort.signal.aborted) crashes.recordLoss(call, entry)
   }
 
   #recordReach (state: CallState, { record: { entry }, abort }: CallAttempt, reply: EndpointReply): void {
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -20,8 +20,10 @@
   RequestEnded = 'request-ended',
   /** A call was passed on to another host, since this one reaches no endpoint. */
   CallForwarded = 'call-forwarded',
-  /** A connection was lost while an endpoint ran a call, which counts as a crash under it or doesn't. */
+  /** An endpoint gave no more sign while it ran a call. */
   CrashSuspected = 'crash-suspected',
+  /** Whether an endpoint that gave no more sign while it ran a call has ended, from probes of this and other hosts. */
+  EndpointJudged = 'endpoint-judged',
   /** Endpoints crashed under a request so often that no host sends it for a while. */
   RequestHeldBack = 'request-held-back',
   /** A request under which endpoints crashed has been answered by one, and isn't suspected any more. */
--- a/packages/coordination/src/test/crash-task.test.ts
+++ b/packages/coordination/src/test/crash-task.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { CrashTask, SILENT_LOG } from '@cyclamenthread/coordination'
-import { failure, RouteKind, success } from '@cyclamenthread/state'
+import { EndpointLife, failure, RouteKind, success } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { PeerFailure } from '@cyclamenthread/transport'
 import { waitUntil } from './deployment-fixture.js'
@@ -18,6 +18,8 @@
 class Hosts {
   readonly #tasks = new Map<string, CrashTask>()
   readonly cutOff = new Set<string>()
+  /** Ids of endpoints that still run, although connections to them broke. */
+  readonly running = new Set<string>()
 
   constructor (t: ExecutionContext) {
     for (const id of HOST_IDS) this.restart(id)
@@ -35,7 +37,8 @@
         return answer === undefined ? failure(PeerFailure.NoReply) : success(answer)
       }
     } as unknown as CrashContext['bus']
-    const task = new CrashTask({ self: { id }, members: { workers: () => HOST_IDS.map((one) => ({ id: one }) as Host) }, bus, log: SILENT_LOG })
+    const observer = { judge: async ({ endpointId }: { readonly endpointId: string }) => this.running.has(endpointId) ? EndpointLife.Running : EndpointLife.Ended }
+    const task = new CrashTask({ self: { id }, members: { workers: () => HOST_IDS.map((one) => ({ id: one }) as Host) }, bus, observer, log: SILENT_LOG })
     this.#tasks.set(id, task)
     void task.start()
   }
@@ -66,9 +69,7 @@
 /** Lets a call crash one endpoint at each of the given hosts, one after the other. */
 async function crashAt (hosts: Hosts, ids: readonly string[], call: RepeatableCall = POISON): Promise<void> {
   for (const [index, id] of ids.entries()) {
-    // Losses within a second are one incident.
-    if (index > 0) await new Promise((resolve) => setTimeout(resolve, 1_050))
-    hosts.task(id).recordLoss(call, endpointEntry(`i-${index}`), performance.now())
+    hosts.task(id).recordLoss(call, endpointEntry(`i-${index}`))
     await settle()
   }
 }
@@ -108,18 +109,23 @@
   await crashAt(hosts, ['h1', 'h2'])
   hosts.task('h5').recordAnswer(POISON, performance.now(), 500)
   await settle()
-  await new Promise((resolve) => setTimeout(resolve, 1_050))
-  hosts.task('h3').recordLoss(POISON, endpointEntry('i-9'), performance.now())
+  hosts.task('h3').recordLoss(POISON, endpointEntry('i-9'))
   await settle()
   t.deepEqual(hosts.holding(POISON), HOST_IDS)
 })
 
-// Guards against a request that many callers send and that no host serves any more, because some hosts were cut off (DENIED, RECOVER).
-test('losses of the same call at several hosts within a second do not hold it back', async (t) => {
+// Guards against a request that many callers send and that no host serves any more, because the connections of some hosts were reset (DENIED, RECOVER).
+test('connections to endpoints that still run do not hold a call back, however many hosts lose them', async (t) => {
   const hosts = new Hosts(t)
-  for (const [index, id] of ['h1', 'h2', 'h3', 'h4'].entries()) {
-    hosts.task(id).recordLoss(POISON, endpointEntry(`i-${index}`), performance.now())
-    await settle()
-  }
+  for (const index of HOST_IDS.keys()) hosts.running.add(`i-${index}`)
+  await crashAt(hosts, HOST_IDS)
   t.deepEqual(hosts.holding(POISON), [])
 })
+
+// Guards against several callers whose requests crash endpoints at several hosts at the same moment, each known to one host (BUDGET).
+test('crashes at three hosts at the same moment are known together at every host', async (t) => {
+  const hosts = new Hosts(t)
+  for (const [index, id] of ['h2', 'h4', 'h6'].entries()) hosts.task(id).recordLoss(POISON, endpointEntry(`i-${index}`))
+  await waitUntil(t, () => hosts.holding(POISON).length === HOST_IDS.length)
+  t.deepEqual(hosts.holding(POISON), HOST_IDS)
+})
--- a/packages/coordination/src/test/scripted-endpoints.ts
+++ b/packages/coordination/src/test/scripted-endpoints.ts
@@ -1,4 +1,5 @@
 import { EndpointReplyKind, StreamPartKind, WeightOrderStatus } from '@cyclamenthread/protocol'
+import { EndpointSign } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply, EndpointReport, EndpointRequest, StreamPart, WeightOrder } from '@cyclamenthread/protocol'
 import type { EndpointEntry } from '@cyclamenthread/state'
 
@@ -47,6 +48,7 @@
   readonly callScripts = new Map<string, CallScript>()
   readonly streamScripts = new Map<string, StreamScript>()
   readReport: (endpoint: EndpointEntry) => Promise<EndpointReport | undefined> = async () => undefined
+  probe: (endpoint: EndpointEntry) => Promise<EndpointSign> = async () => EndpointSign.None
 
   async sendRequest (request: EndpointRequest): Promise<EndpointReply> {
     this.calls.push(request)
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import {
-  announceLeave, CallForwarder, CallTask, CapacityDuty, CrashTask, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallForwarder, CallTask, CapacityDuty, CrashTask, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, EndpointWitness, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
   SendPermitTask, StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -92,6 +92,7 @@
   readonly #sends: SendPermitTask
   readonly #notices: EndpointNoticeTask
   readonly #forwarder: CallForwarder
+  readonly #witness: EndpointWitness
   readonly #crashes: CrashTask
   #ready = false
   #leaving = false
@@ -118,7 +119,8 @@
     this.#notices = new EndpointNoticeTask({ self, deployment: this.deployment, sends: this.#sends, members: this.#members, bus: this.#bus, log })
     this.#forwarder = new CallForwarder({ self, deployment: this.deployment, endpoints, members: this.#members, bus: this.#bus, log })
     const shared = { deployment: this.deployment, endpoints, sends: this.#sends, notices: this.#notices, relay: this.#forwarder, log, networkLocation }
-    this.#crashes = new CrashTask({ self, members: this.#members, bus: this.#bus, log })
+    this.#witness = new EndpointWitness({ self, deployment: this.deployment, endpoints, relay: this.#forwarder, members: this.#members, bus: this.#bus, log })
+    this.#crashes = new CrashTask({ self, members: this.#members, bus: this.#bus, observer: this.#witness, log })
     this.calls = new CallTask({ ...shared, crashes: this.#crashes, tally: this.tally })
     this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
     this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
@@ -180,6 +182,7 @@
     this.#broker.createService(this.streams.service())
     this.#broker.createService(this.#sends.service())
     this.#broker.createService(this.#notices.service())
+    this.#broker.createService(this.#witness.service())
     this.#broker.createService(this.#crashes.service())
     this.#broker.createService(this.#forwarder.service(async (call) => await this.calls.run(call)))
     this.#broker.createService(taskService('weights', {
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -1,4 +1,4 @@
-import type { EndpointEntry, EndpointNotice, ObservedLoad } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointNotice, EndpointSign, ObservedLoad } from '@cyclamenthread/state'
 
 /** A header name and value; the name keeps its original case. */
 export type HeaderPair = readonly [name: string, value: string]
@@ -134,5 +134,7 @@
   orderWeights (endpoint: EndpointEntry, order: WeightOrder): Promise<WeightOrderStatus>
   /** Reads the endpoint's report; undefined if none arrives before the deadline. */
   readReport (endpoint: EndpointEntry, deadline: number): Promise<EndpointReport | undefined>
+  /** Finds out whether an incarnation of an endpoint gives any sign before the deadline, on a connection of its own. */
+  probe (endpoint: EndpointEntry, deadline: number): Promise<EndpointSign>
   close (): Promise<void>
 }
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -46,5 +46,6 @@
   ReportCrash = 'crashes.report',
   ShareCrashes = 'crashes.share',
   ClearCrashes = 'crashes.clear',
-  ReadHeldRequests = 'crashes.read'
+  ReadHeldRequests = 'crashes.read',
+  ProbeEndpoint = 'witness.probe'
 }
--- a/packages/state/src/lib/crash-records.ts
+++ b/packages/state/src/lib/crash-records.ts
@@ -1,8 +1,11 @@
 import { rankOwners } from './rendezvous.js'
 
-/** Number of endpoints that a request has crashed, one after the other, from which it is held back. */
+/** Number of endpoints that a request has to crash to be held back. */
 export const MAX_CRASHES = 3
 
+/** Number of sightings from which all hosts know a record, so that a completion at any of them clears it. */
+export const MIN_SHARED_SIGHTINGS = MAX_CRASHES - 1
+
 /** Time until a request that is held back may run once more, in milliseconds: soon, since it may be sound. */
 const INITIAL_HOLD_MS = 30_000
 
@@ -12,10 +15,7 @@
 /** Maximum time for which a request is held back, in milliseconds. */
 const MAX_HOLD_MS = 3_600_000
 
-/** Time after a crash within which further ones belong to the same incident, in milliseconds. */
-const INCIDENT_MS = 1_000
-
-/** Time after which a crash no longer counts, in milliseconds, while a request isn't held back. */
+/** Time after the last crash for which a request that isn't held back is remembered, in milliseconds. */
 const RETENTION_MS = 120_000
 
 /** Maximum number of records; the oldest is dropped. */
@@ -35,44 +35,41 @@
   readonly digest: string
 }
 
-/** A connection that was lost while an endpoint ran a request. */
+/** An endpoint that gave no more sign while it ran a request. */
 export interface CrashSighting {
-  /** Identifies one run of an endpoint, between a start and the next. */
-  readonly incarnation: string
-  /** Monotonic milliseconds at which the request was sent. */
-  readonly sentAt: number
+  readonly endpointId: string
+  /** Start time of the incarnation, in milliseconds since 1970. */
+  readonly bornAt: number
   /** Monotonic milliseconds. */
   readonly lostAt: number
+  /** Whether the incarnation is known to have ended; else its connection may just have broken. */
+  readonly isConfirmed: boolean
 }
 
-/** Whether a lost connection counts against a request. */
-export enum CrashCount {
-  Counted = 'counted',
-  /** The incarnation of the endpoint has been counted before. */
-  Known = 'known',
-  /** The request was sent before, or just after, the crash before. */
-  SameIncident = 'same-incident'
+/** What speaks against a request. */
+export interface CrashRecord extends RequestIdentity {
+  readonly sightings: readonly CrashSighting[]
 }
 
-/** The crashes that count against a request. */
-export interface CrashRecord extends RequestIdentity {
-  readonly crashes: readonly CrashSighting[]
+interface KnownRecord extends CrashRecord {
+  /** Monotonic milliseconds at which the latest request that completed was sent; earlier sightings don't count. */
+  readonly soundAt: number
 }
 
 /**
- * Tracks requests of callers under which endpoints crashed. A request that has
- * crashed `MAX_CRASHES` of them is held back, and runs once more only after a long time.
+ * Tracks under which requests endpoints crashed. A request that has crashed
+ * `MAX_CRASHES` of them is held back, and runs once more only after a long time.
  *
- * Endpoints that crash together also take sound requests down. So a crash counts only
- * if the request was sent a while after the one before it, and a completion clears the
- * record.
+ * Invariants: each incarnation of an endpoint counts once, and only when it is known to
+ * have ended; records of several hosts are joined, never replaced; a completion clears
+ * what was sighted before it.
  *
  * @example
- * records.record(identity, { incarnation: 'i-1@99', sentAt, lostAt })
+ * records.record(identity, { endpointId: 'i-1', bornAt: 99, lostAt, isConfirmed: true })
  * records.heldUntil(identity.digest, now)
  */
 export class CrashRecords {
-  readonly #records = new Map<string, CrashRecord>()
+  readonly #records = new Map<string, KnownRecord>()
   /** Targets of the records, so that requests with other targets need no digest. */
   #targets = new Set<string>()
 
@@ -93,46 +90,58 @@
   }
 
   /**
-   * Records a lost connection.
+   * Records a sighting, or that an earlier one is confirmed.
    *
-   * @returns whether it counts
+   * @returns whether that is news
    */
-  record ({ target, digest }: RequestIdentity, crash: CrashSighting): CrashCount {
-    this.#forgetOld(crash.lostAt)
-    const crashes = this.#records.get(digest)?.crashes ?? []
-    const last = crashes.at(-1)
-    if (crashes.some(({ incarnation }) => incarnation === crash.incarnation)) return CrashCount.Known
-    if (last !== undefined && crash.sentAt < last.lostAt + INCIDENT_MS) return CrashCount.SameIncident
-    this.#store({ target, digest, crashes: [...crashes, crash] })
-    return CrashCount.Counted
+  record (identity: RequestIdentity, sighting: CrashSighting): boolean {
+    return this.merge({ ...identity, sightings: [sighting] }, sighting.lostAt)
   }
 
-  /** Adopts the record of another host if it has more crashes. */
-  adopt (record: CrashRecord, now: number): boolean {
+  /**
+   * Joins the record of another host with the own one.
+   *
+   * @returns whether that added anything
+   */
+  merge (other: CrashRecord, now: number): boolean {
     this.#forgetOld(now)
-    if ((this.#records.get(record.digest)?.crashes.length ?? 0) >= record.crashes.length) return false
-    this.#store(record)
-    return true
+    const known = this.#records.get(other.digest) ?? { target: other.target, digest: other.digest, sightings: [], soundAt: -Infinity }
+    const sightings = [...known.sightings]
+    let isChanged = false
+    for (const sighting of other.sightings) {
+      if (sighting.lostAt <= known.soundAt) continue
+      const index = sightings.findIndex((one) => isSameIncarnation(one, sighting))
+      const earlier = sightings[index]
+      if (earlier === undefined) sightings.push(sighting)
+      else if (sighting.isConfirmed && !earlier.isConfirmed) sightings[index] = { ...earlier, isConfirmed: true }
+      else continue
+      isChanged = true
+    }
+    if (isChanged) this.#store({ ...known, sightings })
+    return isChanged
+  }
+
+  /** Drops the sighting of an incarnation that has given a sign since. */
+  withdraw (digest: string, endpointId: string, bornAt: number): void {
+    const record = this.#records.get(digest)
+    if (record === undefined) return
+    this.#store({ ...record, sightings: record.sightings.filter((one) => !isSameIncarnation(one, { endpointId, bornAt })) })
   }
 
   /**
    * Records that a request ran to its end.
    *
-   * @param sentAt monotonic milliseconds; a request that was sent before the last crash clears nothing
-   * @returns whether crashes were known
+   * @param sentAt monotonic milliseconds; endpoints that were sighted later still count
+   * @returns whether that cleared anything
    */
   recordCompletion (digest: string, sentAt: number): boolean {
     const record = this.#records.get(digest)
-    if (record === undefined || sentAt < (record.crashes.at(-1)?.lostAt ?? -Infinity)) return false
-    this.#delete(digest)
+    const sightings = record?.sightings.filter(({ lostAt }) => lostAt > sentAt) ?? []
+    if (record === undefined || sightings.length === record.sightings.length) return false
+    this.#store({ ...record, sightings, soundAt: Math.max(record.soundAt, sentAt) })
     return true
   }
 
-  /** Drops the record of a request that has completed at another host. */
-  clear (digest: string): boolean {
-    return this.#delete(digest)
-  }
-
   /** Looks up a record. */
   find (digest: string): CrashRecord | undefined {
     return this.#records.get(digest)
@@ -143,7 +152,7 @@
     return [...this.#records.values()].filter(({ digest }) => this.heldUntil(digest, now) !== undefined)
   }
 
-  #store (record: CrashRecord): void {
+  #store (record: KnownRecord): void {
     this.#records.delete(record.digest)
     this.#records.set(record.digest, record)
     this.#targets.add(record.target)
@@ -151,25 +160,28 @@
     if (this.#records.size > MAX_RECORDS && oldest !== undefined) this.#delete(oldest)
   }
 
-  #delete (digest: string): boolean {
-    const isKnown = this.#records.delete(digest)
-    if (isKnown) this.#targets = new Set([...this.#records.values()].map(({ target }) => target))
-    return isKnown
+  #delete (digest: string): void {
+    this.#records.delete(digest)
+    this.#targets = new Set([...this.#records.values()].map(({ target }) => target))
   }
 
   #forgetOld (now: number): void {
     for (const record of this.#records.values()) {
-      const last = record.crashes.at(-1)?.lostAt ?? -Infinity
-      if (now >= Math.max(last, holdEnd(record) ?? -Infinity) + RETENTION_MS) this.#delete(record.digest)
+      const last = Math.max(record.soundAt, holdEnd(record) ?? -Infinity, ...record.sightings.map(({ lostAt }) => lostAt))
+      if (now >= last + RETENTION_MS) this.#delete(record.digest)
     }
   }
 }
 
 /** Monotonic milliseconds until which a record holds its request back; undefined if it doesn't. */
-function holdEnd ({ crashes }: CrashRecord): number | undefined {
-  const last = crashes.at(-1)
-  if (last === undefined || crashes.length < MAX_CRASHES) return undefined
-  return last.lostAt + Math.min(INITIAL_HOLD_MS * HOLD_GROWTH ** (crashes.length - MAX_CRASHES), MAX_HOLD_MS)
+function holdEnd ({ sightings }: CrashRecord): number | undefined {
+  const crashes = sightings.filter(({ isConfirmed }) => isConfirmed)
+  if (crashes.length < MAX_CRASHES) return undefined
+  return Math.max(...crashes.map(({ lostAt }) => lostAt)) + Math.min(INITIAL_HOLD_MS * HOLD_GROWTH ** (crashes.length - MAX_CRASHES), MAX_HOLD_MS)
+}
+
+function isSameIncarnation (a: Pick<CrashSighting, 'endpointId' | 'bornAt'>, b: Pick<CrashSighting, 'endpointId' | 'bornAt'>): boolean {
+  return a.endpointId === b.endpointId && a.bornAt === b.bornAt
 }
 
 /**
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -98,6 +98,8 @@
   /** Average time per unit of work in milliseconds; undefined before the first measurement. */
   paceMs: number | undefined
   paceObservedAt: number
+  /** Monotonic milliseconds at which the latest request that this incarnation answered was sent; -Infinity before the first. */
+  answeredSentAt: number
   /** Weight versions observed in answers, which may be newer than those of the registry entry. */
   observedVersions: Record<string, number>
   /** Monotonic milliseconds until which the endpoint gets no work for a model, because a weight update makes it refuse. */
@@ -252,6 +254,12 @@
     return [...this.#records.values()].flatMap((record): Array<readonly [EndpointRecord, RequestLimit]> => record.requestLimit.current === undefined ? [] : [[record, record.requestLimit.current]])
   }
 
+  /** Records that an incarnation has answered a request that was sent at the given monotonic time, in milliseconds. */
+  recordAnswer (id: string, bornAt: number, sentAt: number): void {
+    const record = this.#records.get(id)
+    if (record !== undefined && record.entry.bornAt === bornAt) record.answeredSentAt = Math.max(record.answeredSentAt, sentAt)
+  }
+
   /** Records the time that one unit of work took. */
   recordPace (id: string, paceMs: number, now: number): void {
     const record = this.#records.get(id)
@@ -330,6 +338,7 @@
       foreignLoadObservedAt: -Infinity,
       paceMs: undefined,
       paceObservedAt: -Infinity,
+      answeredSentAt: -Infinity,
       observedVersions: {},
       modelPausedUntil: {},
       trialModels: new Set(),
