Endpoints that hang under a request count as lost

What callers saw: BUDGET over real processes. Cause: only a broken connection was noticed; an attempt that its endpoint left without a sign until the call ended was aborted and forgotten. Tests: 'endpoints that give no sign until a call ends count as lost, unless another one answers it' fails before; 'a caller that leaves early says nothing about the endpoint'. In the older test on aborts the fourth call isn't reached by an endpoint, which is suspended by then; the new one covers that case.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -161,11 +161,15 @@
       lastFailure: undefined
     }
     const scope = openDeadlineScope(call.deadline, call.signal)
+    let outcome: CallOutcome | undefined
     try {
-      return await this.#runToOutcome(state, scope.signal)
+      outcome = await this.#runToOutcome(state, scope.signal)
+      return outcome
     } finally {
       scope.close()
       this.#recordSilence(state)
+      // A call that another endpoint has answered is sound.
+      if (outcome?.ok !== true) for (const { record } of silentAttempts(state)) this.#context.crashes.recordLoss(call, record.entry)
       for (const attempt of state.openAttempts) attempt.abort.abort()
     }
   }
@@ -210,11 +214,8 @@
   }
 
   /** Records the endpoints that have left this call without a sign for long. */
-  #recordSilence ({ openAttempts }: CallState): void {
-    const silentSince = monotonicNow() - SILENT_MS
-    for (const { record, sentAt } of openAttempts) {
-      if (sentAt <= silentSince) this.#context.relay.recordUnreached(record.entry.id)
-    }
+  #recordSilence (state: CallState): void {
+    for (const { record } of silentAttempts(state)) this.#context.relay.recordUnreached(record.entry.id)
   }
 
   /** Sends the call to another endpoint; returns a refusal if no further attempt is possible or allowed. */
@@ -434,6 +435,12 @@
   }
 }
 
+/** Attempts that their endpoints have left without a sign for long. */
+function silentAttempts ({ openAttempts }: CallState): CallAttempt[] {
+  const silentSince = monotonicNow() - SILENT_MS
+  return [...openAttempts].filter(({ sentAt }) => sentAt <= silentSince)
+}
+
 function queryOf ({ call, service, excluded, refuseAt }: CallState): EndpointQuery {
   return { service, origin: call.origin, softwareVersion: call.continues?.softwareVersion, excluded, waitUntil: refuseAt }
 }
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -7,6 +7,7 @@
 import { answerWith, ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
 import type { CallOutcome, CrashGuard, PlainCall } from '@cyclamenthread/coordination'
 import type { PeerMessage } from '@cyclamenthread/protocol'
+import type { CallScript } from './scripted-endpoints.js'
 import type { Host, Route } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
@@ -131,6 +132,42 @@
   t.deepEqual(second.ok ? undefined : [second.refusal.reason, second.refusal.ran], [RefusalReason.HeldBack, Ran.No])
 })
 
+// Guards against a request that hangs one endpoint after the other, without a reset (BUDGET).
+test('endpoints that give no sign until a call ends count as lost, unless another one answers it', async (t) => {
+  const lost: string[] = []
+  const crashes: CrashGuard = { ...NO_CRASHES, recordLoss: (_call, { id }) => lost.push(id) }
+  const { endpoints, run } = await openFixture(t, ['a', 'bb'], {}, crashes)
+  const hang: CallScript = async (request) => {
+    await waitUnlessAborted(5_000, request.signal)
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'aborted' }
+  }
+  for (const id of ['a', 'bb']) endpoints.callScripts.set(id, hang)
+  await run({ deadline: performance.now() + 1_000 })
+  t.deepEqual(lost.sort(), ['a', 'bb'])
+  lost.length = 0
+  let calls = 0
+  const hangFirst: CallScript = async (request) => {
+    calls += 1
+    return calls === 1 ? await hang(request) : await waitUnlessAborted(600, request.signal).then(() => answerWith(200))
+  }
+  for (const id of ['a', 'bb']) endpoints.callScripts.set(id, hangFirst)
+  t.true((await run({ deadline: performance.now() + 3_000 })).ok)
+  t.is(calls, 2)
+  t.deepEqual(lost, [])
+})
+
+test('a caller that leaves early says nothing about the endpoint', async (t) => {
+  const lost: string[] = []
+  const { endpoints, run } = await openFixture(t, ['a'], {}, { ...NO_CRASHES, recordLoss: (_call, { id }) => lost.push(id) })
+  endpoints.callScripts.set('a', async (request) => {
+    await waitUnlessAborted(5_000, request.signal)
+    return { kind: EndpointReplyKind.Broken, sent: true, detail: 'aborted' }
+  })
+  await run({ route: { ...ROUTE, maxAttempts: 1 }, signal: AbortSignal.timeout(150) })
+  t.is(endpoints.calls.length, 1)
+  t.deepEqual(lost, [])
+})
+
 test('only a lost connection counts as a crash: neither an overrun nor bytes that are no answer nor an abort do', async (t) => {
   const causes = [BreakCause.Overrun, BreakCause.NoAnswer, undefined]
   let losses = 0
