Crashes outlast a loss of all hosts before their endpoints are judged; what a completion crosses leaves the store

All six endpoints crashed at once, so that every host was in doubt, and all hosts were killed 2 s later: the sightings were in their memory only.

Change: a record is stored from its third sighting on, judged or not, and updated when the third is confirmed; hosts that read it judge what is open. Trials avoid endpoints that have been sighted. A removal is repeated if the object changed, and a host that stores a record or takes a trial checks afterwards whether the request has completed meanwhile.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -233,6 +233,7 @@
     const refusal = isUnsent && isDue ? await crashes.takeTrial(state.call) : heldBack(isDue ? 0 : admission.retryAt - monotonicNow())
     if (refusal !== undefined) return state.mayHaveRun ? { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: refusal.detail } : refusal
     state.isTrial = true
+    for (const id of crashes.sightedEndpoints(state.call)) state.excluded.add(id)
     state.call = { ...state.call, route: { ...state.call.route, maxAttempts: 1 } }
     return undefined
   }
--- a/packages/coordination/src/lib/crash-task.ts
+++ b/packages/coordination/src/lib/crash-task.ts
@@ -36,6 +36,8 @@
   admit (call: RepeatableCall): Admission
   /** Takes the next trial of a call that is held back; returns a refusal if another host has taken it. */
   takeTrial (call: RepeatableCall): Promise<Refusal | undefined>
+  /** Ids of the endpoints that gave no more sign while they ran a call; some may still be listed. */
+  sightedEndpoints (call: RepeatableCall): readonly string[]
   /**
    * Ends a trial.
    *
@@ -58,7 +60,7 @@
 
 /** A guard for tests whose endpoints don't crash. */
 export const NO_CRASHES: CrashGuard = {
-  admit: () => ({ kind: AdmissionKind.Free }), takeTrial: async () => undefined, endTrial: () => {}, recordLoss: () => {}, recordAnswer: () => {}
+  admit: () => ({ kind: AdmissionKind.Free }), takeTrial: async () => undefined, sightedEndpoints: () => [], endTrial: () => {}, recordLoss: () => {}, recordAnswer: () => {}
 }
 
 /** Dependencies of a {@link CrashTask}. */
@@ -67,7 +69,7 @@
   readonly members: Pick<MemberView, 'workers'>
   readonly bus: Pick<MessageBus, 'post' | 'send'>
   readonly observer: EndpointObserver
-  readonly held: Pick<HeldRequestStore, 'create' | 'list' | 'takeTrial' | 'returnTrial' | 'remove'>
+  readonly held: Pick<HeldRequestStore, 'create' | 'list' | 'update' | 'takeTrial' | 'returnTrial' | 'remove'>
   readonly log: EventLog
 }
 
@@ -95,8 +97,9 @@
   readonly #reading = new Periodic(READ_PERIOD_MS, async () => await this.#readHeldRequests())
   /** Sightings that are being judged, by digest and incarnation. */
   readonly #judging = new Map<string, Promise<EndpointLife>>()
-  /** Digests of the requests that this host has stored as held back. */
+  /** Digests of the requests that this host has stored, and of those that it is storing. */
   readonly #created = new Set<string>()
+  readonly #storing = new Set<string>()
   /** Trials that this host runs, by digest. */
   readonly #openTrials = new Map<string, OpenTrial>()
   /** Digests of the requests whose sightings this host judges. */
@@ -143,6 +146,11 @@
     log.record(LogEvent.TrialTaken, { digest: wanted, outcome: grant.kind, trials: next.count, lateTrials: next.lateCount })
     switch (grant.kind) {
       case TrialGrantKind.Granted:
+        if (!this.#records.isHeld(wanted)) {
+          // The request completed while the store was asked.
+          void held.remove(wanted)
+          return undefined
+        }
         this.#records.setTrials(wanted, next)
         this.#openTrials.set(wanted, { before: record.trials, taken: next, isInconclusive: undefined })
         this.#share(wanted)
@@ -158,6 +166,10 @@
     }
   }
 
+  sightedEndpoints (call: RepeatableCall): readonly string[] {
+    return this.#records.find(identityOf(call).digest)?.sightings.map(({ endpointId }) => endpointId) ?? []
+  }
+
   endTrial (call: RepeatableCall, mayHaveRun: boolean): void {
     const { digest: tried } = identityOf(call)
     const trial = this.#openTrials.get(tried)
@@ -180,6 +192,7 @@
     for (const collector of this.#selectOthers(crashCollectors)) void this.#context.bus.post(collector, { kind: PeerMessageKind.ReportCrash, record })
     this.#share(identity.digest)
     this.#judgeSightings(identity.digest)
+    void this.#store(identity.digest)
   }
 
   recordAnswer (call: RepeatableCall, sentAt: number, status: number): void {
@@ -196,7 +209,7 @@
   /** Clears a record, and removes from the store what this host has written there. */
   #clear (cleared: string, sentAt: number): boolean {
     if (!this.#records.recordCompletion(cleared, sentAt)) return false
-    if (this.#created.delete(cleared)) void this.#context.held.remove(cleared)
+    this.#removeIfIdle(cleared)
     return true
   }
 
@@ -210,6 +223,7 @@
     if (isNews) {
       this.#share(reported.digest)
       this.#judgeSightings(reported.digest)
+      void this.#store(reported.digest)
     }
     return isNews
   }
@@ -245,7 +259,10 @@
   async #judge (identity: RequestIdentity, sighting: CrashSighting): Promise<EndpointLife> {
     const { endpointId, bornAt, lostAt } = sighting
     const life = await this.#context.observer.judge({ endpointId, bornAt }, lostAt)
-    if (life === EndpointLife.Running) this.#records.withdraw(identity.digest, endpointId, bornAt)
+    if (life === EndpointLife.Running) {
+      this.#records.withdraw(identity.digest, endpointId, bornAt)
+      this.#removeIfIdle(identity.digest)
+    }
     // A completion may have cleared the record meanwhile.
     if (life === EndpointLife.Ended && this.#records.find(identity.digest) !== undefined) this.#confirm(identity, sighting)
     return life
@@ -257,20 +274,31 @@
     this.#share(identity.digest)
     if (wasHeld || !this.#records.isHeld(identity.digest)) return
     this.#logHold(identity.digest)
-    void this.#storeHold(identity.digest)
+    if (this.#created.has(identity.digest)) {
+      const record = this.#records.find(identity.digest)
+      if (record !== undefined) void this.#context.held.update(record)
+    } else void this.#store(identity.digest)
   }
 
-  async #storeHold (held: string): Promise<void> {
-    const record = this.#records.find(held)
-    if (record === undefined || record.isStored || !await this.#context.held.create(record)) return
-    if (!this.#records.isHeld(held)) {
-      // The request completed meanwhile.
-      await this.#context.held.remove(held)
-      return
-    }
-    this.#created.add(held)
-    this.#records.setStored(held)
-    this.#share(held)
+  /** Stores a record that may hold its request back, so that it outlasts a loss of all hosts before its endpoints are judged. */
+  async #store (stored: string): Promise<void> {
+    const record = this.#records.find(stored)
+    if (record === undefined || record.isStored || record.sightings.length < MAX_CRASHES || this.#storing.has(stored)) return
+    this.#storing.add(stored)
+    const isStored = await this.#context.held.create(record)
+    this.#storing.delete(stored)
+    if (!isStored) return
+    this.#created.add(stored)
+    this.#records.setStored(stored, true)
+    this.#removeIfIdle(stored)
+    this.#share(stored)
+  }
+
+  /** Removes from the store what this host has written there of a request that nothing speaks against any more. */
+  #removeIfIdle (stored: string): void {
+    if ((this.#records.find(stored)?.sightings.length ?? 0) >= MAX_CRASHES || !this.#created.delete(stored)) return
+    this.#records.setStored(stored, false)
+    void this.#context.held.remove(stored)
   }
 
   /** Gives a trial back that did not show whether the request crashes endpoints. */
@@ -314,7 +342,10 @@
     const listed = await this.#context.held.list()
     if (!listed.ok) return
     this.#hasReadStore = true
-    for (const held of listed.value) this.#adopt(fromStore(held))
+    for (const held of listed.value) {
+      this.#adopt(fromStore(held))
+      this.#judgeSightings(held.digest)
+    }
   }
 
   #others (): Host[] {
@@ -378,7 +409,7 @@
   return {
     target,
     digest: identified,
-    sightings: crashes.map(({ endpointId, bornAt }) => ({ endpointId, bornAt, lostAt: now - EARLY_TRIALS_MS, isConfirmed: true })),
+    sightings: crashes.map(({ endpointId, bornAt, isConfirmed }) => ({ endpointId, bornAt, lostAt: now - EARLY_TRIALS_MS, isConfirmed })),
     trials: { ...trials, lastAt: now },
     isStored: true
   }
--- a/packages/coordination/src/lib/held-request-store.ts
+++ b/packages/coordination/src/lib/held-request-store.ts
@@ -8,13 +8,16 @@
 /** Timeout of one store call, in milliseconds. */
 const CALL_TIMEOUT_MS = 1_000
 
+/** Number of attempts to remove an object that others change meanwhile. */
+const REMOVAL_ATTEMPTS = 4
+
 const heldRequestSchema = z.object({
   target: z.string(),
   trials: z.object({ count: z.int().nonnegative(), lateCount: z.int().nonnegative() }),
-  crashes: z.array(z.object({ endpointId: z.string(), bornAt: z.number() }))
+  crashes: z.array(z.object({ endpointId: z.string(), bornAt: z.number(), isConfirmed: z.boolean() }))
 })
 
-/** A request that is held back, as the store holds it. */
+/** A request that is held back, or about to be, as the store holds it. */
 export type HeldRequest = z.infer<typeof heldRequestSchema> & { readonly digest: string }
 
 /** Kinds of answers to a host that wants to run a trial. */
@@ -51,7 +54,7 @@
   }
 
   /**
-   * Stores that a request is held back.
+   * Stores what speaks against a request, unless the store holds it already.
    *
    * @returns whether the store holds it now
    */
@@ -60,6 +63,13 @@
     return status === WriteStatus.Applied || status === WriteStatus.Conflict
   }
 
+  /** Updates what speaks against a request; its trials stay. */
+  async update (record: CrashRecord): Promise<void> {
+    const found = await this.#store.read(keyOf(record.digest), storeCall())
+    const trials = found.ok && found.value !== undefined ? decode(found.value)?.trials : undefined
+    if (found.ok && found.value !== undefined) await this.#writeTrials(found.value, record, trials ?? record.trials)
+  }
+
   /**
    * Takes the next trial of a request, unless another host has taken it.
    *
@@ -90,13 +100,17 @@
     return isLast && await this.#writeTrials(found.value, record, before)
   }
 
-  /** Removes a request that isn't held back any more. */
+  /** Removes a request that isn't held back any more, even if another host takes a trial meanwhile. */
   async remove (digest: string): Promise<void> {
-    const found = await this.#store.read(keyOf(digest), storeCall())
-    if (found.ok && found.value !== undefined) await this.#store.remove(keyOf(digest), found.value.version, storeCall())
+    for (let attempt = 0; attempt < REMOVAL_ATTEMPTS; attempt += 1) {
+      const found = await this.#store.read(keyOf(digest), storeCall())
+      if (!found.ok || found.value === undefined) return
+      const { status } = await this.#store.remove(keyOf(digest), found.value.version, storeCall())
+      if (status !== WriteStatus.Conflict) return
+    }
   }
 
-  async #writeTrials ({ key, version }: StoredObject, record: CrashRecord, trials: TrialState): Promise<boolean> {
+  async #writeTrials ({ key, version }: StoredObject, record: CrashRecord, trials: Omit<TrialState, 'lastAt'>): Promise<boolean> {
     const { status } = await this.#store.write(key, valueOf(record, trials), { kind: ExpectationKind.Version, version }, storeCall())
     return status === WriteStatus.Applied
   }
@@ -106,8 +120,8 @@
   return HELD_REQUESTS_PREFIX + digest
 }
 
-function valueOf ({ target, sightings }: CrashRecord, { count, lateCount }: TrialState): z.infer<typeof heldRequestSchema> {
-  const crashes = sightings.filter(({ isConfirmed }) => isConfirmed).map(({ endpointId, bornAt }) => ({ endpointId, bornAt }))
+function valueOf ({ target, sightings }: CrashRecord, { count, lateCount }: Omit<TrialState, 'lastAt'>): z.infer<typeof heldRequestSchema> {
+  const crashes = sightings.map(({ endpointId, bornAt, isConfirmed }) => ({ endpointId, bornAt, isConfirmed }))
   return { target, trials: { count, lateCount }, crashes }
 }
 
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -133,14 +133,14 @@
 })
 
 // Guards against a trial that crashes several endpoints (BUDGET), and against one that is used up although nothing ran.
-test('a trial runs at one endpoint, and says whether it ran', async (t) => {
+test('a trial runs at one endpoint that gave signs until now, and says whether it ran', async (t) => {
   const ends: boolean[] = []
-  const crashes: CrashGuard = { ...NO_CRASHES, admit: () => ({ kind: AdmissionKind.TrialDue }), endTrial: (_call, mayHaveRun) => ends.push(mayHaveRun) }
+  const crashes: CrashGuard = { ...NO_CRASHES, admit: () => ({ kind: AdmissionKind.TrialDue }), sightedEndpoints: () => ['a'], endTrial: (_call, mayHaveRun) => ends.push(mayHaveRun) }
   const { endpoints, run } = await openFixture(t, ['a', 'bb'], {}, crashes)
   const refused = await openFixture(t, ['a'], {}, { ...crashes, takeTrial: async () => notRun(RefusalReason.HeldBack, 'taken', 500) })
   for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
   await run()
-  t.is(endpoints.calls.length, 1)
+  t.deepEqual(endpoints.calls.map(({ endpoint }) => endpoint.id), ['bb'])
   for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.NotRun, status: 503, load: undefined }))
   await run()
   t.deepEqual(ends, [true, false])
--- a/packages/coordination/src/test/crash-task.test.ts
+++ b/packages/coordination/src/test/crash-task.test.ts
@@ -20,6 +20,7 @@
   readonly #tasks = new Map<string, CrashTask>()
   readonly cutOff = new Set<string>()
   readonly store = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
+  isJudging = true
   /** Ids of endpoints that still run, although connections to them broke. */
   readonly running = new Set<string>()
 
@@ -39,7 +40,7 @@
         return answer === undefined ? failure(PeerFailure.NoReply) : success(answer)
       }
     } as unknown as CrashContext['bus']
-    const observer = { judge: async ({ endpointId }: { readonly endpointId: string }) => this.running.has(endpointId) ? EndpointLife.Running : EndpointLife.Ended }
+    const observer = { judge: async ({ endpointId }: { readonly endpointId: string }) => !this.isJudging ? EndpointLife.Unknown : this.running.has(endpointId) ? EndpointLife.Running : EndpointLife.Ended }
     const task = new CrashTask({ self: { id }, members: { workers: () => HOST_IDS.map((one) => ({ id: one }) as Host) }, bus, observer, held: new HeldRequestStore(this.store), log: SILENT_LOG })
     this.#tasks.set(id, task)
     void task.start()
@@ -156,6 +157,18 @@
   t.deepEqual(hosts.holding(POISON), HOST_IDS)
 })
 
+// Guards against a request whose crashes are forgotten because all hosts are lost before its endpoints are judged (BUDGET).
+test('crashes that are not judged yet outlast a restart of all hosts', async (t) => {
+  const hosts = new Hosts(t)
+  hosts.isJudging = false
+  await crashAt(hosts, ['h1', 'h2', 'h3'])
+  t.deepEqual(hosts.holding(POISON), [])
+  hosts.isJudging = true
+  for (const id of HOST_IDS) hosts.restart(id)
+  await waitUntil(t, () => hosts.holding(POISON).length === HOST_IDS.length)
+  t.deepEqual(hosts.holding(POISON), HOST_IDS)
+})
+
 // Guards against a sound request that stays held back because endpoints crashed together while they ran it (DENIED, RECOVER).
 test('a call whose trial completes is free at every host, and in the store', async (t) => {
   const hosts = new Hosts(t)
@@ -179,6 +192,19 @@
   t.deepEqual(hosts.store.keys('cyclamenthread/held-requests/'), [])
 })
 
+// Guards against a sound request that hosts hold back after a restart, because a trial was taken while it completed elsewhere.
+test('a call that completes while a trial is being taken leaves nothing in the store', async (t) => {
+  const hosts = new Hosts(t)
+  await crashAt(hosts, ['h1', 'h2', 'h3'])
+  await awaitTrial(t, hosts.task('h4'))
+  hosts.store.faults.jitterMs = 30
+  const trial = hosts.task('h4').takeTrial(POISON)
+  hosts.task('h5').recordAnswer(POISON, performance.now(), 200)
+  await trial
+  await new Promise((resolve) => setTimeout(resolve, 500))
+  t.deepEqual(hosts.store.keys('cyclamenthread/held-requests/'), [])
+})
+
 test('a trial in which nothing ran, or whose endpoint still runs, is given back', async (t) => {
   const hosts = new Hosts(t)
   await crashAt(hosts, ['h1', 'h2', 'h3'])
--- a/packages/state/src/lib/crash-records.ts
+++ b/packages/state/src/lib/crash-records.ts
@@ -72,7 +72,7 @@
 export interface CrashRecord extends RequestIdentity {
   readonly sightings: readonly CrashSighting[]
   readonly trials: TrialState
-  /** Whether the store holds that the request is held back. */
+  /** Whether the store holds the record. */
   readonly isStored: boolean
 }
 
@@ -209,10 +209,10 @@
     if (record !== undefined) this.#store({ ...record, trials })
   }
 
-  /** Records that the store holds that a request is held back. */
-  setStored (digest: string): void {
+  /** Records whether the store holds a record. */
+  setStored (digest: string, isStored: boolean): void {
     const record = this.#records.get(digest)
-    if (record !== undefined) this.#store({ ...record, isStored: true })
+    if (record !== undefined) this.#store({ ...record, isStored })
   }
 
   /** Looks up a record. */
