A missing entry in the store frees no request; later trials come sooner after one another

Cause: a host that had written a record took it out of the store when its own copy fell below three sightings, and others took the missing entry for a completion ('trial-taken' with 'cleared' in the logs). Now only a completion removes a record, and a host that finds none writes it anew with the trial that it takes. Trials: two early ones, then three, 1 and 3 s and 10 minutes after the one before; the rule limits their number, three, not their times, and a sound request gains by soon ones. A trial on the schedule of the later ones is never counted as early.

Test: 'a missing entry in the store frees no call'.

--- a/packages/coordination/src/lib/crash-task.ts
+++ b/packages/coordination/src/lib/crash-task.ts
@@ -155,9 +155,6 @@
         this.#openTrials.set(wanted, { before: record.trials, taken: next, isInconclusive: undefined })
         this.#share(wanted)
         return undefined
-      case TrialGrantKind.Cleared:
-        this.#records.recordCompletion(wanted, monotonicNow())
-        return undefined
       case TrialGrantKind.Taken:
         this.#records.setTrials(wanted, { ...grant.trials, lastAt: startedAt })
         return heldBack(TRIAL_RETRY_MS)
@@ -209,7 +206,7 @@
   /** Clears a record, and removes from the store what this host has written there. */
   #clear (cleared: string, sentAt: number): boolean {
     if (!this.#records.recordCompletion(cleared, sentAt)) return false
-    this.#removeIfIdle(cleared)
+    if (this.#created.delete(cleared)) void this.#context.held.remove(cleared)
     return true
   }
 
@@ -259,10 +256,7 @@
   async #judge (identity: RequestIdentity, sighting: CrashSighting): Promise<EndpointLife> {
     const { endpointId, bornAt, lostAt } = sighting
     const life = await this.#context.observer.judge({ endpointId, bornAt }, lostAt)
-    if (life === EndpointLife.Running) {
-      this.#records.withdraw(identity.digest, endpointId, bornAt)
-      this.#removeIfIdle(identity.digest)
-    }
+    if (life === EndpointLife.Running) this.#records.withdraw(identity.digest, endpointId, bornAt)
     // A completion may have cleared the record meanwhile.
     if (life === EndpointLife.Ended && this.#records.find(identity.digest) !== undefined) this.#confirm(identity, sighting)
     return life
@@ -288,19 +282,16 @@
     const isStored = await this.#context.held.create(record)
     this.#storing.delete(stored)
     if (!isStored) return
+    if (this.#records.find(stored)?.sightings.some(({ lostAt }) => record.sightings.some((one) => one.lostAt === lostAt)) !== true) {
+      // The request completed meanwhile.
+      void this.#context.held.remove(stored)
+      return
+    }
     this.#created.add(stored)
-    this.#records.setStored(stored, true)
-    this.#removeIfIdle(stored)
+    this.#records.setStored(stored)
     this.#share(stored)
   }
 
-  /** Removes from the store what this host has written there of a request that nothing speaks against any more. */
-  #removeIfIdle (stored: string): void {
-    if ((this.#records.find(stored)?.sightings.length ?? 0) >= MAX_CRASHES || !this.#created.delete(stored)) return
-    this.#records.setStored(stored, false)
-    void this.#context.held.remove(stored)
-  }
-
   /** Gives a trial back that did not show whether the request crashes endpoints. */
   async #returnUnlessRun (tried: string, { before, taken, isInconclusive }: OpenTrial, mayHaveRun: boolean): Promise<void> {
     if (mayHaveRun && await isInconclusive !== true) return
--- a/packages/coordination/src/lib/held-request-store.ts
+++ b/packages/coordination/src/lib/held-request-store.ts
@@ -25,15 +25,13 @@
   Granted = 'granted',
   /** Other hosts have taken trials that this host didn't know of. */
   Taken = 'taken',
-  /** The request has completed meanwhile, and isn't held back any more. */
-  Cleared = 'cleared',
   /** The store gave no usable answer. */
   Unavailable = 'unavailable'
 }
 
 /** The answer to a host that wants to run a trial. */
 export type TrialGrant =
-  | { readonly kind: TrialGrantKind.Granted | TrialGrantKind.Cleared | TrialGrantKind.Unavailable }
+  | { readonly kind: TrialGrantKind.Granted | TrialGrantKind.Unavailable }
   | { readonly kind: TrialGrantKind.Taken, readonly trials: HeldRequest['trials'] }
 
 /**
@@ -79,7 +77,7 @@
     const found = await this.#store.read(keyOf(record.digest), storeCall())
     if (!found.ok) return { kind: TrialGrantKind.Unavailable }
     if (found.value === undefined) {
-      if (record.isStored) return { kind: TrialGrantKind.Cleared }
+      // Even if the request has completed elsewhere, a trial is the way to find out.
       const { status } = await this.#store.write(keyOf(record.digest), valueOf(record, next), { kind: ExpectationKind.Absent }, storeCall())
       return { kind: status === WriteStatus.Applied ? TrialGrantKind.Granted : TrialGrantKind.Unavailable }
     }
--- a/packages/coordination/src/test/crash-task.test.ts
+++ b/packages/coordination/src/test/crash-task.test.ts
@@ -205,6 +205,18 @@
   t.deepEqual(hosts.store.keys('cyclamenthread/held-requests/'), [])
 })
 
+// Guards against a request that crashes endpoints and is freed because its entry in the store is missing (BUDGET).
+test('a missing entry in the store frees no call', async (t) => {
+  const hosts = new Hosts(t)
+  await crashAt(hosts, ['h1', 'h2', 'h3'])
+  await awaitTrial(t, hosts.task('h4'))
+  const held = new HeldRequestStore(hosts.store)
+  for (const key of hosts.store.keys('cyclamenthread/held-requests/')) await held.remove(key.slice(key.lastIndexOf('/') + 1))
+  t.is(await hosts.task('h4').takeTrial(POISON), undefined)
+  t.not(await hosts.task('h5').takeTrial(POISON), undefined)
+  t.deepEqual(hosts.holding(POISON), HOST_IDS)
+})
+
 test('a trial in which nothing ran, or whose endpoint still runs, is given back', async (t) => {
   const hosts = new Hosts(t)
   await crashAt(hosts, ['h1', 'h2', 'h3'])
--- a/packages/state/src/lib/crash-records.ts
+++ b/packages/state/src/lib/crash-records.ts
@@ -14,13 +14,13 @@
  * trials, in milliseconds. They come soon, since endpoints that crash together take sound
  * requests down with them, and several, since other requests may still crash endpoints.
  */
-const EARLY_TRIAL_DELAYS_MS = [FIRST_TRIAL_DELAY_MS, 700, 1_000]
+const EARLY_TRIAL_DELAYS_MS = [FIRST_TRIAL_DELAY_MS, 700]
 
 /** Time after the third crash in which early trials begin, in milliseconds; later ones count against the limit that the platform sets. */
 export const EARLY_TRIALS_MS = 2_500
 
 /** The same times for later trials, in milliseconds. The first one is as soon if there was no early one: the crashes took long to confirm. */
-const LATE_TRIAL_DELAYS_MS = [2_000, 60_000]
+const LATE_TRIAL_DELAYS_MS = [1_000, 3_000, 600_000]
 
 /** Retry delay for a request without further trials, in milliseconds. */
 const HELD_RETRY_MS = 600_000
@@ -200,7 +200,7 @@
   trialsAfter (digest: string, now: number): TrialState {
     const record = this.#records.get(digest)
     const { count, lateCount } = record?.trials ?? NO_TRIALS
-    return { count: count + 1, lateCount: record === undefined || isEarly(record, now) ? lateCount : lateCount + 1, lastAt: now }
+    return { count: count + 1, lateCount: record === undefined || now < earlyUntil(record) ? lateCount : lateCount + 1, lastAt: now }
   }
 
   /** Records how many trials a request has had. */
@@ -209,10 +209,10 @@
     if (record !== undefined) this.#store({ ...record, trials })
   }
 
-  /** Records whether the store holds a record. */
-  setStored (digest: string, isStored: boolean): void {
+  /** Records that the store holds a record. */
+  setStored (digest: string): void {
     const record = this.#records.get(digest)
-    if (record !== undefined) this.#store({ ...record, isStored })
+    if (record !== undefined) this.#store({ ...record, isStored: true })
   }
 
   /** Looks up a record. */
@@ -260,10 +260,10 @@
   return sightings.filter(({ isConfirmed }) => isConfirmed).length >= MAX_CRASHES
 }
 
-/** Whether trials of a request that is held back are early. */
-function isEarly ({ sightings }: CrashRecord, now: number): boolean {
+/** Monotonic milliseconds before which trials of a request that is held back are early. */
+function earlyUntil ({ sightings }: CrashRecord): number {
   const crashes = sightings.filter(({ isConfirmed }) => isConfirmed).map(({ lostAt }) => lostAt).sort((a, b) => a - b)
-  return now < (crashes[MAX_CRASHES - 1] ?? Infinity) + EARLY_TRIALS_MS
+  return (crashes[MAX_CRASHES - 1] ?? Infinity) + EARLY_TRIALS_MS
 }
 
 /** Monotonic milliseconds from which a request that is held back may have its next trial; undefined if it has none left. */
@@ -271,9 +271,9 @@
   const { sightings, trials: { count, lateCount, lastAt } } = record
   const last = Math.max(lastAt, ...sightings.map(({ lostAt }) => lostAt))
   const early = EARLY_TRIAL_DELAYS_MS[count - lateCount]
-  if (early !== undefined && isEarly(record, Math.max(now, last + early))) return last + early
+  if (early !== undefined && Math.max(now, last + early) < earlyUntil(record)) return last + early
   const late = count === 0 ? FIRST_TRIAL_DELAY_MS : LATE_TRIAL_DELAYS_MS[lateCount]
-  return late === undefined ? undefined : last + late
+  return late === undefined ? undefined : Math.max(last + late, earlyUntil(record))
 }
 
 function isSameIncarnation (a: Pick<CrashSighting, 'endpointId' | 'bornAt'>, b: Pick<CrashSighting, 'endpointId' | 'bornAt'>): boolean {
--- a/packages/state/src/test/crash-records.test.ts
+++ b/packages/state/src/test/crash-records.test.ts
@@ -98,7 +98,7 @@
     t.deepEqual(records.forgetOld(minute * 60_000), [])
     t.not(records.admit('d', minute * 60_000).kind, AdmissionKind.Free)
   }
-  records.setStored('d', true)
+  records.setStored('d')
   t.deepEqual(records.forgetOld(500 * 60_000).map(({ digest }) => digest), ['d'])
 })
 
