--- a/packages/bench/src/lib/refusal-notes.ts
+++ b/packages/bench/src/lib/refusal-notes.ts
@@ -29,7 +29,7 @@
   [RefusalReason.HeldBack]: {
     ran: [Ran.No],
     cause: 'Endpoints crashed under the same request (same workspace, method, path and body), one after the other.',
-    remedy: 'Check what the request does to its endpoint; it may run once more after the delay.'
+    remedy: 'Check what the request does to its endpoint; after the delay it may run once, and is free again if that completes.'
   },
   [RefusalReason.Quarantined]: { ran: NO_OR_MAYBE, cause: 'Endpoints went down while they ran this request; it is not retried.', remedy: 'Do not retry; report the request to the owner of the entry.' },
   [RefusalReason.Overloaded]: { ran: NO_OR_MAYBE, cause: 'The queue is full.', remedy: 'Retry after `Retry-After`.' },
