Log the steps of slow and failed reads of rollouts

Callers saw reads without an answer; nothing showed which hosts a read asked, how long each took, or how many entries a load had read when it was given up. 'rollout-read' and 'rollout-loaded' do, for reads that fail or take long only.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -41,6 +41,10 @@
   /** Ends that aren't stored yet were handed to another host. */
   RolloutEndsCopied = 'rollout-ends-copied',
   RolloutAssigned = 'rollout-assigned',
+  /** A read of a rollout that failed or took long. */
+  RolloutRead = 'rollout-read',
+  /** A read of a rollout's log that took long, or that was given up after it had read entries. */
+  RolloutLoaded = 'rollout-loaded',
   RolloutOwnership = 'rollout-ownership',
   RolloutCommitted = 'rollout-committed',
   SampleSent = 'sample-sent',
--- a/packages/coordination/src/lib/rollout-reader.ts
+++ b/packages/coordination/src/lib/rollout-reader.ts
@@ -1,6 +1,8 @@
 import { hostOfWriter, ownerOf, RolloutProgress } from '@cyclamenthread/state'
 import { PeerMessageKind, RolloutReadStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
+import { ReadTrace } from './read-trace.js'
 import type { Host, RolloutOrder } from '@cyclamenthread/state'
 import type { RolloutPage } from '@cyclamenthread/protocol'
 import type { OwnerDirectory } from './owner-directory.js'
@@ -25,6 +27,9 @@
 /** Maximum output in one page of results, in characters. */
 const MAX_PAGE_CHARACTERS = 900_000
 
+/** Time beyond its wait after which a read is logged, in milliseconds: well above a usual read, below the time at which callers give up. */
+const SLOW_READ_MS = 500
+
 /** A read of a rollout's results. */
 export interface RolloutRead {
   readonly id: string
@@ -55,47 +60,68 @@
 
   /** Reads results at the host that is likely to own the rollout. */
   async read (read: RolloutRead): Promise<RolloutPage> {
+    return await this.#traced(read, async (trace) => await this.#readAnywhere(read, trace))
+  }
+
+  /** Reads results on this host: from its run, from the owner, or from the log. */
+  async readHere (read: RolloutRead): Promise<RolloutPage> {
+    return await this.#traced(read, async (trace) => await this.#readHere(read, trace))
+  }
+
+  /** Logs the steps of a read that fails or takes long. */
+  async #traced (read: RolloutRead, step: (trace: ReadTrace) => Promise<RolloutPage>): Promise<RolloutPage> {
+    const trace = new ReadTrace()
+    const waitMs = Math.max(0, Math.round(timeLeft(read.deadline)))
+    const page = await step(trace)
+    if (page.status === RolloutReadStatus.Unavailable || trace.ageMs > waitMs + SLOW_READ_MS) {
+      const { id, after, forwarded } = read
+      this.#context.log.record(LogEvent.RolloutRead, { requestId: id, after, forwarded, outcome: page.status, results: page.results.length, steps: trace.steps, waitMs, tookMs: trace.ageMs })
+    }
+    return page
+  }
+
+  async #readAnywhere (read: RolloutRead, trace: ReadTrace): Promise<RolloutPage> {
     for (const host of this.#directory.likelyOwners(read.id, read.workspace).slice(0, MAX_HOSTS_ASKED)) {
-      if (host.id === this.#context.self.id) return await this.readHere(read)
-      const page = await this.#readAt(host, read)
+      if (host.id === this.#context.self.id) return await this.#readHere(read, trace)
+      const page = await this.#readAt(host, read, trace)
       if (page !== undefined) return page
     }
-    return await this.#readFromStore(read)
+    return await trace.measure('store', async () => await this.#readFromStore(read), ({ status }) => status)
   }
 
-  /** Reads results on this host: from its run, from the owner, or from the log. */
-  async readHere (read: RolloutRead): Promise<RolloutPage> {
-    const referred = await this.#readAtKnownOwner(read)
+  async #readHere (read: RolloutRead, trace: ReadTrace): Promise<RolloutPage> {
+    const referred = await this.#readAtKnownOwner(read, trace)
     if (referred !== undefined) return referred
-    const opened = await this.#registry.open(read.id)
+    const opened = await trace.measure('open', async () => await this.#registry.open(read.id), (result) => result.ok ? 'opened' : result.failure)
     if (!opened.ok) return emptyPage(RolloutReadStatus.Unavailable)
     if (opened.value === undefined || opened.value.order.workspace !== read.workspace) return emptyPage(RolloutReadStatus.Unknown)
     const { order, progress, run, owner } = opened.value
-    if (run !== undefined) return await this.#readFromRun(run, read)
+    if (run !== undefined) return await trace.measure('run', async () => await this.#readFromRun(run, read), ({ status }) => status)
     const fromStore = { ...pageOf(order, progress, read.after), owner }
     if (read.forwarded) return fromStore
     const host = this.#directory.findWorker(owner)
-    const page = host === undefined ? undefined : await this.#readAt(host, { ...read, forwarded: true })
+    const page = host === undefined ? undefined : await this.#readAt(host, { ...read, forwarded: true }, trace)
     if (page !== undefined) return page
-    const taken = await this.#registry.takeOverIfLost(opened.value)
+    const lost = opened.value
+    const taken = await trace.measure('take-over', async () => await this.#registry.takeOverIfLost(lost), (result) => result === undefined ? 'not taken' : 'taken')
     return taken === undefined ? fromStore : await this.#readFromRun(taken, read)
   }
 
   /** Passes a read on to the owner that this host last learned of; undefined if it knows none, or that host doesn't answer. */
-  async #readAtKnownOwner (read: RolloutRead): Promise<RolloutPage | undefined> {
+  async #readAtKnownOwner (read: RolloutRead, trace: ReadTrace): Promise<RolloutPage | undefined> {
     const hint = this.#directory.hintOf(read.id)
     if (read.forwarded || hint === undefined || hint === this.#context.self.id || this.#registry.find(read.id) !== undefined) return undefined
     const host = this.#directory.findWorker(hint)
-    return host === undefined ? undefined : await this.#readAt(host, { ...read, forwarded: true })
+    return host === undefined ? undefined : await this.#readAt(host, { ...read, forwarded: true }, trace)
   }
 
   /** Reads results at another host; undefined if that host can't answer. */
-  async #readAt (host: Host, { id, workspace, after, deadline, forwarded }: RolloutRead): Promise<RolloutPage | undefined> {
+  async #readAt (host: Host, { id, workspace, after, deadline, forwarded }: RolloutRead, trace: ReadTrace): Promise<RolloutPage | undefined> {
     const message = { kind: PeerMessageKind.ReadRollout, rolloutId: id, workspace, after, waitMs: timeLeft(deadline), forwarded } as const
     // A host that passes the read on needs time to notice that the owner doesn't answer.
     const marginMs = forwarded ? OWNER_REPLY_MARGIN_MS : OWNER_REPLY_MARGIN_MS * 2
     const replyDeadline = Math.max(deadline + marginMs, deadlineAfter(TAKEOVER_TIMEOUT_MS))
-    const answer = await this.#context.bus.send(host, message, { deadline: replyDeadline })
+    const answer = await trace.measure(host.id, async () => await this.#context.bus.send(host, message, { deadline: replyDeadline }), (result) => result.ok ? result.value.status : result.failure)
     if (answer.ok) this.#directory.recordOwner(id, answer.value.owner)
     if (answer.ok && answer.value.status !== RolloutReadStatus.Unavailable) return answer.value
     if (answer.ok) this.#directory.markUnresponsive(host.id)
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -11,6 +11,9 @@
 /** Timeout for one call of the store, in milliseconds: far above its usual response time, well below the time a trainer waits. */
 const CALL_TIMEOUT_MS = 1_200
 
+/** Duration from which a read of a log is logged, in milliseconds. */
+const SLOW_LOAD_MS = 1_000
+
 /** Prefix under which the log reports whether the store answers calls about rollouts. */
 const ROLLOUT_LOG_PREFIX = 'rollout-log/'
 
@@ -96,6 +99,17 @@
 
   /** Applies all log entries that a progress doesn't contain yet. */
   async catchUp (id: string, progress: RolloutProgress, deadline: number): Promise<Outcome<void, StoreFailure>> {
+    const startedAt = monotonicNow()
+    const from = progress.segments
+    const read = await this.#readEntries(id, progress, deadline)
+    const tookMs = Math.round(monotonicNow() - startedAt)
+    if (tookMs > SLOW_LOAD_MS || (!read.ok && progress.segments > from)) {
+      this.#log.record(LogEvent.RolloutLoaded, { requestId: id, from, segments: progress.segments, outcome: read.ok ? 'whole' : read.failure, tookMs })
+    }
+    return read
+  }
+
+  async #readEntries (id: string, progress: RolloutProgress, deadline: number): Promise<Outcome<void, StoreFailure>> {
     for (;;) {
       const position = progress.segments
       const found = await this.#readObject(rolloutSegmentKey(id, position), deadline)
