Hosts learn from each other which hosts are silent

Each task found out by itself that a host is silent and forgot it after 2 s; the membership had a gossiped suspicion that no task read, and found silent hosts one probe a second.

MemberView.isSuspected tells tasks what the membership holds; reportSilence has the membership probe a host that left a request unanswered (at most once a second each, eight at once). A suspicion that begins or ends is sent to three hosts at once, at most every 400 ms. Unanswered probes are tracked by the host, as several may be pending. Hosts that are suspected are no longer asked to probe for others.

--- a/packages/bench/src/lib/slopes/fleet.ts
+++ b/packages/bench/src/lib/slopes/fleet.ts
@@ -117,7 +117,7 @@
 
 function createMemberView (): MemberView {
   const { self } = createHostSettings()
-  return { workers: () => [self], members: () => [], find: () => self, onChange: () => {} }
+  return { workers: () => [self], members: () => [], find: () => self, isSuspected: () => false, reportSilence: () => {}, onChange: () => {} }
 }
 
 function createHostSettings (): HostSettings {
--- a/packages/bench/src/lib/static-views.ts
+++ b/packages/bench/src/lib/static-views.ts
@@ -33,6 +33,12 @@
     return this.#members.get(hostId)?.host
   }
 
+  isSuspected (hostId: string): boolean {
+    return this.#members.get(hostId)?.state === HostState.Suspect
+  }
+
+  reportSilence (): void {}
+
   onChange (listener: () => void): void {
     this.#changes.on('change', listener)
   }
--- a/packages/bench/src/test/membership.test.ts
+++ b/packages/bench/src/test/membership.test.ts
@@ -156,3 +156,42 @@
   }
   t.true(mostRecords <= MAX_RECORDS)
 })
+
+// Guards against each host finding a silent one only by its own probes, one a second: with half of 58 hosts silent that took over 10 s.
+test(`hosts that others report silent are soon suspected everywhere, and no longer once they answer (seed ${SEED})`, (t) => {
+  const many = createNetworkHosts(58, 3)
+  const silent = many.filter((_, index) => index % 2 === 1)
+  const live = many.filter((_, index) => index % 2 === 0)
+  const random = seededRandom(SEED)
+  const network = new MembershipSimulation(many, random)
+  for (const host of many) network.start(host.id, many)
+  network.run(20_000)
+  const shareSuspected = (): number => {
+    const views = live.flatMap(({ id }) => silent.map((host) => network.node(id).membership?.isSuspected(host.id) === true))
+    return views.filter(Boolean).length / views.length
+  }
+  const reportSome = (): void => {
+    for (const { id } of live) {
+      const hostId = silent[Math.floor(random() * silent.length)]?.id ?? ''
+      network.step(id, { kind: MembershipEventKind.Silence, hostId })
+    }
+  }
+  for (const { id } of silent) network.pause(id)
+  network.run(2_000, reportSome)
+  t.true(shareSuspected() > 0.9, `${shareSuspected()} of the views after 2 s`)
+  network.run(3_000, reportSome)
+  t.true(shareSuspected() > 0.99, `${shareSuspected()} of the views after 5 s`)
+  for (const { id } of silent) network.resume(id)
+  network.run(2_000)
+  t.is(shareSuspected(), 0)
+})
+
+test(`a report of a host that answers starts no suspicion, and its probes are bounded (seed ${SEED})`, (t) => {
+  const network = new MembershipSimulation(hosts, seededRandom(SEED))
+  for (const host of hosts) network.start(host.id, hosts)
+  network.run(5_000)
+  const { counters } = network.node('host-0').membership ?? t.fail()
+  network.run(10_000, () => network.step('host-0', { kind: MembershipEventKind.Silence, hostId: 'host-1' }))
+  t.is(counters.suspicions, 0)
+  t.true(counters.reportedProbes > 5 && counters.reportedProbes <= 11, `${counters.reportedProbes} probes in 10 s`)
+})
--- a/packages/coordination/src/lib/member-task.ts
+++ b/packages/coordination/src/lib/member-task.ts
@@ -31,6 +31,16 @@
   /** Returns all known hosts, in any state. */
   members (): readonly Member[]
   find (hostId: string): Host | undefined
+  /** Whether a host has stopped answering, by this host's own probes or those of others. */
+  isSuspected (hostId: string): boolean
+  /**
+   * Has a host probed at once that did not answer this host in time. If it doesn't
+   * answer the probe either, all hosts learn that it is suspected.
+   *
+   * @example
+   * if (!answer.ok) members.reportSilence(host.id)
+   */
+  reportSilence (hostId: string): void
   /** Calls back after each change of the view. */
   onChange (listener: () => void): void
 }
@@ -143,6 +153,14 @@
     return this.#membership.find(hostId)?.host
   }
 
+  isSuspected (hostId: string): boolean {
+    return this.#membership.isSuspected(hostId)
+  }
+
+  reportSilence (hostId: string): void {
+    this.#stepMembership({ kind: MembershipEventKind.Silence, hostId })
+  }
+
   onChange (listener: () => void): void {
     this.#changes.on('change', listener)
   }
--- a/packages/coordination/src/test/send-permit-task.test.ts
+++ b/packages/coordination/src/test/send-permit-task.test.ts
@@ -36,7 +36,7 @@
           return answer === undefined ? failure(PeerFailure.NoReply) : success(answer)
         }
       } as unknown as SendPermitContext['bus']
-      const members = { workers: () => HOSTS, members: () => [], onChange: () => {} }
+      const members = { workers: () => HOSTS, members: () => [], isSuspected: () => false, reportSilence: () => {}, onChange: () => {} }
       this.#tasks.set(id, new SendPermitTask({ self: { id }, members, bus, log: SILENT_LOG }))
     }
   }
--- a/packages/state/src/lib/membership.ts
+++ b/packages/state/src/lib/membership.ts
@@ -48,6 +48,12 @@
 /** Number of hosts to which urgent updates are sent at once, without waiting for the next probe. */
 const URGENT_FANOUT = 3
 
+/** Time between two rounds of urgent updates of one host, in milliseconds. */
+const URGENT_PERIOD_MS = 400
+
+/** Maximum number of hosts that are probed at the same time because they were reported silent. */
+const MAX_REPORTED_PROBES = 8
+
 /** How often an update is sent, for each doubling of the members. */
 const TRANSMISSIONS_PER_DOUBLING = 3
 
@@ -63,7 +69,9 @@
   /** The platform's list of hosts has been read. */
   Candidates = 'candidates',
   /** This host accepts no new work from now on. */
-  Leave = 'leave'
+  Leave = 'leave',
+  /** Another host has not answered a request in time. */
+  Silence = 'silence'
 }
 
 export type MembershipEvent =
@@ -71,6 +79,7 @@
   | { readonly kind: MembershipEventKind.Message, readonly message: MembershipMessage }
   | { readonly kind: MembershipEventKind.Candidates, readonly hosts: readonly Host[] }
   | { readonly kind: MembershipEventKind.Leave }
+  | { readonly kind: MembershipEventKind.Silence, readonly hostId: string }
 
 /** Kinds of effects that a membership requests. */
 export enum MembershipEffectKind {
@@ -86,6 +95,8 @@
 /** Counters since the start of a membership. */
 export interface MembershipCounters {
   probes: number
+  /** Probes of hosts that were reported silent, included in `probes`. */
+  reportedProbes: number
   suspicions: number
   refutations: number
   deaths: number
@@ -120,7 +131,7 @@
  * for (const effect of membership.step({ kind: MembershipEventKind.Tick }, performance.now())) carryOut(effect)
  */
 export class Membership {
-  readonly counters: MembershipCounters = { probes: 0, suspicions: 0, refutations: 0, deaths: 0 }
+  readonly counters: MembershipCounters = { probes: 0, reportedProbes: 0, suspicions: 0, refutations: 0, deaths: 0 }
   readonly #random: () => number
   readonly #table = new MemberTable()
   readonly #updates = new GossipQueue()
@@ -128,7 +139,13 @@
   readonly #candidates = new Map<string, Host>()
   readonly #forwarded = new Map<number, ForwardedProbe>()
   #self: MemberRecord
-  #pendingProbe: PendingProbe | undefined
+  /** Probes without an acknowledgement yet, by the host. */
+  readonly #pendingProbes = new Map<string, PendingProbe>()
+  /** Monotonic milliseconds before which a report starts no further probe, by the host. */
+  readonly #nextReportAt = new Map<string, number>()
+  /** Hosts whose suspicion has begun or ended and that were not sent as urgent updates yet. */
+  readonly #urgent = new Set<string>()
+  #nextUrgentAt = -Infinity
   #sequence = 1
   #nextProbeAt: number
   #nextDeadRetryAt: number
@@ -170,6 +187,12 @@
     return this.#table.get(hostId)?.record
   }
 
+  /** Whether a host is suspected, by this host or through gossip, or has been declared dead. */
+  isSuspected (hostId: string): boolean {
+    const member = this.#table.get(hostId)
+    return member !== undefined && (member.suspectedUntil !== undefined || member.record.state === HostState.Dead)
+  }
+
   /** Picks random members that are not dead, without this host. */
   pickOtherHosts (count: number): Host[] {
     return this.#pickHosts(this.#liveOtherIds(), count)
@@ -195,6 +218,9 @@
       case MembershipEventKind.Leave:
         this.#leave()
         break
+      case MembershipEventKind.Silence:
+        this.#probeReported(event.hostId, now)
+        break
       default: unreachable(event)
     }
     const effects = this.#effects
@@ -207,7 +233,8 @@
     this.#lastTickAt = now
     if (gap > PAUSE_THRESHOLD_MS) this.#extendSuspicions(gap, now)
     this.#expireMembers(now)
-    this.#finishProbe(now)
+    for (const probe of [...this.#pendingProbes.values()]) this.#finishProbe(probe, now)
+    this.#sendUrgent(now)
     if (now >= this.#nextProbeAt) {
       this.#nextProbeAt = now + PROBE_PERIOD_MS
       this.#probe(now)
@@ -221,7 +248,7 @@
 
   /** Extends suspicions by a pause of this process, because acknowledgements may have arrived unread in that time. */
   #extendSuspicions (gap: number, now: number): void {
-    this.#pendingProbe = undefined
+    this.#pendingProbes.clear()
     this.#nextProbeAt = now
     for (const member of this.#table.all()) {
       if (member.suspectedUntil === undefined) continue
@@ -242,30 +269,55 @@
 
   #probe (now: number): void {
     const hostId = this.#probeOrder.next(this.#liveOtherIds())
-    const target = hostId === undefined ? undefined : this.#table.get(hostId)
+    if (hostId !== undefined && !this.#pendingProbes.has(hostId)) this.#startProbe(hostId, now)
+  }
+
+  #startProbe (hostId: string, now: number): void {
+    const target = this.#table.get(hostId)
     if (target === undefined) return
     const sequence = this.#sequence++
     this.counters.probes += 1
-    this.#pendingProbe = { hostId: target.record.host.id, sequence, indirectAt: now + DIRECT_TIMEOUT_MS, deadline: now + PROBE_TIMEOUT_MS, indirect: false }
+    this.#pendingProbes.set(hostId, { hostId, sequence, indirectAt: now + DIRECT_TIMEOUT_MS, deadline: now + PROBE_TIMEOUT_MS, indirect: false })
     this.#send(target.record.host, { kind: MembershipMessageKind.Ping, sequence })
   }
 
-  #finishProbe (now: number): void {
-    const probe = this.#pendingProbe
-    if (probe === undefined) return
+  /** Probes a host that left a request of this host unanswered, at most once in each probe period. */
+  #probeReported (hostId: string, now: number): void {
+    if (hostId === this.#self.host.id || this.#table.get(hostId) === undefined || this.isSuspected(hostId)) return
+    for (const [reported, nextAt] of this.#nextReportAt) {
+      if (now >= nextAt) this.#nextReportAt.delete(reported)
+    }
+    if (this.#pendingProbes.has(hostId) || this.#nextReportAt.has(hostId) || this.#nextReportAt.size >= MAX_REPORTED_PROBES) return
+    this.#nextReportAt.set(hostId, now + PROBE_PERIOD_MS)
+    this.counters.reportedProbes += 1
+    this.#startProbe(hostId, now)
+  }
+
+  #finishProbe (probe: PendingProbe, now: number): void {
     if (!probe.indirect && now >= probe.indirectAt) {
       probe.indirect = true
       this.#probeIndirectly(probe)
     }
     if (now < probe.deadline) return
-    this.#pendingProbe = undefined
+    this.#pendingProbes.delete(probe.hostId)
     this.#suspect(probe.hostId, now)
   }
 
+  /** Sends suspicions that have begun or ended to some hosts, without waiting for the next probe. */
+  #sendUrgent (now: number): void {
+    if (this.#urgent.size === 0 || now < this.#nextUrgentAt) return
+    this.#nextUrgentAt = now + URGENT_PERIOD_MS
+    for (const host of this.#pickHosts(this.#responsiveOtherIds(), URGENT_FANOUT)) {
+      const effect = this.composeGossip(host)
+      for (const { host: { id } } of effect.message.records) this.#urgent.delete(id)
+      this.#effects.push(effect)
+    }
+  }
+
   #probeIndirectly (probe: PendingProbe): void {
     const target = this.#table.get(probe.hostId)
     if (target === undefined) return
-    const helpers = this.#liveOtherIds().filter((hostId) => hostId !== probe.hostId)
+    const helpers = this.#responsiveOtherIds().filter((hostId) => hostId !== probe.hostId)
     for (const helper of this.#pickHosts(helpers, INDIRECT_PROBES)) {
       this.#send(helper, { kind: MembershipMessageKind.PingRequest, sequence: probe.sequence, target: target.record.host })
     }
@@ -277,6 +329,7 @@
     this.#probeOrder.moveToFront(hostId)
     if (member.suspectedUntil !== undefined) return
     const state = member.record.state === HostState.Leaving ? HostState.Leaving : HostState.Suspect
+    this.#urgent.add(hostId)
     this.#storeMember({ record: { ...member.record, state }, suspectedUntil: now + this.#suspicionMs() })
     this.counters.suspicions += 1
   }
@@ -342,7 +395,9 @@
   }
 
   #acknowledge (sequence: number): void {
-    if (this.#pendingProbe?.sequence === sequence) this.#pendingProbe = undefined
+    for (const probe of this.#pendingProbes.values()) {
+      if (probe.sequence === sequence) this.#pendingProbes.delete(probe.hostId)
+    }
     const forwarded = this.#forwarded.get(sequence)
     if (forwarded === undefined) return
     this.#forwarded.delete(sequence)
@@ -358,6 +413,7 @@
     const merged = mergeRecord(held, record, now + this.#suspicionMs())
     if (merged === undefined || merged === held) return
     this.#candidates.delete(record.host.id)
+    if ((merged.suspectedUntil === undefined) !== (held?.suspectedUntil === undefined)) this.#urgent.add(record.host.id)
     this.#storeMember(merged)
     // On average a constant number of hosts probes at once, whatever the cluster size, so that a false suspicion is refuted before it expires.
     const startsSuspicion = merged.suspectedUntil !== undefined && held?.suspectedUntil === undefined
@@ -385,6 +441,11 @@
     return this.#table.idsWhere(({ record }) => record.state !== HostState.Dead && record.host.id !== this.#self.host.id)
   }
 
+  /** Ids of the other members that are neither dead nor suspected. */
+  #responsiveOtherIds (): string[] {
+    return this.#liveOtherIds().filter((hostId) => !this.isSuspected(hostId))
+  }
+
   #pickHosts (hostIds: readonly string[], count: number): Host[] {
     return shuffled(hostIds, this.#random).slice(0, count).flatMap((hostId) => this.find(hostId)?.host ?? [])
   }
