--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -9,6 +9,10 @@
   DependencyRegained = 'dependency-regained',
   DeclarationChanged = 'declaration-changed',
   EndpointsChanged = 'endpoints-changed',
+  /** The state of another host has changed in this host's view. */
+  HostChanged = 'host-changed',
+  /** Another host gave no answer to a message. */
+  MessageUnanswered = 'message-unanswered',
   /** An endpoint named a request limit, changed it, or names none any more. */
   EndpointLimited = 'endpoint-limited',
   /** An endpoint has said that it is leaving. */
--- a/packages/coordination/src/lib/member-task.ts
+++ b/packages/coordination/src/lib/member-task.ts
@@ -2,11 +2,13 @@
 import { HostState, Membership, MembershipEffectKind, MembershipEventKind, unreachable } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { LogEvent, SILENT_LOG } from './event-log.js'
 import { Periodic } from './periodic.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Host, MembershipCounters, MembershipEffect, MembershipEvent } from '@cyclamenthread/state'
 import type { MembershipEnvelope, PeerMessage, PlatformClient, ProbeResponse } from '@cyclamenthread/protocol'
+import type { EventLog } from './event-log.js'
 import type { HostSettings } from './host-settings.js'
 
 /** Time between two ticks of the membership protocol, in milliseconds. */
@@ -72,6 +74,7 @@
   readonly #platform: HostDirectory
   readonly #post: PostMessage
   readonly #membership: Membership
+  readonly #log: EventLog
   readonly #changes = new EventEmitter()
   readonly #tickLoop: Periodic
   readonly #hostListLoop: Periodic
@@ -80,10 +83,11 @@
   #piggyback: MembershipPiggyback | undefined
   #settledRounds = 0
 
-  constructor (settings: MemberSettings, platform: HostDirectory, post: PostMessage, random: () => number = Math.random) {
+  constructor (settings: MemberSettings, platform: HostDirectory, post: PostMessage, log: EventLog = SILENT_LOG, random: () => number = Math.random) {
     this.#settings = settings
     this.#platform = platform
     this.#post = post
+    this.#log = log
     this.#membership = new Membership(settings.self, Date.now(), random, monotonicNow())
     this.#changes.setMaxListeners(0)
     this.#tickLoop = new Periodic(TICK_MS, async () => this.#stepMembership({ kind: MembershipEventKind.Tick }))
@@ -206,7 +210,12 @@
 
   /** Rebuilds the lists of hosts once per change, as other tasks read them for every request. */
   #refreshView (): void {
+    const previous = new Map(this.#members.map(({ host, state }) => [host.id, state]))
     this.#members = this.#membership.members().map(({ host, state }) => ({ host, state }))
+    for (const { host, state } of this.#members) {
+      const before = previous.get(host.id)
+      if (before !== undefined && before !== state) this.#log.record(LogEvent.HostChanged, { peer: host.id, outcome: state, previous: before })
+    }
     // A suspected host may just be slow: its shards move only once it is dead.
     this.#workers = this.#members.filter(({ state }) => state === HostState.Alive || state === HostState.Suspect).map(({ host }) => host)
   }
--- a/packages/coordination/src/lib/message-bus.ts
+++ b/packages/coordination/src/lib/message-bus.ts
@@ -1,9 +1,11 @@
 import { failure, success } from '@cyclamenthread/state'
 import { peerResponseSchemas, peerMessageSchema } from '@cyclamenthread/protocol'
-import { PeerClient, PeerFailure, PeerServer, SpanKind, withSpan, getTraceparent } from '@cyclamenthread/transport'
+import { monotonicNow, PeerClient, PeerFailure, PeerServer, SpanKind, withSpan, getTraceparent } from '@cyclamenthread/transport'
+import { LogEvent, SILENT_LOG } from './event-log.js'
 import type { Host, Outcome } from '@cyclamenthread/state'
 import type { PeerResponse, PeerMessage, PeerMessageKind } from '@cyclamenthread/protocol'
 import type { CallContext } from '@cyclamenthread/transport'
+import type { EventLog } from './event-log.js'
 import type { HostSettings } from './host-settings.js'
 import type { ActionCaller } from './local-broker.js'
 
@@ -37,12 +39,14 @@
 export class MessageBus {
   readonly #settings: BusSettings
   readonly #broker: ActionCaller
+  readonly #log: EventLog
   readonly #client: PeerClient
   readonly #server: PeerServer
 
-  constructor (settings: BusSettings, broker: ActionCaller) {
+  constructor (settings: BusSettings, broker: ActionCaller, log: EventLog = SILENT_LOG) {
     this.#settings = settings
     this.#broker = broker
+    this.#log = log
     const { self, clusterSecret, certificates } = settings
     const tls = certificates === undefined ? {} : { certificates }
     this.#client = new PeerClient({ host: self.id, secret: clusterSecret, connectTimeoutMs: settings.storeTimeoutMs, ...tls })
@@ -112,6 +116,7 @@
   }
 
   async #sendRemote<Kind extends PeerMessageKind> (host: Host, message: Extract<PeerMessage, { kind: Kind }>, options: SendOptions): Promise<Outcome<PeerResponse<Kind>, PeerFailure>> {
+    const sentAt = monotonicNow()
     const reply = await this.#client.call({
       address: host.peerAddress,
       body: message,
@@ -119,7 +124,12 @@
       traceparent: options.traceparent ?? '',
       ...(options.signal === undefined ? {} : { signal: options.signal })
     })
-    if (!reply.ok) return failure(reply.failure)
+    if (!reply.ok) {
+      if (options.signal?.aborted !== true) {
+        this.#log.record(LogEvent.MessageUnanswered, { peer: host.id, message: message.kind, outcome: reply.failure, detail: reply.detail, tookMs: Math.round(monotonicNow() - sentAt) })
+      }
+      return failure(reply.failure)
+    }
     const parsed = peerResponseSchemas[message.kind].safeParse(reply.body)
     return parsed.success ? success(parsed.data as PeerResponse<Kind>) : failure(PeerFailure.NoReply)
   }
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -109,10 +109,10 @@
     const incarnation = randomUUID()
     this.#settings = settings
     this.#ports = ports
-    this.#bus = new MessageBus({ self, clusterSecret: secret, storeTimeoutMs: STORE_TIMEOUT_MS }, this.#broker)
+    this.#bus = new MessageBus({ self, clusterSecret: secret, storeTimeoutMs: STORE_TIMEOUT_MS }, this.#broker, log)
     this.#hosts = new StoredHostList(store)
     const memberSettings = { self, hostListPeriodMs: HOST_LIST_PERIOD_MS, storeTimeoutMs: STORE_TIMEOUT_MS }
-    this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message))
+    this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message), log)
     this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, decoder: ports.decoder, log })
     this.tally = new UsageTally(settings.usageWindowMs)
     this.#sends = new SendPermitTask({ self, members: this.#members, bus: this.#bus, log })
