Duties move to hosts that answer while all candidates for their lease are suspected

Cause: only the two first hosts of the store's region contend for the duties' lease, and suspected hosts count among them until they are dead, some 7 s after they went silent at 58 hosts; with half of the hosts silent, both are in one case of four. The lease, and its wait, come on top of that.

Candidates are now the first two hosts that aren't suspected. Only the lease in the store decides who leads, so a wrong suspicion costs reads of the lease and no more. The sizes of steps go to the same hosts.

--- a/packages/coordination/src/lib/demand-announcer.ts
+++ b/packages/coordination/src/lib/demand-announcer.ts
@@ -2,6 +2,7 @@
 import { monotonicNow } from '@cyclamenthread/transport'
 import { DUTIES_LEASE, DUTY_CANDIDATES } from './leader-task.js'
 import { leaseCandidates } from './lease-candidate.js'
+import { responsiveWorkers } from './responsive-workers.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { RolloutOrder, StepDemand, StepSize } from '@cyclamenthread/state'
@@ -55,7 +56,7 @@
     const { hostId, members, bus, demand, location } = this.#context
     const { service, model } = order
     const size = stepSizeOf(order)
-    for (const host of leaseCandidates(DUTIES_LEASE, members.workers(), location, DUTY_CANDIDATES + SPARE_CANDIDATES)) {
+    for (const host of leaseCandidates(DUTIES_LEASE, responsiveWorkers(members), location, DUTY_CANDIDATES + SPARE_CANDIDATES)) {
       if (host.id === hostId) demand.recordStep(service, model, size, monotonicNow())
       else void bus.post(host, { kind: PeerMessageKind.ReportDemand, service, model, ...size })
     }
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -2,13 +2,14 @@
 import { LogEvent } from './event-log.js'
 import { Periodic } from './periodic.js'
 import { isLeaseCandidate } from './lease-candidate.js'
+import { responsiveWorkers } from './responsive-workers.js'
 import type { LeaderLease, ObjectStore } from '@cyclamenthread/protocol'
 import type { Duty, DutyContext } from './duty-context.js'
 
 /** Name of the lease that permits running the duties. */
 export const DUTIES_LEASE = 'duties'
 
-/** Number of hosts that contend for the lease: the holder and one standby. */
+/** Number of hosts that contend for the lease, of those that answer: the holder and one standby. */
 export const DUTY_CANDIDATES = 2
 
 /** Pause between two runs of a duty, in milliseconds. */
@@ -47,7 +48,7 @@
     this.#context = context
     this.#duties = duties
     const location = { region: settings.storeRegion, failureDomain: '' }
-    const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, context.members.workers(), location, DUTY_CANDIDATES)
+    const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
     this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
     this.#loops = duties.map((duty) => new Periodic(DUTY_PERIOD_MS, async () => await this.#runDuty(duty)))
   }
