Messages without an answer are reported to the membership

The bus now reports each host that left a message without an answer or can't be reached, so that whatever task meets the silence first, the host is probed and all hosts learn of it. A process that was held up itself reports nothing (isSilenceConclusive).

--- a/packages/coordination/src/lib/message-bus.ts
+++ b/packages/coordination/src/lib/message-bus.ts
@@ -1,4 +1,4 @@
-import { failure, success } from '@cyclamenthread/state'
+import { failure, isSilenceConclusive, success } from '@cyclamenthread/state'
 import { peerResponseSchemas, peerMessageSchema } from '@cyclamenthread/protocol'
 import { monotonicNow, PeerClient, PeerFailure, PeerServer, SpanKind, withSpan, getTraceparent } from '@cyclamenthread/transport'
 import { LogEvent, SILENT_LOG } from './event-log.js'
@@ -42,6 +42,7 @@
   readonly #log: EventLog
   readonly #client: PeerClient
   readonly #server: PeerServer
+  #onSilence: (hostId: string) => void = () => {}
 
   constructor (settings: BusSettings, broker: ActionCaller, log: EventLog = SILENT_LOG) {
     this.#settings = settings
@@ -69,6 +70,11 @@
     }
   }
 
+  /** Calls back with the id of a host that gave no answer in time or can't be reached. */
+  onSilence (listener: (hostId: string) => void): void {
+    this.#onSilence = listener
+  }
+
   /** Starts to listen for connections of other hosts. */
   async start (): Promise<void> {
     await this.#server.listen()
@@ -126,7 +132,9 @@
     })
     if (!reply.ok) {
       if (options.signal?.aborted !== true) {
-        this.#log.record(LogEvent.MessageUnanswered, { peer: host.id, message: message.kind, outcome: reply.failure, detail: reply.detail, tookMs: Math.round(monotonicNow() - sentAt) })
+        const now = monotonicNow()
+        this.#log.record(LogEvent.MessageUnanswered, { peer: host.id, message: message.kind, outcome: reply.failure, detail: reply.detail, tookMs: Math.round(now - sentAt) })
+        if (reply.failure !== PeerFailure.Rejected && isSilenceConclusive(options.deadline, now)) this.#onSilence(host.id)
       }
       return failure(reply.failure)
     }
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -113,6 +113,7 @@
     this.#hosts = new StoredHostList(store)
     const memberSettings = { self, hostListPeriodMs: HOST_LIST_PERIOD_MS, storeTimeoutMs: STORE_TIMEOUT_MS }
     this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message), log)
+    this.#bus.onSilence((hostId) => this.#members.reportSilence(hostId))
     this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, decoder: ports.decoder, log })
     this.tally = new UsageTally(settings.usageWindowMs)
     this.#sends = new SendPermitTask({ self, members: this.#members, bus: this.#bus, log })
--- a/packages/cyclamenthread/src/lib/service.ts
+++ b/packages/cyclamenthread/src/lib/service.ts
@@ -78,6 +78,7 @@
     this.#platform = new PlatformClient(settings.platformUrl)
     this.#bus = new MessageBus(this.#hostSettings, this.#broker)
     this.#members = new MemberTask(this.#hostSettings, this.#platform, async (host, message) => await this.#bus.post(host, message))
+    this.#bus.onSilence((hostId) => this.#members.reportSilence(hostId))
     this.#budgetedStore = new RateLimitedStore({
       store: this.#store,
       allowance: { writesPerSecond: settings.storeWritesPerSecond, readsPerSecond: settings.storeReadsPerSecond },
