Relays of the store that are suspected are replaced at once

Relays are chosen among the hosts that aren't suspected; whether a region has relays at all still depends on all its workers, so that it doesn't change with a suspicion. Hosts that disagree on a suspicion have a third relay for a while, which costs watches and no more: updates are taken from any host.

--- a/packages/coordination/src/lib/mirror-relay.ts
+++ b/packages/coordination/src/lib/mirror-relay.ts
@@ -3,6 +3,7 @@
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { MirrorRole } from './store-mirror.js'
 import { relaysOf } from './relay-placement.js'
+import { responsiveWorkers } from './responsive-workers.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Host } from '@cyclamenthread/state'
@@ -48,9 +49,8 @@
   /** This host's current role in following the store. */
   get role (): MirrorRole {
     const { members, self } = this.#context
-    const workers = members.workers()
-    if (workers.filter((host) => host.region === self.region).length < MIN_RELAYED_HOSTS) return MirrorRole.Independent
-    return relaysOf(self.region, workers).some((host) => host.id === self.id) ? MirrorRole.Relay : MirrorRole.Follower
+    if (members.workers().filter((host) => host.region === self.region).length < MIN_RELAYED_HOSTS) return MirrorRole.Independent
+    return relaysOf(self.region, responsiveWorkers(members)).some((host) => host.id === self.id) ? MirrorRole.Relay : MirrorRole.Follower
   }
 
   /** Returns the broker service that receives updates from relays. */
@@ -72,7 +72,7 @@
   /** Asks the relays of the region in turn for the age of their copies; empty if none answers. */
   async #askRelay (prefix: string): Promise<MirrorAge> {
     const { bus, members, self } = this.#context
-    for (const relay of relaysOf(self.region, members.workers())) {
+    for (const relay of relaysOf(self.region, responsiveWorkers(members))) {
       const answer = await bus.send(relay, { kind: PeerMessageKind.ReadMirrorAge, prefix }, { deadline: deadlineAfter(AGE_TIMEOUT_MS) })
       if (answer.ok && answer.value.next !== undefined) return answer.value
     }
--- a/packages/coordination/src/test/mirror-relay.test.ts
+++ b/packages/coordination/src/test/mirror-relay.test.ts
@@ -25,6 +25,13 @@
   readonly store: CountingStore
 }
 
+interface Region {
+  readonly store: MemoryStore
+  readonly hosts: ReadonlyMap<string, TestHost>
+  /** Ids of the hosts that all hosts suspect to be silent. */
+  readonly suspected: Set<string>
+}
+
 /** Forwards calls to the shared store and counts them; fails them while `down` is set. */
 class CountingStore {
   calls = 0
@@ -63,12 +70,13 @@
   }
 }
 
-function startRegion (t: ExecutionContext, count: number, noticeMs = NOTICE_MS): { readonly store: MemoryStore, readonly hosts: ReadonlyMap<string, TestHost> } {
+function startRegion (t: ExecutionContext, count: number, noticeMs = NOTICE_MS): Region {
   const store = new MemoryStore(TIME, seededRandom(1))
   const all: Host[] = Array.from({ length: count }, (_, index) => ({
     id: `h${index}`, region: 'lothian', failureDomain: index % 2 === 0 ? 'leith-walk' : 'grassmarket', peerAddress: `h${index}`, callerUrl: '', hasDataFolder: false
   }))
-  const members = { workers: () => all, members: () => all.map((host) => ({ host, state: HostState.Alive })) } as unknown as MemberView
+  const suspected = new Set<string>()
+  const members = { isSuspected: (id: string) => suspected.has(id), workers: () => all, members: () => all.map((host) => ({ host, state: HostState.Alive })) } as unknown as MemberView
   const brokers = new Map<string, LocalBroker>()
   const bus = {
     post: async (host: Host, message: { readonly kind: string }) => {
@@ -86,7 +94,7 @@
     t.teardown(() => mirror.stop())
     return [self.id, { mirror, relay, store: own }] as const
   }))
-  return { store, hosts }
+  return { store, hosts, suspected }
 }
 
 const allHostsHave = (hosts: ReadonlyMap<string, TestHost>, value: unknown): boolean => [...hosts.values()].every(({ mirror }) => mirror.objects()[0]?.value === value)
@@ -147,6 +155,30 @@
   t.true(performance.now() - changedAt < NOTICE_MS * RELAY_SILENCE_SHARE + 500)
 })
 
+// Guards against followers that wait for relays until they are dead, and each ask them in vain before they read the store.
+test('relays that are suspected are replaced at once', async (t) => {
+  const { store, hosts, suspected } = startRegion(t, 12)
+  store.set(`${PREFIX}a`, 1)
+  await waitUntil(t, () => allHostsHave(hosts, 1))
+  const silent = new Set([...hosts].filter(([, { relay }]) => relay.role === MirrorRole.Relay).map(([id]) => id))
+  for (const id of silent) {
+    suspected.add(id)
+    hosts.get(id)?.mirror.stop()
+  }
+  const others = new Map([...hosts].filter(([id]) => !silent.has(id)))
+  const roles = [...others.values()].map(({ relay }) => relay.role)
+  t.is(roles.filter((role) => role === MirrorRole.Relay).length, 2)
+  t.is(roles.filter((role) => role === MirrorRole.Follower).length, 8)
+  // The copies of the new relays may have been confirmed just before, and are watched once they are older.
+  await TIME.sleep(NOTICE_MS * RELAY_SILENCE_SHARE)
+  const followers = [...others.values()].filter(({ relay }) => relay.role === MirrorRole.Follower)
+  await TIME.sleep(1_000)
+  const before = followers.map(({ store: own }) => own.calls)
+  store.set(`${PREFIX}a`, 2)
+  await waitUntil(t, () => allHostsHave(others, 2))
+  t.deepEqual(followers.map(({ store: own }) => own.calls), before, 'followers made no store calls')
+})
+
 const deliveries = fc.array(fc.record({
   /** Index of the relay that sends an update. */
   relay: fc.integer({ min: 0, max: 1 }),
