Permits are asked of keepers that aren't suspected

Suspected keepers are passed over, unless all are. What a stand-in may grant is unchanged.

The test failed before: with a suspected first keeper the answer took its whole 250 ms. A lost host of the test now answers nothing for 250 ms, as on the wire, instead of at once.

--- a/packages/coordination/src/lib/send-permit-task.ts
+++ b/packages/coordination/src/lib/send-permit-task.ts
@@ -81,7 +81,7 @@
 /** Dependencies of a {@link SendPermitTask}. */
 export interface SendPermitContext {
   readonly self: Pick<Host, 'id'>
-  readonly members: Pick<MemberView, 'workers' | 'members' | 'onChange'>
+  readonly members: Pick<MemberView, 'workers' | 'members' | 'isSuspected' | 'onChange'>
   readonly bus: Pick<MessageBus, 'post' | 'send'>
   readonly log: EventLog
 }
@@ -182,6 +182,14 @@
     return held
   }
 
+  /** Returns the keepers of an endpoint's account that aren't suspected, or all if all are. */
+  #keepersToAsk (endpointId: string): readonly Host[] {
+    const { members } = this.#context
+    const keepers = accountKeepers(endpointId, members.workers())
+    const responsive = keepers.filter(({ id }) => !members.isSuspected(id))
+    return responsive.length > 0 ? responsive : keepers
+  }
+
   /** Asks the first keeper that answers for as many grants as are wanted. */
   async #ask (held: EndpointGrants, record: EndpointRecord, limit: RequestLimit, urgency: SendUrgency, waitMs: number): Promise<void> {
     const { entry } = record
@@ -193,7 +201,7 @@
     }
     let reply: SendReply | undefined
     let answeredBy: string | undefined
-    for (const keeper of accountKeepers(entry.id, this.#context.members.workers())) {
+    for (const keeper of this.#keepersToAsk(entry.id)) {
       if ((this.#unresponsiveUntil.get(keeper.id) ?? 0) > monotonicNow()) continue
       const answer = await this.#context.bus.send(keeper, message, { deadline: deadlineAfter(ASK_TIMEOUT_MS) })
       if (answer.ok) {
--- a/packages/coordination/src/test/send-permit-task.test.ts
+++ b/packages/coordination/src/test/send-permit-task.test.ts
@@ -11,6 +11,9 @@
 const HOST_IDS = ['h1', 'h2', 'h3', 'h4', 'h5']
 const HOSTS = HOST_IDS.map((id) => ({ id }) as Host)
 
+/** Time for which a lost host is waited for, in milliseconds. */
+const LOST_ANSWER_MS = 250
+
 /** Requests per second that the endpoint accepts. */
 const LIMIT = 10
 
@@ -19,6 +22,8 @@
 /** Hosts that exchange messages in memory; a lost host doesn't answer. */
 class Hosts {
   readonly lost = new Set<string>()
+  /** Hosts that all others suspect to be silent. */
+  readonly suspected = new Set<string>()
   /** Messages that were sent, with their receivers. */
   readonly sent: Array<{ readonly to: string, readonly message: PeerMessage }> = []
   readonly #tasks = new Map<string, SendPermitTask>()
@@ -36,7 +41,7 @@
           return answer === undefined ? failure(PeerFailure.NoReply) : success(answer)
         }
       } as unknown as SendPermitContext['bus']
-      const members = { workers: () => HOSTS, members: () => [], isSuspected: () => false, reportSilence: () => {}, onChange: () => {} }
+      const members = { workers: () => HOSTS, members: () => [], isSuspected: (host: string) => this.suspected.has(host), onChange: () => {} }
       this.#tasks.set(id, new SendPermitTask({ self: { id }, members, bus, log: SILENT_LOG }))
     }
   }
@@ -60,7 +65,10 @@
 
   async #deliver (from: string, to: string, message: PeerMessage): Promise<unknown> {
     await new Promise((resolve) => setImmediate(resolve))
-    if (this.lost.has(to)) return undefined
+    if (this.lost.has(to)) {
+      await pause(LOST_ANSWER_MS)
+      return undefined
+    }
     this.sent.push({ to, message })
     const handler = this.task(to).service().actions?.[message.kind.replace('sends.', '')] as Handler | undefined
     return await handler?.({ params: message, meta: { from } })
@@ -103,6 +111,20 @@
   t.is((await take(hosts.task(asking), hosts.recordOf(asking, 40))).kind, SendPermission.Granted)
 })
 
+// Guards against every host finding out by itself, again every two seconds, that a keeper is silent.
+test('a keeper that is suspected is passed over at once', async (t) => {
+  const hosts = new Hosts()
+  const [keeper, standIn] = accountKeepers('e1', HOSTS)
+  hosts.lost.add(keeper?.id ?? '')
+  hosts.suspected.add(keeper?.id ?? '')
+  const asking = HOST_IDS.find((id) => id !== keeper?.id) ?? ''
+  const permit = hosts.task(asking).take(hosts.recordOf(asking, 40), SendUrgency.Caller, 60_000)
+  const askedAt = performance.now()
+  if (permit.kind === SendPermission.Asking) await permit.answered
+  t.true(performance.now() - askedAt < LOST_ANSWER_MS)
+  t.deepEqual(hosts.sent.map(({ to }) => to), [standIn?.id])
+})
+
 // Guards against hosts that keep to a limit long after the endpoint's need has ended, as each waits for its own next answer.
 test('once one host has heard that there is no limit any more, the others learn it when they ask', async (t) => {
   const hosts = new Hosts()
