Calls are passed on to hosts that aren't suspected

The test failed before: with one silent and one answering host the call went to the silent one and had no answer.

--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -3,6 +3,7 @@
 import { deadlineAfter, monotonicNow, PeerFailure, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
+import { responsiveWorkers } from './responsive-workers.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Host } from '@cyclamenthread/state'
@@ -58,7 +59,7 @@
   readonly self: Host
   readonly deployment: DeploymentView
   readonly endpoints: Pick<EndpointPort, 'readReport'>
-  readonly members: Pick<MemberView, 'workers'>
+  readonly members: Pick<MemberView, 'workers' | 'isSuspected'>
   readonly bus: Pick<MessageBus, 'send'>
   readonly log: EventLog
 }
@@ -133,7 +134,7 @@
     const { self, members } = this.#context
     const now = monotonicNow()
     const rank = (host: Host): number => ((this.#pausedUntil.get(host.id) ?? 0) > now ? 2 : 0) + (host.failureDomain === self.failureDomain ? 1 : 0)
-    return members.workers()
+    return responsiveWorkers(members)
       .filter(({ id }) => id !== self.id)
       .map((host) => ({ host, order: rank(host) + Math.random() }))
       .sort((a, b) => a.order - b.order)
--- /dev/null
+++ b/packages/coordination/src/test/call-forwarder.test.ts
@@ -0,0 +1,23 @@
+import test from 'ava'
+import { CallForwarder, CallOrigin, SILENT_LOG } from '@cyclamenthread/coordination'
+import { failure, success } from '@cyclamenthread/state'
+import { PeerFailure } from '@cyclamenthread/transport'
+import type { CallForwarderContext, PlainCall } from '@cyclamenthread/coordination'
+import type { Host } from '@cyclamenthread/state'
+
+const SELF = { id: 'h1', failureDomain: 'd1' } as Host
+const SILENT = { id: 'h2', failureDomain: 'd2' } as Host
+const ANSWERING = { id: 'h3', failureDomain: 'd1' } as Host
+
+const CALL = { requestId: 'r1', route: { host: 'a.example', maxAttempts: 2 }, origin: CallOrigin.Caller, method: 'POST', path: '/', headers: [], body: new Uint8Array(), deadline: performance.now() + 60_000, signal: new AbortController().signal } as unknown as PlainCall
+
+// Guards against calls that are lost at a host that is silent, although it is known to be (SHORT).
+test('calls are passed on to hosts that are not suspected', async (t) => {
+  const bus = {
+    send: async (host: Host) => host.id === SILENT.id ? failure(PeerFailure.NoReply) : success({ ok: true, status: 200, headers: [], body: new Uint8Array(), taken: true, failures: 0 })
+  } as unknown as CallForwarderContext['bus']
+  const members = { workers: () => [SELF, SILENT, ANSWERING], isSuspected: (id: string) => id === SILENT.id }
+  const forwarder = new CallForwarder({ self: SELF, members, bus, log: SILENT_LOG } as unknown as CallForwarderContext)
+  const outcome = await forwarder.forward(CALL, 2)
+  t.true(outcome?.ok)
+})
