Loads of rollouts from the store go on where they were

Callers saw: results that had been read don't come again (LOST): reads of a long log failed one after the other. Cause: a load that wasn't done in 2.5 s was thrown away and begun anew by the next read, and entries were read one call after the other, so a log that takes longer was never whole; a non-owner read the whole log again for each read. Now: one load of a rollout a host (RolloutLoader) keeps what it has read, goes on while it makes progress, bears single refusals, and serves reads from the part that is there: listed results are immutable. Entries are read ahead, more the more were found. Finished runs and orders move to what is kept, bounded by characters, so hosts don't keep every rollout for ever.

--- a/packages/coordination/src/lib/rollout-reader.ts
+++ b/packages/coordination/src/lib/rollout-reader.ts
@@ -1,9 +1,10 @@
-import { hostOfWriter, ownerOf, RolloutProgress } from '@cyclamenthread/state'
+import { hostOfWriter, ownerOf } from '@cyclamenthread/state'
 import { PeerMessageKind, RolloutReadStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { ReadTrace } from './read-trace.js'
-import type { Host, RolloutOrder } from '@cyclamenthread/state'
+import { isComplete } from './rollout-loader.js'
+import type { Host, RolloutOrder, RolloutProgress } from '@cyclamenthread/state'
 import type { RolloutPage } from '@cyclamenthread/protocol'
 import type { OwnerDirectory } from './owner-directory.js'
 import type { RolloutRun } from './rollout-run.js'
@@ -92,13 +93,13 @@
   async #readHere (read: RolloutRead, trace: ReadTrace): Promise<RolloutPage> {
     const referred = await this.#readAtKnownOwner(read, trace)
     if (referred !== undefined) return referred
-    const opened = await trace.measure('open', async () => await this.#registry.open(read.id), (result) => result.ok ? 'opened' : result.failure)
+    const opened = await trace.measure('open', async () => await this.#registry.open(read.id, deadlineAfter(LOAD_TIMEOUT_MS), ({ results }) => results.length > read.after), (result) => result.ok ? 'opened' : result.failure)
     if (!opened.ok) return emptyPage(RolloutReadStatus.Unavailable)
     if (opened.value === undefined || opened.value.order.workspace !== read.workspace) return emptyPage(RolloutReadStatus.Unknown)
     const { order, progress, run, owner } = opened.value
     if (run !== undefined) return await trace.measure('run', async () => await this.#readFromRun(run, read), ({ status }) => status)
     const fromStore = { ...pageOf(order, progress, read.after), owner }
-    if (read.forwarded) return fromStore
+    if (read.forwarded || opened.value.readAt === -Infinity || isComplete(order, progress)) return fromStore
     const host = this.#directory.findWorker(owner)
     const page = host === undefined ? undefined : await this.#readAt(host, { ...read, forwarded: true }, trace)
     if (page !== undefined) return page
@@ -140,13 +141,10 @@
 
   /** Reads a rollout from the store without running it. */
   async #readFromStore ({ id, workspace, after }: RolloutRead): Promise<RolloutPage> {
-    const deadline = deadlineAfter(LOAD_TIMEOUT_MS)
-    const order = await this.#context.store.readOrder(id, deadline)
-    if (!order.ok) return emptyPage(RolloutReadStatus.Unavailable)
-    if (order.value === undefined || order.value.workspace !== workspace) return emptyPage(RolloutReadStatus.Unknown)
-    const progress = new RolloutProgress()
-    const read = await this.#context.store.catchUp(id, progress, deadline)
-    return read.ok ? pageOf(order.value, progress, after) : emptyPage(RolloutReadStatus.Unavailable)
+    const loaded = await this.#registry.load(id, deadlineAfter(LOAD_TIMEOUT_MS), ({ results }) => results.length > after)
+    if (!loaded.ok) return emptyPage(RolloutReadStatus.Unavailable)
+    if (loaded.value === undefined || loaded.value.order.workspace !== workspace) return emptyPage(RolloutReadStatus.Unknown)
+    return pageOf(loaded.value.order, loaded.value.progress, after)
   }
 }
 
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -14,6 +14,9 @@
 /** Duration from which a read of a log is logged, in milliseconds. */
 const SLOW_LOAD_MS = 1_000
 
+/** Maximum number of log entries that are read at the same time. */
+const MAX_READ_AHEAD = 8
+
 /** Prefix under which the log reports whether the store answers calls about rollouts. */
 const ROLLOUT_LOG_PREFIX = 'rollout-log/'
 
@@ -97,11 +100,15 @@
     return order.success ? success(order.data) : failure(StoreFailure.Malformed)
   }
 
-  /** Applies all log entries that a progress doesn't contain yet. */
-  async catchUp (id: string, progress: RolloutProgress, deadline: number): Promise<Outcome<void, StoreFailure>> {
+  /**
+   * Applies all log entries that a progress doesn't contain yet.
+   *
+   * @param onApplied called after each step in which entries were applied
+   */
+  async catchUp (id: string, progress: RolloutProgress, deadline: number, onApplied?: () => void): Promise<Outcome<void, StoreFailure>> {
     const startedAt = monotonicNow()
     const from = progress.segments
-    const read = await this.#readEntries(id, progress, deadline)
+    const read = await this.#readEntries(id, progress, deadline, onApplied)
     const tookMs = Math.round(monotonicNow() - startedAt)
     if (tookMs > SLOW_LOAD_MS || (!read.ok && progress.segments > from)) {
       this.#log.record(LogEvent.RolloutLoaded, { requestId: id, from, segments: progress.segments, outcome: read.ok ? 'whole' : read.failure, tookMs })
@@ -109,13 +116,23 @@
     return read
   }
 
-  async #readEntries (id: string, progress: RolloutProgress, deadline: number): Promise<Outcome<void, StoreFailure>> {
+  /** Reads more entries at the same time the more it has found, so that a short log costs hardly more calls than it has entries. */
+  async #readEntries (id: string, progress: RolloutProgress, deadline: number, onApplied?: () => void): Promise<Outcome<void, StoreFailure>> {
+    const from = progress.segments
     for (;;) {
-      const position = progress.segments
-      const found = await this.#readObject(rolloutSegmentKey(id, position), deadline)
-      if (!found.ok) return failure(found.failure)
-      if (found.value === undefined) return success(undefined)
-      if (progress.segments === position) progress.apply(rolloutSegmentSchema.parse(found.value.value))
+      const first = progress.segments
+      const width = Math.min(MAX_READ_AHEAD, 1 + Math.floor((first - from) / 2))
+      const positions = Array.from({ length: width }, (_, index) => first + index)
+      const read = await Promise.all(positions.map(async (position) => await this.#readObject(rolloutSegmentKey(id, position), deadline)))
+      for (const [index, found] of read.entries()) {
+        const segment = found.ok && found.value !== undefined ? rolloutSegmentSchema.safeParse(found.value.value) : undefined
+        if (segment?.success !== true) {
+          onApplied?.()
+          return endOfRead(found)
+        }
+        if (progress.segments === first + index) progress.apply(segment.data)
+      }
+      onApplied?.()
     }
   }
 
@@ -178,3 +195,9 @@
     return result
   }
 }
+
+/** Returns the outcome of reading a log up to a position at which no entry was read. */
+function endOfRead (found: Outcome<StoredObject | undefined, StoreFailure>): Outcome<void, StoreFailure> {
+  if (!found.ok) return failure(found.failure)
+  return found.value === undefined ? success(undefined) : failure(StoreFailure.Malformed)
+}
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -1,9 +1,10 @@
-import { chooseOwner, failure, hostOfWriter, notRun, ownerOf, Ran, rankOwners, RefusalReason, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
+import { chooseOwner, failure, hostOfWriter, notRun, ownerOf, Ran, rankOwners, RefusalReason, success, trainerOf } from '@cyclamenthread/state'
 import { PeerMessageKind, RolloutCreationStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { EndKeeper } from './end-keeper.js'
 import { LogEvent } from './event-log.js'
 import { OwnerDirectory } from './owner-directory.js'
+import { isComplete } from './rollout-loader.js'
 import { RolloutReader } from './rollout-reader.js'
 import { RolloutRun } from './rollout-run.js'
 import { RunRegistry } from './run-registry.js'
@@ -110,8 +111,10 @@
       [PeerMessageKind.ReadRollout]: async ({ rolloutId, workspace, after, waitMs, forwarded }) =>
         await this.#reader.readHere({ id: rolloutId, workspace, after, deadline: deadlineAfter(waitMs), forwarded }),
       [PeerMessageKind.RecheckRollout]: async ({ rolloutId }) => {
-        const opened = this.#registry.isLeaving ? undefined : await this.#registry.open(rolloutId)
-        return { accepted: opened?.ok === true && await opened.value?.run?.recheck() === true }
+        const opened = this.#registry.isLeaving ? undefined : await this.#registry.open(rolloutId, deadlineAfter(LOAD_TIMEOUT_MS))
+        if (opened?.ok !== true || opened.value === undefined) return { accepted: false }
+        const { run, order, progress } = opened.value
+        return { accepted: run === undefined ? isComplete(order, progress) : await run.recheck() }
       },
       [PeerMessageKind.EndRollout]: async ({ rolloutId, workspace }) => {
         const run = this.#registry.find(rolloutId)
@@ -197,15 +200,22 @@
     const order = await this.#findOrder(id, deadline)
     if (!order.ok) return order
     if (order.value.workspace !== workspace) return failure(unknownRollout(id))
-    const run = this.#registry.find(id) ?? new RolloutRun(this.#context, order.value, new RolloutProgress())
-    const read = await this.#context.store.catchUp(id, run.progress, deadline)
-    const ended = read.ok && await this.#appendEnd(run)
+    const run = await this.#openForEnd(order.value, deadline)
+    const ended = run !== undefined && await this.#appendEnd(run)
     if (ended) this.#logEnd(id, workspace, 'ended')
     return ended
       ? success(undefined)
       : failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.Maybe, detail: 'the store did not confirm the end', retryAfterMs: RETRY_AFTER_MS })
   }
 
+  /** Returns a run that is up to date and can append the end; undefined if the log can't be read. */
+  async #openForEnd (order: RolloutOrder, deadline: number): Promise<RolloutRun | undefined> {
+    const run = this.#registry.find(order.id)
+    if (run !== undefined) return await run.refreshProgress(0) ? run : undefined
+    const loaded = await this.#registry.load(order.id, deadline)
+    return loaded.ok && loaded.value !== undefined ? new RolloutRun(this.#context, order, loaded.value.progress) : undefined
+  }
+
   /** Returns the body of a sample as the trainer sent it. */
   async readSampleBody (id: string, workspace: string, sampleId: string): Promise<Outcome<Uint8Array, Refusal>> {
     const order = await this.#findOrder(id, deadlineAfter(LOAD_TIMEOUT_MS))
@@ -375,10 +385,9 @@
   async #findOrder (id: string, deadline: number): Promise<Outcome<RolloutOrder, Refusal>> {
     const known = this.#registry.knownOrder(id)
     if (known !== undefined) return success(known)
-    const order = await this.#context.store.readOrder(id, deadline)
+    const order = await this.#registry.loadOrder(id, deadline)
     if (!order.ok) return failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.No, detail: 'the store can\'t be read', retryAfterMs: RETRY_AFTER_MS })
     if (order.value === undefined) return failure(unknownRollout(id))
-    this.#registry.rememberOrder(order.value)
     return success(order.value)
   }
 }
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -1,12 +1,15 @@
-import { decideOwnership, describeOwnershipStep, failure, hostOfWriter, ownerOf, OwnershipStep, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
+import { decideOwnership, describeOwnershipStep, hostOfWriter, ownerOf, OwnershipStep, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
+import { isComplete, RolloutLoader } from './rollout-loader.js'
 import { RolloutRun } from './rollout-run.js'
+import { shared, untilDeadline } from './shared-work.js'
 import type { Host, Outcome, RolloutOrder } from '@cyclamenthread/state'
-import type { AdoptRollout } from '@cyclamenthread/protocol'
+import type { AdoptRollout, StoreFailure } from '@cyclamenthread/protocol'
 import type { MessageBus } from './message-bus.js'
 import type { OwnerDirectory } from './owner-directory.js'
+import type { LoadedRollout, Sufficiency } from './rollout-loader.js'
 import type { RolloutContext } from './rollout-context.js'
 
 /** Timeout for reading a rollout from the store, in milliseconds. */
@@ -18,14 +21,19 @@
 /** Timeout for the owner of a rollout to show that it can read the rollout's log, before another host claims the rollout, in milliseconds. */
 const OWNER_PROBE_TIMEOUT_MS = 600
 
+/** Number of finished runs that stay ready for ends and last reads; what earlier ones have read is kept as long as there is room. */
+const MAX_FINISHED_RUNS = 4
+
 /** A rollout as a host knows it after reading its log. */
 export interface OpenedRollout {
   readonly order: RolloutOrder
   readonly progress: RolloutProgress
   /** The run on this host; undefined if another host owns the rollout. */
   readonly run: RolloutRun | undefined
-  /** Host that owns the rollout; empty if none does. */
+  /** Host that owns the rollout; empty if none does, or if only a part of the log was read. */
   readonly owner: string
+  /** Monotonic time in milliseconds before the read that found the end of the log; -Infinity if only a part was read. */
+  readonly readAt: number
 }
 
 /** Dependencies of a {@link RunRegistry}. */
@@ -49,14 +57,16 @@
   readonly #directory: OwnerDirectory
   readonly #isEndPending: EndInquiry
   readonly #runs = new Map<string, RolloutRun>()
-  readonly #orders = new Map<string, RolloutOrder>()
-  readonly #opening = new Map<string, Promise<Outcome<OpenedRollout | undefined, string>>>()
+  readonly #loader: RolloutLoader
+  readonly #starting = new Map<string, Promise<RolloutRun | undefined>>()
+  readonly #takingOver = new Map<string, Promise<RolloutRun | undefined>>()
   #leaving = false
 
   constructor (context: RunRegistryContext, directory: OwnerDirectory, isEndPending: EndInquiry) {
     this.#context = context
     this.#directory = directory
     this.#isEndPending = isEndPending
+    this.#loader = new RolloutLoader(context.store)
   }
 
   /** Whether this host accepts no more runs. */
@@ -81,12 +91,12 @@
 
   /** Returns the order of a rollout if this host knows it. */
   knownOrder (id: string): RolloutOrder | undefined {
-    return this.#runs.get(id)?.order ?? this.#orders.get(id)
+    return this.#runs.get(id)?.order ?? this.#loader.findOrder(id)
   }
 
   /** Stores the order of a rollout that is in the store. */
   rememberOrder (order: RolloutOrder): void {
-    this.#orders.set(order.id, order)
+    this.#loader.keep(order)
   }
 
   /** Runs a rollout that was just accepted and assigned to this host. */
@@ -96,18 +106,41 @@
 
   /**
    * Opens a rollout on this host: its run if this host owns it, otherwise its current
-   * state and owner; undefined if it doesn't exist.
+   * state and owner; undefined if it doesn't exist. If a part of the log is enough,
+   * that may be all that was read.
    */
-  async open (id: string): Promise<Outcome<OpenedRollout | undefined, string>> {
-    const run = this.#runs.get(id)
-    if (run !== undefined) return success({ order: run.order, progress: run.progress, run, owner: ownerHostOf(run.order, run.progress) })
-    const opening = this.#opening.get(id) ?? this.#openFromStore(id).finally(() => this.#opening.delete(id))
-    this.#opening.set(id, opening)
-    return await opening
+  async open (id: string, deadline: number, isEnough?: Sufficiency): Promise<Outcome<OpenedRollout | undefined, StoreFailure>> {
+    const known = this.#runs.get(id)
+    if (known !== undefined) return success(openedRun(known))
+    const loaded = await this.#loader.load(id, deadline, isEnough)
+    if (!loaded.ok || loaded.value === undefined) return loaded.ok ? success(undefined) : loaded
+    const current = loaded.value
+    const { order, progress, readAt } = current
+    if (readAt === -Infinity) return success({ order, progress, run: undefined, owner: '', readAt })
+    const starting = shared(this.#starting, id, async () => await this.#runIfOwned(current))
+    const run = await untilDeadline(starting, deadline)
+    const owner = ownerHostOf(order, progress)
+    this.#directory.recordOwner(id, owner)
+    return success({ order, progress, run, owner, readAt })
+  }
+
+  /** Returns the order of a rollout; undefined if it doesn't exist. */
+  async loadOrder (id: string, deadline: number): Promise<Outcome<RolloutOrder | undefined, StoreFailure>> {
+    const known = this.knownOrder(id)
+    return known === undefined ? await this.#loader.loadOrder(id, deadline) : success(known)
+  }
+
+  /** Reads the log of a rollout without running it; undefined if it doesn't exist. */
+  async load (id: string, deadline: number, isEnough?: Sufficiency): Promise<Outcome<LoadedRollout | undefined, StoreFailure>> {
+    return await this.#loader.load(id, deadline, isEnough)
   }
 
   /** Claims a rollout that another host owns if that host doesn't answer this one or can't read the log; returns the run if it did. */
-  async takeOverIfLost ({ order, progress, owner }: OpenedRollout): Promise<RolloutRun | undefined> {
+  async takeOverIfLost (opened: OpenedRollout): Promise<RolloutRun | undefined> {
+    return await shared(this.#takingOver, opened.order.id, async () => await this.#takeOverIfLost(opened))
+  }
+
+  async #takeOverIfLost ({ order, progress, owner }: OpenedRollout): Promise<RolloutRun | undefined> {
     if (this.#leaving || await this.#canOwnerRun(order.id, owner)) return undefined
     const step = decideOwnership({ owner, writer: this.#context.writer, ownerUnreachable: true })
     this.#logStep(order.id, step, owner)
@@ -116,7 +149,7 @@
 
   /** Runs a rollout if this host owns it or its owner is lost. */
   async runIfOwnedOrLost (id: string): Promise<void> {
-    const opened = await this.open(id)
+    const opened = await this.open(id, deadlineAfter(LOAD_TIMEOUT_MS))
     if (opened.ok && opened.value !== undefined && opened.value.run === undefined) await this.takeOverIfLost(opened.value)
   }
 
@@ -131,10 +164,11 @@
       known.adopt(handover)
       return true
     }
-    const progress = new RolloutProgress()
+    this.#loader.keep(order)
     const deadline = deadlineAfter(LOAD_TIMEOUT_MS)
-    const read = await this.#context.store.catchUp(order.id, progress, deadline)
-    if (!read.ok) return false
+    const loaded = await this.#loader.load(order.id, deadline)
+    if (!loaded.ok || loaded.value === undefined) return false
+    const { progress } = loaded.value
     const owner = ownerHostOf(order, progress)
     if (owner !== '' && owner !== hostOfWriter(from)) return false
     return await this.#claimRun(order, progress, deadline, handover) !== undefined
@@ -156,6 +190,7 @@
   /** Stops all runs. */
   stop (): void {
     this.#leaving = true
+    this.#loader.stop()
     for (const run of this.#runs.values()) run.stop()
   }
 
@@ -166,32 +201,15 @@
     await this.#context.bus.send(host, { kind: PeerMessageKind.RecheckRollout, rolloutId: order.id }, { deadline: deadlineAfter(OWNER_PROBE_TIMEOUT_MS) })
   }
 
-  async #openFromStore (id: string): Promise<Outcome<OpenedRollout | undefined, string>> {
-    const deadline = deadlineAfter(LOAD_TIMEOUT_MS)
-    const known = this.#orders.get(id)
-    const order = known === undefined ? await this.#context.store.readOrder(id, deadline) : success(known)
-    if (!order.ok) return failure(order.failure)
-    if (order.value === undefined) return success(undefined)
-    this.#orders.set(id, order.value)
-    const progress = new RolloutProgress()
-    const readAt = monotonicNow()
-    const read = await this.#context.store.catchUp(id, progress, deadline)
-    if (!read.ok) return failure(read.failure)
-    const run = await this.#runIfOwned(order.value, progress, readAt, deadline)
-    const owner = ownerHostOf(order.value, progress)
-    this.#directory.recordOwner(id, owner)
-    return success({ order: order.value, progress, run, owner })
-  }
-
   /** Runs a rollout whose log was just read, if this host owns it or an earlier process of this host did. */
-  async #runIfOwned (order: RolloutOrder, progress: RolloutProgress, readAt: number, deadline: number): Promise<RolloutRun | undefined> {
-    if (progress.ended || progress.results.length === order.samples.length) return this.#startRun(this.#createRun(order, progress, readAt))
+  async #runIfOwned ({ order, progress, readAt }: LoadedRollout): Promise<RolloutRun | undefined> {
+    if (isComplete(order, progress)) return undefined
     const owner = ownerOf(order, progress)
     const step = decideOwnership({ owner, writer: this.#context.writer, ownerUnreachable: false })
     this.#logStep(order.id, step, owner)
     switch (step) {
       case OwnershipStep.Run: return this.#startRun(this.#createRun(order, progress, readAt))
-      case OwnershipStep.Claim: return this.#leaving ? undefined : await this.#claimRun(order, progress, deadline)
+      case OwnershipStep.Claim: return this.#leaving ? undefined : await this.#claimRun(order, progress, deadlineAfter(LOAD_TIMEOUT_MS))
       case OwnershipStep.Refer: return undefined
     }
   }
@@ -239,6 +257,8 @@
       return known
     }
     this.#runs.set(order.id, run)
+    this.#loader.forget(order.id)
+    this.#dropFinishedRuns()
     if (this.#isEndPending(order)) run.holdWork()
     this.#context.log.record(LogEvent.RolloutOwned, {
       requestId: order.id, listed: progress.results.length, segments: progress.segments, ended: progress.ended, claimant: progress.claimant, ageMs: Date.now() - order.acceptedAt
@@ -248,9 +268,20 @@
     return run
   }
 
+  /** Drops the runs that finished earliest; what they have read is kept as long as there is room. */
+  #dropFinishedRuns (): void {
+    const finished = [...this.#runs.values()].filter(({ order, progress }) => isComplete(order, progress))
+    for (const { order, progress } of finished.slice(0, -MAX_FINISHED_RUNS)) {
+      this.#runs.delete(order.id)
+      this.#loader.keep(order, progress)
+    }
+  }
+
   /** Drops a run whose rollout another host has claimed, and sends that host what it can continue from. */
   async #yieldRun (handover: AdoptRollout, owner: string): Promise<void> {
+    const { progress } = this.#runs.get(handover.order.id) ?? {}
     this.#runs.delete(handover.order.id)
+    this.#loader.keep(handover.order, progress)
     this.#directory.recordOwner(handover.order.id, owner)
     const host = this.#directory.findWorker(owner)
     if (host !== undefined && host.id !== this.#context.self.id) await this.#sendHandover(handover, host, Infinity)
@@ -276,3 +307,7 @@
 function ownerHostOf (order: RolloutOrder, progress: RolloutProgress): string {
   return hostOfWriter(ownerOf(order, progress))
 }
+
+function openedRun (run: RolloutRun): OpenedRollout {
+  return { order: run.order, progress: run.progress, run, owner: ownerHostOf(run.order, run.progress), readAt: monotonicNow() }
+}
