--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -1,9 +1,10 @@
-import { chooseOwner, failure, hostOfWriter, notRun, ownerOf, Ran, rankOwners, RefusalReason, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
+import { chooseOwner, failure, hostOfWriter, notRun, ownerOf, Ran, rankOwners, RefusalReason, success, trainerOf } from '@cyclamenthread/state'
 import { PeerMessageKind, RolloutCreationStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { EndKeeper } from './end-keeper.js'
 import { LogEvent } from './event-log.js'
 import { OwnerDirectory } from './owner-directory.js'
+import { isComplete } from './rollout-loader.js'
 import { RolloutReader } from './rollout-reader.js'
 import { RolloutRun } from './rollout-run.js'
 import { RunRegistry } from './run-registry.js'
@@ -26,6 +27,9 @@
 /** Timeout for reading a rollout's order from the store, in milliseconds. */
 const LOAD_TIMEOUT_MS = 2_500
 
+/** Time after the wait of a read by which it is answered unless its caller says otherwise, in milliseconds: a take-over and a read of the log. */
+const MAX_REPLY_MS = 1_200
+
 /** Timeout for ending a rollout, in milliseconds. */
 const END_TIMEOUT_MS = 3_500
 
@@ -107,11 +111,15 @@
         return { accepted: true }
       },
       [PeerMessageKind.AdoptRollout]: async (handover) => ({ accepted: await this.#registry.adopt(handover) }),
-      [PeerMessageKind.ReadRollout]: async ({ rolloutId, workspace, after, waitMs, forwarded }) =>
-        await this.#reader.readHere({ id: rolloutId, workspace, after, deadline: deadlineAfter(waitMs), forwarded }),
+      [PeerMessageKind.ReadRollout]: async ({ rolloutId, workspace, after, waitMs, forwarded }, meta) => {
+        const deadline = deadlineAfter(waitMs)
+        return await this.#reader.readHere({ id: rolloutId, workspace, after, deadline, replyBy: Math.min(meta.deadline, deadline + MAX_REPLY_MS), forwarded })
+      },
       [PeerMessageKind.RecheckRollout]: async ({ rolloutId }) => {
-        const opened = this.#registry.isLeaving ? undefined : await this.#registry.open(rolloutId)
-        return { accepted: opened?.ok === true && await opened.value?.run?.recheck() === true }
+        const opened = this.#registry.isLeaving ? undefined : await this.#registry.open(rolloutId, deadlineAfter(LOAD_TIMEOUT_MS))
+        if (opened?.ok !== true || opened.value === undefined) return { accepted: false }
+        const { run, order, progress } = opened.value
+        return { accepted: run === undefined ? isComplete(order, progress) : await run.recheck() }
       },
       [PeerMessageKind.EndRollout]: async ({ rolloutId, workspace }) => {
         const run = this.#registry.find(rolloutId)
@@ -161,9 +169,13 @@
     }
   }
 
-  /** Reads results from a position on; waits for the first one until the deadline. */
-  async readResults (id: string, workspace: string, after: number, deadline: number): Promise<RolloutPage> {
-    return await this.#reader.read({ id, workspace, after, deadline, forwarded: false })
+  /**
+   * Reads results from a position on; waits for the first one until the deadline.
+   *
+   * @param replyBy monotonic milliseconds by which the caller needs an answer, if only a refusal
+   */
+  async readResults (id: string, workspace: string, after: number, deadline: number, replyBy = deadline + MAX_REPLY_MS): Promise<RolloutPage> {
+    return await this.#reader.read({ id, workspace, after, deadline, replyBy, forwarded: false })
   }
 
   /**
@@ -197,18 +209,25 @@
     const order = await this.#findOrder(id, deadline)
     if (!order.ok) return order
     if (order.value.workspace !== workspace) return failure(unknownRollout(id))
-    const run = this.#registry.find(id) ?? new RolloutRun(this.#context, order.value, new RolloutProgress())
-    const read = await this.#context.store.catchUp(id, run.progress, deadline)
-    const ended = read.ok && await this.#appendEnd(run)
+    const run = await this.#openForEnd(order.value, deadline)
+    const ended = run !== undefined && await this.#appendEnd(run)
     if (ended) this.#logEnd(id, workspace, 'ended')
     return ended
       ? success(undefined)
       : failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.Maybe, detail: 'the store did not confirm the end', retryAfterMs: RETRY_AFTER_MS })
   }
 
-  /** Returns the body of a sample as the trainer sent it. */
-  async readSampleBody (id: string, workspace: string, sampleId: string): Promise<Outcome<Uint8Array, Refusal>> {
-    const order = await this.#findOrder(id, deadlineAfter(LOAD_TIMEOUT_MS))
+  /** Returns a run that is up to date and can append the end; undefined if the log can't be read. */
+  async #openForEnd (order: RolloutOrder, deadline: number): Promise<RolloutRun | undefined> {
+    const run = this.#registry.find(order.id)
+    if (run !== undefined) return await run.refreshProgress(0) ? run : undefined
+    const loaded = await this.#registry.load(order.id, deadline)
+    return loaded.ok && loaded.value !== undefined ? new RolloutRun(this.#context, order, loaded.value.progress) : undefined
+  }
+
+  /** Returns the body of a sample as the trainer sent it, or a refusal by the given time. */
+  async readSampleBody (id: string, workspace: string, sampleId: string, replyBy = deadlineAfter(MAX_REPLY_MS)): Promise<Outcome<Uint8Array, Refusal>> {
+    const order = await this.#findOrder(id, replyBy)
     if (!order.ok) return order
     const sample = order.value.samples.find((candidate) => candidate.id === sampleId)
     if (order.value.workspace !== workspace || sample === undefined) return failure(unknownRollout(id))
@@ -375,10 +394,9 @@
   async #findOrder (id: string, deadline: number): Promise<Outcome<RolloutOrder, Refusal>> {
     const known = this.#registry.knownOrder(id)
     if (known !== undefined) return success(known)
-    const order = await this.#context.store.readOrder(id, deadline)
+    const order = await this.#registry.loadOrder(id, deadline)
     if (!order.ok) return failure({ reason: RefusalReason.StoreUnavailable, ran: Ran.No, detail: 'the store can\'t be read', retryAfterMs: RETRY_AFTER_MS })
     if (order.value === undefined) return failure(unknownRollout(id))
-    this.#registry.rememberOrder(order.value)
     return success(order.value)
   }
 }
