--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -63,6 +63,8 @@
   readonly record: EndpointRecord
   readonly abort: AbortController
   readonly sentAt: number
+  /** When the attempt was written, and the time that it stated to be left; undefined until then. */
+  written: { readonly at: number, readonly leftMs: number | undefined } | undefined
 }
 
 /** The reply to one attempt. */
@@ -287,7 +289,7 @@
     state.attempts += 1
     state.excluded.add(record.entry.id)
     endpointTable.startWork(record.entry.id)
-    const attempt: CallAttempt = { record, abort, sentAt }
+    const attempt: CallAttempt = { record, abort, sentAt, written: undefined }
     state.openAttempts.add(attempt)
     const reply = this.#context.endpoints.sendRequest({
       endpoint: record.entry,
@@ -300,6 +302,9 @@
       deadline: call.deadline,
       startBefore: startBefore === Infinity ? call.startBefore : Math.min(startBefore, call.startBefore ?? Infinity),
       needsNewConnection: call.route.kind !== RouteKind.Idempotent && state.rejectedBy.has(record.entry.id),
+      onWrite: (leftMs) => {
+        attempt.written = { at: monotonicNow(), leftMs }
+      },
       signal: abort.signal
     })
     void reply.then((value) => this.#recordReply(state, attempt, value))
@@ -411,6 +416,9 @@
       endpoint: attempt.record.entry.id,
       outcome: reply.kind,
       tookMs: Math.round(monotonicNow() - attempt.sentAt),
+      writtenAfterMs: attempt.written === undefined ? undefined : Math.round(attempt.written.at - attempt.sentAt),
+      statedLeftMs: attempt.written?.leftMs,
+      excessMs: attempt.written?.leftMs === undefined ? undefined : Math.round(attempt.written.at + attempt.written.leftMs - state.call.deadline),
       status: reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun ? reply.status : undefined,
       detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined
     })
--- a/packages/cyclamenthread/src/lib/caller-server.ts
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { monotonicNow } from '@cyclamenthread/transport'
 import { readBody } from './request-body.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CallerLimits } from '@cyclamenthread/state'
@@ -25,6 +26,8 @@
   /** Headers in their original order and case. */
   readonly rawHeaders: readonly HeaderPair[]
   readonly body: Uint8Array
+  /** Monotonic milliseconds at which its head was read. */
+  readonly receivedAt: number
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal
 }
@@ -126,6 +129,7 @@
 
   async #handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openRequests += 1
+    const receivedAt = monotonicNow()
     const abort = new AbortController()
     response.on('close', () => {
       if (!response.writableFinished) abort.abort()
@@ -133,25 +137,25 @@
     this.#applyLimits()
     try {
       const body = await readBody(request, this.#settings.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
-      const answer = body.ok ? await this.#awaitAnswer(request, body.value, abort) : PAYLOAD_TOO_LARGE
+      const answer = body.ok ? await this.#awaitAnswer(request, body.value, receivedAt, abort) : PAYLOAD_TOO_LARGE
       if (!response.destroyed) await this.#sendResponse(response, answer, !body.ok)
     } finally {
       this.#openRequests -= 1
     }
   }
 
-  async #awaitAnswer (request: IncomingMessage, body: Uint8Array, abort: AbortController): Promise<CallerResponse> {
+  async #awaitAnswer (request: IncomingMessage, body: Uint8Array, receivedAt: number, abort: AbortController): Promise<CallerResponse> {
     return await new Promise((resolve) => {
       const open: OpenRequest = { abort, answer: resolve }
       this.#unanswered.add(open)
-      void this.#callHandler(request, body, abort.signal).then((answer) => {
+      void this.#callHandler(request, body, receivedAt, abort.signal).then((answer) => {
         this.#unanswered.delete(open)
         resolve(answer)
       })
     })
   }
 
-  async #callHandler (request: IncomingMessage, body: Uint8Array, signal: AbortSignal): Promise<CallerResponse> {
+  async #callHandler (request: IncomingMessage, body: Uint8Array, receivedAt: number, signal: AbortSignal): Promise<CallerResponse> {
     const rawHeaders: HeaderPair[] = []
     for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
       rawHeaders.push([request.rawHeaders[index] ?? '', request.rawHeaders[index + 1] ?? ''])
@@ -165,6 +169,7 @@
         headers,
         rawHeaders,
         body,
+        receivedAt,
         signal
       })
     } catch (error) {
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -51,6 +51,8 @@
   readonly status: number
   /** Monotonic time at which the request was read, in milliseconds. */
   readonly startedAt: number
+  /** Time from the arrival of the request's head until its handler ran, in milliseconds. */
+  readonly waitedMs: number
   /** Why the request was refused; undefined if an endpoint answered it. */
   readonly detail: string | undefined
 }
@@ -160,9 +162,9 @@
 
   /** Logs how a caller's request ended. */
   logAnswer (answer: AnsweredRequest): void {
-    const { requestId, target, status, startedAt, detail } = answer
+    const { requestId, target, status, startedAt, waitedMs, detail } = answer
     this.#ports.log.record(LogEvent.RequestAnswered, {
-      requestId, target, status, tookMs: Math.round(performance.now() - startedAt), detail, declaration: this.deployment.routeTable?.declaration.version
+      requestId, target, status, tookMs: Math.round(performance.now() - startedAt), waitedMs: Math.round(waitedMs), detail, declaration: this.deployment.routeTable?.declaration.version
     })
   }
 
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -20,6 +20,8 @@
   readonly startBefore: number | undefined
   /** Whether the request must go out on a connection that has carried no other one, because this endpoint has answered it before: a late copy of that answer bears the same id. */
   readonly needsNewConnection?: boolean
+  /** Called when the request is written, with the time that it states to be left in milliseconds; undefined if it states none. */
+  readonly onWrite?: (leftMs: number | undefined) => void
   readonly signal: AbortSignal
 }
 
