No attempt begins after the deadline of its call

Now the deadline is also the time before which an attempt has to be written; the client for endpoints asks it in the very turn of the write. Evidence: "a call is not sent once more after its deadline, even if the event loop is late" failed before (two attempts).

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -146,7 +146,9 @@
     if (!endsInTime({ kind, deadline: requested.deadline, typicalMs }, this.#endsAt, startedAt)) {
       return { ok: false, refusal: notRun(RefusalReason.Leaving, 'this host stops before the call is sure to end', LEAVING_RETRY_AFTER_MS), failures: 0 }
     }
-    const call = { ...requested, deadline: Math.min(requested.deadline, this.#endsAt) }
+    const deadline = Math.min(requested.deadline, this.#endsAt)
+    // The timer of the deadline may be late.
+    const call = { ...requested, deadline, startBefore: Math.min(requested.startBefore ?? Infinity, deadline) }
     const state: CallState = {
       call,
       service,
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -84,6 +84,22 @@
   t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
 })
 
+// Guards against endpoints that are given more time than is left, because a host that got no processor retries before it notices the deadline (BUDGET).
+test.serial('a call is not sent once more after its deadline, even if the event loop is late', async (t) => {
+  const { endpoints, run } = await openFixture(t, ['a', 'bb'])
+  const deadline = performance.now() + 100
+  for (const id of ['a', 'bb']) {
+    endpoints.callScripts.set(id, async () => {
+      while (performance.now() < deadline + 50);
+      return { kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }
+    })
+  }
+  const outcome = await run({ deadline })
+  t.is(endpoints.calls.length, 1)
+  t.is(endpoints.calls[0]?.startBefore, deadline)
+  t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
+})
+
 test('a non-idempotent call is not retried once it may have run', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb'])
   for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'reset' }))
