The time of a request counts from its arrival, not from its handler

A host that gets no processor for a second gave each waiting request a second more. Now it counts from the head of the request, less the delay of the event loop at that moment: a check each 100 ms tells how late the loop is. Its lateness holds until no connection that waited is left: the loop accepts only one in a poll. Evidence: "requests that wait for the event loop, each on a new connection, count as received before that" failed with the time of the head alone (436 ms late of 400 ms blocked, one connection) and with a delay that held for two polls (427 to 434 ms late for three of five connections).

--- a/packages/cyclamenthread/src/lib/caller-server.ts
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -1,5 +1,5 @@
 import { createServer } from 'node:http'
-import { monotonicNow } from '@cyclamenthread/transport'
+import { LoopDelay, monotonicNow } from '@cyclamenthread/transport'
 import { readBody } from './request-body.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CallerLimits } from '@cyclamenthread/state'
@@ -26,7 +26,7 @@
   /** Headers in their original order and case. */
   readonly rawHeaders: readonly HeaderPair[]
   readonly body: Uint8Array
-  /** Monotonic milliseconds at which its head was read. */
+  /** Monotonic milliseconds at which its head came, as far as this process can tell. */
   readonly receivedAt: number
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal
@@ -76,6 +76,7 @@
 export class CallerServer {
   readonly #settings: CallerServerSettings
   readonly #server: Server
+  readonly #loopDelay = new LoopDelay()
   #openRequests = 0
   readonly #unanswered = new Set<OpenRequest>()
   #keepAliveDisabled = false
@@ -85,6 +86,7 @@
     this.#server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       void this.#handleRequest(request, response)
     })
+    this.#server.on('connection', () => this.#loopDelay.recordConnection())
     this.#server.requestTimeout = 0
   }
 
@@ -100,6 +102,7 @@
       this.#server.once('error', reject)
       this.#server.listen({ host, port, backlog: BACKLOG }, resolve)
     })
+    this.#loopDelay.start()
   }
 
   /** Asks callers to close their connections after the next response. The server keeps accepting connections. */
@@ -114,6 +117,7 @@
     while (this.#openRequests > 0 && !signal.aborted) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
     await this.#answerOpenRequests()
     this.#server.closeAllConnections()
+    this.#loopDelay.stop()
   }
 
   /** Makes the handlers of open requests end, and answers in place of those that don't. */
@@ -129,7 +133,7 @@
 
   async #handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openRequests += 1
-    const receivedAt = monotonicNow()
+    const receivedAt = monotonicNow() - this.#loopDelay.current()
     const abort = new AbortController()
     response.on('close', () => {
       if (!response.writableFinished) abort.abort()
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,6 +1,7 @@
 export * from './lib/connector.js'
 export * from './lib/deadline.js'
 export * from './lib/frame.js'
+export * from './lib/loop-delay.js'
 export * from './lib/peer-client.js'
 export * from './lib/peer-server.js'
 export * from './lib/peer-tls.js'
