--- a/packages/cyclamenthread/src/lib/caller-server.ts
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { LoopDelay, monotonicNow } from '@cyclamenthread/transport'
 import { readBody } from './request-body.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { CallerLimits } from '@cyclamenthread/state'
@@ -25,6 +26,8 @@
   /** Headers in their original order and case. */
   readonly rawHeaders: readonly HeaderPair[]
   readonly body: Uint8Array
+  /** Monotonic milliseconds at which its head came, as far as this process can tell. */
+  readonly receivedAt: number
   /** Aborts when the caller disconnects. */
   readonly signal: AbortSignal
 }
@@ -73,6 +76,7 @@
 export class CallerServer {
   readonly #settings: CallerServerSettings
   readonly #server: Server
+  readonly #loopDelay = new LoopDelay()
   #openRequests = 0
   readonly #unanswered = new Set<OpenRequest>()
   #keepAliveDisabled = false
@@ -82,6 +86,7 @@
     this.#server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       void this.#handleRequest(request, response)
     })
+    this.#server.on('connection', () => this.#loopDelay.recordConnection())
     this.#server.requestTimeout = 0
   }
 
@@ -97,6 +102,7 @@
       this.#server.once('error', reject)
       this.#server.listen({ host, port, backlog: BACKLOG }, resolve)
     })
+    this.#loopDelay.start()
   }
 
   /** Asks callers to close their connections after the next response. The server keeps accepting connections. */
@@ -111,6 +117,7 @@
     while (this.#openRequests > 0 && !signal.aborted) await new Promise((resolve) => setTimeout(resolve, DRAIN_POLL_MS))
     await this.#answerOpenRequests()
     this.#server.closeAllConnections()
+    this.#loopDelay.stop()
   }
 
   /** Makes the handlers of open requests end, and answers in place of those that don't. */
@@ -126,6 +133,7 @@
 
   async #handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#openRequests += 1
+    const receivedAt = monotonicNow() - this.#loopDelay.current()
     const abort = new AbortController()
     response.on('close', () => {
       if (!response.writableFinished) abort.abort()
@@ -133,25 +141,25 @@
     this.#applyLimits()
     try {
       const body = await readBody(request, this.#settings.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
-      const answer = body.ok ? await this.#awaitAnswer(request, body.value, abort) : PAYLOAD_TOO_LARGE
+      const answer = body.ok ? await this.#awaitAnswer(request, body.value, receivedAt, abort) : PAYLOAD_TOO_LARGE
       if (!response.destroyed) await this.#sendResponse(response, answer, !body.ok)
     } finally {
       this.#openRequests -= 1
     }
   }
 
-  async #awaitAnswer (request: IncomingMessage, body: Uint8Array, abort: AbortController): Promise<CallerResponse> {
+  async #awaitAnswer (request: IncomingMessage, body: Uint8Array, receivedAt: number, abort: AbortController): Promise<CallerResponse> {
     return await new Promise((resolve) => {
       const open: OpenRequest = { abort, answer: resolve }
       this.#unanswered.add(open)
-      void this.#callHandler(request, body, abort.signal).then((answer) => {
+      void this.#callHandler(request, body, receivedAt, abort.signal).then((answer) => {
         this.#unanswered.delete(open)
         resolve(answer)
       })
     })
   }
 
-  async #callHandler (request: IncomingMessage, body: Uint8Array, signal: AbortSignal): Promise<CallerResponse> {
+  async #callHandler (request: IncomingMessage, body: Uint8Array, receivedAt: number, signal: AbortSignal): Promise<CallerResponse> {
     const rawHeaders: HeaderPair[] = []
     for (let index = 0; index + 1 < request.rawHeaders.length; index += 2) {
       rawHeaders.push([request.rawHeaders[index] ?? '', request.rawHeaders[index + 1] ?? ''])
@@ -165,6 +173,7 @@
         headers,
         rawHeaders,
         body,
+        receivedAt,
         signal
       })
     } catch (error) {
