--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -1,6 +1,8 @@
 /** Events recorded in the log. */
 export enum LogEvent {
   Started = 'started',
+  StartMeasured = 'start-measured',
+  Joined = 'joined',
   Stopping = 'stopping',
   Stopped = 'stopped',
   Reloaded = 'reloaded',
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -200,13 +200,20 @@
     await this.#bus.start()
     while (!this.deployment.ready && !this.#leaving) await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
     void this.#hosts.register(this.#settings.self, () => this.#leaving)
-    void this.#members.start()
+    void this.#join()
     void this.#crashes.start()
     this.#ready = true
     this.#leader.start()
     this.#ports.log.record(LogEvent.Started, { pid: process.pid, declaration: this.deployment.routeTable?.declaration.version, upMs: Math.round(performance.now()) })
   }
 
+  /** Joins the other hosts, and logs how long that took. */
+  async #join (): Promise<void> {
+    const startedAt = performance.now()
+    await this.#members.start()
+    this.#ports.log.record(LogEvent.Joined, { tookMs: Math.round(performance.now() - startedAt), members: this.#members.members().length })
+  }
+
   /** Returns the hosts that a caller may connect to, and how long it may cache them. */
   selectAddresses (location: CallerLocation): { readonly hosts: readonly Host[], readonly ttlMs: number } {
     return { hosts: selectHosts(this.#members.members(), location, MAX_ADDRESSES), ttlMs: this.#settings.addressTtlMs }
