A host that reaches no endpoint hands its rollouts over

Cause: whether its owner reaches endpoints isn't asked for a rollout; only plain calls are passed on. Change: while it is cut off (EndpointReach), a host asks three hosts, those of other failure domains first, and hands each unfinished run to one that reaches endpoints; it adopts none and is assigned no new ones. A run that nobody adopts goes on where it was. Why it works: adoption is decided by a claim in the log, as at a planned stop, so two hosts never run one rollout by this.

--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -42,6 +42,8 @@
   readonly isCutOff: boolean
   /** Whether that is in doubt: several endpoints have given no sign, and none has since. */
   readonly isDoubtful: boolean
+  /** Calls back several times a second while this host reaches no endpoint. */
+  onCutOff (listener: () => void): void
   /**
    * Has another host run a call; undefined if none can, and a refusal if those asked have too many calls.
    *
@@ -51,7 +53,7 @@
 }
 
 /** A relay for tests of hosts that reach their endpoints. */
-export const NO_RELAY: CallRelay = { recordReached: () => {}, recordUnreached: () => {}, isCutOff: false, isDoubtful: false, forward: async () => undefined }
+export const NO_RELAY: CallRelay = { recordReached: () => {}, recordUnreached: () => {}, isCutOff: false, isDoubtful: false, onCutOff: () => {}, forward: async () => undefined }
 
 /** Dependencies of a {@link CallForwarder}. */
 export interface CallForwarderContext {
@@ -74,6 +76,7 @@
   readonly #context: CallForwarderContext
   readonly #reach = new EndpointReach()
   readonly #pausedUntil = new Map<string, number>()
+  readonly #cutOffListeners: Array<() => void> = []
   #forwarded = 0
   #isProbing = false
 
@@ -96,6 +99,10 @@
     return this.#reach.isDoubtful
   }
 
+  onCutOff (listener: () => void): void {
+    this.#cutOffListeners.push(listener)
+  }
+
   recordReached (): void {
     this.#reach.recordReached(monotonicNow())
   }
@@ -168,8 +175,9 @@
     for (let index = 0; this.isDoubtful; index += 1) {
       if (this.isCutOff && cutOffSince === undefined) {
         cutOffSince = monotonicNow()
-        log.record(LogEvent.DependencyLost, { dependency: 'endpoints', detail: 'no endpoint is reached; calls are passed on to other hosts' })
+        log.record(LogEvent.DependencyLost, { dependency: 'endpoints', detail: 'no endpoint is reached; calls and rollouts are passed on to other hosts' })
       }
+      if (this.isCutOff) for (const listener of this.#cutOffListeners) listener()
       const records = deployment.endpointTable.endpointsInService()
       const entry = records[index % Math.max(1, records.length)]?.entry
       const report = entry === undefined ? undefined : await endpoints.readReport(entry, deadlineAfter(PROBE_TIMEOUT_MS))
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -99,7 +99,7 @@
   service (): ServiceSchema {
     return taskService('rollouts', {
       [PeerMessageKind.AcceptRollout]: async ({ order }) => ({ creation: await this.#create(order) }),
-      [PeerMessageKind.OfferRollout]: async ({ trainer }) => ({ accepted: !this.#registry.isLeaving, foreignSamples: this.#registry.foreignSamples(trainer) }),
+      [PeerMessageKind.OfferRollout]: async ({ trainer }) => ({ accepted: this.#registry.acceptsRuns, foreignSamples: this.#registry.foreignSamples(trainer) }),
       [PeerMessageKind.RunRollout]: async ({ rolloutId, order }) => {
         if (this.#registry.isLeaving) return { accepted: false }
         if (order?.owner === this.#context.self.id) this.#registry.startAssigned(order)
@@ -237,7 +237,7 @@
 
   /** Asks a host for its load from other trainers; undefined if it doesn't answer or accepts no rollouts. */
   async #offer (host: Host, trainer: string): Promise<number | undefined> {
-    if (host.id === this.#context.self.id) return this.#registry.isLeaving ? undefined : this.#registry.foreignSamples(trainer)
+    if (host.id === this.#context.self.id) return this.#registry.acceptsRuns ? this.#registry.foreignSamples(trainer) : undefined
     const answer = await this.#context.bus.send(host, { kind: PeerMessageKind.OfferRollout, trainer }, { deadline: deadlineAfter(OFFER_TIMEOUT_MS) })
     return answer.ok && answer.value.accepted ? answer.value.foreignSamples : undefined
   }
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -15,6 +15,12 @@
 /** Timeout for a request to another host to adopt a rollout, in milliseconds. */
 const ADOPTION_TIMEOUT_MS = 1_200
 
+/** Timeout for another host to say whether it would adopt rollouts, in milliseconds: a round trip between regions and a delay at a busy host. */
+const OFFER_TIMEOUT_MS = 450
+
+/** Number of hosts that are asked at once whether they would adopt rollouts. */
+const MAX_OFFERS = 3
+
 /** Timeout for the owner of a rollout to show that it can read the rollout's log, before another host claims the rollout, in milliseconds. */
 const OWNER_PROBE_TIMEOUT_MS = 600
 
@@ -52,11 +58,15 @@
   readonly #orders = new Map<string, RolloutOrder>()
   readonly #opening = new Map<string, Promise<Outcome<OpenedRollout | undefined, string>>>()
   #leaving = false
+  #isRelinquishing = false
 
   constructor (context: RunRegistryContext, directory: OwnerDirectory, isEndPending: EndInquiry) {
     this.#context = context
     this.#directory = directory
     this.#isEndPending = isEndPending
+    context.relay.onCutOff(() => {
+      void this.#relinquishRuns()
+    })
   }
 
   /** Whether this host accepts no more runs. */
@@ -64,6 +74,11 @@
     return this.#leaving
   }
 
+  /** Whether other hosts may hand rollouts to this one: it stays and reaches endpoints. */
+  get acceptsRuns (): boolean {
+    return !this.#leaving && !this.#context.relay.isCutOff
+  }
+
   /** Number of rollouts that run on this host. */
   get running (): number {
     return [...this.#runs.values()].filter((run) => !run.isFinished).length
@@ -122,7 +137,7 @@
 
   /** Continues a rollout that another host hands over, if that host or this one owns it. */
   async adopt (handover: AdoptRollout): Promise<boolean> {
-    if (this.#leaving) return false
+    if (!this.acceptsRuns) return false
     const { order, from } = handover
     const known = this.#runs.get(order.id)
     if (known !== undefined) {
@@ -256,6 +271,40 @@
     if (host !== undefined && host.id !== this.#context.self.id) await this.#sendHandover(handover, host, Infinity)
   }
 
+  /** Hands the unfinished runs over to hosts that reach endpoints. A run that no host adopts goes on here. */
+  async #relinquishRuns (): Promise<void> {
+    if (this.#isRelinquishing) return
+    this.#isRelinquishing = true
+    await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => await this.#relinquish(run)))
+    this.#isRelinquishing = false
+  }
+
+  async #relinquish (run: RolloutRun): Promise<void> {
+    const { order, progress } = run
+    const adopter = await this.#findAdopter(trainerOf(order))
+    if (adopter === undefined || this.#leaving || run.isFinished || !this.#context.relay.isCutOff) return
+    const handover = run.handOver()
+    const isAdopted = await this.#sendHandover(handover, adopter, deadlineAfter(ADOPTION_TIMEOUT_MS))
+    if (this.#runs.get(order.id) !== run) return
+    this.#runs.delete(order.id)
+    if (isAdopted) this.#directory.recordOwner(order.id, adopter.id)
+    // The log is read before the new run starts work, so it sees an adoption whose reply was lost.
+    else this.#startRun(this.#createRun(order, progress), handover)
+  }
+
+  /** Finds a host that would adopt a trainer's rollouts, preferably in another failure domain: a domain may be cut off as a whole. */
+  async #findAdopter (trainer: string): Promise<Host | undefined> {
+    const { self, bus } = this.#context
+    const others = this.#directory.rank(trainer).filter(({ id }) => id !== self.id)
+    const isNear = ({ failureDomain }: Host): boolean => failureDomain === self.failureDomain
+    const candidates = [...others.filter((host) => !isNear(host)), ...others.filter(isNear)].slice(0, MAX_OFFERS)
+    const answers = await Promise.all(candidates.map(async (host) => {
+      const answer = await bus.send(host, { kind: PeerMessageKind.OfferRollout, trainer }, { deadline: deadlineAfter(OFFER_TIMEOUT_MS) })
+      return answer.ok && answer.value.accepted ? host : undefined
+    }))
+    return answers.find((host) => host !== undefined)
+  }
+
   async #handOver (run: RolloutRun, deadline: number): Promise<void> {
     const handover = run.handOver()
     for (const owner of this.#directory.rank(trainerOf(run.order))) {
