--- a/packages/coordination/src/test/cut-off-owner.test.ts
+++ b/packages/coordination/src/test/cut-off-owner.test.ts
@@ -35,7 +35,7 @@
   const bus = {
     send: async (host: Host, message: { readonly kind: string }) => ({ ok: true, value: await brokers.get(host.id)?.call(message.kind, message, { meta: { from: '', deadline: Infinity, traceparent: '', signal: new AbortController().signal } }) })
   } as unknown as MessageBus
-  const members = { workers: () => IDS.map(createHost) } as unknown as MemberView
+  const members = { workers: () => IDS.map(createHost), isSuspected: () => false, reportSilence: () => {} } as unknown as MemberView
   const endpoints = new Map(IDS.map((id) => [id, new ScriptedEndpoints()]))
   const tasks = new Map(IDS.map((id) => {
     const relay: CallRelay = {
