--- a/packages/coordination/src/lib/endpoint-witness.ts
+++ b/packages/coordination/src/lib/endpoint-witness.ts
@@ -2,6 +2,7 @@
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
+import { responsiveWorkers } from './responsive-workers.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
 import type { EndpointProbe, Host } from '@cyclamenthread/state'
@@ -57,7 +58,7 @@
   readonly deployment: Pick<DeploymentView, 'endpointTable'>
   readonly endpoints: Pick<EndpointPort, 'probe'>
   readonly relay: Pick<CallRelay, 'isDoubtful' | 'recordReached'>
-  readonly members: Pick<MemberView, 'workers'>
+  readonly members: Pick<MemberView, 'workers' | 'isSuspected'>
   readonly bus: Pick<MessageBus, 'send'>
   readonly log: EventLog
 }
@@ -140,7 +141,7 @@
   /** Asks a few other hosts, first those of other failure domains, since one may be cut off as a whole. */
   async #askOthers ({ endpointId, bornAt }: EndpointRunId): Promise<EndpointProbe[]> {
     const { self, members, bus } = this.#context
-    const witnesses = members.workers()
+    const witnesses = responsiveWorkers(members)
       .filter(({ id }) => id !== self.id)
       .map((host) => ({ host, order: (host.failureDomain === self.failureDomain ? 1 : 0) + Math.random() }))
       .sort((a, b) => a.order - b.order)
--- a/packages/coordination/src/test/endpoint-witness.test.ts
+++ b/packages/coordination/src/test/endpoint-witness.test.ts
@@ -13,6 +13,8 @@
   readonly witness: EndpointWitness
   /** Ids of the hosts that were asked. */
   readonly asked: string[]
+  /** Ids of the hosts that are suspected to be silent. */
+  readonly suspected: Set<string>
   probes: number
 }
 
@@ -20,7 +22,7 @@
 function openFixture (own: () => EndpointSign, isDoubtful: boolean, others: Readonly<Record<string, EndpointProbe>> = {}): Fixture {
   const table = new EndpointTable()
   table.update([endpointEntry('a')])
-  const fixture: Fixture = { table, asked: [], probes: 0, witness: undefined as unknown as EndpointWitness }
+  const fixture: Fixture = { table, asked: [], suspected: new Set(), probes: 0, witness: undefined as unknown as EndpointWitness }
   const probe = async (): Promise<EndpointSign> => {
     fixture.probes += 1
     return own()
@@ -33,7 +35,7 @@
     }
   } as unknown as EndpointWitnessContext['bus']
   const workers = ['h1', 'h2', 'h3', 'h4', 'h5', 'h6'].map((id, index) => ({ id, failureDomain: index < 3 ? 'd1' : 'd2' }) as Host)
-  const witness = new EndpointWitness({ self: { id: 'h1', failureDomain: 'd1' }, deployment: { endpointTable: table }, endpoints: { probe }, relay: { isDoubtful, recordReached: () => {} }, members: { workers: () => workers }, bus, log: SILENT_LOG })
+  const witness = new EndpointWitness({ self: { id: 'h1', failureDomain: 'd1' }, deployment: { endpointTable: table }, endpoints: { probe }, relay: { isDoubtful, recordReached: () => {} }, members: { workers: () => workers, isSuspected: (id) => fixture.suspected.has(id) }, bus, log: SILENT_LOG })
   return Object.assign(fixture, { witness })
 }
 
@@ -45,6 +47,14 @@
   t.deepEqual(fixture.asked.sort(), ['h4', 'h5', 'h6'])
 })
 
+// Guards against crashes that stay unknown because the hosts that are asked are silent.
+test('hosts that are suspected are not asked', async (t) => {
+  const fixture = openFixture(() => EndpointSign.None, true, { h2: { sign: EndpointSign.Alive, isDoubtful: false } })
+  for (const id of ['h3', 'h4', 'h5', 'h6']) fixture.suspected.add(id)
+  t.is(await fixture.witness.judge(RUN, performance.now()), EndpointLife.Running)
+  t.deepEqual(fixture.asked, ['h2'])
+})
+
 // Guards against crashes that don't count at a host whose only endpoint has crashed (BUDGET).
 test('a host in doubt takes the word of one that reaches others, and knows nothing without one', async (t) => {
   const sure = openFixture(() => EndpointSign.None, true, { h4: { sign: EndpointSign.None, isDoubtful: false } })
