Ends, submissions and handovers don't wait for silent hosts in a row

Callers saw answers after they had left, and work left behind by planned stops, while hosts were silent. Cause: an end waited 1.2 s for a silent owner and 0.6 s for its notice; a submission that the store refused this host waited 1.35 s for each of two hosts, one after the other; a host that stops waited 1.2 s for each silent host. Now: these requests stop waiting for a host without a sign of life; hosts that are known to be silent are asked last or not at all; the hosts that may store a submission are asked together, as the store decides which of them has it. It is refused as not run only if each of them answered so.

--- a/packages/coordination/src/lib/rollout-reader.ts
+++ b/packages/coordination/src/lib/rollout-reader.ts
@@ -5,12 +5,12 @@
 import { ReadTrace } from './read-trace.js'
 import { isComplete } from './rollout-loader.js'
 import { firstMatch, untilDeadline } from './shared-work.js'
-import { WatchedRequests } from './watched-request.js'
 import type { Host, RolloutOrder, RolloutProgress } from '@cyclamenthread/state'
 import type { RolloutPage } from '@cyclamenthread/protocol'
 import type { OwnerDirectory } from './owner-directory.js'
 import type { RolloutRun } from './rollout-run.js'
 import type { OpenedRollout, RunRegistry, RunRegistryContext } from './run-registry.js'
+import type { WatchedRequests } from './watched-request.js'
 
 /** Time that a host which is asked by another answers before that one stops waiting, in milliseconds: a round trip between regions and a delay of timers. */
 const REPLY_MARGIN_MS = 100
@@ -51,11 +51,11 @@
   readonly #registry: RunRegistry
   readonly #requests: WatchedRequests
 
-  constructor (context: RunRegistryContext, directory: OwnerDirectory, registry: RunRegistry) {
+  constructor (context: RunRegistryContext, directory: OwnerDirectory, registry: RunRegistry, requests: WatchedRequests) {
     this.#context = context
     this.#directory = directory
     this.#registry = registry
-    this.#requests = new WatchedRequests(context.bus, directory)
+    this.#requests = requests
   }
 
   /** Reads results at the host that is likely to own the rollout. */
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -8,17 +8,19 @@
 import { RolloutReader } from './rollout-reader.js'
 import { RolloutRun } from './rollout-run.js'
 import { RunRegistry } from './run-registry.js'
+import { firstMatch } from './shared-work.js'
 import { taskService } from './task.js'
+import { WatchedRequests } from './watched-request.js'
 import type { ServiceSchema } from 'moleculer'
 import type { Host, Outcome, Refusal, RolloutName, RolloutOrder } from '@cyclamenthread/state'
 import type { RolloutPage } from '@cyclamenthread/protocol'
 import type { MemberView } from './member-task.js'
-import type { RunRegistryContext } from './run-registry.js'
+import type { EndInquiry, RunRegistryContext } from './run-registry.js'
 
 /** Timeout for storing a rollout, in milliseconds; leaves another host the same time before the caller's timeout. */
 const ACCEPT_TIMEOUT_MS = 900
 
-/** Maximum number of other hosts that are asked in turn to store a rollout that this host can't store. */
+/** Maximum number of other hosts that are asked to store a rollout that this host can't store. */
 const MAX_OTHER_ACCEPTORS = 2
 
 /** Time allowed for the reply of a host that is asked to store or run a rollout, in milliseconds: a round trip between regions and a delay at a busy host. */
@@ -85,6 +87,7 @@
 export class RolloutTask {
   readonly #context: RolloutTaskContext
   readonly #directory: OwnerDirectory
+  readonly #requests: WatchedRequests
   readonly #registry: RunRegistry
   readonly #reader: RolloutReader
   readonly #ends: EndKeeper
@@ -95,8 +98,10 @@
     this.#context = context
     this.#directory = new OwnerDirectory(context.self, context.members)
     this.#ends = new EndKeeper({ storeEnd: async ({ rolloutId, workspace }) => isSettled(await this.#storeEnd(rolloutId, workspace)), log: context.log })
-    this.#registry = new RunRegistry(context, this.#directory, ({ id, workspace }) => this.#ends.has({ rolloutId: id, workspace }))
-    this.#reader = new RolloutReader(context, this.#directory, this.#registry)
+    this.#requests = new WatchedRequests(context.bus, this.#directory)
+    const isEndPending: EndInquiry = ({ id, workspace }) => this.#ends.has({ rolloutId: id, workspace })
+    this.#registry = new RunRegistry(context, { directory: this.#directory, requests: this.#requests, isEndPending })
+    this.#reader = new RolloutReader(context, this.#directory, this.#registry, this.#requests)
   }
 
   /** Creates the broker service that answers other hosts. */
@@ -269,17 +274,17 @@
   async #createOnAnyHost (order: RolloutOrder): Promise<RolloutCreationStatus> {
     const ownCreation = await this.#create(order)
     if (ownCreation === RolloutCreationStatus.Created || ownCreation === RolloutCreationStatus.Known) return ownCreation
-    const { self, members, bus } = this.#context
-    const others = members.workers().filter((host) => host.failureDomain !== self.failureDomain)
-    let mayBeStored = ownCreation === RolloutCreationStatus.Unknown
-    for (const hostId of rankOwners(`accept/${order.id}`, others.map((host) => host.id)).slice(0, MAX_OTHER_ACCEPTORS)) {
-      const host = others.find((other) => other.id === hostId)
-      if (host === undefined) continue
-      const answer = await bus.send(host, { kind: PeerMessageKind.AcceptRollout, order }, { deadline: deadlineAfter(ACCEPT_TIMEOUT_MS + REPLY_MARGIN_MS) })
-      const creation = answer.ok ? answer.value.creation : RolloutCreationStatus.Unknown
-      if (creation === RolloutCreationStatus.Created || creation === RolloutCreationStatus.Known) return creation
-      mayBeStored ||= creation === RolloutCreationStatus.Unknown
-    }
+    const { self, members } = this.#context
+    const others = members.workers().filter((host) => host.failureDomain !== self.failureDomain && !this.#directory.isSilent(host.id))
+    const asked = rankOwners(`accept/${order.id}`, others.map(({ id }) => id)).slice(0, MAX_OTHER_ACCEPTORS)
+    const creations = others.filter(({ id }) => asked.includes(id)).map(async (host) => {
+      const answer = await this.#requests.ask(host, { kind: PeerMessageKind.AcceptRollout, order }, deadlineAfter(ACCEPT_TIMEOUT_MS + REPLY_MARGIN_MS))
+      return answer.ok ? answer.value.creation : RolloutCreationStatus.Unknown
+    })
+    // Whichever host stores it first determines its owner; the others find it stored.
+    const stored = await firstMatch(creations, (creation) => creation === RolloutCreationStatus.Created || creation === RolloutCreationStatus.Known)
+    if (stored !== undefined) return stored
+    const mayBeStored = ownCreation === RolloutCreationStatus.Unknown || (await Promise.all(creations)).includes(RolloutCreationStatus.Unknown)
     return mayBeStored ? RolloutCreationStatus.Unknown : RolloutCreationStatus.Refused
   }
 
@@ -289,7 +294,8 @@
    */
   async #notifyOwner (order: RolloutOrder, isNew: boolean): Promise<void> {
     const ranked = this.#directory.rank(trainerOf(order))
-    const hosts = [...ranked.filter((host) => host.id === order.owner), ...ranked.filter((host) => host.id !== order.owner)]
+    const isFirst = (host: Host): boolean => host.id === order.owner && !this.#directory.isSilent(host.id)
+    const hosts = [...ranked.filter(isFirst), ...ranked.filter((host) => !isFirst(host))]
     for (const host of hosts) {
       const isAssigned = isNew && host.id === order.owner
       if (host.id === this.#context.self.id && !this.#registry.isLeaving) {
@@ -370,11 +376,11 @@
   /** Asks the owner to end a rollout; returns whether the end is stored. */
   async #endAtOwner (id: string, workspace: string): Promise<boolean> {
     if (this.#registry.find(id) !== undefined) return false
-    const [owner] = this.#directory.likelyOwners(id, workspace)
+    const owner = this.#directory.likelyOwners(id, workspace).find((host) => !this.#directory.isSilent(host.id))
     if (owner === undefined || owner.id === this.#context.self.id) return false
     const deadline = deadlineAfter(OWNER_REQUEST_TIMEOUT_MS)
-    const answer = await this.#context.bus.send(owner, { kind: PeerMessageKind.EndRollout, rolloutId: id, workspace }, { deadline })
-    if (!answer.ok) this.#directory.recordSilence(owner.id, deadline)
+    const answer = await this.#requests.ask(owner, { kind: PeerMessageKind.EndRollout, rolloutId: id, workspace }, deadline)
+    if (!answer.ok && monotonicNow() >= deadline) this.#directory.recordSilence(owner.id, deadline)
     const ended = answer.ok && answer.value.accepted
     if (ended) this.#logEnd(id, workspace, 'ended by its owner')
     return ended
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -11,6 +11,7 @@
 import type { OwnerDirectory } from './owner-directory.js'
 import type { LoadedRollout, Sufficiency } from './rollout-loader.js'
 import type { RolloutContext } from './rollout-context.js'
+import type { WatchedRequests } from './watched-request.js'
 
 /** Timeout for reading a rollout from the store, in milliseconds. */
 const LOAD_TIMEOUT_MS = 2_500
@@ -42,6 +43,13 @@
   readonly bus: MessageBus
 }
 
+/** Helpers of a {@link RunRegistry}. */
+export interface RunRegistryHelpers {
+  readonly directory: OwnerDirectory
+  readonly requests: WatchedRequests
+  readonly isEndPending: EndInquiry
+}
+
 /** Whether the trainer of a rollout has asked for an end that isn't known to be stored. */
 export type EndInquiry = (order: RolloutOrder) => boolean
 
@@ -55,6 +63,7 @@
 export class RunRegistry {
   readonly #context: RunRegistryContext
   readonly #directory: OwnerDirectory
+  readonly #requests: WatchedRequests
   readonly #isEndPending: EndInquiry
   readonly #runs = new Map<string, RolloutRun>()
   readonly #loader: RolloutLoader
@@ -62,9 +71,10 @@
   readonly #takingOver = new Map<string, Promise<RolloutRun | undefined>>()
   #leaving = false
 
-  constructor (context: RunRegistryContext, directory: OwnerDirectory, isEndPending: EndInquiry) {
+  constructor (context: RunRegistryContext, { directory, requests, isEndPending }: RunRegistryHelpers) {
     this.#context = context
     this.#directory = directory
+    this.#requests = requests
     this.#isEndPending = isEndPending
     this.#loader = new RolloutLoader(context.store)
   }
@@ -198,7 +208,9 @@
   async notifyChange (order: RolloutOrder, owner: string): Promise<void> {
     const host = this.#directory.findWorker(owner)
     if (host === undefined || host.id === this.#context.self.id) return
-    await this.#context.bus.send(host, { kind: PeerMessageKind.RecheckRollout, rolloutId: order.id }, { deadline: deadlineAfter(OWNER_PROBE_TIMEOUT_MS) })
+    const rechecking = this.#context.bus.send(host, { kind: PeerMessageKind.RecheckRollout, rolloutId: order.id }, { deadline: deadlineAfter(OWNER_PROBE_TIMEOUT_MS) })
+    // A silent owner finds the message once it goes on.
+    if (!this.#directory.isSilent(host.id)) await rechecking
   }
 
   /** Runs a rollout whose log was just read, if this host owns it or an earlier process of this host did. */
@@ -296,7 +308,7 @@
 
   /** Sends a rollout to another host; returns whether it has adopted it. */
   async #sendHandover (handover: AdoptRollout, to: Host, deadline: number): Promise<boolean> {
-    const answer = await this.#context.bus.send(to, handover, { deadline: Math.min(deadline, deadlineAfter(ADOPTION_TIMEOUT_MS)) })
+    const answer = await this.#requests.ask(to, handover, Math.min(deadline, deadlineAfter(ADOPTION_TIMEOUT_MS)))
     const accepted = answer.ok && answer.value.accepted
     this.#context.log.record(LogEvent.RolloutHandedOver, { requestId: handover.order.id, to: to.id, texts: handover.texts.length, results: handover.results.length, outcome: accepted ? 'accepted' : 'refused' })
     return accepted
--- a/packages/coordination/src/test/silent-hosts-fixture.ts
+++ b/packages/coordination/src/test/silent-hosts-fixture.ts
@@ -1,5 +1,5 @@
 import { CallTask, IGNORED_NOTICES, LocalBroker, NO_CRASHES, NO_RELAY, RolloutStore, RolloutTask, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
-import { PeerMessageKind, rolloutKey, rolloutSegmentKey } from '@cyclamenthread/protocol'
+import { PeerMessageKind, rolloutKey, rolloutSegmentKey, WriteStatus } from '@cyclamenthread/protocol'
 import { SampleState, UsageTally } from '@cyclamenthread/state'
 import { rolloutOrder } from '@cyclamenthread/state/testing'
 import { timeLeft } from '@cyclamenthread/transport'
@@ -20,6 +20,8 @@
   readonly ids: readonly string[]
   readonly tasks: ReadonlyMap<string, RolloutTask>
   readonly silent: Set<string>
+  /** Hosts whose writes the store refuses. */
+  readonly refused: Set<string>
   /** Messages that were sent between hosts. */
   readonly sent: Array<{ readonly from: string, readonly to: string, readonly kind: PeerMessageKind }>
   readonly store: ReturnType<typeof openDeployment>['store']
@@ -40,6 +42,7 @@
   const { store, view } = openDeployment(t)
   const ids = Array.from({ length: count }, (_, index) => `h${index + 1}`)
   const silent = new Set<string>()
+  const refused = new Set<string>()
   const sent: Array<{ readonly from: string, readonly to: string, readonly kind: PeerMessageKind }> = []
   const latency = { storeMs: 2 }
   const reads: string[] = []
@@ -66,25 +69,25 @@
     reads.push(key)
     await sleep(latency.storeMs)
   }
-  const slowStore: ObjectStore = {
+  const storeOf = (id: string): ObjectStore => ({
     read: async (key, call) => await slow(key).then(async () => await store.read(key, call)),
     list: async (prefix, call) => await store.list(prefix, call),
-    write: async (key, value, expectation, call) => await store.write(key, value, expectation, call),
+    write: async (key, value, expectation, call) => refused.has(id) ? { status: WriteStatus.NotWritten, detail: 'refused' } : await store.write(key, value, expectation, call),
     remove: async (key, version, call) => await store.remove(key, version, call),
     watch: async (prefix, after, call) => await store.watch(prefix, after, call)
-  }
+  })
   const endpoints = new ScriptedEndpoints()
   const calls = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, crashes: NO_CRASHES, networkLocation: LOCATION, tally: new UsageTally(60_000), log: SILENT_LOG })
   const members = { workers: () => ids.map(createHost), isSuspected: () => false, reportSilence: () => {} } as unknown as MemberView
   const tasks = new Map(ids.map((id) => {
     const task = new RolloutTask({
-      self: createHost(id), members, bus: busOf(id), deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, calls, store: new RolloutStore(slowStore), networkLocation: LOCATION, writer: id, log: SILENT_LOG
+      self: createHost(id), members, bus: busOf(id), deployment: view, endpoints, sends: UNLIMITED_SENDS, notices: IGNORED_NOTICES, relay: NO_RELAY, calls, store: new RolloutStore(storeOf(id)), networkLocation: LOCATION, writer: id, log: SILENT_LOG
     })
     brokers.get(id)?.createService(task.service())
     t.teardown(() => task.stop())
     return [id, task] as const
   }))
-  return { ids, tasks, silent, sent, store, latency, reads }
+  return { ids, tasks, silent, refused, sent, store, latency, reads }
 }
 
 /** Stores a rollout of which each sample has a result, one in each entry of its log, but for the last `open` ones. */
--- a/packages/coordination/src/test/silent-hosts.test.ts
+++ b/packages/coordination/src/test/silent-hosts.test.ts
@@ -1,5 +1,7 @@
 import test from 'ava'
 import { RolloutReadStatus } from '@cyclamenthread/protocol'
+import { Ran, rankWeightedOwners, trainerOf } from '@cyclamenthread/state'
+import { rolloutOrder } from '@cyclamenthread/state/testing'
 import { openSilentHosts, storeRollout } from './silent-hosts-fixture.js'
 
 /** Time that callers wait beyond the wait that they allow, in milliseconds, as the platform's pages state it. */
@@ -93,3 +95,48 @@
   t.deepEqual(fixture.ids.map((id) => fixture.tasks.get(id)?.running), [1, 0, 0])
   t.true(fixture.reads.length - calls <= 40, `${fixture.reads.length - calls} calls`)
 })
+
+/** Returns hosts in the order in which they are asked about a subject. */
+function rank (ids: readonly string[], subject: string): string[] {
+  return rankWeightedOwners(`rollouts/${subject}`, ids.map((name) => ({ name, weight: 1 })))
+}
+
+// Guards against ends that are acknowledged late because they wait for a silent owner, and again for its notice.
+test('an end is stored in its caller\'s time although the owner is silent', async (t) => {
+  const fixture = openSilentHosts(t, 4)
+  const [owner = '', second = '', ...others] = rank(fixture.ids, 'office')
+  const order = storeRollout(fixture, 4, { owner, open: 1 })
+  for (const id of [owner, second]) fixture.silent.add(id)
+  for (const id of others) {
+    const askedAt = performance.now()
+    t.true((await fixture.tasks.get(id)?.endRollout(order.id, order.workspace))?.ok)
+    t.true(performance.now() - askedAt < PATIENCE_MS, `${Math.round(performance.now() - askedAt)} ms`)
+  }
+})
+
+// Guards against submissions that wait for silent hosts in a row while the store refuses this host.
+test('a rollout is accepted through another host although one of those asked is silent, and isn\'t refused as not run', async (t) => {
+  const fixture = openSilentHosts(t, 3)
+  fixture.refused.add('h1')
+  fixture.silent.add('h2')
+  const order = rolloutOrder(1, 2)
+  const askedAt = performance.now()
+  t.true((await fixture.tasks.get('h1')?.accept(order))?.ok)
+  t.true(performance.now() - askedAt < PATIENCE_MS, `${Math.round(performance.now() - askedAt)} ms`)
+  fixture.silent.add('h3')
+  const maybe = await fixture.tasks.get('h1')?.accept({ ...order, id: 'r2' })
+  t.true(maybe?.ok === false && maybe.failure.ran === Ran.Maybe)
+})
+
+// Guards against rollouts that a planned stop leaves behind because it waited for silent hosts in a row.
+test('a host that stops hands its rollouts over although the hosts asked first are silent', async (t) => {
+  const fixture = openSilentHosts(t, 6)
+  const ranked = rank(fixture.ids, trainerOf(rolloutOrder(1, 4)))
+  const [owner = '', last = ''] = [ranked[0], ranked.at(-1)]
+  const order = storeRollout(fixture, 4, { owner, open: 1 })
+  await fixture.tasks.get(owner)?.readResults(order.id, order.workspace, 3, performance.now())
+  t.is(fixture.tasks.get(owner)?.running, 1)
+  for (const id of ranked.slice(1, -1)) fixture.silent.add(id)
+  await fixture.tasks.get(owner)?.leave(performance.now() + 4_000)
+  t.is(fixture.tasks.get(last)?.running, 1)
+})
