Reads keep time for a last look at the log when other hosts don't answer

Cause: the hosts that were asked, and a take-over, could use all of the read's time, so that none was left to confirm from the log that there is nothing to list. Now 250 ms are left for that. A host that was given less than 900 ms, or was passed over early, isn't counted as a lost owner. A load that made no progress in its time counts as unavailable, not as in progress; the rollout that was used last is kept whatever its size.

--- a/packages/coordination/src/lib/rollout-loader.ts
+++ b/packages/coordination/src/lib/rollout-loader.ts
@@ -44,7 +44,6 @@
   readonly #watchers = new Set<() => void>()
   #outcome: Outcome<LoadedRollout | undefined, StoreFailure> | undefined
   #waiting = 0
-  #advances = 0
   #vainAttempts = 0
   #lastFailure = StoreFailure.Unavailable
 
@@ -73,9 +72,10 @@
 
   async #wait (deadline: number, isEnough: Sufficiency): Promise<Outcome<LoadedRollout | undefined, StoreFailure>> {
     const { known } = this
-    const advancesBefore = this.#advances
+    const { order, progress: { segments: segmentsBefore } } = known
+    const hasAdvanced = (): boolean => known.order !== order || known.progress.segments > segmentsBefore
     let vainBefore = this.#vainAttempts
-    let segments = known.progress.segments
+    let segments = segmentsBefore
     while (this.#outcome === undefined) {
       if (known.progress.segments > segments) {
         segments = known.progress.segments
@@ -85,7 +85,7 @@
       if (isRefused || monotonicNow() >= deadline) {
         if (known.order !== undefined && isEnough(known.progress)) return success({ order: known.order, progress: known.progress, readAt: -Infinity })
         if (isRefused) return failure(this.#lastFailure)
-        return failure(this.#advances > advancesBefore ? StoreFailure.Timeout : StoreFailure.Unavailable)
+        return failure(hasAdvanced() ? StoreFailure.Timeout : StoreFailure.Unavailable)
       }
       await this.#nextChange(deadline)
     }
@@ -94,7 +94,6 @@
 
   /** Reports that an entry was read. */
   recordProgress (): void {
-    this.#advances += 1
     this.#notifyWatchers()
   }
 
@@ -131,8 +130,8 @@
  * what it has read: a load goes on where the one before it stopped. A load that its
  * reads have given up on goes on for as long as it makes progress.
  *
- * Invariants: what is kept is a prefix of the log; at most a bounded number of
- * characters is kept.
+ * Invariants: what is kept is a prefix of the log; beyond the rollout used last, a
+ * bounded number of characters is kept.
  *
  * @example
  * const loader = new RolloutLoader(store)
@@ -186,7 +185,7 @@
     this.#kept.set(order.id, { order, progress, characters })
     this.#characters += characters
     for (const id of this.#kept.keys()) {
-      if (this.#characters <= MAX_KEPT_CHARACTERS) break
+      if (this.#characters <= MAX_KEPT_CHARACTERS || id === order.id) break
       this.forget(id)
     }
   }
--- a/packages/coordination/src/lib/rollout-reader.ts
+++ b/packages/coordination/src/lib/rollout-reader.ts
@@ -15,6 +15,12 @@
 /** Time that a host which is asked by another answers before that one stops waiting, in milliseconds: a round trip between regions and a delay of timers. */
 const REPLY_MARGIN_MS = 100
 
+/** Time that is left for a read of the log's end when other hosts haven't answered, in milliseconds: several response times of a store in another region. */
+const LAST_READ_MS = 250
+
+/** Time for which a host must have been asked for its silence to count against it as an owner, in milliseconds. */
+const MIN_SILENCE_MS = 900
+
 /** Maximum age of the log copy behind an answer without results, in milliseconds: below the time within which a listed result must be visible on all hosts. */
 const MAX_EMPTY_PAGE_AGE_MS = 900
 
@@ -119,7 +125,7 @@
     if (page !== undefined) return page
     const taking = this.#registry.takeOverIfLost(opened)
     if (stored.results.length > 0) return stored
-    const taken = await trace.measure('take-over', async () => await untilDeadline(taking, read.replyBy), (result) => result === undefined ? 'not taken' : 'taken')
+    const taken = await trace.measure('take-over', async () => await untilDeadline(taking, read.replyBy - LAST_READ_MS), (result) => result === undefined ? 'not taken' : 'taken')
     if (taken !== undefined) return await this.#readFromRun(taken, read, trace)
     return monotonicNow() - readAt > MAX_EMPTY_PAGE_AGE_MS ? await this.#readFromStore(read, trace) : stored
   }
@@ -135,11 +141,15 @@
   /** Reads results at another host; undefined if that host can't answer or shows no sign of life. */
   async #readAt (host: Host, { id, workspace, after, deadline, replyBy, forwarded }: RolloutRead, trace: ReadTrace): Promise<RolloutPage | undefined> {
     const message = { kind: PeerMessageKind.ReadRollout, rolloutId: id, workspace, after, waitMs: timeLeft(deadline), forwarded } as const
-    const answer = await trace.measure(host.id, async () => await this.#requests.ask(host, message, replyBy), (result) => result.ok ? result.value.status : result.failure)
+    const replyDeadline = replyBy - LAST_READ_MS
+    const askedMs = timeLeft(replyDeadline)
+    const answer = await trace.measure(host.id, async () => await this.#requests.ask(host, message, replyDeadline), (result) => result.ok ? result.value.status : result.failure)
     if (answer.ok) this.#directory.recordOwner(id, answer.value.owner)
     if (answer.ok && (answer.value.status !== RolloutReadStatus.Unavailable || answer.value.loading)) return answer.value
+    // A host that was passed over early may just be slow; one that can't be reached is not.
+    const counts = monotonicNow() < replyDeadline ? !this.#directory.isSilent(host.id) : askedMs >= MIN_SILENCE_MS
     if (answer.ok) this.#directory.markUnresponsive(host.id)
-    else if (monotonicNow() >= replyBy) this.#directory.recordSilence(host.id, replyBy)
+    else if (counts) this.#directory.recordSilence(host.id, replyDeadline)
     this.#directory.forgetOwner(id)
     return undefined
   }
--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -380,7 +380,7 @@
     if (owner === undefined || owner.id === this.#context.self.id) return false
     const deadline = deadlineAfter(OWNER_REQUEST_TIMEOUT_MS)
     const answer = await this.#requests.ask(owner, { kind: PeerMessageKind.EndRollout, rolloutId: id, workspace }, deadline)
-    if (!answer.ok && monotonicNow() >= deadline) this.#directory.recordSilence(owner.id, deadline)
+    if (!answer.ok && !this.#directory.isSilent(owner.id)) this.#directory.recordSilence(owner.id, deadline)
     const ended = answer.ok && answer.value.accepted
     if (ended) this.#logEnd(id, workspace, 'ended by its owner')
     return ended
--- a/packages/coordination/src/test/silent-hosts.test.ts
+++ b/packages/coordination/src/test/silent-hosts.test.ts
@@ -140,3 +140,18 @@
   await fixture.tasks.get(owner)?.leave(performance.now() + 4_000)
   t.is(fixture.tasks.get(last)?.running, 1)
 })
+
+// Guards against refusals of reads that could be answered: the store has no results yet, and hosts that are asked take all of the time.
+test('a read of a rollout without results is answered in its time while half of the hosts are silent', async (t) => {
+  const fixture = openSilentHosts(t, 6)
+  fixture.latency.storeMs = 30
+  const [owner = '', second = '', third = '', ...others] = rank(fixture.ids, 'office')
+  const order = storeRollout(fixture, 4, { owner, open: 4 })
+  for (const id of [owner, second, third]) fixture.silent.add(id)
+  const reads = others.map(async (id) => {
+    const readAt = performance.now()
+    const page = await fixture.tasks.get(id)?.readResults(order.id, order.workspace, 0, readAt + 1_000)
+    return { status: page?.status, isInTime: performance.now() - readAt < 1_000 + PATIENCE_MS }
+  })
+  t.deepEqual(await Promise.all(reads), others.map(() => ({ status: RolloutReadStatus.Found, isInTime: true })))
+})
