A host reads the deployment while it waits for the cluster secret

What callers saw: hosts are ready late when the store is slow or far, or answers many hosts that start together.

Cause: a start read the secret, then opened its ports, then listed the configuration and the registry, one after the other, though the lists need no secret.

The mirrors start with the call for the secret; a view that is created over loaded mirrors reads them at once. What ready means is unchanged: the declaration and the endpoints are known and the ports are open.

Evidence: the new test failed before ([] instead of config/ and servers/ listed before the secret's answer).

--- a/packages/bench/src/test/entry-hosts.ts
+++ b/packages/bench/src/test/entry-hosts.ts
@@ -5,7 +5,7 @@
 import { RouteKind, success } from '@cyclamenthread/state'
 import { findFreePorts } from '../lib/free-ports.js'
 import type { DeploymentDecoder } from '@cyclamenthread/coordination'
-import type { EndpointPort } from '@cyclamenthread/protocol'
+import type { EndpointPort, SnapshotStore } from '@cyclamenthread/protocol'
 import type { Declaration, EndpointEntry, Route } from '@cyclamenthread/state'
 import type { ExecutionContext } from 'ava'
 
@@ -46,13 +46,16 @@
   /** Returns a host's way to the endpoints. */
   readonly portOf: (host: number) => EndpointPort
   readonly entries: readonly EndpointEntry[]
+  /** Returns the hosts' way to the store; without it, they use the store itself. */
+  readonly storeOf?: (store: MemoryStore) => SnapshotStore
 }
 
 /** Starts hosts that share an in-memory store and reach each other over loopback. */
-export async function startHosts (t: ExecutionContext, { domains, portOf, entries }: HostsPlan): Promise<EntryService[]> {
-  const store = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
-  store.set('config/main', DECLARATION)
-  for (const entry of entries) store.set(`servers/${entry.id}`, entry)
+export async function startHosts (t: ExecutionContext, { domains, portOf, entries, storeOf = (store) => store }: HostsPlan): Promise<EntryService[]> {
+  const memory = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
+  memory.set('config/main', DECLARATION)
+  for (const entry of entries) memory.set(`servers/${entry.id}`, entry)
+  const store = storeOf(memory)
   const ports = await findFreePorts(domains.length)
   const regions = Object.fromEntries(domains.map((domain) => [domain, 'lothian']))
   return await Promise.all(ports.map(async (port, index) => {
--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -53,6 +53,8 @@
     this.#sources = sources
     sources.declarations.onChange(() => this.#readDeclarations())
     sources.endpoints.onChange(() => this.#readEndpoints())
+    if (sources.declarations.loaded) this.#readDeclarations()
+    if (sources.endpoints.loaded) this.#readEndpoints()
   }
 
   /** Routes of the declaration in force; undefined before the first declaration. */
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -97,8 +97,12 @@
   #ready = false
   #leaving = false
 
-  /** Reads the cluster secret from the store and creates the service; undefined if the secret can't be read in time. */
+  /**
+   * Reads the cluster secret from the store and creates the service; undefined if the secret can't be read in time.
+   * The declaration and the endpoints are read meanwhile.
+   */
   static async open (settings: EntrySettings, ports: EntryPorts): Promise<EntryService | undefined> {
+    for (const mirror of [ports.declarations, ports.registry]) mirror.start()
     const secret = await readOrCreateClusterSecret(ports.store, CLUSTER_SECRET_KEY, randomUUID, deadlineAfter(SECRET_TIMEOUT_MS))
     return secret === undefined ? undefined : new EntryService(settings, ports, secret)
   }
@@ -173,8 +177,6 @@
 
   /** Starts all tasks; resolves once requests can be served. */
   async start (): Promise<void> {
-    const { declarations, registry } = this.#ports
-    for (const mirror of [declarations, registry]) mirror.start()
     this.#broker.createService(this.#members.service(() => this.deployment.routeTable?.declaration.version ?? 0))
     this.#broker.createService(this.rollouts.service())
     this.#broker.createService(this.#demand.service())
--- a/packages/cyclamenthread/src/lib/start-timer.ts
+++ b/packages/cyclamenthread/src/lib/start-timer.ts
@@ -4,11 +4,11 @@
   Program = 'program',
   /** The settings are read and decoded. */
   Settings = 'settings',
-  /** The cluster secret is read from the store. */
+  /** The cluster secret is read from the store, while the deployment is. */
   Secret = 'secret',
   /** The ports are opened. */
   Ports = 'ports',
-  /** The declaration and the endpoints are read from the store. */
+  /** The rest of reading the declaration and the endpoints from the store. */
   Deployment = 'deployment'
 }
 
