Revert "A broken connection doesn't suspend an endpoint that serves others meanwhile"

The reverted form let an endpoint with hung streams take five more broken attempts after each suspension (review; not run).

--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -51,15 +51,6 @@
 /** Initial suspension after a connection failure, in milliseconds; doubles with each consecutive one. */
 const INITIAL_SUSPENSION_MS = 300
 
-/** Share of failures in the recent work of an endpoint up to which a failure is one of a connection, and the endpoint still serves. */
-const MAX_FAILURE_SHARE = 0.6
-
-/** Smoothing factor of that share: weight of the newest piece of work. */
-const FAILURE_SMOOTHING = 0.2
-
-/** Time since an endpoint last finished work up to which it counts as serving, in milliseconds: several usual calls. */
-const RECENT_FINISH_MS = 500
-
 /** Maximum suspension after connection failures, in milliseconds: about the time an endpoint takes to restart. */
 const MAX_SUSPENSION_MS = 4_000
 
@@ -97,12 +88,7 @@
   activeWork: number
   /** Monotonic milliseconds before which the endpoint gets no new work. */
   suspendedUntil: number
-  /** Share of connection failures in the recent work, the newest weighing most. */
-  failureShare: number
-  /** Suspensions after connection failures since work was last finished. */
-  consecutiveSuspensions: number
-  /** Monotonic milliseconds at which work was last finished; -Infinity before the first. */
-  finishedAt: number
+  consecutiveFailures: number
   consecutiveOverruns: number
   /** Monotonic milliseconds until which further overruns belong to the last one: work that ran beside it. */
   overrunUntil: number
@@ -187,26 +173,18 @@
     if (record === undefined || record.entry.bornAt !== bornAt) return
     record.activeWork = Math.max(0, record.activeWork - 1)
     if (end === WorkEnd.Finished) {
-      record.failureShare *= 1 - FAILURE_SMOOTHING
-      record.consecutiveSuspensions = 0
-      record.finishedAt = now
+      record.consecutiveFailures = 0
       if (now >= record.overrunUntil) record.consecutiveOverruns = 0
     }
     if (end === WorkEnd.Refused) record.suspendedUntil = Math.max(record.suspendedUntil, now + REFUSAL_PAUSE_MS)
-    if (end === WorkEnd.Broken) this.#recordFailure(record, now)
+    if (end === WorkEnd.Broken) {
+      const pause = Math.min(INITIAL_SUSPENSION_MS * 2 ** record.consecutiveFailures, MAX_SUSPENSION_MS)
+      record.consecutiveFailures += 1
+      record.suspendedUntil = Math.max(record.suspendedUntil, now + pause)
+    }
     if (end === WorkEnd.Overrun) this.#recordOverrun(record, now)
   }
 
-  #recordFailure (record: EndpointRecord, now: number): void {
-    record.failureShare += (1 - record.failureShare) * FAILURE_SMOOTHING
-    const isServing = record.activeWork > 0 || now - record.finishedAt < RECENT_FINISH_MS
-    if (isServing && record.failureShare <= MAX_FAILURE_SHARE) return
-    const pause = Math.min(INITIAL_SUSPENSION_MS * 2 ** record.consecutiveSuspensions, MAX_SUSPENSION_MS)
-    record.consecutiveSuspensions += 1
-    record.failureShare = 0
-    record.suspendedUntil = Math.max(record.suspendedUntil, now + pause)
-  }
-
   #recordOverrun (record: EndpointRecord, now: number): void {
     if (now < record.overrunUntil) return
     record.overrunUntil = now + Math.min(INITIAL_OVERRUN_PAUSE_MS * 2 ** record.consecutiveOverruns, MAX_OVERRUN_PAUSE_MS)
@@ -353,9 +331,7 @@
       entry,
       activeWork: 0,
       suspendedUntil: -Infinity,
-      failureShare: 0,
-      consecutiveSuspensions: 0,
-      finishedAt: -Infinity,
+      consecutiveFailures: 0,
       consecutiveOverruns: 0,
       overrunUntil: -Infinity,
       foreignLoad: 0,
