Calls go to an endpoint that is suspended rather than be refused

Cause: each broken connection suspends its endpoint at this host for 300 ms, doubling up to 4 s. Where a path breaks some connections, all endpoints of a service are soon suspended at once, and a call is refused after a quarter of its time though each would serve most calls.

A caller's call that no other endpoint can take now goes to one that is suspended because of broken connections, one call at a time and fewest failures first. Suspension still steers calls to other endpoints first; pauses after refusals and overruns stay, as do rewards and copies.

Real processes with broken connections were not played.

--- a/packages/coordination/src/lib/endpoint-search.ts
+++ b/packages/coordination/src/lib/endpoint-search.ts
@@ -1,4 +1,4 @@
-import { chooseEndpointForCall, isInService, isOfVersion, SendUrgency, unreachable } from '@cyclamenthread/state'
+import { chooseEndpointForCall, chooseSuspendedEndpoint, isInService, isOfVersion, SendUrgency, unreachable } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { CallOrigin } from './plain-call.js'
 import { SendPermission } from './send-permit-task.js'
@@ -73,7 +73,7 @@
     const excluded = new Set(query.excluded)
     let retryAt = Infinity
     for (;;) {
-      const record = this.#choose(query, excluded)
+      const record = this.#choose(query, excluded) ?? this.#chooseSuspended(query, excluded)
       if (record === undefined) break
       const permit = this.#context.sends.take(record, URGENCY[query.origin], Math.max(0, query.waitUntil - monotonicNow()))
       switch (permit.kind) {
@@ -104,8 +104,13 @@
 
   #choose ({ service, origin, softwareVersion }: Pick<EndpointQuery, 'service' | 'origin' | 'softwareVersion'>, excluded: ReadonlySet<string>): EndpointRecord | undefined {
     const { deployment, networkLocation } = this.#context
-    const demand: CallDemand = { service, excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[origin], softwareVersion }
-    return chooseEndpointForCall(deployment.endpointTable, demand, networkLocation, monotonicNow())
+    return chooseEndpointForCall(deployment.endpointTable, demandOf({ service, origin, softwareVersion }, excluded), networkLocation, monotonicNow())
+  }
+
+  /** Callers wait and rewards don't: only the former go to suspended endpoints. */
+  #chooseSuspended (query: EndpointQuery, excluded: ReadonlySet<string>): EndpointRecord | undefined {
+    if (query.origin !== CallOrigin.Caller) return undefined
+    return chooseSuspendedEndpoint(this.#context.deployment.endpointTable, demandOf(query, excluded), monotonicNow())
   }
 
   /** Whether an endpoint without a limit, to which the call can't be sent now, may accept it in time. */
@@ -114,3 +119,7 @@
       isOfVersion(record, softwareVersion) && isInService(record) && record.requestLimit.current === undefined && record.suspendedUntil < waitUntil)
   }
 }
+
+function demandOf ({ service, origin, softwareVersion }: Pick<EndpointQuery, 'service' | 'origin' | 'softwareVersion'>, excluded: ReadonlySet<string>): CallDemand {
+  return { service, excluded, typicalMs: DEFAULT_CALL_MS, reservedSlots: RESERVED_SLOTS[origin], softwareVersion }
+}
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -364,3 +364,16 @@
   await waitUntil(t, () => view.endpointTable.find('a')?.entry.bornAt === 2)
   t.true((await run()).ok)
 })
+
+// Guards against calls that are refused although each endpoint could serve most of them (SHORT).
+test('while a third of the connections breaks, calls are served', async (t) => {
+  const { endpoints, run } = await openFixture(t, ['a', 'bb'])
+  for (const id of ['a', 'bb']) {
+    endpoints.callScripts.set(id, async () => endpoints.calls.length % 3 === 0 ? { kind: EndpointReplyKind.Broken, sent: false, detail: 'reset' } : answerWith(200))
+  }
+  let served = 0
+  for (let call = 0; call < 30; call += 1) {
+    if ((await run({ requestId: `r${call}`, deadline: performance.now() + 400 })).ok) served += 1
+  }
+  t.is(served, 30)
+})
--- a/packages/state/src/lib/endpoint-route.ts
+++ b/packages/state/src/lib/endpoint-route.ts
@@ -1,3 +1,4 @@
+import { isInService } from './endpoint-table.js'
 import type { EndpointTable, EndpointRecord } from './endpoint-table.js'
 
 /** Network location of this process. */
@@ -71,3 +72,19 @@
   }
   return best
 }
+
+/**
+ * Chooses an endpoint that is suspended because connections to it broke, for a call that no
+ * other endpoint can take: a path that breaks some connections carries others. Each
+ * endpoint gets one such call at a time, and the one with the fewest failures comes first.
+ *
+ * @example
+ * chooseEndpointForCall(endpoints, demand, location, now) ?? chooseSuspendedEndpoint(endpoints, demand, now)
+ */
+export function chooseSuspendedEndpoint (endpoints: EndpointTable, demand: CallDemand, now: number): EndpointRecord | undefined {
+  const [first] = endpoints.endpointsOfService(demand.service)
+    .filter((record) => isInService(record) && now < record.brokenUntil && record.activeWork === 0 && now >= record.overrunUntil)
+    .filter((record) => isOfVersion(record, demand.softwareVersion) && !demand.excluded.has(record.entry.id))
+    .sort((a, b) => a.consecutiveFailures - b.consecutiveFailures || a.suspendedUntil - b.suspendedUntil)
+  return first
+}
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -88,6 +88,8 @@
   activeWork: number
   /** Monotonic milliseconds before which the endpoint gets no new work. */
   suspendedUntil: number
+  /** Monotonic milliseconds until which it is suspended because connections to it broke. */
+  brokenUntil: number
   consecutiveFailures: number
   consecutiveOverruns: number
   /** Monotonic milliseconds until which further overruns belong to the last one: work that ran beside it. */
@@ -180,7 +182,8 @@
     if (end === WorkEnd.Broken) {
       const pause = Math.min(INITIAL_SUSPENSION_MS * 2 ** record.consecutiveFailures, MAX_SUSPENSION_MS)
       record.consecutiveFailures += 1
-      record.suspendedUntil = Math.max(record.suspendedUntil, now + pause)
+      record.brokenUntil = Math.max(record.brokenUntil, now + pause)
+      record.suspendedUntil = Math.max(record.suspendedUntil, record.brokenUntil)
     }
     if (end === WorkEnd.Overrun) this.#recordOverrun(record, now)
   }
@@ -331,6 +334,7 @@
       entry,
       activeWork: 0,
       suspendedUntil: -Infinity,
+      brokenUntil: -Infinity,
       consecutiveFailures: 0,
       consecutiveOverruns: 0,
       overrunUntil: -Infinity,
--- a/packages/state/src/test/endpoint-route.test.ts
+++ b/packages/state/src/test/endpoint-route.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { chooseEndpointForCall, EndpointTable } from '@cyclamenthread/state'
+import { chooseEndpointForCall, chooseSuspendedEndpoint, EndpointTable, WorkEnd } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import type { NetworkLocation } from '@cyclamenthread/state'
 
@@ -50,3 +50,22 @@
   t.is(chooseEndpointForCall(table, demand, LOCATION, 0), undefined)
   t.is(chooseEndpointForCall(table, DEMAND, LOCATION, 0)?.entry.id, 'near')
 })
+
+// Guards against calls that are refused although some endpoint could serve them (SHORT).
+test('an endpoint that is suspended after broken connections gets one call at a time, the one with the fewest failures first', (t) => {
+  const table = deskEndpoints()
+  t.is(chooseSuspendedEndpoint(table, DEMAND, 0), undefined)
+  const breakConnection = (id: string): void => {
+    table.startWork(id)
+    table.finishWork(id, table.find(id)?.entry.bornAt ?? 0, WorkEnd.Broken, 0)
+  }
+  for (const id of ['near', 'near', 'far']) breakConnection(id)
+  t.is(chooseEndpointForCall(table, DEMAND, LOCATION, 1), undefined)
+  t.is(chooseSuspendedEndpoint(table, DEMAND, 1)?.entry.id, 'far')
+  table.startWork('far')
+  t.is(chooseSuspendedEndpoint(table, DEMAND, 1)?.entry.id, 'near')
+  table.startWork('near')
+  t.is(chooseSuspendedEndpoint(table, DEMAND, 1), undefined)
+  table.finishWork('near', table.find('near')?.entry.bornAt ?? 0, WorkEnd.Finished, 1)
+  t.is(chooseSuspendedEndpoint(table, DEMAND, 2)?.entry.id, 'near')
+})
