A loop that is always late doesn't count ever older events: events that waited are looked for up to a second

Found by the review, read in the code, no run: with a connection in every poll of a saturated loop the time since which events may have waited was never forgotten, so that fresh requests would count as expired.

--- a/packages/transport/src/lib/loop-delay.ts
+++ b/packages/transport/src/lib/loop-delay.ts
@@ -6,6 +6,9 @@
 /** Lateness of a check below which no event has waited long, in milliseconds. */
 const MIN_LATE_MS = 10
 
+/** Time after a late check for which events that waited for it are looked for, in milliseconds: as long as clients let a request go unread. */
+const MAX_READING_MS = 1_000
+
 /** Number of polls in a row without a new connection after which no event is left that has waited: a poll may accept one connection only, and the next one reads from it. */
 const LAST_POLLS = 2
 
@@ -26,6 +29,8 @@
   #dueAt = Infinity
   /** Monotonic milliseconds since when events may have waited that are still to be read. */
   #waitingSince = Infinity
+  /** Monotonic milliseconds until which these events are looked for: a loop that is always late would never have read the last one. */
+  #waitsUntil = Infinity
   /** Polls since the last new connection. */
   #polls = 0
 
@@ -50,9 +55,13 @@
   }
 
   #check (): void {
-    if (monotonicNow() - this.#dueAt > MIN_LATE_MS) {
+    const now = monotonicNow()
+    if (now - this.#dueAt > MIN_LATE_MS) {
       this.#polls = 0
-      if (this.#waitingSince === Infinity) setImmediate(() => this.#recordPoll())
+      if (this.#waitingSince === Infinity) {
+        this.#waitsUntil = now + MAX_READING_MS
+        setImmediate(() => this.#recordPoll())
+      }
       this.#waitingSince = Math.min(this.#waitingSince, this.#dueAt)
     }
     this.start()
@@ -60,7 +69,7 @@
 
   #recordPoll (): void {
     this.#polls += 1
-    if (this.#polls <= LAST_POLLS) setImmediate(() => this.#recordPoll())
+    if (this.#polls <= LAST_POLLS && monotonicNow() < this.#waitsUntil) setImmediate(() => this.#recordPoll())
     else this.#waitingSince = Infinity
   }
 }
