--- a/packages/state/src/lib/membership.ts
+++ b/packages/state/src/lib/membership.ts
@@ -307,11 +307,11 @@
   #sendUrgent (now: number): void {
     if (this.#urgent.size === 0 || now < this.#nextUrgentAt) return
     this.#nextUrgentAt = now + URGENT_PERIOD_MS
-    for (const host of this.#pickHosts(this.#responsiveOtherIds(), URGENT_FANOUT)) {
-      const effect = this.composeGossip(host)
-      for (const { host: { id } } of effect.message.records) this.#urgent.delete(id)
-      this.#effects.push(effect)
-    }
+    const sent = this.#pickHosts(this.#responsiveOtherIds(), URGENT_FANOUT).map((host) => this.composeGossip(host))
+    this.#effects.push(...sent)
+    const carried = sent.flatMap(({ message }) => message.records).filter(({ host }) => this.#urgent.delete(host.id))
+    // What no message carries any more has spread with the probes.
+    if (sent.length > 0 && carried.length === 0) this.#urgent.clear()
   }
 
   #probeIndirectly (probe: PendingProbe): void {
