A load that the store refuses isn't reported as making progress

Callers would get a refusal from a host whose store is silent, instead of an answer from the next host.

--- a/packages/coordination/src/lib/rollout-loader.ts
+++ b/packages/coordination/src/lib/rollout-loader.ts
@@ -45,7 +45,6 @@
   #outcome: Outcome<LoadedRollout | undefined, StoreFailure> | undefined
   #waiting = 0
   #vainAttempts = 0
-  #lastFailure = StoreFailure.Unavailable
 
   constructor (known: KnownRollout) {
     this.known = known
@@ -84,8 +83,7 @@
       const isRefused = this.#vainAttempts - vainBefore >= MAX_VAIN_ATTEMPTS
       if (isRefused || monotonicNow() >= deadline) {
         if (known.order !== undefined && isEnough(known.progress)) return success({ order: known.order, progress: known.progress, readAt: -Infinity })
-        if (isRefused) return failure(this.#lastFailure)
-        return failure(hasAdvanced() ? StoreFailure.Timeout : StoreFailure.Unavailable)
+        return failure(!isRefused && hasAdvanced() ? StoreFailure.Timeout : StoreFailure.Unavailable)
       }
       await this.#nextChange(deadline)
     }
@@ -97,9 +95,8 @@
     this.#notifyWatchers()
   }
 
-  recordVainAttempt (reason: StoreFailure): void {
+  recordVainAttempt (): void {
     this.#vainAttempts += 1
-    this.#lastFailure = reason
     this.#notifyWatchers()
   }
 
@@ -150,6 +147,12 @@
     this.#store = store
   }
 
+  /** Whether all that will ever be listed of a rollout is known. */
+  holdsWhole (id: string): boolean {
+    const known = this.#kept.get(id)
+    return known?.order !== undefined && isComplete(known.order, known.progress)
+  }
+
   /** Returns the order of a rollout if it is known. */
   findOrder (id: string): RolloutOrder | undefined {
     return this.#loads.get(id)?.known.order ?? this.#kept.get(id)?.order
@@ -222,7 +225,7 @@
       const read = await this.#readOn(id, load)
       if (read.ok) return read
       const isVain = progress.segments === segments && load.known.order === order
-      if (isVain) load.recordVainAttempt(read.failure)
+      if (isVain) load.recordVainAttempt()
       else backoff.reset()
       await SYSTEM_CLOCK.sleep(backoff.nextDelayMs())
       if (this.#stopped || (isVain && !load.isAwaited)) return read
