A host claims nothing from an owner that it didn't probe

The test fails before. Read in the code: a handover that arrives while its run has started is adopted by that run; runs that are handed over because of a cut go on to the next hosts when this host leaves meanwhile.

--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -114,6 +114,11 @@
     return this.#runs.get(id)
   }
 
+  /** Whether this host can answer reads of a rollout by itself: it runs it, or has read all of its log. */
+  holds (id: string): boolean {
+    return this.#runs.has(id) || this.#loader.holdsWhole(id)
+  }
+
   /** Returns the order of a rollout if this host knows it. */
   knownOrder (id: string): RolloutOrder | undefined {
     return this.#runs.get(id)?.order ?? this.#loader.findOrder(id)
@@ -167,6 +172,8 @@
 
   async #takeOverIfLost ({ order, progress, owner }: OpenedRollout): Promise<RolloutRun | undefined> {
     if (this.#leaving || await this.#canOwnerRun(order.id, owner)) return undefined
+    // The progress may show a claim that came meanwhile; its owner wasn't probed.
+    if (ownerHostOf(order, progress) !== owner) return undefined
     const step = decideOwnership({ owner, writer: this.#context.writer, ownerUnreachable: true })
     this.#logStep(order.id, step, owner)
     return step === OwnershipStep.Claim ? await this.#claimRun(order, progress, deadlineAfter(LOAD_TIMEOUT_MS)) : undefined
@@ -281,6 +288,7 @@
     const known = this.#runs.get(order.id)
     if (known !== undefined) {
       run.stop()
+      if (handover !== undefined) known.adopt(handover)
       return known
     }
     this.#runs.set(order.id, run)
@@ -318,8 +326,11 @@
   async #relinquishRuns (): Promise<void> {
     if (this.#isRelinquishing) return
     this.#isRelinquishing = true
-    await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => await this.#relinquish(run)))
-    this.#isRelinquishing = false
+    try {
+      await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => await this.#relinquish(run)))
+    } finally {
+      this.#isRelinquishing = false
+    }
   }
 
   async #relinquish (run: RolloutRun): Promise<void> {
@@ -332,6 +343,8 @@
     this.#runs.delete(order.id)
     this.#loader.keep(order, progress)
     if (isAdopted) this.#directory.recordOwner(order.id, adopter.id)
+    // This host began to leave meanwhile, which passes over stopped runs.
+    else if (this.#leaving) await this.#handOver(run, deadlineAfter(ADOPTION_TIMEOUT_MS))
     // The log is read before the new run starts work, so it sees an adoption whose reply was lost.
     else this.#startRun(this.#createRun(order, progress), handover)
   }
--- a/packages/coordination/src/test/silent-hosts.test.ts
+++ b/packages/coordination/src/test/silent-hosts.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { RolloutReadStatus } from '@cyclamenthread/protocol'
+import { RolloutReadStatus, rolloutSegmentKey, StorePurpose } from '@cyclamenthread/protocol'
 import { Ran, rankWeightedOwners, trainerOf } from '@cyclamenthread/state'
 import { rolloutOrder } from '@cyclamenthread/state/testing'
 import { openSilentHosts, storeRollout } from './silent-hosts-fixture.js'
@@ -155,3 +155,19 @@
   })
   t.deepEqual(await Promise.all(reads), others.map(() => ({ status: RolloutReadStatus.Found, isInTime: true })))
 })
+
+// Guards against a rollout that passes from one live host to another and back, since a second read shows the first one's claim to a take-over that has begun.
+test('a host that finds an owner silent claims nothing from a host that claimed the rollout meanwhile', async (t) => {
+  const fixture = openSilentHosts(t, 3)
+  const order = storeRollout(fixture, 8, { owner: 'h1', open: 4 })
+  fixture.silent.add('h1')
+  const reader = fixture.tasks.get('h3')
+  const reading = reader?.readResults(order.id, order.workspace, 4, performance.now() + 1_000)
+  await new Promise((resolve) => setTimeout(resolve, 900))
+  fixture.store.set(rolloutSegmentKey(order.id, 4), { writer: 'h2', results: [], texts: [], claim: true, ended: false })
+  void reader?.readResults(order.id, order.workspace, 4, performance.now() + 100)
+  await reading
+  await new Promise((resolve) => setTimeout(resolve, 1_500))
+  const next = await fixture.store.read(rolloutSegmentKey(order.id, 5), { purpose: StorePurpose.Claim, deadline: performance.now() + 500 })
+  t.deepEqual(next.ok && next.value?.value, undefined)
+})
