--- a/packages/coordination/src/lib/rollout-reader.ts
+++ b/packages/coordination/src/lib/rollout-reader.ts
@@ -88,6 +88,7 @@
   }
 
   async #readAnywhere (read: RolloutRead, trace: ReadTrace): Promise<RolloutPage> {
+    if (this.#registry.holds(read.id)) return await this.#readHere(read, trace)
     const [first, second] = this.#directory.likelyOwners(read.id, read.workspace).filter(({ id }) => !this.#directory.isSilent(id))
     if (first === undefined) return await this.#readFromStore(read, trace)
     if (first.id === this.#context.self.id) return await this.#readHere(read, trace)
@@ -133,7 +134,7 @@
   /** Passes a read on to the owner that this host last learned of; undefined if it knows none, or that host doesn't answer. */
   async #readAtKnownOwner (read: RolloutRead, trace: ReadTrace): Promise<RolloutPage | undefined> {
     const hint = this.#directory.hintOf(read.id)
-    if (read.forwarded || hint === undefined || hint === this.#context.self.id || this.#registry.find(read.id) !== undefined) return undefined
+    if (read.forwarded || hint === undefined || hint === this.#context.self.id || this.#registry.holds(read.id)) return undefined
     const host = this.#directory.findWorker(hint)
     return host === undefined || this.#directory.isSilent(hint) ? undefined : await this.#readAt(host, { ...read, forwarded: true }, trace)
   }
