--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -289,11 +289,18 @@
 
 test('after a planned stop a next owner that has already started adopts the text as well', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
-  endpoints.streamScripts.set('a', streamOf(40, 3, 10))
+  const begun = new Set<string>()
+  endpoints.streamScripts.set('a', async function * (request, resumeAfter) {
+    for await (const part of streamOf(40, 3, 10)(request, resumeAfter)) {
+      // The event before has been read by then.
+      if (part.kind === StreamPartKind.Event && part.id > 1) begun.add(request.requestId)
+      yield part
+    }
+  })
   const order = rolloutOrder(1, 5)
   const first = open(order)
   first.start()
-  await new Promise((resolve) => setTimeout(resolve, 150))
+  await waitUntil(t, () => begun.size === 4)
   const handover = first.handOver()
   const second = open(order)
   second.start()
