--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -303,7 +303,7 @@
     return run
   }
 
-  /** Drops the runs that finished earliest; what they have read is kept as long as there is room. */
+  /** Drops finished runs, those that started earliest first; what they have read is kept as long as there is room. */
   #dropFinishedRuns (): void {
     const finished = [...this.#runs.values()].filter(({ order, progress }) => isComplete(order, progress))
     for (const { order, progress } of finished.slice(0, -MAX_FINISHED_RUNS)) {
--- a/packages/coordination/src/test/silent-hosts.test.ts
+++ b/packages/coordination/src/test/silent-hosts.test.ts
@@ -38,7 +38,7 @@
 }
 
 // Guards against reads that pay for the same silence again and again.
-test('a host that found others silent passes them over in its next reads, and uses them again once they answer', async (t) => {
+test('a host that found others silent doesn\'t wait for them in its next reads', async (t) => {
   const fixture = openSilentHosts(t, 4)
   const order = storeRollout(fixture, 4, { owner: 'h1' })
   const reader = 'h4'
