--- a/packages/coordination/src/test/lease-history.ts
+++ b/packages/coordination/src/test/lease-history.ts
@@ -3,7 +3,9 @@
 import { IntentLog } from '../lib/intent-log.js'
 import { LeaseTask } from '../lib/lease-task.js'
 import { ProcessClock } from './process-clock.js'
+import { findTurns } from './turns.js'
 import type { ObjectStore } from '@cyclamenthread/protocol'
+import type { Act } from './turns.js'
 
 const LEASE_MS = 1_000
 const END_MS = 25_000
@@ -19,6 +21,21 @@
   readonly lostWrites: number
   readonly lateWrites: number
   readonly outage: boolean
+  /** Whether processes end, with or without a release, and others start on their hosts. */
+  readonly restarts?: boolean
+  /** Whether machines are suspended and wall clocks are set. */
+  readonly clockFaults?: boolean
+}
+
+/** A process of one host, from its start to its end. */
+interface Candidate {
+  readonly process: ProcessClock
+  readonly lease: LeaseTask
+  readonly intents: IntentLog<string>
+  /** Whether the process stops and no longer acts. */
+  stopping: boolean
+  /** The renewal in progress. */
+  renewal: Promise<void>
 }
 
 /** An order received by the platform, which ignores epochs. */
@@ -66,17 +83,22 @@
   const sent: SentOrder[] = []
   const settled = new Set<string>()
   const violations: string[] = []
-  const leases: LeaseTask[] = []
-  for (let index = 0; index < CANDIDATES; index++) {
-    const process = new ProcessClock(clock, 1 + (random() * 2 - 1) * MAX_CLOCK_DRIFT)
+  const rates = Array.from({ length: CANDIDATES }, () => 1 + (random() * 2 - 1) * MAX_CLOCK_DRIFT)
+  const acts: Act[] = []
+  const candidates: Candidate[] = []
+  const start = (index: number, incarnation: number): void => {
+    const process = new ProcessClock(clock, rates[index])
     const observedStore = storeSeenBy(process, store)
-    const lease = new LeaseTask({ name: 'capacity', holder: `host-${index}`, leaseMs: LEASE_MS, storeTimeoutMs: 300 }, observedStore, process)
-    leases.push(lease)
+    const lease = new LeaseTask({ name: 'capacity', holder: `host-${index}/${incarnation}`, leaseMs: LEASE_MS, storeTimeoutMs: 300 }, observedStore, process)
     const intents = new IntentLog<string>({ name: 'capacity', storeTimeoutMs: 300, parse: String }, observedStore)
-    void runRenewals(lease, process)
+    const candidate = { process, lease, intents, stopping: false, renewal: Promise.resolve() }
+    candidates[index] = candidate
+    void runRenewals(candidate)
     void runPauses(process, clock, random, () => {
       store.faults.down = faults.outage && random() < 0.3
     })
+    if (faults.clockFaults === true) void runClockFaults(process, clock, random)
+    if (faults.restarts === true) void endLater(candidate, clock, random).then(() => start(index, incarnation + 1))
     const found = (ids: readonly string[], epoch: number): void => {
       // Orders of later epochs are ignored: this leader may have been paused since it read the log, while others led.
       const missing = sent.filter((order) => order.epoch <= epoch && !settled.has(order.id) && !ids.includes(order.id))
@@ -86,22 +108,48 @@
       for (const id of ids) settled.add(id)
     }
     const send = (id: string, epoch: number): void => {
-      if (leases.filter((other) => other.leadership() !== undefined).length > 1) violations.push(`two processes held the lease at ${clock.now()}`)
+      if (candidates.filter((other) => other.lease.leadership() !== undefined).length > 1) violations.push(`two processes held the lease at ${clock.now()}`)
       if (sent.some((order) => order.epoch > epoch)) violations.push(`epoch ${epoch} sent after a later one`)
       if (!JSON.stringify(store.peek(intentsKey('capacity'))).includes(`"${id}"`)) violations.push(`${id} was sent without an intent`)
       sent.push({ id, epoch })
+      acts.push({ at: clock.now(), host: `host-${index}` })
     }
-    void runLeader(lease, intents, process, random, { found, settle, send })
+    void runLeader(candidate, random, { found, settle, send })
   }
+  for (const index of rates.keys()) start(index, 0)
   await clock.run(END_MS)
+  for (const { host, before, after } of findTurns(acts, LEASE_MS)) violations.push(`${host} acted at ${before} and ${after}, and another in between`)
   if (store.peek(leaseKey('capacity')) === undefined) violations.push('no process ever held the lease')
   return { sent, violations }
 }
 
-async function runRenewals (lease: LeaseTask, process: ProcessClock): Promise<void> {
+async function runRenewals (candidate: Candidate): Promise<void> {
+  while (!candidate.stopping) {
+    candidate.renewal = candidate.lease.renewOrContend()
+    await candidate.renewal
+    await candidate.process.sleep(LEASE_MS / 3)
+  }
+}
+
+/** Ends a process after some time, half of them with a release, and waits until the next one starts on its host. */
+async function endLater (candidate: Candidate, clock: VirtualClock, random: () => number): Promise<void> {
+  await clock.sleep(random() * (random() < 0.5 ? LEASE_MS : 4 * LEASE_MS))
+  if (random() < 0.5) {
+    candidate.stopping = true
+    await candidate.renewal
+    await candidate.lease.release()
+  }
+  candidate.process.end()
+  await clock.sleep(random() * LEASE_MS / 2)
+}
+
+/** Suspends the machine or sets its wall clock; the process runs for some time between two of these. */
+async function runClockFaults (process: ProcessClock, clock: VirtualClock, random: () => number): Promise<void> {
   for (;;) {
-    await lease.renewOrContend()
-    await process.sleep(LEASE_MS / 3)
+    await clock.sleep(LEASE_MS / 2 + random() * 3_000)
+    while (process.isPaused) await clock.sleep(LEASE_MS / 2)
+    if (random() < 0.7) process.suspend(random() * 3 * LEASE_MS)
+    else process.wallOffset += (random() * 2 - 1) * 5_000
   }
 }
 
@@ -114,9 +162,10 @@
 }
 
 /** Settles the intents that the previous leader left open, then writes intents and sends orders; may be paused between any two steps. */
-async function runLeader (lease: LeaseTask, intents: IntentLog<string>, process: ProcessClock, random: () => number, observer: LeaderObserver): Promise<void> {
+async function runLeader (candidate: Candidate, random: () => number, observer: LeaderObserver): Promise<void> {
+  const { lease, intents, process } = candidate
   let opened = 0
-  for (let serial = 0; ; serial++) {
+  for (let serial = 0; !candidate.stopping; serial++) {
     await process.sleep(random() * 200)
     const leadership = lease.leadership()
     if (leadership === undefined) continue
@@ -138,7 +187,7 @@
       opened = 0
       continue
     }
-    if (lease.leadership()?.epoch === leadership.epoch) observer.send(id, leadership.epoch)
+    if (!candidate.stopping && lease.leadership()?.epoch === leadership.epoch) observer.send(id, leadership.epoch)
     await process.sleep(random() * 200)
     observer.settle([id])
     await intents.settle([id])
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -1,8 +1,12 @@
 import test from 'ava'
 import fc from 'fast-check'
 import { LeaseTask } from '@cyclamenthread/coordination'
+import { leaseKey, WriteStatus } from '@cyclamenthread/protocol'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
+import { DutyHosts, LEASE_MS } from './duty-hosts.js'
 import { runLeaders } from './lease-history.js'
+import type { ObjectStore } from '@cyclamenthread/protocol'
+import type { LeaseFaults } from './lease-history.js'
 
 const SEED = Number(process.env['CYCLAMENTHREAD_TEST_SEED'] ?? 20_261_204)
 const RUNS = Number(process.env['CYCLAMENTHREAD_TEST_RUNS'] ?? 1_000)
@@ -40,3 +44,152 @@
   await other.renewOrContend()
   t.is(other.leadership(), undefined)
 })
+
+/** Longest wait for a lease that no one holds: the lease by a slow clock, and a period of the renewal loop. */
+const TAKEOVER_MS = LEASE_MS * 1.05 + LEASE_MS / 3
+
+/** Lets a host contend until it holds the lease, for at most a takeover's wait. */
+async function contendUntilHeld (hosts: DutyHosts, host: string): Promise<boolean> {
+  const end = hosts.time.now() + TAKEOVER_MS
+  while (hosts.time.now() <= end) {
+    if (await hosts.contend(host) !== undefined) return true
+    await hosts.wait(100)
+  }
+  return false
+}
+
+// Guards against hosts that act in turn within the lease, because each released it to the next.
+test('a host that released the lease takes it again only after it has not acted for the duration of the lease', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.wait(400)
+  await hosts.restart('h1')
+  t.is((await hosts.contend('h2'))?.epoch, 2, 'a host that did not act before takes a released lease at once')
+  await hosts.wait(1_000)
+  await hosts.restart('h2')
+  t.true(await contendUntilHeld(hosts, 'h1'))
+  t.deepEqual(hosts.turns(), [])
+})
+
+// Guards against a turn after a takeover by expiry: the former holder may have acted until its lease ended.
+test('a former holder whose lease expired does not act again at once when its successor releases', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.contend('h2')
+  await hosts.wait(0.95 * LEASE_MS)
+  hosts.act('h1')
+  await hosts.wait(0.15 * LEASE_MS)
+  await hosts.contend('h2')
+  await hosts.wait(100)
+  await hosts.restart('h2')
+  t.true(await contendUntilHeld(hosts, 'h1'))
+  t.is(new Set(hosts.acts.map((act) => act.host)).size, 2)
+  t.deepEqual(hosts.turns(), [])
+})
+
+// Guards against former holders that are forgotten when the lease changes hands again, or its holder restarts.
+test('former holders are remembered through a third holder and through a restart of the holder', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.restart('h1')
+  await hosts.contend('h2')
+  hosts.start('h2')
+  await hosts.contend('h2')
+  await hosts.wait(200)
+  await hosts.restart('h2')
+  t.is(await hosts.contend('h1'), undefined)
+  await hosts.contend('h3')
+  await hosts.wait(200)
+  await hosts.restart('h3')
+  t.true(await contendUntilHeld(hosts, 'h1'))
+  t.deepEqual(hosts.turns(), [])
+})
+
+test('a released lease goes back to a former holder at once after a holder of long standing', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.restart('h1')
+  for (let held = 0; held < 2 * LEASE_MS; held += 1_000) {
+    t.is((await hosts.contend('h2'))?.epoch, 2)
+    await hosts.wait(1_000)
+  }
+  await hosts.restart('h2')
+  t.is((await hosts.contend('h1'))?.epoch, 3)
+  t.deepEqual(hosts.turns(), [])
+})
+
+// Guards against a holder that acts after a suspend of its machine, because its steady clock did not count that time.
+test('a holder whose machine was suspended does not act after another host took the lease', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.contend('h2')
+  hosts.clock('h1').suspend(1.5 * LEASE_MS)
+  await hosts.wait(1.2 * LEASE_MS)
+  t.is((await hosts.contend('h2'))?.epoch, 2)
+  await hosts.wait(0.4 * LEASE_MS)
+  t.is(hosts.act('h1'), undefined)
+})
+
+// Guards against a lease that is counted from a later write of the same content than the one that took effect.
+test('a renewal that takes effect late extends the lease only from when it was sent', async (t) => {
+  let late: (() => void) | undefined
+  const hosts = new DutyHosts((host, store): ObjectStore => ({
+    read: store.read.bind(store),
+    list: store.list.bind(store),
+    remove: store.remove.bind(store),
+    watch: store.watch.bind(store),
+    write: async (key, value, expectation, call) => {
+      if (host !== 'h1' || hosts.time.now() !== 1_000) return await store.write(key, value, expectation, call)
+      late = () => {
+        void store.write(key, value, expectation, call)
+      }
+      return { status: WriteStatus.Unknown, detail: 'late' }
+    }
+  }))
+  await hosts.contend('h1')
+  await hosts.wait(1_000)
+  await hosts.contend('h1')
+  await hosts.wait(100)
+  late?.()
+  await hosts.contend('h2')
+  await hosts.wait(900)
+  await hosts.contend('h1')
+  // From here on the first host no longer reaches the store.
+  await hosts.wait(LEASE_MS * 1.05 - 890)
+  t.is((await hosts.contend('h2'))?.epoch, 2)
+  t.is(hosts.act('h1'), undefined)
+})
+
+// Guards against a fence lower than an earlier one, where the record was removed from the store.
+test('a host that knew the lease does not start its fence anew if the record is missing', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.contend('h2')
+  hosts.store.delete(leaseKey('duties'))
+  t.is(await hosts.contend('h2'), undefined, 'the holder may still act')
+  t.true(await contendUntilHeld(hosts, 'h2'))
+  t.is(hosts.act('h2')?.epoch, 2)
+  t.deepEqual(hosts.turns(), [])
+})
+
+/** Runs leaders with random faults, and returns how many of their epochs acted. */
+async function countEpochs (drawn: fc.Arbitrary<LeaseFaults>): Promise<number> {
+  let epochs = 0
+  await fc.assert(fc.asyncProperty(drawn, async (run) => {
+    const { sent, violations } = await runLeaders(run)
+    epochs += new Set(sent.map((order) => order.epoch)).size
+    if (violations.length > 0) throw new Error([...new Set(violations)].join('; '))
+  }), { seed: SEED, numRuns: RUNS, includeErrorInReport: true })
+  return epochs
+}
+
+// Guards against hosts that act in turn, or at the same time, after releases and restarts.
+test(`leaders that are stopped and killed and start again never act in turn nor together (seed ${SEED}, ${RUNS} runs)`, async (t) => {
+  t.true(await countEpochs(faults.map((drawn) => ({ ...drawn, restarts: true }))) > 2 * RUNS)
+})
+
+// Guards against hosts that act in turn, or at the same time, after suspends and steps of the wall clock.
+test(`leaders whose machines are suspended and set to another time never act in turn nor together (seed ${SEED}, ${RUNS} runs)`, async (t) => {
+  const clockFaults = fc.tuple(faults, fc.boolean()).map(([drawn, restarts]) => ({ ...drawn, restarts, clockFaults: true }))
+  t.true(await countEpochs(clockFaults) > 2 * RUNS)
+})
