Logs of takeovers, ends and read-backs of a lease

No change of logic. A takeover says why the lease was free (missing, released, expired, predecessor), who held it and for how long its record had been unchanged; an end says why, with the time since the last renewal by the steady and by the wall clock; a read-back says which renewal was written and which was found.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -62,6 +62,12 @@
   RewardAnswered = 'reward-answered',
   LeaseGained = 'lease-gained',
   LeaseLost = 'lease-lost',
+  /** Why this host took a lease, and from whom. */
+  LeaseTaken = 'lease-taken',
+  /** Why this host no longer holds a lease, and how long ago it was confirmed by each clock. */
+  LeaseEnded = 'lease-ended',
+  /** A write of a lease without a known outcome, and what the store has in its place. */
+  LeaseReadBack = 'lease-read-back',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -1,10 +1,12 @@
-import { isPredecessor, leaseDeadline, mayTakeOver } from '@cyclamenthread/state'
+import { leaseDeadline, takeoverGround, TakeoverGround } from '@cyclamenthread/state'
 import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import * as z from 'zod'
+import { LogEvent } from './event-log.js'
 import { Periodic } from './periodic.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
 import type { Clock, LeaseRecord, LeaseObservation } from '@cyclamenthread/state'
 import type { ObjectStore, StoredObject } from '@cyclamenthread/protocol'
+import type { EventLog, LogFields } from './event-log.js'
 
 const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative(), released: z.boolean().optional() })
 
@@ -20,6 +22,27 @@
   readonly storeTimeoutMs: number
   /** Whether this process should contend; a process that already holds the lease keeps renewing it. */
   readonly eligible?: () => boolean
+  readonly log?: EventLog
+}
+
+/** Why a process no longer holds a lease. */
+enum LeaseEnd {
+  /** It was not renewed in time. */
+  Lapsed = 'lapsed',
+  /** The store has another record than the one that was written. */
+  Replaced = 'replaced',
+  Released = 'released'
+}
+
+/** A lease as this process holds it. */
+interface HeldLease {
+  readonly leadership: Leadership
+  readonly record: LeaseRecord
+  readonly version: string
+  /** Monotonic time before the write that the deadline counts from, in milliseconds. */
+  readonly sentAt: number
+  /** Wall-clock time before that write, in milliseconds since 1970. */
+  readonly sentAtWall: number
 }
 
 /** A limited right to act as leader. */
@@ -41,7 +64,7 @@
   readonly #clock: Clock
   readonly #renewalLoop: Periodic
   #observation: LeaseObservation | undefined
-  #held: { readonly leadership: Leadership, readonly record: LeaseRecord, readonly version: string } | undefined
+  #held: HeldLease | undefined
 
   constructor (settings: LeaseSettings, store: ObjectStore, clock: Clock = SYSTEM_CLOCK) {
     this.#settings = settings
@@ -63,6 +86,7 @@
     const held = this.#held
     this.#held = undefined
     if (held === undefined || this.#clock.now() >= held.leadership.deadline) return
+    this.#logEnd(held, LeaseEnd.Released)
     const record = { ...held.record, renewal: held.record.renewal + 1, released: true }
     await this.#store.write(leaseKey(this.#settings.name), record, { kind: ExpectationKind.Version, version: held.version }, this.#storeCall())
   }
@@ -92,19 +116,27 @@
   }
 
   async #contend (): Promise<void> {
+    if (this.#held !== undefined) this.#logEnd(this.#held, LeaseEnd.Lapsed)
     this.#held = undefined
     if (this.#settings.eligible?.() === false) return
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok) return
     if (found.value === undefined) {
-      await this.#writeRecord({ holder: this.#settings.holder, epoch: 1, renewal: 0 }, undefined)
+      await this.#take({ holder: this.#settings.holder, epoch: 1, renewal: 0 }, TakeoverGround.Missing, undefined)
       return
     }
     const observation = this.#recordObservation(found.value)
     if (observation === undefined) return
-    const isFree = isPredecessor(observation.record, this.#settings.holder) || mayTakeOver(observation, this.#settings.leaseMs, this.#clock.now())
-    if (!isFree) return
-    await this.#writeRecord({ holder: this.#settings.holder, epoch: observation.record.epoch + 1, renewal: 0 }, observation.version)
+    const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
+    if (ground === undefined) return
+    await this.#take({ holder: this.#settings.holder, epoch: observation.record.epoch + 1, renewal: 0 }, ground, observation)
+  }
+
+  async #take (record: LeaseRecord, ground: TakeoverGround, former: LeaseObservation | undefined): Promise<void> {
+    const unchangedMs = former === undefined ? undefined : this.#clock.now() - former.firstSeenAt
+    await this.#writeRecord(record, former?.version)
+    const isHeld = this.#held !== undefined
+    this.#log(LogEvent.LeaseTaken, { ground, isHeld, fence: record.epoch, holder: former?.record.holder, formerFence: former?.record.epoch, unchangedMs })
   }
 
   #recordObservation (object: StoredObject): LeaseObservation | undefined {
@@ -117,30 +149,46 @@
   /** Writes the record; if the outcome is unknown, the old deadline stays in force and the record is read back at once. */
   async #writeRecord (record: LeaseRecord, version: string | undefined): Promise<void> {
     const sentAt = this.#clock.now()
+    const sentAtWall = this.#clock.wall()
     const expectation = version === undefined
       ? { kind: ExpectationKind.Absent } as const
       : { kind: ExpectationKind.Version, version } as const
     const result = await this.#store.write(leaseKey(this.#settings.name), record, expectation, this.#storeCall())
     if (result.status === WriteStatus.Applied) {
       const leadership = { epoch: record.epoch, deadline: leaseDeadline(sentAt, this.#settings.leaseMs) }
-      this.#held = { leadership, record, version: result.version }
+      this.#held = { leadership, record, version: result.version, sentAt, sentAtWall }
       return
     }
-    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt)
+    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt, sentAtWall)
   }
 
-  async #readBack (record: LeaseRecord, sentAt: number): Promise<void> {
+  async #readBack (record: LeaseRecord, sentAt: number, sentAtWall: number): Promise<void> {
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok || found.value === undefined) return
     const current = leaseSchema.safeParse(found.value.value).data
+    this.#log(LogEvent.LeaseReadBack, { fence: record.epoch, renewal: record.renewal, holder: current?.holder, foundFence: current?.epoch, foundRenewal: current?.renewal, released: current?.released })
     const own = current?.holder === record.holder && current.epoch === record.epoch
+    const held = this.#held
     if (!own) {
+      if (held !== undefined) this.#logEnd(held, LeaseEnd.Replaced, current?.holder)
       this.#held = undefined
       return
     }
     // Either this write took effect or an earlier one of this process is still in place; only the former extends the deadline.
-    const deadline = current.renewal === record.renewal ? leaseDeadline(sentAt, this.#settings.leaseMs) : this.#held?.leadership.deadline ?? 0
-    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version }
+    const confirmed = current.renewal === record.renewal
+    const deadline = confirmed ? leaseDeadline(sentAt, this.#settings.leaseMs) : held?.leadership.deadline ?? 0
+    const sent = confirmed || held === undefined ? { sentAt, sentAtWall } : { sentAt: held.sentAt, sentAtWall: held.sentAtWall }
+    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version, ...sent }
+  }
+
+  #logEnd (held: HeldLease, reason: LeaseEnd, holder?: string): void {
+    const steadyMs = this.#clock.now() - held.sentAt
+    const wallMs = this.#clock.wall() - held.sentAtWall
+    this.#log(LogEvent.LeaseEnded, { reason, fence: held.record.epoch, renewal: held.record.renewal, steadyMs, wallMs, holder })
+  }
+
+  #log (event: LogEvent, fields: LogFields): void {
+    this.#settings.log?.record(event, { lease: this.#settings.name, ...fields })
   }
 
   #storeCall (): { readonly purpose: StorePurpose, readonly deadline: number } {
--- a/packages/state/src/lib/lease.ts
+++ b/packages/state/src/lib/lease.ts
@@ -16,6 +16,18 @@
   readonly firstSeenAt: number
 }
 
+/** Why a candidate may take a lease. */
+export enum TakeoverGround {
+  /** The store has no record of it. */
+  Missing = 'missing',
+  /** Its holder has released it. */
+  Released = 'released',
+  /** Its record has not changed for longer than the lease. */
+  Expired = 'expired',
+  /** It is held by a previous process of the candidate's own host. */
+  Predecessor = 'predecessor'
+}
+
 /** Share of the lease by which an observer waits longer: two hosts whose clock rates differ by less can't both believe that they hold it. */
 const CLOCK_DRIFT_MARGIN = 0.05
 
@@ -47,6 +59,21 @@
   return record.holder !== own && hostOf(own) !== '' && hostOf(record.holder) === hostOf(own)
 }
 
+/**
+ * Why an observer may take over a lease now; undefined if it may not.
+ *
+ * @param own the observer's name as a holder, in the form `<host>/<incarnation>`
+ * @param leaseMs duration of the lease in milliseconds
+ * @param now observer's monotonic time in milliseconds
+ * @example
+ * takeoverGround(observation, 'h1/4f2c', 10_000, performance.now())
+ */
+export function takeoverGround (observation: LeaseObservation, own: string, leaseMs: number, now: number): TakeoverGround | undefined {
+  if (isPredecessor(observation.record, own)) return TakeoverGround.Predecessor
+  if (!mayTakeOver(observation, leaseMs, now)) return undefined
+  return observation.record.released === true ? TakeoverGround.Released : TakeoverGround.Expired
+}
+
 /**
  * Computes until when a holder may act on its lease. The time counts from before
  * the renewal was sent, so that it ends before the wait of any observer.
