--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -49,7 +49,7 @@
     this.#duties = duties
     const location = { region: settings.storeRegion, failureDomain: '' }
     const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
-    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
+    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible, log: context.log }, store)
     this.#loops = duties.map((duty) => new Periodic(DUTY_PERIOD_MS, async () => await this.#runDuty(duty)))
   }
 
