Logs of the calls under a lease: what is under way at its end, and the time left

A right to one call is opened for each call of a duty; it notes when the call begins to be written and when it ends. Lines of duties state the time that was left of the lease at both, and whether the call was given up; a release and a loss state the calls under way.

--- a/packages/coordination/src/lib/capacity-duty.ts
+++ b/packages/coordination/src/lib/capacity-duty.ts
@@ -43,7 +43,7 @@
         const held = lease()
         if (held === undefined) return
         const status = await this.#context.platform.orderCapacity({ service: service.name, failureDomain, count, cheap: false }, held)
-        this.#context.log.record(LogEvent.CapacityOrdered, { service: service.name, failureDomain, count, fence: held.fence, outcome: status })
+        this.#context.log.record(LogEvent.CapacityOrdered, { service: service.name, failureDomain, count, fence: held.fence, outcome: status, ...held.course })
         if (status === PlatformCallStatus.Done) this.#orderedCounts.set(name, count)
         else this.#retryAt.set(name, monotonicNow() + RETRY_DELAY_MS)
       }
--- a/packages/coordination/src/lib/duty-context.ts
+++ b/packages/coordination/src/lib/duty-context.ts
@@ -43,7 +43,7 @@
   /**
    * Does all work that is due now.
    *
-   * @param lease returns the lease if it is held at this moment; to be called again before each external call
+   * @param lease returns the right to make one call if the lease is held at this moment; to be called again before each external call
    */
   runOnce (lease: () => LeaderLease | undefined): Promise<void>
   /** Discards the state gathered under an earlier lease. */
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -62,6 +62,8 @@
   RewardAnswered = 'reward-answered',
   LeaseGained = 'lease-gained',
   LeaseLost = 'lease-lost',
+  /** This host gave its lease up, with the calls that were under way then. */
+  LeaseGivenUp = 'lease-given-up',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -1,3 +1,4 @@
+import { LeasedCalls } from './leased-calls.js'
 import { LeaseTask } from './lease-task.js'
 import { LogEvent } from './event-log.js'
 import { Periodic } from './periodic.js'
@@ -41,6 +42,7 @@
   readonly #lease: LeaseTask
   readonly #loops: readonly Periodic[]
   readonly #settings: LeaderSettings
+  readonly #calls = new LeasedCalls()
   #epoch = 0
 
   constructor (settings: LeaderSettings, store: ObjectStore, context: DutyContext, duties: readonly Duty[]) {
@@ -67,6 +69,8 @@
   async stop (): Promise<void> {
     await Promise.all(this.#loops.map(async (loop) => await loop.stop()))
     await this.#lease.stop()
+    const { underWay, counts: { begun, answered, givenUp } } = this.#calls
+    if (this.isLeader) this.#context.log.record(LogEvent.LeaseGivenUp, { lease: DUTIES_LEASE, fence: this.#epoch, released: true, underWay, begun, answered, givenUp })
     await this.#lease.release()
     if (this.#epoch !== 0) this.#changeEpoch(0)
   }
@@ -85,7 +89,7 @@
   }
 
   #changeEpoch (epoch: number): void {
-    this.#context.log.record(epoch === 0 ? LogEvent.LeaseLost : LogEvent.LeaseGained, { lease: DUTIES_LEASE, fence: epoch === 0 ? this.#epoch : epoch })
+    this.#context.log.record(epoch === 0 ? LogEvent.LeaseLost : LogEvent.LeaseGained, { lease: DUTIES_LEASE, fence: epoch === 0 ? this.#epoch : epoch, underWay: this.#calls.underWay })
     for (const mirror of this.#context.mirrors) {
       if (epoch !== 0 && this.#epoch === 0) mirror.start()
       if (epoch === 0) mirror.stop()
@@ -98,6 +102,6 @@
     const leadership = this.#lease.leadership()
     if (leadership === undefined) return undefined
     const deadline = leadership.deadline - this.#settings.leaseMs * SAFETY_MARGIN_SHARE
-    return performance.now() < deadline ? { holder: this.#context.hostId, fence: leadership.epoch, deadline } : undefined
+    return performance.now() < deadline ? this.#calls.openCall({ holder: this.#context.hostId, fence: leadership.epoch, deadline }) : undefined
   }
 }
--- a/packages/coordination/src/lib/usage-duty.ts
+++ b/packages/coordination/src/lib/usage-duty.ts
@@ -54,7 +54,7 @@
       return
     }
     const status = await this.#context.platform.reportUsage(window, counts, currentLease)
-    this.#context.log.record(LogEvent.DutyCalled, { duty: 'usage', window, outcome: status, fence: currentLease.fence, workspaces: Object.keys(counts).length })
+    this.#context.log.record(LogEvent.DutyCalled, { duty: 'usage', window, outcome: status, fence: currentLease.fence, workspaces: Object.keys(counts).length, ...currentLease.course })
     if (status === PlatformCallStatus.Failed) this.#notBefore = performance.now() + RETRY_DELAY_MS
     else this.#nextWindow = window + 1
   }
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -211,10 +211,9 @@
     state.orderedAt.set(id, monotonicNow())
     state.unansweredOrders.delete(id)
     this.#broadcastChange(record, model, undefined)
-    const { holder, fence, deadline } = held
     this.#context.sends.charge(record)
-    const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, holder, fence, expectedOrders, leaseDeadline: deadline })
-    this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence, expectedOrders, outcome: status })
+    const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, lease: held, expectedOrders })
+    this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence: held.fence, expectedOrders, outcome: status, ...held.course })
     if (status === WeightOrderStatus.Accepted) {
       this.#orderCounts.set(incarnationOf(record), expectedOrders + 1)
       state.awaitedVersions.set(id, version)
--- a/packages/coordination/src/test/usage-duty.test.ts
+++ b/packages/coordination/src/test/usage-duty.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { SILENT_LOG, UsageDuty } from '@cyclamenthread/coordination'
 import { PlatformCallStatus, usageWindowKey } from '@cyclamenthread/protocol'
-import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
+import { createHeldLease, MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { UsageTally } from '@cyclamenthread/state'
 import type { DutyContext, MemberView, MessageBus } from '@cyclamenthread/coordination'
 import type { LeaderLease } from '@cyclamenthread/protocol'
@@ -54,7 +54,7 @@
 }
 
 function createLease (fence: number): () => LeaderLease {
-  return () => ({ holder: 'a', fence, deadline: performance.now() + 1_000 })
+  return () => createHeldLease(fence, 1_000)
 }
 
 test('a window is reported with the counts of all hosts', async (t) => {
--- a/packages/coordination/src/test/weight-duty.test.ts
+++ b/packages/coordination/src/test/weight-duty.test.ts
@@ -2,6 +2,7 @@
 import { IGNORED_NOTICES, SILENT_LOG, UNLIMITED_SENDS, WeightDuty } from '@cyclamenthread/coordination'
 import { RouteKind, StepDemand } from '@cyclamenthread/state'
 import { WeightOrderStatus } from '@cyclamenthread/protocol'
+import { createHeldLease } from '@cyclamenthread/standins'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints } from './scripted-endpoints.js'
@@ -74,7 +75,7 @@
     bus: {} as unknown as MessageBus
   }
   const duty = new WeightDuty(context as DutyContext)
-  return { endpoints, released, runOnce: async (lease = () => ({ holder: 'a', fence: 7, deadline: performance.now() + 1_000 })) => await duty.runOnce(lease) }
+  return { endpoints, released, runOnce: async (lease = () => createHeldLease(7, 1_000)) => await duty.runOnce(lease) }
 }
 
 async function runTurnsUntil (fixture: Fixture, condition: () => boolean, most = 400): Promise<void> {
@@ -91,7 +92,7 @@
   await runTurnsUntil(fixture, () => [...fixture.endpoints.versions.values()].filter((version) => version === 2).length === 6)
   t.true(fixture.endpoints.maxLoading <= 3)
   t.true((fixture.endpoints.firstOrderAt ?? 0) - releasedAt >= 400, 'the previous version still serves the step that has just started')
-  t.true(fixture.endpoints.orders.every(({ order }) => order.fence === 7 && order.version === 2))
+  t.true(fixture.endpoints.orders.every(({ order }) => order.lease.fence === 7 && order.version === 2))
   t.deepEqual(fixture.endpoints.orders.map(({ endpoint }) => endpoint).sort(), ['e0', 'e1', 'e2', 'e3', 'e4', 'e5'])
 })
 
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -1,4 +1,5 @@
 import type { EndpointEntry, EndpointNotice, EndpointSign, ObservedLoad } from '@cyclamenthread/state'
+import type { LeaderLease } from './leader-lease.js'
 
 /** A header name and value; the name keeps its original case. */
 export type HeaderPair = readonly [name: string, value: string]
@@ -87,13 +88,9 @@
 export interface WeightOrder {
   readonly model: string
   readonly version: number
-  readonly holder: string
-  /** Fencing token of the lease. */
-  readonly fence: number
+  readonly lease: LeaderLease
   /** Number of orders the endpoint has accepted so far. If it differs, the endpoint rejects the order, so that a delayed order can't undo a newer one. */
   readonly expectedOrders: number
-  /** Monotonic time at which the lease expires, in milliseconds; no byte is sent after it. */
-  readonly leaseDeadline: number
 }
 
 /** Outcome of a weight order. */
--- a/packages/protocol/src/lib/leased-body.ts
+++ b/packages/protocol/src/lib/leased-body.ts
@@ -8,7 +8,7 @@
   stream (): Readable
 }
 
-/** Thrown when a lease expired before the first byte of the body was written. */
+/** Thrown when a lease ended before the first byte of the body was written. */
 export class LeaseEndedError extends Error {
   override readonly name = 'LeaseEndedError'
 }
@@ -21,10 +21,11 @@
  *
  * @param text the body
  * @param deadline monotonic time at which the lease expires, in milliseconds
+ * @param begin returns whether the lease is held; called when the first byte is about to be written
  * @example
- * const body = createLeasedBody(JSON.stringify(order), leadership.deadline)
+ * const body = createLeasedBody(JSON.stringify(order), lease.deadline, () => lease.begin())
  */
-export function createLeasedBody (text: string, deadline: number): LeasedBody {
+export function createLeasedBody (text: string, deadline: number, begin: () => boolean = () => true): LeasedBody {
   let started = false
   return {
     get started () {
@@ -33,8 +34,8 @@
     stream () {
       return new Readable({
         read () {
-          if (monotonicNow() >= deadline) {
-            this.destroy(new LeaseEndedError('the lease expired before the request was written'))
+          if (monotonicNow() >= deadline || !begin()) {
+            this.destroy(new LeaseEndedError('the lease ended before the request was written'))
             return
           }
           started = true
--- a/packages/protocol/src/lib/platform-port.ts
+++ b/packages/protocol/src/lib/platform-port.ts
@@ -1,11 +1,4 @@
-/** The leader lease under which a platform call is made. */
-export interface LeaderLease {
-  readonly holder: string
-  /** Fencing token. */
-  readonly fence: number
-  /** Monotonic time at which the lease expires, in milliseconds; no byte is sent after it. */
-  readonly deadline: number
-}
+import type { LeaderLease } from './leader-lease.js'
 
 /** The desired number of endpoints of a service in a failure domain. */
 export interface CapacityOrder {
