A host that acted on a lease shortly before another doesn't take it again at once

What was seen: holders A, B, A within leaseMs for one duty. Cause (hypothesis 1): a released lease is taken at once by whoever contends, and the record knew only its last holder. A releases, B acts and releases, and A's next process acts again, 1,400 ms after its last act with a lease of 3,000 ms.

The record now names the hosts that held the lease before (formerHosts). A takeover adds the host that it replaces; a holder clears the list after holding the lease for longer than its duration, by its own clock, from when it knew that its takeover had taken effect. A host on the list waits until it has seen the present epoch for longer than the lease: its earlier acts ended before that epoch began. This holds for released leases, for expired ones (A may act up to the end of its lease, B takes it over and releases it at once) and through a third holder or a restart of the holder. Other hosts take a released lease at once.

--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -1,4 +1,4 @@
-import { leaseDeadline, takeoverGround, TakeoverGround } from '@cyclamenthread/state'
+import { formerHostsAfter, leaseDeadline, leaseWaitMs, takeoverGround, TakeoverGround } from '@cyclamenthread/state'
 import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import * as z from 'zod'
 import { LogEvent } from './event-log.js'
@@ -8,7 +8,13 @@
 import type { ObjectStore, StoredObject } from '@cyclamenthread/protocol'
 import type { EventLog, LogFields } from './event-log.js'
 
-const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative(), released: z.boolean().optional() })
+const leaseSchema = z.object({
+  holder: z.string(),
+  epoch: z.int().positive(),
+  renewal: z.int().nonnegative(),
+  released: z.boolean().optional(),
+  formerHosts: z.array(z.string()).optional()
+})
 
 /** Share of the lease's duration after which it is renewed. */
 const RENEWAL_SHARE = 1 / 3
@@ -39,6 +45,8 @@
   readonly leadership: Leadership
   readonly record: LeaseRecord
   readonly version: string
+  /** Monotonic time at which this process knew that its takeover had taken effect, in milliseconds. */
+  readonly heldSince: number
   /** Monotonic time before the write that the deadline counts from, in milliseconds. */
   readonly sentAt: number
   /** Wall-clock time before that write, in milliseconds since 1970. */
@@ -87,7 +95,7 @@
     this.#held = undefined
     if (held === undefined || this.#clock.now() >= held.leadership.deadline) return
     this.#logEnd(held, LeaseEnd.Released)
-    const record = { ...held.record, renewal: held.record.renewal + 1, released: true }
+    const record = { ...this.#nextRecord(held), released: true }
     await this.#store.write(leaseKey(this.#settings.name), record, { kind: ExpectationKind.Version, version: held.version }, this.#storeCall())
   }
 
@@ -107,12 +115,14 @@
    */
   async renewOrContend (): Promise<void> {
     const held = this.#held
-    if (held !== undefined && this.#clock.now() < held.leadership.deadline) await this.#renew(held.record, held.version)
+    if (held !== undefined && this.#clock.now() < held.leadership.deadline) await this.#writeRecord(this.#nextRecord(held), held.version)
     else await this.#contend()
   }
 
-  async #renew (record: LeaseRecord, version: string): Promise<void> {
-    await this.#writeRecord({ ...record, renewal: record.renewal + 1, released: undefined }, version)
+  /** The record of the next renewal; it names no former hosts any more once their acts lie further back than the lease. */
+  #nextRecord ({ record, heldSince }: HeldLease): LeaseRecord {
+    const isLongHeld = this.#clock.now() - heldSince > leaseWaitMs(this.#settings.leaseMs)
+    return { ...record, renewal: record.renewal + 1, released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
   }
 
   async #contend (): Promise<void> {
@@ -129,20 +139,26 @@
     if (observation === undefined) return
     const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
     if (ground === undefined) return
-    await this.#take({ holder: this.#settings.holder, epoch: observation.record.epoch + 1, renewal: 0 }, ground, observation)
+    const { holder } = this.#settings
+    const formerHosts = formerHostsAfter(observation.record, holder)
+    await this.#take({ holder, epoch: observation.record.epoch + 1, renewal: 0, formerHosts }, ground, observation)
   }
 
   async #take (record: LeaseRecord, ground: TakeoverGround, former: LeaseObservation | undefined): Promise<void> {
     const unchangedMs = former === undefined ? undefined : this.#clock.now() - former.firstSeenAt
     await this.#writeRecord(record, former?.version)
     const isHeld = this.#held !== undefined
-    this.#log(LogEvent.LeaseTaken, { ground, isHeld, fence: record.epoch, holder: former?.record.holder, formerFence: former?.record.epoch, unchangedMs })
+    this.#log(LogEvent.LeaseTaken, { ground, isHeld, fence: record.epoch, holder: former?.record.holder, formerFence: former?.record.epoch, formerHosts: record.formerHosts, unchangedMs })
   }
 
-  #recordObservation (object: StoredObject): LeaseObservation | undefined {
-    if (this.#observation?.version === object.version) return this.#observation
-    const record = leaseSchema.safeParse(object.value).data
-    this.#observation = record === undefined ? undefined : { record, version: object.version, firstSeenAt: this.#clock.now() }
+  #recordObservation ({ value, version }: StoredObject): LeaseObservation | undefined {
+    const last = this.#observation
+    if (last?.version === version) return last
+    const record = leaseSchema.safeParse(value).data
+    const firstSeenAt = this.#clock.now()
+    const isSameEpoch = last !== undefined && last.record.epoch === record?.epoch && last.record.holder === record.holder
+    const epochSeenAt = isSameEpoch ? last.epochSeenAt : firstSeenAt
+    this.#observation = record === undefined ? undefined : { record, version, firstSeenAt, epochSeenAt }
     return this.#observation
   }
 
@@ -156,7 +172,8 @@
     const result = await this.#store.write(leaseKey(this.#settings.name), record, expectation, this.#storeCall())
     if (result.status === WriteStatus.Applied) {
       const leadership = { epoch: record.epoch, deadline: leaseDeadline(sentAt, this.#settings.leaseMs) }
-      this.#held = { leadership, record, version: result.version, sentAt, sentAtWall }
+      const heldSince = this.#held?.heldSince ?? this.#clock.now()
+      this.#held = { leadership, record, version: result.version, heldSince, sentAt, sentAtWall }
       return
     }
     if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt, sentAtWall)
@@ -178,7 +195,8 @@
     const confirmed = current.renewal === record.renewal
     const deadline = confirmed ? leaseDeadline(sentAt, this.#settings.leaseMs) : held?.leadership.deadline ?? 0
     const sent = confirmed || held === undefined ? { sentAt, sentAtWall } : { sentAt: held.sentAt, sentAtWall: held.sentAtWall }
-    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version, ...sent }
+    const heldSince = held?.heldSince ?? this.#clock.now()
+    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version, heldSince, ...sent }
   }
 
   #logEnd (held: HeldLease, reason: LeaseEnd, holder?: string): void {
--- a/packages/state/src/test/lease.test.ts
+++ b/packages/state/src/test/lease.test.ts
@@ -13,7 +13,7 @@
   fc.assert(fc.property(clockRate, clockRate, fc.integer({ min: 0, max: 30_000 }), (holderRate, observerRate, elapsed) => {
     // Worst case: the observer sees the renewal at the moment it is sent, at true time 0.
     const held = elapsed * holderRate < leaseDeadline(0, LEASE_MS)
-    const observation = { record: { holder: 'h', epoch: 1, renewal: 0 }, version: '1', firstSeenAt: 0 }
+    const observation = { record: { holder: 'h', epoch: 1, renewal: 0 }, version: '1', firstSeenAt: 0, epochSeenAt: 0 }
     return !(held && mayTakeOver(observation, LEASE_MS, elapsed * observerRate))
   }), { seed: SEED, numRuns: RUNS })
   t.pass()
@@ -21,8 +21,8 @@
 
 test('a released lease may be taken over at once', (t) => {
   const record = { holder: 'h', epoch: 1, renewal: 4 }
-  t.false(mayTakeOver({ record, version: '1', firstSeenAt: 0 }, LEASE_MS, 1))
-  t.true(mayTakeOver({ record: { ...record, released: true }, version: '1', firstSeenAt: 0 }, LEASE_MS, 1))
+  t.false(mayTakeOver({ record, version: '1', firstSeenAt: 0, epochSeenAt: 0 }, LEASE_MS, 1))
+  t.true(mayTakeOver({ record: { ...record, released: true }, version: '1', firstSeenAt: 0, epochSeenAt: 0 }, LEASE_MS, 1))
 })
 
 test('only a previous incarnation of the same host is a predecessor', (t) => {
