A lease ends for its holder although its machine was suspended

What was seen: two hosts act in turn. Cause (hypothesis 2): the holder compares its deadline with the steady clock, which stands still while the machine is suspended, so it acts until its next renewal fails, up to a third of the lease after another host took over.

SuspendAwareClock adds to the steady clock each lead that the wall clock gains on it between two readings; steps back only set a new baseline. Clock.elapsed() is this clock. LeaseTask gives the leadership only until the first of both clocks says that the lease has ended, and names the deadline on the steady clock accordingly; waits before a takeover stay on the steady clock, which counts least.

--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -42,15 +42,19 @@
 
 /** A lease as this process holds it. */
 interface HeldLease {
-  readonly leadership: Leadership
   readonly record: LeaseRecord
   readonly version: string
   /** Monotonic time at which this process knew that its takeover had taken effect, in milliseconds. */
   readonly heldSince: number
-  /** Monotonic time before the write that the deadline counts from, in milliseconds. */
-  readonly sentAt: number
-  /** Wall-clock time before that write, in milliseconds since 1970. */
-  readonly sentAtWall: number
+  /** Time before the write that the lease counts from. */
+  readonly sentAt: ClockReading
+}
+
+/** One moment by each clock of the process, in milliseconds. */
+interface ClockReading {
+  readonly steady: number
+  readonly elapsed: number
+  readonly wall: number
 }
 
 /** A limited right to act as leader. */
@@ -64,7 +68,9 @@
  * Acquires and renews one lease in the store.
  *
  * Invariant: `leadership()` returns a value only until the lease, counted from
- * before its last confirmed write was sent, has expired.
+ * before its last confirmed write was sent, has expired. The right to act ends by
+ * the clock that counts most, and a wait by the clock that counts least: of a
+ * machine that was suspended, the steady clock shows too little time.
  */
 export class LeaseTask {
   readonly #settings: LeaseSettings
@@ -93,7 +99,7 @@
   async release (): Promise<void> {
     const held = this.#held
     this.#held = undefined
-    if (held === undefined || this.#clock.now() >= held.leadership.deadline) return
+    if (held === undefined || this.#remainingMs(held) <= 0) return
     this.#logEnd(held, LeaseEnd.Released)
     const record = { ...this.#nextRecord(held), released: true }
     await this.#store.write(leaseKey(this.#settings.name), record, { kind: ExpectationKind.Version, version: held.version }, this.#storeCall())
@@ -105,7 +111,9 @@
    */
   leadership (): Leadership | undefined {
     const held = this.#held
-    return held !== undefined && this.#clock.now() < held.leadership.deadline ? held.leadership : undefined
+    if (held === undefined) return undefined
+    const remainingMs = this.#remainingMs(held)
+    return remainingMs > 0 ? { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs } : undefined
   }
 
   /**
@@ -115,7 +123,7 @@
    */
   async renewOrContend (): Promise<void> {
     const held = this.#held
-    if (held !== undefined && this.#clock.now() < held.leadership.deadline) await this.#writeRecord(this.#nextRecord(held), held.version)
+    if (held !== undefined && this.#remainingMs(held) > 0) await this.#writeRecord(this.#nextRecord(held), held.version)
     else await this.#contend()
   }
 
@@ -164,22 +172,20 @@
 
   /** Writes the record; if the outcome is unknown, the old deadline stays in force and the record is read back at once. */
   async #writeRecord (record: LeaseRecord, version: string | undefined): Promise<void> {
-    const sentAt = this.#clock.now()
-    const sentAtWall = this.#clock.wall()
+    const sentAt = this.#readClocks()
     const expectation = version === undefined
       ? { kind: ExpectationKind.Absent } as const
       : { kind: ExpectationKind.Version, version } as const
     const result = await this.#store.write(leaseKey(this.#settings.name), record, expectation, this.#storeCall())
     if (result.status === WriteStatus.Applied) {
-      const leadership = { epoch: record.epoch, deadline: leaseDeadline(sentAt, this.#settings.leaseMs) }
       const heldSince = this.#held?.heldSince ?? this.#clock.now()
-      this.#held = { leadership, record, version: result.version, heldSince, sentAt, sentAtWall }
+      this.#held = { record, version: result.version, heldSince, sentAt }
       return
     }
-    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt, sentAtWall)
+    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt)
   }
 
-  async #readBack (record: LeaseRecord, sentAt: number, sentAtWall: number): Promise<void> {
+  async #readBack (record: LeaseRecord, sentAt: ClockReading): Promise<void> {
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok || found.value === undefined) return
     const current = leaseSchema.safeParse(found.value.value).data
@@ -191,17 +197,25 @@
       this.#held = undefined
       return
     }
-    // Either this write took effect or an earlier one of this process is still in place; only the former extends the deadline.
-    const confirmed = current.renewal === record.renewal
-    const deadline = confirmed ? leaseDeadline(sentAt, this.#settings.leaseMs) : held?.leadership.deadline ?? 0
-    const sent = confirmed || held === undefined ? { sentAt, sentAtWall } : { sentAt: held.sentAt, sentAtWall: held.sentAtWall }
+    // Either this write took effect or an earlier one of this process is still in place; only the former extends the lease.
+    const countedFrom = current.renewal === record.renewal ? sentAt : held?.sentAt
     const heldSince = held?.heldSince ?? this.#clock.now()
-    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version, heldSince, ...sent }
+    this.#held = countedFrom === undefined ? undefined : { record: current, version: found.value.version, heldSince, sentAt: countedFrom }
+  }
+
+  /** How much longer this process may act, in milliseconds; negative once the lease has ended. */
+  #remainingMs ({ sentAt }: HeldLease): number {
+    const { leaseMs } = this.#settings
+    return Math.min(leaseDeadline(sentAt.steady, leaseMs) - this.#clock.now(), leaseDeadline(sentAt.elapsed, leaseMs) - this.#clock.elapsed())
+  }
+
+  #readClocks (): ClockReading {
+    return { steady: this.#clock.now(), elapsed: this.#clock.elapsed(), wall: this.#clock.wall() }
   }
 
   #logEnd (held: HeldLease, reason: LeaseEnd, holder?: string): void {
-    const steadyMs = this.#clock.now() - held.sentAt
-    const wallMs = this.#clock.wall() - held.sentAtWall
+    const steadyMs = this.#clock.now() - held.sentAt.steady
+    const wallMs = this.#clock.wall() - held.sentAt.wall
     this.#log(LogEvent.LeaseEnded, { reason, fence: held.record.epoch, renewal: held.record.renewal, steadyMs, wallMs, holder })
   }
 
--- a/packages/coordination/src/test/batch-run.test.ts
+++ b/packages/coordination/src/test/batch-run.test.ts
@@ -109,7 +109,7 @@
       staleness: new VersionTracker(),
       policy: DEFAULT_BATCH_POLICY,
       counters: this.counters,
-      clock: { now: () => performance.now(), wall: () => Date.now(), sleep: async () => await nextTurn() }
+      clock: { now: () => performance.now(), elapsed: () => performance.now(), wall: () => Date.now(), sleep: async () => await nextTurn() }
     }
   }
 
--- a/packages/coordination/src/test/journal-task.test.ts
+++ b/packages/coordination/src/test/journal-task.test.ts
@@ -32,6 +32,7 @@
 
   readonly clock: Clock = {
     now: () => this.time,
+    elapsed: () => this.time,
     wall: () => this.time,
     // The clock doesn't advance by itself; a sleeping task resumes in the next turn of the event loop.
     sleep: async () => await new Promise((resolve) => setImmediate(resolve))
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -30,7 +30,7 @@
 
 test('after all hosts restart, the last holder leads again at once, and another host only after the lease expires', async (t) => {
   const store = new MemoryStore({ sleep: async () => {} }, seededRandom(1))
-  const clock = { now: () => 0, wall: () => 0, sleep: async () => {} }
+  const clock = { now: () => 0, elapsed: () => 0, wall: () => 0, sleep: async () => {} }
   const open = (holder: string): LeaseTask => new LeaseTask({ name: 'duties', holder, leaseMs: 3_000, storeTimeoutMs: 500 }, store, clock)
   const first = open('h1/a')
   await first.renewOrContend()
--- a/packages/coordination/src/test/process-clock.ts
+++ b/packages/coordination/src/test/process-clock.ts
@@ -1,3 +1,4 @@
+import { SuspendAwareClock } from '@cyclamenthread/transport'
 import type { Clock } from '@cyclamenthread/state'
 import type { VirtualClock } from '@cyclamenthread/standins'
 
@@ -18,10 +19,12 @@
   /** Duration of earlier suspends, in milliseconds. */
   #suspendedMs = 0
   #ended = false
+  readonly #elapsed: SuspendAwareClock
 
   constructor (clock: VirtualClock, rate = 1) {
     this.#clock = clock
     this.#rate = rate
+    this.#elapsed = new SuspendAwareClock({ steady: () => this.now(), wall: () => this.wall() })
   }
 
   /** Whether the process does nothing now, because it is paused or its machine is suspended. */
@@ -33,6 +36,10 @@
     return (this.#clock.now() - this.#suspendedTime()) * this.#rate
   }
 
+  elapsed (): number {
+    return this.#elapsed.now()
+  }
+
   wall (): number {
     return this.#clock.wall() + this.wallOffset
   }
--- a/packages/standins/src/lib/virtual-clock.ts
+++ b/packages/standins/src/lib/virtual-clock.ts
@@ -26,6 +26,10 @@
     return this.#now
   }
 
+  elapsed (): number {
+    return this.#now
+  }
+
   wall (): number {
     return WALL_CLOCK_START_MS + this.#now
   }
