--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -1,4 +1,4 @@
-import { leaseDeadline, takeoverGround, TakeoverGround } from '@cyclamenthread/state'
+import { formerHostsAfter, leaseDeadline, leaseWaitMs, takeoverGround, TakeoverGround } from '@cyclamenthread/state'
 import { ExpectationKind, leaseKey, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import * as z from 'zod'
 import { LogEvent } from './event-log.js'
@@ -8,7 +8,13 @@
 import type { ObjectStore, StoredObject } from '@cyclamenthread/protocol'
 import type { EventLog, LogFields } from './event-log.js'
 
-const leaseSchema = z.object({ holder: z.string(), epoch: z.int().positive(), renewal: z.int().nonnegative(), released: z.boolean().optional() })
+const leaseSchema = z.object({
+  holder: z.string(),
+  epoch: z.int().positive(),
+  renewal: z.int().nonnegative(),
+  released: z.boolean().optional(),
+  formerHosts: z.array(z.string()).optional()
+})
 
 /** Share of the lease's duration after which it is renewed. */
 const RENEWAL_SHARE = 1 / 3
@@ -36,13 +42,19 @@
 
 /** A lease as this process holds it. */
 interface HeldLease {
-  readonly leadership: Leadership
   readonly record: LeaseRecord
   readonly version: string
-  /** Monotonic time before the write that the deadline counts from, in milliseconds. */
-  readonly sentAt: number
-  /** Wall-clock time before that write, in milliseconds since 1970. */
-  readonly sentAtWall: number
+  /** Monotonic time at which this process knew that its takeover had taken effect, in milliseconds. */
+  readonly heldSince: number
+  /** Time before the write that the lease counts from. */
+  readonly sentAt: ClockReading
+}
+
+/** One moment by each clock of the process, in milliseconds. */
+interface ClockReading {
+  readonly steady: number
+  readonly elapsed: number
+  readonly wall: number
 }
 
 /** A limited right to act as leader. */
@@ -56,7 +68,9 @@
  * Acquires and renews one lease in the store.
  *
  * Invariant: `leadership()` returns a value only until the lease, counted from
- * before its last confirmed write was sent, has expired.
+ * before its last confirmed write was sent, has expired. The right to act ends by
+ * the clock that counts most, and a wait by the clock that counts least: of a
+ * machine that was suspended, the steady clock shows too little time.
  */
 export class LeaseTask {
   readonly #settings: LeaseSettings
@@ -85,9 +99,9 @@
   async release (): Promise<void> {
     const held = this.#held
     this.#held = undefined
-    if (held === undefined || this.#clock.now() >= held.leadership.deadline) return
+    if (held === undefined || this.#remainingMs(held) <= 0) return
     this.#logEnd(held, LeaseEnd.Released)
-    const record = { ...held.record, renewal: held.record.renewal + 1, released: true }
+    const record = { ...this.#nextRecord(held), released: true }
     await this.#store.write(leaseKey(this.#settings.name), record, { kind: ExpectationKind.Version, version: held.version }, this.#storeCall())
   }
 
@@ -97,7 +111,9 @@
    */
   leadership (): Leadership | undefined {
     const held = this.#held
-    return held !== undefined && this.#clock.now() < held.leadership.deadline ? held.leadership : undefined
+    if (held === undefined) return undefined
+    const remainingMs = this.#remainingMs(held)
+    return remainingMs > 0 ? { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs } : undefined
   }
 
   /**
@@ -107,12 +123,14 @@
    */
   async renewOrContend (): Promise<void> {
     const held = this.#held
-    if (held !== undefined && this.#clock.now() < held.leadership.deadline) await this.#renew(held.record, held.version)
+    if (held !== undefined && this.#remainingMs(held) > 0) await this.#writeRecord(this.#nextRecord(held), held.version)
     else await this.#contend()
   }
 
-  async #renew (record: LeaseRecord, version: string): Promise<void> {
-    await this.#writeRecord({ ...record, renewal: record.renewal + 1, released: undefined }, version)
+  /** The record of the next renewal; it names no former hosts any more once their acts lie further back than the lease. */
+  #nextRecord ({ record, heldSince }: HeldLease): LeaseRecord {
+    const isLongHeld = this.#clock.now() - heldSince > leaseWaitMs(this.#settings.leaseMs)
+    return { ...record, renewal: record.renewal + 1, released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
   }
 
   async #contend (): Promise<void> {
@@ -129,40 +147,45 @@
     if (observation === undefined) return
     const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
     if (ground === undefined) return
-    await this.#take({ holder: this.#settings.holder, epoch: observation.record.epoch + 1, renewal: 0 }, ground, observation)
+    const { holder } = this.#settings
+    const formerHosts = formerHostsAfter(observation.record, holder)
+    await this.#take({ holder, epoch: observation.record.epoch + 1, renewal: 0, formerHosts }, ground, observation)
   }
 
   async #take (record: LeaseRecord, ground: TakeoverGround, former: LeaseObservation | undefined): Promise<void> {
     const unchangedMs = former === undefined ? undefined : this.#clock.now() - former.firstSeenAt
     await this.#writeRecord(record, former?.version)
     const isHeld = this.#held !== undefined
-    this.#log(LogEvent.LeaseTaken, { ground, isHeld, fence: record.epoch, holder: former?.record.holder, formerFence: former?.record.epoch, unchangedMs })
+    this.#log(LogEvent.LeaseTaken, { ground, isHeld, fence: record.epoch, holder: former?.record.holder, formerFence: former?.record.epoch, formerHosts: record.formerHosts, unchangedMs })
   }
 
-  #recordObservation (object: StoredObject): LeaseObservation | undefined {
-    if (this.#observation?.version === object.version) return this.#observation
-    const record = leaseSchema.safeParse(object.value).data
-    this.#observation = record === undefined ? undefined : { record, version: object.version, firstSeenAt: this.#clock.now() }
+  #recordObservation ({ value, version }: StoredObject): LeaseObservation | undefined {
+    const last = this.#observation
+    if (last?.version === version) return last
+    const record = leaseSchema.safeParse(value).data
+    const firstSeenAt = this.#clock.now()
+    const isSameEpoch = last !== undefined && last.record.epoch === record?.epoch && last.record.holder === record.holder
+    const epochSeenAt = isSameEpoch ? last.epochSeenAt : firstSeenAt
+    this.#observation = record === undefined ? undefined : { record, version, firstSeenAt, epochSeenAt }
     return this.#observation
   }
 
   /** Writes the record; if the outcome is unknown, the old deadline stays in force and the record is read back at once. */
   async #writeRecord (record: LeaseRecord, version: string | undefined): Promise<void> {
-    const sentAt = this.#clock.now()
-    const sentAtWall = this.#clock.wall()
+    const sentAt = this.#readClocks()
     const expectation = version === undefined
       ? { kind: ExpectationKind.Absent } as const
       : { kind: ExpectationKind.Version, version } as const
     const result = await this.#store.write(leaseKey(this.#settings.name), record, expectation, this.#storeCall())
     if (result.status === WriteStatus.Applied) {
-      const leadership = { epoch: record.epoch, deadline: leaseDeadline(sentAt, this.#settings.leaseMs) }
-      this.#held = { leadership, record, version: result.version, sentAt, sentAtWall }
+      const heldSince = this.#held?.heldSince ?? this.#clock.now()
+      this.#held = { record, version: result.version, heldSince, sentAt }
       return
     }
-    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt, sentAtWall)
+    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt)
   }
 
-  async #readBack (record: LeaseRecord, sentAt: number, sentAtWall: number): Promise<void> {
+  async #readBack (record: LeaseRecord, sentAt: ClockReading): Promise<void> {
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok || found.value === undefined) return
     const current = leaseSchema.safeParse(found.value.value).data
@@ -174,16 +197,25 @@
       this.#held = undefined
       return
     }
-    // Either this write took effect or an earlier one of this process is still in place; only the former extends the deadline.
-    const confirmed = current.renewal === record.renewal
-    const deadline = confirmed ? leaseDeadline(sentAt, this.#settings.leaseMs) : held?.leadership.deadline ?? 0
-    const sent = confirmed || held === undefined ? { sentAt, sentAtWall } : { sentAt: held.sentAt, sentAtWall: held.sentAtWall }
-    this.#held = { leadership: { epoch: record.epoch, deadline }, record: current, version: found.value.version, ...sent }
+    // Either this write took effect or an earlier one of this process is still in place; only the former extends the lease.
+    const countedFrom = current.renewal === record.renewal ? sentAt : held?.sentAt
+    const heldSince = held?.heldSince ?? this.#clock.now()
+    this.#held = countedFrom === undefined ? undefined : { record: current, version: found.value.version, heldSince, sentAt: countedFrom }
+  }
+
+  /** How much longer this process may act, in milliseconds; negative once the lease has ended. */
+  #remainingMs ({ sentAt }: HeldLease): number {
+    const { leaseMs } = this.#settings
+    return Math.min(leaseDeadline(sentAt.steady, leaseMs) - this.#clock.now(), leaseDeadline(sentAt.elapsed, leaseMs) - this.#clock.elapsed())
+  }
+
+  #readClocks (): ClockReading {
+    return { steady: this.#clock.now(), elapsed: this.#clock.elapsed(), wall: this.#clock.wall() }
   }
 
   #logEnd (held: HeldLease, reason: LeaseEnd, holder?: string): void {
-    const steadyMs = this.#clock.now() - held.sentAt
-    const wallMs = this.#clock.wall() - held.sentAtWall
+    const steadyMs = this.#clock.now() - held.sentAt.steady
+    const wallMs = this.#clock.wall() - held.sentAt.wall
     this.#log(LogEvent.LeaseEnded, { reason, fence: held.record.epoch, renewal: held.record.renewal, steadyMs, wallMs, holder })
   }
 
