A lease is given up only once no call under it can arrive any more

Cause: the duty of the weights doesn't await its orders, so the lease was released while orders waited for a connection or for an answer; a body knew the deadline of its lease, not that it had been released or lost; a lost lease let its calls go on until their old deadline.

Why it works: a call asks in the turn of its first byte whether its lease is held, and counts as under way from then until its answer. To give the lease up, the leader lets no call begin, gives those under way 0.4 s, resets the rest, and releases only if each was answered in the last lease duration; else the lease expires as if the host had gone.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -64,6 +64,8 @@
   LeaseLost = 'lease-lost',
   /** This host gave its lease up, with the calls that were under way then. */
   LeaseGivenUp = 'lease-given-up',
+  /** Calls were under way when their lease had ended, and their connections were reset. */
+  LeasedCallsReset = 'leased-calls-reset',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -1,3 +1,5 @@
+import { setTimeout } from 'node:timers/promises'
+import { monotonicNow } from '@cyclamenthread/transport'
 import { LeasedCalls } from './leased-calls.js'
 import { LeaseTask } from './lease-task.js'
 import { LogEvent } from './event-log.js'
@@ -19,6 +21,12 @@
 /** Share of the lease kept as a safety margin, so that a call in flight arrives before the lease ends. */
 const SAFETY_MARGIN_SHARE = 0.1
 
+/** Longest wait for calls under way when the lease is given up, in milliseconds: many round trips between regions. */
+const SETTLE_MS = 400
+
+/** Pause between two checks whether a lease that was given up has expired, in milliseconds. */
+const EXPIRY_POLL_MS = 25
+
 /** Settings of the leader task. */
 export interface LeaderSettings {
   /** Host id and incarnation. */
@@ -34,7 +42,8 @@
  * They make calls that only one host at a time may make: usage reports, orders of
  * endpoints and weights, retirements.
  *
- * Invariant: no call is made without the lease, nor in the last tenth of it.
+ * Invariants: no call is made without the lease, nor in the last tenth of it; the
+ * lease is released only once no call under it can arrive any more.
  */
 export class LeaderTask {
   readonly #context: DutyContext
@@ -42,8 +51,11 @@
   readonly #lease: LeaseTask
   readonly #loops: readonly Periodic[]
   readonly #settings: LeaderSettings
-  readonly #calls = new LeasedCalls()
+  readonly #calls: LeasedCalls
   #epoch = 0
+  #stopping: Promise<void> | undefined
+  /** The lease is being given up, or is left to expire. */
+  #handover: Promise<void> | undefined
 
   constructor (settings: LeaderSettings, store: ObjectStore, context: DutyContext, duties: readonly Duty[]) {
     this.#settings = settings
@@ -52,29 +64,76 @@
     const location = { region: settings.storeRegion, failureDomain: '' }
     const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
     this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
+    this.#calls = new LeasedCalls((fence) => this.#heldUntil(fence) !== undefined, (calls) => {
+      context.log.record(LogEvent.LeasedCallsReset, { lease: DUTIES_LEASE, fence: this.#epoch, calls })
+    })
     this.#loops = duties.map((duty) => new Periodic(DUTY_PERIOD_MS, async () => await this.#runDuty(duty)))
   }
 
-  /** Whether this host holds the lease now. */
+  /** Whether this host holds the lease now and hasn't given it up. */
   get isLeader (): boolean {
-    return this.#lease.leadership() !== undefined
+    return !this.#calls.isClosed && this.#lease.leadership() !== undefined
   }
 
-  /** Starts to contend for the lease, without waiting for it. */
+  /** Starts to contend for the lease, without waiting for it; does nothing after {@link stop}. */
   start (): void {
+    if (this.#stopping !== undefined) return
     void this.#lease.start()
     for (const loop of this.#loops) void loop.start()
   }
 
+  /**
+   * Gives the lease up and runs no more duties. Once it resolves, nothing more is sent under the
+   * lease; another host can take it at once, unless what was sent may still arrive.
+   */
   async stop (): Promise<void> {
+    this.#stopping ??= this.#stopOnce()
+    await this.#stopping
+  }
+
+  async #stopOnce (): Promise<void> {
+    await this.#handover
+    await this.#giveUp()
     await Promise.all(this.#loops.map(async (loop) => await loop.stop()))
-    await this.#lease.stop()
-    const { underWay, counts: { begun, answered, givenUp } } = this.#calls
-    if (this.isLeader) this.#context.log.record(LogEvent.LeaseGivenUp, { lease: DUTIES_LEASE, fence: this.#epoch, released: true, underWay, begun, answered, givenUp })
-    await this.#lease.release()
     if (this.#epoch !== 0) this.#changeEpoch(0)
   }
 
+  /** Gives the lease up as {@link stop} does while this host runs on; from then on it contends again while it is eligible. */
+  async handOver (): Promise<void> {
+    if (this.#stopping !== undefined) return
+    this.#handover ??= this.#handOverOnce().finally(() => {
+      this.#handover = undefined
+    })
+    await this.#handover
+  }
+
+  async #handOverOnce (): Promise<void> {
+    await this.#giveUp()
+    // A lease that is left to expire must not be renewed.
+    while (this.#stopping === undefined && this.#lease.leadership() !== undefined) await setTimeout(EXPIRY_POLL_MS)
+    if (this.#stopping !== undefined) return
+    this.#calls.reopen()
+    void this.#lease.start()
+  }
+
+  /**
+   * Ends the right to make calls, then releases the lease, unless a call may still
+   * arrive: then the lease expires by itself, as if this host had gone.
+   */
+  async #giveUp (): Promise<void> {
+    const startedAt = monotonicNow()
+    const { underWay, counts } = this.#calls
+    const { answered, givenUp } = counts
+    await Promise.all([this.#calls.close(startedAt + SETTLE_MS), this.#lease.stop()])
+    const fence = this.#lease.leadership()?.epoch
+    const isSettled = monotonicNow() - this.#calls.givenUpAt >= this.#settings.leaseMs
+    if (isSettled) await this.#lease.release()
+    if (fence === undefined) return
+    this.#context.log.record(LogEvent.LeaseGivenUp, {
+      lease: DUTIES_LEASE, fence, released: isSettled, underWay, answered: counts.answered - answered, givenUp: counts.givenUp - givenUp, tookMs: Math.round(monotonicNow() - startedAt)
+    })
+  }
+
   async #runDuty (duty: Duty): Promise<void> {
     const lease = this.#currentLease()
     if (lease === undefined) {
@@ -98,10 +157,18 @@
     for (const duty of this.#duties) duty.reset()
   }
 
+  /** Returns the right to make one call, if the lease is held and not given up. */
   #currentLease (): LeaderLease | undefined {
+    const fence = this.#lease.leadership()?.epoch
+    const deadline = fence === undefined || this.#calls.isClosed ? undefined : this.#heldUntil(fence)
+    return fence === undefined || deadline === undefined ? undefined : this.#calls.openCall({ holder: this.#context.hostId, fence, deadline })
+  }
+
+  /** Returns the monotonic time in milliseconds until which calls may be under way with a fencing token; undefined if its lease isn't held. */
+  #heldUntil (fence: number): number | undefined {
     const leadership = this.#lease.leadership()
-    if (leadership === undefined) return undefined
+    if (leadership?.epoch !== fence) return undefined
     const deadline = leadership.deadline - this.#settings.leaseMs * SAFETY_MARGIN_SHARE
-    return performance.now() < deadline ? this.#calls.openCall({ holder: this.#context.hostId, fence: leadership.epoch, deadline }) : undefined
+    return monotonicNow() < deadline ? deadline : undefined
   }
 }
--- a/packages/protocol/src/lib/leader-lease.ts
+++ b/packages/protocol/src/lib/leader-lease.ts
@@ -15,9 +15,11 @@
   readonly fence: number
   /** Monotonic time at which the lease expires, in milliseconds; no byte is sent after it. */
   readonly deadline: number
+  /** Aborts when the lease ends while the call is under way; its connection is to be reset then. */
+  readonly signal: AbortSignal
   readonly course: LeasedCallCourse
   /**
-   * Returns whether the call may begin to be written; it is under way from then on. To be
+   * Returns whether the lease is held, so that the call may begin to be written; it is under way from then on. To be
    * asked in the turn of the event loop in which the first byte is written.
    */
   begin (): boolean
--- a/packages/standins/src/lib/held-lease.ts
+++ b/packages/standins/src/lib/held-lease.ts
@@ -9,5 +9,5 @@
  * await duty.runOnce(() => createHeldLease(7, 1_000))
  */
 export function createHeldLease (fence: number, leftMs: number): LeaderLease {
-  return { holder: 'a', fence, deadline: deadlineAfter(leftMs), course: { leftMs: undefined, endLeftMs: undefined, givenUp: false }, begin: () => true, end: () => {} }
+  return { holder: 'a', fence, deadline: deadlineAfter(leftMs), signal: new AbortController().signal, course: { leftMs: undefined, endLeftMs: undefined, givenUp: false }, begin: () => true, end: () => {} }
 }
