--- /dev/null
+++ b/packages/protocol/src/test/call-reset.test.ts
@@ -0,0 +1,58 @@
+import { createServer } from 'node:net'
+import test from 'ava'
+import { FencingSupport } from '@cyclamenthread/state'
+import { deadlineAfter } from '@cyclamenthread/transport'
+import { EndpointClient, EndpointOrderKind } from '../lib/endpoint-client.js'
+import { FleetOrderKind, PlatformClient } from '../lib/platform-client.js'
+import type { AddressInfo, Socket } from 'node:net'
+import type { Endpoint } from '@cyclamenthread/state'
+import type { ExecutionContext } from 'ava'
+
+/** Time that is left of the lease when a call begins, in milliseconds. */
+const LEASE_LEFT_MS = 150
+
+/** Returns what a far end that stalls until the end of the lease reads of a call that is made under it. */
+async function readAfterLease (t: ExecutionContext, call: (url: string) => Promise<unknown>): Promise<string> {
+  const sockets: Socket[] = []
+  const server = createServer({ pauseOnConnect: true }, (socket) => {
+    socket.on('error', () => {})
+    sockets.push(socket)
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy()
+    server.close()
+  })
+  await call(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  const [socket] = sockets
+  t.truthy(socket)
+  let text = ''
+  socket?.on('data', (bytes) => {
+    text += bytes.toString()
+  })
+  const closed = new Promise((resolve) => socket?.on('close', resolve))
+  socket?.resume()
+  await closed
+  return text
+}
+
+// Guards against an order that a cut held back and that reaches an endpoint after those of the next leader, because its connection ended without a reset (ONE).
+test('an order of the leader of a failure domain that is given up at the end of its lease is delivered no more', async (t) => {
+  const client = new EndpointClient()
+  t.teardown(async () => await client.close())
+  t.is(await readAfterLease(t, async (url) => {
+    const endpoint: Endpoint = { id: 'e', url, region: 'r', failureDomain: 'd', slots: 1, cheap: false, fencing: FencingSupport.Ignored }
+    return await client.sendOrder(endpoint, { kind: EndpointOrderKind.LoadWeights, pool: 'engines', version: 2, fence: 1 }, deadlineAfter(LEASE_LEFT_MS))
+  }), '')
+})
+
+// Guards against an order of endpoints that reaches the platform after the lease of its leader, because its connection ended without a reset (ONE).
+test('an order of endpoints that is given up at the end of its lease is delivered no more', async (t) => {
+  let client: PlatformClient | undefined
+  t.teardown(async () => await client?.close())
+  t.is(await readAfterLease(t, async (url) => {
+    client = new PlatformClient(url)
+    return await client.sendFleetOrder({ kind: FleetOrderKind.Stop, orderId: 'o', endpointId: 'e' }, { deadline: deadlineAfter(LEASE_LEFT_MS) })
+  }), '')
+})
