A lease counts from the write that took effect, not from a later one of the same content

A renewal without an answer may take effect seconds later. The next renewal carried the same number, met a conflict, found "its" number in the store and counted the lease from its own sending, up to a third of the lease too late; observers counted from the earlier write. Cut off from the store, the holder then acted on after the takeover. The same held for a takeover that is sent twice.

Each write of a process now has its own number, and a record that is read back counts from the sending of the write that it is. A record that is read back as released is not held any more. A late release does not free the lease of the next process (new test, passed before as well).

Evidence: "a renewal that takes effect late ..." gave a deadline of 5,000 ms for a write sent at 1,000 ms with a lease of 3,000 ms, while the other host held the lease; passes now (4,000 ms).

--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -79,6 +79,10 @@
   readonly #renewalLoop: Periodic
   #observation: LeaseObservation | undefined
   #held: HeldLease | undefined
+  /** Number of the last record written; no two writes have the same, so that each can be told apart when it takes effect late. */
+  #lastRenewal = 0
+  /** When each write was sent whose outcome isn't known, by its renewal. */
+  readonly #openWrites = new Map<number, ClockReading>()
 
   constructor (settings: LeaseSettings, store: ObjectStore, clock: Clock = SYSTEM_CLOCK) {
     this.#settings = settings
@@ -130,7 +134,12 @@
   /** The record of the next renewal; it names no former hosts any more once their acts lie further back than the lease. */
   #nextRecord ({ record, heldSince }: HeldLease): LeaseRecord {
     const isLongHeld = this.#clock.now() - heldSince > leaseWaitMs(this.#settings.leaseMs)
-    return { ...record, renewal: record.renewal + 1, released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
+    return { ...record, renewal: this.#nextRenewal(), released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
+  }
+
+  #nextRenewal (): number {
+    this.#lastRenewal += 1
+    return this.#lastRenewal
   }
 
   async #contend (): Promise<void> {
@@ -140,7 +149,7 @@
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok) return
     if (found.value === undefined) {
-      await this.#take({ holder: this.#settings.holder, epoch: 1, renewal: 0 }, TakeoverGround.Missing, undefined)
+      await this.#take({ holder: this.#settings.holder, epoch: 1, renewal: this.#nextRenewal() }, TakeoverGround.Missing, undefined)
       return
     }
     const observation = this.#recordObservation(found.value)
@@ -149,7 +158,7 @@
     if (ground === undefined) return
     const { holder } = this.#settings
     const formerHosts = formerHostsAfter(observation.record, holder)
-    await this.#take({ holder, epoch: observation.record.epoch + 1, renewal: 0, formerHosts }, ground, observation)
+    await this.#take({ holder, epoch: observation.record.epoch + 1, renewal: this.#nextRenewal(), formerHosts }, ground, observation)
   }
 
   async #take (record: LeaseRecord, ground: TakeoverGround, former: LeaseObservation | undefined): Promise<void> {
@@ -170,7 +179,7 @@
     return this.#observation
   }
 
-  /** Writes the record; if the outcome is unknown, the old deadline stays in force and the record is read back at once. */
+  /** Writes the record; if the outcome is unknown, the lease is counted as before and the record is read back at once. */
   async #writeRecord (record: LeaseRecord, version: string | undefined): Promise<void> {
     const sentAt = this.#readClocks()
     const expectation = version === undefined
@@ -180,25 +189,29 @@
     if (result.status === WriteStatus.Applied) {
       const heldSince = this.#held?.heldSince ?? this.#clock.now()
       this.#held = { record, version: result.version, heldSince, sentAt }
+      this.#openWrites.clear()
       return
     }
-    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt)
+    if (result.status === WriteStatus.NotWritten) return
+    this.#openWrites.set(record.renewal, sentAt)
+    await this.#readBack(record)
   }
 
-  async #readBack (record: LeaseRecord, sentAt: ClockReading): Promise<void> {
+  async #readBack (record: LeaseRecord): Promise<void> {
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok || found.value === undefined) return
     const current = leaseSchema.safeParse(found.value.value).data
     this.#log(LogEvent.LeaseReadBack, { fence: record.epoch, renewal: record.renewal, holder: current?.holder, foundFence: current?.epoch, foundRenewal: current?.renewal, released: current?.released })
-    const own = current?.holder === record.holder && current.epoch === record.epoch
+    const own = current?.holder === record.holder && current.epoch === record.epoch && current.released !== true
     const held = this.#held
     if (!own) {
       if (held !== undefined) this.#logEnd(held, LeaseEnd.Replaced, current?.holder)
       this.#held = undefined
+      this.#openWrites.clear()
       return
     }
-    // Either this write took effect or an earlier one of this process is still in place; only the former extends the lease.
-    const countedFrom = current.renewal === record.renewal ? sentAt : held?.sentAt
+    // The lease counts from the write that is in place, be it this one, an earlier one that took effect late, or the last confirmed one.
+    const countedFrom = this.#openWrites.get(current.renewal) ?? held?.sentAt
     const heldSince = held?.heldSince ?? this.#clock.now()
     this.#held = countedFrom === undefined ? undefined : { record: current, version: found.value.version, heldSince, sentAt: countedFrom }
   }
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -130,36 +130,57 @@
   t.is(hosts.act('h1'), undefined)
 })
 
-// Guards against a lease that is counted from a later write of the same content than the one that took effect.
-test('a renewal that takes effect late extends the lease only from when it was sent', async (t) => {
-  let late: (() => void) | undefined
+/** Hosts of which `h1` has its writes delayed from a moment on, and a function that makes the delayed ones take effect. */
+function openLateHosts (from: number): { readonly hosts: DutyHosts, readonly deliver: () => Promise<void> } {
+  const late: (() => Promise<unknown>)[] = []
   const hosts = new DutyHosts((host, store): ObjectStore => ({
     read: store.read.bind(store),
     list: store.list.bind(store),
     remove: store.remove.bind(store),
     watch: store.watch.bind(store),
     write: async (key, value, expectation, call) => {
-      if (host !== 'h1' || hosts.time.now() !== 1_000) return await store.write(key, value, expectation, call)
-      late = () => {
-        void store.write(key, value, expectation, call)
-      }
+      if (host !== 'h1' || hosts.time.now() !== from) return await store.write(key, value, expectation, call)
+      late.push(async () => await store.write(key, value, expectation, call))
       return { status: WriteStatus.Unknown, detail: 'late' }
     }
   }))
+  return {
+    hosts,
+    deliver: async () => {
+      for (const write of late.splice(0)) await write()
+    }
+  }
+}
+
+// Guards against a lease that is counted from a later write of the same content than the one that took effect.
+test('a renewal that takes effect late extends the lease only from when it was sent', async (t) => {
+  const { hosts, deliver } = openLateHosts(1_000)
   await hosts.contend('h1')
   await hosts.wait(1_000)
   await hosts.contend('h1')
   await hosts.wait(100)
-  late?.()
+  await deliver()
   await hosts.contend('h2')
   await hosts.wait(900)
-  await hosts.contend('h1')
+  t.is((await hosts.contend('h1'))?.deadline, 1_000 + LEASE_MS)
   // From here on the first host no longer reaches the store.
   await hosts.wait(LEASE_MS * 1.05 - 890)
   t.is((await hosts.contend('h2'))?.epoch, 2)
   t.is(hosts.act('h1'), undefined)
 })
 
+test('a release that takes effect late does not free the lease of the next process', async (t) => {
+  const { hosts, deliver } = openLateHosts(1_000)
+  await hosts.contend('h1')
+  await hosts.wait(1_000)
+  await hosts.restart('h1')
+  await hosts.wait(100)
+  t.is((await hosts.contend('h1'))?.epoch, 2)
+  await deliver()
+  t.is(await hosts.contend('h2'), undefined)
+  t.is(hosts.act('h1')?.epoch, 2)
+})
+
 // Guards against a fence lower than an earlier one, where the record was removed from the store.
 test('a host that knew the lease does not start its fence anew if the record is missing', async (t) => {
   const hosts = new DutyHosts()
--- a/packages/state/src/lib/lease.ts
+++ b/packages/state/src/lib/lease.ts
@@ -3,7 +3,7 @@
   readonly holder: string
   /** Incremented with each change of holder; used as fencing token. */
   readonly epoch: number
-  /** Incremented with each renewal, so that observers see that the holder is alive. */
+  /** Incremented with each write of the holder, so that observers see that it is alive. */
   readonly renewal: number
   /** Whether the holder has released the lease and no longer acts on it. */
   readonly released?: boolean | undefined
