A host that knew a lease continues its epochs if the record is missing

A process now waits for the duration of the lease, counted from when it first found no record, if it has read or written an earlier one, and goes on from the highest epoch that it knows, with the last holder among the former hosts. A process that has just started can't know; the store's page says that nothing of ours expires, so that only a removal by hand leads there.

--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -79,6 +79,12 @@
   readonly #renewalLoop: Periodic
   #observation: LeaseObservation | undefined
   #held: HeldLease | undefined
+  /** The last record that this process has read or written. */
+  #lastRecord: LeaseRecord | undefined
+  /** Highest epoch that this process has read or written. */
+  #highestEpoch = 0
+  /** When this process first found no record, in monotonic milliseconds. */
+  #missingSince: number | undefined
   /** Number of the last record written; no two writes have the same, so that each can be told apart when it takes effect late. */
   #lastRenewal = 0
   /** When each write was sent whose outcome isn't known, by its renewal. */
@@ -149,16 +155,35 @@
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok) return
     if (found.value === undefined) {
-      await this.#take({ holder: this.#settings.holder, epoch: 1, renewal: this.#nextRenewal() }, TakeoverGround.Missing, undefined)
+      await this.#contendWithoutRecord()
       return
     }
+    this.#missingSince = undefined
     const observation = this.#recordObservation(found.value)
     if (observation === undefined) return
     const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
     if (ground === undefined) return
+    await this.#take(this.#firstRecord(observation.record), ground, observation)
+  }
+
+  /** Creates the record; if this process knows of an earlier one, the holder of that one may still act. */
+  async #contendWithoutRecord (): Promise<void> {
+    const now = this.#clock.now()
+    this.#missingSince ??= now
+    if (this.#lastRecord !== undefined && now - this.#missingSince <= leaseWaitMs(this.#settings.leaseMs)) return
+    await this.#take(this.#firstRecord(this.#lastRecord), TakeoverGround.Missing, undefined)
+  }
+
+  /** The record with which this process takes over from the holder of another. */
+  #firstRecord (former: LeaseRecord | undefined): LeaseRecord {
     const { holder } = this.#settings
-    const formerHosts = formerHostsAfter(observation.record, holder)
-    await this.#take({ holder, epoch: observation.record.epoch + 1, renewal: this.#nextRenewal(), formerHosts }, ground, observation)
+    const formerHosts = former === undefined ? undefined : formerHostsAfter(former, holder)
+    return { holder, epoch: this.#highestEpoch + 1, renewal: this.#nextRenewal(), formerHosts }
+  }
+
+  #remember (record: LeaseRecord): void {
+    this.#lastRecord = record
+    this.#highestEpoch = Math.max(this.#highestEpoch, record.epoch)
   }
 
   async #take (record: LeaseRecord, ground: TakeoverGround, former: LeaseObservation | undefined): Promise<void> {
@@ -175,6 +200,7 @@
     const firstSeenAt = this.#clock.now()
     const isSameEpoch = last !== undefined && last.record.epoch === record?.epoch && last.record.holder === record.holder
     const epochSeenAt = isSameEpoch ? last.epochSeenAt : firstSeenAt
+    if (record !== undefined) this.#remember(record)
     this.#observation = record === undefined ? undefined : { record, version, firstSeenAt, epochSeenAt }
     return this.#observation
   }
@@ -190,6 +216,7 @@
       const heldSince = this.#held?.heldSince ?? this.#clock.now()
       this.#held = { record, version: result.version, heldSince, sentAt }
       this.#openWrites.clear()
+      this.#remember(record)
       return
     }
     if (result.status === WriteStatus.NotWritten) return
@@ -204,6 +231,7 @@
     this.#log(LogEvent.LeaseReadBack, { fence: record.epoch, renewal: record.renewal, holder: current?.holder, foundFence: current?.epoch, foundRenewal: current?.renewal, released: current?.released })
     const own = current?.holder === record.holder && current.epoch === record.epoch && current.released !== true
     const held = this.#held
+    if (current !== undefined) this.#remember(current)
     if (!own) {
       if (held !== undefined) this.#logEnd(held, LeaseEnd.Replaced, current?.holder)
       this.#held = undefined
