--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -79,6 +79,16 @@
   readonly #renewalLoop: Periodic
   #observation: LeaseObservation | undefined
   #held: HeldLease | undefined
+  /** The last record that this process has read or written. */
+  #lastRecord: LeaseRecord | undefined
+  /** Highest epoch that this process has read or written. */
+  #highestEpoch = 0
+  /** When this process first found no record, in monotonic milliseconds. */
+  #missingSince: number | undefined
+  /** Number of the last record written; no two writes have the same, so that each can be told apart when it takes effect late. */
+  #lastRenewal = 0
+  /** When each write was sent whose outcome isn't known, by its renewal. */
+  readonly #openWrites = new Map<number, ClockReading>()
 
   constructor (settings: LeaseSettings, store: ObjectStore, clock: Clock = SYSTEM_CLOCK) {
     this.#settings = settings
@@ -130,7 +140,12 @@
   /** The record of the next renewal; it names no former hosts any more once their acts lie further back than the lease. */
   #nextRecord ({ record, heldSince }: HeldLease): LeaseRecord {
     const isLongHeld = this.#clock.now() - heldSince > leaseWaitMs(this.#settings.leaseMs)
-    return { ...record, renewal: record.renewal + 1, released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
+    return { ...record, renewal: this.#nextRenewal(), released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
+  }
+
+  #nextRenewal (): number {
+    this.#lastRenewal += 1
+    return this.#lastRenewal
   }
 
   async #contend (): Promise<void> {
@@ -140,16 +155,35 @@
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok) return
     if (found.value === undefined) {
-      await this.#take({ holder: this.#settings.holder, epoch: 1, renewal: 0 }, TakeoverGround.Missing, undefined)
+      await this.#contendWithoutRecord()
       return
     }
+    this.#missingSince = undefined
     const observation = this.#recordObservation(found.value)
     if (observation === undefined) return
     const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
     if (ground === undefined) return
+    await this.#take(this.#firstRecord(observation.record), ground, observation)
+  }
+
+  /** Creates the record; if this process knows of an earlier one, the holder of that one may still act. */
+  async #contendWithoutRecord (): Promise<void> {
+    const now = this.#clock.now()
+    this.#missingSince ??= now
+    if (this.#lastRecord !== undefined && now - this.#missingSince <= leaseWaitMs(this.#settings.leaseMs)) return
+    await this.#take(this.#firstRecord(this.#lastRecord), TakeoverGround.Missing, undefined)
+  }
+
+  /** The record with which this process takes over from the holder of another. */
+  #firstRecord (former: LeaseRecord | undefined): LeaseRecord {
     const { holder } = this.#settings
-    const formerHosts = formerHostsAfter(observation.record, holder)
-    await this.#take({ holder, epoch: observation.record.epoch + 1, renewal: 0, formerHosts }, ground, observation)
+    const formerHosts = former === undefined ? undefined : formerHostsAfter(former, holder)
+    return { holder, epoch: this.#highestEpoch + 1, renewal: this.#nextRenewal(), formerHosts }
+  }
+
+  #remember (record: LeaseRecord): void {
+    this.#lastRecord = record
+    this.#highestEpoch = Math.max(this.#highestEpoch, record.epoch)
   }
 
   async #take (record: LeaseRecord, ground: TakeoverGround, former: LeaseObservation | undefined): Promise<void> {
@@ -166,11 +200,12 @@
     const firstSeenAt = this.#clock.now()
     const isSameEpoch = last !== undefined && last.record.epoch === record?.epoch && last.record.holder === record.holder
     const epochSeenAt = isSameEpoch ? last.epochSeenAt : firstSeenAt
+    if (record !== undefined) this.#remember(record)
     this.#observation = record === undefined ? undefined : { record, version, firstSeenAt, epochSeenAt }
     return this.#observation
   }
 
-  /** Writes the record; if the outcome is unknown, the old deadline stays in force and the record is read back at once. */
+  /** Writes the record; if the outcome is unknown, the lease is counted as before and the record is read back at once. */
   async #writeRecord (record: LeaseRecord, version: string | undefined): Promise<void> {
     const sentAt = this.#readClocks()
     const expectation = version === undefined
@@ -180,25 +215,31 @@
     if (result.status === WriteStatus.Applied) {
       const heldSince = this.#held?.heldSince ?? this.#clock.now()
       this.#held = { record, version: result.version, heldSince, sentAt }
+      this.#openWrites.clear()
+      this.#remember(record)
       return
     }
-    if (result.status !== WriteStatus.NotWritten) await this.#readBack(record, sentAt)
+    if (result.status === WriteStatus.NotWritten) return
+    this.#openWrites.set(record.renewal, sentAt)
+    await this.#readBack(record)
   }
 
-  async #readBack (record: LeaseRecord, sentAt: ClockReading): Promise<void> {
+  async #readBack (record: LeaseRecord): Promise<void> {
     const found = await this.#store.read(leaseKey(this.#settings.name), this.#storeCall())
     if (!found.ok || found.value === undefined) return
     const current = leaseSchema.safeParse(found.value.value).data
     this.#log(LogEvent.LeaseReadBack, { fence: record.epoch, renewal: record.renewal, holder: current?.holder, foundFence: current?.epoch, foundRenewal: current?.renewal, released: current?.released })
-    const own = current?.holder === record.holder && current.epoch === record.epoch
+    const own = current?.holder === record.holder && current.epoch === record.epoch && current.released !== true
     const held = this.#held
+    if (current !== undefined) this.#remember(current)
     if (!own) {
       if (held !== undefined) this.#logEnd(held, LeaseEnd.Replaced, current?.holder)
       this.#held = undefined
+      this.#openWrites.clear()
       return
     }
-    // Either this write took effect or an earlier one of this process is still in place; only the former extends the lease.
-    const countedFrom = current.renewal === record.renewal ? sentAt : held?.sentAt
+    // The lease counts from the write that is in place, be it this one, an earlier one that took effect late, or the last confirmed one.
+    const countedFrom = this.#openWrites.get(current.renewal) ?? held?.sentAt
     const heldSince = held?.heldSince ?? this.#clock.now()
     this.#held = countedFrom === undefined ? undefined : { record: current, version: found.value.version, heldSince, sentAt: countedFrom }
   }
