Orders of the product's own interface reset their connection at the end of their lease

Cause: these clients ended the connection of a call that they gave up with a FIN, like that of the users' platform before. Found by the look for the same cause elsewhere.

The connector that resets moved to the transport layer.

--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -1,10 +1,13 @@
 import { Agent, request } from 'undici'
 import * as z from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
-import { withDeadline } from '@cyclamenthread/transport'
+import { resettingConnect, withDeadline } from '@cyclamenthread/transport'
 import { createLeasedBody } from './leased-body.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
+/** Timeout for connecting to the platform, in milliseconds. */
+const CONNECT_TIMEOUT_MS = 10_000
+
 const hostListSchema = z.object({
   hosts: z.array(z.object({
     id: z.string(),
@@ -73,7 +76,7 @@
  */
 export class PlatformClient {
   readonly #baseUrl: string
-  readonly #agent = new Agent({ connections: 4, pipelining: 1 })
+  readonly #agent = new Agent({ connections: 4, pipelining: 1, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
 
   constructor (baseUrl: string) {
     this.#baseUrl = baseUrl.replace(/\/$/, '')
--- a/platform/src/lib/resetting-connect.ts
+++ b/packages/transport/src/lib/resetting-connect.ts
@@ -1,4 +1,4 @@
-import { createConnector } from '@cyclamenthread/transport'
+import { createConnector } from './connector.js'
 import type { Socket } from 'node:net'
 import type { buildConnector } from 'undici'
 
