Leaders of the product's own interface ask whether their lease is held when an order is written

Cause: the body of such a call knew the deadline of the lease, not that it was lost, or that the machine was suspended meanwhile.

--- a/packages/coordination/src/lib/capacity-order-sender.ts
+++ b/packages/coordination/src/lib/capacity-order-sender.ts
@@ -110,7 +110,7 @@
     const leadership = this.#leadership()
     if (leadership === undefined || leadership.epoch !== this.#loadedEpoch) return undefined
     this.counters.sent += 1
-    const answer = await this.#platform.sendFleetOrder(order, { deadline: leadership.deadline })
+    const answer = await this.#platform.sendFleetOrder(order, { deadline: leadership.deadline, isHeld: () => this.#leadership()?.epoch === leadership.epoch })
     if (answer.ok) return OrderResult.Accepted
     if (answer.failure !== PlatformFailure.Refused) return undefined
     this.counters.refused += 1
--- a/packages/coordination/src/lib/domain-leader.ts
+++ b/packages/coordination/src/lib/domain-leader.ts
@@ -146,7 +146,7 @@
     }
     this.counters.ordered += 1
     const order = { kind: EndpointOrderKind.LoadWeights, pool, version, fence: leadership.epoch } as const
-    const status = await this.#context.endpoints.sendOrder(endpoint, order, leadership.deadline)
+    const status = await this.#context.endpoints.sendOrder(endpoint, order, leadership.deadline, () => this.#lease.leadership()?.epoch === leadership.epoch)
     if (status === OrderStatus.Accepted) return
     if (status === OrderStatus.Fenced) this.counters.fenced += 1
     planner.recordFailure(endpoint.id, monotonicNow())
--- a/packages/coordination/src/lib/usage-task.ts
+++ b/packages/coordination/src/lib/usage-task.ts
@@ -122,7 +122,7 @@
     this.counters.sealed = this.#sealer.sealedCount
     const leadership = this.#lease.leadership()
     if (leadership === undefined) return false
-    const report = await this.#context.platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline })
+    const report = await this.#context.platform.reportUsage(sealed, leadership.epoch, { deadline: leadership.deadline, isHeld: () => this.#lease.leadership()?.epoch === leadership.epoch })
     if (report.ok) this.counters.reported += 1
     else this.counters.failedReports += 1
     return report.ok
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -221,9 +221,10 @@
    * @param endpoint the endpoint
    * @param order the order, including its fencing token
    * @param deadline monotonic time at which the lease expires, in milliseconds; the order is aborted then
+   * @param isHeld returns whether the lease is held, which may have been lost before its deadline
    */
-  async sendOrder (endpoint: Endpoint, order: EndpointOrder, deadline: number): Promise<OrderStatus> {
-    const body = createLeasedBody(JSON.stringify(order), deadline)
+  async sendOrder (endpoint: Endpoint, order: EndpointOrder, deadline: number, isHeld?: () => boolean): Promise<OrderStatus> {
+    const body = createLeasedBody(JSON.stringify(order), deadline, isHeld)
     try {
       return await withDeadline(deadline, async (signal) => {
         const response = await request(`${endpoint.url}/orders`, {
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -67,6 +67,13 @@
   readonly deadline: number
 }
 
+/** Options of a platform call that is made under a lease. */
+export interface LeasedPlatformCall extends PlatformCall {
+  /** Returns whether the lease is held, which may have been lost before its deadline. */
+  readonly isHeld?: () => boolean
+  readonly signal?: AbortSignal
+}
+
 /**
  * HTTP client for the platform's other APIs: the host list, which may be out of
  * date, endpoint orders and usage reports.
@@ -103,12 +110,12 @@
    *
    * @param call its deadline is the expiry of the lease under which the order is sent; no byte is sent after it
    */
-  async sendFleetOrder (order: FleetOrder, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+  async sendFleetOrder (order: FleetOrder, call: LeasedPlatformCall): Promise<Outcome<unknown, PlatformFailure>> {
     return await this.#send('POST', '/fleet/orders', order, call)
   }
 
   /** Reports one sealed usage window, with the reporter's lease epoch. */
-  async reportUsage (window: UsageWindow, epoch: number, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+  async reportUsage (window: UsageWindow, epoch: number, call: LeasedPlatformCall): Promise<Outcome<unknown, PlatformFailure>> {
     return await this.#send('PUT', `/usage/${window.window}`, { epoch, ...window }, call)
   }
 
@@ -117,7 +124,7 @@
     await this.#agent.destroy()
   }
 
-  async #send (method: 'GET' | 'POST' | 'PUT', path: string, body: unknown, call: PlatformCall & { readonly signal?: AbortSignal }): Promise<Outcome<unknown, PlatformFailure>> {
+  async #send (method: 'GET' | 'POST' | 'PUT', path: string, body: unknown, call: LeasedPlatformCall): Promise<Outcome<unknown, PlatformFailure>> {
     const text = body === undefined ? undefined : JSON.stringify(body)
     const length = text === undefined ? {} : { 'content-length': String(Buffer.byteLength(text)) }
     try {
@@ -125,7 +132,7 @@
         const response = await request(this.#baseUrl + path, {
           method,
           headers: { 'content-type': 'application/json', ...length },
-          body: text === undefined ? null : createLeasedBody(text, call.deadline).stream(),
+          body: text === undefined ? null : createLeasedBody(text, call.deadline, call.isHeld).stream(),
           dispatcher: this.#agent,
           signal
         })
--- a/packages/protocol/src/test/call-reset.test.ts
+++ b/packages/protocol/src/test/call-reset.test.ts
@@ -2,7 +2,7 @@
 import test from 'ava'
 import { FencingSupport } from '@cyclamenthread/state'
 import { deadlineAfter } from '@cyclamenthread/transport'
-import { EndpointClient, EndpointOrderKind } from '../lib/endpoint-client.js'
+import { EndpointClient, EndpointOrderKind, OrderStatus } from '../lib/endpoint-client.js'
 import { FleetOrderKind, PlatformClient } from '../lib/platform-client.js'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Endpoint } from '@cyclamenthread/state'
@@ -54,3 +54,24 @@
     return await client.sendFleetOrder({ kind: FleetOrderKind.Stop, orderId: 'o', endpointId: 'e' }, { deadline: deadlineAfter(LEASE_LEFT_MS) })
   }), 'reset')
 })
+
+// Guards against an order that is written after its leader has lost the lease, because it waited for its connection (ONE).
+test('an order that waits for its connection while the lease is lost is not sent', async (t) => {
+  let isHeld = true
+  let bytes = 0
+  const server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.on('data', (chunk) => {
+      bytes += chunk.length
+    })
+  })
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
+  const client = new EndpointClient()
+  const endpoint: Endpoint = { id: 'e', url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`, region: 'r', failureDomain: 'd', slots: 1, cheap: false, fencing: FencingSupport.Ignored }
+  const sent = client.sendOrder(endpoint, { kind: EndpointOrderKind.LoadWeights, pool: 'engines', version: 2, fence: 1 }, deadlineAfter(LEASE_LEFT_MS), () => isHeld)
+  isHeld = false
+  t.is(await sent, OrderStatus.NotSent)
+  await client.close()
+  server.close()
+  t.is(bytes, 0)
+})
