A holder whose lease lapsed holds it again with its next renewal

A holder that lapsed (a pause, a suspend, a wall clock that was set forward) waited for its own record to expire, more than the length of the lease, if nobody else contended. A renewal that is conditional on the unchanged record shows that no other host took the lease, so the holder goes on with the same epoch.

--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -138,7 +138,7 @@
   }
 
   /** The record of the next renewal; it names no former hosts any more once their acts lie further back than the lease. */
-  #nextRecord ({ record, heldSince }: HeldLease): LeaseRecord {
+  #nextRecord ({ record, heldSince }: Pick<HeldLease, 'record' | 'heldSince'>): LeaseRecord {
     const isLongHeld = this.#clock.now() - heldSince > leaseWaitMs(this.#settings.leaseMs)
     return { ...record, renewal: this.#nextRenewal(), released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
   }
@@ -163,7 +163,9 @@
     if (observation === undefined) return
     const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
     if (ground === undefined) return
-    await this.#take(this.#firstRecord(observation.record), ground, observation)
+    const { record } = observation
+    const next = ground === TakeoverGround.Lapsed ? this.#nextRecord({ record, heldSince: this.#clock.now() }) : this.#firstRecord(record)
+    await this.#take(next, ground, observation)
   }
 
   /** Creates the record; if this process knows of an earlier one, the holder of that one may still act. */
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -130,6 +130,18 @@
   t.is(hosts.act('h1'), undefined)
 })
 
+test('a holder whose lease lapsed holds it again with its next renewal, if no other host took it', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  hosts.clock('h1').wallOffset += 60_000
+  t.is(hosts.act('h1'), undefined, 'a wall clock that was set forward ends the right early')
+  t.is((await hosts.contend('h1'))?.epoch, 1)
+  await hosts.wait(LEASE_MS)
+  t.is(hosts.act('h1'), undefined)
+  t.is((await hosts.contend('h1'))?.epoch, 1)
+  t.deepEqual(hosts.turns(), [])
+})
+
 /** Hosts of which `h1` has its writes delayed from a moment on, and a function that makes the delayed ones take effect. */
 function openLateHosts (from: number): { readonly hosts: DutyHosts, readonly deliver: () => Promise<void> } {
   const late: (() => Promise<unknown>)[] = []
--- a/packages/state/src/lib/lease.ts
+++ b/packages/state/src/lib/lease.ts
@@ -24,6 +24,8 @@
 export enum TakeoverGround {
   /** The store has no record of it. */
   Missing = 'missing',
+  /** It is the candidate's own, which lapsed; an unchanged record shows that nobody took it since. */
+  Lapsed = 'lapsed',
   /** Its holder has released it. */
   Released = 'released',
   /** Its record has not changed for longer than the lease. */
@@ -108,6 +110,7 @@
  */
 export function takeoverGround (observation: LeaseObservation, own: string, leaseMs: number, now: number): TakeoverGround | undefined {
   const { record, epochSeenAt } = observation
+  if (record.holder === own && record.released !== true) return TakeoverGround.Lapsed
   if (record.formerHosts?.includes(hostOf(own)) === true && now - epochSeenAt <= leaseWaitMs(leaseMs)) return undefined
   if (isPredecessor(record, own)) return TakeoverGround.Predecessor
   if (!mayTakeOver(observation, leaseMs, now)) return undefined
