--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -66,6 +66,12 @@
   LeaseGivenUp = 'lease-given-up',
   /** Calls were under way when their lease had ended, and their connections were reset. */
   LeasedCallsReset = 'leased-calls-reset',
+  /** Why this host took a lease, and from whom. */
+  LeaseTaken = 'lease-taken',
+  /** Why this host no longer holds a lease, and how long ago it was confirmed by each clock. */
+  LeaseEnded = 'lease-ended',
+  /** A write of a lease without a known outcome, and what the store has in its place. */
+  LeaseReadBack = 'lease-read-back',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -63,7 +63,7 @@
     this.#duties = duties
     const location = { region: settings.storeRegion, failureDomain: '' }
     const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
-    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
+    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible, log: context.log }, store)
     this.#calls = new LeasedCalls((fence) => this.#heldUntil(fence) !== undefined, (calls) => {
       context.log.record(LogEvent.LeasedCallsReset, { lease: DUTIES_LEASE, fence: this.#epoch, calls })
     })
