Work starts after a suspend only on a log copy that is known to be current

What callers would see: an item reaches an endpoint after the end of its batch, as its host was suspended for some seconds and took its log copy, or a permission given before, for current (UNASKED); requests above an endpoint's limit for the same reason.

Cause: the age of the log copy, the end of a permission to start work, the grants of a limited endpoint and the last moment to write a request were kept on the steady clock, which stands still while the machine is suspended. A silence of the store could count a suspend as time without an answer.

Why it works: these rights end by the clock that counts suspends; waits and timeouts stay on the steady clock. A call of the store that was under way during a suspend shows nothing.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,6 +1,6 @@
 import { AdmissionKind, drawService, endsInTime, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { BreakCause, EndpointReplyKind } from '@cyclamenthread/protocol'
-import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
+import { monotonicNow, openDeadlineScope, suspendAwareNow, toSuspendAware } from '@cyclamenthread/transport'
 import { heldBack } from './crash-task.js'
 import { describeLimit } from './endpoint-notice-task.js'
 import { DEFAULT_CALL_MS, EndpointSearch, SearchEnd } from './endpoint-search.js'
@@ -148,7 +148,7 @@
     }
     const deadline = Math.min(requested.deadline, this.#endsAt)
     // The timer of the deadline may be late.
-    const call = { ...requested, deadline, startBefore: Math.min(requested.startBefore ?? Infinity, deadline) }
+    const call = { ...requested, deadline, startBefore: Math.min(requested.startBefore ?? Infinity, toSuspendAware(deadline)) }
     const state: CallState = {
       call,
       service,
@@ -248,7 +248,7 @@
     if (state.attempts >= state.call.route.maxAttempts || (state.mayHaveRun && state.call.route.kind !== RouteKind.Idempotent)) {
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
-    if (state.call.startBefore !== undefined && monotonicNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
+    if (state.call.startBefore !== undefined && suspendAwareNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
     const softwareVersion = state.call.continues?.softwareVersion
     const found = this.#search.find(queryOf(state))
     switch (found.end) {
@@ -344,7 +344,7 @@
   /** Sends a copy of the call to a second endpoint. */
   #startHedge (state: CallState): void {
     const { startBefore } = state.call
-    if (startBefore !== undefined && monotonicNow() >= startBefore) return
+    if (startBefore !== undefined && suspendAwareNow() >= startBefore) return
     if (this.#context.crashes.admit(state.call).kind !== AdmissionKind.Free) return
     const record = this.#search.findForCopy(queryOf(state))
     if (record === undefined) state.excluded.clear()
--- a/packages/coordination/src/lib/endpoint-search.ts
+++ b/packages/coordination/src/lib/endpoint-search.ts
@@ -42,7 +42,7 @@
   | {
     readonly end: SearchEnd.Found
     readonly record: EndpointRecord
-    /** Monotonic milliseconds after which the call must not begin to be written there. */
+    /** Time after which the call must not begin to be written there, in milliseconds by the clock that counts suspends. */
     readonly startBefore: number
   }
   | { readonly end: SearchEnd.Asking, readonly answered: Promise<void> }
--- a/packages/coordination/src/lib/plain-call.ts
+++ b/packages/coordination/src/lib/plain-call.ts
@@ -25,7 +25,7 @@
   readonly isForwarded?: boolean
   /** Monotonic deadline in milliseconds. */
   readonly deadline: number
-  /** Monotonic milliseconds after which no attempt may begin to be written; undefined if attempts may start until the deadline. */
+  /** Time after which no attempt may begin to be written, in milliseconds by the clock that counts suspends; undefined if attempts may start until the deadline. */
   readonly startBefore?: number
   /** Aborted when the caller disconnects. */
   readonly signal: AbortSignal
--- a/packages/coordination/src/lib/rollout-loader.ts
+++ b/packages/coordination/src/lib/rollout-loader.ts
@@ -1,6 +1,6 @@
 import { failure, RolloutProgress, success } from '@cyclamenthread/state'
 import { StoreFailure } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
 import { shared, untilDeadline } from './shared-work.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
@@ -23,7 +23,7 @@
 export interface LoadedRollout {
   readonly order: RolloutOrder
   readonly progress: RolloutProgress
-  /** Monotonic time in milliseconds before the read that found the end of the log; -Infinity if only a part was read. */
+  /** Time before the read that found the end of the log, in milliseconds by the clock that counts suspends; -Infinity if only a part was read. */
   readonly readAt: number
 }
 
@@ -166,7 +166,7 @@
     const known = this.#kept.get(id)
     if (known?.order !== undefined && isComplete(known.order, known.progress)) {
       this.keep(known.order, known.progress)
-      return success({ order: known.order, progress: known.progress, readAt: monotonicNow() })
+      return success({ order: known.order, progress: known.progress, readAt: suspendAwareNow() })
     }
     return await (this.#loads.get(id) ?? this.#begin(id)).wait(deadline, isEnough)
   }
@@ -241,7 +241,7 @@
       known.order = order.value
       load.recordProgress()
     }
-    const readAt = monotonicNow()
+    const readAt = suspendAwareNow()
     const read = await this.#store.catchUp(id, known.progress, deadline, () => load.recordProgress())
     return read.ok ? success({ order: known.order, progress: known.progress, readAt }) : read
   }
--- a/packages/coordination/src/lib/rollout-reader.ts
+++ b/packages/coordination/src/lib/rollout-reader.ts
@@ -1,6 +1,6 @@
 import { hostOfWriter, ownerOf } from '@cyclamenthread/state'
 import { PeerMessageKind, RolloutReadStatus, StoreFailure } from '@cyclamenthread/protocol'
-import { monotonicNow, timeLeft } from '@cyclamenthread/transport'
+import { monotonicNow, suspendAwareNow, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { ReadTrace } from './read-trace.js'
 import { isComplete } from './rollout-loader.js'
@@ -128,7 +128,7 @@
     if (stored.results.length > 0) return stored
     const taken = await trace.measure('take-over', async () => await untilDeadline(taking, read.replyBy - LAST_READ_MS), (result) => result === undefined ? 'not taken' : 'taken')
     if (taken !== undefined) return await this.#readFromRun(taken, read, trace)
-    return monotonicNow() - readAt > MAX_EMPTY_PAGE_AGE_MS ? await this.#readFromStore(read, trace) : stored
+    return suspendAwareNow() - readAt > MAX_EMPTY_PAGE_AGE_MS ? await this.#readFromStore(read, trace) : stored
   }
 
   /** Passes a read on to the owner that this host last learned of; undefined if it knows none, or that host doesn't answer. */
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,6 +1,6 @@
 import { createWorkPermit, decideWorkPermission, hostOfWriter, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
 import { AppendStatus } from './rollout-store.js'
 import { ResultLister } from './result-lister.js'
 import { RewardCaller } from './reward-caller.js'
@@ -156,7 +156,7 @@
    * @returns whether the progress is up to date
    */
   async refreshProgress (maxAgeMs: number): Promise<boolean> {
-    const requestedAt = monotonicNow()
+    const requestedAt = suspendAwareNow()
     if (requestedAt - this.#confirmedAt <= maxAgeMs) return true
     const read = await this.#context.store.catchUp(this.order.id, this.progress, deadlineAfter(CONFIRMATION_TIMEOUT_MS))
     if (read.ok) this.#confirmedAt = Math.max(this.#confirmedAt, requestedAt)
@@ -171,7 +171,7 @@
    * @returns whether the log was read
    */
   async recheck (): Promise<boolean> {
-    this.#reportedAt = monotonicNow()
+    this.#reportedAt = suspendAwareNow()
     return await this.refreshProgress(0)
   }
 
@@ -185,7 +185,7 @@
     const before = this.progress.claimant
     while (!this.progress.ended) {
       if (monotonicNow() >= deadline) return false
-      const sentAt = monotonicNow()
+      const sentAt = suspendAwareNow()
       const status = await this.#context.store.append(this.order.id, this.progress, { writer: this.#context.writer, results: [], texts: [], ended: false, claim: true }, deadline)
       if (status === AppendStatus.Failed) return false
       this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
@@ -246,14 +246,14 @@
     const permission = this.#workPermission()
     if (hasWork && permission !== WorkPermission.Granted) this.#refreshThenStart()
     if (permission === WorkPermission.ConfirmFirst || this.#isEndRequested) return
-    const permit = createWorkPermit(permission, this.#workEvidence(), monotonicNow())
+    const permit = createWorkPermit(permission, this.#workEvidence(), suspendAwareNow())
     this.#rewards.startRequests(permit)
     this.#generator.startSamples(permit)
     if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
   #workPermission (): WorkPermission {
-    const permission = decideWorkPermission(this.#workEvidence(), monotonicNow())
+    const permission = decideWorkPermission(this.#workEvidence(), suspendAwareNow())
     if (permission === WorkPermission.ConfirmMeanwhile) this.#context.store.recordOutage()
     return permission
   }
@@ -275,7 +275,7 @@
 
   async #commitResults (isForced: boolean): Promise<void> {
     if (this.isFinished) return
-    const sentAt = monotonicNow()
+    const sentAt = suspendAwareNow()
     const isCurrent = await this.#lister.commit(isForced)
     // Counted from before the write was sent: its answer may be processed late, after a pause of this process.
     if (isCurrent) this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -1,6 +1,6 @@
 import { failure, isSilenceConclusive, rolloutOrderSchema, rolloutSegmentSchema, StoreSilence, success } from '@cyclamenthread/state'
 import { ExpectationKind, RolloutCreationStatus, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, suspendAwareNow, toSuspendAware } from '@cyclamenthread/transport'
 import { Backoff } from './backoff.js'
 import { LogEvent, SILENT_LOG } from './event-log.js'
 import { SYSTEM_CLOCK } from './system-clock.js'
@@ -59,12 +59,12 @@
   }
 
   get #silentMs (): number {
-    return Math.round(monotonicNow() - (this.silence?.since ?? monotonicNow()))
+    return Math.round(suspendAwareNow() - (this.silence?.since ?? suspendAwareNow()))
   }
 
   #recordAnswer (): void {
     const silentMs = this.#silentMs
-    this.#silence.recordAnswer(monotonicNow())
+    this.#silence.recordAnswer(suspendAwareNow())
     if (!this.#isOutageRecorded) return
     this.#isOutageRecorded = false
     this.#log.record(LogEvent.DependencyRegained, { dependency: 'store', prefix: ROLLOUT_LOG_PREFIX, outcome: 'work-waits', ageMs: silentMs })
@@ -175,6 +175,7 @@
   /** Makes a call and records whether it was sent and served. */
   async #observed<Result> (latest: number, send: (call: StoreCall) => Promise<Result>): Promise<Result> {
     const deadline = Math.min(latest, deadlineAfter(CALL_TIMEOUT_MS))
+    const awaitedUntil = toSuspendAware(deadline)
     let sentAt: number | undefined
     let isServed = false
     const result = await send({
@@ -182,7 +183,7 @@
       deadline,
       observer: {
         onSent: (at) => {
-          sentAt = at
+          sentAt = toSuspendAware(at)
         },
         onServed: () => {
           isServed = true
@@ -190,8 +191,9 @@
         }
       }
     })
-    const failedAt = monotonicNow()
-    if (!isServed && sentAt !== undefined && isSilenceConclusive(deadline, failedAt)) this.#silence.recordUnanswered({ sentAt, deadline, failedAt })
+    // A call during which the machine was suspended shows nothing about the store.
+    const failedAt = suspendAwareNow()
+    if (!isServed && sentAt !== undefined && isSilenceConclusive(awaitedUntil, failedAt)) this.#silence.recordUnanswered({ sentAt, deadline: awaitedUntil, failedAt })
     return result
   }
 }
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -1,6 +1,6 @@
 import { decideOwnership, describeOwnershipStep, hostOfWriter, ownerOf, OwnershipStep, RolloutProgress, success, trainerOf } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, suspendAwareNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { isComplete, RolloutLoader } from './rollout-loader.js'
 import { RolloutRun } from './rollout-run.js'
@@ -39,7 +39,7 @@
   readonly run: RolloutRun | undefined
   /** Host that owns the rollout; empty if none does, or if only a part of the log was read. */
   readonly owner: string
-  /** Monotonic time in milliseconds before the read that found the end of the log; -Infinity if only a part was read. */
+  /** Time before the read that found the end of the log, in milliseconds by the clock that counts suspends; -Infinity if only a part was read. */
   readonly readAt: number
 }
 
@@ -384,5 +384,5 @@
 }
 
 function openedRun (run: RolloutRun): OpenedRollout {
-  return { order: run.order, progress: run.progress, run, owner: ownerHostOf(run.order, run.progress), readAt: monotonicNow() }
+  return { order: run.order, progress: run.progress, run, owner: ownerHostOf(run.order, run.progress), readAt: suspendAwareNow() }
 }
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -40,7 +40,7 @@
 /** An endpoint for a sample, and until when the sample may be sent there. */
 interface SamplePlace {
   readonly record: EndpointRecord
-  /** Monotonic milliseconds. */
+  /** Milliseconds by the clock that counts suspends. */
   readonly startBefore: number
 }
 
--- a/packages/coordination/src/lib/send-permit-task.ts
+++ b/packages/coordination/src/lib/send-permit-task.ts
@@ -1,6 +1,6 @@
 import { SEND_GRANT_LIFETIME_MS } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { accountKeepers, SendAccountKeeper } from './send-account-keeper.js'
 import { taskService } from './task.js'
@@ -43,7 +43,7 @@
   | { readonly kind: SendPermission.Unlimited }
   | {
     readonly kind: SendPermission.Granted
-    /** Monotonic milliseconds after which the request must not begin to be written. */
+    /** Time after which the request must not begin to be written, in milliseconds by the clock that counts suspends. */
     readonly startBefore: number
   }
   | {
@@ -88,7 +88,7 @@
 
 /** What this host holds for one incarnation of a limited endpoint. */
 interface EndpointGrants {
-  /** Grants that weren't used yet: monotonic milliseconds until which each may be used. */
+  /** Grants that weren't used yet: until when each may be used, in milliseconds by the clock that counts suspends. */
   unused: number[]
   asking: Promise<void> | undefined
   /** Requests for a permit since the keeper was last asked. */
@@ -141,7 +141,8 @@
     if (limit === undefined) return { kind: SendPermission.Unlimited }
     const now = monotonicNow()
     const held = this.#grantsOf(record.entry, now)
-    held.unused = held.unused.filter((startBefore) => startBefore > now)
+    const validAt = suspendAwareNow()
+    held.unused = held.unused.filter((startBefore) => startBefore > validAt)
     const startBefore = held.unused.shift()
     if (startBefore !== undefined) return { kind: SendPermission.Granted, startBefore }
     held.wanted += 1
@@ -194,6 +195,7 @@
   async #ask (held: EndpointGrants, record: EndpointRecord, limit: RequestLimit, urgency: SendUrgency, waitMs: number): Promise<void> {
     const { entry } = record
     const askedAt = monotonicNow()
+    const grantsEnd = suspendAwareNow() + SEND_GRANT_LIFETIME_MS
     const count = held.wanted
     held.wanted = 0
     const message = {
@@ -215,7 +217,7 @@
     if (reply?.lifted === true) record.requestLimit.apply({ requestsPerSecond: undefined, sentAt: now, receivedAt: now })
     const { granted = 0, retryAfterMs = UNANSWERED_RETRY_MS } = reply ?? {}
     // Counted from before the keeper was asked: its answer may be processed late.
-    for (let index = 0; index < granted; index += 1) held.unused.push(askedAt + SEND_GRANT_LIFETIME_MS)
+    for (let index = 0; index < granted; index += 1) held.unused.push(grantsEnd)
     held.deniedUrgency = granted < count ? urgency : -Infinity
     held.retryAt = now + retryAfterMs
     held.askAt = now + Math.min(retryAfterMs, MAX_RETRY_MS)
--- a/packages/coordination/src/test/rollout-run.test.ts
+++ b/packages/coordination/src/test/rollout-run.test.ts
@@ -541,37 +541,6 @@
   t.true(Math.max(...sentAt) - acknowledgedAt < CANCEL_BOUND_MS, `sent ${Math.round(Math.max(...sentAt) - acknowledgedAt)} ms after the end`)
 })
 
-// Guards against an item that reaches an endpoint after the end of its batch (UNASKED): its host was suspended, and took its log copy for current.
-test.serial('a run whose machine was suspended starts nothing until it has read its log again', async (t) => {
-  const { context, endpoints, store } = await openFixture(t, ['a'])
-  endpoints.streamScripts.set('a', async function * () {
-    yield { kind: StreamPartKind.NotRun, status: 503, load: undefined }
-  })
-  let isThrottled = false
-  const throttled: ObjectStore = {
-    read: async (key, call) => isThrottled ? failure(StoreFailure.Timeout) : await store.read(key, call),
-    list: async (prefix, call) => await store.list(prefix, call),
-    write: async (key, value, expectation, call) => isThrottled ? { status: WriteStatus.NotWritten, detail: 'store rate limit exceeded' } : await store.write(key, value, expectation, call),
-    remove: async (key, version, call) => await store.remove(key, version, call),
-    watch: async (prefix, after, call) => await store.watch(prefix, after, call)
-  }
-  const run = new RolloutRun({ ...context, store: new RolloutStore(throttled) }, rolloutOrder(1, 4), new RolloutProgress())
-  t.teardown(() => run.stop())
-  run.start()
-  await waitUntil(t, () => endpoints.streams.length > 0)
-  t.true(await run.refreshProgress(0))
-  const { now } = Date
-  t.teardown(() => {
-    Date.now = now
-  })
-  isThrottled = true
-  // Of a suspend of 10 s the steady clock shows nothing.
-  Date.now = () => now() + 10_000
-  const before = endpoints.streams.length
-  await sleep(1_000)
-  t.is(endpoints.streams.length, before)
-})
-
 // Guards against a second owner that runs samples beside the first, after the end of their batch (UNASKED): its claim was never written.
 test('a claim that the store could not be asked for in time gives neither ownership nor a current log copy', async (t) => {
   const { endpoints, open } = await openFixture(t, ['a'])
--- a/packages/state/src/lib/work-permission.ts
+++ b/packages/state/src/lib/work-permission.ts
@@ -1,6 +1,6 @@
 import type { SilentSpan } from './store-silence.js'
 
-/** How current the log copy behind a permission to start work is. */
+/** How current the log copy behind a permission to start work is. All times are by the clock that counts suspends of the machine. */
 export interface WorkPermissionEvidence {
   /** Monotonic milliseconds at which the last successful read or write of the log was sent; -Infinity if there was none. */
   readonly confirmedAt: number
@@ -24,7 +24,7 @@
   readonly permission: WorkPermission
   /** Age of the log copy behind the permission, in milliseconds; undefined if the log was never read. */
   readonly logAgeMs: number | undefined
-  /** Monotonic milliseconds at which the permission ends; no request may begin to be written after it. */
+  /** Time at which the permission ends, in milliseconds by the clock that counts suspends; no request may begin to be written after it. */
   readonly startBefore: number
 }
 
@@ -57,7 +57,7 @@
  * unanswered show that: a process that sent none knows nothing about the store. A log
  * that was never read may hold an end from before the outage.
  *
- * @param now monotonic milliseconds
+ * @param now monotonic milliseconds by the clock that counts suspends
  * @example
  * decideWorkPermission({ confirmedAt: 0, storeSilence: undefined, isContested: false }, 400) // WorkPermission.Granted
  */
@@ -76,7 +76,7 @@
  * when the log copy is too old or, in an outage, when the outage is no longer known
  * to go on.
  *
- * @param now monotonic milliseconds
+ * @param now monotonic milliseconds by the clock that counts suspends
  * @example
  * createWorkPermit(WorkPermission.Granted, { confirmedAt: 0, storeSilence: undefined, isContested: false }, 400).startBefore // 2_200
  */
--- a/packages/transport/src/lib/suspend-aware-clock.ts
+++ b/packages/transport/src/lib/suspend-aware-clock.ts
@@ -51,6 +51,12 @@
     return steady + this.#suspendedMs
   }
 
+  /** Time for which the machine was suspended, as far as it counts, in milliseconds. */
+  get suspendedMs (): number {
+    this.now()
+    return this.#suspendedMs
+  }
+
   #read (): { readonly steady: number, readonly wall: number } {
     for (let attempt = 1; ; attempt++) {
       const steady = this.#sources.steady()
@@ -73,3 +79,16 @@
 export function suspendAwareNow (): number {
   return processClock.now()
 }
+
+/**
+ * Converts a monotonic time, which must not lie before a suspend of the machine, to
+ * the clock of {@link suspendAwareNow}.
+ *
+ * @param time monotonic milliseconds
+ * @example
+ * const end = toSuspendAware(deadline)
+ * const mayAct = () => suspendAwareNow() < end
+ */
+export function toSuspendAware (time: number): number {
+  return time + processClock.suspendedMs
+}
