A holder that notices that its lease lapsed renews it at once

After a suspend the timer of the next renewal has as much left as before, up to a third of the lease. leadership() now starts the next run when it finds that the lease has ended.

Evidence: "a holder that notices that its lease lapsed ..." had no leadership after 100 turns of the event loop, passes now.

--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -123,7 +123,10 @@
     const held = this.#held
     if (held === undefined) return undefined
     const remainingMs = this.#remainingMs(held)
-    return remainingMs > 0 ? { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs } : undefined
+    if (remainingMs > 0) return { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs }
+    // After a suspend, the timer of the next renewal has as much left as before.
+    this.#renewalLoop.hasten()
+    return undefined
   }
 
   /**
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -142,6 +142,19 @@
   t.deepEqual(hosts.turns(), [])
 })
 
+test('a holder that notices that its lease lapsed renews it at once, not with the next period', async (t) => {
+  const store = new MemoryStore({ sleep: async () => {} }, seededRandom(1))
+  let suspendedMs = 0
+  const clock = { now: () => 0, elapsed: () => suspendedMs, wall: () => suspendedMs, sleep: async () => {} }
+  const lease = new LeaseTask({ name: 'duties', holder: 'h1/a', leaseMs: 600_000, storeTimeoutMs: 500 }, store, clock)
+  await lease.start()
+  suspendedMs = 700_000
+  t.is(lease.leadership(), undefined)
+  for (let turn = 0; turn < 100 && lease.leadership() === undefined; turn++) await new Promise((resolve) => setImmediate(resolve))
+  t.is(lease.leadership()?.epoch, 1)
+  await lease.stop()
+})
+
 /** Hosts of which `h1` has its writes delayed from a moment on, and a function that makes the delayed ones take effect. */
 function openLateHosts (from: number): { readonly hosts: DutyHosts, readonly deliver: () => Promise<void> } {
   const late: (() => Promise<unknown>)[] = []
