--- a/packages/bench/src/test/cut-off-hosts.test.ts
+++ b/packages/bench/src/test/cut-off-hosts.test.ts
@@ -25,12 +25,24 @@
 
 const ENDPOINTS = ['d1', 'd2', 'd3']
 
+/** Duration of a call, in milliseconds. */
+const CALL_MS = 60
+
+/** Duration of a call, and time between two calls at a host, with which the connections that live on are too few, in milliseconds. */
+const LONG_CALL_MS = 400
+const DENSE_GAP_MS = 45
+
 /** Endpoints to which some hosts lose their paths. */
 class CuttableEndpoints {
   readonly cut = new Map<number, CutKind>()
   readonly arrivals: Array<{ readonly at: number, readonly host: number }> = []
   /** Open connections that are in use, by host and endpoint. */
   readonly #busy = new Set<string>()
+  readonly #callMs: number
+
+  constructor (callMs = CALL_MS) {
+    this.#callMs = callMs
+  }
 
   portOf (host: number): EndpointPort {
     return {
@@ -67,7 +79,7 @@
 
   async #serve (host: number): Promise<EndpointReply> {
     this.arrivals.push({ at: performance.now(), host })
-    await new Promise((resolve) => setTimeout(resolve, 60))
+    await new Promise((resolve) => setTimeout(resolve, this.#callMs))
     return { kind: EndpointReplyKind.Answer, status: 200, headers: [], body: Buffer.from('done'), signature: undefined, load: undefined }
   }
 }
@@ -106,3 +118,33 @@
     })
   }
 }
+
+// Guards against callers who are refused at a host whose open connections live on, but are too few (RECOVER).
+test('callers of a failure domain whose open connections are too few, while new ones are refused, are served by other hosts', async (t) => {
+  const endpoints = new CuttableEndpoints(LONG_CALL_MS)
+  const domains = ['leith-walk', 'leith-walk', 'leith-walk', 'castlegate', 'castlegate', 'castlegate']
+  const cutHosts = [0, 1, 2]
+  const hosts = await startHosts(t, { domains, portOf: (host) => endpoints.portOf(host), entries: ENDPOINTS.map((id) => endpointEntry(id, { service: 'desk', slots: 36 })) })
+  const served: Array<{ readonly at: number, readonly isCut: boolean, readonly ok: Promise<boolean> }> = []
+  const cutAt = performance.now() + 1_500
+  const healedAt = cutAt + CUT_MS
+  for (let round = 0; performance.now() < healedAt; round += 1) {
+    if (performance.now() >= cutAt) for (const one of cutHosts) endpoints.cut.set(one, CutKind.NewRefused)
+    for (const [host, { calls }] of hosts.entries()) {
+      const at = performance.now()
+      const outcome = calls.run({
+        requestId: `r${round}.${host}`, route: DESK_ROUTE, origin: CallOrigin.Caller, workspace: undefined, method: 'GET', path: '/', headers: [], body: new Uint8Array(), deadline: at + 2_000, signal: new AbortController().signal
+      })
+      served.push({ at, isCut: cutHosts.includes(host), ok: outcome.then(({ ok }) => ok) })
+    }
+    await new Promise((resolve) => setTimeout(resolve, DENSE_GAP_MS))
+  }
+  const shareServed = async (isCut: boolean): Promise<number> => {
+    const counted = await Promise.all(served.filter((one) => one.isCut === isCut && one.at >= cutAt + DETECTION_MS && one.at < healedAt).map(async ({ ok }) => await ok))
+    return counted.filter(Boolean).length / counted.length
+  }
+  const [atCut, atOthers] = [await shareServed(true), await shareServed(false)]
+  t.log(`served: ${atCut.toFixed(2)} at hosts that were cut off, ${atOthers.toFixed(2)} at the others`)
+  t.true(atOthers > 0.9)
+  t.true(atCut >= atOthers * 2 / 3)
+})
