--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -124,7 +124,7 @@
       }
       const reply = await bus.send(helper, message, { deadline, signal })
       const isTaken = reply.ok ? reply.value.ok || reply.value.taken : reply.failure !== PeerFailure.NotSent
-      log.record(LogEvent.CallForwarded, { requestId, host: helper.id, outcome: !isTaken ? 'not-taken' : reply.ok ? reply.value.ok ? reply.value.status : reply.value.refusal.reason : reply.failure, tookMs: Math.round(monotonicNow() - sentAt) })
+      log.record(LogEvent.CallForwarded, { requestId, host: helper.id, reason: reply.ok && !reply.value.ok ? reply.value.refusal.detail : undefined, isCutOff: this.isCutOff, outcome: !isTaken ? 'not-taken' : reply.ok ? reply.value.ok ? reply.value.status : reply.value.refusal.reason : reply.failure, tookMs: Math.round(monotonicNow() - sentAt) })
       if (!isTaken) {
         this.#pausedUntil.set(helper.id, deadlineAfter(HELPER_PAUSE_MS))
         if (reply.ok && !reply.value.ok && reply.value.refusal.reason === RefusalReason.Overloaded) overload = outcomeOf(reply.value)
