Calls that find too few connections at a host are passed on, though some live on

Cause: a host passed calls on only while no endpoint gave a sign. Each answer on an open connection is one, so the host didn't count as cut off, while calls that needed a new connection used up their attempts on refused connections, or found every endpoint suspended for them.

A call is now passed on by what it met itself: no connection at two endpoints, or no place while connections to two endpoints broke lately. An endpoint to which no connection could be opened has not run the call, so that it leaves the route's attempts to the other host.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -24,7 +24,7 @@
 /** Time without an answer after which an endpoint counts as silent, in milliseconds: many times the usual time of a call. */
 const SILENT_MS = 400
 
-/** Number of endpoints that a call couldn't reach after which it is passed on to another host. */
+/** Number of endpoints that a call, or this host of late, couldn't reach after which the call may be passed on to another host. */
 const MAX_UNREACHED = 2
 
 /** Number of rejections by endpoints after which a call is refused. */
@@ -96,6 +96,8 @@
   mayHaveRun: boolean
   counted: boolean
   isForwarded: boolean
+  /** Whether no endpoint has a place for the call while this host has lost connections to several. */
+  isStarved: boolean
   /** Whether this is the single run of a call that is held back. */
   isTrial: boolean
   lastFailure: AnsweredAttempt | undefined
@@ -165,6 +167,7 @@
       mayHaveRun: false,
       counted: false,
       isForwarded: call.isForwarded === true,
+      isStarved: false,
       isTrial: false,
       lastFailure: undefined
     }
@@ -206,17 +209,21 @@
     return { ok: false, refusal: this.#deadlineRefusal(state), failures: state.failures }
   }
 
-  /** Whether the call should run at another host: this one reaches no endpoint, and the call may be sent once more. */
-  #mayForward ({ call, isForwarded, unreached, attempts, mayHaveRun, openAttempts, arrived }: CallState): boolean {
-    const { relay } = this.#context
-    if (isForwarded || arrived.length > 0 || attempts >= call.route.maxAttempts) return false
+  /**
+   * Whether the call should run at another host: this one reaches no endpoint, or too few for it, and the call
+   * may be sent once more. Open connections may live on while new ones are refused, so that a host which gets
+   * answers can still lack connections.
+   */
+  #mayForward (state: CallState): boolean {
+    const { call, isForwarded, isStarved, unreached, mayHaveRun, openAttempts, arrived } = state
+    if (isForwarded || arrived.length > 0 || attemptsLeft(state) <= 0) return false
     const isUnsent = !mayHaveRun && openAttempts.size === 0
-    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (relay.isCutOff || (relay.isDoubtful && unreached.size >= MAX_UNREACHED))
+    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (this.#context.relay.isCutOff || isStarved || unreached.size >= MAX_UNREACHED)
   }
 
   async #forward (state: CallState): Promise<CallOutcome | undefined> {
     state.isForwarded = true
-    const outcome = await this.#context.relay.forward(state.call, state.call.route.maxAttempts - state.attempts)
+    const outcome = await this.#context.relay.forward(state.call, attemptsLeft(state))
     const mayHaveRun = state.mayHaveRun || state.openAttempts.size > 0
     if (outcome === undefined || outcome.ok || outcome.refusal.ran !== Ran.No || !mayHaveRun) return outcome
     return { ...outcome, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: outcome.refusal.detail } }
@@ -263,8 +270,11 @@
       case SearchEnd.None: break
       default: return unreachable(found)
     }
-    const isLate = monotonicNow() >= state.refuseAt
-    const listed = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion)).length
+    const now = monotonicNow()
+    const isLate = now >= state.refuseAt
+    const endpoints = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion))
+    const listed = endpoints.length
+    state.isStarved = endpoints.filter(({ brokenUntil }) => now < brokenUntil).length >= MAX_UNREACHED
     if (listed > 0 && !isLate && state.rejections < MAX_REJECTIONS) {
       state.excluded.clear()
       return undefined
@@ -486,3 +496,8 @@
     default: return unreachable(reply)
   }
 }
+
+/** Number of endpoints at which a call may still run; those to which no connection could be opened haven't run it. */
+function attemptsLeft ({ call, attempts, unreached }: CallState): number {
+  return call.route.maxAttempts - (attempts - unreached.size)
+}
