--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -62,6 +62,10 @@
   RewardAnswered = 'reward-answered',
   LeaseGained = 'lease-gained',
   LeaseLost = 'lease-lost',
+  /** This host gave its lease up, with the calls that were under way then. */
+  LeaseGivenUp = 'lease-given-up',
+  /** Calls were under way when their lease had ended, and their connections were reset. */
+  LeasedCallsReset = 'leased-calls-reset',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
