--- a/packages/bench/src/test/entry-hosts.ts
+++ b/packages/bench/src/test/entry-hosts.ts
@@ -48,12 +48,16 @@
   readonly entries: readonly EndpointEntry[]
   /** Returns the hosts' way to the store; without it, they use the store itself. */
   readonly storeOf?: (store: MemoryStore) => SnapshotStore
+  /** Services besides the one of plain calls. */
+  readonly services?: Declaration['services']
+  /** Returns the newest version of each model. */
+  readonly releases?: () => ReadonlyMap<string, number>
 }
 
 /** Starts hosts that share an in-memory store and reach each other over loopback. */
-export async function startHosts (t: ExecutionContext, { domains, portOf, entries, storeOf = (store) => store }: HostsPlan): Promise<EntryService[]> {
+export async function startHosts (t: ExecutionContext, { domains, portOf, entries, storeOf = (store) => store, services = [], releases = () => new Map() }: HostsPlan): Promise<EntryService[]> {
   const memory = new MemoryStore({ sleep: async (milliseconds) => await new Promise((resolve) => setTimeout(resolve, milliseconds)) }, seededRandom(1))
-  memory.set('config/main', DECLARATION)
+  memory.set('config/main', { ...DECLARATION, services })
   for (const entry of entries) memory.set(`servers/${entry.id}`, entry)
   const store = storeOf(memory)
   const ports = await findFreePorts(domains.length)
@@ -76,7 +80,7 @@
       platform: { reportUsage: async () => PlatformCallStatus.Done, orderCapacity: async () => PlatformCallStatus.Done, close: async () => {} },
       decoder: DECODER,
       leaderMirrors: [],
-      newestVersions: () => new Map(),
+      newestVersions: releases,
       retirements: { pending: () => [], complete: async () => true },
       log: SILENT_LOG
     })
