A leader that reaches no endpoint hands the duties over to a host that does

Cause: only the store decides who leads, and a holder renews the lease as long as it reaches the store, whether or not it can do anything with it.

A leader judges its reach by its orders and requests for reports too, since calls on open connections may still be answered, and probes before it offers the duties. It gives the lease up only after a host that has just reached an endpoint has agreed to take it, in the way of a planned stop: calls under way end first, and if one was given up, the lease runs out by itself. Who has handed over doesn't contend for two leases, so that hosts don't act in turn; hosts cut off one after the other are a test of their own.

--- a/packages/bench/src/test/cut-off-leader.test.ts
+++ b/packages/bench/src/test/cut-off-leader.test.ts
@@ -106,3 +106,45 @@
   t.not(after?.host, leader)
   t.true((after?.fence ?? 0) > (before?.fence ?? 0))
 })
+
+// Guards against duties that nobody runs, since a leader gives them up while no other host could run them either.
+test('a leader keeps the duties while no host reaches endpoints, and hands them over once one does', async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const { endpoints, release, firstOrder } = await openFixture(t)
+  const before = await firstOrder(release(), 10_000)
+  const leader = before?.host ?? 0
+  for (const host of DOMAINS.keys()) endpoints.cut.add(host)
+  await firstOrder(release(), CONTACT_MS)
+  endpoints.cut.delete(leader)
+  const kept = await firstOrder(release(), LEASE_MS)
+  t.is(kept?.host, leader)
+  t.is(kept?.fence, before?.fence)
+  endpoints.cut.add(leader)
+  endpoints.cut.delete(3 - leader)
+  const last = await firstOrder(release(), CONTACT_MS + LEASE_MS)
+  t.is(last?.host, 3 - leader)
+})
+
+// Guards against hosts that act in turn (ONE) because cuts that move on make them hand the duties back and forth.
+test('hosts that are cut off one after the other do not act in turn within the lease', async (t) => {
+  t.timeout(TIMEOUT_MS)
+  const { endpoints, release, firstOrder } = await openFixture(t)
+  let version = release()
+  for (let round = 0; round < 5; round += 1) {
+    const order = await firstOrder(version, CONTACT_MS + LEASE_MS)
+    endpoints.cut.clear()
+    if (order !== undefined) endpoints.cut.add(order.host)
+    version = release()
+  }
+  await firstOrder(version, CONTACT_MS + LEASE_MS)
+  const { orders } = endpoints
+  t.log(orders.map(({ host, fence, version: one, at }) => `${Math.round(at)} h${host} ${fence} v${one}`).join(', '))
+  t.true(new Set(orders.map(({ host }) => host)).size > 1)
+  for (const [index, { host, fence, at }] of orders.entries()) {
+    const earlier = orders.slice(0, index)
+    t.true(earlier.every((one) => one.fence <= fence))
+    const last = earlier.findLast((one) => one.host === host)
+    const others = earlier.filter((one) => one.host !== host && one.at > (last?.at ?? Infinity))
+    t.false(others.length > 0 && at - (last?.at ?? -Infinity) < LEASE_MS)
+  }
+})
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -66,6 +66,8 @@
   LeaseGivenUp = 'lease-given-up',
   /** Calls were under way when their lease had ended, and their connections were reset. */
   LeasedCallsReset = 'leased-calls-reset',
+  /** A leader that reaches no endpoint has offered the duties to other hosts. */
+  DutiesOffered = 'duties-offered',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -1,11 +1,15 @@
 import { setTimeout } from 'node:timers/promises'
 import { monotonicNow } from '@cyclamenthread/transport'
+import { NO_RELAY } from './call-forwarder.js'
+import { DutySuccession } from './duty-succession.js'
+import { LeaderReach } from './leader-reach.js'
 import { LeasedCalls } from './leased-calls.js'
 import { LeaseTask } from './lease-task.js'
 import { LogEvent } from './event-log.js'
 import { Periodic } from './periodic.js'
 import { isLeaseCandidate } from './lease-candidate.js'
 import { responsiveWorkers } from './responsive-workers.js'
+import type { ServiceSchema } from 'moleculer'
 import type { LeaderLease, ObjectStore } from '@cyclamenthread/protocol'
 import type { Duty, DutyContext } from './duty-context.js'
 
@@ -52,17 +56,22 @@
   readonly #loops: readonly Periodic[]
   readonly #settings: LeaderSettings
   readonly #calls: LeasedCalls
+  readonly #reach: LeaderReach
+  readonly #succession: DutySuccession
   #epoch = 0
   #stopping: Promise<void> | undefined
   /** The lease is being given up, or is left to expire. */
   #handover: Promise<void> | undefined
 
-  constructor (settings: LeaderSettings, store: ObjectStore, context: DutyContext, duties: readonly Duty[]) {
+  constructor (settings: LeaderSettings, store: ObjectStore, context: DutyContext, duties: readonly Duty[], reach: LeaderReach = new LeaderReach(NO_RELAY)) {
     this.#settings = settings
     this.#context = context
     this.#duties = duties
     const location = { region: settings.storeRegion, failureDomain: '' }
-    const eligible = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
+    this.#reach = reach
+    this.#succession = new DutySuccession(settings, context, reach, { isLeader: () => this.isLeader, handOver: async () => await this.handOver(), contend: () => this.#lease.contend() })
+    const isCandidate = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
+    const eligible = (): boolean => this.#succession.isInvited || (isCandidate() && !this.#succession.isWithdrawn())
     this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
     this.#calls = new LeasedCalls((fence) => this.#heldUntil(fence) !== undefined, (calls) => {
       context.log.record(LogEvent.LeasedCallsReset, { lease: DUTIES_LEASE, fence: this.#epoch, calls })
@@ -75,11 +84,17 @@
     return !this.#calls.isClosed && this.#lease.leadership() !== undefined
   }
 
+  /** Returns the broker service that accepts the duties of other hosts. */
+  service (): ServiceSchema {
+    return this.#succession.service()
+  }
+
   /** Starts to contend for the lease, without waiting for it; does nothing after {@link stop}. */
   start (): void {
     if (this.#stopping !== undefined) return
     void this.#lease.start()
     for (const loop of this.#loops) void loop.start()
+    this.#succession.start()
   }
 
   /**
@@ -94,7 +109,7 @@
   async #stopOnce (): Promise<void> {
     await this.#handover
     await this.#giveUp()
-    await Promise.all(this.#loops.map(async (loop) => await loop.stop()))
+    await Promise.all([...this.#loops, this.#succession].map(async (loop) => await loop.stop()))
     if (this.#epoch !== 0) this.#changeEpoch(0)
   }
 
@@ -154,6 +169,7 @@
       if (epoch === 0) mirror.stop()
     }
     this.#epoch = epoch
+    this.#reach.reset()
     for (const duty of this.#duties) duty.reset()
   }
 
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -58,6 +58,11 @@
     await this.#renewalLoop.stop()
   }
 
+  /** Tries to take the lease now instead of after a pause; does nothing while this process holds it or hasn't started. */
+  contend (): void {
+    if (this.leadership() === undefined) this.#renewalLoop.wake()
+  }
+
   /** Releases the lease, so that another process can take over at once. Nothing may be sent under it from then on. */
   async release (): Promise<void> {
     const held = this.#held
--- a/packages/coordination/src/lib/periodic.ts
+++ b/packages/coordination/src/lib/periodic.ts
@@ -22,6 +22,13 @@
     await this.#run()
   }
 
+  /** Runs the action now instead of after the pause, unless it is running or stopped. */
+  wake (): void {
+    if (this.#timer === undefined || this.#stopped) return
+    clearTimeout(this.#timer)
+    void this.#run()
+  }
+
   /** Schedules no further runs and waits for a run in progress. */
   async stop (): Promise<void> {
     this.#stopped = true
@@ -30,6 +37,7 @@
   }
 
   async #run (): Promise<void> {
+    this.#timer = undefined
     this.#running = this.#action()
     await this.#running
     if (this.#stopped) return
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -1,7 +1,9 @@
 import { assignModels, isInService, WeightLoadLimit, unreachable, WeightUpdatePlanner } from '@cyclamenthread/state'
 import { PeerMessageKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { NO_RELAY } from './call-forwarder.js'
 import { LogEvent } from './event-log.js'
+import { LeaderReach } from './leader-reach.js'
 import type { EndpointRecord, WeightUpdateOrder, WeightUpdateSettings } from '@cyclamenthread/state'
 import type { LeaderLease, EndpointReport } from '@cyclamenthread/protocol'
 import type { Duty, DutyContext } from './duty-context.js'
@@ -55,14 +57,16 @@
  */
 export class WeightDuty implements Duty {
   readonly #context: DutyContext
+  readonly #reach: LeaderReach
   readonly #models = new Map<string, ModelUpdateState>()
   readonly #loadLimiter = new WeightLoadLimit()
   readonly #assignments = new Map<string, ReadonlyMap<string, string>>()
   /** Number of orders that each endpoint has accepted, by id and start; unknown before its first report and after an unanswered order. */
   readonly #orderCounts = new Map<string, number>()
 
-  constructor (context: DutyContext) {
+  constructor (context: DutyContext, reach: LeaderReach = new LeaderReach(NO_RELAY)) {
     this.#context = context
+    this.#reach = reach
   }
 
   reset (): void {
@@ -176,7 +180,11 @@
     const { entry } = record
     this.#context.sends.charge(record)
     const report = await this.#context.endpoints.readReport(entry, deadlineAfter(REPORT_TIMEOUT_MS))
-    if (report === undefined) return undefined
+    if (report === undefined) {
+      this.#reach.recordUnreached(entry.id)
+      return undefined
+    }
+    this.#reach.recordReached()
     if (report.leaving === true) this.#context.notices.recordLeaving(entry)
     for (const [model, version] of Object.entries(report.versions)) {
       if (version > this.#context.deployment.endpointTable.newestVersion(record, model)) this.#broadcastChange(record, model, version)
@@ -214,6 +222,8 @@
     this.#context.sends.charge(record)
     const status = await this.#context.endpoints.orderWeights(record.entry, { model, version, lease: held, expectedOrders })
     this.#context.log.record(LogEvent.WeightsOrdered, { endpoint: id, model, version, fence: held.fence, expectedOrders, outcome: status, ...held.course })
+    if (status === WeightOrderStatus.Unknown || status === WeightOrderStatus.NotSent) this.#reach.recordUnreached(id)
+    else this.#reach.recordReached()
     if (status === WeightOrderStatus.Accepted) {
       this.#orderCounts.set(incarnationOf(record), expectedOrders + 1)
       state.awaitedVersions.set(id, version)
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import {
-  announceLeave, CallForwarder, CallTask, CapacityDuty, CrashTask, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, EndpointWitness, HeldRequestStore, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
+  announceLeave, CallForwarder, CallTask, CapacityDuty, CrashTask, readOrCreateClusterSecret, DemandAnnouncer, DeploymentView, EndpointNoticeTask, EndpointWitness, HeldRequestStore, LeaderReach, LeaderTask, LocalBroker, LogEvent, MemberTask, MessageBus, MirrorRelay, RetirementDuty, RolloutStore, RolloutTask,
   SendPermitTask, StoredHostList, StreamOriginTask, taskService, UsageDuty, WeightDuty
 } from '@cyclamenthread/coordination'
 import { CLUSTER_SECRET_KEY, PeerMessageKind } from '@cyclamenthread/protocol'
@@ -162,7 +162,8 @@
       log
     }
     const leader = { holder: `${self.id}/${incarnation}`, leaseMs: settings.leaseMs, storeTimeoutMs: STORE_TIMEOUT_MS, storeRegion: settings.storeRegion }
-    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties), new CapacityDuty(duties), new RetirementDuty(duties)])
+    const reach = new LeaderReach(this.#forwarder)
+    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties, reach), new CapacityDuty(duties), new RetirementDuty(duties)], reach)
   }
 
   /** Logs how a caller's request ended. */
@@ -188,6 +189,7 @@
     this.#broker.createService(this.#sends.service())
     this.#broker.createService(this.#notices.service())
     this.#broker.createService(this.#witness.service())
+    this.#broker.createService(this.#leader.service())
     this.#broker.createService(this.#crashes.service())
     this.#broker.createService(this.#forwarder.service(async (call) => await this.calls.run(call)))
     this.#broker.createService(taskService('weights', {
--- a/packages/protocol/src/lib/message-kind.ts
+++ b/packages/protocol/src/lib/message-kind.ts
@@ -47,5 +47,6 @@
   ShareCrashes = 'crashes.share',
   ClearCrashes = 'crashes.clear',
   ReadHeldRequests = 'crashes.read',
-  ProbeEndpoint = 'witness.probe'
+  ProbeEndpoint = 'witness.probe',
+  OfferDuties = 'duties.offer'
 }
--- a/packages/protocol/src/lib/peer-message.ts
+++ b/packages/protocol/src/lib/peer-message.ts
@@ -18,6 +18,7 @@
 import { mirrorAgeSchema, readMirrorAgeSchema, relayMirrorUpdateSchema } from './mirror-message.js'
 import { clearSuspectSchema, reportEndpointLossSchema } from './quarantine-message.js'
 import { forwardCallSchema, forwardedCallSchema } from './call-message.js'
+import { offerDutiesSchema } from './duty-message.js'
 import { clearCrashesSchema, endpointProbeSchema, heldRequestsSchema, probeEndpointSchema, readHeldRequestsSchema, reportCrashSchema, shareCrashesSchema } from './crash-message.js'
 import { chargeSendsSchema, reportEndpointLeavingSchema, reportLimitLiftedSchema, requestSendsSchema, sendGrantSchema } from './endpoint-message.js'
 import { findStreamOriginResponseSchema, findStreamOriginSchema, recordStreamOriginSchema } from './stream-message.js'
@@ -32,7 +33,7 @@
   readCatalogueStatusSchema, fetchCatalogueSchema, fetchCataloguePartsSchema, announceCatalogueSchema,
   acceptRolloutSchema, offerRolloutSchema, runRolloutSchema, adoptRolloutSchema, readRolloutSchema, endRolloutSchema, keepRolloutEndsSchema, recheckRolloutSchema, reportEndpointWeightsSchema, reportDemandSchema, readRequestCountsSchema, relayMirrorUpdateSchema, readMirrorAgeSchema,
   recordStreamOriginSchema, findStreamOriginSchema, requestSendsSchema, chargeSendsSchema, reportLimitLiftedSchema, reportEndpointLeavingSchema, forwardCallSchema,
-  reportCrashSchema, shareCrashesSchema, clearCrashesSchema, readHeldRequestsSchema, probeEndpointSchema
+  reportCrashSchema, shareCrashesSchema, clearCrashesSchema, readHeldRequestsSchema, probeEndpointSchema, offerDutiesSchema
 ])
 
 /** Schema of the response to each kind of message. */
@@ -84,6 +85,7 @@
   [PeerMessageKind.ClearCrashes]: acceptedResponseSchema,
   [PeerMessageKind.ReadHeldRequests]: heldRequestsSchema,
   [PeerMessageKind.ProbeEndpoint]: endpointProbeSchema,
+  [PeerMessageKind.OfferDuties]: acceptedResponseSchema,
   [PeerMessageKind.ForwardCall]: forwardedCallSchema
 } as const
 
