--- a/packages/coordination/src/lib/duty-succession.ts
+++ b/packages/coordination/src/lib/duty-succession.ts
@@ -100,13 +100,16 @@
     void this.#loop.start()
   }
 
+  /** Accepts no more duties, and waits for a check under way. */
   async stop (): Promise<void> {
     this.#invitedUntil = -Infinity
+    this.#withdrawnUntil = Infinity
     await this.#loop.stop()
   }
 
   async #accept (): Promise<boolean> {
     if (monotonicNow() < this.#withdrawnUntil || !await this.#reachesEndpoint()) return false
+    if (monotonicNow() < this.#withdrawnUntil) return false
     this.#invitedUntil = monotonicNow() + this.#settings.leaseMs * INVITATION_LEASES
     return true
   }
--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -107,9 +107,10 @@
   }
 
   async #stopOnce (): Promise<void> {
+    const checked = this.#succession.stop()
     await this.#handover
     await this.#giveUp()
-    await Promise.all([...this.#loops, this.#succession].map(async (loop) => await loop.stop()))
+    await Promise.all([checked, ...this.#loops.map(async (loop) => await loop.stop())])
     if (this.#epoch !== 0) this.#changeEpoch(0)
   }
 
