--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -72,6 +72,8 @@
   LeaseEnded = 'lease-ended',
   /** A write of a lease without a known outcome, and what the store has in its place. */
   LeaseReadBack = 'lease-read-back',
+  /** A leader that reaches no endpoint has offered the duties to other hosts. */
+  DutiesOffered = 'duties-offered',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/periodic.ts
+++ b/packages/coordination/src/lib/periodic.ts
@@ -22,8 +22,8 @@
     await this.#run()
   }
 
-  /** Starts the next run now, unless one is in progress. */
-  hasten (): void {
+  /** Runs the action now instead of after the pause, unless it is running or stopped. */
+  wake (): void {
     if (this.#timer === undefined || this.#stopped) return
     clearTimeout(this.#timer)
     void this.#run()
