--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -68,6 +68,10 @@
   LeaseEnded = 'lease-ended',
   /** A write of a lease without a known outcome, and what the store has in its place. */
   LeaseReadBack = 'lease-read-back',
+  /** This host gave its lease up, with the calls that were under way then. */
+  LeaseGivenUp = 'lease-given-up',
+  /** Calls were under way when their lease had ended, and their connections were reset. */
+  LeasedCallsReset = 'leased-calls-reset',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
