Copies of the declaration and the registry count as old after a suspend

What callers would see: a denial by a declaration from before a suspend, which is not confirmed first (DENIED); a decision on a list of endpoints from before it (TWICE).

Cause: the age of a copy was taken on the steady clock, which stands still meanwhile.

Evidence: suspended-host.test.ts, "copies of the declaration and the registry ...": red before (the age of the declaration stayed under 5 s across a suspend of 10 s).

--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -69,7 +69,7 @@
 
   /** Time since the declaration was last known to be current, in milliseconds. */
   get declarationAgeMs (): number {
-    return monotonicNow() - this.#sources.declarations.confirmedAt
+    return this.#sources.declarations.ageMs
   }
 
   /** Monotonic milliseconds before which each start of an endpoint shows in the endpoint table. */
@@ -98,7 +98,7 @@
    * @returns whether the table is current
    */
   async awaitEndpoints (maxAgeMs: number): Promise<boolean> {
-    if (monotonicNow() - this.#sources.endpoints.currentAt <= maxAgeMs) return true
+    if (this.#sources.endpoints.currentAgeMs <= maxAgeMs) return true
     return await this.#sources.endpoints.confirm()
   }
 
--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -1,4 +1,4 @@
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
 import { StoreFailure, StorePurpose } from '@cyclamenthread/protocol'
 import { Backoff } from './backoff.js'
 import { LogEvent } from './event-log.js'
@@ -70,8 +70,11 @@
   #askRelay: () => Promise<MirrorAge> = async () => ({})
   readonly #backoff: Backoff
   #cursor: string | undefined
+  /** By the clock that counts suspends, in milliseconds. */
   #confirmedAt = -Infinity
   #currentAt = -Infinity
+  /** The same moment by the clock that counts suspends. */
+  #currentAtAware = -Infinity
   #connected: boolean | undefined
   #reconnectedAt = -Infinity
   /** Incremented by each start and stop, so that an earlier loop ends after its current wait. */
@@ -95,20 +98,25 @@
     return this.#cursor !== undefined
   }
 
-  /** Monotonic time at which the copy was last known to be current, in milliseconds. */
-  get confirmedAt (): number {
-    return this.#confirmedAt
+  /** Time since the copy was last known to be current, in milliseconds; it counts suspends of the machine. */
+  get ageMs (): number {
+    return suspendAwareNow() - this.#confirmedAt
   }
 
   /**
    * Monotonic time in milliseconds up to which the copy contains every change. Unlike
-   * {@link confirmedAt} it is proven by calls of this mirror alone and doesn't count the
+   * {@link ageMs} it is proven by calls of this mirror alone and doesn't count the
    * time for which an answer or a relay's update was under way.
    */
   get currentAt (): number {
     return this.#currentAt
   }
 
+  /** Time since {@link currentAt}, in milliseconds; it counts suspends of the machine. */
+  get currentAgeMs (): number {
+    return suspendAwareNow() - this.#currentAtAware
+  }
+
   /** Monotonic time at which the store was last reached again after a failure, in milliseconds. */
   get reconnectedAt (): number {
     return this.#reconnectedAt
@@ -162,7 +170,7 @@
     }
     if (Number(update.next) < own) return
     const now = monotonicNow()
-    this.#confirmedAt = Math.max(this.#confirmedAt, now - update.ageMs)
+    this.#confirmedAt = Math.max(this.#confirmedAt, suspendAwareNow() - update.ageMs)
     if (update.regainedMs !== undefined) this.#reconnectedAt = Math.max(this.#reconnectedAt, now - update.regainedMs)
     if (update.ageMs < this.#relaySilenceMs) this.#setConnected(true)
     if (!isNewer) return
@@ -202,17 +210,17 @@
    * @returns whether the copy is current
    */
   async confirm (): Promise<boolean> {
-    const askedAt = monotonicNow()
+    const askedAt = readMoment()
     const { next, ageMs = Infinity } = this.#role() === MirrorRole.Follower ? await this.#askRelay() : {}
     const isCopyOfRelay = next !== undefined && Number(this.#cursor ?? -1) >= Number(next)
     if (!isCopyOfRelay || ageMs >= this.#relaySilenceMs) return await this.refresh()
-    this.#currentAt = Math.max(this.#currentAt, askedAt - ageMs)
+    this.#recordCurrent(askedAt, -ageMs)
     return true
   }
 
   async #follow (generation: number): Promise<void> {
     while (this.#generation === generation) {
-      const freshForMs = this.#confirmedAt + this.#relaySilenceMs - monotonicNow()
+      const freshForMs = this.#relaySilenceMs - this.ageMs
       if (this.#cursor !== undefined && freshForMs > 0 && this.#role() === MirrorRole.Follower) {
         await SYSTEM_CLOCK.sleep(freshForMs)
         continue
@@ -226,15 +234,15 @@
   }
 
   async #listObjects (): Promise<boolean> {
-    const askedAt = monotonicNow()
+    const askedAt = readMoment()
     const answer = await this.#store.snapshot(this.#settings.prefix, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(LIST_TIMEOUT_MS) })
     if (!answer.ok) return false
-    this.#currentAt = Math.max(this.#currentAt, askedAt)
+    this.#recordCurrent(askedAt, 0)
     if (this.#cursor !== undefined && Number(answer.value.next) < Number(this.#cursor)) return true
     this.#objects.clear()
     for (const object of answer.value.objects) this.#objects.set(object.key, object)
     this.#cursor = answer.value.next
-    this.#confirmedAt = askedAt
+    this.#confirmedAt = askedAt.aware
     this.#setConnected(true)
     this.#publishUpdate(undefined, [...this.#objects.values()])
     this.#notifyListeners()
@@ -247,18 +255,18 @@
     const periodMs = isRelay ? this.#settings.noticeMs * RELAY_PERIOD_SHARE : Infinity
     const waitMs = Math.min(periodMs, this.#settings.waitMs)
     const changePauseMs = Math.min(periodMs, this.#settings.changePauseMs)
-    const askedAt = monotonicNow()
+    const askedAt = readMoment()
     const answer = await this.#store.watch(prefix, after, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(waitMs + WATCH_SLACK_MS) })
     if (!answer.ok) {
       return answer.failure === StoreFailure.HistoryLost && await this.refresh()
     }
-    this.#confirmedAt = monotonicNow()
+    this.#confirmedAt = suspendAwareNow()
     this.#setConnected(true)
     if (this.#cursor !== after) return true
     this.#cursor = answer.value.next
     // The store gives an answer without changes only once the wait is over.
-    const isWaitOver = answer.value.changes.length === 0 && monotonicNow() >= askedAt + waitMs
-    this.#currentAt = Math.max(this.#currentAt, isWaitOver ? askedAt + waitMs - WATCH_ROUNDING_MS : askedAt)
+    const isWaitOver = answer.value.changes.length === 0 && monotonicNow() >= askedAt.steady + waitMs
+    this.#recordCurrent(askedAt, isWaitOver ? waitMs - WATCH_ROUNDING_MS : 0)
     this.#publishUpdate(after, answer.value.changes)
     if (answer.value.changes.length === 0) return true
     this.#applyChanges(answer.value.changes)
@@ -267,6 +275,12 @@
     return true
   }
 
+  /** Records that the copy contains every change up to some milliseconds after a moment, or before it if they are negative. */
+  #recordCurrent ({ steady, aware }: Moment, afterMs: number): void {
+    this.#currentAt = Math.max(this.#currentAt, steady + afterMs)
+    this.#currentAtAware = Math.max(this.#currentAtAware, aware + afterMs)
+  }
+
   #applyChanges (changes: readonly StoreChange[]): void {
     for (const { key, version, value } of changes) {
       if (value === undefined) this.#objects.delete(key)
@@ -283,7 +297,7 @@
       ...(base === undefined ? {} : { base }),
       next: this.#cursor,
       changes: [...changes],
-      ageMs: Math.max(0, now - this.#confirmedAt),
+      ageMs: Math.max(0, this.ageMs),
       ...(this.#reconnectedAt === -Infinity ? {} : { regainedMs: now - this.#reconnectedAt })
     }
     for (const listener of this.#updateListeners) listener(update)
@@ -296,8 +310,19 @@
   #setConnected (connected: boolean): void {
     if (this.#connected === connected) return
     const event = connected ? LogEvent.DependencyRegained : LogEvent.DependencyLost
-    this.#log.record(event, { dependency: 'store', prefix: this.#settings.prefix, ageMs: Math.round(monotonicNow() - this.#confirmedAt) })
+    this.#log.record(event, { dependency: 'store', prefix: this.#settings.prefix, ageMs: Math.round(this.ageMs) })
     if (connected && this.#connected === false) this.#reconnectedAt = monotonicNow()
     this.#connected = connected
   }
 }
+
+/** One moment by both clocks, in milliseconds. */
+interface Moment {
+  readonly steady: number
+  /** By the clock that counts suspends. */
+  readonly aware: number
+}
+
+function readMoment (): Moment {
+  return { steady: monotonicNow(), aware: suspendAwareNow() }
+}
