A host's proof that its catalogue is current ends although its machine was suspended

What callers would see: a key that was withdrawn during a suspend is still accepted by a host after it, for routes that refuse work at isolated hosts (ROUTE).

Cause: the age of the proof was taken on the steady clock. Found by the look for rights that outlive their holder.

--- a/packages/coordination/src/lib/catalogue-task.ts
+++ b/packages/coordination/src/lib/catalogue-task.ts
@@ -1,6 +1,6 @@
 import { CatalogueProofKind, HostState, isProofValid, laterProof } from '@cyclamenthread/state'
 import { CATALOGUE_PREFIX, MAX_WITHDRAWN_KEYS, PeerMessageKind, StorePurpose } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, suspendAwareNow } from '@cyclamenthread/transport'
 import { CatalogueReplica } from './catalogue-replica.js'
 import { PeerOrigin, StoreOrigin } from './catalogue-origin.js'
 import { KeyWithdrawalTracker } from './key-guard.js'
@@ -119,7 +119,7 @@
   }
 
   isCurrent (): boolean {
-    return isProofValid(this.#proof, monotonicNow())
+    return isProofValid(this.#proof, suspendAwareNow())
   }
 
   isWithdrawn (keyId: string): boolean {
@@ -166,9 +166,9 @@
   async #checkCurrent (): Promise<void> {
     const { settings } = this.#context
     const isRelay = this.#isRelay()
-    const sentAt = monotonicNow()
+    const sentAt = suspendAwareNow()
     if (isRelay && await this.#checkStore()) return
-    const observedAt = monotonicNow()
+    const observedAt = suspendAwareNow()
     if (await this.#checkPeers(this.#upstreamHosts(isRelay))) return
     const endedInTime = observedAt - sentAt < settings.storeTimeoutMs + PROCESS_PAUSE_MS
     if (isRelay && settings.self.region === settings.storeRegion && endedInTime && await this.#reachesMajority()) this.#recordProof({ kind: CatalogueProofKind.StoreDown, at: observedAt })
@@ -177,7 +177,7 @@
 
   /** Reads the head from the store, and everything else if the head is newer or a full check is due. */
   async #checkStore (): Promise<boolean> {
-    const sentAt = monotonicNow()
+    const sentAt = suspendAwareNow()
     const head = await this.#storeOrigin.fetchHead()
     if (head === undefined) return false
     this.#checkCount += 1
@@ -190,7 +190,7 @@
   /** Asks the given hosts in turn until one returns a proof that is recent enough. */
   async #checkPeers (hosts: readonly Host[]): Promise<boolean> {
     for (const host of hosts) {
-      const sentAt = monotonicNow()
+      const sentAt = suspendAwareNow()
       const answer = await this.#context.send(host, { kind: PeerMessageKind.ReadCatalogueStatus }, { deadline: deadlineAfter(CHECK_TIMEOUT_MS) })
       if (!answer.ok) continue
       const { revisions, proof } = answer.value
@@ -198,7 +198,7 @@
       if (proof === undefined || !this.#replica.covers(revisions)) continue
       const received = { kind: proof.kind, at: sentAt - proof.ageMs }
       this.#recordProof(received)
-      if (monotonicNow() - received.at < STORE_FALLBACK_AGE_MS) return true
+      if (suspendAwareNow() - received.at < STORE_FALLBACK_AGE_MS) return true
     }
     return false
   }
@@ -271,7 +271,7 @@
   }
 
   #proofAgeMs (): number {
-    return this.#proof === undefined ? Infinity : Math.max(0, monotonicNow() - this.#proof.at)
+    return this.#proof === undefined ? Infinity : Math.max(0, suspendAwareNow() - this.#proof.at)
   }
 }
 
--- a/packages/state/src/lib/catalogue-proof.ts
+++ b/packages/state/src/lib/catalogue-proof.ts
@@ -16,14 +16,14 @@
  */
 export interface CatalogueProof {
   readonly kind: CatalogueProofKind
-  /** Monotonic milliseconds of the host that holds the proof. */
+  /** Milliseconds by the clock of the host that holds the proof, which counts suspends of its machine. */
   readonly at: number
 }
 
 /**
  * Whether a proof is still valid.
  *
- * @param now monotonic milliseconds
+ * @param now monotonic milliseconds by the clock that counts suspends
  * @example
  * isProofValid({ kind: CatalogueProofKind.Checked, at: 1000 }, 5000) // true
  */
