A host that lacks connections itself leaves a call to another one

A host whose open connections live on doesn't count as cut off, so it took calls that others passed on, and held them until their deadline when it found no connection either.

Such a host now says at once that it hasn't run the call, and the next one is asked.

--- a/packages/bench/src/test/cut-off-hosts.test.ts
+++ b/packages/bench/src/test/cut-off-hosts.test.ts
@@ -119,32 +119,34 @@
   }
 }
 
-// Guards against callers who are refused at a host whose open connections live on, but are too few (RECOVER).
-test('callers of a failure domain whose open connections are too few, while new ones are refused, are served by other hosts', async (t) => {
-  const endpoints = new CuttableEndpoints(LONG_CALL_MS)
-  const domains = ['leith-walk', 'leith-walk', 'leith-walk', 'castlegate', 'castlegate', 'castlegate']
-  const cutHosts = [0, 1, 2]
-  const hosts = await startHosts(t, { domains, portOf: (host) => endpoints.portOf(host), entries: ENDPOINTS.map((id) => endpointEntry(id, { service: 'desk', slots: 36 })) })
-  const served: Array<{ readonly at: number, readonly isCut: boolean, readonly ok: Promise<boolean> }> = []
-  const cutAt = performance.now() + 1_500
-  const healedAt = cutAt + CUT_MS
-  for (let round = 0; performance.now() < healedAt; round += 1) {
-    if (performance.now() >= cutAt) for (const one of cutHosts) endpoints.cut.set(one, CutKind.NewRefused)
-    for (const [host, { calls }] of hosts.entries()) {
-      const at = performance.now()
-      const outcome = calls.run({
-        requestId: `r${round}.${host}`, route: DESK_ROUTE, origin: CallOrigin.Caller, workspace: undefined, method: 'GET', path: '/', headers: [], body: new Uint8Array(), deadline: at + 2_000, signal: new AbortController().signal
-      })
-      served.push({ at, isCut: cutHosts.includes(host), ok: outcome.then(({ ok }) => ok) })
+// Guards against callers who are refused at a host whose open connections live on, but are too few, and against
+// calls that are passed on to a host which lacks connections as well (RECOVER).
+for (const [name, cutHosts] of [['a failure domain', [0, 1, 2]], ['all hosts but one', [0, 1, 2, 3, 4]]] as const) {
+  test(`callers of ${name} whose open connections are too few, while new ones are refused, are served by other hosts`, async (t) => {
+    const endpoints = new CuttableEndpoints(LONG_CALL_MS)
+    const domains = ['leith-walk', 'leith-walk', 'leith-walk', 'castlegate', 'castlegate', 'castlegate']
+    const hosts = await startHosts(t, { domains, portOf: (host) => endpoints.portOf(host), entries: ENDPOINTS.map((id) => endpointEntry(id, { service: 'desk', slots: 36 })) })
+    const served: Array<{ readonly at: number, readonly isCut: boolean, readonly ok: Promise<boolean> }> = []
+    const cutAt = performance.now() + 1_500
+    const healedAt = cutAt + CUT_MS
+    for (let round = 0; performance.now() < healedAt; round += 1) {
+      if (performance.now() >= cutAt) for (const one of cutHosts) endpoints.cut.set(one, CutKind.NewRefused)
+      for (const [host, { calls }] of hosts.entries()) {
+        const at = performance.now()
+        const outcome = calls.run({
+          requestId: `r${round}.${host}`, route: DESK_ROUTE, origin: CallOrigin.Caller, workspace: undefined, method: 'GET', path: '/', headers: [], body: new Uint8Array(), deadline: at + 2_000, signal: new AbortController().signal
+        })
+        served.push({ at, isCut: cutHosts.some((one) => one === host), ok: outcome.then(({ ok }) => ok) })
+      }
+      await new Promise((resolve) => setTimeout(resolve, DENSE_GAP_MS))
     }
-    await new Promise((resolve) => setTimeout(resolve, DENSE_GAP_MS))
-  }
-  const shareServed = async (isCut: boolean): Promise<number> => {
-    const counted = await Promise.all(served.filter((one) => one.isCut === isCut && one.at >= cutAt + DETECTION_MS && one.at < healedAt).map(async ({ ok }) => await ok))
-    return counted.filter(Boolean).length / counted.length
-  }
-  const [atCut, atOthers] = [await shareServed(true), await shareServed(false)]
-  t.log(`served: ${atCut.toFixed(2)} at hosts that were cut off, ${atOthers.toFixed(2)} at the others`)
-  t.true(atOthers > 0.9)
-  t.true(atCut >= atOthers * 2 / 3)
-})
+    const shareServed = async (isCut: boolean): Promise<number> => {
+      const counted = await Promise.all(served.filter((one) => one.isCut === isCut && one.at >= cutAt + DETECTION_MS && one.at < healedAt).map(async ({ ok }) => await ok))
+      return counted.filter(Boolean).length / counted.length
+    }
+    const [atCut, atOthers] = [await shareServed(true), await shareServed(false)]
+    t.log(`served: ${atCut.toFixed(2)} at hosts that were cut off, ${atOthers.toFixed(2)} at the others`)
+    t.true(atOthers > 0.9)
+    t.true(atCut >= atOthers * 2 / 3)
+  })
+}
--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -160,7 +160,7 @@
       const outcome = await run({
         requestId, route: { ...route, maxAttempts: Math.min(route.maxAttempts, maxAttempts) }, origin: CallOrigin.Caller, workspace, method, path, headers, body, ...(continues === undefined ? {} : { continues }), deadline: deadlineAfter(leftMs), signal, isForwarded: true
       })
-      if (!outcome.ok) return { ...outcome, taken: outcome.refusal.reason !== RefusalReason.Leaving }
+      if (!outcome.ok) return { ...outcome, taken: outcome.refusal.reason !== RefusalReason.Leaving && outcome.refusal.reason !== RefusalReason.NoEndpoint }
       return { ...outcome, headers: outcome.headers.map(([name, value]): [string, string] => [name, value]) }
     } finally {
       this.#forwarded -= 1
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -196,6 +196,9 @@
     while (!signal.aborted) {
       const forwarded = this.#mayForward(state) ? await this.#forward(state) : undefined
       if (forwarded !== undefined) return forwarded
+      if (state.call.isForwarded === true && isUnsent(state) && lacksConnections(state)) {
+        return { ok: false, refusal: notRun(RefusalReason.NoEndpoint, 'this host lacks connections to endpoints as well', RETRY_AFTER_MS), failures: state.failures }
+      }
       if (state.openAttempts.size === 0 && state.arrived.length === 0) {
         const refusal = await this.#admit(state) ?? this.#startAttempt(state)
         if (refusal !== undefined) return state.lastFailure === undefined ? { ok: false, refusal, failures: state.failures } : outcomeOf(state.lastFailure, state.failures)
@@ -215,10 +218,9 @@
    * answers can still lack connections.
    */
   #mayForward (state: CallState): boolean {
-    const { call, isForwarded, isStarved, unreached, mayHaveRun, openAttempts, arrived } = state
+    const { call, isForwarded, arrived } = state
     if (isForwarded || arrived.length > 0 || attemptsLeft(state) <= 0) return false
-    const isUnsent = !mayHaveRun && openAttempts.size === 0
-    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (this.#context.relay.isCutOff || isStarved || unreached.size >= MAX_UNREACHED)
+    return (isUnsent(state) || call.route.kind === RouteKind.Idempotent) && (this.#context.relay.isCutOff || lacksConnections(state))
   }
 
   async #forward (state: CallState): Promise<CallOutcome | undefined> {
@@ -299,6 +301,7 @@
     const abort = new AbortController()
     const sentAt = monotonicNow()
     state.attempts += 1
+    state.isStarved = false
     state.excluded.add(record.entry.id)
     endpointTable.startWork(record.entry.id)
     const attempt: CallAttempt = { record, abort, sentAt, written: undefined }
@@ -501,3 +504,13 @@
 function attemptsLeft ({ call, attempts, unreached }: CallState): number {
   return call.route.maxAttempts - (attempts - unreached.size)
 }
+
+/** Whether no endpoint can have got the call, nor will one. */
+function isUnsent ({ mayHaveRun, openAttempts, arrived }: CallState): boolean {
+  return !mayHaveRun && openAttempts.size === 0 && arrived.length === 0
+}
+
+/** Whether the call has met that this host can open no connections. */
+function lacksConnections ({ isStarved, unreached }: CallState): boolean {
+  return isStarved || unreached.size >= MAX_UNREACHED
+}
--- a/packages/coordination/src/lib/duty-succession.ts
+++ b/packages/coordination/src/lib/duty-succession.ts
@@ -132,7 +132,7 @@
     const successor = await this.#findSuccessor()
     log.record(LogEvent.DutiesOffered, { to: successor?.id, tookMs: Math.round(monotonicNow() - startedAt) })
     if (successor === undefined || !isLeader()) return
-    this.#withdrawnUntil = monotonicNow() + this.#settings.leaseMs * WITHDRAWAL_LEASES
+    this.#withdrawnUntil = Math.max(this.#withdrawnUntil, monotonicNow() + this.#settings.leaseMs * WITHDRAWAL_LEASES)
     await handOver()
   }
 
