--- a/packages/coordination/src/lib/leader-task.ts
+++ b/packages/coordination/src/lib/leader-task.ts
@@ -72,7 +72,7 @@
     this.#succession = new DutySuccession(settings, context, reach, { isLeader: () => this.isLeader, handOver: async () => await this.handOver(), contend: () => this.#lease.contend() })
     const isCandidate = (): boolean => isLeaseCandidate(DUTIES_LEASE, context.hostId, responsiveWorkers(context.members), location, DUTY_CANDIDATES)
     const eligible = (): boolean => this.#succession.isInvited || (isCandidate() && !this.#succession.isWithdrawn())
-    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible }, store)
+    this.#lease = new LeaseTask({ name: DUTIES_LEASE, holder: settings.holder, leaseMs: settings.leaseMs, storeTimeoutMs: settings.storeTimeoutMs, eligible, log: context.log }, store)
     this.#calls = new LeasedCalls((fence) => this.#heldUntil(fence) !== undefined, (calls) => {
       context.log.record(LogEvent.LeasedCallsReset, { lease: DUTIES_LEASE, fence: this.#epoch, calls })
     })
