A call is passed on only with the attempts that its route has left

A call could run at more endpoints than its route allows (BUDGET).

Cause: an endpoint that wasn't reached was taken off the attempts twice, when its connection failed and when the call was passed on.

Evidence: "a call that has run here is passed on only with the attempts that are left": 3 attempts were passed on by a route of 2 that had used one; now 1.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -500,9 +500,9 @@
   }
 }
 
-/** Number of endpoints at which a call may still run; those to which no connection could be opened haven't run it. */
-function attemptsLeft ({ call, attempts, unreached }: CallState): number {
-  return call.route.maxAttempts - (attempts - unreached.size)
+/** Number of endpoints at which a call may still run; attempts that reached no endpoint aren't counted. */
+function attemptsLeft ({ call, attempts }: CallState): number {
+  return call.route.maxAttempts - attempts
 }
 
 /** Whether no endpoint can have got the call, nor will one. */
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -5,7 +5,7 @@
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { answerWith, ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
-import type { CallOutcome, CrashGuard, PlainCall } from '@cyclamenthread/coordination'
+import type { CallOutcome, CallRelay, CrashGuard, PlainCall } from '@cyclamenthread/coordination'
 import type { PeerMessage } from '@cyclamenthread/protocol'
 import type { CallScript } from './scripted-endpoints.js'
 import type { Host, Route } from '@cyclamenthread/state'
@@ -38,7 +38,7 @@
   run (changes?: Partial<PlainCall>): Promise<CallOutcome>
 }
 
-async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}, crashes: CrashGuard = NO_CRASHES): Promise<Fixture> {
+async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}, crashes: CrashGuard = NO_CRASHES, relay: CallRelay = NO_RELAY): Promise<Fixture> {
   const deployment = openDeployment(t)
   const { store, view } = deployment
   for (const id of ids) store.set(`servers/${id}`, endpointEntry(id, { service: 'desk', softwareVersion: versions[id] ?? 's1' }))
@@ -53,7 +53,7 @@
   }
   const members = { workers: () => ['h1', 'h2'].map((id) => ({ id }) as Host) }
   const notices = new EndpointNoticeTask({ self: { id: 'h1' }, deployment: view, sends: UNLIMITED_SENDS, members, bus, log: SILENT_LOG })
-  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay: NO_RELAY, crashes, networkLocation: LOCATION, tally, log: SILENT_LOG })
+  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay, crashes, networkLocation: LOCATION, tally, log: SILENT_LOG })
   return {
     task,
     reported,
@@ -84,6 +84,28 @@
   t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
 })
 
+// Guards against a call that runs at more endpoints than its route allows, because endpoints that weren't reached are taken off its attempts twice (BUDGET).
+test('a call that has run here is passed on only with the attempts that are left', async (t) => {
+  const forwarded: number[] = []
+  const relay: CallRelay = {
+    ...NO_RELAY,
+    forward: async (_call, maxAttempts) => {
+      forwarded.push(maxAttempts)
+      return undefined
+    }
+  }
+  const { endpoints, run } = await openFixture(t, ['a', 'bb', 'ccc'], {}, NO_CRASHES, relay)
+  let sends = 0
+  for (const id of ['a', 'bb', 'ccc']) {
+    endpoints.callScripts.set(id, async () => {
+      sends += 1
+      return { kind: EndpointReplyKind.Broken, sent: sends === 1, detail: 'reset' }
+    })
+  }
+  await run()
+  t.deepEqual(forwarded, [1])
+})
+
 // Guards against endpoints that are given more time than is left, because a host that got no processor retries before it notices the deadline (BUDGET).
 test.serial('a call is not sent once more after its deadline, even if the event loop is late', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb'])
