A call that is passed on keeps the end of its permission to start

What callers would see: a reward request of a batch that was ended starts at another host later than its end allows (UNASKED).

Cause: a call that is passed on carried the time left to its answer, not the time in which it may begin to be written; a call whose permission had ended was passed on as well.

Evidence: "a call is passed on only while it may start, and with the time that is left for that" failed before: the call was passed on 1 ms after the end of its permission. It passes now.

--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -1,6 +1,6 @@
 import { EndpointReach, notRun, Ran, RefusalReason } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
-import { deadlineAfter, monotonicNow, PeerFailure, timeLeft } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, PeerFailure, suspendAwareNow, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
 import { responsiveWorkers } from './responsive-workers.js'
@@ -118,9 +118,11 @@
     let overload: CallOutcome | undefined
     for (const helper of this.#helpers().slice(0, MAX_HELPERS)) {
       const sentAt = monotonicNow()
-      const { requestId, route, method, path, headers, body, workspace, continues, deadline, signal } = call
+      const { requestId, route, method, path, headers, body, workspace, continues, deadline, startBefore, signal } = call
+      const startLeftMs = startBefore === undefined ? undefined : startBefore - suspendAwareNow()
+      if (startLeftMs !== undefined && startLeftMs <= 0) return overload
       const message: ForwardCall = {
-        kind: PeerMessageKind.ForwardCall, requestId, host: route.host, method, path, headers: headers.map(([name, value]): [string, string] => [name, value]), body, workspace, continues, maxAttempts, leftMs: Math.max(0, timeLeft(deadline))
+        kind: PeerMessageKind.ForwardCall, requestId, host: route.host, method, path, headers: headers.map(([name, value]): [string, string] => [name, value]), body, workspace, continues, maxAttempts, leftMs: Math.max(0, timeLeft(deadline)), ...(startLeftMs === undefined ? {} : { startLeftMs })
       }
       const reply = await bus.send(helper, message, { deadline, signal })
       const isTaken = reply.ok ? reply.value.ok || reply.value.taken : reply.failure !== PeerFailure.NotSent
@@ -149,7 +151,7 @@
   }
 
   async #runForwarded (message: ForwardCall, run: CallRunner, signal: AbortSignal): Promise<ForwardedCall> {
-    const { requestId, host, method, path, headers, body, workspace, continues, maxAttempts, leftMs } = message
+    const { requestId, host, method, path, headers, body, workspace, continues, maxAttempts, leftMs, startLeftMs } = message
     const route = this.#context.deployment.routeTable?.findRoute(host, path)
     const notTaken = (reason: RefusalReason, detail: string): ForwardedCall => ({ ok: false, refusal: notRun(reason, detail, RETRY_AFTER_MS), taken: false, failures: 0 })
     if (route === undefined) return notTaken(RefusalReason.NotReady, 'no route matches at the other host')
@@ -158,7 +160,7 @@
     this.#forwarded += 1
     try {
       const outcome = await run({
-        requestId, route: { ...route, maxAttempts: Math.min(route.maxAttempts, maxAttempts) }, origin: CallOrigin.Caller, workspace, method, path, headers, body, ...(continues === undefined ? {} : { continues }), deadline: deadlineAfter(leftMs), signal, isForwarded: true
+        requestId, route: { ...route, maxAttempts: Math.min(route.maxAttempts, maxAttempts) }, origin: CallOrigin.Caller, workspace, method, path, headers, body, ...(continues === undefined ? {} : { continues }), deadline: deadlineAfter(leftMs), ...(startLeftMs === undefined ? {} : { startBefore: suspendAwareNow() + startLeftMs }), signal, isForwarded: true
       })
       if (!outcome.ok) return { ...outcome, taken: outcome.refusal.reason !== RefusalReason.Leaving && outcome.refusal.reason !== RefusalReason.NoEndpoint }
       return { ...outcome, headers: outcome.headers.map(([name, value]): [string, string] => [name, value]) }
--- a/packages/coordination/src/test/call-forwarder.test.ts
+++ b/packages/coordination/src/test/call-forwarder.test.ts
@@ -1,8 +1,9 @@
 import test from 'ava'
 import { CallForwarder, CallOrigin, SILENT_LOG } from '@cyclamenthread/coordination'
 import { failure, success } from '@cyclamenthread/state'
-import { PeerFailure } from '@cyclamenthread/transport'
+import { PeerFailure, suspendAwareNow } from '@cyclamenthread/transport'
 import type { CallForwarderContext, PlainCall } from '@cyclamenthread/coordination'
+import type { ForwardCall } from '@cyclamenthread/protocol'
 import type { Host } from '@cyclamenthread/state'
 
 const SELF = { id: 'h1', failureDomain: 'd1' } as Host
@@ -21,3 +22,20 @@
   const outcome = await forwarder.forward(CALL, 2)
   t.true(outcome?.ok)
 })
+
+// Guards against a reward request that starts at another host after its batch was ended, because the call is passed on without its permission (UNASKED).
+test('a call is passed on only while it may start, and with the time that is left for that', async (t) => {
+  const messages: ForwardCall[] = []
+  const bus = {
+    send: async (_host: Host, message: ForwardCall) => {
+      messages.push(message)
+      return success({ ok: true, status: 200, headers: [], body: new Uint8Array(), taken: true, failures: 0 })
+    }
+  } as unknown as CallForwarderContext['bus']
+  const members = { workers: () => [SELF, ANSWERING], isSuspected: () => false }
+  const forwarder = new CallForwarder({ self: SELF, members, bus, log: SILENT_LOG } as unknown as CallForwarderContext)
+  t.is(await forwarder.forward({ ...CALL, startBefore: suspendAwareNow() - 1 }, 2), undefined)
+  t.is(messages.length, 0)
+  await forwarder.forward({ ...CALL, startBefore: suspendAwareNow() + 200 }, 2)
+  t.true((messages[0]?.startLeftMs ?? Infinity) <= 200)
+})
--- a/packages/coordination/src/test/lease-task.test.ts
+++ b/packages/coordination/src/test/lease-task.test.ts
@@ -130,6 +130,19 @@
   t.is(hosts.act('h1'), undefined)
 })
 
+// Guards against a holder that acts after a suspend of its machine, because its wall clock was set back before it read its clocks again.
+test('a holder whose wall clock was set back during a suspend does not act after another host took the lease', async (t) => {
+  const hosts = new DutyHosts()
+  await hosts.contend('h1')
+  await hosts.contend('h2')
+  hosts.clock('h1').suspend(1.5 * LEASE_MS)
+  await hosts.wait(1.2 * LEASE_MS)
+  t.is((await hosts.contend('h2'))?.epoch, 2)
+  hosts.clock('h1').wallOffset -= 2 * LEASE_MS
+  await hosts.wait(0.4 * LEASE_MS)
+  t.is(hosts.act('h1'), undefined)
+})
+
 test('a holder whose lease lapsed holds it again with its next renewal, if no other host took it', async (t) => {
   const hosts = new DutyHosts()
   await hosts.contend('h1')
--- a/packages/protocol/src/lib/call-message.ts
+++ b/packages/protocol/src/lib/call-message.ts
@@ -23,7 +23,9 @@
   /** Number of endpoints to which the call may still be sent. */
   maxAttempts: z.int().positive(),
   /** Time left to the call, in milliseconds. */
-  leftMs: z.number().nonnegative()
+  leftMs: z.number().nonnegative(),
+  /** Time left in which it may begin to be written to an endpoint, in milliseconds; absent if that is the time left to the call. */
+  startLeftMs: z.number().nonnegative().optional()
 })
 
 /** The answer of an endpoint. */
