A host that handed the duties over contends again after two leases, also while it is cut off

What callers would see: no usage reports and no orders for four leases (12 s) instead of two, if the host that took the duties is gone and the former leader is still cut off. Found in the review of the hand-over.

Cause: the time since which a host was cut off was noted only once its withdrawal had ended, so that the two spans followed each other.

--- a/packages/coordination/src/lib/duty-succession.ts
+++ b/packages/coordination/src/lib/duty-succession.ts
@@ -90,10 +90,8 @@
 
   /** Whether this host leaves the lease to others for now. If nobody else has taken it then, it contends even though it is cut off. */
   isWithdrawn (): boolean {
-    const now = monotonicNow()
-    if (now < this.#withdrawnUntil) return true
-    this.#cutOffSince = this.#reach.isCutOff ? this.#cutOffSince ?? now : undefined
-    return this.#cutOffSince !== undefined && now < this.#cutOffSince + this.#settings.leaseMs * WITHDRAWAL_LEASES
+    const waitsFrom = this.#reach.isCutOff ? this.#cutOffSince ?? monotonicNow() : -Infinity
+    return monotonicNow() < Math.max(this.#withdrawnUntil, waitsFrom + this.#settings.leaseMs * WITHDRAWAL_LEASES)
   }
 
   start (): void {
@@ -115,6 +113,7 @@
   }
 
   async #check (): Promise<void> {
+    this.#cutOffSince = this.#reach.isCutOff ? this.#cutOffSince ?? monotonicNow() : undefined
     if (this.#hooks.isLeader()) this.#invitedUntil = -Infinity
     // The lease is to be seen, and to be taken when it has run out, without the pauses of other candidates.
     else if (this.isInvited) this.#hooks.contend()
--- a/packages/coordination/src/test/leader-task.test.ts
+++ b/packages/coordination/src/test/leader-task.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
-import { DUTIES_LEASE, DUTY_CANDIDATES, leaseCandidates, LeaderTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { DUTIES_LEASE, DUTY_CANDIDATES, leaseCandidates, LeaderReach, LeaderTask, SILENT_LOG } from '@cyclamenthread/coordination'
+import { EndpointSign, success } from '@cyclamenthread/state'
 import { MemoryStore, seededRandom } from '@cyclamenthread/standins'
 import { leaseKey } from '@cyclamenthread/protocol'
 import { waitUntil } from './deployment-fixture.js'
@@ -92,3 +93,36 @@
   await Promise.all(stops)
   t.true(record().released)
 })
+
+// Guards against duties without a leader for twice as long as a host stays out that has handed them over and is still cut off.
+test('a host that is cut off leads again two leases after it handed over to a host that is gone', async (t) => {
+  const leaseMs = 1_000
+  const store = new MemoryStore({ sleep: async () => await new Promise((resolve) => setImmediate(resolve)) }, seededRandom(1))
+  const self = { id: 'a', region: REGION, failureDomain: 'a' } as Host
+  const hosts = [self, { id: 'b', region: REGION, failureDomain: 'b' } as Host]
+  const relay = { isCutOff: false }
+  const context = {
+    hostId: 'a',
+    mirrors: [],
+    log: SILENT_LOG,
+    members: { workers: () => hosts, isSuspected: () => false },
+    deployment: { endpointTable: { endpointsInService: () => [{ entry: { id: 'e1' } }] } },
+    endpoints: { probe: async () => EndpointSign.None },
+    bus: {
+      send: async () => {
+        hosts.length = 1
+        return success({ accepted: true })
+      }
+    }
+  } as unknown as DutyContext
+  const leader = new LeaderTask({ holder: 'a/1', leaseMs, storeTimeoutMs: 100, storeRegion: REGION }, store, context, [], new LeaderReach(relay))
+  leader.start()
+  t.teardown(async () => await leader.stop())
+  await waitUntil(t, () => leader.isLeader)
+  relay.isCutOff = true
+  await waitUntil(t, () => !leader.isLeader)
+  const handedOverAt = performance.now()
+  await waitUntil(t, () => leader.isLeader)
+  // The two leases, and a period of the renewal loop.
+  t.true(performance.now() - handedOverAt < 3 * leaseMs, `${Math.round(performance.now() - handedOverAt)} ms`)
+})
