Tests of permissions to start use the clock by which these end

The values were equal only as long as the test's process had seen no jump of the wall clock; the assertions are the same.

--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -3,6 +3,7 @@
 import { BreakCause, EndpointReplyKind, PeerMessageKind } from '@cyclamenthread/protocol'
 import { AdmissionKind, notRun, Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
+import { suspendAwareNow, toSuspendAware } from '@cyclamenthread/transport'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { answerWith, ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
 import type { CallOutcome, CallRelay, CrashGuard, PlainCall } from '@cyclamenthread/coordination'
@@ -118,7 +119,7 @@
   }
   const outcome = await run({ deadline })
   t.is(endpoints.calls.length, 1)
-  t.is(endpoints.calls[0]?.startBefore, deadline)
+  t.is(endpoints.calls[0]?.startBefore, toSuspendAware(deadline))
   t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.Maybe)
 })
 
@@ -344,7 +345,7 @@
         return broken
       })
     }
-    const startBefore = performance.now() + 100
+    const startBefore = suspendAwareNow() + 100
     const outcome = await run({ startBefore })
     t.is(endpoints.calls.length, 1)
     t.is(endpoints.calls[0]?.startBefore, startBefore)
@@ -354,9 +355,9 @@
 
 test('a call that was not written in time has not run', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a'])
-  const startBefore = performance.now() + 60
+  const startBefore = suspendAwareNow() + 60
   endpoints.callScripts.set('a', async (request) => {
-    await waitUnlessAborted(startBefore - performance.now() + 20, request.signal)
+    await waitUnlessAborted(startBefore - suspendAwareNow() + 20, request.signal)
     return { kind: EndpointReplyKind.NotSent }
   })
   const outcome = await run({ startBefore })
