--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -62,16 +62,18 @@
   RewardAnswered = 'reward-answered',
   LeaseGained = 'lease-gained',
   LeaseLost = 'lease-lost',
+  /** This host gave its lease up, with the calls that were under way then. */
+  LeaseGivenUp = 'lease-given-up',
+  /** Calls were under way when their lease had ended, and their connections were reset. */
+  LeasedCallsReset = 'leased-calls-reset',
   /** Why this host took a lease, and from whom. */
   LeaseTaken = 'lease-taken',
   /** Why this host no longer holds a lease, and how long ago it was confirmed by each clock. */
   LeaseEnded = 'lease-ended',
   /** A write of a lease without a known outcome, and what the store has in its place. */
   LeaseReadBack = 'lease-read-back',
-  /** This host gave its lease up, with the calls that were under way then. */
-  LeaseGivenUp = 'lease-given-up',
-  /** Calls were under way when their lease had ended, and their connections were reset. */
-  LeasedCallsReset = 'leased-calls-reset',
+  /** A leader that reaches no endpoint has offered the duties to other hosts. */
+  DutiesOffered = 'duties-offered',
   CapacityOrdered = 'capacity-ordered',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -105,6 +105,11 @@
     await this.#renewalLoop.stop()
   }
 
+  /** Tries to take the lease now instead of after a pause; does nothing while this process holds it or hasn't started. */
+  contend (): void {
+    if (this.leadership() === undefined) this.#renewalLoop.wake()
+  }
+
   /** Releases the lease, so that another process can take over at once. Nothing may be sent under it from then on. */
   async release (): Promise<void> {
     const held = this.#held
@@ -123,7 +128,10 @@
     const held = this.#held
     if (held === undefined) return undefined
     const remainingMs = this.#remainingMs(held)
-    return remainingMs > 0 ? { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs } : undefined
+    if (remainingMs > 0) return { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs }
+    // After a suspend, the timer of the next renewal has as much left as before.
+    this.#renewalLoop.wake()
+    return undefined
   }
 
   /**
