--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -1,6 +1,6 @@
 import { AdmissionKind, drawService, endsInTime, isOfVersion, isSameIncarnation, notRun, Ran, RefusalReason, RouteKind, roundTripMs, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { BreakCause, EndpointReplyKind } from '@cyclamenthread/protocol'
-import { monotonicNow, openDeadlineScope } from '@cyclamenthread/transport'
+import { monotonicNow, openDeadlineScope, suspendAwareNow, toSuspendAware } from '@cyclamenthread/transport'
 import { heldBack } from './crash-task.js'
 import { describeLimit } from './endpoint-notice-task.js'
 import { DEFAULT_CALL_MS, EndpointSearch, SearchEnd } from './endpoint-search.js'
@@ -24,7 +24,7 @@
 /** Time without an answer after which an endpoint counts as silent, in milliseconds: many times the usual time of a call. */
 const SILENT_MS = 400
 
-/** Number of endpoints that a call couldn't reach after which it is passed on to another host. */
+/** Number of endpoints that a call, or this host of late, couldn't reach after which the call may be passed on to another host. */
 const MAX_UNREACHED = 2
 
 /** Number of rejections by endpoints after which a call is refused. */
@@ -96,6 +96,8 @@
   mayHaveRun: boolean
   counted: boolean
   isForwarded: boolean
+  /** Whether no endpoint has a place for the call while this host has lost connections to several. */
+  isStarved: boolean
   /** Whether this is the single run of a call that is held back. */
   isTrial: boolean
   lastFailure: AnsweredAttempt | undefined
@@ -148,7 +150,7 @@
     }
     const deadline = Math.min(requested.deadline, this.#endsAt)
     // The timer of the deadline may be late.
-    const call = { ...requested, deadline, startBefore: Math.min(requested.startBefore ?? Infinity, deadline) }
+    const call = { ...requested, deadline, startBefore: Math.min(requested.startBefore ?? Infinity, toSuspendAware(deadline)) }
     const state: CallState = {
       call,
       service,
@@ -165,6 +167,7 @@
       mayHaveRun: false,
       counted: false,
       isForwarded: call.isForwarded === true,
+      isStarved: false,
       isTrial: false,
       lastFailure: undefined
     }
@@ -193,6 +196,9 @@
     while (!signal.aborted) {
       const forwarded = this.#mayForward(state) ? await this.#forward(state) : undefined
       if (forwarded !== undefined) return forwarded
+      if (state.call.isForwarded === true && isUnsent(state) && lacksConnections(state)) {
+        return { ok: false, refusal: notRun(RefusalReason.NoEndpoint, 'this host lacks connections to endpoints as well', RETRY_AFTER_MS), failures: state.failures }
+      }
       if (state.openAttempts.size === 0 && state.arrived.length === 0) {
         const refusal = await this.#admit(state) ?? this.#startAttempt(state)
         if (refusal !== undefined) return state.lastFailure === undefined ? { ok: false, refusal, failures: state.failures } : outcomeOf(state.lastFailure, state.failures)
@@ -206,17 +212,20 @@
     return { ok: false, refusal: this.#deadlineRefusal(state), failures: state.failures }
   }
 
-  /** Whether the call should run at another host: this one reaches no endpoint, and the call may be sent once more. */
-  #mayForward ({ call, isForwarded, unreached, attempts, mayHaveRun, openAttempts, arrived }: CallState): boolean {
-    const { relay } = this.#context
-    if (isForwarded || arrived.length > 0 || attempts >= call.route.maxAttempts) return false
-    const isUnsent = !mayHaveRun && openAttempts.size === 0
-    return (isUnsent || call.route.kind === RouteKind.Idempotent) && (relay.isCutOff || (relay.isDoubtful && unreached.size >= MAX_UNREACHED))
+  /**
+   * Whether the call should run at another host: this one reaches no endpoint, or too few for it, and the call
+   * may be sent once more. Open connections may live on while new ones are refused, so that a host which gets
+   * answers can still lack connections.
+   */
+  #mayForward (state: CallState): boolean {
+    const { call, isForwarded, arrived } = state
+    if (isForwarded || arrived.length > 0 || attemptsLeft(state) <= 0) return false
+    return (isUnsent(state) || call.route.kind === RouteKind.Idempotent) && (this.#context.relay.isCutOff || lacksConnections(state))
   }
 
   async #forward (state: CallState): Promise<CallOutcome | undefined> {
     state.isForwarded = true
-    const outcome = await this.#context.relay.forward(state.call, state.call.route.maxAttempts - state.attempts)
+    const outcome = await this.#context.relay.forward(state.call, attemptsLeft(state))
     const mayHaveRun = state.mayHaveRun || state.openAttempts.size > 0
     if (outcome === undefined || outcome.ok || outcome.refusal.ran !== Ran.No || !mayHaveRun) return outcome
     return { ...outcome, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: outcome.refusal.detail } }
@@ -248,7 +257,7 @@
     if (state.attempts >= state.call.route.maxAttempts || (state.mayHaveRun && state.call.route.kind !== RouteKind.Idempotent)) {
       return { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `no complete answer after ${state.attempts} attempts` }
     }
-    if (state.call.startBefore !== undefined && monotonicNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
+    if (state.call.startBefore !== undefined && suspendAwareNow() >= state.call.startBefore) return this.#deadlineRefusal(state)
     const softwareVersion = state.call.continues?.softwareVersion
     const found = this.#search.find(queryOf(state))
     switch (found.end) {
@@ -263,8 +272,11 @@
       case SearchEnd.None: break
       default: return unreachable(found)
     }
-    const isLate = monotonicNow() >= state.refuseAt
-    const listed = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion)).length
+    const now = monotonicNow()
+    const isLate = now >= state.refuseAt
+    const endpoints = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion))
+    const listed = endpoints.length
+    state.isStarved = endpoints.filter(({ brokenUntil }) => now < brokenUntil).length >= MAX_UNREACHED
     if (listed > 0 && !isLate && state.rejections < MAX_REJECTIONS) {
       state.excluded.clear()
       return undefined
@@ -289,6 +301,7 @@
     const abort = new AbortController()
     const sentAt = monotonicNow()
     state.attempts += 1
+    state.isStarved = false
     state.excluded.add(record.entry.id)
     endpointTable.startWork(record.entry.id)
     const attempt: CallAttempt = { record, abort, sentAt, written: undefined }
@@ -344,7 +357,7 @@
   /** Sends a copy of the call to a second endpoint. */
   #startHedge (state: CallState): void {
     const { startBefore } = state.call
-    if (startBefore !== undefined && monotonicNow() >= startBefore) return
+    if (startBefore !== undefined && suspendAwareNow() >= startBefore) return
     if (this.#context.crashes.admit(state.call).kind !== AdmissionKind.Free) return
     const record = this.#search.findForCopy(queryOf(state))
     if (record === undefined) state.excluded.clear()
@@ -486,3 +499,18 @@
     default: return unreachable(reply)
   }
 }
+
+/** Number of endpoints at which a call may still run; attempts that reached no endpoint aren't counted. */
+function attemptsLeft ({ call, attempts }: CallState): number {
+  return call.route.maxAttempts - attempts
+}
+
+/** Whether no endpoint can have got the call, nor will one. */
+function isUnsent ({ mayHaveRun, openAttempts, arrived }: CallState): boolean {
+  return !mayHaveRun && openAttempts.size === 0 && arrived.length === 0
+}
+
+/** Whether the call has met that this host can open no connections. */
+function lacksConnections ({ isStarved, unreached }: CallState): boolean {
+  return isStarved || unreached.size >= MAX_UNREACHED
+}
--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -105,6 +105,11 @@
     await this.#renewalLoop.stop()
   }
 
+  /** Tries to take the lease now instead of after a pause; does nothing while this process holds it or hasn't started. */
+  contend (): void {
+    if (this.leadership() === undefined) this.#renewalLoop.wake()
+  }
+
   /** Releases the lease, so that another process can take over at once. Nothing may be sent under it from then on. */
   async release (): Promise<void> {
     const held = this.#held
@@ -123,7 +128,10 @@
     const held = this.#held
     if (held === undefined) return undefined
     const remainingMs = this.#remainingMs(held)
-    return remainingMs > 0 ? { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs } : undefined
+    if (remainingMs > 0) return { epoch: held.record.epoch, deadline: this.#clock.now() + remainingMs }
+    // After a suspend, the timer of the next renewal has as much left as before.
+    this.#renewalLoop.wake()
+    return undefined
   }
 
   /**
@@ -138,7 +146,7 @@
   }
 
   /** The record of the next renewal; it names no former hosts any more once their acts lie further back than the lease. */
-  #nextRecord ({ record, heldSince }: HeldLease): LeaseRecord {
+  #nextRecord ({ record, heldSince }: Pick<HeldLease, 'record' | 'heldSince'>): LeaseRecord {
     const isLongHeld = this.#clock.now() - heldSince > leaseWaitMs(this.#settings.leaseMs)
     return { ...record, renewal: this.#nextRenewal(), released: undefined, formerHosts: isLongHeld ? undefined : record.formerHosts }
   }
@@ -163,7 +171,9 @@
     if (observation === undefined) return
     const ground = takeoverGround(observation, this.#settings.holder, this.#settings.leaseMs, this.#clock.now())
     if (ground === undefined) return
-    await this.#take(this.#firstRecord(observation.record), ground, observation)
+    const { record } = observation
+    const next = ground === TakeoverGround.Lapsed ? this.#nextRecord({ record, heldSince: this.#clock.now() }) : this.#firstRecord(record)
+    await this.#take(next, ground, observation)
   }
 
   /** Creates the record; if this process knows of an earlier one, the holder of that one may still act. */
