--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -53,7 +53,7 @@
   forward (call: PlainCall, maxAttempts: number): Promise<CallOutcome | undefined>
 }
 
-/** A relay for tests of hosts that reach their endpoints. */
+/** The relay of a host that always reaches its endpoints. */
 export const NO_RELAY: CallRelay = { recordReached: () => {}, recordUnreached: () => {}, isCutOff: false, isDoubtful: false, onCutOff: () => {}, forward: async () => undefined }
 
 /** Dependencies of a {@link CallForwarder}. */
