--- a/packages/coordination/src/lib/lease-task.ts
+++ b/packages/coordination/src/lib/lease-task.ts
@@ -121,7 +121,7 @@
   }
 
   /**
-   * Returns the leadership if this process holds it now. To be called in the same
+   * Returns the leadership if this process holds it now; if it finds that the lease has just ended, it also starts the next renewal. To be called in the same
    * turn of the event loop as the write that it permits.
    */
   leadership (): Leadership | undefined {
--- a/packages/protocol/src/lib/leader-lease.ts
+++ b/packages/protocol/src/lib/leader-lease.ts
@@ -8,7 +8,7 @@
   readonly givenUp: boolean
 }
 
-/** The right to make one call as the leader. */
+/** The right to make one call as the leader. It is used once: another call asks for its own, with a course of its own. */
 export interface LeaderLease {
   readonly holder: string
   /** Fencing token. */
--- a/packages/state/src/lib/store-silence.ts
+++ b/packages/state/src/lib/store-silence.ts
@@ -7,7 +7,7 @@
  */
 const MIN_ANSWER_TIME_MS = 500
 
-/** A call that was sent to the store and failed without an answer. */
+/** A call that was sent to the store and failed without an answer. All times are by the clock that counts suspends of the machine. */
 export interface UnansweredCall {
   /** Monotonic milliseconds at which the call was sent. */
   readonly sentAt: number
