--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -112,6 +112,8 @@
   readonly requestLimit: RequestLimitRecord
   /** Whether this incarnation has said that it is leaving; the registry may learn it later. */
   isLeaving: boolean
+  /** Whether the operator has its failure domain evacuated. */
+  isEvacuated: boolean
 }
 
 /**
@@ -127,6 +129,19 @@
   /** Services and software versions of the endpoints in service. */
   readonly #servedVersions = new Set<string>()
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
+  #evacuatedDomains: ReadonlySet<string> = new Set()
+
+  /** Failure domains whose endpoints get nothing until the operator lifts the evacuation. */
+  get evacuatedDomains (): ReadonlySet<string> {
+    return this.#evacuatedDomains
+  }
+
+  /** Replaces the set of evacuated failure domains. */
+  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+    this.#evacuatedDomains = domains
+    for (const record of this.#records.values()) record.isEvacuated = domains.has(record.entry.failureDomain)
+    this.#updateServedVersions()
+  }
 
   /** Replaces the registry entries. */
   update (entries: readonly EndpointEntry[]): void {
@@ -347,19 +362,20 @@
       modelPausedUntil: {},
       trialModels: new Set(),
       requestLimit: new RequestLimitRecord(),
-      isLeaving: false
+      isLeaving: false,
+      isEvacuated: this.#evacuatedDomains.has(entry.failureDomain)
     })
   }
 }
 
 /**
- * Whether an endpoint may be given new work, as far as the registry and the endpoint itself say.
+ * Whether an endpoint may be given new work, as far as the registry, the operator and the endpoint itself say.
  *
  * @example
  * endpoints.endpointsOfService('desk').filter(isInService)
  */
-export function isInService ({ entry, isLeaving }: EndpointRecord): boolean {
-  return entry.phase === EndpointPhase.Ready && !isLeaving
+export function isInService ({ entry, isLeaving, isEvacuated }: EndpointRecord): boolean {
+  return entry.phase === EndpointPhase.Ready && !isLeaving && !isEvacuated
 }
 
 /**
