Pace of endpoints and deadlines of steps decide where long texts run

Endpoints that share machines state how long work takes there now, and nothing read it: a text left a slow endpoint once in its life, one text in 200 ms.

Where endpoints state their pace, the events of their streams, the statement and their ages become one estimate of when a text would end there. Samples that decide when their step ends move if they end sooner elsewhere, cost included; waiting samples of groups that the trainer waits for come first. Streams outside the homes or in an evacuated domain are moved as well.

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -24,6 +24,8 @@
   readonly confirmedAt?: number
   /** Called with what the next owner can continue from, once another host has claimed the rollout. */
   readonly onFenced?: (handover: AdoptRollout) => void
+  /** Groups that came again from an earlier step of the trainer; absent if none is known. */
+  readonly carriedGroups?: ReadonlySet<string>
   /** Called at each pass while this host is outside the homes of the rollout. */
   readonly onMisplaced?: (run: RolloutRun) => void
 }
@@ -63,7 +65,7 @@
   #timer: NodeJS.Timeout | undefined
   #stopped = false
 
-  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress, { confirmedAt = -Infinity, onFenced, onMisplaced }: RolloutRunOptions = {}) {
+  constructor (context: RolloutContext, order: RolloutOrder, progress: RolloutProgress, { confirmedAt = -Infinity, carriedGroups, onFenced, onMisplaced }: RolloutRunOptions = {}) {
     this.#context = context
     this.#confirmedAt = confirmedAt
     this.#expiresAt = monotonicNow() + order.expiresAt - order.acceptedAt
@@ -72,7 +74,7 @@
     this.order = order
     this.progress = progress
     this.#board = new SampleBoard(order)
-    this.#generator = new SampleGenerator(context, order, this.#board, () => this.#schedule())
+    this.#generator = new SampleGenerator(context, order, this.#board, { onEnd: () => this.#schedule(), ...(carriedGroups === undefined ? {} : { carriedGroups }) })
     this.#rewards = new RewardCaller(context, order, this.#board, { expiresAt: this.#expiresAt, onEnd: () => this.#schedule() })
     this.#lister = new ResultLister({ context, order, progress, board: this.#board, generator: this.#generator, onListed: (sampleId) => this.#release(sampleId) })
     this.#lister.markListed()
@@ -254,7 +256,8 @@
     const permit = createWorkPermit(permission, this.#workEvidence(), suspendAwareNow())
     this.#rewards.startRequests(permit)
     this.#generator.startSamples(permit)
-    if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
+    this.#generator.moveOffForbidden()
+    if (this.#board.waiting.length === 0) this.#generator.moveSlowSamples()
   }
 
   #workPermission (): WorkPermission {
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -333,7 +333,17 @@
     const onFenced = (handover: AdoptRollout): void => {
       void this.#yieldRun(handover, ownerHostOf(order, progress))
     }
-    return new RolloutRun(this.#context, order, progress, { confirmedAt, onFenced, onMisplaced })
+    return new RolloutRun(this.#context, order, progress, { confirmedAt, onFenced, onMisplaced, carriedGroups: this.#carriedGroups(order) })
+  }
+
+  /** Groups of a rollout that were in an earlier rollout of its trainer, as far as it ran here. */
+  #carriedGroups (order: RolloutOrder): ReadonlySet<string> {
+    const trainer = trainerOf(order)
+    const earlier = new Set<string>()
+    for (const { order: other } of this.#runs.values()) {
+      if (other.id !== order.id && other.step < order.step && trainerOf(other) === trainer) for (const { group } of other.samples) earlier.add(group)
+    }
+    return new Set(order.samples.flatMap(({ group }) => earlier.has(group) ? [group] : []))
   }
 
   /** Starts a run on this host, unless there is one of the same rollout. */
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,11 +1,11 @@
 import { setMaxListeners } from 'node:events'
-import { ContinuationStep, continuationDeadline, decideContinuation, domainsOfHomes, homesOfRollout, placeSample, SampleEventKind, SampleText, SendUrgency, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { ContinuationStep, continuationDeadline, countCompleteGroups, decideContinuation, decidingSamples, domainsOfHomes, homesOfRollout, isInDomains, isMoveWorthwhile, placeSample, SampleEventKind, SampleText, SendUrgency, sortForSlots, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { describeLimit } from './endpoint-notice-task.js'
 import { SendPermission } from './send-permit-task.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
-import type { EndpointEntry, EndpointRecord, KnownText, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointRecord, KnownText, OpenSample, RolloutOrder, RolloutSample, SampleBoard, StepProgress, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -25,6 +25,24 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
+/** Time for which a sample stays at an endpoint before it may be moved, in milliseconds: a pace that changes is another one by then. */
+const MIN_STAY_MS = 600
+
+/** Interval at which samples that decide their step are checked against the pace of their endpoints, in milliseconds: less than two usual events. */
+const PACE_CHECK_PERIOD_MS = 80
+
+/** Assumed time until the first event of a stream that goes on elsewhere, before any was measured, in milliseconds. */
+const DEFAULT_START_DELAY_MS = 100
+
+/** Weight of the newest time until a first event in their average. */
+const START_DELAY_SMOOTHING = 0.2
+
+/** Expected remainder of a text that is longer than expected, as a share of what there is. */
+const OVERLONG_SHARE = 0.3
+
+/** Least number of events that a running text is expected to need. */
+const MIN_UNITS_LEFT = 2
+
 /** Age of the endpoint table from which it is confirmed for a whole text that isn't listed before, in milliseconds. */
 const WHOLE_TEXT_REGISTRY_AGE_MS = 500
 
@@ -49,6 +67,16 @@
   readonly sample: RolloutSample
   readonly record: EndpointRecord
   readonly abort: AbortController
+  /** Monotonic milliseconds at which its first event came from this endpoint; undefined before. */
+  runningSince: number | undefined
+}
+
+/** Options of a {@link SampleGenerator}. */
+export interface SampleGeneratorOptions {
+  /** Called after the stream of a sample has ended. */
+  readonly onEnd: () => void
+  /** Groups that came again from an earlier step, for which the trainer waits in any case. */
+  readonly carriedGroups?: ReadonlySet<string>
 }
 
 /**
@@ -63,6 +91,7 @@
   readonly #order: RolloutOrder
   readonly #board: SampleBoard
   readonly #onEnd: () => void
+  readonly #carriedGroups: ReadonlySet<string>
   readonly #running = new Map<string, RunningSample>()
   readonly #texts = new Map<string, SampleText>()
   /** Samples whose texts are whole and wait until the registry would show a restart of their endpoints. */
@@ -71,17 +100,18 @@
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
   #nextMoveAt = -Infinity
+  #startDelayMs = DEFAULT_START_DELAY_MS
   #passedAt = -Infinity
   /** Monotonic milliseconds before which no wait for an endpoint ends. */
   #waitsUntil = -Infinity
   #stopped = false
 
-  /** @param onEnd called after the stream of a sample has ended */
-  constructor (context: RolloutContext, order: RolloutOrder, board: SampleBoard, onEnd: () => void) {
+  constructor (context: RolloutContext, order: RolloutOrder, board: SampleBoard, { onEnd, carriedGroups = new Set() }: SampleGeneratorOptions) {
     this.#context = context
     this.#order = order
     this.#board = board
     this.#onEnd = onEnd
+    this.#carriedGroups = carriedGroups
   }
 
   /** Texts of samples that aren't decided, by sample id. */
@@ -150,7 +180,7 @@
     const now = monotonicNow()
     if (now - this.#passedAt >= HELD_UP_MS) this.#waitsUntil = now + HELD_UP_MS
     this.#passedAt = now
-    for (const sample of [...this.#board.waiting]) {
+    for (const sample of this.#waitingInOrder(now)) {
       // An aborted stream may not have ended yet.
       if (this.#running.has(sample.id)) continue
       const place = this.#placeWaiting(sample, full)
@@ -161,10 +191,109 @@
     }
   }
 
-  /** Moves one straggler from a slow endpoint to a faster one with free capacity; its text is kept. */
-  moveSlowSample (): void {
+  /** Waiting samples in the order in which they get slots. */
+  #waitingInOrder (now: number): RolloutSample[] {
+    const { waiting } = this.#board
+    return waiting.length > 1 && this.#isPaced ? sortForSlots(this.#progress(now), waiting) : [...waiting]
+  }
+
+  /** Ends streams at endpoints that may get nothing any more: outside the homes, or in an evacuated failure domain if there is room elsewhere. */
+  moveOffForbidden (): void {
+    const { endpointTable } = this.#context.deployment
+    const domains = this.#domains
+    const isAnyEvacuated = endpointTable.evacuatedDomains.size > 0
+    if (domains === undefined && !isAnyEvacuated) return
+    for (const { sample, record, abort } of this.#running.values()) {
+      if (abort.signal.aborted) continue
+      const isOutside = !isInDomains(record, domains)
+      const isEvacuated = isAnyEvacuated && endpointTable.evacuatedDomains.has(record.entry.failureDomain)
+      if (!isOutside && !(isEvacuated && this.#chooseEndpoint(sample, this.#texts.get(sample.id)?.softwareVersion, new Set()) !== undefined)) continue
+      abort.abort()
+      this.#context.log.record(LogEvent.SampleMoved, { requestId: sample.id, rollout: this.#order.id, from: record.entry.id, detail: isOutside ? 'outside the homes of the rollout' : 'its failure domain is evacuated' })
+    }
+  }
+
+  /** Moves samples from slow endpoints to faster ones with free capacity; their texts are kept. */
+  moveSlowSamples (): void {
     const now = monotonicNow()
     if (now < this.#nextMoveAt) return
+    if (this.#isPaced) this.#moveDecidingSamples(now)
+    else this.#moveStraggler(now)
+  }
+
+  /** Whether the endpoints of the rollout's service state their pace. */
+  get #isPaced (): boolean {
+    return this.#context.deployment.endpointTable.paces.isStated(this.#order.service)
+  }
+
+  /** Moves the samples that decide when the step ends, if they are expected to end sooner elsewhere. */
+  #moveDecidingSamples (now: number): void {
+    this.#nextMoveAt = now + PACE_CHECK_PERIOD_MS
+    // While this process was held up, streams only seem to have paused.
+    if (now < this.#waitsUntil) return
+    const { endpointTable } = this.#context.deployment
+    const { paces } = endpointTable
+    const excluded = new Set(endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id))
+    for (const { id, leftMs } of decidingSamples(this.#progress(now))) {
+      const running = this.#running.get(id)
+      if (running?.runningSince === undefined || running.abort.signal.aborted || now - running.runningSince < MIN_STAY_MS) continue
+      const { sample, record, abort } = running
+      const softwareVersion = this.#texts.get(id)?.softwareVersion
+      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion, excluded)
+      if (candidate === undefined || candidate.entry.id === record.entry.id) continue
+      const usualMs = paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
+      const elsewhereMs = paces.expectedMs(candidate.entry, this.#unitsLeft(sample), usualMs, now)
+      // The event that the endpoint is working on is lost, half of it on average.
+      const costMs = Math.max(0, this.#startDelayMs - usualMs) + usualMs / 2
+      if (!isMoveWorthwhile({ stayMs: leftMs, elsewhereMs, costMs })) continue
+      // Other samples of this pass don't take the same slot.
+      excluded.add(candidate.entry.id)
+      abort.abort()
+      this.#context.log.record(LogEvent.SampleMoved, {
+        requestId: id,
+        rollout: this.#order.id,
+        from: record.entry.id,
+        to: candidate.entry.id,
+        softwareVersion: candidate.entry.softwareVersion,
+        textVersion: softwareVersion,
+        held: this.#texts.get(id)?.pieces.length ?? 0,
+        stayMs: Math.round(leftMs),
+        elsewhereMs: Math.round(elsewhereMs),
+        costMs: Math.round(costMs),
+        paceAgeMs: Math.round(paces.ageMs(record.entry, now)),
+        otherPaceAgeMs: Math.round(paces.ageMs(candidate.entry, now))
+      })
+    }
+  }
+
+  /** What is left of the step, by the pace of the endpoints at which its samples run. */
+  #progress (now: number): StepProgress {
+    const settled = new Set([...this.#board.listed, ...this.#board.settled])
+    const open: OpenSample[] = []
+    for (const sample of this.#order.samples) {
+      if (!settled.has(sample.id) && !this.#board.generated.has(sample.id)) open.push({ id: sample.id, group: sample.group, leftMs: this.#expectedMs(sample, now) })
+    }
+    return { open, completeGroups: countCompleteGroups(this.#order, settled), targetGroups: this.#order.targetGroups, carried: this.#carriedGroups }
+  }
+
+  /** Expected time until the text of a sample is whole, in milliseconds. */
+  #expectedMs (sample: RolloutSample, now: number): number {
+    const { paces } = this.#context.deployment.endpointTable
+    const running = this.#running.get(sample.id)
+    const units = this.#unitsLeft(sample)
+    if (running !== undefined) return paces.expectedMs(running.record.entry, units, DEFAULT_PACE_MS, now)
+    return this.#startDelayMs + units * paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
+  }
+
+  /** Expected number of events that the text of a sample still needs. */
+  #unitsLeft (sample: RolloutSample): number {
+    const { routeTable } = this.#context.deployment
+    const held = this.#texts.get(sample.id)?.pieces.length ?? 0
+    const expected = sample.expectedTokens / (routeTable?.service(this.#order.service)?.tokensPerEvent ?? 1)
+    return Math.max(expected - held, held * OVERLONG_SHARE, MIN_UNITS_LEFT)
+  }
+
+  #moveStraggler (now: number): void {
     this.#nextMoveAt = now + MOVE_PERIOD_MS
     const { endpointTable } = this.#context.deployment
     const typicalMs = this.#typicalPaceMs()
@@ -259,7 +388,8 @@
       softwareVersion,
       warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>(),
       excluded,
-      domains: this.#domains
+      domains: this.#domains,
+      units: this.#unitsLeft(sample)
     }
     return placeSample(deployment.endpointTable, demand, networkLocation, this.#typicalPaceMs(), monotonicNow())
   }
@@ -284,7 +414,8 @@
     const text = this.#texts.get(sample.id) ?? new SampleText()
     this.#texts.set(sample.id, text)
     text.startStream(entry)
-    this.#running.set(sample.id, { sample, record, abort })
+    const running: RunningSample = { sample, record, abort, runningSince: undefined }
+    this.#running.set(sample.id, running)
     this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
     const sentAt = monotonicNow()
     endpointTable.startWork(entry.id)
@@ -325,6 +456,16 @@
         if (load !== undefined) endpointTable.recordLoad(entry.id, load, monotonicNow())
       },
       onNotice: (notice) => notices.record(entry, { ...notice, sentAt, receivedAt: monotonicNow() }),
+      onEvent: (isFirst) => {
+        const now = monotonicNow()
+        if (!isFirst) {
+          endpointTable.paces.recordUnit(entry, sample.id, now)
+          return
+        }
+        endpointTable.paces.openUnit(entry, sample.id, now)
+        running.runningSince = now
+        this.#startDelayMs += (now - sentAt - this.#startDelayMs) * START_DELAY_SMOOTHING
+      },
       onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
       onPace: (paceMs) => {
         relay.recordReached()
@@ -332,6 +473,7 @@
       }
     }, abort)
     const now = monotonicNow()
+    endpointTable.paces.closeStream(entry, sample.id)
     endpointTable.finishWork(entry.id, entry.bornAt, workEndOf(result.end), now)
     if (result.end === StreamEnd.Broken && result.events === 0) relay.recordUnreached(entry.id)
     // An endpoint that is full, is changing weights or has older weights than reported is avoided for a while.
--- a/packages/coordination/src/lib/sample-stream.ts
+++ b/packages/coordination/src/lib/sample-stream.ts
@@ -54,6 +54,8 @@
   onStart (part: Extract<StreamPart, { kind: StreamPartKind.Start }>): void
   onNotice (notice: EndpointNotice): void
   onVersion (version: number): void
+  /** @param isFirst whether it is the first event of this stream */
+  onEvent (isFirst: boolean): void
   /** @param paceMs time between two events in milliseconds, averaged over several events */
   onPace (paceMs: number): void
 }
@@ -103,6 +105,7 @@
         case StreamPartKind.Event:
           if (abort.signal.aborted) return finishAborted()
           restartTimer(EVENT_TIMEOUT_MS)
+          observer.onEvent(firstAt === undefined)
           firstAt ??= monotonicNow()
           if (events % PACE_WINDOW_EVENTS === 0) {
             const now = monotonicNow()
--- a/packages/coordination/src/test/sample-stream.test.ts
+++ b/packages/coordination/src/test/sample-stream.test.ts
@@ -23,7 +23,7 @@
     yield { kind: StreamPartKind.End }
   })
   const abort = new AbortController()
-  const observer = { onStart: () => {}, onNotice: () => {}, onVersion: () => {}, onPace: () => {} }
+  const observer = { onStart: () => {}, onNotice: () => {}, onEvent: () => {}, onVersion: () => {}, onPace: () => {} }
   const { end } = await readSampleStream(endpoints, requestTo('a', abort.signal), new SampleText(), RULE, observer, abort)
   t.is(end, StreamEnd.Broken)
 })
@@ -38,7 +38,7 @@
       for (sent = 1; ; sent += 1) yield { kind: StreamPartKind.Event, id: sent, data: 'x'.repeat(length), version: undefined }
     })
     const abort = new AbortController()
-    const observer = { onStart: () => {}, onNotice: () => {}, onVersion: () => {}, onPace: () => {} }
+    const observer = { onStart: () => {}, onNotice: () => {}, onEvent: () => {}, onVersion: () => {}, onPace: () => {} }
     const { end } = await readSampleStream(endpoints, requestTo('a', abort.signal), new SampleText(), RULE, observer, abort)
     t.is(end, StreamEnd.Overrun)
     t.is(sent, last)
@@ -57,7 +57,7 @@
       yield last
     })
     const text = new SampleText()
-    const observer = { onStart: () => {}, onNotice: () => {}, onVersion: () => {}, onPace: () => {} }
+    const observer = { onStart: () => {}, onNotice: () => {}, onEvent: () => {}, onVersion: () => {}, onPace: () => {} }
     const { end } = await readSampleStream(endpoints, requestTo('a', abort.signal), text, RULE, observer, abort)
     t.is(end, StreamEnd.Cancelled)
     t.deepEqual(text.pieces, ['e1'])
--- a/packages/state/src/lib/declaration.ts
+++ b/packages/state/src/lib/declaration.ts
@@ -59,6 +59,8 @@
   readonly maxConnections: number
   /** Models that its endpoints may load; empty for a plain service. */
   readonly models: readonly string[]
+  /** Answer tokens in one event of a stream; absent if it isn't declared. */
+  readonly tokensPerEvent?: number | undefined
   readonly capacity: CapacityBounds | undefined
 }
 
--- a/packages/state/src/lib/endpoint-route.ts
+++ b/packages/state/src/lib/endpoint-route.ts
@@ -76,7 +76,10 @@
     const load = endpoints.currentLoad(record, now)
     if (demand.reservedSlots > 0 && load >= Math.max(1, record.entry.slots - demand.reservedSlots)) continue
     const queueFactor = Math.max(1, (load + 1) / Math.max(1, record.entry.slots - 1))
-    const expectedMs = endpoints.estimatedPace(record, demand.typicalMs, now) * queueFactor + roundTripMs(location, record.entry.failureDomain)
+    const paceMs = endpoints.paces.isStated(demand.service)
+      ? endpoints.estimatedPace(record, demand.typicalMs, now) * endpoints.paces.expectedMs(record.entry, 1, demand.typicalMs, now) / endpoints.paces.usualMs(demand.service, demand.typicalMs, now)
+      : endpoints.estimatedPace(record, demand.typicalMs, now)
+    const expectedMs = paceMs * queueFactor + roundTripMs(location, record.entry.failureDomain)
     if (expectedMs < bestMs) {
       best = record
       bestMs = expectedMs
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -1,3 +1,4 @@
+import { PaceBoard } from './pace/pace-board.js'
 import { RequestLimitRecord } from './request-limit.js'
 import type { NoticeEvidence, RequestLimit } from './request-limit.js'
 
@@ -46,6 +47,8 @@
 export interface ObservedLoad {
   readonly running: number
   readonly waiting: number
+  /** How long work takes there now, in percent of the usual time; absent if the endpoint doesn't state it. */
+  readonly pacePercent?: number | undefined
 }
 
 /** Initial suspension after a connection failure, in milliseconds; doubles with each consecutive one. */
@@ -125,6 +128,8 @@
  * is leaving, or that was removed is never usable.
  */
 export class EndpointTable {
+  /** The pace of endpoints that state it. */
+  readonly paces = new PaceBoard()
   readonly #records = new Map<string, EndpointRecord>()
   /** Services and software versions of the endpoints in service. */
   readonly #servedVersions = new Set<string>()
@@ -150,6 +155,7 @@
       if (!ids.has(id)) this.#records.delete(id)
     }
     for (const entry of entries) this.#updateEntry(entry)
+    this.paces.retain(ids)
     this.#updateServedVersions()
   }
 
@@ -242,6 +248,7 @@
     if (record === undefined) return
     record.foreignLoad = Math.max(0, observed.running + observed.waiting - record.activeWork)
     record.foreignLoadObservedAt = now
+    if (observed.pacePercent !== undefined) this.paces.recordStatement(record.entry, observed.pacePercent, now)
   }
 
   /**
--- a/packages/state/src/lib/sample-placement.ts
+++ b/packages/state/src/lib/sample-placement.ts
@@ -25,6 +25,8 @@
   readonly excluded?: ReadonlySet<string>
   /** Failure domains in which the sample may run; absent if in all. */
   readonly domains?: ReadonlySet<string> | undefined
+  /** Expected number of events that are left; absent if it isn't known. */
+  readonly units?: number
 }
 
 /**
@@ -62,7 +64,7 @@
     const load = endpoints.currentLoad(record, now)
     if (load >= record.entry.slots) continue
     if (!endpoints.acceptsModel(record, demand.model, demand.minVersion, now)) continue
-    const pace = endpoints.estimatedPace(record, typicalPaceMs, now) / typicalPaceMs
+    const pace = relativePace(endpoints, record, demand, typicalPaceMs, now)
     const score = pace * (1 + LOAD_SLOWDOWN * load) + roundTripMs(location, record.entry.failureDomain) * ROUND_TRIP_WEIGHT -
       (demand.warm.has(record.entry.id) ? CACHED_PROMPT_BONUS : 0)
     if (score < bestScore) {
@@ -72,3 +74,10 @@
   }
   return best
 }
+
+/** Expected time of a sample at an endpoint relative to the usual one. */
+function relativePace (endpoints: EndpointTable, record: EndpointRecord, { service, units }: SampleDemand, typicalPaceMs: number, now: number): number {
+  const { paces } = endpoints
+  if (units === undefined || !paces.isStated(service)) return endpoints.estimatedPace(record, typicalPaceMs, now) / typicalPaceMs
+  return paces.expectedMs(record.entry, units, typicalPaceMs, now) / (units * paces.usualMs(service, typicalPaceMs, now))
+}
--- /dev/null
+++ b/packages/state/src/lib/steps/step-schedule.ts
@@ -0,0 +1,88 @@
+/** Time before the end of a step within which a group decides when the step ends, in milliseconds. */
+const DECIDING_MS = 800
+
+/** A sample of a step that has no result yet. */
+export interface OpenSample {
+  readonly id: string
+  readonly group: string
+  /** Expected time until its text is whole, in milliseconds. */
+  readonly leftMs: number
+}
+
+/** A step as its owner sees it. */
+export interface StepProgress {
+  readonly open: readonly OpenSample[]
+  /** Number of groups of which every sample has a result. */
+  readonly completeGroups: number
+  /** Number of complete groups that the trainer waits for. */
+  readonly targetGroups: number
+  /** Groups that came again from an earlier step, for which the trainer waits in any case. */
+  readonly carried: ReadonlySet<string>
+}
+
+/** The part of a group in the end of its step. */
+export enum GroupRole {
+  /** The trainer waits for it, and it is among the last. */
+  Deciding = 'deciding',
+  /** The trainer waits for it. */
+  Awaited = 'awaited',
+  /** The trainer is expected to go on without it. */
+  Spare = 'spare'
+}
+
+/** An open group of a step. */
+export interface GroupOutlook {
+  readonly group: string
+  readonly role: GroupRole
+  /** Expected time until all its texts are whole, in milliseconds. */
+  readonly leftMs: number
+}
+
+/**
+ * Tells for each open group of a step whether its trainer waits for it and whether it decides when
+ * the step ends. Answers the load of long texts: a few of them decide each step, and the groups
+ * with the longest of all are those that the trainer doesn't wait for.
+ *
+ * Groups that came again are awaited first; the others in the order in which they are expected
+ * to be complete.
+ *
+ * @example
+ * outlookOf({ open, completeGroups: 3, targetGroups: 5, carried: new Set() })
+ */
+export function outlookOf ({ open, completeGroups, targetGroups, carried }: StepProgress): GroupOutlook[] {
+  const leftOfGroups = new Map<string, number>()
+  for (const { group, leftMs } of open) leftOfGroups.set(group, Math.max(leftOfGroups.get(group) ?? 0, leftMs))
+  const ranked = [...leftOfGroups].sort(([a, aLeft], [b, bLeft]) => Number(carried.has(b)) - Number(carried.has(a)) || aLeft - bLeft)
+  const awaited = ranked.slice(0, Math.max(0, targetGroups - completeGroups))
+  const stepLeftMs = Math.max(0, ...awaited.map(([, leftMs]) => leftMs))
+  return ranked.map(([group, leftMs], index) => {
+    if (index >= awaited.length) return { group, role: GroupRole.Spare, leftMs }
+    return { group, role: leftMs >= stepLeftMs - DECIDING_MS ? GroupRole.Deciding : GroupRole.Awaited, leftMs }
+  })
+}
+
+/**
+ * Selects the samples that decide when a step ends, those that are expected to end last first.
+ *
+ * @example
+ * decidingSamples(progress)[0]
+ */
+export function decidingSamples (progress: StepProgress): OpenSample[] {
+  const deciding = new Map(outlookOf(progress).flatMap(({ group, role, leftMs }) => role === GroupRole.Deciding ? [[group, leftMs] as const] : []))
+  return progress.open
+    .filter(({ group, leftMs }) => leftMs >= (deciding.get(group) ?? Infinity) - DECIDING_MS)
+    .sort((a, b) => b.leftMs - a.leftMs)
+}
+
+/**
+ * Sorts waiting samples for a step that has fewer slots than samples: those of groups that the
+ * trainer waits for before the others, and in each part those that take longest first.
+ *
+ * @example
+ * sortForSlots(progress, waiting)[0]
+ */
+export function sortForSlots<Sample extends { readonly id: string, readonly group: string }> (progress: StepProgress, waiting: readonly Sample[]): Sample[] {
+  const spare = new Set(outlookOf(progress).flatMap(({ group, role }) => role === GroupRole.Spare ? [group] : []))
+  const leftMs = new Map(progress.open.map((sample) => [sample.id, sample.leftMs]))
+  return [...waiting].sort((a, b) => Number(spare.has(a.group)) - Number(spare.has(b.group)) || (leftMs.get(b.id) ?? 0) - (leftMs.get(a.id) ?? 0))
+}
--- a/packages/state/src/test/homes/home-regions.test.ts
+++ b/packages/state/src/test/homes/home-regions.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { declaredHomes, describeHomes, domainsOfHomes, homesOfRollout, intersectHomes, isHome, RouteKind, RouteTable } from '@cyclamenthread/state'
+import { declaredHomes, describeHomes, domainsOfHomes, homesOfRollout, isHome, RouteKind, RouteTable } from '@cyclamenthread/state'
 import type { Declaration, Route } from '@cyclamenthread/state'
 
 const REGIONS = { 'leith-walk': 'lothian', castlegate: 'grampian' }
