Responses with a status that HTTP doesn't define are no answers

Cause: no client checked the status of a response. undici passes on any status of three digits above 199, so 600 and 999 reached callers as answers, counted as refused for orders and as written or not written for the store, and gave a sign in reports and probes. It ends 000, 099 and 101 by an assertion of its own, and 100 as a lost connection; these, and statuses of other lengths, counted as the loss of the endpoint, so a call answered by them was suspected of crashing endpoints.

Change: an interceptor of every client fails a request whose response has no status that HTTP defines: 200 to 599, or an interim one other than 101. A call or stream is broken, may have run, and has the cause `invalid-status`; an order or a write has an unknown outcome; a report or probe gives no sign. The line `request-ended` names the cause and whether the call may have run. An answer with such a status that a host of an earlier build passes on is no answer either.

--- a/packages/coordination/src/lib/call-forwarder.ts
+++ b/packages/coordination/src/lib/call-forwarder.ts
@@ -1,5 +1,5 @@
 import { EndpointReach, notRun, Ran, RefusalReason } from '@cyclamenthread/state'
-import { PeerMessageKind } from '@cyclamenthread/protocol'
+import { BreakCause, isFinalStatus, PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, PeerFailure, suspendAwareNow, timeLeft } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { CallOrigin } from './plain-call.js'
@@ -126,12 +126,15 @@
       }
       const reply = await bus.send(helper, message, { deadline, signal })
       const isTaken = reply.ok ? reply.value.ok || reply.value.taken : reply.failure !== PeerFailure.NotSent
-      log.record(LogEvent.CallForwarded, { requestId, host: helper.id, reason: reply.ok && !reply.value.ok ? reply.value.refusal.detail : undefined, isCutOff: this.isCutOff, outcome: !isTaken ? 'not-taken' : reply.ok ? reply.value.ok ? reply.value.status : reply.value.refusal.reason : reply.failure, tookMs: Math.round(monotonicNow() - sentAt) })
+      // A host of an earlier build passes on any status of an endpoint.
+      const invalidStatus = reply.ok && reply.value.ok && !isFinalStatus(reply.value.status) ? reply.value.status : undefined
+      log.record(LogEvent.CallForwarded, { requestId, host: helper.id, cause: invalidStatus === undefined ? undefined : BreakCause.InvalidStatus, ran: invalidStatus === undefined ? undefined : Ran.Maybe, reason: reply.ok && !reply.value.ok ? reply.value.refusal.detail : undefined, isCutOff: this.isCutOff, outcome: !isTaken ? 'not-taken' : reply.ok ? reply.value.ok ? reply.value.status : reply.value.refusal.reason : reply.failure, tookMs: Math.round(monotonicNow() - sentAt) })
       if (!isTaken) {
         this.#pausedUntil.set(helper.id, deadlineAfter(HELPER_PAUSE_MS))
         if (reply.ok && !reply.value.ok && reply.value.refusal.reason === RefusalReason.Overloaded) overload = outcomeOf(reply.value)
         continue
       }
+      if (reply.ok && invalidStatus !== undefined) return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `host ${helper.id} passed on an answer with the invalid status ${invalidStatus}` }, failures: reply.value.failures }
       if (reply.ok) return outcomeOf(reply.value)
       return { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe, detail: `host ${helper.id} took the call and gave no answer` }, failures: 0 }
     }
--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -435,7 +435,8 @@
       statedLeftMs: attempt.written?.leftMs,
       excessMs: attempt.written?.leftMs === undefined ? undefined : Math.round(attempt.written.at + attempt.written.leftMs - state.call.deadline),
       status: reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun ? reply.status : undefined,
-      detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined
+      detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined,
+      ...describeBreak(reply)
     })
     switch (reply.kind) {
       case EndpointReplyKind.Answer: {
@@ -490,6 +491,11 @@
   return { ok: true, status, headers, body, signature, origin, failures }
 }
 
+/** Describes why an answer broke, and whether its request may have run; if so, work that runs at most once is not retried. */
+function describeBreak (reply: EndpointReply): { readonly cause?: BreakCause | undefined, readonly ran?: Ran } {
+  return reply.kind === EndpointReplyKind.Broken ? { cause: reply.cause, ran: reply.sent ? Ran.Maybe : Ran.No } : {}
+}
+
 function workEndOf (reply: EndpointReply): WorkEnd {
   switch (reply.kind) {
     case EndpointReplyKind.Answer: return WorkEnd.Finished
--- a/packages/coordination/src/test/call-forwarder.test.ts
+++ b/packages/coordination/src/test/call-forwarder.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
-import { CallForwarder, CallOrigin, SILENT_LOG } from '@cyclamenthread/coordination'
-import { failure, success } from '@cyclamenthread/state'
+import { CallForwarder, CallOrigin, LogEvent, SILENT_LOG } from '@cyclamenthread/coordination'
+import { failure, Ran, RefusalReason, success } from '@cyclamenthread/state'
 import { PeerFailure, suspendAwareNow } from '@cyclamenthread/transport'
 import type { CallForwarderContext, PlainCall } from '@cyclamenthread/coordination'
 import type { ForwardCall } from '@cyclamenthread/protocol'
@@ -39,3 +39,28 @@
   await forwarder.forward({ ...CALL, startBefore: suspendAwareNow() + 200 }, 2)
   t.true((messages[0]?.startLeftMs ?? Infinity) <= 200)
 })
+
+// Guards against an answer without a meaning that reaches a caller, or counts as not run, because a host of an earlier build passes it on (TWICE).
+test('an answer with an invalid status that another host passes on is no answer: the call may have run and is passed on to no other host', async (t) => {
+  for (const status of [-1, 0, 20, 99, 100, 101, 199, 600, 999]) {
+    const asked: string[] = []
+    const lines: Array<Readonly<Record<string, unknown>>> = []
+    const bus = {
+      send: async ({ id }: Host) => {
+        asked.push(id)
+        return success({ ok: true, status, headers: [], body: new Uint8Array(), failures: 1 })
+      }
+    } as unknown as CallForwarderContext['bus']
+    const log = {
+      record: (event: LogEvent, fields: Readonly<Record<string, unknown>>) => {
+        if (event === LogEvent.CallForwarded) lines.push(fields)
+      }
+    }
+    const members = { workers: () => [SELF, SILENT, ANSWERING], isSuspected: () => false }
+    const forwarder = new CallForwarder({ self: SELF, members, bus, log } as unknown as CallForwarderContext)
+    const outcome = await forwarder.forward(CALL, 2)
+    t.like(outcome, { ok: false, refusal: { reason: RefusalReason.EndpointFailed, ran: Ran.Maybe }, failures: 1 }, String(status))
+    t.is(asked.length, 1)
+    t.like(lines[0], { requestId: 'r1', outcome: status, cause: 'invalid-status', ran: Ran.Maybe })
+  }
+})
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -1,12 +1,12 @@
 import test from 'ava'
-import { CallOrigin, CallTask, EndpointNoticeTask, NO_CRASHES, NO_RELAY, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
+import { CallOrigin, CallTask, EndpointNoticeTask, LogEvent, NO_CRASHES, NO_RELAY, SILENT_LOG, UNLIMITED_SENDS } from '@cyclamenthread/coordination'
 import { BreakCause, EndpointReplyKind, PeerMessageKind } from '@cyclamenthread/protocol'
 import { AdmissionKind, notRun, Ran, RefusalReason, RouteKind, UsageTally } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 import { suspendAwareNow, toSuspendAware } from '@cyclamenthread/transport'
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { answerWith, ScriptedEndpoints, waitUnlessAborted } from './scripted-endpoints.js'
-import type { CallOutcome, CallRelay, CrashGuard, PlainCall } from '@cyclamenthread/coordination'
+import type { CallOutcome, CallRelay, CrashGuard, EventLog, PlainCall } from '@cyclamenthread/coordination'
 import type { PeerMessage } from '@cyclamenthread/protocol'
 import type { CallScript } from './scripted-endpoints.js'
 import type { Host, Route } from '@cyclamenthread/state'
@@ -39,7 +39,7 @@
   run (changes?: Partial<PlainCall>): Promise<CallOutcome>
 }
 
-async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}, crashes: CrashGuard = NO_CRASHES, relay: CallRelay = NO_RELAY): Promise<Fixture> {
+async function openFixture (t: ExecutionContext, ids: readonly string[], versions: Readonly<Record<string, string>> = {}, crashes: CrashGuard = NO_CRASHES, relay: CallRelay = NO_RELAY, log: EventLog = SILENT_LOG): Promise<Fixture> {
   const deployment = openDeployment(t)
   const { store, view } = deployment
   for (const id of ids) store.set(`servers/${id}`, endpointEntry(id, { service: 'desk', softwareVersion: versions[id] ?? 's1' }))
@@ -54,7 +54,7 @@
   }
   const members = { workers: () => ['h1', 'h2'].map((id) => ({ id }) as Host) }
   const notices = new EndpointNoticeTask({ self: { id: 'h1' }, deployment: view, sends: UNLIMITED_SENDS, members, bus, log: SILENT_LOG })
-  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay, crashes, networkLocation: LOCATION, tally, log: SILENT_LOG })
+  const task = new CallTask({ deployment: view, endpoints, sends: UNLIMITED_SENDS, notices, relay, crashes, networkLocation: LOCATION, tally, log })
   return {
     task,
     reported,
@@ -224,8 +224,8 @@
   t.deepEqual(lost, [])
 })
 
-test('only a lost connection counts as a crash: neither an overrun nor bytes that are no answer nor an abort do', async (t) => {
-  const causes = [BreakCause.Overrun, BreakCause.NoAnswer, undefined]
+test('only a lost connection counts as a crash: neither an overrun nor bytes that are no answer nor an invalid status nor an abort do', async (t) => {
+  const causes = [BreakCause.Overrun, BreakCause.NoAnswer, BreakCause.InvalidStatus, undefined]
   let losses = 0
   const crashes: CrashGuard = {
     ...NO_CRASHES,
@@ -239,13 +239,30 @@
     const cause = causes.shift()
     return { kind: EndpointReplyKind.Broken, sent: true, detail: 'broken', ...(cause === undefined ? {} : { cause }) }
   })
-  for (let call = 0; call < 4; call += 1) {
+  for (let call = 0; call < 5; call += 1) {
     await run({ route: { ...ROUTE, maxAttempts: 1 }, deadline: performance.now() + 700 })
     await new Promise((resolve) => setTimeout(resolve, 400))
   }
   t.is(losses, 1)
 })
 
+// Guards against work that runs twice after an answer without a meaning (TWICE), and against a log that doesn't tell why it wasn't retried.
+test('a call that may run at most once is not retried after an answer with an invalid status, and its log line tells why', async (t) => {
+  const lines: Array<Readonly<Record<string, unknown>>> = []
+  const log: EventLog = {
+    record: (event, fields) => {
+      if (event === LogEvent.RequestEnded) lines.push(fields)
+    }
+  }
+  const { endpoints, run } = await openFixture(t, ['a', 'bb'], {}, NO_CRASHES, NO_RELAY, log)
+  for (const id of ['a', 'bb']) endpoints.callScripts.set(id, async () => ({ kind: EndpointReplyKind.Broken, sent: true, detail: 'invalid status 600', cause: BreakCause.InvalidStatus }))
+  const outcome = await run({ route: { ...ROUTE, kind: RouteKind.NonIdempotent } })
+  t.like(outcome, { ok: false, refusal: { ran: Ran.Maybe } })
+  t.is(endpoints.calls.length, 1)
+  t.is(lines.length, 1)
+  t.like(lines[0], { requestId: 'r1', outcome: EndpointReplyKind.Broken, cause: BreakCause.InvalidStatus, ran: Ran.Maybe, detail: 'invalid status 600' })
+})
+
 test('a call to a silent endpoint is hedged at a second one, and the first attempt is aborted', async (t) => {
   const { endpoints, run } = await openFixture(t, ['a', 'bb'])
   let isAborted = false
--- a/packages/protocol/src/lib/call-message.ts
+++ b/packages/protocol/src/lib/call-message.ts
@@ -28,7 +28,7 @@
   startLeftMs: z.number().nonnegative().optional()
 })
 
-/** The answer of an endpoint. */
+/** The answer of an endpoint. Its status may be one that HTTP doesn't define: hosts of earlier builds pass on any. */
 const forwardedAnswerSchema = z.object({
   ok: z.literal(true),
   status: z.int(),
--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -4,6 +4,7 @@
 import { CompletionPartKind } from './completion.js'
 import { createLeasedBody } from './leased-body.js'
 import { failedBeforeSending } from './failed-before-sending.js'
+import { describeInvalidStatus, isInvalidStatus, rejectInvalidStatuses } from './response-status.js'
 import type { Endpoint } from '@cyclamenthread/state'
 import type { CompletionPart, CompletionResumption } from './completion.js'
 
@@ -95,6 +96,7 @@
   | { readonly ok: false, readonly sent: boolean, readonly detail: string }
 
 function errorMessage (error: unknown): string {
+  if (isInvalidStatus(error)) return describeInvalidStatus(error)
   return error instanceof Error ? error.message : String(error)
 }
 
@@ -123,6 +125,7 @@
  */
 export class EndpointClient {
   readonly #agent = new Agent({ connections: MAX_CONNECTIONS_PER_ENDPOINT, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
+  readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   /** Streams a completion. The stream always ends with `End` or `Failure` and never throws. */
   async * streamCompletion (endpoint: Endpoint, call: CompletionCall): AsyncGenerator<CompletionPart> {
@@ -133,7 +136,7 @@
         method: 'POST',
         headers: { 'content-type': 'application/json', 'x-request-id': call.requestId, traceparent: call.traceparent },
         body: JSON.stringify({ prompt: call.prompt, max_tokens: call.maxTokens, stream: true, request_id: call.requestId, resume: call.resume }),
-        dispatcher: this.#agent,
+        dispatcher: this.#client,
         signal: scope.signal
       })
       sent = true
@@ -156,7 +159,7 @@
       return await withDeadline(call.deadline, async (signal): Promise<ServiceReply> => {
         const { origin, pathname } = new URL(endpoint.url)
         // Not as a URL: that would normalise the caller's path.
-        const response = await this.#agent.request({
+        const response = await this.#client.request({
           origin,
           path: pathname.replace(/\/$/, '') + call.path,
           method: call.method as 'GET',
@@ -176,7 +179,7 @@
   async readLoad (endpoint: Endpoint, deadline: number): Promise<LoadReport | undefined> {
     try {
       return await withDeadline(deadline, async (signal) => {
-        const response = await request(`${endpoint.url}/load`, { dispatcher: this.#agent, signal })
+        const response = await request(`${endpoint.url}/load`, { dispatcher: this.#client, signal })
         return loadReportSchema.safeParse(await response.body.json()).data
       })
     } catch {
@@ -188,7 +191,7 @@
   async readCacheChanges (endpoint: Endpoint, after: number, deadline: number): Promise<readonly CacheChange[] | undefined> {
     try {
       return await withDeadline(deadline, async (signal) => {
-        const response = await request(`${endpoint.url}/cache-events?after=${after}`, { dispatcher: this.#agent, signal })
+        const response = await request(`${endpoint.url}/cache-events?after=${after}`, { dispatcher: this.#client, signal })
         return cacheEventsSchema.safeParse(await response.body.json()).data?.events
       })
     } catch {
@@ -204,7 +207,7 @@
           method: 'POST',
           headers: { 'content-type': 'application/json' },
           body: JSON.stringify({ request_id: requestId }),
-          dispatcher: this.#agent,
+          dispatcher: this.#client,
           signal
         })
         return resumptionSchema.safeParse(await response.body.json()).data
@@ -231,7 +234,7 @@
           method: 'POST',
           headers: { 'content-type': 'application/json' },
           body: body.stream(),
-          dispatcher: this.#agent,
+          dispatcher: this.#client,
           signal
         })
         await response.body.dump()
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -31,7 +31,9 @@
   /** The answer was given up, because it is longer than any proper one. */
   Overrun = 'overrun',
   /** What arrived is no answer, or that to another request. */
-  NoAnswer = 'no-answer'
+  NoAnswer = 'no-answer',
+  /** The answer has a status that HTTP doesn't define, so it states nothing. */
+  InvalidStatus = 'invalid-status'
 }
 
 /** Kinds of results of a request to one endpoint. */
--- a/packages/protocol/src/lib/http-object-store.ts
+++ b/packages/protocol/src/lib/http-object-store.ts
@@ -4,6 +4,7 @@
 import { DeadlineError, timeLeft, withDeadline } from '@cyclamenthread/transport'
 import { failedBeforeSending } from './failed-before-sending.js'
 import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
+import { describeInvalidStatus, isInvalidStatus, rejectInvalidStatuses } from './response-status.js'
 import type { Dispatcher } from 'undici'
 import type { Outcome } from '@cyclamenthread/state'
 import type { Expectation, ObjectStore, StoreCall, StoredObject, WatchBatch, WriteResult } from './object-store.js'
@@ -44,6 +45,7 @@
 
   readonly #baseUrl: string
   readonly #agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 })
+  readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
     this.#baseUrl = baseUrl.replace(/\/$/, '')
@@ -92,7 +94,7 @@
       const answer = await this.#send(method, `/objects/${encodeURIComponent(key)}`, headers, body, call)
       return toWriteResult(answer)
     } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error)
+      const detail = isInvalidStatus(error) ? describeInvalidStatus(error) : error instanceof Error ? error.message : String(error)
       return { status: failedBeforeSending(error) ? WriteStatus.NotWritten : WriteStatus.Unknown, detail }
     }
   }
@@ -110,7 +112,7 @@
   async #send (method: Dispatcher.HttpMethod, path: string, headers: Record<string, string>, body: string | undefined, call: StoreCall): Promise<StoreResponse> {
     this.calls[call.purpose] += 1
     return await withDeadline(call.deadline, async (signal) => {
-      const response = await request(this.#baseUrl + path, { method, headers, body: body ?? null, dispatcher: this.#agent, signal })
+      const response = await request(this.#baseUrl + path, { method, headers, body: body ?? null, dispatcher: this.#client, signal })
       const text = await response.body.text()
       return { status: response.statusCode, etag: String(response.headers['etag'] ?? ''), body: text === '' ? undefined : JSON.parse(text) }
     })
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -3,6 +3,7 @@
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
 import { resettingConnect, withDeadline } from '@cyclamenthread/transport'
 import { createLeasedBody } from './leased-body.js'
+import { rejectInvalidStatuses } from './response-status.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
 
 /** Timeout for connecting to the platform, in milliseconds. */
@@ -84,6 +85,7 @@
 export class PlatformClient {
   readonly #baseUrl: string
   readonly #agent = new Agent({ connections: 4, pipelining: 1, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
+  readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
     this.#baseUrl = baseUrl.replace(/\/$/, '')
@@ -133,7 +135,7 @@
           method,
           headers: { 'content-type': 'application/json', ...length },
           body: text === undefined ? null : createLeasedBody(text, call.deadline, call.isHeld).stream(),
-          dispatcher: this.#agent,
+          dispatcher: this.#client,
           signal
         })
         const answer = await response.body.text()
--- a/packages/protocol/src/lib/weight-store-client.ts
+++ b/packages/protocol/src/lib/weight-store-client.ts
@@ -1,6 +1,7 @@
 import { Agent, request } from 'undici'
 import * as z from 'zod'
 import { withDeadline } from '@cyclamenthread/transport'
+import { rejectInvalidStatuses } from './response-status.js'
 
 const releaseListSchema = z.object({
   releases: z.array(z.object({ pool: z.string(), version: z.int().nonnegative() }))
@@ -19,6 +20,7 @@
 export class WeightStoreClient {
   readonly #baseUrl: string
   readonly #agent = new Agent({ connections: 1, pipelining: 1 })
+  readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
     this.#baseUrl = baseUrl.replace(/\/$/, '')
@@ -32,7 +34,7 @@
   async readReleases (deadline: number): Promise<readonly WeightRelease[] | undefined> {
     try {
       return await withDeadline(deadline, async (signal) => {
-        const response = await request(`${this.#baseUrl}/releases`, { dispatcher: this.#agent, signal })
+        const response = await request(`${this.#baseUrl}/releases`, { dispatcher: this.#client, signal })
         return releaseListSchema.safeParse(await response.body.json()).data?.releases
       })
     } catch {
