Capacity: what is missing in a failure domain is ordered in the others

The capacity duty ordered for each failure domain its share of the demand, no matter what the others had: an evacuated domain, reclaimed endpoints or a refusal of the platform left the service short until that domain recovered.

CapacityShift plans all domains of a service together. If nothing is missing, the orders are as before. An order without an answer no longer counts as not made: the number before it is sent again once that is due.

--- a/packages/coordination/src/lib/capacity-duty.ts
+++ b/packages/coordination/src/lib/capacity-duty.ts
@@ -1,19 +1,26 @@
-import { desiredEndpointCount, isInService } from '@cyclamenthread/state'
+import { CapacityShift, EndpointPhase, isInService, unreachable } from '@cyclamenthread/state'
 import { PlatformCallStatus } from '@cyclamenthread/protocol'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import type { LeaderLease } from '@cyclamenthread/protocol'
-import type { PeakDemand } from '@cyclamenthread/state'
+import type { CapacityPlan, DeclaredService, DomainEndpoints, ServiceLoad } from '@cyclamenthread/state'
 import type { Duty, DutyContext } from './duty-context.js'
 
 /** Delay before an order that failed is sent again, in milliseconds. */
 const RETRY_DELAY_MS = 1_500
 
-/** Orders from the platform the number of endpoints that each declared service needs in each failure domain. */
+/**
+ * Orders from the platform the number of endpoints that each declared service needs in each failure domain;
+ * what is missing in some domains is ordered in others ({@link CapacityShift}).
+ */
 export class CapacityDuty implements Duty {
   readonly #context: DutyContext
+  /** Endpoints in the last order of each domain; absent if it isn't known whether the last one took effect. */
   readonly #orderedCounts = new Map<string, number>()
   readonly #retryAt = new Map<string, number>()
+  readonly #shifts = new Map<string, CapacityShift>()
+  /** Missing endpoints of each service that were logged last. */
+  readonly #loggedMissing = new Map<string, string>()
 
   constructor (context: DutyContext) {
     this.#context = context
@@ -21,32 +28,89 @@
 
   reset (): void {
     this.#orderedCounts.clear()
+    this.#shifts.clear()
+    this.#loggedMissing.clear()
   }
 
-  /** Returns the samples that a service's training steps submit at once, and the capacity that is ready for them. */
-  #pendingSamples (service: string, failureDomain: string): PeakDemand {
+  async runOnce (lease: () => LeaderLease | undefined): Promise<void> {
+    for (const service of this.#context.deployment.routeTable?.declaration.services ?? []) {
+      for (const failureDomain of Object.keys(service.capacity?.prices ?? {})) {
+        if (!await this.#orderDomain(service, failureDomain, lease)) return
+      }
+    }
+  }
+
+  /** Sends the order of a failure domain if it is due; returns whether the lease is held. */
+  async #orderDomain (service: DeclaredService, failureDomain: string, lease: () => LeaderLease | undefined): Promise<boolean> {
+    const shift = this.#shift(service.name)
+    // Planned anew for each domain: an order may take as long as the timeout of the call, and its refusal changes the next ones.
+    const plan = shift.plan(service, this.#load(service.name), monotonicNow())
+    this.#logMissing(service.name, plan)
+    const domain = plan.domains.get(failureDomain)
+    const name = `${service.name}/${failureDomain}`
+    if (domain?.count === undefined || this.#orderedCounts.get(name) === domain.count || monotonicNow() < (this.#retryAt.get(name) ?? 0)) return true
+    const held = lease()
+    if (held === undefined) return false
+    const { count, demand, extra, inService } = domain
+    const status = await this.#context.platform.orderCapacity({ service: service.name, failureDomain, count, cheap: false }, held)
+    this.#context.log.record(LogEvent.CapacityOrdered, {
+      service: service.name, failureDomain, count, demand, extra, inService, missing: listCounts(plan.missing), unplaced: plan.unplaced, fence: held.fence, outcome: status, ...held.course
+    })
+    switch (status) {
+      case PlatformCallStatus.Done:
+        this.#orderedCounts.set(name, count)
+        shift.recordAccepted(failureDomain, count, monotonicNow())
+        return true
+      case PlatformCallStatus.Refused:
+        this.#retryAt.set(name, monotonicNow() + RETRY_DELAY_MS)
+        shift.recordRefused(failureDomain, count, monotonicNow())
+        return true
+      case PlatformCallStatus.Failed:
+        // It may have taken effect, so the earlier number has to be sent again if it is due.
+        this.#orderedCounts.delete(name)
+        this.#retryAt.set(name, monotonicNow() + RETRY_DELAY_MS)
+        return true
+      default:
+        return unreachable(status)
+    }
+  }
+
+  #shift (service: string): CapacityShift {
+    const known = this.#shifts.get(service) ?? new CapacityShift()
+    this.#shifts.set(service, known)
+    return known
+  }
+
+  /** Returns the samples that a service's training steps submit at once, and the capacity that is there for them. */
+  #load (service: string): ServiceLoad {
     const { demand, deployment } = this.#context
-    const ready = deployment.endpointTable.endpointsOfService(service).filter(isInService).map((record) => record.entry)
+    const records = deployment.endpointTable.endpointsOfService(service)
+    const domains = new Map<string, DomainEndpoints>([...deployment.endpointTable.evacuatedDomains].map((domain) => [domain, { inService: 0, leaving: 0, isEvacuated: true }]))
+    for (const record of records) {
+      const { failureDomain, phase } = record.entry
+      const { inService, leaving, isEvacuated } = domains.get(failureDomain) ?? { inService: 0, leaving: 0, isEvacuated: false }
+      const isLeaving = record.isLeaving || phase === EndpointPhase.Draining
+      domains.set(failureDomain, { inService: inService + Number(isInService(record)), leaving: leaving + Number(isLeaving), isEvacuated })
+    }
     return {
       samples: demand.samplesByModel(service, monotonicNow()),
-      slots: Math.max(1, ...ready.map((entry) => entry.slots)),
-      running: ready.filter((entry) => entry.failureDomain === failureDomain).length
+      slots: Math.max(1, ...records.filter(isInService).map(({ entry }) => entry.slots)),
+      domains
     }
   }
 
-  async runOnce (lease: () => LeaderLease | undefined): Promise<void> {
-    for (const service of this.#context.deployment.routeTable?.declaration.services ?? []) {
-      for (const failureDomain of Object.keys(service.capacity?.prices ?? {})) {
-        const count = desiredEndpointCount(service, failureDomain, this.#pendingSamples(service.name, failureDomain))
-        const name = `${service.name}/${failureDomain}`
-        if (count === undefined || this.#orderedCounts.get(name) === count || monotonicNow() < (this.#retryAt.get(name) ?? 0)) continue
-        const held = lease()
-        if (held === undefined) return
-        const status = await this.#context.platform.orderCapacity({ service: service.name, failureDomain, count, cheap: false }, held)
-        this.#context.log.record(LogEvent.CapacityOrdered, { service: service.name, failureDomain, count, fence: held.fence, outcome: status, ...held.course })
-        if (status === PlatformCallStatus.Done) this.#orderedCounts.set(name, count)
-        else this.#retryAt.set(name, monotonicNow() + RETRY_DELAY_MS)
-      }
-    }
+  /** Logs which failure domains lack endpoints, when that changes. */
+  #logMissing (service: string, { missing, unplaced, domains }: CapacityPlan): void {
+    const text = JSON.stringify([missing, unplaced])
+    const known = this.#loggedMissing.get(service)
+    this.#loggedMissing.set(service, text)
+    if (text === known || (known === undefined && Object.keys(missing).length === 0)) return
+    const inService = Object.fromEntries([...domains].map(([failureDomain, domain]) => [failureDomain, domain.inService]))
+    this.#context.log.record(LogEvent.CapacityMissing, { service, missing: listCounts(missing), unplaced, inService: listCounts(inService) })
   }
 }
+
+/** Returns counts by name in the form of log fields. */
+function listCounts (counts: Readonly<Record<string, number>>): string[] {
+  return Object.entries(counts).map(([name, count]) => `${name}=${count}`)
+}
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -75,6 +75,7 @@
   /** A leader that reaches no endpoint has offered the duties to other hosts. */
   DutiesOffered = 'duties-offered',
   CapacityOrdered = 'capacity-ordered',
+  CapacityMissing = 'capacity-missing',
   DutyCalled = 'duty-called',
   WeightsOrdered = 'weights-ordered',
   RetirementCompleted = 'retirement-completed'
--- a/packages/state/src/lib/endpoint-demand.ts
+++ b/packages/state/src/lib/endpoint-demand.ts
@@ -33,8 +33,17 @@
   if (capacity === undefined || capacity.prices[failureDomain] === undefined) return undefined
   const domains = Object.keys(capacity.prices).length
   const samples = models.reduce((sum, model) => sum + (peak.samples.get(model) ?? 0), 0)
-  const isKnown = models.every((model) => peak.samples.has(model))
   const minimum = models.length === 0 ? ENDPOINTS_PER_PLAIN_SERVICE : models.length * ENDPOINTS_PER_MODEL
-  const wanted = Math.max(minimum, Math.ceil(samples / Math.max(1, peak.slots) / domains), isKnown ? 0 : peak.running)
+  const wanted = Math.max(minimum, Math.ceil(samples / Math.max(1, peak.slots) / domains), isDemandKnown(service, peak.samples) ? 0 : peak.running)
   return Math.min(capacity.maximum, Math.max(capacity.minimum, wanted))
 }
+
+/**
+ * Whether each model of a service had a recent step, so that the demand of the service is known.
+ *
+ * @example
+ * isDemandKnown(service, new Map([['critic', 64]])) // false if the service has another model
+ */
+export function isDemandKnown ({ models }: Pick<DeclaredService, 'models'>, samples: ReadonlyMap<string, number>): boolean {
+  return models.every((model) => samples.has(model))
+}
