--- a/packages/coordination/src/lib/capacity-duty.ts
+++ b/packages/coordination/src/lib/capacity-duty.ts
@@ -21,6 +21,8 @@
   readonly #shifts = new Map<string, CapacityShift>()
   /** Missing endpoints of each service that were logged last. */
   readonly #loggedMissing = new Map<string, string>()
+  /** Missing endpoints by service and failure domain; empty while this host doesn't lead. */
+  readonly #missing = new Map<string, Readonly<Record<string, number>>>()
 
   constructor (context: DutyContext) {
     this.#context = context
@@ -30,6 +32,12 @@
     this.#orderedCounts.clear()
     this.#shifts.clear()
     this.#loggedMissing.clear()
+    this.#missing.clear()
+  }
+
+  /** Missing endpoints by service and failure domain, `models/leith-walk` for example; empty while this host doesn't lead. */
+  missingEndpoints (): Array<readonly [name: string, count: number]> {
+    return [...this.#missing].flatMap(([service, missing]) => Object.entries(missing).map(([failureDomain, count]): readonly [string, number] => [`${service}/${failureDomain}`, count]))
   }
 
   async runOnce (lease: () => LeaderLease | undefined): Promise<void> {
@@ -45,7 +53,7 @@
     const shift = this.#shift(service.name)
     // Planned anew for each domain: an order may take as long as the timeout of the call, and its refusal changes the next ones.
     const plan = shift.plan(service, this.#load(service.name), monotonicNow())
-    this.#logMissing(service.name, plan)
+    this.#recordMissing(service.name, plan)
     const domain = plan.domains.get(failureDomain)
     const name = `${service.name}/${failureDomain}`
     if (domain?.count === undefined || this.#orderedCounts.get(name) === domain.count || monotonicNow() < (this.#retryAt.get(name) ?? 0)) return true
@@ -99,8 +107,9 @@
     }
   }
 
-  /** Logs which failure domains lack endpoints, when that changes. */
-  #logMissing (service: string, { missing, unplaced, domains }: CapacityPlan): void {
+  /** Records which failure domains lack endpoints, and logs it when that changes. */
+  #recordMissing (service: string, { missing, unplaced, domains }: CapacityPlan): void {
+    this.#missing.set(service, missing)
     const text = JSON.stringify([missing, unplaced])
     const known = this.#loggedMissing.get(service)
     this.#loggedMissing.set(service, text)
--- a/packages/cyclamenthread/src/lib/entry-metrics.ts
+++ b/packages/cyclamenthread/src/lib/entry-metrics.ts
@@ -5,7 +5,7 @@
 /** Sources of the metrics of an entry host. */
 export interface EntryMetricsSource {
   readonly jsonLog: Pick<JsonLog, 'dropped'>
-  readonly service: Pick<EntryService, 'ready'> & { readonly deployment: Pick<EntryService['deployment'], 'endpointTable'>, readonly rollouts: Pick<EntryService['rollouts'], 'running'> }
+  readonly service: Pick<EntryService, 'ready'> & { readonly deployment: Pick<EntryService['deployment'], 'endpointTable'>, readonly rollouts: Pick<EntryService['rollouts'], 'running'>, readonly capacity: Pick<EntryService['capacity'], 'missingEndpoints'> }
   /** Number of store calls since the process started, by method and kind. */
   readonly storeCalls: ReadonlyMap<string, number>
 }
@@ -20,6 +20,7 @@
   log.registerGauge('cyclamenthread_store_calls', 'Calls of the store since the start of the process, by method and kind.', () => storeCalls)
   log.registerGauge('cyclamenthread_endpoint_limit', 'Requests per second that endpoints accept from all hosts, by endpoint, for those that name a limit.', () =>
     service.deployment.endpointTable.limitedEndpoints().map(([record, limit]): readonly [string, number] => [record.entry.id, limit.requestsPerSecond]))
+  log.registerGauge('cyclamenthread_missing_endpoints', 'Endpoints that are missing in a failure domain, by service and failure domain, as the leader of the duties sees it.', () => service.capacity.missingEndpoints())
   log.registerGauge('cyclamenthread_state', 'State of the process: lines dropped, rollouts that run, whether it is ready.', () => [
     ['lines-dropped', jsonLog.dropped], ['rollouts', service.rollouts.running], ['ready', service.ready ? 1 : 0]
   ])
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -80,6 +80,7 @@
   readonly calls: CallTask
   readonly rollouts: RolloutTask
   readonly streams: StreamOriginTask
+  readonly capacity: CapacityDuty
   readonly deployment: DeploymentView
   readonly tally: UsageTally
   readonly #settings: EntrySettings
@@ -163,7 +164,8 @@
     }
     const leader = { holder: `${self.id}/${incarnation}`, leaseMs: settings.leaseMs, storeTimeoutMs: STORE_TIMEOUT_MS, storeRegion: settings.storeRegion }
     const reach = new LeaderReach(this.#forwarder)
-    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties, reach), new CapacityDuty(duties), new RetirementDuty(duties)], reach)
+    this.capacity = new CapacityDuty(duties)
+    this.#leader = new LeaderTask(leader, store, duties, [new UsageDuty(duties), new WeightDuty(duties, reach), this.capacity, new RetirementDuty(duties)], reach)
   }
 
   /** Logs how a caller's request ended. */
