Evacuations: failure domains are taken out of service by objects in the store

Nothing set the evacuated domains of the endpoint table. A host knows no endpoint and isn't ready until it has read them. Each begin and lift is a log line; a gauge has the domains.

Two ways to an evacuated endpoint remained: probes of the endpoint witness, and orders of weights that were prepared by a report which was under way when the evacuation began. Both check the state now.

--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -28,6 +28,8 @@
 export interface DeploymentSources {
   readonly declarations: StoreMirror
   readonly endpoints: StoreMirror
+  /** Objects whose keys name the failure domains that the operator has evacuated; undefined on platforms without evacuations. */
+  readonly evacuations?: StoreMirror | undefined
   readonly decoder: DeploymentDecoder
   readonly log: EventLog
 }
@@ -37,7 +39,9 @@
  * endpoints.
  *
  * Invariants: the declaration's version only increases; an object that can't be
- * decoded is logged and otherwise ignored.
+ * decoded is logged and otherwise ignored, except that an evacuation counts whatever its
+ * value, since its key names the failure domain. Endpoints are unknown until the
+ * evacuations have been read.
  */
 export class DeploymentView {
   readonly endpointTable = new EndpointTable()
@@ -45,6 +49,8 @@
   #routeTable: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
+  /** Versions of the objects of the evacuations, by failure domain. */
+  #evacuations: ReadonlyMap<string, string> = new Map()
   #nextConfirmationAt = -Infinity
   #retentionTimer: NodeJS.Timeout | undefined
   readonly #loggedRejections = new Set<string>()
@@ -53,6 +59,8 @@
     this.#sources = sources
     sources.declarations.onChange(() => this.#readDeclarations())
     sources.endpoints.onChange(() => this.#readEndpoints())
+    sources.evacuations?.onChange(() => this.#readEvacuations())
+    if (sources.evacuations?.loaded === true) this.#readEvacuations()
     if (sources.declarations.loaded) this.#readDeclarations()
     if (sources.endpoints.loaded) this.#readEndpoints()
   }
@@ -62,9 +70,14 @@
     return this.#routeTable
   }
 
-  /** Whether a declaration and the list of endpoints are known, so that requests can be served. */
+  /** Whether a declaration, the list of endpoints and the evacuations are known, so that requests can be served. */
   get ready (): boolean {
-    return this.#routeTable !== undefined && this.#sources.endpoints.loaded
+    return this.#routeTable !== undefined && this.#sources.endpoints.loaded && this.#knowsEvacuations
+  }
+
+  /** Whether the evacuations have been read, if the platform has any. */
+  get #knowsEvacuations (): boolean {
+    return this.#sources.evacuations?.loaded !== false
   }
 
   /** Time since the declaration was last known to be current, in milliseconds. */
@@ -126,7 +139,27 @@
     }
   }
 
+  /** Applies the evacuations; the version of a lifted one is that of its last known object. */
+  #readEvacuations (): void {
+    const { evacuations, log } = this.#sources
+    if (evacuations === undefined) return
+    const known = this.#evacuations
+    const current = new Map(evacuations.objects().map(({ key, version }) => [key.slice(evacuations.prefix.length), version]))
+    this.#evacuations = current
+    this.endpointTable.setEvacuatedDomains(new Set(current.keys()))
+    this.#readEndpoints()
+    const changes = [
+      ...[...current].filter(([domain]) => !known.has(domain)).map(([failureDomain, version]) => ({ failureDomain, version, outcome: 'begun' })),
+      ...[...known].filter(([domain]) => !current.has(domain)).map(([failureDomain, version]) => ({ failureDomain, version, outcome: 'lifted' }))
+    ]
+    for (const change of changes) {
+      const endpoints = this.#entries.filter((entry) => entry.failureDomain === change.failureDomain).length
+      log.record(LogEvent.DomainEvacuated, { ...change, endpoints, evacuated: [...current.keys()], ageMs: Math.round(evacuations.ageMs) })
+    }
+  }
+
   #readEndpoints (): void {
+    if (!this.#sources.endpoints.loaded || !this.#knowsEvacuations) return
     const entries: EndpointEntry[] = []
     for (const object of this.#sources.endpoints.objects()) {
       const decoded = this.#sources.decoder.endpoint(object)
--- a/packages/coordination/src/lib/endpoint-witness.ts
+++ b/packages/coordination/src/lib/endpoint-witness.ts
@@ -125,7 +125,10 @@
 
   async #probe ({ endpointId, bornAt }: EndpointRunId): Promise<EndpointProbe> {
     const { deployment, endpoints, relay } = this.#context
-    const entry = deployment.endpointTable.find(endpointId)?.entry
+    const record = deployment.endpointTable.find(endpointId)
+    const entry = record?.entry
+    // Nothing is sent to an evacuated failure domain, so this host can't tell.
+    if (entry?.bornAt === bornAt && record?.isEvacuated === true) return { sign: EndpointSign.None, isDoubtful: true }
     const sign = entry === undefined || entry.bornAt !== bornAt ? EndpointSign.Replaced : await endpoints.probe(entry, deadlineAfter(PROBE_TIMEOUT_MS))
     if (sign === EndpointSign.Alive) relay.recordReached()
     return { sign, isDoubtful: relay.isDoubtful }
--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -11,6 +11,8 @@
   DependencyRegained = 'dependency-regained',
   DeclarationChanged = 'declaration-changed',
   EndpointsChanged = 'endpoints-changed',
+  /** The operator has a failure domain evacuated, or has lifted that. */
+  DomainEvacuated = 'domain-evacuated',
   /** The state of another host has changed in this host's view. */
   HostChanged = 'host-changed',
   /** Another host gave no answer to a message. */
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -212,7 +212,8 @@
     const { id } = record.entry
     const expectedOrders = this.#orderCounts.get(incarnationOf(record)) ?? (await this.#fetchReport(record))?.orders
     const held = lease()
-    if (held === undefined || expectedOrders === undefined) {
+    // The operator may have evacuated its failure domain while the report was fetched.
+    if (held === undefined || expectedOrders === undefined || record.isEvacuated) {
       state.planner.recordFailure(id, monotonicNow())
       return
     }
--- a/packages/coordination/src/test/endpoint-witness.test.ts
+++ b/packages/coordination/src/test/endpoint-witness.test.ts
@@ -87,3 +87,11 @@
   await Promise.all(Array.from({ length: 20 }, async () => await fixture.witness.judge(RUN, lostAt)))
   t.is(fixture.probes, 1)
 })
+
+// Guards against probes of endpoints to which the operator wants nothing sent.
+test('an endpoint of an evacuated failure domain is not probed, and its silence shows nothing', async (t) => {
+  const fixture = openFixture(() => EndpointSign.Alive, false)
+  fixture.table.setEvacuatedDomains(new Set(['leith-walk']))
+  t.is(await fixture.witness.judge(RUN, performance.now()), EndpointLife.Unknown)
+  t.is(fixture.probes, 0)
+})
--- a/packages/coordination/src/test/weight-duty.test.ts
+++ b/packages/coordination/src/test/weight-duty.test.ts
@@ -7,7 +7,7 @@
 import { openDeployment, waitUntil } from './deployment-fixture.js'
 import { ScriptedEndpoints } from './scripted-endpoints.js'
 import type { DutyContext, MemberView, MessageBus } from '@cyclamenthread/coordination'
-import type { EndpointEntry } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointTable } from '@cyclamenthread/state'
 import type { LeaderLease, EndpointReport, WeightOrder } from '@cyclamenthread/protocol'
 import type { ExecutionContext } from 'ava'
 
@@ -46,6 +46,7 @@
 interface Fixture {
   readonly endpoints: LoadingEndpoints
   readonly released: Map<string, number>
+  readonly table: EndpointTable
   runOnce (lease?: () => LeaderLease | undefined): Promise<void>
 }
 
@@ -75,7 +76,7 @@
     bus: {} as unknown as MessageBus
   }
   const duty = new WeightDuty(context as DutyContext)
-  return { endpoints, released, runOnce: async (lease = () => createHeldLease(7, 1_000)) => await duty.runOnce(lease) }
+  return { endpoints, released, table: view.endpointTable, runOnce: async (lease = () => createHeldLease(7, 1_000)) => await duty.runOnce(lease) }
 }
 
 async function runTurnsUntil (fixture: Fixture, condition: () => boolean, most = 400): Promise<void> {
@@ -123,3 +124,20 @@
   for (let turn = 0; turn < 10; turn += 1) await fixture.runOnce(() => undefined)
   t.deepEqual(fixture.endpoints.orders, [])
 })
+
+// Guards against orders and reports that reach endpoints of an evacuated failure domain.
+test('an evacuated endpoint gets no order and no request for a report, also if it is evacuated while its report is under way', async (t) => {
+  const fixture = await createFixture(t, 2)
+  let reports = 0
+  fixture.endpoints.readReport = async () => {
+    reports += 1
+    fixture.table.setEvacuatedDomains(new Set(['leith-walk']))
+    return { versions: { critic: 1 }, busy: false, orders: 0, load: { running: 0, waiting: 0 } }
+  }
+  fixture.released.set('critic', 2)
+  await runTurnsUntil(fixture, () => reports > 0)
+  const reportsBefore = reports
+  await runTurnsUntil(fixture, () => false, 40)
+  t.is(reports, reportsBefore)
+  t.deepEqual(fixture.endpoints.orders, [])
+})
--- a/packages/cyclamenthread/src/lib/entry-metrics.ts
+++ b/packages/cyclamenthread/src/lib/entry-metrics.ts
@@ -20,6 +20,8 @@
   log.registerGauge('cyclamenthread_store_calls', 'Calls of the store since the start of the process, by method and kind.', () => storeCalls)
   log.registerGauge('cyclamenthread_endpoint_limit', 'Requests per second that endpoints accept from all hosts, by endpoint, for those that name a limit.', () =>
     service.deployment.endpointTable.limitedEndpoints().map(([record, limit]): readonly [string, number] => [record.entry.id, limit.requestsPerSecond]))
+  log.registerGauge('cyclamenthread_evacuated_domains', 'Failure domains that the operator has evacuated, as this host knows them; 1 for each.', () =>
+    [...service.deployment.endpointTable.evacuatedDomains].map((domain): readonly [string, number] => [domain, 1]))
   log.registerGauge('cyclamenthread_state', 'State of the process: lines dropped, rollouts that run, whether it is ready.', () => [
     ['lines-dropped', jsonLog.dropped], ['rollouts', service.rollouts.running], ['ready', service.ready ? 1 : 0]
   ])
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -65,6 +65,8 @@
   readonly decoder: DeploymentDecoder
   readonly declarations: StoreMirror
   readonly registry: StoreMirror
+  /** Evacuated failure domains; undefined on platforms without evacuations. */
+  readonly evacuations?: StoreMirror | undefined
   /** Mirrors that only the leader runs. */
   readonly leaderMirrors: readonly StoreMirror[]
   readonly newestVersions: () => ReadonlyMap<string, number>
@@ -101,10 +103,10 @@
 
   /**
    * Reads the cluster secret from the store and creates the service; undefined if the secret can't be read in time.
-   * The declaration and the endpoints are read meanwhile.
+   * The declaration, the endpoints and the evacuations are read meanwhile.
    */
   static async open (settings: EntrySettings, ports: EntryPorts): Promise<EntryService | undefined> {
-    for (const mirror of [ports.declarations, ports.registry]) mirror.start()
+    for (const mirror of mirrorsOf(ports)) mirror.start()
     const secret = await readOrCreateClusterSecret(ports.store, CLUSTER_SECRET_KEY, randomUUID, deadlineAfter(SECRET_TIMEOUT_MS))
     return secret === undefined ? undefined : new EntryService(settings, ports, secret)
   }
@@ -120,7 +122,7 @@
     const memberSettings = { self, hostListPeriodMs: HOST_LIST_PERIOD_MS, storeTimeoutMs: STORE_TIMEOUT_MS }
     this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message), log)
     this.#bus.onSilence((hostId) => this.#members.reportSilence(hostId))
-    this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, decoder: ports.decoder, log })
+    this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, evacuations: ports.evacuations, decoder: ports.decoder, log })
     this.tally = new UsageTally(settings.usageWindowMs)
     this.#sends = new SendPermitTask({ self, members: this.#members, bus: this.#bus, log })
     this.#notices = new EndpointNoticeTask({ self, deployment: this.deployment, sends: this.#sends, members: this.#members, bus: this.#bus, log })
@@ -130,7 +132,7 @@
     this.#crashes = new CrashTask({ self, members: this.#members, bus: this.#bus, observer: this.#witness, held: new HeldRequestStore(store), log })
     this.calls = new CallTask({ ...shared, crashes: this.#crashes, tally: this.tally })
     this.streams = new StreamOriginTask({ self, members: this.#members, bus: this.#bus })
-    this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: [ports.declarations, ports.registry] })
+    this.#relay = new MirrorRelay({ self, members: this.#members, bus: this.#bus, mirrors: mirrorsOf(ports) })
     const demand = new StepDemand()
     const place = { region: settings.storeRegion, failureDomain: '' }
     this.#demand = new DemandAnnouncer({ hostId: self.id, members: this.#members, bus: this.#bus, demand, location: place })
@@ -255,3 +257,8 @@
     this.#ports.log.record(LogEvent.Stopped, {})
   }
 }
+
+/** Returns the mirrors that every host runs. */
+function mirrorsOf ({ declarations, registry, evacuations }: EntryPorts): StoreMirror[] {
+  return [declarations, registry, ...(evacuations === undefined ? [] : [evacuations])]
+}
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -141,3 +141,16 @@
   t.is(table.typicalPace('models', 38, 100), 40)
   t.true(table.typicalPace('models', 38, 300) > 79)
 })
+
+// Guards against endpoints that register during an evacuation, or restart, and get work.
+test('endpoints of an evacuated failure domain are out of service, also ones that are registered later, until it is lifted', (t) => {
+  const table = new EndpointTable()
+  table.update([endpointEntry('a'), endpointEntry('b', { failureDomain: 'grassmarket' })])
+  table.setEvacuatedDomains(new Set(['leith-walk']))
+  table.update([endpointEntry('a', { bornAt: 2 }), endpointEntry('b', { failureDomain: 'grassmarket' }), endpointEntry('c', { softwareVersion: 's2' })])
+  t.deepEqual(table.usableEndpoints('models', 0).map((record) => record.entry.id), ['b'])
+  t.deepEqual(table.endpointsInService().map((record) => record.entry.id), ['b'])
+  t.false(table.isVersionServed('models', 's2'))
+  table.setEvacuatedDomains(new Set())
+  t.deepEqual(table.usableEndpoints('models', 0).map((record) => record.entry.id), ['a', 'b', 'c'])
+})
