Capacity: endpoints of a growing order aren't late while they start

A domain counted as late once it had been short throughout the window, also if it was short of other endpoints each time: orders that grew within a start time did that. Now what was ordered throughout the window is compared with the most that served in it.

Tests: the stand-in starts each order by itself; the property also requires that nothing counts as missing; three rules (adoption by a new leader, hold from serving on, released endpoints) could be removed without a failure before.

--- a/packages/state/src/lib/capacity/domain-shortfall.ts
+++ b/packages/state/src/lib/capacity/domain-shortfall.ts
@@ -38,8 +38,9 @@
  * as many serve as are expected.
  */
 export class DomainShortfall {
-  /** Negated shortfall of recent observations; its maximum is the shortfall that lasted for the whole window. */
-  readonly #lateness: WindowMaximum
+  /** Negated number of ordered endpoints; its maximum is that of the endpoints that were ordered for the whole window. */
+  readonly #negatedOrders: WindowMaximum
+  readonly #served: WindowMaximum
   #accepted: number | undefined
   #refusal: { readonly count: number, readonly until: number } | undefined
   #releasedUntil = -Infinity
@@ -50,8 +51,9 @@
    * @param now monotonic milliseconds
    */
   constructor (startMs: number, now: number) {
-    this.#lateness = new WindowMaximum(startMs + START_MARGIN_MS)
-    this.#lateness.record(0, now)
+    this.#negatedOrders = new WindowMaximum(startMs + START_MARGIN_MS)
+    this.#negatedOrders.record(0, now)
+    this.#served = new WindowMaximum(startMs + START_MARGIN_MS)
   }
 
   /** Number of endpoints in the last order that the platform is known to have accepted; undefined before. */
@@ -84,15 +86,16 @@
   /** Updates the number of missing endpoints, and returns it. */
   observe ({ own, extra }: DomainTarget, { inService, leaving, isEvacuated }: DomainEndpoints, now: number): number {
     // After a pause of this process nothing is known of the whole window.
-    if (this.#lateness.current(now) === undefined) this.#lateness.record(0, now)
-    const ordered = Math.min(own + extra, this.#accepted ?? 0)
-    this.#lateness.record(isEvacuated ? 0 : Math.min(0, inService - ordered), now)
+    if (this.#negatedOrders.current(now) === undefined) this.#negatedOrders.record(0, now)
+    this.#negatedOrders.record(isEvacuated ? 0 : -Math.min(own + extra, this.#accepted ?? 0), now)
+    this.#served.record(inService, now)
     if (isEvacuated) {
       this.#missing = own
       return own
     }
     const gap = Math.max(0, own + extra - inService)
-    const late = -(this.#lateness.current(now) ?? 0)
+    const due = -(this.#negatedOrders.current(now) ?? 0)
+    const late = Math.max(0, due - (this.#served.current(now) ?? 0))
     const refused = this.isRefused(now) ? Math.max(0, own - Math.max(this.#accepted ?? 0, inService)) : 0
     const reclaimed = now < this.#releasedUntil ? 0 : leaving
     this.#missing = Math.min(gap, Math.max(this.#missing, late + refused + reclaimed))
--- a/packages/state/src/test/capacity/capacity-shift.test.ts
+++ b/packages/state/src/test/capacity/capacity-shift.test.ts
@@ -34,7 +34,8 @@
   readonly available = new Map<string, number>()
   /** Domains in which what is ordered does not start. */
   readonly stalled = new Set<string>()
-  readonly #startsAt = new Map<string, number>()
+  /** Orders in force so far, oldest first. */
+  readonly #history = new Map<string, Array<{ readonly count: number, readonly at: number }>>()
   /** Endpoints in the last order of the present leader. */
   readonly #sent = new Map<string, number>()
 
@@ -75,7 +76,7 @@
     this.ordered.set(failureDomain, count)
     this.#sent.set(failureDomain, count)
     this.shift.recordAccepted(failureDomain, count, this.now)
-    this.#startsAt.set(failureDomain, this.now + START_MS)
+    this.#history.set(failureDomain, [...this.#history.get(failureDomain) ?? [{ count: 0, at: -Infinity }], { count, at: this.now }])
     this.set(failureDomain, { inService: Math.min(count, this.#endpointsOf(failureDomain).inService) })
   }
 
@@ -95,11 +96,11 @@
   }
 
   #start (): void {
-    for (const [failureDomain, count] of this.ordered) {
-      const { isEvacuated } = this.#endpointsOf(failureDomain)
-      const isDue = this.now >= (this.#startsAt.get(failureDomain) ?? 0) && !this.stalled.has(failureDomain)
-      if (isEvacuated) this.set(failureDomain, { inService: 0 })
-      else if (isDue) this.set(failureDomain, { inService: Math.min(count, this.available.get(failureDomain) ?? Infinity), leaving: 0 })
+    for (const [failureDomain, history] of this.#history) {
+      const latest = history.findLastIndex(({ at }) => at <= this.now - START_MS)
+      const started = Math.min(...history.slice(latest).map(({ count }) => count), this.available.get(failureDomain) ?? Infinity)
+      if (this.#endpointsOf(failureDomain).isEvacuated) this.set(failureDomain, { inService: 0 })
+      else if (!this.stalled.has(failureDomain)) this.set(failureDomain, { inService: started, leaving: 0 })
     }
   }
 }
@@ -125,7 +126,7 @@
         const expected = DOMAINS.map((failureDomain) => desiredEndpointCount(service, failureDomain, { samples: fleet.samples, slots: SLOTS, running: running.get(failureDomain) ?? 0 }))
         const planned = fleet.shift.plan(service, { samples: fleet.samples, slots: SLOTS, domains: fleet.endpoints }, fleet.now)
         const counts = DOMAINS.map((failureDomain) => planned.domains.get(failureDomain)?.count)
-        if (JSON.stringify(counts) !== JSON.stringify(expected)) throw new Error(JSON.stringify({ counts, expected, at: fleet.now }))
+        if (JSON.stringify(counts) !== JSON.stringify(expected) || Object.keys(planned.missing).length > 0) throw new Error(JSON.stringify({ counts, expected, at: fleet.now }))
         fleet.step()
       }
     }
@@ -155,6 +156,18 @@
   t.deepEqual(fleet.run(2_000), { castlegate: 6, grassmarket: 6, 'leith-walk': 6 })
 })
 
+test('an evacuation is lifted and the endpoints have to start: the hold time begins when they serve', (t) => {
+  const fleet = servingFleet()
+  fleet.set('leith-walk', { isEvacuated: true, inService: 0 })
+  fleet.run(20_000)
+  fleet.stalled.add('leith-walk')
+  fleet.set('leith-walk', { isEvacuated: false, inService: 0 })
+  fleet.run(START_MS)
+  fleet.stalled.clear()
+  t.deepEqual(fleet.run(HOLD_MS - 1_000), { castlegate: 9, grassmarket: 9, 'leith-walk': 6 })
+  t.deepEqual(fleet.run(2_000), { castlegate: 6, grassmarket: 6, 'leith-walk': 6 })
+})
+
 test('a domain is evacuated again and again: the orders elsewhere change once', (t) => {
   const fleet = servingFleet()
   const seen = new Set<string>()
@@ -196,7 +209,8 @@
   const fleet = servingFleet()
   fleet.samples.set('critic', SIX_EACH / 2)
   t.deepEqual(fleet.run(500), { castlegate: 3, grassmarket: 3, 'leith-walk': 3 })
-  for (const failureDomain of DOMAINS) fleet.set(failureDomain, { leaving: 3 })
+  fleet.stalled.add('castlegate')
+  fleet.set('castlegate', { leaving: 3 })
   fleet.samples.set('critic', SIX_EACH)
   fleet.step()
   t.deepEqual(fleet.orders(), { castlegate: 6, grassmarket: 6, 'leith-walk': 6 })
@@ -274,7 +288,9 @@
   const orders = fleet.run(20_000)
   t.deepEqual(orders, { castlegate: 6, grassmarket: 8, 'leith-walk': 8 })
   fleet.takeOver()
-  t.deepEqual(fleet.run(40_000), orders)
+  const seen = new Set<string>()
+  for (let waited = 0; waited < 40_000; waited += 500) seen.add(JSON.stringify(fleet.run(500)))
+  t.deepEqual([...seen], [JSON.stringify(orders)])
   fleet.stalled.clear()
   t.deepEqual(fleet.run(HOLD_MS + 1_000), { castlegate: 6, grassmarket: 6, 'leith-walk': 6 })
 })
