Cold endpoints: limit what all hosts send to an endpoint that is cold

An endpoint that has just started under load crashes above the declared rate (coldPerS), and nothing read that rate or the remaining cold time. Entries and responses state it; a host presumes it after a connection broke and after the evacuation of a failure domain was lifted. The limit goes through the accounts of endpoints that name limits, as the smaller of both.

The account of a named limit tolerates both keepers of a partition to grant at once for some seconds, which the spans of one second of cold endpoints don't: ColdKeeperShare delays each change of a keeper until every host has noticed it, and counts lost hosts for longer.

RequestSends gains an optional field; keepers of the build before read the cold limit as one that was named just now.

--- a/packages/coordination/src/lib/deployment-view.ts
+++ b/packages/coordination/src/lib/deployment-view.ts
@@ -1,4 +1,4 @@
-import { EndpointTable, RouteTable } from '@cyclamenthread/state'
+import { EndpointTable, RouteTable, success } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import type { Declaration, EndpointEntry, Outcome } from '@cyclamenthread/state'
@@ -15,6 +15,9 @@
 /** Time that an endpoint may serve before its start shows in the registry, in milliseconds: a heartbeat and a write. */
 const REGISTRATION_MS = 1_500
 
+/** Longest time from the write of a registry entry until a host in contact with the store has read it, in milliseconds. */
+const MAX_ENTRY_DELAY_MS = 2_500
+
 /** Shortest time between two attempts to confirm the endpoint table, in milliseconds. */
 const CONFIRMATION_PERIOD_MS = 500
 
@@ -24,6 +27,12 @@
   endpoint (object: StoredObject): Outcome<EndpointEntry, string>
 }
 
+/** A version of a registry entry, as it was decoded when it was first read. */
+interface DecodedEntry {
+  readonly version: string
+  readonly outcome: Outcome<EndpointEntry, string>
+}
+
 /** Sources of the view. */
 export interface DeploymentSources {
   readonly declarations: StoreMirror
@@ -49,6 +58,8 @@
   #routeTable: RouteTable | undefined
   #endpointIds = ''
   #entries: readonly EndpointEntry[] = []
+  /** Decoded versions of the registry entries, by key: the time for which an endpoint remains cold counts from the first read of a version. */
+  #decoded: ReadonlyMap<string, DecodedEntry> = new Map()
   /** Versions of the objects of the evacuations, by failure domain. */
   #evacuations: ReadonlyMap<string, string> = new Map()
   #nextConfirmationAt = -Infinity
@@ -135,6 +146,7 @@
       const known = this.#routeTable?.declaration.version ?? -1
       if (decoded.value.version <= known) continue
       this.#routeTable = new RouteTable(decoded.value)
+      this.endpointTable.setColdBounds(new Map(decoded.value.services.flatMap(({ name, cold }) => cold === undefined ? [] : [[name, cold] as const])))
       this.#sources.log.record(LogEvent.DeclarationChanged, { version: decoded.value.version, previous: known, routes: decoded.value.routes.length, workspaces: decoded.value.workspaces?.length, keys: decoded.value.workspaces?.reduce((sum, { keys }) => sum + keys.length, 0) })
     }
   }
@@ -146,7 +158,7 @@
     const known = this.#evacuations
     const current = new Map(evacuations.objects().map(({ key, version }) => [key.slice(evacuations.prefix.length), version]))
     this.#evacuations = current
-    this.endpointTable.setEvacuatedDomains(new Set(current.keys()))
+    this.endpointTable.setEvacuatedDomains(new Set(current.keys()), monotonicNow())
     this.#readEndpoints()
     const changes = [
       ...[...current].filter(([domain]) => !known.has(domain)).map(([failureDomain, version]) => ({ failureDomain, version, outcome: 'begun' })),
@@ -161,11 +173,15 @@
   #readEndpoints (): void {
     if (!this.#sources.endpoints.loaded || !this.#knowsEvacuations) return
     const entries: EndpointEntry[] = []
+    const decoded = new Map<string, DecodedEntry>()
     for (const object of this.#sources.endpoints.objects()) {
-      const decoded = this.#sources.decoder.endpoint(object)
-      if (decoded.ok) entries.push(decoded.value)
-      else this.#logRejection(object, decoded.failure)
+      const known = this.#decoded.get(object.key)
+      const current = known?.version === object.version ? known : { version: object.version, outcome: this.#decodeEntry(object) }
+      decoded.set(object.key, current)
+      if (current.outcome.ok) entries.push(current.outcome.value)
+      else this.#logRejection(object, current.outcome.failure)
     }
+    this.#decoded = decoded
     entries.push(...this.#retainedEntries(entries))
     this.#entries = entries
     this.endpointTable.update(entries)
@@ -176,6 +192,17 @@
     }
   }
 
+  #decodeEntry (object: StoredObject): Outcome<EndpointEntry, string> {
+    const { decoder, endpoints } = this.#sources
+    const decoded = decoder.endpoint(object)
+    if (!decoded.ok || decoded.value.coldLeftMs === undefined) return decoded
+    const now = monotonicNow()
+    const { coldLeftMs } = decoded.value
+    // What is read after a store outage may have been written long before.
+    const asOf = now < endpoints.reconnectedAt + MAX_ENTRY_DELAY_MS ? -Infinity : now - MAX_ENTRY_DELAY_MS
+    return success({ ...decoded.value, cold: { asOf, until: coldLeftMs > 0 ? now + coldLeftMs : -Infinity } })
+  }
+
   /** Returns endpoints whose entries expired during a store outage, for as long as they may register again. */
   #retainedEntries (entries: readonly EndpointEntry[]): EndpointEntry[] {
     const leftMs = this.#sources.endpoints.reconnectedAt + REREGISTRATION_MS - monotonicNow()
--- a/packages/coordination/src/lib/endpoint-notice-task.ts
+++ b/packages/coordination/src/lib/endpoint-notice-task.ts
@@ -1,8 +1,9 @@
+import { limitInForce } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { LogEvent } from './event-log.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { EndpointEntry, EndpointRecord, Host, NoticeEvidence } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointLimit, EndpointRecord, Host, NoticeEvidence } from '@cyclamenthread/state'
 import type { DeploymentView } from './deployment-view.js'
 import type { EventLog, LogFields } from './event-log.js'
 import type { MemberView } from './member-task.js'
@@ -81,12 +82,24 @@
 }
 
 /**
- * Describes the request limit of an endpoint for the log line of a send: the limit, since when
+ * Describes the request limit of an endpoint for the log line of a send: the limit, that of a cold endpoint included, since when
  * this host knows one, and the age of the answer that named it last.
  *
  * @example
  * log.record(LogEvent.SampleSent, { requestId, ...describeLimit(record, monotonicNow()) })
  */
-export function describeLimit ({ requestLimit: { current } }: EndpointRecord, now: number): LogFields {
-  return current === undefined ? {} : { limit: current.requestsPerSecond, limitKnownMs: Math.round(now - current.since), limitAgeMs: Math.round(now - current.namedAt) }
+export function describeLimit (record: EndpointRecord, now: number): LogFields {
+  const current = limitInForce(record, now)
+  if (current === undefined) return {}
+  return { limit: current.requestsPerSecond, limitKnownMs: Math.round(now - current.since), limitAgeMs: Math.round(now - current.namedAt), ...describeCold(current, now) }
+}
+
+/**
+ * Describes why an endpoint counts as cold, for a log line; empty if it doesn't.
+ *
+ * @example
+ * log.record(LogEvent.SendsRequested, { ...describeCold(limit, monotonicNow()) })
+ */
+export function describeCold ({ cold }: EndpointLimit, now: number): LogFields {
+  return cold === undefined ? {} : { cold: cold.reason, coldLeftMs: Math.round(cold.until - now) }
 }
--- a/packages/coordination/src/lib/send-account-keeper.ts
+++ b/packages/coordination/src/lib/send-account-keeper.ts
@@ -1,4 +1,4 @@
-import { ACCOUNT_KEEPERS, grantRate, HostState, rankOwners, SendAccount } from '@cyclamenthread/state'
+import { ACCOUNT_KEEPERS, ColdKeeperShare, grantRate, HostState, rankOwners, SendAccount } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import type { Host } from '@cyclamenthread/state'
 import type { RequestSends, SendReply } from '@cyclamenthread/protocol'
@@ -19,14 +19,19 @@
 /** An account, and what its keeper knows about the endpoint's limit. */
 interface KeptAccount {
   readonly account: SendAccount
+  /** The limit that the endpoint named; Infinity if no host has heard of one. */
   requestsPerSecond: number
   /** Monotonic milliseconds at which the endpoint named the limit. */
   namedAt: number
   /** Monotonic milliseconds at which a request was sent whose answer named none. */
   liftedAt: number
+  /** The limit of a cold endpoint, and until when it applies, in monotonic milliseconds. */
+  cold: { readonly requestsPerSecond: number, readonly until: number } | undefined
   usedAt: number
 }
 
+type KeptLimits = Pick<KeptAccount, 'requestsPerSecond' | 'namedAt' | 'liftedAt' | 'cold'>
+
 /**
  * Returns the hosts that may keep the account of an endpoint, the one to ask first at the front.
  *
@@ -35,7 +40,7 @@
  */
 export function accountKeepers (endpointId: string, workers: readonly Host[]): Host[] {
   const byId = new Map(workers.map((host) => [host.id, host]))
-  return rankOwners(`sends/${endpointId}`, [...byId.keys()]).slice(0, ACCOUNT_KEEPERS).flatMap((id) => byId.get(id) ?? [])
+  return rankOwners(keeperSubject(endpointId), [...byId.keys()]).slice(0, ACCOUNT_KEEPERS).flatMap((id) => byId.get(id) ?? [])
 }
 
 /** The accounts of limited endpoints that this host keeps for all hosts. */
@@ -45,6 +50,7 @@
   readonly #accounts = new Map<string, KeptAccount>()
   /** When each dead host was first seen dead, in monotonic milliseconds. */
   readonly #lostAt = new Map<string, number>()
+  readonly #coldShare = new ColdKeeperShare(monotonicNow())
 
   constructor (selfId: string, members: Pick<MemberView, 'workers' | 'members' | 'onChange'>) {
     this.#selfId = selfId
@@ -57,12 +63,15 @@
     const now = monotonicNow()
     const kept = this.#accountOf(message, now)
     const namedAt = now - message.ageMs
-    if (kept.liftedAt > namedAt) return { granted: 0, retryAfterMs: 0, lifted: true }
-    if (namedAt > kept.namedAt) {
-      kept.requestsPerSecond = message.requestsPerSecond
-      kept.namedAt = namedAt
+    if (message.cold !== undefined) kept.cold = { requestsPerSecond: message.cold.requestsPerSecond, until: now + message.cold.leftMs }
+    if (isNamed(message)) {
+      if (kept.liftedAt > namedAt) return { granted: 0, retryAfterMs: 0, lifted: true }
+      if (namedAt > kept.namedAt) {
+        kept.requestsPerSecond = message.requestsPerSecond
+        kept.namedAt = namedAt
+      }
     }
-    kept.account.setRate(this.#rateOf(message.endpointId, kept.requestsPerSecond, now), now)
+    kept.account.setRate(this.#rateOf(message.endpointId, kept, now), now)
     return { ...kept.account.request({ ...message, host }, now), lifted: false }
   }
 
@@ -92,14 +101,28 @@
     for (const [other, { usedAt }] of this.#accounts) {
       if (now - usedAt > ACCOUNT_LIFETIME_MS) this.#accounts.delete(other)
     }
-    const { requestsPerSecond } = message
-    const account = new SendAccount(this.#rateOf(message.endpointId, requestsPerSecond, now), now)
-    const kept: KeptAccount = { account, requestsPerSecond, namedAt: -Infinity, liftedAt: -Infinity, usedAt: now }
+    const limits = {
+      requestsPerSecond: isNamed(message) ? message.requestsPerSecond : Infinity,
+      liftedAt: -Infinity,
+      namedAt: -Infinity,
+      cold: message.cold === undefined ? undefined : { requestsPerSecond: message.cold.requestsPerSecond, until: now + message.cold.leftMs }
+    }
+    const account = new SendAccount(this.#rateOf(message.endpointId, limits, now), now)
+    const kept: KeptAccount = { account, ...limits, usedAt: now }
     this.#accounts.set(key, kept)
     return kept
   }
 
-  #rateOf (endpointId: string, requestsPerSecond: number, now: number): number {
+  /** Returns the smaller rate of the limits in force. */
+  #rateOf (endpointId: string, { requestsPerSecond, namedAt, liftedAt, cold }: KeptLimits, now: number): number {
+    const namedRate = requestsPerSecond === Infinity || liftedAt > namedAt ? Infinity : this.#namedRateOf(endpointId, requestsPerSecond, now)
+    // A request may arrive when the endpoint has just become warm; without a named limit, it is still one for a cold endpoint.
+    if (cold === undefined || (now >= cold.until && namedRate !== Infinity)) return namedRate
+    const query = { selfId: this.#selfId, subject: keeperSubject(endpointId), workers: this.#members.workers().map(({ id }) => id) }
+    return Math.min(namedRate, this.#coldShare.rateOf(cold.requestsPerSecond, query, now))
+  }
+
+  #namedRateOf (endpointId: string, requestsPerSecond: number, now: number): number {
     const workers = this.#members.workers()
     const rank = accountKeepers(endpointId, workers).findIndex(({ id }) => id === this.#selfId)
     const lost = [...this.#lostAt.values()].filter((at) => now - at < LOST_MS).length
@@ -109,12 +132,23 @@
   #recordLosses (): void {
     const now = monotonicNow()
     for (const { host, state } of this.#members.members()) {
+      this.#coldShare.recordHost(host.id, state === HostState.Dead, now)
       if (state !== HostState.Dead) this.#lostAt.delete(host.id)
       else if (!this.#lostAt.has(host.id)) this.#lostAt.set(host.id, now)
     }
   }
 }
 
+/** Whether a request is for the limit that the endpoint named, and not for the smaller one of a cold endpoint. */
+function isNamed ({ requestsPerSecond, cold }: RequestSends): boolean {
+  return cold === undefined || requestsPerSecond < cold.requestsPerSecond
+}
+
+/** Returns the name under which the keepers of an endpoint's account are ranked. */
+function keeperSubject (endpointId: string): string {
+  return `sends/${endpointId}`
+}
+
 function keyOf ({ endpointId, bornAt }: AccountSubject): string {
   return `${endpointId}@${bornAt}`
 }
--- a/packages/coordination/src/lib/send-permit-task.ts
+++ b/packages/coordination/src/lib/send-permit-task.ts
@@ -1,11 +1,12 @@
-import { SEND_GRANT_LIFETIME_MS } from '@cyclamenthread/state'
+import { limitInForce, SEND_GRANT_LIFETIME_MS } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
+import { describeCold } from './endpoint-notice-task.js'
 import { LogEvent } from './event-log.js'
 import { accountKeepers, SendAccountKeeper } from './send-account-keeper.js'
 import { taskService } from './task.js'
 import type { ServiceSchema } from 'moleculer'
-import type { EndpointEntry, EndpointRecord, Host, RequestLimit, SendUrgency } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointLimit, EndpointRecord, Host, SendUrgency } from '@cyclamenthread/state'
 import type { SendReply } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 import type { MemberView } from './member-task.js'
@@ -103,11 +104,11 @@
 }
 
 /**
- * Keeps what all hosts send to an endpoint within the limit that the endpoint names. Each
+ * Keeps what all hosts send to an endpoint within the limit that the endpoint names, or that of a cold endpoint. Each
  * limited endpoint has an account at one host, which the others ask before they
  * send; two more hosts stand in for it, with a small part of the limit.
  *
- * Invariant: a request to an endpoint that named a limit to this host is written only
+ * Invariant: a request to an endpoint that named a limit to this host, or is cold, is written only
  * while an unused grant for that incarnation is valid.
  */
 export class SendPermitTask implements SendPermits {
@@ -137,9 +138,9 @@
   }
 
   take (record: EndpointRecord, urgency: SendUrgency, waitMs: number): SendPermit {
-    const limit = record.requestLimit.current
-    if (limit === undefined) return { kind: SendPermission.Unlimited }
     const now = monotonicNow()
+    const limit = limitInForce(record, now)
+    if (limit === undefined) return { kind: SendPermission.Unlimited }
     const held = this.#grantsOf(record.entry, now)
     const validAt = suspendAwareNow()
     held.unused = held.unused.filter((startBefore) => startBefore > validAt)
@@ -155,7 +156,7 @@
   }
 
   charge (record: EndpointRecord): void {
-    if (record.requestLimit.current === undefined) return
+    if (limitInForce(record, monotonicNow()) === undefined) return
     const { id: endpointId, bornAt } = record.entry
     this.#postToKeepers(endpointId, 1, { kind: PeerMessageKind.ChargeSends, endpointId, bornAt })
   }
@@ -192,14 +193,22 @@
   }
 
   /** Asks the first keeper that answers for as many grants as are wanted. */
-  async #ask (held: EndpointGrants, record: EndpointRecord, limit: RequestLimit, urgency: SendUrgency, waitMs: number): Promise<void> {
+  async #ask (held: EndpointGrants, record: EndpointRecord, limit: EndpointLimit, urgency: SendUrgency, waitMs: number): Promise<void> {
     const { entry } = record
     const askedAt = monotonicNow()
     const grantsEnd = suspendAwareNow() + SEND_GRANT_LIFETIME_MS
     const count = held.wanted
     held.wanted = 0
     const message = {
-      kind: PeerMessageKind.RequestSends as const, endpointId: entry.id, bornAt: entry.bornAt, requestsPerSecond: limit.requestsPerSecond, ageMs: askedAt - limit.namedAt, urgency, count, waitMs
+      kind: PeerMessageKind.RequestSends as const,
+      endpointId: entry.id,
+      bornAt: entry.bornAt,
+      requestsPerSecond: limit.requestsPerSecond,
+      ageMs: Math.max(0, askedAt - limit.namedAt),
+      urgency,
+      count,
+      waitMs,
+      ...(limit.cold === undefined ? {} : { cold: { requestsPerSecond: limit.cold.requestsPerSecond, leftMs: Math.max(0, limit.cold.until - askedAt) } })
     }
     let reply: SendReply | undefined
     let answeredBy: string | undefined
@@ -226,6 +235,7 @@
       keeper: answeredBy,
       limit: limit.requestsPerSecond,
       limitAgeMs: Math.round(askedAt - limit.namedAt),
+      ...describeCold(limit, askedAt),
       urgency,
       wanted: count,
       granted,
--- a/packages/coordination/src/lib/weight-duty.ts
+++ b/packages/coordination/src/lib/weight-duty.ts
@@ -1,4 +1,4 @@
-import { assignModels, isInService, WeightLoadLimit, unreachable, WeightUpdatePlanner } from '@cyclamenthread/state'
+import { assignModels, isInService, limitInForce, WeightLoadLimit, unreachable, WeightUpdatePlanner } from '@cyclamenthread/state'
 import { PeerMessageKind, WeightOrderStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
 import { NO_RELAY } from './call-forwarder.js'
@@ -165,7 +165,7 @@
     const { id } = record.entry
     const orderedAt = state.orderedAt.get(id)
     if (!state.planner.isUnsettled(id) || orderedAt === undefined) return
-    if (now - orderedAt < TYPICAL_LOAD_MS || now - (state.askedAt.get(id) ?? -Infinity) < reportPeriodMs(record)) return
+    if (now - orderedAt < TYPICAL_LOAD_MS || now - (state.askedAt.get(id) ?? -Infinity) < reportPeriodMs(record, now)) return
     state.askedAt.set(id, now)
     void this.#fetchReport(record).then((report) => {
       if (report === undefined) return
@@ -179,12 +179,14 @@
   async #fetchReport (record: EndpointRecord): Promise<EndpointReport | undefined> {
     const { entry } = record
     this.#context.sends.charge(record)
+    const sentAt = monotonicNow()
     const report = await this.#context.endpoints.readReport(entry, deadlineAfter(REPORT_TIMEOUT_MS))
     if (report === undefined) {
       this.#reach.recordUnreached(entry.id)
       return undefined
     }
     this.#reach.recordReached()
+    this.#context.deployment.endpointTable.recordColdness(entry.id, entry.bornAt, { ...(report.coldMs === undefined ? {} : { coldMs: report.coldMs }), sentAt, receivedAt: monotonicNow() })
     if (report.leaving === true) this.#context.notices.recordLeaving(entry)
     for (const [model, version] of Object.entries(report.versions)) {
       if (version > this.#context.deployment.endpointTable.newestVersion(record, model)) this.#broadcastChange(record, model, version)
@@ -249,7 +251,8 @@
 }
 
 /** How often an endpoint is asked for a report, in milliseconds: no more often than it accepts requests. */
-function reportPeriodMs ({ requestLimit: { current } }: EndpointRecord): number {
+function reportPeriodMs (record: EndpointRecord, now: number): number {
+  const current = limitInForce(record, now)
   return current === undefined ? REPORT_PERIOD_MS : Math.max(REPORT_PERIOD_MS, 1_000 / Math.max(current.requestsPerSecond, MIN_REPORT_RATE))
 }
 
--- a/packages/coordination/src/test/deployment-view.test.ts
+++ b/packages/coordination/src/test/deployment-view.test.ts
@@ -95,3 +95,44 @@
   fixture.view.endpointTable.update([endpointEntry('ccc', { failureDomain: 'leith-walk' }), endpointEntry('bb', { failureDomain: 'grassmarket' })])
   t.deepEqual(servedIds(fixture), ['bb'])
 })
+
+// Guards against an endpoint that never gets warm, since the remaining time of its entry counts anew with each change of another one.
+test('the remaining cold time of an entry counts from the first read of its version', async (t) => {
+  const store = createStore()
+  store.set('config/main', { version: 2, routes: [], services: [{ name: 'models', maxConnections: 1, models: [], capacity: undefined, cold: { durationMs: 10_000, requestsPerSecond: 8 } }], workspaces: undefined, limits: {} })
+  store.set('servers/a', endpointEntry('a', { coldLeftMs: 60_000 }))
+  const fixture = openView(t, store)
+  fixture.evacuations.start()
+  await waitUntil(t, () => fixture.view.ready)
+  const table = fixture.view.endpointTable
+  const untilOf = (id: string): number | undefined => table.limitedEndpoints(performance.now()).find(([{ entry }]) => entry.id === id)?.[1].cold?.until
+  const until = untilOf('a') ?? 0
+  t.true(until > performance.now() + 50_000 && until <= performance.now() + 60_000)
+  await new Promise((resolve) => setTimeout(resolve, 50))
+  store.set('servers/ccc', endpointEntry('ccc'))
+  await waitUntil(t, () => table.find('ccc') !== undefined)
+  t.is(untilOf('a'), until)
+  store.set('servers/a', endpointEntry('a', { coldLeftMs: 60_000 }))
+  await waitUntil(t, () => (untilOf('a') ?? 0) > until)
+  store.set('servers/a', endpointEntry('a', { coldLeftMs: 0 }))
+  await waitUntil(t, () => untilOf('a') === undefined)
+})
+
+// Guards against an old entry that makes an endpoint pass for a warm one when the evacuation is lifted.
+test('after the lift of an evacuation, an entry that was written before it does not show that its endpoint is warm', async (t) => {
+  const store = createStore()
+  store.set('config/main', { version: 2, routes: [], services: [{ name: 'models', maxConnections: 1, models: [], capacity: undefined, cold: { durationMs: 10_000, requestsPerSecond: 8 } }], workspaces: undefined, limits: {} })
+  store.set('evacuations/leith-walk', {})
+  const fixture = openView(t, store)
+  fixture.evacuations.start()
+  await waitUntil(t, () => fixture.view.ready)
+  const table = fixture.view.endpointTable
+  const coldIds = (): string => table.limitedEndpoints(performance.now()).map(([{ entry }]) => entry.id).join()
+  t.is(coldIds(), '')
+  store.delete('evacuations/leith-walk')
+  await waitUntil(t, () => servedIds(fixture).join() === 'a,bb')
+  store.set('servers/a', endpointEntry('a', { failureDomain: 'leith-walk', coldLeftMs: 0 }))
+  store.set('servers/ccc', endpointEntry('ccc'))
+  await waitUntil(t, () => table.find('ccc') !== undefined)
+  t.is(coldIds(), 'a')
+})
--- a/packages/coordination/src/test/send-permit-task.test.ts
+++ b/packages/coordination/src/test/send-permit-task.test.ts
@@ -24,6 +24,8 @@
   readonly lost = new Set<string>()
   /** Hosts that all others suspect to be silent. */
   readonly suspected = new Set<string>()
+  /** Removes what hosts of the build before cold endpoints don't read. */
+  readonly old = new Set<string>()
   /** Messages that were sent, with their receivers. */
   readonly sent: Array<{ readonly to: string, readonly message: PeerMessage }> = []
   readonly #tasks = new Map<string, SendPermitTask>()
@@ -63,6 +65,17 @@
     return record
   }
 
+  /** The endpoint as a host knows it that is cold for a time. */
+  coldRecord (id: string, requestsPerSecond: number, leftMs: number): EndpointRecord {
+    const table = new EndpointTable()
+    table.setColdBounds(new Map([['models', { durationMs: leftMs, requestsPerSecond }]]))
+    table.update([endpointEntry('e1', { cold: { asOf: 0, until: performance.now() + leftMs } })])
+    const record = this.#records.get(id) ?? table.find('e1')
+    if (record === undefined) throw new Error('the table has no endpoint')
+    this.#records.set(id, record)
+    return record
+  }
+
   async #deliver (from: string, to: string, message: PeerMessage): Promise<unknown> {
     await new Promise((resolve) => setImmediate(resolve))
     if (this.lost.has(to)) {
@@ -71,7 +84,7 @@
     }
     this.sent.push({ to, message })
     const handler = this.task(to).service().actions?.[message.kind.replace('sends.', '')] as Handler | undefined
-    return await handler?.({ params: message, meta: { from } })
+    return await handler?.({ params: this.old.has(to) ? Object.fromEntries(Object.entries(message).filter(([name]) => name !== 'cold')) : message, meta: { from } })
   }
 }
 
@@ -154,3 +167,45 @@
   await pause(5)
   t.deepEqual(hosts.sent.map(({ to, message }) => [to, message.kind]), [[accountKeepers('e1', HOSTS)[0]?.id, PeerMessageKind.ChargeSends]])
 })
+
+// Guards against a cold endpoint that gets the load of a warm one because its answers name no limit.
+test('the limit of a cold endpoint is not lifted by an answer that names none, and ends with the cold time', async (t) => {
+  const hosts = new Hosts()
+  const record = hosts.coldRecord('h1', 0.5, 900)
+  t.is((await take(hosts.task('h1'), record)).kind, SendPermission.Denied)
+  await pause(5)
+  record.requestLimit.apply({ requestsPerSecond: undefined, sentAt: performance.now(), receivedAt: performance.now() })
+  hosts.task('h2').reportLifted(record.entry, performance.now())
+  await pause(20)
+  t.is((await take(hosts.task('h1'), record)).kind, SendPermission.Denied)
+  await pause(900)
+  t.is((await take(hosts.task('h1'), record)).kind, SendPermission.Unlimited)
+})
+
+// Guards against the larger of two limits that takes the place of the smaller one at the keeper.
+test('at the keeper, the limit of a cold endpoint holds beside a larger one that the endpoint names to another host', async (t) => {
+  const hosts = new Hosts()
+  const startedAt = performance.now()
+  let granted = 0
+  while (performance.now() < startedAt + 1_000) {
+    if ((await take(hosts.task('h1'), hosts.coldRecord('h1', 5, 60_000))).kind === SendPermission.Granted) granted += 1
+    if ((await take(hosts.task('h2'), hosts.recordOf('h2', 100))).kind === SendPermission.Granted) granted += 1
+    await pause(10)
+  }
+  t.true(granted <= 5 + 2, `${granted} granted`)
+})
+
+// Guards against a rolling upgrade in which keepers of the build before lift the limit of a cold endpoint, or grant without one.
+test('a keeper of the build before cold endpoints grants no more than the limit that is asked for', async (t) => {
+  const hosts = new Hosts()
+  for (const id of HOST_IDS) hosts.old.add(id)
+  const record = hosts.coldRecord('h1', 10, 60_000)
+  let granted = 0
+  const startedAt = performance.now()
+  while (performance.now() < startedAt + 1_000) {
+    if ((await take(hosts.task('h1'), record)).kind === SendPermission.Granted) granted += 1
+    hosts.task('h2').reportLifted(record.entry, performance.now() - 1)
+    await pause(20)
+  }
+  t.true(granted > 0 && granted <= 10 * (performance.now() - startedAt) / 1_000 + 2, `${granted} granted`)
+})
--- a/packages/cyclamenthread/src/lib/entry-metrics.ts
+++ b/packages/cyclamenthread/src/lib/entry-metrics.ts
@@ -1,3 +1,4 @@
+import { monotonicNow } from '@cyclamenthread/transport'
 import type { EntryService } from './entry-service.js'
 import type { JsonLog } from './json-log.js'
 import type { MeteredLog } from './metered-log.js'
@@ -18,8 +19,8 @@
  */
 export function registerEntryMetrics (log: MeteredLog, { jsonLog, service, storeCalls }: EntryMetricsSource): void {
   log.registerGauge('cyclamenthread_store_calls', 'Calls of the store since the start of the process, by method and kind.', () => storeCalls)
-  log.registerGauge('cyclamenthread_endpoint_limit', 'Requests per second that endpoints accept from all hosts, by endpoint, for those that name a limit.', () =>
-    service.deployment.endpointTable.limitedEndpoints().map(([record, limit]): readonly [string, number] => [record.entry.id, limit.requestsPerSecond]))
+  log.registerGauge('cyclamenthread_endpoint_limit', 'Requests per second that endpoints accept from all hosts, by endpoint, for those that name a limit or are cold.', () =>
+    service.deployment.endpointTable.limitedEndpoints(monotonicNow()).map(([record, limit]): readonly [string, number] => [record.entry.id, limit.requestsPerSecond]))
   log.registerGauge('cyclamenthread_evacuated_domains', 'Failure domains that the operator has evacuated, as this host knows them; 1 for each.', () =>
     [...service.deployment.endpointTable.evacuatedDomains].map((domain): readonly [string, number] => [domain, 1]))
   log.registerGauge('cyclamenthread_state', 'State of the process: lines dropped, rollouts that run, whether it is ready.', () => [
--- a/packages/protocol/src/lib/endpoint-message.ts
+++ b/packages/protocol/src/lib/endpoint-message.ts
@@ -11,7 +11,7 @@
 /** Asks the keeper of an endpoint's account to grant requests to the endpoint. */
 export const requestSendsSchema = endpointIncarnationSchema.extend({
   kind: z.literal(PeerMessageKind.RequestSends),
-  /** The limit that the endpoint named to the sender. */
+  /** The limit that the endpoint named to the sender, or that of a cold endpoint if it is smaller. */
   requestsPerSecond: z.number().nonnegative(),
   /** Time since the endpoint last named it, in milliseconds. */
   ageMs: z.number().nonnegative(),
@@ -19,7 +19,13 @@
   /** Number of requests that the sender would send now. */
   count: z.int().positive(),
   /** Time for which they can wait, in milliseconds. */
-  waitMs: z.number().nonnegative()
+  waitMs: z.number().nonnegative(),
+  /** The limit of a cold endpoint, which no answer without a limit lifts; absent if the sender doesn't take it for cold. */
+  cold: z.object({
+    requestsPerSecond: z.number().nonnegative(),
+    /** Time for which it remains cold, as far as the sender knows, in milliseconds. */
+    leftMs: z.number().nonnegative()
+  }).optional()
 })
 
 /** The response to {@link requestSendsSchema}. */
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -117,6 +117,8 @@
   readonly load: ObservedLoad
   /** Whether the endpoint says that it is leaving; absent if it doesn't. */
   readonly leaving?: boolean
+  /** Remaining time for which the endpoint is cold, in milliseconds, 0 if it isn't; absent if it doesn't say. */
+  readonly coldMs?: number
 }
 
 /** Calls to endpoints. No method throws; failures are returned. */
--- a/packages/state/src/lib/declaration.ts
+++ b/packages/state/src/lib/declaration.ts
@@ -1,3 +1,5 @@
+import type { ColdBounds } from './cold-endpoints/endpoint-coldness.js'
+
 /** How a route handles requests, in particular those whose outcome is unknown. */
 export enum RouteKind {
   /** May be repeated without additional effect. */
@@ -56,6 +58,8 @@
   /** Models that its endpoints may load; empty for a plain service. */
   readonly models: readonly string[]
   readonly capacity: CapacityBounds | undefined
+  /** Undefined if its endpoints are never cold. */
+  readonly cold?: ColdBounds | undefined
 }
 
 /** A workspace with its API keys. */
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -1,4 +1,6 @@
+import { EndpointColdness } from './cold-endpoints/endpoint-coldness.js'
 import { RequestLimitRecord } from './request-limit.js'
+import type { ColdBounds, ColdLimit, ColdStatement } from './cold-endpoints/endpoint-coldness.js'
 import type { NoticeEvidence, RequestLimit } from './request-limit.js'
 
 /** Whether an endpoint accepts new work, as reported by itself. */
@@ -24,6 +26,10 @@
   readonly softwareVersion: string
   /** Whether the platform may reclaim it at short notice. */
   readonly cheap: boolean
+  /** Remaining time for which the endpoint was cold when it wrote the entry, in milliseconds; absent if the entry doesn't say. */
+  readonly coldLeftMs?: number
+  /** The same as a deadline, from when this version of the entry was first read. */
+  readonly cold?: ColdStatement
 }
 
 /** What distinguishes a running process of an endpoint from an earlier one under the same id. */
@@ -110,6 +116,7 @@
   readonly trialModels: Set<string>
   /** Requests per second that the endpoint accepts from all hosts, as its answers name them. */
   readonly requestLimit: RequestLimitRecord
+  readonly coldness: EndpointColdness
   /** Whether this incarnation has said that it is leaving; the registry may learn it later. */
   isLeaving: boolean
   /** Whether the operator has its failure domain evacuated. */
@@ -130,19 +137,35 @@
   readonly #servedVersions = new Set<string>()
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
   #evacuatedDomains: ReadonlySet<string> = new Set()
+  #coldBounds: ReadonlyMap<string, ColdBounds> = new Map()
+  /** Latest time that was passed in, in monotonic milliseconds. */
+  #seenAt = -Infinity
 
   /** Failure domains whose endpoints get nothing until the operator lifts the evacuation. */
   get evacuatedDomains (): ReadonlySet<string> {
     return this.#evacuatedDomains
   }
 
-  /** Replaces the set of evacuated failure domains. */
-  setEvacuatedDomains (domains: ReadonlySet<string>): void {
+  /**
+   * Replaces the set of evacuated failure domains. Endpoints whose evacuation is lifted are presumed cold.
+   *
+   * @param now monotonic milliseconds; without it, no endpoint is presumed cold
+   */
+  setEvacuatedDomains (domains: ReadonlySet<string>, now = -Infinity): void {
     this.#evacuatedDomains = domains
+    for (const record of this.#records.values()) {
+      if (record.isEvacuated && !domains.has(record.entry.failureDomain)) record.coldness.recordLift(now)
+    }
     for (const record of this.#records.values()) record.isEvacuated = domains.has(record.entry.failureDomain)
     this.#updateServedVersions()
   }
 
+  /** Sets what services declare about cold endpoints, by the service's name. */
+  setColdBounds (bounds: ReadonlyMap<string, ColdBounds>): void {
+    this.#coldBounds = bounds
+    for (const record of this.#records.values()) record.coldness.setBounds(bounds.get(record.entry.service))
+  }
+
   /** Replaces the registry entries. */
   update (entries: readonly EndpointEntry[]): void {
     const ids = new Set(entries.map((entry) => entry.id))
@@ -170,6 +193,7 @@
 
   /** Endpoints of a service that may be given work now. */
   usableEndpoints (service: string, now: number): EndpointRecord[] {
+    this.#seenAt = Math.max(this.#seenAt, now)
     return this.endpointsOfService(service).filter((record) => isInService(record) && now >= record.suspendedUntil)
   }
 
@@ -195,6 +219,7 @@
     }
     if (end === WorkEnd.Refused) record.suspendedUntil = Math.max(record.suspendedUntil, now + REFUSAL_PAUSE_MS)
     if (end === WorkEnd.Broken) {
+      record.coldness.recordBreak(now)
       const pause = Math.min(INITIAL_SUSPENSION_MS * 2 ** record.consecutiveFailures, MAX_SUSPENSION_MS)
       record.consecutiveFailures += 1
       record.brokenUntil = Math.max(record.brokenUntil, now + pause)
@@ -251,7 +276,17 @@
    */
   recordNotice (id: string, bornAt: number, notice: NoticeEvidence): boolean {
     const record = this.#records.get(id)
-    return record !== undefined && record.entry.bornAt === bornAt && record.requestLimit.apply(notice)
+    if (record === undefined || record.entry.bornAt !== bornAt) return false
+    this.recordColdness(id, bornAt, notice)
+    return record.requestLimit.apply(notice)
+  }
+
+  /** Records an answer of an endpoint and what it states about being cold, unless another incarnation sent it; times in monotonic milliseconds. */
+  recordColdness (id: string, bornAt: number, { coldMs, sentAt, receivedAt }: Pick<NoticeEvidence, 'coldMs' | 'sentAt' | 'receivedAt'>): void {
+    const record = this.#records.get(id)
+    if (record === undefined || record.entry.bornAt !== bornAt) return
+    record.coldness.recordAnswer(sentAt, receivedAt)
+    if (coldMs !== undefined) record.coldness.recordStatement({ asOf: sentAt, until: coldMs > 0 ? receivedAt + coldMs : -Infinity })
   }
 
   /**
@@ -267,9 +302,21 @@
     return true
   }
 
-  /** Endpoints that name a request limit, with the limit. */
-  limitedEndpoints (): Array<readonly [record: EndpointRecord, limit: RequestLimit]> {
-    return [...this.#records.values()].flatMap((record): Array<readonly [EndpointRecord, RequestLimit]> => record.requestLimit.current === undefined ? [] : [[record, record.requestLimit.current]])
+  /** Returns the limit in force for an endpoint at a monotonic time in milliseconds; undefined if there is none. */
+  limitOf (record: EndpointRecord, now: number): EndpointLimit | undefined {
+    return limitInForce(record, now)
+  }
+
+  /**
+   * Endpoints that name a request limit or are cold, with the limit.
+   *
+   * @param now monotonic milliseconds; by default the latest time at which endpoints were looked for
+   */
+  limitedEndpoints (now = this.#seenAt): Array<readonly [record: EndpointRecord, limit: EndpointLimit]> {
+    return [...this.#records.values()].flatMap((record): Array<readonly [EndpointRecord, EndpointLimit]> => {
+      const limit = limitInForce(record, now)
+      return limit === undefined ? [] : [[record, limit]]
+    })
   }
 
   /** Records that an incarnation has answered a request that was sent at the given monotonic time, in milliseconds. */
@@ -308,6 +355,7 @@
    * preferred when something slows all endpoints, such as a busy local host.
    */
   typicalPace (service: string, fallbackMs: number, now: number): number {
+    this.#seenAt = Math.max(this.#seenAt, now)
     const known = this.#typicalPaces.get(service)
     if (known !== undefined && known.paceMs !== undefined && now - known.computedAt < TYPICAL_PACE_TTL_MS) return known.paceMs
     const paces = this.endpointsOfService(service)
@@ -342,9 +390,13 @@
         known.modelPausedUntil = {}
         known.trialModels.clear()
       }
+      if (entry.cold !== undefined && entry.cold !== known.entry.cold) known.coldness.recordStatement(entry.cold)
       known.entry = entry
       return
     }
+    const coldness = new EndpointColdness()
+    coldness.setBounds(this.#coldBounds.get(entry.service))
+    if (entry.cold !== undefined) coldness.recordStatement(entry.cold)
     this.#records.set(entry.id, {
       entry,
       activeWork: 0,
@@ -362,6 +414,7 @@
       modelPausedUntil: {},
       trialModels: new Set(),
       requestLimit: new RequestLimitRecord(),
+      coldness,
       isLeaving: false,
       isEvacuated: this.#evacuatedDomains.has(entry.failureDomain)
     })
@@ -378,6 +431,24 @@
   return entry.phase === EndpointPhase.Ready && !isLeaving && !isEvacuated
 }
 
+/** A limit in force; `cold` is set while the endpoint is cold, also if it names a smaller limit. */
+export type EndpointLimit = RequestLimit & { readonly cold?: ColdLimit }
+
+/**
+ * Returns the smaller one of the limit that an endpoint names and the limit of a cold endpoint; undefined if
+ * neither is in force.
+ *
+ * @param now monotonic milliseconds
+ * @example
+ * limitInForce(record, monotonicNow())?.requestsPerSecond
+ */
+export function limitInForce ({ requestLimit: { current: named }, coldness }: EndpointRecord, now: number): EndpointLimit | undefined {
+  const cold = coldness.limitAt(now)
+  if (cold === undefined) return named
+  if (named !== undefined && named.requestsPerSecond <= cold.requestsPerSecond) return { ...named, cold }
+  return { requestsPerSecond: cold.requestsPerSecond, since: cold.since, namedAt: now, cold }
+}
+
 /**
  * Whether two entries under one id describe the same running process of an endpoint.
  *
--- a/packages/state/src/lib/request-limit.ts
+++ b/packages/state/src/lib/request-limit.ts
@@ -4,6 +4,8 @@
   readonly requestsPerSecond: number | undefined
   /** Whether the endpoint says that it is leaving; absent if it doesn't. */
   readonly leaving?: boolean
+  /** Remaining time for which it is cold, in milliseconds, 0 if it isn't; absent if it doesn't say. */
+  readonly coldMs?: number
 }
 
 /** A notice and the times of the exchange that carried it, in monotonic milliseconds. */
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -154,3 +154,47 @@
   table.setEvacuatedDomains(new Set())
   t.deepEqual(table.usableEndpoints('models', 0).map((record) => record.entry.id), ['a', 'b', 'c'])
 })
+
+const COLD_BOUNDS = new Map([['models', { durationMs: 10_000, requestsPerSecond: 8 }]])
+
+// Guards against an evacuated failure domain whose endpoints all get a full load when the evacuation is lifted, or endpoints that get it after they broke.
+test('endpoints are cold after their entry or an answer says so, after a connection broke, and after an evacuation was lifted', (t) => {
+  const table = new EndpointTable()
+  table.setColdBounds(COLD_BOUNDS)
+  table.update([endpointEntry('a', { cold: { asOf: 0, until: 4_000 } }), endpointEntry('b'), endpointEntry('c'), endpointEntry('d', { failureDomain: 'grassmarket' }), endpointEntry('e')])
+  table.finishWork('b', 1, WorkEnd.Broken, 100)
+  table.finishWork('b', 2, WorkEnd.Broken, 9_000)
+  table.recordNotice('c', 1, { requestsPerSecond: undefined, coldMs: 2_000, sentAt: 90, receivedAt: 100 })
+  table.setEvacuatedDomains(new Set(['grassmarket']), 0)
+  table.setEvacuatedDomains(new Set(), 100)
+  const coldAt = (now: number): string => table.limitedEndpoints(now).map(([{ entry }]) => entry.id).join('')
+  t.is(coldAt(200), 'abcd')
+  t.is(coldAt(5_000), 'bd')
+  table.recordNotice('b', 1, { requestsPerSecond: undefined, sentAt: 9_000, receivedAt: 9_100 })
+  t.is(coldAt(11_000), 'b')
+  t.is(coldAt(19_100), '')
+  table.usableEndpoints('models', 200)
+  t.deepEqual(table.limitedEndpoints().map(([{ entry }]) => entry.id), ['a', 'b', 'c', 'd'], 'by default, the latest time at which endpoints were looked for counts')
+})
+
+// Guards against a smaller limit that the endpoint names and that is forgotten while it is cold, or the other way round.
+test('of the limit that an endpoint names and that of a cold endpoint, the smaller one is in force', (t) => {
+  const table = new EndpointTable()
+  table.setColdBounds(COLD_BOUNDS)
+  table.update([endpointEntry('a', { cold: { asOf: 0, until: 4_000 } })])
+  const record = table.find('a')
+  if (record === undefined) throw new Error('the table has no endpoint')
+  const coldRate = table.limitOf(record, 100)?.requestsPerSecond ?? 0
+  t.true(coldRate > 0 && coldRate <= 8)
+  table.recordNotice('a', 1, { requestsPerSecond: 2, sentAt: 100, receivedAt: 110 })
+  t.like(table.limitOf(record, 200), { requestsPerSecond: 2, namedAt: 110 })
+  t.not(table.limitOf(record, 200)?.cold, undefined)
+  table.recordNotice('a', 1, { requestsPerSecond: 100, sentAt: 200, receivedAt: 210 })
+  t.is(table.limitOf(record, 300)?.requestsPerSecond, coldRate)
+  table.recordNotice('a', 1, { requestsPerSecond: undefined, sentAt: 300, receivedAt: 310 })
+  t.is(table.limitOf(record, 400)?.requestsPerSecond, coldRate, 'an answer without a limit does not make it warm')
+  t.is(table.limitOf(record, 4_000), undefined)
+  table.update([endpointEntry('a', { bornAt: 2, cold: { asOf: 5_000, until: 9_000 } })])
+  const next = table.find('a')
+  t.is(next && table.limitOf(next, 5_000)?.cold?.until, 9_000)
+})
