--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -233,7 +233,7 @@
     if (now < this.#waitsUntil) return
     const { endpointTable } = this.#context.deployment
     const { paces } = endpointTable
-    const excluded = new Set(endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id))
+    const excluded = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
     for (const { id, leftMs } of decidingSamples(this.#progress(now))) {
       const running = this.#running.get(id)
       if (running?.runningSince === undefined || running.abort.signal.aborted || now - running.runningSince < MIN_STAY_MS) continue
@@ -298,7 +298,7 @@
     const { endpointTable } = this.#context.deployment
     const typicalMs = this.#typicalPaceMs()
     // A move is not worth one of the requests that an endpoint in need accepts.
-    const limited = new Set(endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id))
+    const limited = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
     for (const { sample, record, abort } of this.#running.values()) {
       if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
       const softwareVersion = this.#texts.get(sample.id)?.softwareVersion
--- a/packages/state/src/lib/declaration.ts
+++ b/packages/state/src/lib/declaration.ts
@@ -1,3 +1,4 @@
+import type { ColdBounds } from './cold-endpoints/endpoint-coldness.js'
 import type { HomeRegions } from './homes/home-regions.js'
 
 /** How a route handles requests, in particular those whose outcome is unknown. */
@@ -62,6 +63,8 @@
   /** Answer tokens in one event of a stream; absent if it isn't declared. */
   readonly tokensPerEvent?: number | undefined
   readonly capacity: CapacityBounds | undefined
+  /** Undefined if its endpoints are never cold. */
+  readonly cold?: ColdBounds | undefined
 }
 
 /** A workspace with its API keys. */
