--- a/packages/coordination/src/lib/endpoint-search.ts
+++ b/packages/coordination/src/lib/endpoint-search.ts
@@ -98,7 +98,7 @@
 
   /** Finds an endpoint for a copy of a call, but none that names a limit: the copy would take the place of another call. */
   findForCopy (query: EndpointQuery): EndpointRecord | undefined {
-    const limited = this.#context.deployment.endpointTable.limitedEndpoints().map(([{ entry }]) => entry.id)
+    const limited = this.#context.deployment.endpointTable.limitedEndpoints(monotonicNow()).map(([{ entry }]) => entry.id)
     return this.#choose(query, new Set([...query.excluded, ...limited]))
   }
 
