--- a/packages/state/src/lib/capacity/domain-shortfall.ts
+++ b/packages/state/src/lib/capacity/domain-shortfall.ts
@@ -87,7 +87,7 @@
   observe ({ own, extra }: DomainTarget, { inService, leaving, isEvacuated }: DomainEndpoints, now: number): number {
     // After a pause of this process nothing is known of the whole window.
     if (this.#negatedOrders.current(now) === undefined) this.#negatedOrders.record(0, now)
-    this.#negatedOrders.record(isEvacuated ? 0 : -Math.min(own + extra, this.#accepted ?? 0), now)
+    this.#negatedOrders.record(-Math.min(own + extra, this.#accepted ?? 0), now)
     this.#served.record(inService, now)
     if (isEvacuated) {
       this.#missing = own
