--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events'
-import { ContinuationStep, continuationDeadline, countCompleteGroups, decideContinuation, decidingSamples, domainsOfHomes, homesOfRollout, isInDomains, isMoveWorthwhile, placeSample, SampleEventKind, SampleText, SendUrgency, sortForSlots, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { awaitedSamples, ContinuationStep, continuationDeadline, countCompleteGroups, decideContinuation, domainsOfHomes, homesOfRollout, isInDomains, isMoveWorthwhile, placeSample, SampleEventKind, SampleText, SendUrgency, sortForSlots, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { describeLimit } from './endpoint-notice-task.js'
@@ -25,8 +25,8 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
-/** Time for which a sample stays at an endpoint before it may be moved, in milliseconds: a pace that changes is another one by then. */
-const MIN_STAY_MS = 600
+/** Time for which a sample stays at an endpoint before it may be moved, in milliseconds: several events show its pace by then. */
+const MIN_STAY_MS = 300
 
 /** Interval at which samples that decide their step are checked against the pace of their endpoints, in milliseconds: less than two usual events. */
 const PACE_CHECK_PERIOD_MS = 80
@@ -99,6 +99,8 @@
   /** Samples that were moved once; a second move would only follow noise in the measured pace. */
   readonly #moved = new Set<string>()
   readonly #warmEndpoints = new Map<string, Set<string>>()
+  /** Endpoints that samples leave; they go on elsewhere if there is room. */
+  readonly #leftEndpoints = new Map<string, string>()
   #nextMoveAt = -Infinity
   #startDelayMs = DEFAULT_START_DELAY_MS
   #passedAt = -Infinity
@@ -133,6 +135,7 @@
   release (sampleId: string): void {
     this.#texts.delete(sampleId)
     this.#awaitingRegistry.delete(sampleId)
+    this.#leftEndpoints.delete(sampleId)
     this.#running.get(sampleId)?.abort.abort()
   }
 
@@ -217,7 +220,7 @@
   moveSlowSamples (): void {
     const now = monotonicNow()
     if (now < this.#nextMoveAt) return
-    if (this.#isPaced) this.#moveDecidingSamples(now)
+    if (this.#isPaced) this.#moveAwaitedSamples(now)
     else this.#moveStraggler(now)
   }
 
@@ -226,15 +229,15 @@
     return this.#context.deployment.endpointTable.paces.isStated(this.#order.service)
   }
 
-  /** Moves the samples that decide when the step ends, if they are expected to end sooner elsewhere. */
-  #moveDecidingSamples (now: number): void {
+  /** Moves samples of groups that the trainer waits for, if they are expected to end sooner elsewhere. */
+  #moveAwaitedSamples (now: number): void {
     this.#nextMoveAt = now + PACE_CHECK_PERIOD_MS
     // While this process was held up, streams only seem to have paused.
     if (now < this.#waitsUntil) return
     const { endpointTable } = this.#context.deployment
     const { paces } = endpointTable
     const excluded = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
-    for (const { id, leftMs } of decidingSamples(this.#progress(now))) {
+    for (const { id, leftMs, isDeciding } of awaitedSamples(this.#progress(now))) {
       const running = this.#running.get(id)
       if (running?.runningSince === undefined || running.abort.signal.aborted || now - running.runningSince < MIN_STAY_MS) continue
       const { sample, record, abort } = running
@@ -245,9 +248,10 @@
       const elsewhereMs = paces.expectedMs(candidate.entry, this.#unitsLeft(sample), usualMs, now)
       // The event that the endpoint is working on is lost, half of it on average.
       const costMs = Math.max(0, this.#startDelayMs - usualMs) + usualMs / 2
-      if (!isMoveWorthwhile({ stayMs: leftMs, elsewhereMs, costMs })) continue
+      if (!isMoveWorthwhile({ stayMs: leftMs, elsewhereMs, costMs, isDeciding })) continue
       // Other samples of this pass don't take the same slot.
       excluded.add(candidate.entry.id)
+      this.#leftEndpoints.set(id, record.entry.id)
       abort.abort()
       this.#context.log.record(LogEvent.SampleMoved, {
         requestId: id,
@@ -260,6 +264,7 @@
         stayMs: Math.round(leftMs),
         elsewhereMs: Math.round(elsewhereMs),
         costMs: Math.round(costMs),
+        isDeciding,
         paceAgeMs: Math.round(paces.ageMs(record.entry, now)),
         otherPaceAgeMs: Math.round(paces.ageMs(candidate.entry, now))
       })
@@ -357,6 +362,8 @@
   #findRoom (sample: RolloutSample, softwareVersion: string | undefined, full: Set<string | undefined>): SamplePlace | undefined {
     if (full.has(softwareVersion)) return undefined
     const withoutPermit = new Set<string>()
+    const left = this.#leftEndpoints.get(sample.id)
+    if (left !== undefined && this.#chooseEndpoint(sample, softwareVersion, new Set([left])) !== undefined) withoutPermit.add(left)
     for (let record = this.#chooseEndpoint(sample, softwareVersion, withoutPermit); record !== undefined; record = this.#chooseEndpoint(sample, softwareVersion, withoutPermit)) {
       const permit = this.#context.sends.take(record, SendUrgency.Sample, LIMIT_WAIT_MS)
       switch (permit.kind) {
@@ -417,6 +424,7 @@
     const running: RunningSample = { sample, record, abort, runningSince: undefined }
     this.#running.set(sample.id, running)
     this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
+    this.#leftEndpoints.delete(sample.id)
     const sentAt = monotonicNow()
     endpointTable.startWork(entry.id)
     endpointTable.startModelTrial(entry.id, order.model, sentAt)
--- a/packages/state/src/lib/pace/endpoint-pace.ts
+++ b/packages/state/src/lib/pace/endpoint-pace.ts
@@ -10,8 +10,14 @@
 /** Weight of a new factor in the average of the same condition. */
 const FACTOR_SMOOTHING = 0.5
 
-/** Half-life of the mean factor, in milliseconds of observed work: several conditions of a machine that changes each 600 ms. */
-const MEAN_HALF_LIFE_MS = 4_000
+/**
+ * Half-life of the mean factor, in milliseconds of observed work. Within some seconds, endpoints of a machine that
+ * changes each 600 ms differ by a fifth by chance; a difference that is there for good remains.
+ */
+const MEAN_HALF_LIFE_MS = 30_000
+
+/** Observed work at which the mean of an endpoint counts as much as that of its service, in milliseconds. */
+const MEAN_TRUST_MS = 15_000
 
 /** Ratio to the usual time of a unit from which a unit that hasn't ended shows that the machine is slow. */
 const OVERDUE_RATIO = 1.5
@@ -60,7 +66,8 @@
     if (isChange) this.#heldSince = now - spanMs
     this.#factor = isChange ? factor : this.#factor + (factor - this.#factor) * FACTOR_SMOOTHING
     this.#observedAt = now
-    const weight = 1 - 0.5 ** (spanMs / MEAN_HALF_LIFE_MS)
+    // Until a half-life has been observed, it is the plain average.
+    const weight = Math.max(1 - 0.5 ** (spanMs / MEAN_HALF_LIFE_MS), spanMs / (this.#observedMs + spanMs || 1))
     this.#mean += (factor - this.#mean) * weight
     this.#observedMs += spanMs
   }
@@ -81,7 +88,7 @@
 
   /** Mean factor of the endpoint, which is that of the service as long as little was observed. */
   #meanFactor (serviceMean: number): number {
-    const confidence = 1 - 0.5 ** (this.#observedMs / MEAN_HALF_LIFE_MS)
+    const confidence = this.#observedMs / (this.#observedMs + MEAN_TRUST_MS)
     return serviceMean + (this.#mean - serviceMean) * confidence
   }
 
--- a/packages/state/src/lib/steps/step-schedule.ts
+++ b/packages/state/src/lib/steps/step-schedule.ts
@@ -61,16 +61,26 @@
   })
 }
 
+/** An open sample of a group that its trainer waits for. */
+export interface AwaitedSample extends OpenSample {
+  /** Whether it is expected to be among the last of its step. */
+  readonly isDeciding: boolean
+}
+
 /**
- * Selects the samples that decide when a step ends, those that are expected to end last first.
+ * Selects the open samples of groups that the trainer waits for, those that are expected to end last first.
+ * Estimates of lengths are often far off, so one that isn't expected to decide its step may do so.
  *
  * @example
- * decidingSamples(progress)[0]
+ * awaitedSamples(progress)[0]?.isDeciding // true
  */
-export function decidingSamples (progress: StepProgress): OpenSample[] {
-  const deciding = new Map(outlookOf(progress).flatMap(({ group, role, leftMs }) => role === GroupRole.Deciding ? [[group, leftMs] as const] : []))
+export function awaitedSamples (progress: StepProgress): AwaitedSample[] {
+  const awaited = new Map(outlookOf(progress).flatMap((outlook) => outlook.role === GroupRole.Spare ? [] : [[outlook.group, outlook] as const]))
   return progress.open
-    .filter(({ group, leftMs }) => leftMs >= (deciding.get(group) ?? Infinity) - DECIDING_MS)
+    .flatMap((sample) => {
+      const outlook = awaited.get(sample.group)
+      return outlook === undefined ? [] : [{ ...sample, isDeciding: outlook.role === GroupRole.Deciding && sample.leftMs >= outlook.leftMs - DECIDING_MS }]
+    })
     .sort((a, b) => b.leftMs - a.leftMs)
 }
 
--- a/packages/state/src/test/pace/endpoint-pace.test.ts
+++ b/packages/state/src/test/pace/endpoint-pace.test.ts
@@ -40,11 +40,22 @@
   t.is(pace.factor, undefined)
 })
 
+// Guards against long texts that follow chance: within some seconds, the means of endpoints whose pace changes each 600 ms differ by a fifth.
+test('a difference between two endpoints counts the more, the longer it has been there', (t) => {
+  const brief = new EndpointPace()
+  for (let at = 50; at <= 1_500; at += 50) brief.observe(at <= 300 ? 2.5 : 1, 50, at)
+  const lasting = new EndpointPace()
+  for (let at = 65; at <= 65_000; at += 65) lasting.observe(1.3, 65, at)
+  t.true(brief.expectedMs(5_000, 1_500, 1.2) < 5_000 * 1.25)
+  t.true(lasting.expectedMs(5_000, 65_000, 1.1) > 5_000 * 1.24)
+})
+
 // Guards against work that follows each change of a pace which changes within 600 ms and is known late: a move has to save more than it costs.
 test('a move is worth while only if it saves clearly more than it costs', (t) => {
-  t.true(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 90 }))
-  t.false(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_430, costMs: 90 }))
-  t.false(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 250 }))
+  t.true(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 90, isDeciding: true }))
+  t.false(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_430, costMs: 90, isDeciding: true }))
+  t.false(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 90, isDeciding: false }))
+  t.false(isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 250, isDeciding: true }))
 })
 
 /** A board on which two endpoints have yielded events at the usual pace for some seconds. */
@@ -76,7 +87,7 @@
   if (slow === undefined || quick === undefined) return t.fail()
   const movesAfter = (slowMs: number, units: number): boolean => {
     const now = 4_800 + slowMs
-    return isMoveWorthwhile({ stayMs: board.expectedMs(slow, units, USUAL_MS, now), elsewhereMs: board.expectedMs(quick, units, USUAL_MS, now), costMs: 60 })
+    return isMoveWorthwhile({ stayMs: board.expectedMs(slow, units, USUAL_MS, now), elsewhereMs: board.expectedMs(quick, units, USUAL_MS, now), costMs: 60, isDeciding: true })
   }
   for (let at = 4_848; at <= 5_400; at += USUAL_MS) board.recordUnit(quick, 'at-bb', at)
   t.false(movesAfter(60, 100))
--- a/packages/state/src/test/steps/step-schedule.test.ts
+++ b/packages/state/src/test/steps/step-schedule.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { decidingSamples, GroupRole, outlookOf, sortForSlots } from '@cyclamenthread/state'
+import { awaitedSamples, GroupRole, outlookOf, sortForSlots } from '@cyclamenthread/state'
 import type { OpenSample, StepProgress } from '@cyclamenthread/state'
 
 function sample (group: string, leftMs: number): OpenSample {
@@ -14,13 +14,13 @@
 test('the groups that are expected to be complete last are spare, as far as the trainer doesn\'t wait for them', (t) => {
   const open = [sample('a', 7_000), sample('a', 300), sample('b', 2_000), sample('c', 9_000)]
   t.deepEqual(outlookOf(progress(open, 2)).map(({ group, role }) => [group, role]), [['b', GroupRole.Awaited], ['a', GroupRole.Deciding], ['c', GroupRole.Spare]])
-  t.deepEqual(decidingSamples(progress(open, 2)).map(({ id }) => id), ['a/7000'])
+  t.deepEqual(awaitedSamples(progress(open, 2)).map(({ id, isDeciding }) => [id, isDeciding]), [['a/7000', true], ['b/2000', false], ['a/300', false]])
 })
 
 test('groups that are complete count, and none is awaited beyond the target', (t) => {
   const open = [sample('a', 7_000), sample('b', 2_000)]
   t.deepEqual(outlookOf(progress(open, 3, { completeGroups: 2 })).map(({ role }) => role), [GroupRole.Deciding, GroupRole.Spare])
-  t.deepEqual(decidingSamples(progress(open, 3, { completeGroups: 3 })), [])
+  t.deepEqual(awaitedSamples(progress(open, 3, { completeGroups: 3 })), [])
 })
 
 // Guards against a step that goes on because a group that came again was put last: its trainer waits for it whatever else is complete.
