--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -291,8 +291,8 @@
     const now = monotonicNow()
     const isLate = now >= state.refuseAt
     const endpoints = deployment.endpointTable.endpointsOfService(state.service).filter((one) => isOfVersion(one, softwareVersion) && isInDomains(one, domains))
-    // A call with homes can't go elsewhere, so it isn't kept waiting for an endpoint that is out of service.
-    const listed = homes === undefined ? endpoints.length : endpoints.filter(isInService).length
+    // Neither a call with homes nor one whose endpoints are evacuated is kept waiting for an endpoint that is out of service.
+    const listed = endpoints.filter((one) => homes === undefined ? !one.isEvacuated : isInService(one)).length
     state.isStarved = endpoints.filter(({ brokenUntil }) => now < brokenUntil).length >= MAX_UNREACHED
     if (listed > 0 && !isLate && state.rejections < MAX_REJECTIONS) {
       state.excluded.clear()
--- a/packages/coordination/src/lib/endpoint-search.ts
+++ b/packages/coordination/src/lib/endpoint-search.ts
@@ -1,4 +1,4 @@
-import { chooseEndpointForCall, chooseSuspendedEndpoint, isInDomains, isInService, isOfVersion, SendUrgency, unreachable } from '@cyclamenthread/state'
+import { chooseEndpointForCall, chooseSuspendedEndpoint, isInDomains, isInService, isOfVersion, limitInForce, SendUrgency, unreachable } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { CallOrigin } from './plain-call.js'
 import { SendPermission } from './send-permit-task.js'
@@ -121,7 +121,7 @@
   /** Whether an endpoint without a limit, to which the call can't be sent now, may accept it in time. */
   #isOtherExpected ({ service, softwareVersion, waitUntil, domains }: EndpointQuery): boolean {
     return this.#context.deployment.endpointTable.endpointsOfService(service).some((record) =>
-      isOfVersion(record, softwareVersion) && isInDomains(record, domains) && isInService(record) && record.requestLimit.current === undefined && record.suspendedUntil < waitUntil)
+      isOfVersion(record, softwareVersion) && isInDomains(record, domains) && isInService(record) && limitInForce(record, monotonicNow()) === undefined && record.suspendedUntil < waitUntil)
   }
 }
 
--- a/packages/coordination/src/test/call-task.test.ts
+++ b/packages/coordination/src/test/call-task.test.ts
@@ -482,3 +482,12 @@
   t.is(outcome.ok ? undefined : outcome.refusal.ran, Ran.No)
   t.regex(outcome.ok ? '' : outcome.refusal.detail, /homes \(grampian\)/)
 })
+
+// Guards against callers that wait for endpoints which the operator has evacuated.
+test('a call whose endpoints are all evacuated is refused at once', async (t) => {
+  const { endpoints, run, deployment } = await openFixture(t, ['a'])
+  deployment.view.endpointTable.setEvacuatedDomains(new Set(['leith-walk']))
+  const outcome = await run({ deadline: performance.now() + 60_000 })
+  t.is(endpoints.calls.length, 0)
+  t.like(outcome, { ok: false, refusal: { ran: Ran.No, reason: RefusalReason.NoEndpoint } })
+})
