Bounded memory, connections and time of clients of a host

Any client could end a host's process: bodies were kept chunk by chunk and bounded only one by one, a read of 64 KB was parsed whole (up to 2,600 pipelined requests), connections were unlimited, and slow ones never ended.

Requests of all addresses share a memory budget; bodies are collected in doubling buffers; what doesn't fit is answered 503 and not run. A connection is given to Node's parser message by message, with at most four requests open, and is not read while their responses aren't taken. Connections, idle time, slow heads, slow bodies (408) and untaken responses are bounded, also before a declaration is known. At the port for other hosts the oldest unproved connection makes way, and small chunks of a frame are joined. Counted in cyclamenthread_client_limits.

--- a/packages/bench/src/test/pages.test.ts
+++ b/packages/bench/src/test/pages.test.ts
@@ -4,7 +4,7 @@
 import { parseEnv } from 'node:util'
 import test from 'ava'
 import { COMMANDS, FLAG_TABLE, formatFlag, readDeclaredCatalogue } from 'cyclamenctl'
-import { registerEntryMetrics, MeteredLog, readSettings } from 'cyclamenthread'
+import { ClientGuard, registerEntryMetrics, MeteredLog, readSettings } from 'cyclamenthread'
 import { EndpointTable, EntryKind, WorkClass } from '@cyclamenthread/state'
 import { Deployment } from '../lib/deployment.js'
 import { SINGLE_HOST } from '../lib/deployment-plan.js'
@@ -68,7 +68,7 @@
   await fetch(`${deployment.urls[0]}/v1/requests/x/decisions`)
   const own = await (await fetch(`${deployment.urls[0]}/metrics`)).text()
   const log = new MeteredLog({ record: () => {} })
-  registerEntryMetrics(log, { jsonLog: { dropped: 0 }, service: { ready: true, deployment: { endpointTable: new EndpointTable() }, rollouts: { running: 0 } }, storeCalls: new Map() })
+  registerEntryMetrics(log, { jsonLog: { dropped: 0 }, service: { ready: true, deployment: { endpointTable: new EndpointTable() }, rollouts: { running: 0 } }, storeCalls: new Map(), guard: new ClientGuard() })
   // The docs name the metrics of the service and of its entry process.
   const metrics = own + await log.renderMetrics()
   const text = (await readPages()).map((page) => page.text).join('\n')
--- a/packages/cyclamenthread/src/lib/caller-server.ts
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -1,7 +1,13 @@
 import { createServer } from 'node:http'
 import { LoopDelay, monotonicNow } from '@cyclamenthread/transport'
+import { RefusalReason } from '@cyclamenthread/state'
+import { CallerConnection } from './clients/caller-connection.js'
+import { ClientGuard, ClientLimit } from './clients/client-guard.js'
+import { CHECK_INTERVAL_MS, connectionLimit, REQUEST_TIMEOUT_MS, UNDECLARED_LIMITS } from './clients/client-limits.js'
 import { readBody } from './request-body.js'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { BudgetShare } from './clients/request-budget.js'
 import type { CallerLimits } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 
@@ -11,6 +17,13 @@
 /** Time that handlers get to answer once a drain is over, in milliseconds. */
 const LAST_ANSWER_MS = 60
 
+/** Time for which the rest of a refused body is received and discarded, in milliseconds: a close before that may reset the connection and lose the response. */
+const LINGER_MS = 500
+
+/** Memory of an open request beside its head and body, in bytes, and copies of its head. */
+const OPEN_REQUEST_BYTES = 4 * 1_024
+const HEAD_COPIES = 3
+
 /** Maximum number of connections waiting to be accepted. */
 const BACKLOG = 1_024
 
@@ -46,6 +59,16 @@
   readonly answer: (response: CallerResponse) => void
 }
 
+/** State of a request from its head until its response. */
+interface RequestState {
+  /** Monotonic milliseconds. */
+  readonly receivedAt: number
+  readonly abort: AbortController
+  readonly share: BudgetShare
+  /** Whether its response was sent or its connection has closed. */
+  readonly isClosed: () => boolean
+}
+
 /** Handles a caller's request; must not throw. */
 export type CallerHandler = (request: CallerRequest) => Promise<CallerResponse>
 
@@ -56,14 +79,33 @@
   readonly handler: CallerHandler
   /** Returns the current limits; undefined before the first declaration is known. */
   readonly limits: () => CallerLimits | undefined
+  /** Shared by the servers of a process; a server without one has its own. */
+  readonly guard?: ClientGuard
+  /** Fraction of the connections of the process that this server may have; all by default. */
+  readonly connectionShare?: number
 }
 
+const EXPECTATION_FAILED: CallerResponse = { status: 417, headers: [], body: new Uint8Array() }
+const REQUEST_TIMEOUT: CallerResponse = { status: 408, headers: [], body: new Uint8Array() }
+const UNAVAILABLE: CallerResponse = { status: 503, headers: [], body: new Uint8Array() }
 const PAYLOAD_TOO_LARGE: CallerResponse = { status: 413, headers: [], body: new Uint8Array() }
+
+/** Responses after which the connection is closed. */
+const REFUSED_BY_SERVER: ReadonlySet<CallerResponse> = new Set([EXPECTATION_FAILED, REQUEST_TIMEOUT, UNAVAILABLE, PAYLOAD_TOO_LARGE])
+
 const GATEWAY_TIMEOUT: CallerResponse = { status: 504, headers: [], body: new Uint8Array() }
 const BAD_GATEWAY: CallerResponse = { status: 502, headers: [], body: new Uint8Array() }
 
-/** Maximum size of a body while no declaration is known, in bytes. */
-const DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+/** Response to a body that was refused, and the limit that it reached; undefined if the connection closed. */
+function refusalOfBody (reason: RefusalReason): { readonly response: CallerResponse, readonly limit?: ClientLimit } | undefined {
+  switch (reason) {
+    case RefusalReason.Cancelled: return undefined
+    case RefusalReason.Overloaded: return { response: UNAVAILABLE, limit: ClientLimit.Memory }
+    case RefusalReason.DeadlineExceeded: return { response: REQUEST_TIMEOUT, limit: ClientLimit.SlowBody }
+    case RefusalReason.LimitReached: return { response: REQUEST_TIMEOUT, limit: ClientLimit.StalledBody }
+    default: return { response: PAYLOAD_TOO_LARGE }
+  }
+}
 
 /**
  * HTTP/1.1 server for callers, with buffered requests and responses. Uses Node's
@@ -79,15 +121,31 @@
   readonly #loopDelay = new LoopDelay()
   #openRequests = 0
   readonly #unanswered = new Set<OpenRequest>()
+  readonly #guard: ClientGuard
+  readonly #maxConnections: number
+  /** Connections in the order in which they were accepted. */
+  readonly #connections = new Map<Socket, CallerConnection>()
+  #checkTimer: NodeJS.Timeout | undefined
+  /** Monotonic milliseconds. */
+  #checkDueAt = 0
   #keepAliveDisabled = false
 
   constructor (settings: CallerServerSettings) {
     this.#settings = settings
+    this.#guard = settings.guard ?? new ClientGuard()
+    this.#maxConnections = Math.max(1, Math.floor(connectionLimit() * (settings.connectionShare ?? 1)))
     this.#server = createServer({ keepAlive: true, noDelay: true }, (request, response) => {
       void this.#handleRequest(request, response)
     })
-    this.#server.on('connection', () => this.#loopDelay.recordConnection())
+    // Without a listener, Node's server answers these itself, and no limit of open requests applies.
+    this.#server.on('checkExpectation', (request, response) => {
+      void this.#handleRequest(request, response, EXPECTATION_FAILED)
+    })
+    this.#server.on('connection', (socket) => this.#accept(socket))
+    // Deadlines are those of `CallerConnection` and of reading a body.
     this.#server.requestTimeout = 0
+    this.#server.headersTimeout = 0
+    this.#server.keepAliveTimeout = UNDECLARED_LIMITS.idleTimeoutMs
   }
 
   /** Number of requests being read or handled. */
@@ -103,6 +161,7 @@
       this.#server.listen({ host, port, backlog: BACKLOG }, resolve)
     })
     this.#loopDelay.start()
+    this.#scheduleCheck()
   }
 
   /** Asks callers to close their connections after the next response. The server keeps accepting connections. */
@@ -118,6 +177,7 @@
     await this.#answerOpenRequests()
     this.#server.closeAllConnections()
     this.#loopDelay.stop()
+    clearTimeout(this.#checkTimer)
   }
 
   /** Makes the handlers of open requests end, and answers in place of those that don't. */
@@ -131,23 +191,94 @@
     await waitForAnswers(performance.now() + LAST_ANSWER_MS)
   }
 
-  async #handleRequest (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  /** Accepts a connection; one that no client within the limits uses makes way for it if there are too many. */
+  #accept (socket: Socket): void {
+    this.#loopDelay.recordConnection()
+    if (this.#connections.size >= this.#maxConnections && !this.#displaceConnection()) {
+      this.#guard.count(ClientLimit.Connections)
+      socket.destroy()
+      return
+    }
+    this.#connections.set(socket, new CallerConnection(socket, () => this.#limits()))
+    socket.on('close', () => this.#connections.delete(socket))
+  }
+
+  #displaceConnection (): boolean {
+    const now = performance.now()
+    for (const [socket, connection] of this.#connections) {
+      if (!connection.isDisplaceable(now)) continue
+      this.#connections.delete(socket)
+      connection.destroy()
+      this.#guard.count(ClientLimit.Displaced)
+      return true
+    }
+    return false
+  }
+
+  #scheduleCheck (): void {
+    this.#checkDueAt = performance.now() + CHECK_INTERVAL_MS
+    this.#checkTimer = setTimeout(() => this.#checkConnections(), CHECK_INTERVAL_MS).unref()
+  }
+
+  /** Ends connections whose deadlines have passed. A process that was held up reads first what has come meanwhile. */
+  #checkConnections (): void {
+    const now = performance.now()
+    if (now - this.#checkDueAt < CHECK_INTERVAL_MS) {
+      for (const connection of this.#connections.values()) {
+        const limit = connection.endIfLate(now)
+        if (limit !== undefined) this.#guard.count(limit)
+      }
+    }
+    this.#scheduleCheck()
+  }
+
+  async #handleRequest (request: IncomingMessage, response: ServerResponse, refusal?: CallerResponse): Promise<void> {
     this.#openRequests += 1
     const receivedAt = monotonicNow() - this.#loopDelay.current()
     const abort = new AbortController()
-    response.on('close', () => {
-      if (!response.writableFinished) abort.abort()
+    const share = this.#guard.budget.openShare()
+    const connection = this.#connections.get(request.socket)
+    let isClosed = false
+    const closed = new Promise<void>((resolve) => {
+      const end = (): void => {
+        isClosed = true
+        share.release()
+        if (!response.writableFinished) abort.abort()
+        resolve()
+      }
+      if (connection === undefined) response.on('close', end)
+      else connection.beginRequest(request, response, end)
     })
     this.#applyLimits()
     try {
-      const body = await readBody(request, this.#settings.limits()?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES)
-      const answer = body.ok ? await this.#awaitAnswer(request, body.value, receivedAt, abort) : PAYLOAD_TOO_LARGE
-      if (!response.destroyed) await this.#sendResponse(response, answer, !body.ok)
+      const answer = refusal ?? await this.#answerRequest(request, { receivedAt, abort, share, isClosed: () => isClosed })
+      if (answer !== undefined && !isClosed) await this.#sendResponse(request, response, answer, connection, closed)
     } finally {
       this.#openRequests -= 1
     }
   }
 
+  /** Reads a request and has it handled; undefined if its connection closed before it was whole. */
+  async #answerRequest (request: IncomingMessage, { receivedAt, abort, share, isClosed }: RequestState): Promise<CallerResponse | undefined> {
+    const { maxBodyBytes } = this.#limits()
+    const { budget } = this.#guard
+    budget.admitBody(maxBodyBytes)
+    const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, request.url?.length ?? 0)
+    if (!share.reserve(OPEN_REQUEST_BYTES + headBytes * HEAD_COPIES)) {
+      request.resume()
+      this.#guard.recordRefusal({ target: request.url ?? '', status: UNAVAILABLE.status, limit: ClientLimit.Memory })
+      return UNAVAILABLE
+    }
+    const body = await readBody(request, maxBodyBytes, { share, budget, deadline: performance.now() + REQUEST_TIMEOUT_MS })
+    // The connection may have closed since; a request whose client is gone isn't run.
+    if (isClosed()) return undefined
+    if (body.ok) return await this.#awaitAnswer(request, body.value, receivedAt, abort)
+    const refused = refusalOfBody(body.failure.reason)
+    if (refused?.limit !== undefined) this.#guard.recordRefusal({ target: request.url ?? '', status: refused.response.status, limit: refused.limit })
+    if (refused !== undefined) share.release()
+    return refused?.response
+  }
+
   async #awaitAnswer (request: IncomingMessage, body: Uint8Array, receivedAt: number, abort: AbortController): Promise<CallerResponse> {
     return await new Promise((resolve) => {
       const open: OpenRequest = { abort, answer: resolve }
@@ -182,21 +313,39 @@
     }
   }
 
-  async #sendResponse (response: ServerResponse, answer: CallerResponse, close: boolean): Promise<void> {
+  async #sendResponse (request: IncomingMessage, response: ServerResponse, answer: CallerResponse, connection: CallerConnection | undefined, closed: Promise<void>): Promise<void> {
     const headers = answer.headers.flatMap(([name, value]) => [name, value])
     headers.push('Content-Length', String(answer.body.length))
-    if (close || this.#keepAliveDisabled) headers.push('Connection', 'close')
+    const isWhole = request.complete
+    if (!isWhole || REFUSED_BY_SERVER.has(answer) || this.#keepAliveDisabled) headers.push('Connection', 'close')
     response.writeHead(answer.status, headers)
-    await new Promise<void>((resolve) => {
-      response.on('close', resolve)
-      response.end(answer.body, () => resolve())
-    })
+    connection?.beginResponse()
+    if (!isWhole) {
+      response.flushHeaders()
+      await discardBody(request)
+    }
+    const written = new Promise<void>((resolve) => response.end(answer.body, () => resolve()))
+    await Promise.race([written, closed])
+    connection?.endResponse()
+  }
+
+  #limits (): CallerLimits {
+    return this.#settings.limits() ?? UNDECLARED_LIMITS
   }
 
   #applyLimits (): void {
-    const limits = this.#settings.limits()
-    if (limits === undefined) return
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs
-    this.#server.headersTimeout = limits.headerTimeoutMs
+    this.#server.keepAliveTimeout = this.#limits().idleTimeoutMs
   }
 }
+
+/** Discards the rest of a body until its end, or for a short time. */
+async function discardBody (request: IncomingMessage): Promise<void> {
+  await new Promise<void>((resolve) => {
+    const timer = setTimeout(resolve, LINGER_MS)
+    request.once('close', () => {
+      clearTimeout(timer)
+      resolve()
+    })
+    request.resume()
+  })
+}
--- a/packages/transport/src/lib/frame.ts
+++ b/packages/transport/src/lib/frame.ts
@@ -6,6 +6,9 @@
 /** Maximum size of a frame, in bytes. */
 export const MAX_FRAME_BYTES = 8 * 1024 * 1024
 
+/** Size up to which received chunks are joined, in bytes. */
+const SMALL_CHUNK_BYTES = 1_024
+
 /** Thrown for an invalid or oversized frame. A connection that received one can't be used any further. */
 export class FrameError extends Error {
   override readonly name = 'FrameError'
@@ -53,7 +56,7 @@
    * for (const value of reader.push(chunk)) handle(value)
    */
   push (chunk: Buffer): unknown[] {
-    this.#chunks.push(chunk)
+    this.#addChunk(chunk)
     this.#buffered += chunk.length
     const values: unknown[] = []
     for (;;) {
@@ -63,6 +66,13 @@
     }
   }
 
+  /** Adds a chunk; small ones are joined, since each chunk costs more than its bytes. */
+  #addChunk (chunk: Buffer): void {
+    const last = this.#chunks.at(-1)
+    if (last !== undefined && last.length + chunk.length <= SMALL_CHUNK_BYTES) this.#chunks[this.#chunks.length - 1] = Buffer.concat([last, chunk])
+    else this.#chunks.push(chunk)
+  }
+
   #takeBody (): Buffer | undefined {
     if (this.#buffered < LENGTH_BYTES) return undefined
     const length = this.#peekLength()
--- a/packages/transport/src/lib/peer-server.ts
+++ b/packages/transport/src/lib/peer-server.ts
@@ -14,8 +14,22 @@
 /** Time within which a new connection has to authenticate, in milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 5_000
 
-/** Maximum number of connections that haven't authenticated yet. */
-const MAX_UNAUTHENTICATED_CONNECTIONS = 1024
+/** Maximum number of connections that haven't authenticated yet: hosts that all connect at once take milliseconds each. */
+const MAX_UNAUTHENTICATED_CONNECTIONS = 256
+
+/** Connections that were closed to make way for others, at all servers of the process. */
+let closedConnections = 0
+
+/**
+ * Number of connections to the port for other hosts that were closed before they authenticated
+ * because there were too many, since the start of the process.
+ *
+ * @example
+ * log.registerGauge('connections', 'Closed connections.', () => [['peer', closedPeerConnections()]])
+ */
+export function closedPeerConnections (): number {
+  return closedConnections
+}
 
 /** Metadata of a call, passed to its handler. */
 export interface CallContext {
@@ -62,17 +76,15 @@
   #reader = new FrameReader(MAX_HANDSHAKE_FRAME_BYTES)
   #peerHostId: string | undefined
 
-  constructor (socket: Socket, settings: PeerServerSettings, traffic: PeerTraffic) {
+  readonly #onAuthenticated: () => void
+
+  constructor (socket: Socket, settings: PeerServerSettings, traffic: PeerTraffic, onAuthenticated: () => void) {
+    this.#onAuthenticated = onAuthenticated
     this.#socket = socket
     this.#settings = settings
     this.#traffic = traffic
   }
 
-  /** Whether the client has proved that it knows the cluster secret. */
-  get isAuthenticated (): boolean {
-    return this.#peerHostId !== undefined
-  }
-
   start (): void {
     const timer = setTimeout(() => this.#socket.destroy(), HANDSHAKE_TIMEOUT_MS)
     timer.unref()
@@ -124,6 +136,7 @@
     }
     this.#peerHostId = host
     this.#reader = new FrameReader()
+    this.#onAuthenticated()
     const { id, secret } = this.#settings
     this.#send({ kind: FrameKind.Welcome, host: id, proof: computeProof(secret, { side: PeerSide.Server, host: id, ...nonces }) })
   }
@@ -170,7 +183,9 @@
   readonly traffic: PeerTraffic = { bytesIn: 0, bytesOut: 0, framesIn: 0, framesOut: 0 }
   readonly #settings: PeerServerSettings
   readonly #server: Server
-  readonly #connections = new Map<Socket, ServerConnection>()
+  readonly #connections = new Set<Socket>()
+  /** Connections that haven't authenticated, oldest first. */
+  readonly #unauthenticated = new Set<Socket>()
 
   constructor (settings: PeerServerSettings) {
     this.#settings = settings
@@ -198,19 +213,24 @@
   /** Closes the port and every connection. */
   async close (): Promise<void> {
     const closed = new Promise<void>((resolve) => this.#server.close(() => resolve()))
-    for (const socket of this.#connections.keys()) socket.destroy()
+    for (const socket of this.#connections) socket.destroy()
     await closed
   }
 
+  /** Accepts a connection. Beyond the limit the oldest unproved one makes way, so that such clients can't keep hosts out. */
   #accept (socket: Socket): void {
-    const unauthenticated = [...this.#connections.values()].filter((connection) => !connection.isAuthenticated).length
-    if (unauthenticated >= MAX_UNAUTHENTICATED_CONNECTIONS) {
-      socket.destroy()
-      return
+    const [oldest] = this.#unauthenticated
+    if (this.#unauthenticated.size >= MAX_UNAUTHENTICATED_CONNECTIONS && oldest !== undefined) {
+      this.#unauthenticated.delete(oldest)
+      oldest.destroy()
+      closedConnections += 1
     }
-    const connection = new ServerConnection(socket, this.#settings, this.traffic)
-    this.#connections.set(socket, connection)
-    socket.on('close', () => this.#connections.delete(socket))
-    connection.start()
+    this.#connections.add(socket)
+    this.#unauthenticated.add(socket)
+    socket.on('close', () => {
+      this.#connections.delete(socket)
+      this.#unauthenticated.delete(socket)
+    })
+    new ServerConnection(socket, this.#settings, this.traffic, () => this.#unauthenticated.delete(socket)).start()
   }
 }
