--- a/packages/cyclamenthread/src/lib/request-body.ts
+++ b/packages/cyclamenthread/src/lib/request-body.ts
@@ -70,13 +70,15 @@
     const body = await new Promise<Outcome<Buffer, Refusal>>((resolve) => {
       this.#finish = resolve
       request.on('data', this.#receive)
-      request.once('end', () => resolve(success(this.#buffer.join())))
+      request.once('end', this.#end)
       request.once('error', () => resolve(this.#cancelled()))
       request.once('close', () => resolve(this.#cancelled()))
     })
     clearTimeout(timer)
     budget.deleteReading(this)
     request.off('data', this.#receive)
+    // A refused body that ends later isn't joined.
+    request.off('end', this.#end)
     // The rest of a refused body is discarded, so that the response isn't lost to a reset.
     if (!body.ok) request.resume()
     return body
@@ -87,6 +89,8 @@
     this.#finish(failure(notRun(RefusalReason.LimitReached, 'the body stalled while its memory was needed')))
   }
 
+  readonly #end = (): void => this.#finish(success(this.#buffer.join()))
+
   readonly #receive = (chunk: Buffer): void => {
     this.#lastByteAt = performance.now()
     if (this.#buffer.size + chunk.length > this.#maxBytes) this.#finish(this.#tooLarge())
--- a/packages/cyclamenthread/src/test/caller-server.test.ts
+++ b/packages/cyclamenthread/src/test/caller-server.test.ts
@@ -107,3 +107,51 @@
   t.is(attentive.status, 503)
   t.is(await attentive.text(), 'not run')
 })
+
+// Guards against requests that are lost or answered out of order when a connection is held and resumed.
+test('each of many pipelined requests gets its response in order, with few open at once', async (t) => {
+  let open = 0
+  let mostOpen = 0
+  const { port } = await openServer(t, async ({ target, body }) => {
+    open += 1
+    mostOpen = Math.max(mostOpen, open)
+    await new Promise((resolve) => setTimeout(resolve, Number(target.slice(1)) % 3))
+    open -= 1
+    return { status: 200, headers: [], body: Buffer.from(`<${target.slice(1)}:${Buffer.from(body).toString()}>`) }
+  })
+  const forms = [
+    (index: number) => `GET /${index} HTTP/1.1\r\nHost: h\r\n\r\n`,
+    (index: number) => `POST /${index} HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n\n\n\n\n`,
+    (index: number) => `POST /${index} HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\n\n\n\r\n0\r\n\r\n`
+  ]
+  const bodies = ['', '\n\n\n\n', 'a\n\n']
+  const count = 60
+  const socket = new Socket()
+  t.teardown(() => socket.destroy())
+  let received = ''
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString()
+  })
+  socket.connect(port, '127.0.0.1')
+  socket.write(Array.from({ length: count }, (_, index) => forms[index % 3]?.(index) ?? '').join(''))
+  while (!received.includes(`<${count - 1}:`)) await once(socket, 'data')
+  const expected = Array.from({ length: count }, (_, index) => `<${index}:${bodies[index % 3]}>`)
+  t.deepEqual(received.match(/<\d+:[^>]*>/g), expected)
+  t.true(mostOpen <= 4, String(mostOpen))
+})
+
+// Guards against a request that runs although its client has gone before its body was whole.
+test('a request whose connection closes before its body is whole does not run', async (t) => {
+  let runs = 0
+  const { server, port } = await openServer(t, async () => {
+    runs += 1
+    return answer(200)
+  })
+  const socket = new Socket()
+  socket.connect(port, '127.0.0.1')
+  socket.write('POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf')
+  while (server.openRequests === 0) await new Promise((resolve) => setTimeout(resolve, 5))
+  socket.destroy()
+  while (server.openRequests > 0) await new Promise((resolve) => setTimeout(resolve, 5))
+  t.is(runs, 0)
+})
