--- a/packages/cyclamenthread/src/lib/clients/client-limits.ts
+++ b/packages/cyclamenthread/src/lib/clients/client-limits.ts
@@ -20,7 +20,7 @@
 export const CHECK_INTERVAL_MS = 500
 
 /** Fraction of the heap limit that requests of clients may occupy; a single body may always exceed it. */
-const REQUEST_HEAP_FRACTION = 0.15
+const REQUEST_HEAP_FRACTION = 0.1
 
 /** Heap limit per connection, in bytes: room for a connection with a partial head beside all other work. */
 const HEAP_BYTES_PER_CONNECTION = 64 * 1_024
--- a/packages/cyclamenthread/src/lib/clients/message-splitter.ts
+++ b/packages/cyclamenthread/src/lib/clients/message-splitter.ts
@@ -19,7 +19,7 @@
 /**
  * Splits what a connection receives, so that no piece contains the ends of two messages.
  * Node's parser handles all requests of the bytes that it is given before a server can
- * pause it: 64 KB contain up to 2,600 requests, each of which costs some kilobytes.
+ * pause it: 64 KB contain up to 2,600 requests, each of which has a request and a response object.
  *
  * A head and a chunked body end with an empty line, and any empty line ends a piece.
  *
