--- a/packages/state/src/lib/pace/endpoint-pace.ts
+++ b/packages/state/src/lib/pace/endpoint-pace.ts
@@ -20,7 +20,7 @@
 const MEAN_TRUST_MS = 15_000
 
 /** Ratio to the usual time of a unit from which a unit that hasn't ended shows that the machine is slow. */
-const OVERDUE_RATIO = 1.5
+export const OVERDUE_RATIO = 1.5
 
 /**
  * The pace of one endpoint: how long work takes on its machine, relative to what is usual for its
@@ -95,7 +95,7 @@
   /** The present factor, and how long it is expected to last from now, in milliseconds. */
   #condition (now: number, mean: number, overdue: OverdueUnit | undefined): { readonly factor: number, readonly leftMs: number } {
     if (overdue !== undefined && overdue.elapsedMs > overdue.usualMs * OVERDUE_RATIO) {
-      const factor = overdue.elapsedMs / overdue.usualMs
+      const factor = Math.max(overdue.elapsedMs / overdue.usualMs, overdue.slowFactor)
       const heldMs = isDifferent(factor, this.#factor) ? overdue.elapsedMs : now - this.#heldSince
       return { factor: Math.max(factor, this.#factor), leftMs: persistence(heldMs) }
     }
@@ -108,6 +108,8 @@
 /** A unit of work, such as the next event of a stream, that hasn't ended yet. */
 export interface OverdueUnit {
   readonly usualMs: number
+  /** Mean factor of the service's units on slow machines, which an overdue unit is expected to reach. */
+  readonly slowFactor: number
   /** Time since it began, in milliseconds. */
   readonly elapsedMs: number
 }
--- a/packages/state/src/lib/pace/pace-board.ts
+++ b/packages/state/src/lib/pace/pace-board.ts
@@ -1,4 +1,4 @@
-import { EndpointPace } from './endpoint-pace.js'
+import { EndpointPace, OVERDUE_RATIO } from './endpoint-pace.js'
 import type { EndpointEntry } from '../endpoint-table.js'
 import type { OverdueUnit } from './endpoint-pace.js'
 
@@ -25,6 +25,7 @@
   next: number
   usualMs: number | undefined
   mean: number
+  slowFactor: number
   computedAt: number
 }
 
@@ -117,10 +118,10 @@
    */
   expectedMs (entry: EndpointEntry, units: number, fallbackMs: number, now: number): number {
     const usualMs = this.usualMs(entry.service, fallbackMs, now)
-    const mean = this.#services.get(entry.service)?.mean ?? 1
+    const { mean, slowFactor } = this.#services.get(entry.service) ?? { mean: 1, slowFactor: OVERDUE_RATIO }
     const known = this.#find(entry)
     if (known === undefined) return units * usualMs * mean
-    return known.pace.expectedMs(units * usualMs, now, mean, longestOpenUnit(known, usualMs, now))
+    return known.pace.expectedMs(units * usualMs, now, mean, longestOpenUnit(known, { usualMs, slowFactor }, now))
   }
 
   #of (entry: EndpointKey): PacedEndpoint {
@@ -137,7 +138,7 @@
   }
 
   #addUnit (service: string, unitMs: number): void {
-    const units = this.#services.get(service) ?? { unitsMs: [], next: 0, usualMs: undefined, mean: 1, computedAt: -Infinity }
+    const units = this.#services.get(service) ?? { unitsMs: [], next: 0, usualMs: undefined, mean: 1, slowFactor: OVERDUE_RATIO, computedAt: -Infinity }
     this.#services.set(service, units)
     units.unitsMs[units.next] = unitMs
     units.next = (units.next + 1) % SAMPLE_SIZE
@@ -150,15 +151,21 @@
       const sorted = [...units.unitsMs].sort((a, b) => a - b)
       const usualMs = Math.max(1, sorted[Math.floor(sorted.length * USUAL_QUANTILE)] ?? 1)
       units.usualMs = usualMs
-      units.mean = Math.max(1, sorted.reduce((sum, unitMs) => sum + unitMs, 0) / sorted.length / usualMs)
+      units.mean = Math.max(1, average(sorted) / usualMs)
+      const slow = sorted.filter((unitMs) => unitMs > usualMs * OVERDUE_RATIO)
+      units.slowFactor = slow.length === 0 ? OVERDUE_RATIO : average(slow) / usualMs
       units.computedAt = now
     }
     return units.usualMs
   }
 }
 
-function longestOpenUnit ({ openUnits }: PacedEndpoint, usualMs: number, now: number): OverdueUnit | undefined {
+function average (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
+function longestOpenUnit ({ openUnits }: PacedEndpoint, service: Pick<OverdueUnit, 'usualMs' | 'slowFactor'>, now: number): OverdueUnit | undefined {
   let since = Infinity
   for (const startedAt of openUnits.values()) since = Math.min(since, startedAt)
-  return since === Infinity ? undefined : { usualMs, elapsedMs: now - since }
+  return since === Infinity ? undefined : { ...service, elapsedMs: now - since }
 }
