--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -28,8 +28,8 @@
 /** Time for which a sample stays at an endpoint before it may be moved, in milliseconds: several events show its pace by then. */
 const MIN_STAY_MS = 300
 
-/** Interval at which samples that decide their step are checked against the pace of their endpoints, in milliseconds: less than a usual event. */
-const PACE_CHECK_PERIOD_MS = 40
+/** Interval at which awaited samples are checked against the pace of their endpoints, in milliseconds: a few events of a stream. */
+const PACE_CHECK_PERIOD_MS = 200
 
 /** Assumed time until the first event of a stream that goes on elsewhere, before any was measured, in milliseconds. */
 const DEFAULT_START_DELAY_MS = 100
@@ -37,9 +37,6 @@
 /** Weight of the newest time until a first event in their average. */
 const START_DELAY_SMOOTHING = 0.2
 
-/** Length from which a text counts among the last of its step although its estimate says otherwise, relative to the mean expected length of the step's texts. */
-const LONG_TEXT_RATIO = 1.5
-
 /** Expected remainder of a text that is longer than expected, as a share of what there is. */
 const OVERLONG_SHARE = 0.3
 
@@ -240,7 +237,7 @@
     const { endpointTable } = this.#context.deployment
     const { paces } = endpointTable
     const excluded = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
-    for (const { id, leftMs, isDeciding } of awaitedSamples(this.#progress(now))) {
+    for (const { id, leftMs } of awaitedSamples(this.#progress(now))) {
       const running = this.#running.get(id)
       if (running?.runningSince === undefined || running.abort.signal.aborted || now - running.runningSince < MIN_STAY_MS) continue
       const { sample, record, abort } = running
@@ -251,7 +248,7 @@
       const elsewhereMs = paces.expectedMs(candidate.entry, this.#unitsLeft(sample), usualMs, now)
       // The event that the endpoint is working on is lost, half of it on average.
       const costMs = Math.max(0, this.#startDelayMs - usualMs) + usualMs / 2
-      if (!isMoveWorthwhile({ stayMs: leftMs, elsewhereMs, costMs, isDeciding: isDeciding || this.#isLong(sample) })) continue
+      if (!isMoveWorthwhile({ stayMs: leftMs, elsewhereMs, costMs })) continue
       // Other samples of this pass don't take the same slot.
       excluded.add(candidate.entry.id)
       this.#leftEndpoints.set(id, record.entry.id)
@@ -267,7 +264,6 @@
         stayMs: Math.round(leftMs),
         elsewhereMs: Math.round(elsewhereMs),
         costMs: Math.round(costMs),
-        isDeciding,
         paceAgeMs: Math.round(paces.ageMs(record.entry, now)),
         otherPaceAgeMs: Math.round(paces.ageMs(candidate.entry, now))
       })
@@ -293,12 +289,6 @@
     return this.#startDelayMs + units * paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
   }
 
-  /** Whether a text is longer than most of its step are expected to become; the estimates of the longest texts are often far off. */
-  #isLong (sample: RolloutSample): boolean {
-    const meanTokens = this.#order.samples.reduce((sum, { expectedTokens }) => sum + expectedTokens, 0) / this.#order.samples.length
-    return (this.#texts.get(sample.id)?.pieces.length ?? 0) > meanTokens / this.#tokensPerEvent * LONG_TEXT_RATIO
-  }
-
   get #tokensPerEvent (): number {
     return this.#context.deployment.routeTable?.service(this.#order.service)?.tokensPerEvent ?? 1
   }
--- a/packages/state/src/lib/pace/work-move.ts
+++ b/packages/state/src/lib/pace/work-move.ts
@@ -1,8 +1,8 @@
-/** Least time that a move has to save beyond its cost, in milliseconds: estimates err by about this much. */
-const MIN_GAIN_MS = 100
-
-/** The same for work that isn't expected to decide when its step ends: only a lasting slowdown is worth a move. */
-const MIN_SPARE_GAIN_MS = 400
+/**
+ * Least time that a move has to save beyond its cost, in milliseconds. A span of 600 ms at 2.5 times the usual
+ * time never promises that much, and the text that is read again delays what runs at the other endpoint.
+ */
+const MIN_GAIN_MS = 400
 
 /** What a move of running work would change. */
 export interface MoveEstimate {
@@ -12,8 +12,6 @@
   readonly elsewhereMs: number
   /** Time until it runs there: the way, and what has to be read or made again, in milliseconds. */
   readonly costMs: number
-  /** Whether the end of its step depends on the work. */
-  readonly isDeciding: boolean
 }
 
 /**
@@ -22,9 +20,9 @@
  * follows each change would spend its time on moves.
  *
  * @example
- * isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 90, isDeciding: true }) // true
+ * isMoveWorthwhile({ stayMs: 2_600, elsewhereMs: 2_200, costMs: 90 }) // false
  */
-export function isMoveWorthwhile ({ stayMs, elsewhereMs, costMs, isDeciding }: MoveEstimate): boolean {
+export function isMoveWorthwhile ({ stayMs, elsewhereMs, costMs }: MoveEstimate): boolean {
   const gainMs = stayMs - elsewhereMs - costMs
-  return gainMs > Math.max(isDeciding ? MIN_GAIN_MS : MIN_SPARE_GAIN_MS, costMs)
+  return gainMs > Math.max(MIN_GAIN_MS, costMs)
 }
--- a/packages/state/src/lib/steps/step-schedule.ts
+++ b/packages/state/src/lib/steps/step-schedule.ts
@@ -61,27 +61,15 @@
   })
 }
 
-/** An open sample of a group that its trainer waits for. */
-export interface AwaitedSample extends OpenSample {
-  /** Whether it is expected to be among the last of its step. */
-  readonly isDeciding: boolean
-}
-
 /**
  * Selects the open samples of groups that the trainer waits for, those that are expected to end last first.
- * Estimates of lengths are often far off, so one that isn't expected to decide its step may do so.
  *
  * @example
- * awaitedSamples(progress)[0]?.isDeciding // true
+ * awaitedSamples(progress)[0]
  */
-export function awaitedSamples (progress: StepProgress): AwaitedSample[] {
-  const awaited = new Map(outlookOf(progress).flatMap((outlook) => outlook.role === GroupRole.Spare ? [] : [[outlook.group, outlook] as const]))
-  return progress.open
-    .flatMap((sample) => {
-      const outlook = awaited.get(sample.group)
-      return outlook === undefined ? [] : [{ ...sample, isDeciding: outlook.role === GroupRole.Deciding && sample.leftMs >= outlook.leftMs - DECIDING_MS }]
-    })
-    .sort((a, b) => b.leftMs - a.leftMs)
+export function awaitedSamples (progress: StepProgress): OpenSample[] {
+  const awaited = new Set(outlookOf(progress).flatMap(({ group, role }) => role === GroupRole.Spare ? [] : [group]))
+  return progress.open.filter(({ group }) => awaited.has(group)).sort((a, b) => b.leftMs - a.leftMs)
 }
 
 /**
