--- a/packages/state/src/lib/pace/work-move.ts
+++ b/packages/state/src/lib/pace/work-move.ts
@@ -2,7 +2,7 @@
  * Least time that a move has to save beyond its cost, in milliseconds. A span of 600 ms at 2.5 times the usual
  * time never promises that much, and the text that is read again delays what runs at the other endpoint.
  */
-const MIN_GAIN_MS = 400
+const MIN_GAIN_MS = 500
 
 /** What a move of running work would change. */
 export interface MoveEstimate {
