--- a/packages/state/src/lib/pace/endpoint-pace.ts
+++ b/packages/state/src/lib/pace/endpoint-pace.ts
@@ -17,7 +17,7 @@
 const MEAN_HALF_LIFE_MS = 30_000
 
 /** Observed work at which the mean of an endpoint counts as much as that of its service, in milliseconds. */
-const MEAN_TRUST_MS = 15_000
+const MEAN_TRUST_MS = 40_000
 
 /** Ratio to the usual time of a unit from which a unit that hasn't ended shows that the machine is slow. */
 export const OVERDUE_RATIO = 1.5
