--- a/packages/state/src/lib/pace/pace-board.ts
+++ b/packages/state/src/lib/pace/pace-board.ts
@@ -76,11 +76,12 @@
 
   /** Records that a unit of a stream begins: its first event has come. */
   openUnit (entry: EndpointEntry, stream: string, now: number): void {
-    this.#of(entry).openUnits.set(stream, now)
+    if (this.isStated(entry.service)) this.#of(entry).openUnits.set(stream, now)
   }
 
   /** Records that a unit of a stream has ended and the next one begins. */
   recordUnit (entry: EndpointEntry, stream: string, now: number): void {
+    if (!this.isStated(entry.service)) return
     const { openUnits, pace } = this.#of(entry)
     const since = openUnits.get(stream)
     openUnits.set(stream, now)
