--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -257,7 +257,7 @@
     this.#rewards.startRequests(permit)
     this.#generator.startSamples(permit)
     this.#generator.moveOffForbidden()
-    if (this.#board.waiting.length === 0) this.#generator.moveSlowSamples()
+    if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
   #workPermission (): WorkPermission {
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -5,8 +5,9 @@
 import { describeLimit } from './endpoint-notice-task.js'
 import { SendPermission } from './send-permit-task.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
-import type { EndpointEntry, EndpointRecord, KnownText, OpenSample, RolloutOrder, RolloutSample, SampleBoard, StepProgress, WorkPermit } from '@cyclamenthread/state'
+import type { EndpointEntry, EndpointRecord, KnownText, MoveEstimate, OpenSample, RolloutOrder, RolloutSample, SampleBoard, StepProgress, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
+import type { LogFields } from './event-log.js'
 import type { RolloutContext } from './rollout-context.js'
 
 /** Assumed time between two events of a stream before any was measured, in milliseconds; derived from the engines' step times. */
@@ -25,12 +26,6 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
-/** Time for which a sample stays at an endpoint before it may be moved, in milliseconds: several events show its pace by then. */
-const MIN_STAY_MS = 300
-
-/** Interval at which awaited samples are checked against the pace of their endpoints, in milliseconds: a few events of a stream. */
-const PACE_CHECK_PERIOD_MS = 200
-
 /** Assumed time until the first event of a stream that goes on elsewhere, before any was measured, in milliseconds. */
 const DEFAULT_START_DELAY_MS = 100
 
@@ -67,8 +62,6 @@
   readonly sample: RolloutSample
   readonly record: EndpointRecord
   readonly abort: AbortController
-  /** Monotonic milliseconds at which its first event came from this endpoint; undefined before. */
-  runningSince: number | undefined
 }
 
 /** Options of a {@link SampleGenerator}. */
@@ -216,57 +209,75 @@
     }
   }
 
-  /** Moves samples from slow endpoints to faster ones with free capacity; their texts are kept. */
-  moveSlowSamples (): void {
+  /**
+   * Moves one straggler from a slow endpoint to a faster one with free capacity; its text is kept. Where endpoints
+   * state their pace, the text also has to be expected to end sooner there.
+   */
+  moveSlowSample (): void {
     const now = monotonicNow()
     if (now < this.#nextMoveAt) return
-    if (this.#isPaced) this.#moveAwaitedSamples(now)
-    else this.#moveStraggler(now)
-  }
-
-  /** Whether the endpoints of the rollout's service state their pace. */
-  get #isPaced (): boolean {
-    return this.#context.deployment.endpointTable.paces.isStated(this.#order.service)
-  }
-
-  /** Moves samples of groups that the trainer waits for, if they are expected to end sooner elsewhere. */
-  #moveAwaitedSamples (now: number): void {
-    this.#nextMoveAt = now + PACE_CHECK_PERIOD_MS
-    // While this process was held up, streams only seem to have paused.
-    if (now < this.#waitsUntil) return
+    this.#nextMoveAt = now + MOVE_PERIOD_MS
     const { endpointTable } = this.#context.deployment
-    const { paces } = endpointTable
-    const excluded = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
-    for (const { id, leftMs } of awaitedSamples(this.#progress(now))) {
-      const running = this.#running.get(id)
-      if (running?.runningSince === undefined || running.abort.signal.aborted || now - running.runningSince < MIN_STAY_MS) continue
-      const { sample, record, abort } = running
-      const softwareVersion = this.#texts.get(id)?.softwareVersion
-      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion, excluded)
+    const typicalMs = this.#typicalPaceMs()
+    // A move is not worth one of the requests that an endpoint in need accepts.
+    const limited = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
+    for (const { sample, record, abort } of this.#stragglers(now)) {
+      if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
+      const softwareVersion = this.#texts.get(sample.id)?.softwareVersion
+      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion, limited)
       if (candidate === undefined || candidate.entry.id === record.entry.id) continue
-      const usualMs = paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
-      const elsewhereMs = paces.expectedMs(candidate.entry, this.#unitsLeft(sample), usualMs, now)
-      // The event that the endpoint is working on is lost, half of it on average.
-      const costMs = Math.max(0, this.#startDelayMs - usualMs) + usualMs / 2
-      if (!isMoveWorthwhile({ stayMs: leftMs, elsewhereMs, costMs })) continue
-      // Other samples of this pass don't take the same slot.
-      excluded.add(candidate.entry.id)
-      this.#leftEndpoints.set(id, record.entry.id)
+      if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
+      const estimate = this.#isPaced ? this.#estimateMove(sample, record, candidate, now) : undefined
+      if (estimate !== undefined && !isMoveWorthwhile(estimate)) continue
+      this.#moved.add(sample.id)
+      this.#leftEndpoints.set(sample.id, record.entry.id)
       abort.abort()
       this.#context.log.record(LogEvent.SampleMoved, {
-        requestId: id,
+        requestId: sample.id,
         rollout: this.#order.id,
         from: record.entry.id,
         to: candidate.entry.id,
         softwareVersion: candidate.entry.softwareVersion,
         textVersion: softwareVersion,
-        held: this.#texts.get(id)?.pieces.length ?? 0,
-        stayMs: Math.round(leftMs),
-        elsewhereMs: Math.round(elsewhereMs),
-        costMs: Math.round(costMs),
-        paceAgeMs: Math.round(paces.ageMs(record.entry, now)),
-        otherPaceAgeMs: Math.round(paces.ageMs(candidate.entry, now))
+        paceMs: Math.round(record.paceMs),
+        otherPaceMs: Math.round(candidate.paceMs ?? typicalMs),
+        ...(estimate === undefined ? {} : this.#describeMove(estimate, record, candidate, now))
       })
+      return
+    }
+  }
+
+  /** Running samples in the order in which they are considered for a move: where endpoints state their pace, those that the trainer waits for, the last of the step first. */
+  #stragglers (now: number): RunningSample[] {
+    if (!this.#isPaced) return [...this.#running.values()]
+    return awaitedSamples(this.#progress(now)).flatMap(({ id }) => this.#running.get(id) ?? [])
+  }
+
+  /** Whether the endpoints of the rollout's service state their pace. */
+  get #isPaced (): boolean {
+    return this.#context.deployment.endpointTable.paces.isStated(this.#order.service)
+  }
+
+  #estimateMove (sample: RolloutSample, from: EndpointRecord, to: EndpointRecord, now: number): MoveEstimate {
+    const { paces } = this.#context.deployment.endpointTable
+    const usualMs = paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
+    const units = this.#unitsLeft(sample)
+    return {
+      stayMs: paces.expectedMs(from.entry, units, usualMs, now),
+      elsewhereMs: paces.expectedMs(to.entry, units, usualMs, now),
+      // The event that the endpoint is working on is lost, half of it on average.
+      costMs: Math.max(0, this.#startDelayMs - usualMs) + usualMs / 2
+    }
+  }
+
+  #describeMove ({ stayMs, elsewhereMs, costMs }: MoveEstimate, from: EndpointRecord, to: EndpointRecord, now: number): LogFields {
+    const { paces } = this.#context.deployment.endpointTable
+    return {
+      stayMs: Math.round(stayMs),
+      elsewhereMs: Math.round(elsewhereMs),
+      costMs: Math.round(costMs),
+      paceAgeMs: Math.round(paces.ageMs(from.entry, now)),
+      otherPaceAgeMs: Math.round(paces.ageMs(to.entry, now))
     }
   }
 
@@ -300,34 +311,6 @@
     return Math.max(expected - held, held * OVERLONG_SHARE, MIN_UNITS_LEFT)
   }
 
-  #moveStraggler (now: number): void {
-    this.#nextMoveAt = now + MOVE_PERIOD_MS
-    const { endpointTable } = this.#context.deployment
-    const typicalMs = this.#typicalPaceMs()
-    // A move is not worth one of the requests that an endpoint in need accepts.
-    const limited = new Set(endpointTable.limitedEndpoints(now).map(([{ entry }]) => entry.id))
-    for (const { sample, record, abort } of this.#running.values()) {
-      if (abort.signal.aborted || this.#moved.has(sample.id) || record.paceMs === undefined || (this.#texts.get(sample.id)?.pieces.length ?? 0) < MIN_STRAGGLER_EVENTS) continue
-      const softwareVersion = this.#texts.get(sample.id)?.softwareVersion
-      const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion, limited)
-      if (candidate === undefined || candidate.entry.id === record.entry.id) continue
-      if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
-      this.#moved.add(sample.id)
-      abort.abort()
-      this.#context.log.record(LogEvent.SampleMoved, {
-        requestId: sample.id,
-        rollout: this.#order.id,
-        from: record.entry.id,
-        to: candidate.entry.id,
-        softwareVersion: candidate.entry.softwareVersion,
-        textVersion: softwareVersion,
-        paceMs: Math.round(record.paceMs),
-        otherPaceMs: Math.round(candidate.paceMs ?? typicalMs)
-      })
-      return
-    }
-  }
-
   /**
    * Chooses the endpoint at which a waiting sample starts or goes on; undefined if it has to wait.
    *
@@ -423,8 +406,7 @@
     const text = this.#texts.get(sample.id) ?? new SampleText()
     this.#texts.set(sample.id, text)
     text.startStream(entry)
-    const running: RunningSample = { sample, record, abort, runningSince: undefined }
-    this.#running.set(sample.id, running)
+    this.#running.set(sample.id, { sample, record, abort })
     this.#warmEndpoints.set(sample.group, (this.#warmEndpoints.get(sample.group) ?? new Set()).add(entry.id))
     this.#leftEndpoints.delete(sample.id)
     const sentAt = monotonicNow()
@@ -473,7 +455,6 @@
           return
         }
         endpointTable.paces.openUnit(entry, sample.id, now)
-        running.runningSince = now
         this.#startDelayMs += (now - sentAt - this.#startDelayMs) * START_DELAY_SMOOTHING
       },
       onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
