--- a/packages/coordination/src/lib/rollout-task.ts
+++ b/packages/coordination/src/lib/rollout-task.ts
@@ -160,7 +160,7 @@
   async accept (submitted: RolloutOrder): Promise<Outcome<void, Refusal>> {
     const order = this.#withHomes(submitted)
     const unserved = this.#refuseOutsideHomes(order)
-    if (unserved !== undefined) return failure(unserved)
+    if (unserved !== undefined) return await this.#refuseUnlessStored(order, unserved)
     const creation = await this.#createOnAnyHost(order)
     this.#context.log.record(LogEvent.RolloutAccepted, {
       requestId: order.id, workspace: order.workspace, route: order.route, step: order.step, minVersion: order.minVersion, samples: order.samples.length, outcome: creation
@@ -242,6 +242,13 @@
     return success(Buffer.from(sample.body, 'base64'))
   }
 
+  /** Refuses a rollout, unless an earlier attempt of its trainer has stored it: it is accepted then, and "not run" would be false. */
+  async #refuseUnlessStored ({ id }: RolloutOrder, refusal: Refusal): Promise<Outcome<void, Refusal>> {
+    const stored = await this.#registry.loadOrder(id, deadlineAfter(ACCEPT_TIMEOUT_MS))
+    if (!stored.ok) return failure({ ...refusal, reason: RefusalReason.OutcomeUnknown, ran: Ran.Maybe })
+    return stored.value === undefined ? failure(refusal) : success(undefined)
+  }
+
   /** Adds the homes that bind a rollout to its order, for hosts that don't know the declaration yet. */
   #withHomes (order: RolloutOrder): RolloutOrder {
     const regions = this.#registry.homesOf(order)
--- a/packages/coordination/src/test/rollout-homes.test.ts
+++ b/packages/coordination/src/test/rollout-homes.test.ts
@@ -111,6 +111,15 @@
   t.regex(accepted?.ok === false ? accepted.failure.detail : '', /homes of the rollout \(grampian\)/)
 })
 
+// Guards against a trainer that is told "not run" of a rollout which an earlier attempt of it has stored (REFUSED).
+test('a rollout that is stored already is accepted again, also without an endpoint in its homes', async (t) => {
+  const { tasks, deployment } = await openFixture(t, ['grampian'])
+  const order = rolloutOrder(1, 2)
+  t.true((await tasks.get('h1')?.accept(order))?.ok)
+  deployment.view.endpointTable.setEvacuatedDomains(new Set(['castlegate']))
+  t.true((await tasks.get('h2')?.accept(order))?.ok)
+})
+
 // Guards against work that stays in a failure domain which the operator wants empty.
 test('samples leave an evacuated failure domain, with the text that they have', async (t) => {
   const { tasks, endpoints, deployment } = await openFixture(t, [])
