--- a/packages/bench/src/lib/slopes/membership-simulation.ts
+++ b/packages/bench/src/lib/slopes/membership-simulation.ts
@@ -47,10 +47,12 @@
   /** Called with each message that is sent. */
   onMessage: (message: MembershipMessage) => void = () => {}
   readonly #random: () => number
+  readonly #ringProbes: number
   readonly #queue = new Map<number, ScheduledDelivery[]>()
 
-  constructor (hosts: readonly Host[], random: () => number) {
+  constructor (hosts: readonly Host[], random: () => number, ringProbes = 0) {
     this.#random = random
+    this.#ringProbes = ringProbes
     for (const host of hosts) this.nodes.set(host.id, { host, membership: undefined, paused: false, incarnation: 0, inbox: [] })
     for (const host of hosts) this.#schedule({ at: Math.floor(random() * TICK_MS), hostId: host.id })
   }
@@ -67,7 +69,7 @@
     const node = this.node(hostId)
     // The clock of a restarted host may have been set back, so its incarnation is not always higher.
     node.incarnation += Math.floor(this.#random() * 3)
-    node.membership = new Membership(node.host, node.incarnation, this.#random, this.now)
+    node.membership = new Membership(node.host, node.incarnation, this.#random, this.now, this.#ringProbes)
     node.inbox.length = 0
     this.step(hostId, { kind: MembershipEventKind.Candidates, hosts: listed.filter((host) => host.id !== hostId) })
   }
--- a/packages/bench/src/test/address-list.test.ts
+++ b/packages/bench/src/test/address-list.test.ts
@@ -28,7 +28,7 @@
 
 /** Kills hosts at once, and has others start afterwards with the host list of the platform, which still names the killed ones. */
 function killHosts (seed: number, killed: readonly Host[], joining: readonly Host[], loss: number): string[] {
-  const network = new MembershipSimulation(hosts, seededRandom(seed))
+  const network = new MembershipSimulation(hosts, seededRandom(seed), 1)
   const ids = new Set(killed.map(({ id }) => id))
   for (const host of hosts) {
     if (!joining.includes(host)) network.start(host.id, hosts)
--- a/packages/coordination/src/lib/capacity-duty.ts
+++ b/packages/coordination/src/lib/capacity-duty.ts
@@ -9,6 +9,13 @@
 /** Delay before an order that failed is sent again, in milliseconds. */
 const RETRY_DELAY_MS = 1_500
 
+/** What became of the order of one failure domain. */
+enum OrderStep {
+  NotDue = 'not-due',
+  Sent = 'sent',
+  WithoutLease = 'without-lease'
+}
+
 /**
  * Orders from the platform the number of endpoints that each declared service needs in each failure domain;
  * what is missing in some domains is ordered in others ({@link CapacityShift}).
@@ -42,23 +49,30 @@
 
   async runOnce (lease: () => LeaderLease | undefined): Promise<void> {
     for (const service of this.#context.deployment.routeTable?.declaration.services ?? []) {
+      let plan = this.#plan(service)
       for (const failureDomain of Object.keys(service.capacity?.prices ?? {})) {
-        if (!await this.#orderDomain(service, failureDomain, lease)) return
+        const step = await this.#orderDomain(service, failureDomain, plan, lease)
+        if (step === OrderStep.WithoutLease) return
+        // An order may take as long as the timeout of the call, and its refusal changes the next ones.
+        if (step === OrderStep.Sent) plan = this.#plan(service)
       }
     }
   }
 
-  /** Sends the order of a failure domain if it is due; returns whether the lease is held. */
-  async #orderDomain (service: DeclaredService, failureDomain: string, lease: () => LeaderLease | undefined): Promise<boolean> {
-    const shift = this.#shift(service.name)
-    // Planned anew for each domain: an order may take as long as the timeout of the call, and its refusal changes the next ones.
-    const plan = shift.plan(service, this.#load(service.name), monotonicNow())
+  #plan (service: DeclaredService): CapacityPlan {
+    const plan = this.#shift(service.name).plan(service, this.#load(service.name), monotonicNow())
     this.#recordMissing(service.name, plan)
+    return plan
+  }
+
+  /** Sends the order of a failure domain if it is due. */
+  async #orderDomain (service: DeclaredService, failureDomain: string, plan: CapacityPlan, lease: () => LeaderLease | undefined): Promise<OrderStep> {
+    const shift = this.#shift(service.name)
     const domain = plan.domains.get(failureDomain)
     const name = `${service.name}/${failureDomain}`
-    if (domain?.count === undefined || this.#orderedCounts.get(name) === domain.count || monotonicNow() < (this.#retryAt.get(name) ?? 0)) return true
+    if (domain?.count === undefined || this.#orderedCounts.get(name) === domain.count || monotonicNow() < (this.#retryAt.get(name) ?? 0)) return OrderStep.NotDue
     const held = lease()
-    if (held === undefined) return false
+    if (held === undefined) return OrderStep.WithoutLease
     const { count, demand, extra, inService } = domain
     const status = await this.#context.platform.orderCapacity({ service: service.name, failureDomain, count, cheap: false }, held)
     this.#context.log.record(LogEvent.CapacityOrdered, {
@@ -68,16 +82,16 @@
       case PlatformCallStatus.Done:
         this.#orderedCounts.set(name, count)
         shift.recordAccepted(failureDomain, count, monotonicNow())
-        return true
+        return OrderStep.Sent
       case PlatformCallStatus.Refused:
         this.#retryAt.set(name, monotonicNow() + RETRY_DELAY_MS)
         shift.recordRefused(failureDomain, count, monotonicNow())
-        return true
+        return OrderStep.Sent
       case PlatformCallStatus.Failed:
         // It may have taken effect, so the earlier number has to be sent again if it is due.
         this.#orderedCounts.delete(name)
         this.#retryAt.set(name, monotonicNow() + RETRY_DELAY_MS)
-        return true
+        return OrderStep.Sent
       default:
         return unreachable(status)
     }
--- a/packages/coordination/src/lib/member-task.ts
+++ b/packages/coordination/src/lib/member-task.ts
@@ -48,7 +48,10 @@
 }
 
 /** Settings of the membership. */
-export type MemberSettings = Pick<HostSettings, 'self' | 'hostListPeriodMs' | 'storeTimeoutMs'>
+export type MemberSettings = Pick<HostSettings, 'self' | 'hostListPeriodMs' | 'storeTimeoutMs'> & {
+  /** Number of hosts that are probed in each period besides one at random, so that crashes are noticed sooner; none if absent. */
+  readonly ringProbes?: number
+}
 
 /** Lists the hosts that may be members; the list may be out of date. */
 export type HostDirectory = Pick<PlatformClient, 'hosts'>
@@ -88,7 +91,7 @@
     this.#platform = platform
     this.#post = post
     this.#log = log
-    this.#membership = new Membership(settings.self, Date.now(), random, monotonicNow())
+    this.#membership = new Membership(settings.self, Date.now(), random, monotonicNow(), settings.ringProbes)
     this.#changes.setMaxListeners(0)
     this.#tickLoop = new Periodic(TICK_MS, async () => this.#stepMembership({ kind: MembershipEventKind.Tick }))
     this.#hostListLoop = new Periodic(settings.hostListPeriodMs, async () => await this.#readHostList())
--- a/packages/cyclamenthread/src/lib/entry-service.ts
+++ b/packages/cyclamenthread/src/lib/entry-service.ts
@@ -42,6 +42,8 @@
   readonly usageWindowMs: number
   /** Time for which callers may cache the address list, in milliseconds. */
   readonly addressTtlMs: number
+  /** Number of hosts that are probed in each period besides one at random; none if absent. */
+  readonly ringProbes?: number
 }
 
 /** A caller's request that was answered, for the log. */
@@ -120,7 +122,7 @@
     this.#ports = ports
     this.#bus = new MessageBus({ self, clusterSecret: secret, storeTimeoutMs: STORE_TIMEOUT_MS }, this.#broker, log)
     this.#hosts = new StoredHostList(store)
-    const memberSettings = { self, hostListPeriodMs: HOST_LIST_PERIOD_MS, storeTimeoutMs: STORE_TIMEOUT_MS }
+    const memberSettings = { self, hostListPeriodMs: HOST_LIST_PERIOD_MS, storeTimeoutMs: STORE_TIMEOUT_MS, ...(settings.ringProbes === undefined ? {} : { ringProbes: settings.ringProbes }) }
     this.#members = new MemberTask(memberSettings, this.#hosts, async (host, message) => await this.#bus.post(host, message), log)
     this.#bus.onSilence((hostId) => this.#members.reportSilence(hostId))
     this.deployment = new DeploymentView({ declarations: ports.declarations, endpoints: ports.registry, evacuations: ports.evacuations, decoder: ports.decoder, log })
--- a/packages/state/src/lib/membership.ts
+++ b/packages/state/src/lib/membership.ts
@@ -45,12 +45,6 @@
 /** Maximum number of records from the update queue in a message; urgent ones may fill the message. */
 const MAX_UPDATES = 8
 
-/**
- * Number of hosts that follow this one in a ring and are probed in each period, besides one at random. Random
- * probes alone may miss a host for long: of 60 hosts, the last one noticed a crash after up to 6 s, and the crash of 20 after 15.7 s.
- */
-const RING_PROBES = 1
-
 /** Number of hosts to which urgent updates are sent at once, without waiting for the next probe. */
 const URGENT_FANOUT = 3
 
@@ -139,6 +133,7 @@
 export class Membership {
   readonly counters: MembershipCounters = { probes: 0, reportedProbes: 0, suspicions: 0, refutations: 0, deaths: 0 }
   readonly #random: () => number
+  readonly #ringProbes: number
   readonly #table = new MemberTable()
   readonly #updates = new GossipQueue()
   readonly #probeOrder: ProbeOrder
@@ -163,8 +158,11 @@
    * @param incarnation higher than that of earlier processes of the host, such as the wall-clock time of the start
    * @param random source of numbers in [0, 1)
    * @param now monotonic milliseconds
+   * @param ringProbes number of hosts that follow this one in a ring and are probed in each period, besides one at random.
+   * Random probes alone may miss a host for long: of 60 hosts, the last one noticed a crash after up to 6 s, and the crash of 20 after 15.7 s.
    */
-  constructor (self: Host, incarnation: number, random: () => number, now: number) {
+  constructor (self: Host, incarnation: number, random: () => number, now: number, ringProbes = 0) {
+    this.#ringProbes = ringProbes
     this.#random = random
     this.#self = { host: self, incarnation, state: HostState.Alive }
     this.#table.set({ record: this.#self })
@@ -275,7 +273,7 @@
 
   #probe (now: number): void {
     const hostId = this.#probeOrder.next(this.#liveOtherIds())
-    const followers = nextInRing(this.#self.host.id, this.#responsiveOtherIds(), RING_PROBES)
+    const followers = this.#ringProbes === 0 ? [] : nextInRing(this.#self.host.id, this.#responsiveOtherIds(), this.#ringProbes)
     for (const target of new Set([...followers, ...(hostId === undefined ? [] : [hostId])])) {
       if (!this.#pendingProbes.has(target)) this.#startProbe(target, now)
     }
