Estimates of texts in a class of their own; API that only tests used is removed

SampleGenerator held both the streams and the estimates of when texts end; the latter are now in TextEstimates. No behaviour changes.

Removed, with the lines of tests that asked for them: limitOf (limitInForce does the same), the implied time of limitedEndpoints (every caller passes one), factorOf and factor (the age of a pace shows as well whether anything is known), and the role "deciding" of groups, which no rule read.

Renamed: admitBody to setMaxBodyBytes, since it admits nothing; moveOffForbidden to leaveForbiddenEndpoints.

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -256,7 +256,7 @@
     const permit = createWorkPermit(permission, this.#workEvidence(), suspendAwareNow())
     this.#rewards.startRequests(permit)
     this.#generator.startSamples(permit)
-    this.#generator.moveOffForbidden()
+    this.#generator.leaveForbiddenEndpoints()
     if (this.#board.waiting.length === 0) this.#generator.moveSlowSample()
   }
 
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -1,18 +1,16 @@
 import { setMaxListeners } from 'node:events'
-import { awaitedSamples, ContinuationStep, continuationDeadline, countCompleteGroups, decideContinuation, domainsOfHomes, homesOfRollout, isInDomains, isMoveWorthwhile, placeSample, SampleEventKind, SampleText, SendUrgency, sortForSlots, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
+import { awaitedSamples, ContinuationStep, continuationDeadline, decideContinuation, domainsOfHomes, homesOfRollout, isInDomains, isMoveWorthwhile, placeSample, SampleEventKind, SampleText, SendUrgency, sortForSlots, TextCheck, textLimitOf, unreachable, WorkEnd } from '@cyclamenthread/state'
 import { monotonicNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { describeLimit } from './endpoint-notice-task.js'
 import { SendPermission } from './send-permit-task.js'
 import { readSampleStream, StreamEnd } from './sample-stream.js'
-import type { EndpointEntry, EndpointRecord, KnownText, MoveEstimate, OpenSample, RolloutOrder, RolloutSample, SampleBoard, StepProgress, WorkPermit } from '@cyclamenthread/state'
+import { DEFAULT_PACE_MS, TextEstimates } from './text-estimates.js'
+import type { EndpointEntry, EndpointRecord, KnownText, MoveEstimate, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
 import type { HeaderPair } from '@cyclamenthread/protocol'
 import type { LogFields } from './event-log.js'
 import type { RolloutContext } from './rollout-context.js'
 
-/** Assumed time between two events of a stream before any was measured, in milliseconds; derived from the engines' step times. */
-const DEFAULT_PACE_MS = 38
-
 /**
  * Minimum ratio between the event intervals of two endpoints for a sample to be
  * moved. It exceeds the differences between healthy endpoints, where a move costs
@@ -26,18 +24,6 @@
 /** Interval at which a straggler to move is sought, in milliseconds: a few events of a stream. */
 const MOVE_PERIOD_MS = 200
 
-/** Assumed time until the first event of a stream that goes on elsewhere, before any was measured, in milliseconds. */
-const DEFAULT_START_DELAY_MS = 100
-
-/** Weight of the newest time until a first event in their average. */
-const START_DELAY_SMOOTHING = 0.2
-
-/** Expected remainder of a text that is longer than expected, as a share of what there is. */
-const OVERLONG_SHARE = 0.3
-
-/** Least number of events that a running text is expected to need. */
-const MIN_UNITS_LEFT = 2
-
 /** Age of the endpoint table from which it is confirmed for a whole text that isn't listed before, in milliseconds. */
 const WHOLE_TEXT_REGISTRY_AGE_MS = 500
 
@@ -84,7 +70,7 @@
   readonly #order: RolloutOrder
   readonly #board: SampleBoard
   readonly #onEnd: () => void
-  readonly #carriedGroups: ReadonlySet<string>
+  readonly #estimates: TextEstimates
   readonly #running = new Map<string, RunningSample>()
   readonly #texts = new Map<string, SampleText>()
   /** Samples whose texts are whole and wait until the registry would show a restart of their endpoints. */
@@ -95,7 +81,6 @@
   /** Endpoints that samples leave; they go on elsewhere if there is room. */
   readonly #leftEndpoints = new Map<string, string>()
   #nextMoveAt = -Infinity
-  #startDelayMs = DEFAULT_START_DELAY_MS
   #passedAt = -Infinity
   /** Monotonic milliseconds before which no wait for an endpoint ends. */
   #waitsUntil = -Infinity
@@ -106,7 +91,14 @@
     this.#order = order
     this.#board = board
     this.#onEnd = onEnd
-    this.#carriedGroups = carriedGroups
+    this.#estimates = new TextEstimates({
+      context,
+      order,
+      board,
+      carriedGroups,
+      heldEvents: (sampleId) => this.#texts.get(sampleId)?.pieces.length ?? 0,
+      endpointOf: (sampleId) => this.#running.get(sampleId)?.record.entry
+    })
   }
 
   /** Texts of samples that aren't decided, by sample id. */
@@ -190,11 +182,11 @@
   /** Waiting samples in the order in which they get slots. */
   #waitingInOrder (now: number): RolloutSample[] {
     const { waiting } = this.#board
-    return waiting.length > 1 && this.#isPaced ? sortForSlots(this.#progress(now), waiting) : [...waiting]
+    return waiting.length > 1 && this.#isPaced ? sortForSlots(this.#estimates.progress(now), waiting) : [...waiting]
   }
 
   /** Ends streams at endpoints that may get nothing any more: outside the homes, or in an evacuated failure domain if there is room elsewhere. */
-  moveOffForbidden (): void {
+  leaveForbiddenEndpoints (): void {
     const { endpointTable } = this.#context.deployment
     const domains = this.#domains
     const isAnyEvacuated = endpointTable.evacuatedDomains.size > 0
@@ -227,7 +219,7 @@
       const candidate = softwareVersion === undefined ? undefined : this.#chooseEndpoint(sample, softwareVersion, limited)
       if (candidate === undefined || candidate.entry.id === record.entry.id) continue
       if (endpointTable.estimatedPace(record, typicalMs, now) < endpointTable.estimatedPace(candidate, typicalMs, now) * MIN_MOVE_SPEEDUP) continue
-      const estimate = this.#isPaced ? this.#estimateMove(sample, record, candidate, now) : undefined
+      const estimate = this.#isPaced ? this.#estimates.move(sample, record, candidate, now) : undefined
       if (estimate !== undefined && !isMoveWorthwhile(estimate)) continue
       this.#moved.add(sample.id)
       this.#leftEndpoints.set(sample.id, record.entry.id)
@@ -250,7 +242,7 @@
   /** Running samples in the order in which they are considered for a move: where endpoints state their pace, those that the trainer waits for, the last of the step first. */
   #stragglers (now: number): RunningSample[] {
     if (!this.#isPaced) return [...this.#running.values()]
-    return awaitedSamples(this.#progress(now)).flatMap(({ id }) => this.#running.get(id) ?? [])
+    return awaitedSamples(this.#estimates.progress(now)).flatMap(({ id }) => this.#running.get(id) ?? [])
   }
 
   /** Whether the endpoints of the rollout's service state their pace. */
@@ -258,18 +250,6 @@
     return this.#context.deployment.endpointTable.paces.isStated(this.#order.service)
   }
 
-  #estimateMove (sample: RolloutSample, from: EndpointRecord, to: EndpointRecord, now: number): MoveEstimate {
-    const { paces } = this.#context.deployment.endpointTable
-    const usualMs = paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
-    const units = this.#unitsLeft(sample)
-    return {
-      stayMs: paces.expectedMs(from.entry, units, usualMs, now),
-      elsewhereMs: paces.expectedMs(to.entry, units, usualMs, now),
-      // The event that the endpoint is working on is lost, half of it on average.
-      costMs: Math.max(0, this.#startDelayMs - usualMs) + usualMs / 2
-    }
-  }
-
   #describeMove ({ stayMs, elsewhereMs, costMs }: MoveEstimate, from: EndpointRecord, to: EndpointRecord, now: number): LogFields {
     const { paces } = this.#context.deployment.endpointTable
     return {
@@ -281,36 +261,6 @@
     }
   }
 
-  /** What is left of the step, by the pace of the endpoints at which its samples run. */
-  #progress (now: number): StepProgress {
-    const settled = new Set([...this.#board.listed, ...this.#board.settled])
-    const open: OpenSample[] = []
-    for (const sample of this.#order.samples) {
-      if (!settled.has(sample.id) && !this.#board.generated.has(sample.id)) open.push({ id: sample.id, group: sample.group, leftMs: this.#expectedMs(sample, now) })
-    }
-    return { open, completeGroups: countCompleteGroups(this.#order, settled), targetGroups: this.#order.targetGroups, carried: this.#carriedGroups }
-  }
-
-  /** Expected time until the text of a sample is whole, in milliseconds. */
-  #expectedMs (sample: RolloutSample, now: number): number {
-    const { paces } = this.#context.deployment.endpointTable
-    const running = this.#running.get(sample.id)
-    const units = this.#unitsLeft(sample)
-    if (running !== undefined) return paces.expectedMs(running.record.entry, units, DEFAULT_PACE_MS, now)
-    return this.#startDelayMs + units * paces.usualMs(this.#order.service, DEFAULT_PACE_MS, now)
-  }
-
-  get #tokensPerEvent (): number {
-    return this.#context.deployment.routeTable?.service(this.#order.service)?.tokensPerEvent ?? 1
-  }
-
-  /** Expected number of events that the text of a sample still needs. */
-  #unitsLeft (sample: RolloutSample): number {
-    const held = this.#texts.get(sample.id)?.pieces.length ?? 0
-    const expected = sample.expectedTokens / this.#tokensPerEvent
-    return Math.max(expected - held, held * OVERLONG_SHARE, MIN_UNITS_LEFT)
-  }
-
   /**
    * Chooses the endpoint at which a waiting sample starts or goes on; undefined if it has to wait.
    *
@@ -381,7 +331,7 @@
       warm: this.#warmEndpoints.get(sample.group) ?? new Set<string>(),
       excluded,
       domains: this.#domains,
-      units: this.#unitsLeft(sample)
+      units: this.#estimates.eventsLeft(sample)
     }
     return placeSample(deployment.endpointTable, demand, networkLocation, this.#typicalPaceMs(), monotonicNow())
   }
@@ -455,7 +405,7 @@
           return
         }
         endpointTable.paces.openUnit(entry, sample.id, now)
-        this.#startDelayMs += (now - sentAt - this.#startDelayMs) * START_DELAY_SMOOTHING
+        this.#estimates.recordStartDelay(now - sentAt)
       },
       onVersion: (version) => endpointTable.recordVersion(entry.id, order.model, version),
       onPace: (paceMs) => {
--- a/packages/cyclamenthread/src/lib/caller-server.ts
+++ b/packages/cyclamenthread/src/lib/caller-server.ts
@@ -262,7 +262,7 @@
   async #answerRequest (request: IncomingMessage, { receivedAt, abort, share, isClosed }: RequestState): Promise<CallerResponse | undefined> {
     const { maxBodyBytes } = this.#limits()
     const { budget } = this.#guard
-    budget.admitBody(maxBodyBytes)
+    budget.setMaxBodyBytes(maxBodyBytes)
     const headBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, request.url?.length ?? 0)
     if (!share.reserve(OPEN_REQUEST_BYTES + headBytes * HEAD_COPIES)) {
       request.resume()
--- a/packages/cyclamenthread/src/lib/clients/caller-connection.ts
+++ b/packages/cyclamenthread/src/lib/clients/caller-connection.ts
@@ -59,11 +59,6 @@
     })
   }
 
-  /** Whether it has had a request. */
-  get wasUsed (): boolean {
-    return this.#requests > 0
-  }
-
   /** Counts a request as open until the returned function is called; calls back if the connection closes before. */
   beginRequest (request: IncomingMessage, response: ServerResponse, onClose: () => void): void {
     this.#requests += 1
@@ -99,7 +94,7 @@
   isDisplaceable (now: number): boolean {
     if (this.#open.size > 0) return false
     const { headerTimeoutMs, idleTimeoutMs } = this.#limits()
-    return now - this.#idleSince >= (this.wasUsed ? idleTimeoutMs * REUSE_FRACTION : headerTimeoutMs)
+    return now - this.#idleSince >= (this.#requests > 0 ? idleTimeoutMs * REUSE_FRACTION : headerTimeoutMs)
   }
 
   /** Ends the connection if one of its deadlines has passed; returns which. */
--- a/packages/cyclamenthread/src/lib/clients/request-budget.ts
+++ b/packages/cyclamenthread/src/lib/clients/request-budget.ts
@@ -63,8 +63,8 @@
     return this.#used
   }
 
-  /** Makes room for a single body of a size, whatever the limit is. */
-  admitBody (maxBytes: number): void {
+  /** Sets the size of the largest body, for one of which there is always room, whatever the limit is. */
+  setMaxBodyBytes (maxBytes: number): void {
     this.#singleRequest = maxBytes + SINGLE_REQUEST_MARGIN_BYTES
   }
 
--- a/packages/cyclamenthread/src/lib/request-body.ts
+++ b/packages/cyclamenthread/src/lib/request-body.ts
@@ -32,7 +32,7 @@
 export async function readBody (request: IncomingMessage, maxBytes: number, admission?: BodyAdmission): Promise<Outcome<Buffer, Refusal>> {
   if (admission !== undefined) return await new BodyReading(request, maxBytes, admission).read()
   commonBudget ??= new RequestBudget(requestBytesLimit())
-  commonBudget.admitBody(maxBytes)
+  commonBudget.setMaxBodyBytes(maxBytes)
   const share = commonBudget.openShare()
   return await new BodyReading(request, maxBytes, { share, budget: commonBudget, deadline: Infinity }).read().finally(() => share.release())
 }
--- a/packages/cyclamenthread/src/test/request-budget.test.ts
+++ b/packages/cyclamenthread/src/test/request-budget.test.ts
@@ -16,7 +16,7 @@
 // Guards against a limit of memory below the declared size of a body.
 test('a single body of the declared size fits whatever the limit is, in any chunks', (t) => {
   const budget = new RequestBudget(100)
-  budget.admitBody(3_000_000)
+  budget.setMaxBodyBytes(3_000_000)
   const body = new BodyBuffer(budget.openShare(), undefined)
   for (let sent = 0; sent < 3_000_000; sent += 1_000) t.true(body.append(Buffer.alloc(1_000, sent / 1_000)))
   const joined = body.join()
--- a/packages/state/src/lib/endpoint-table.ts
+++ b/packages/state/src/lib/endpoint-table.ts
@@ -143,8 +143,6 @@
   readonly #typicalPaces = new Map<string, { readonly paceMs: number | undefined, readonly computedAt: number }>()
   #evacuatedDomains: ReadonlySet<string> = new Set()
   #coldBounds: ReadonlyMap<string, ColdBounds> = new Map()
-  /** Latest time that was passed in, in monotonic milliseconds. */
-  #seenAt = -Infinity
 
   /** Failure domains whose endpoints get nothing until the operator lifts the evacuation. */
   get evacuatedDomains (): ReadonlySet<string> {
@@ -199,7 +197,6 @@
 
   /** Endpoints of a service that may be given work now. */
   usableEndpoints (service: string, now: number): EndpointRecord[] {
-    this.#seenAt = Math.max(this.#seenAt, now)
     return this.endpointsOfService(service).filter((record) => isInService(record) && now >= record.suspendedUntil)
   }
 
@@ -309,17 +306,8 @@
     return true
   }
 
-  /** Returns the limit in force for an endpoint at a monotonic time in milliseconds; undefined if there is none. */
-  limitOf (record: EndpointRecord, now: number): EndpointLimit | undefined {
-    return limitInForce(record, now)
-  }
-
-  /**
-   * Endpoints that name a request limit or are cold, with the limit.
-   *
-   * @param now monotonic milliseconds; by default the latest time at which endpoints were looked for
-   */
-  limitedEndpoints (now = this.#seenAt): Array<readonly [record: EndpointRecord, limit: EndpointLimit]> {
+  /** Endpoints that name a request limit or are cold at a monotonic time in milliseconds, with the limit. */
+  limitedEndpoints (now: number): Array<readonly [record: EndpointRecord, limit: EndpointLimit]> {
     return [...this.#records.values()].flatMap((record): Array<readonly [EndpointRecord, EndpointLimit]> => {
       const limit = limitInForce(record, now)
       return limit === undefined ? [] : [[record, limit]]
@@ -362,7 +350,6 @@
    * preferred when something slows all endpoints, such as a busy local host.
    */
   typicalPace (service: string, fallbackMs: number, now: number): number {
-    this.#seenAt = Math.max(this.#seenAt, now)
     const known = this.#typicalPaces.get(service)
     if (known !== undefined && known.paceMs !== undefined && now - known.computedAt < TYPICAL_PACE_TTL_MS) return known.paceMs
     const paces = this.endpointsOfService(service)
--- a/packages/state/src/lib/pace/endpoint-pace.ts
+++ b/packages/state/src/lib/pace/endpoint-pace.ts
@@ -43,11 +43,6 @@
   #mean = 1
   #observedMs = 0
 
-  /** Factor that was observed last; undefined before the first observation. */
-  get factor (): number | undefined {
-    return this.#observedAt === -Infinity ? undefined : this.#factor
-  }
-
   /** Monotonic milliseconds of the last observation; -Infinity before the first. */
   get observedAt (): number {
     return this.#observedAt
--- a/packages/state/src/lib/pace/pace-board.ts
+++ b/packages/state/src/lib/pace/pace-board.ts
@@ -107,11 +107,6 @@
     return now - (this.#find(entry)?.pace.observedAt ?? -Infinity)
   }
 
-  /** The last known pace of an endpoint relative to the usual one; undefined if nothing is known. */
-  factorOf (entry: EndpointEntry): number | undefined {
-    return this.#find(entry)?.pace.factor
-  }
-
   /**
    * Expected time until an endpoint has done a number of units from now on, in milliseconds.
    *
--- a/packages/state/src/lib/steps/step-schedule.ts
+++ b/packages/state/src/lib/steps/step-schedule.ts
@@ -1,6 +1,3 @@
-/** Time before the end of a step within which a group decides when the step ends, in milliseconds. */
-const DECIDING_MS = 800
-
 /** A sample of a step that has no result yet. */
 export interface OpenSample {
   readonly id: string
@@ -20,27 +17,17 @@
   readonly carried: ReadonlySet<string>
 }
 
-/** The part of a group in the end of its step. */
-export enum GroupRole {
-  /** The trainer waits for it, and it is among the last. */
-  Deciding = 'deciding',
-  /** The trainer waits for it. */
-  Awaited = 'awaited',
-  /** The trainer is expected to go on without it. */
-  Spare = 'spare'
-}
-
 /** An open group of a step. */
 export interface GroupOutlook {
   readonly group: string
-  readonly role: GroupRole
+  /** Whether the trainer waits for it; it is expected to go on without the others. */
+  readonly isAwaited: boolean
   /** Expected time until all its texts are whole, in milliseconds. */
   readonly leftMs: number
 }
 
 /**
- * Tells for each open group of a step whether its trainer waits for it and whether it decides when
- * the step ends. Answers the load of long texts: a few of them decide each step, and the groups
+ * Tells for each open group of a step whether its trainer waits for it. Answers the load of long texts: a few of them decide each step, and the groups
  * with the longest of all are those that the trainer doesn't wait for.
  *
  * Groups that came again are awaited first; the others in the order in which they are expected
@@ -53,12 +40,7 @@
   const leftOfGroups = new Map<string, number>()
   for (const { group, leftMs } of open) leftOfGroups.set(group, Math.max(leftOfGroups.get(group) ?? 0, leftMs))
   const ranked = [...leftOfGroups].sort(([a, aLeft], [b, bLeft]) => Number(carried.has(b)) - Number(carried.has(a)) || aLeft - bLeft)
-  const awaited = ranked.slice(0, Math.max(0, targetGroups - completeGroups))
-  const stepLeftMs = Math.max(0, ...awaited.map(([, leftMs]) => leftMs))
-  return ranked.map(([group, leftMs], index) => {
-    if (index >= awaited.length) return { group, role: GroupRole.Spare, leftMs }
-    return { group, role: leftMs >= stepLeftMs - DECIDING_MS ? GroupRole.Deciding : GroupRole.Awaited, leftMs }
-  })
+  return ranked.map(([group, leftMs], index) => ({ group, isAwaited: index < targetGroups - completeGroups, leftMs }))
 }
 
 /**
@@ -68,7 +50,7 @@
  * awaitedSamples(progress)[0]
  */
 export function awaitedSamples (progress: StepProgress): OpenSample[] {
-  const awaited = new Set(outlookOf(progress).flatMap(({ group, role }) => role === GroupRole.Spare ? [] : [group]))
+  const awaited = new Set(outlookOf(progress).flatMap(({ group, isAwaited }) => isAwaited ? [group] : []))
   return progress.open.filter(({ group }) => awaited.has(group)).sort((a, b) => b.leftMs - a.leftMs)
 }
 
@@ -80,7 +62,7 @@
  * sortForSlots(progress, waiting)[0]
  */
 export function sortForSlots<Sample extends { readonly id: string, readonly group: string }> (progress: StepProgress, waiting: readonly Sample[]): Sample[] {
-  const spare = new Set(outlookOf(progress).flatMap(({ group, role }) => role === GroupRole.Spare ? [group] : []))
+  const spare = new Set(outlookOf(progress).flatMap(({ group, isAwaited }) => isAwaited ? [] : [group]))
   const leftMs = new Map(progress.open.map((sample) => [sample.id, sample.leftMs]))
   return [...waiting].sort((a, b) => Number(spare.has(a.group)) - Number(spare.has(b.group)) || (leftMs.get(b.id) ?? 0) - (leftMs.get(a.id) ?? 0))
 }
--- a/packages/state/src/test/endpoint-table.test.ts
+++ b/packages/state/src/test/endpoint-table.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { EndpointTable, EndpointPhase, WorkEnd } from '@cyclamenthread/state'
+import { EndpointTable, EndpointPhase, limitInForce, WorkEnd } from '@cyclamenthread/state'
 import { endpointEntry } from '@cyclamenthread/state/testing'
 
 test('an endpoint that is draining or no longer registered gets no work', (t) => {
@@ -173,8 +173,6 @@
   table.recordNotice('b', 1, { requestsPerSecond: undefined, sentAt: 9_000, receivedAt: 9_100 })
   t.is(coldAt(11_000), 'b')
   t.is(coldAt(19_100), '')
-  table.usableEndpoints('models', 200)
-  t.deepEqual(table.limitedEndpoints().map(([{ entry }]) => entry.id), ['a', 'b', 'c', 'd'], 'by default, the latest time at which endpoints were looked for counts')
 })
 
 // Guards against a smaller limit that the endpoint names and that is forgotten while it is cold, or the other way round.
@@ -184,17 +182,17 @@
   table.update([endpointEntry('a', { cold: { asOf: 0, until: 4_000 } })])
   const record = table.find('a')
   if (record === undefined) throw new Error('the table has no endpoint')
-  const coldRate = table.limitOf(record, 100)?.requestsPerSecond ?? 0
+  const coldRate = limitInForce(record, 100)?.requestsPerSecond ?? 0
   t.true(coldRate > 0 && coldRate <= 8)
   table.recordNotice('a', 1, { requestsPerSecond: 2, sentAt: 100, receivedAt: 110 })
-  t.like(table.limitOf(record, 200), { requestsPerSecond: 2, namedAt: 110 })
-  t.not(table.limitOf(record, 200)?.cold, undefined)
+  t.like(limitInForce(record, 200), { requestsPerSecond: 2, namedAt: 110 })
+  t.not(limitInForce(record, 200)?.cold, undefined)
   table.recordNotice('a', 1, { requestsPerSecond: 100, sentAt: 200, receivedAt: 210 })
-  t.is(table.limitOf(record, 300)?.requestsPerSecond, coldRate)
+  t.is(limitInForce(record, 300)?.requestsPerSecond, coldRate)
   table.recordNotice('a', 1, { requestsPerSecond: undefined, sentAt: 300, receivedAt: 310 })
-  t.is(table.limitOf(record, 400)?.requestsPerSecond, coldRate, 'an answer without a limit does not make it warm')
-  t.is(table.limitOf(record, 4_000), undefined)
+  t.is(limitInForce(record, 400)?.requestsPerSecond, coldRate, 'an answer without a limit does not make it warm')
+  t.is(limitInForce(record, 4_000), undefined)
   table.update([endpointEntry('a', { bornAt: 2, cold: { asOf: 5_000, until: 9_000 } })])
   const next = table.find('a')
-  t.is(next && table.limitOf(next, 5_000)?.cold?.until, 9_000)
+  t.is(next && limitInForce(next, 5_000)?.cold?.until, 9_000)
 })
--- a/packages/state/src/test/pace/endpoint-pace.test.ts
+++ b/packages/state/src/test/pace/endpoint-pace.test.ts
@@ -37,7 +37,7 @@
 test('what isn\'t a pace is ignored', (t) => {
   const pace = new EndpointPace()
   for (const factor of [0, -1, Number.NaN, Infinity]) pace.observe(factor, 10, 10)
-  t.is(pace.factor, undefined)
+  t.is(pace.observedAt, -Infinity)
 })
 
 // Guards against long texts that follow chance: within some seconds, the means of endpoints whose pace changes each 600 ms differ by a fifth.
@@ -74,9 +74,9 @@
   t.true(board.isStated('models'))
   t.false(board.isStated('desk'))
   t.is(Math.round(board.usualMs('models', 10, 4_800)), USUAL_MS)
-  t.is(board.factorOf({ ...first ?? endpointEntry('a'), bornAt: 2 }), undefined)
+  t.is(board.ageMs({ ...first ?? endpointEntry('a'), bornAt: 2 }, 4_800), Infinity)
   board.retain(new Set(['bb']))
-  t.is(board.factorOf(first ?? endpointEntry('a')), undefined)
+  t.is(board.ageMs(first ?? endpointEntry('a'), 4_800), Infinity)
 })
 
 // Guards against a long text that stays at a degraded machine although another one has room, and against texts that follow a pace which changes within 600 ms.
--- a/packages/state/src/test/steps/step-schedule.test.ts
+++ b/packages/state/src/test/steps/step-schedule.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { awaitedSamples, GroupRole, outlookOf, sortForSlots } from '@cyclamenthread/state'
+import { awaitedSamples, outlookOf, sortForSlots } from '@cyclamenthread/state'
 import type { OpenSample, StepProgress } from '@cyclamenthread/state'
 
 function sample (group: string, leftMs: number): OpenSample {
@@ -13,13 +13,13 @@
 // Guards against slots for the longest text of all, whose group the trainer doesn't wait for.
 test('the groups that are expected to be complete last are spare, as far as the trainer doesn\'t wait for them', (t) => {
   const open = [sample('a', 7_000), sample('a', 300), sample('b', 2_000), sample('c', 9_000)]
-  t.deepEqual(outlookOf(progress(open, 2)).map(({ group, role }) => [group, role]), [['b', GroupRole.Awaited], ['a', GroupRole.Deciding], ['c', GroupRole.Spare]])
+  t.deepEqual(outlookOf(progress(open, 2)).map(({ group, isAwaited }) => [group, isAwaited]), [['b', true], ['a', true], ['c', false]])
   t.deepEqual(awaitedSamples(progress(open, 2)).map(({ id }) => id), ['a/7000', 'b/2000', 'a/300'])
 })
 
 test('groups that are complete count, and none is awaited beyond the target', (t) => {
   const open = [sample('a', 7_000), sample('b', 2_000)]
-  t.deepEqual(outlookOf(progress(open, 3, { completeGroups: 2 })).map(({ role }) => role), [GroupRole.Deciding, GroupRole.Spare])
+  t.deepEqual(outlookOf(progress(open, 3, { completeGroups: 2 })).map(({ isAwaited }) => isAwaited), [true, false])
   t.deepEqual(awaitedSamples(progress(open, 3, { completeGroups: 3 })), [])
 })
 
@@ -27,7 +27,7 @@
 test('groups that came again are awaited, however long they take', (t) => {
   const open = [sample('a', 1_000), sample('b', 2_000), sample('c', 9_000)]
   const outlook = outlookOf(progress(open, 2, { carried: new Set(['c']) }))
-  t.deepEqual(outlook.map(({ group, role }) => [group, role]), [['c', GroupRole.Deciding], ['a', GroupRole.Awaited], ['b', GroupRole.Spare]])
+  t.deepEqual(outlook.map(({ group, isAwaited }) => [group, isAwaited]), [['c', true], ['a', true], ['b', false]])
 })
 
 // Guards against slots for groups that the trainer doesn't wait for while there are fewer slots than samples (the load of a large step).
