--- a/review/lib-2/host.js
+++ b/review/lib-2/host.js
@@ -26,6 +26,8 @@
   end
   /** Called with each event of its log. */
   onEvent = () => {}
+  /** Called with the exit code or signal of a process that ends. */
+  onEnd = () => {}
   #settingsPath
   #logPath
   #child
@@ -82,6 +84,7 @@
     this.#child = child
     child.once('exit', (code, signal) => {
       if (this.#child === child) this.end = signal ?? code
+      this.onEnd(signal ?? code)
     })
     for (const stream of [child.stdout, child.stderr]) createInterface({ input: stream }).on('line', (line) => this.#readLine(line))
   }
