--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -4,6 +4,7 @@
 import { join } from 'node:path'
 import { Engine } from './engine.js'
 import { Host } from './host.js'
+import { Link } from './link.js'
 import { Store } from './store.js'
 import { until } from './time.js'
 
@@ -15,11 +16,17 @@
 const ZONES = { 'leith-walk': 'lothian', grassmarket: 'lothian', castlegate: 'grampian' }
 const ZONE_NAMES = Object.keys(ZONES)
 
+/** Region of the store, and the time of a way to it from the other region, in milliseconds. */
+const STORE_REGION = 'lothian'
+const REGION_MS = 12
+
 /** A small deployment on loopback addresses: a store, the platform's API, engines and entry hosts. */
 export class Deployment {
   store = new Store()
   hosts = []
   engines = []
+  /** The links of the hosts to the store, in the order of the hosts. */
+  links = []
   /** Calls that the platform's API got, in order. */
   calls = []
   folder = mkdtempSync(join(tmpdir(), 'review-'))
@@ -46,16 +53,26 @@
     return `${this.#prefix}.${number}`
   }
 
-  async start ({ hosts, desks = 2, models = 4, workMs, memoryMb, config = (declared) => declared }) {
+  /**
+   * @param hosts number of entry hosts
+   * @param desks number of engines of the plain service
+   * @param others number of engines of a second plain service
+   * @param models number of engines of the model service
+   */
+  async start ({ hosts, desks = 2, others = 0, models = 4, workMs, memoryMb, config = (declared) => declared }) {
     await this.store.listen(this.ip(250))
     await new Promise((resolve) => this.#cloud.listen(0, this.ip(251), resolve))
     this.store.put('config', 'main', config(declaration()))
     for (let index = 0; index < desks; index += 1) await this.#addEngine({ id: `i-desk${index}`, service: 'desk', zone: ZONE_NAMES[index % 3], slots: 6, ...(workMs?.desk === undefined ? {} : { workMs: workMs.desk }) }, 100 + index)
+    for (let index = 0; index < others; index += 1) await this.#addEngine({ id: `i-other${index}`, service: 'other', zone: ZONE_NAMES[index % 3], slots: 6 }, 140 + index)
     for (let index = 0; index < models; index += 1) await this.#addEngine({ id: `i-model${index}`, service: 'models', zone: ZONE_NAMES[index % 3], slots: 12, models: ['m0'], ...(workMs?.models === undefined ? {} : { workMs: workMs.models }) }, 120 + index)
     const cloud = `${this.ip(251)}:${this.#cloud.address().port}`
     for (let index = 0; index < hosts; index += 1) {
       const zone = ZONE_NAMES[index % 3]
-      const host = new Host({ id: `edge-${index}`, ip: this.ip(1 + index), zone, region: ZONES[zone], zones: ZONES }, { store: this.store.address, cloud, folder: this.folder, memoryMb })
+      const link = new Link(this.store.address, ZONES[zone] === STORE_REGION ? 0 : REGION_MS)
+      await link.listen(this.ip(200 + index))
+      this.links.push(link)
+      const host = new Host({ id: `edge-${index}`, ip: this.ip(1 + index), zone, region: ZONES[zone], zones: ZONES }, { store: link.address, cloud, folder: this.folder, memoryMb })
       this.hosts.push(host)
       host.start()
     }
@@ -76,6 +93,7 @@
   async stop () {
     await Promise.all(this.hosts.map(async (host) => await host.stop()))
     for (const engine of this.engines) engine.close()
+    for (const link of this.links) link.close()
     this.store.close()
     this.#cloud.closeAllConnections()
     this.#cloud.close()
@@ -93,6 +111,7 @@
     ],
     services: [
       { name: 'desk', healthPath: '/healthz', maxConns: 110, protocol: 'h1', tls: false },
+      { name: 'other', healthPath: '/healthz', maxConns: 110, protocol: 'h1', tls: false },
       { name: 'models', healthPath: '/healthz', maxConns: 160, protocol: 'h1', tls: false, engine: { slots: 12, kvCapacity: 85_643, models: [{ name: 'm0' }] } }
     ],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 33_554_432, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
--- a/review/lib-2/store.js
+++ b/review/lib-2/store.js
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http'
 import { sleep } from './time.js'
 
-/** Number of changes that are kept for watches. */
-const MAX_HISTORY = 5_000
+/** Time for which changes are kept for watches, in milliseconds. */
+const HISTORY_MS = 20_000
 
 /** Time in which the store answers a call, in milliseconds. */
 const ANSWER_MS = 4
@@ -23,6 +23,8 @@
   #objects = new Map()
   #history = []
   #revision = 1
+  /** Revision up to which changes are no longer kept. */
+  #forgotten = 0
   #waiting = new Set()
 
   constructor () {
@@ -117,15 +119,18 @@
   }
 
   #announce (change) {
-    this.#history.push(change)
-    if (this.#history.length > MAX_HISTORY) this.#history.shift()
+    this.#history.push({ ...change, at: performance.now() })
     for (const wake of [...this.#waiting]) wake()
   }
 
+  #forget () {
+    while (this.#history[0] !== undefined && this.#history[0].at < performance.now() - HISTORY_MS) this.#forgotten = this.#history.shift().object.revision
+  }
+
   async #watch (kind, after, waitMs) {
     const events = () => this.#history.filter(({ object }) => object.kind === kind && object.revision > after)
     const deadline = performance.now() + waitMs
-    while (events().length === 0 && performance.now() < deadline) {
+    while (after >= this.#forgotten && events().length === 0 && performance.now() < deadline) {
       await new Promise((resolve) => {
         const done = () => {
           clearTimeout(timer)
@@ -136,6 +141,8 @@
         this.#waiting.add(done)
       })
     }
+    this.#forget()
+    if (after < this.#forgotten) return { status: 410 }
     return { status: 200, body: { events: events().map(({ object, deleted }) => ({ object: wireObject(object), deleted })), at: this.#revision } }
   }
 }
