--- a/review/8/case.js
+++ b/review/8/case.js
@@ -5,12 +5,16 @@
 import { DESK, OTHER_KEY } from '../lib-2/deployment.js'
 import { sleep } from '../lib-2/time.js'
 
-/** Routes that are declared beside the two in use, so that the configuration is nearly as large as a value of the store may be. */
-const IDLE_ROUTES = 5_800
+/** Routes that are declared beside the two in use: the configuration is two thirds as large as a value of the store may be. */
+const IDLE_ROUTES = 4_000
 
-/** Time for which one host is partitioned from the store, and versions that the operator writes meanwhile. */
-const CUT_MS = 5_500
-const VERSIONS = 5
+/** Versions that the operator writes in quick succession, and the time between two, in milliseconds. */
+const VERSIONS = 25
+const GAP_MS = 60
+
+/** Time for which the store is slow, and in which it answers then, in milliseconds. */
+const SLOW_MS = 3_100
+const SLOW_ANSWER_MS = 396
 
 /** Bounds of the deployment, in milliseconds. */
 const CONTACT_MS = 4_000
@@ -31,7 +35,7 @@
 }
 
 await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async ({ deployment, record, isTroubled }) => {
-  const { store, hosts, links } = deployment
+  const { store, hosts } = deployment
   await deployment.start({ hosts: 3, desks: 3, others: 3, models: 0, config: withIdleRoutes })
   const write = (declared, text) => {
     store.put('config', 'main', declared)
@@ -39,18 +43,21 @@
   }
   await sleep(6_000)
 
+  const answerMs = store.answerMs
   if (isTroubled) {
-    links[0].cut()
-    record.add(`${hosts[0].id} is partitioned from the store`)
+    store.answerMs = SLOW_ANSWER_MS
+    record.add(`the store answers in ${SLOW_ANSWER_MS} ms`)
   }
+  const slowUntil = performance.now() + SLOW_MS
+  await sleep(300)
   for (let count = 0; count < VERSIONS; count += 1) {
-    await sleep(CUT_MS / (VERSIONS + 1))
     write(nextVersion(store.find('config', 'main')), 'another time-out of an idle route')
+    await sleep(GAP_MS)
   }
-  await sleep(CUT_MS / (VERSIONS + 1))
+  await sleep(Math.max(0, slowUntil - performance.now()))
   if (isTroubled) {
-    links[0].heal()
-    record.add(`${hosts[0].id} reaches the store again`)
+    store.answerMs = answerMs
+    record.add(`the store answers in ${answerMs} ms again`)
   }
   await sleep(CONTACT_MS + 500)
 
@@ -70,7 +77,7 @@
   }
   const faults = []
   for (const host of hosts) {
-    const ranAt = (service) => deployment.runs(service).filter(({ id }) => sentTo.get(id) === host).length
+    const ranAt = (service) => new Set(deployment.runs(service).map(({ id }) => id).filter((id) => sentTo.get(id) === host)).size
     record.add(`${host.id}: of ${REQUESTS} requests, engines of service desk ran ${ranAt('desk')}, those of service other ${ranAt('other')}`)
     if (ranAt('desk') > 0) faults.push(`${host.id} had ${ranAt('desk')} of ${REQUESTS} requests run by the service of an older version`)
   }
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# A host that missed a few versions of a large configuration applies no later one.
+# Hosts that get several versions of a large configuration in one answer of the store apply no later one.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 exec node review/8/case.js
--- a/review/lib-2/store.js
+++ b/review/lib-2/store.js
@@ -80,7 +80,7 @@
     const answer = call.isWatch
       ? await this.#watch(kind, Number(url.searchParams.get('watch')), Number(url.searchParams.get('waitMs') ?? 0))
       : this.#apply(call, { part, isNamed: encoded !== '', size: Buffer.byteLength(text), url })
-    if (!call.isWatch) await sleep(this.answerMs)
+    await sleep(this.answerMs)
     response.writeHead(answer.status, { 'content-type': 'application/json' }).end(answer.body === undefined ? '' : JSON.stringify(answer.body))
   }
 
