--- a/review/8/case.js
+++ b/review/8/case.js
@@ -2,84 +2,99 @@
 import { fileURLToPath } from 'node:url'
 import { runCase } from '../lib-2/case.js'
 import { send } from '../lib-2/client.js'
-import { DESK, OTHER_KEY } from '../lib-2/deployment.js'
+import { DRAFTS, KEY } from '../lib-2/deployment.js'
 import { sleep } from '../lib-2/time.js'
 
-/** Routes that are declared beside the two in use: the configuration is two thirds as large as a value of the store may be. */
-const IDLE_ROUTES = 4_000
+/** Time for which clients wait for the answer to a call without a wait, in milliseconds. */
+const PATIENCE_MS = 1_500
 
-/** Versions that the operator writes in quick succession, and the time between two, in milliseconds. */
-const VERSIONS = 25
-const GAP_MS = 60
+/** Clients that resend the end of a batch, and the mean pause of each between two calls, in milliseconds. */
+const CLIENTS = 16
+const PAUSE_MS = 100
 
-/** Time for which the store is slow, and in which it answers then, in milliseconds. */
-const SLOW_MS = 3_100
-const SLOW_ANSWER_MS = 396
+/** Bound of the rule, in milliseconds. */
+const LOSS_SLACK_MS = 200
 
-/** Bounds of the deployment, in milliseconds. */
-const CONTACT_MS = 4_000
-const CONFIG_MS = 2_500
+/** Items of a batch. */
+const ITEMS = 40
 
-/** Requests to each host once the last version is in force, and the pause between two, in milliseconds. */
-const REQUESTS = 40
-const PAUSE_MS = 50
-
-function withIdleRoutes (declared) {
-  const idle = Array.from({ length: IDLE_ROUTES }, (_, index) => ({ name: `r-${index.toString(36)}`, host: DESK.host, pathPrefix: `/idle${index.toString(36)}/`, type: 'idempotent', timeoutMs: 2_000, goalMs: 236, priority: 2, service: 'desk', maxAttempts: 2, public: false }))
-  return { ...declared, routes: [...declared.routes, ...idle] }
+/** Number of events of an item: its text ends between 0.3 and 2.7 s after its start. */
+function eventCountOf (id) {
+  return 5 + Number.parseInt(id.slice(0, 4), 16) % 40
 }
 
-/** The declaration with another time-out of an idle route. */
-function nextVersion (declared) {
-  return { ...declared, version: declared.version + 3, routes: declared.routes.map((route) => route.name === 'r-0' ? { ...route, timeoutMs: route.timeoutMs + 10 } : route) }
+function batch () {
+  const items = Array.from({ length: ITEMS }, (_, index) => ({
+    id: randomBytes(8).toString('hex'),
+    path: '/drafts/3/91c4',
+    headers: { 'X-Cyclamenthread-Model': 'm0', 'X-Cyclamenthread-Token-Usage': '540,400' },
+    body: randomBytes(60).toString('base64'),
+    tokenCount: 940,
+    groupId: `g${index >> 2}`
+  }))
+  return JSON.stringify({ step: 0, model: 'm0', minVersion: 1, targetGroups: ITEMS / 4, items })
 }
 
 await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async ({ deployment, record, isTroubled }) => {
-  const { store, hosts } = deployment
-  await deployment.start({ hosts: 3, desks: 3, others: 3, models: 0, config: withIdleRoutes })
-  const write = (declared, text) => {
-    store.put('config', 'main', declared)
-    record.add(`the operator writes version ${declared.version} of ${JSON.stringify(declared).length} bytes: ${text}`)
-  }
-  await sleep(6_000)
+  const { store, engines } = deployment
+  await deployment.start({ hosts: 5, models: 4, workMs: { models: 60 } })
+  for (const engine of engines) engine.eventCount = eventCountOf
+  // The only host of its region, so it owns the batch that it accepts.
+  const host = deployment.hosts.find(({ place }) => place.region === 'grampian')
+  const headers = { 'X-Cyclamenthread-Credential': KEY }
+  await sleep(4_000)
 
-  const answerMs = store.answerMs
-  if (isTroubled) {
-    store.answerMs = SLOW_ANSWER_MS
-    record.add(`the store answers in ${SLOW_ANSWER_MS} ms`)
-  }
-  const slowUntil = performance.now() + SLOW_MS
-  await sleep(300)
-  for (let count = 0; count < VERSIONS; count += 1) {
-    write(nextVersion(store.find('config', 'main')), 'another time-out of an idle route')
-    await sleep(GAP_MS)
-  }
-  await sleep(Math.max(0, slowUntil - performance.now()))
-  if (isTroubled) {
-    store.answerMs = answerMs
-    record.add(`the store answers in ${answerMs} ms again`)
+  const submit = async () => {
+    const id = randomBytes(8).toString('hex')
+    const accepted = await send({ address: host.front, method: 'POST', path: `${DRAFTS.prefix}7c41e0`, host: DRAFTS.host, headers: { ...headers, 'X-Cyclamenthread-Attempt-Id': id, 'Content-Type': 'application/json' }, body: batch(), timeoutMs: 4_000 })
+    if (accepted.status !== 202) throw new Error(`the batch was not accepted: ${accepted.status ?? accepted.failure}`)
+    record.add(`${host.id} accepted batch ${id}`)
+    return id
   }
-  await sleep(CONTACT_MS + 500)
+  const end = async (id) => await send({ address: host.front, method: 'DELETE', path: `/-/lots/${id}`, host: DRAFTS.host, headers, timeoutMs: PATIENCE_MS })
 
-  const before = store.find('config', 'main')
-  write({ ...before, version: before.version + 3, routes: before.routes.map((route) => route.name === 'desk' ? { ...route, service: 'other' } : route) }, 'route desk moves from service desk to service other')
-  await sleep(CONFIG_MS + 200)
-
-  const sentTo = new Map()
-  for (let count = 0; count < REQUESTS; count += 1) {
-    for (const host of hosts) {
-      const id = randomBytes(8).toString('hex')
-      sentTo.set(id, host)
-      const answer = await send({ address: host.front, path: `${DESK.prefix}pitch/4`, host: DESK.host, headers: { 'X-Cyclamenthread-Credential': OTHER_KEY, 'X-Cyclamenthread-Attempt-Id': id, 'X-Cyclamenthread-Deadline-Ms': '2000' }, timeoutMs: 2_000 })
-      if (answer.status !== 200) record.add(`${host.id} answered ${id} with ${answer.status ?? answer.failure}`)
+  const earlier = await submit()
+  await sleep(1_000)
+  record.add(`batch ${earlier} is ended: ${(await end(earlier)).status}`)
+  await submit()
+  const progress = { isOver: false }
+  const calls = []
+  const resend = async () => {
+    while (!progress.isOver) {
+      const call = { sentAt: record.elapsedMs }
+      calls.push(call)
+      call.answer = await end(earlier)
+      await sleep(PAUSE_MS * (0.5 + Math.random()))
     }
-    await sleep(PAUSE_MS)
   }
-  const faults = []
-  for (const host of hosts) {
-    const ranAt = (service) => new Set(deployment.runs(service).map(({ id }) => id).filter((id) => sentTo.get(id) === host)).size
-    record.add(`${host.id}: of ${REQUESTS} requests, engines of service desk ran ${ranAt('desk')}, those of service other ${ranAt('other')}`)
-    if (ranAt('desk') > 0) faults.push(`${host.id} had ${ranAt('desk')} of ${REQUESTS} requests run by the service of an older version`)
+  const resending = Promise.all(Array.from({ length: CLIENTS }, resend))
+  await sleep(1_200)
+
+  // The host is stopped while it lists results: one write in five or so is under way at any time.
+  const stoppedAt = await new Promise((resolve) => {
+    store.intercept = ({ method, kind, body }) => {
+      if (method !== 'POST' || !kind.endsWith('rollout-log') || body.spec.results.length === 0) return
+      store.intercept = () => undefined
+      if (isTroubled) host.signal('SIGTERM')
+      resolve(record.elapsedMs)
+    }
+  })
+  if (isTroubled) record.add(`SIGTERM of ${host.id}`)
+  const checks = []
+  while (record.elapsedMs < stoppedAt + 3_000) {
+    const askedAt = record.elapsedMs
+    const answer = await send({ address: `${host.ip}:8406`, path: '/-/readyz', host: 'ready', timeoutMs: 5_000 })
+    checks.push({ askedAt, tookMs: answer.tookMs })
+    await sleep(50)
   }
-  return faults.length === 0 ? undefined : faults.join('; ')
+  progress.isOver = true
+  await resending
+  const slowest = checks.reduce((slow, check) => check.tookMs > slow.tookMs ? check : slow)
+  record.add(`the slowest readiness check after that was sent at ${slowest.askedAt} ms and answered after ${slowest.tookMs} ms`)
+
+  // Calls that had come before the SIGTERM: what is sent later may not have been read.
+  const judged = calls.filter(({ sentAt, answer }) => sentAt < stoppedAt - 5 && sentAt + answer.tookMs > stoppedAt)
+  for (const { sentAt, answer } of judged) record.add(`the end resent at ${sentAt} ms: ${answer.status ?? answer.failure} after ${answer.tookMs} ms`)
+  const lost = judged.filter(({ answer }) => answer.status === undefined && answer.tookMs > LOSS_SLACK_MS)
+  return lost.length === 0 ? undefined : `${lost.length} of ${judged.length} calls that ${host.id} had when its SIGTERM came ended without an answer; for ${slowest.tookMs} ms it answered nothing`
 })
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Hosts that get several versions of a large configuration in one answer of the store apply no later one.
+# A host that is stopped while it lists results hangs until its time for the hand-over is up.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 exec node review/8/case.js
