--- a/review/lib-2/deployment.js
+++ b/review/lib-2/deployment.js
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
+import { CutLink } from './cut-link.js'
 import { Engine } from './engine.js'
 import { Host } from './host.js'
 import { Link } from './link.js'
@@ -27,6 +28,8 @@
   engines = []
   /** The links of the hosts to the store, in the order of the hosts. */
   links = []
+  /** Their links to the platform's API. */
+  cloudLinks = []
   /** Calls that the platform's API got, in order. */
   calls = []
   folder = mkdtempSync(join(tmpdir(), 'review-'))
@@ -72,7 +75,10 @@
       const link = new Link(this.store.address, ZONES[zone] === STORE_REGION ? 0 : REGION_MS)
       await link.listen(this.ip(200 + index))
       this.links.push(link)
-      const host = new Host({ id: `edge-${index}`, ip: this.ip(1 + index), zone, region: ZONES[zone], zones: ZONES }, { store: link.address, cloud, folder: this.folder, memoryMb })
+      const cloudLink = new CutLink(cloud)
+      await cloudLink.listen(this.ip(220 + index))
+      this.cloudLinks.push(cloudLink)
+      const host = new Host({ id: `edge-${index}`, ip: this.ip(1 + index), zone, region: ZONES[zone], zones: ZONES }, { store: link.address, cloud: cloudLink.address, folder: this.folder, memoryMb })
       this.hosts.push(host)
       host.start()
     }
@@ -93,7 +99,7 @@
   async stop () {
     await Promise.all(this.hosts.map(async (host) => await host.stop()))
     for (const engine of this.engines) engine.close()
-    for (const link of this.links) link.close()
+    for (const link of [...this.links, ...this.cloudLinks]) link.close()
     this.store.close()
     this.#cloud.closeAllConnections()
     this.#cloud.close()
