--- a/review/8/case.js
+++ b/review/8/case.js
@@ -35,7 +35,10 @@
   return JSON.stringify({ step: 0, model: 'm0', minVersion: 1, targetGroups: ITEMS / 4, items })
 }
 
-await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), async ({ deployment, record, isTroubled }) => {
+/** With TROUBLE=0 the case does the same without the disruption. */
+const isTroubled = process.env.TROUBLE !== '0'
+
+await runCase(fileURLToPath(new URL('record.txt', import.meta.url)), isTroubled, async ({ deployment, record }) => {
   const { store, engines } = deployment
   await deployment.start({ hosts: 5, models: 4, workMs: { models: 60 } })
   for (const engine of engines) engine.eventCount = eventCountOf
--- a/review/lib-2/case.js
+++ b/review/lib-2/case.js
@@ -13,12 +13,12 @@
  * Runs a case and exits with its result.
  *
  * @param path file for what was sent, answered and run
- * @param play gets the deployment, the record, and whether the disruption takes place; returns what broke the rule, or undefined
+ * @param isTroubled whether the disruption takes place
+ * @param play gets the deployment and the record; returns what broke the rule, or undefined
  */
-export async function runCase (path, play) {
+export async function runCase (path, isTroubled, play) {
   const record = new Record(path)
   const deployment = new Deployment()
-  const isTroubled = process.env.TROUBLE !== '0'
   record.add(isTroubled ? 'with the disruption' : 'without the disruption')
   const timer = setTimeout(async () => await end(NOT_RUN, 'the case took too long'), TIME_LIMIT_MS)
   const end = async (code, text) => {
@@ -31,7 +31,7 @@
   process.once('SIGTERM', async () => await end(NOT_RUN, 'stopped'))
   let fault
   try {
-    fault = await play({ deployment, record, isTroubled })
+    fault = await play({ deployment, record })
   } catch (error) {
     await end(NOT_RUN, `the case could not run: ${error instanceof Error ? error.stack : String(error)}`)
     return
