A host that stops while it writes results goes on serving its callers

Cause: before a hand-over, `RolloutRun.flushResults` repeated a forced commit until no result was left. While a write was under way, `ResultLister.commit` returned at once, so the loop only ran microtasks: no timer, no socket, and so not the answer that it waited for.

Change: a forced commit waits for the write under way, and returns the time at which that one was sent, so that a joined call doesn't count the log as read later than it was. The flag became the write's promise, which is also cleared if the write throws. `rollout-flushed` logs how many results were settled, how many are left and the time.

`planned-stop` (a write under way, writes that fail): both tests fail before, with 2,000 ms without a timer, and pass.

--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -44,6 +44,8 @@
   RequestAnswered = 'request-answered',
   RolloutAccepted = 'rollout-accepted',
   RolloutOwned = 'rollout-owned',
+  /** A planned stop lists the settled results of a rollout before it hands the rollout over. */
+  RolloutFlushed = 'rollout-flushed',
   RolloutHandedOver = 'rollout-handed-over',
   RolloutEnded = 'rollout-ended',
   /** Ends that aren't stored yet were handed to another host. */
--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -1,5 +1,5 @@
 import { isListingDue, SampleEventKind, SamplePhase } from '@cyclamenthread/state'
-import { deadlineAfter, monotonicNow } from '@cyclamenthread/transport'
+import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
 import { LogEvent } from './event-log.js'
 import { AppendStatus } from './rollout-store.js'
 import type { RolloutOrder, RolloutProgress, SampleBoard, SampleResult, TextCheckpoint } from '@cyclamenthread/state'
@@ -55,7 +55,8 @@
   readonly #onListed: (sampleId: string) => void
   /** Generation of each sample's text that this run has stored a part of, by sample id. */
   readonly #storedGenerations = new Map<string, symbol | undefined>()
-  #committing = false
+  /** The write under way; see {@link commit} for its result. */
+  #writing: Promise<number | undefined> | undefined
   #committedAt = -Infinity
   #oldestSettledAt = Infinity
   #checkpointAt = monotonicNow() + CHECKPOINT_PERIOD_MS
@@ -71,21 +72,30 @@
 
   /**
    * Appends settled results if listing is due or forced, and periodically the text
-   * of unfinished samples.
+   * of unfinished samples. There is at most one write at a time: while it is under way,
+   * a forced call waits for it, and any other returns at once.
    *
-   * @returns whether the log was read or written
+   * @returns the time before the entry was sent, in milliseconds by the clock that counts suspends, if the log was read or written; undefined otherwise
    */
-  async commit (isForced: boolean): Promise<boolean> {
-    if (this.#committing) return false
+  async commit (isForced: boolean): Promise<number | undefined> {
+    // A caller that repeats a forced call until nothing is left must not get its result before the next answer of the store.
+    if (this.#writing !== undefined) return isForced ? await this.#writing : undefined
     const texts = [...monotonicNow() < this.#checkpointAt ? [] : this.#takeCheckpoints(), ...this.#takeFailures()]
     const isDue = texts.length > 0 || (this.#board.settled.size > 0 && (isForced || this.#isListingDue()))
-    if (!isDue) return false
-    this.#committing = true
+    if (!isDue) return undefined
     this.#checkpointAt = deadlineAfter(CHECKPOINT_PERIOD_MS)
+    this.#writing = this.#append(texts).finally(() => {
+      this.#writing = undefined
+    })
+    return await this.#writing
+  }
+
+  /** Appends an entry with settled results and the given texts; see {@link commit} for its result. */
+  async #append (texts: readonly TextCheckpoint[]): Promise<number | undefined> {
     const generations = texts.map(({ sampleId }) => this.#generator.texts.get(sampleId)?.generation)
     const results = takeSegmentResults(this.#board.settledResults())
+    const sentAt = suspendAwareNow()
     const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS))
-    this.#committing = false
     this.#committedAt = monotonicNow()
     for (const [index, { sampleId, from, pieces }] of texts.entries()) {
       // Another writer may have taken the entry's place in the log.
@@ -97,7 +107,7 @@
     })
     this.markListed()
     this.#oldestSettledAt = this.#board.settled.size === 0 ? Infinity : monotonicNow()
-    return status !== AppendStatus.Failed
+    return status === AppendStatus.Failed ? undefined : sentAt
   }
 
   /** Advances the samples whose results are in the log. */
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -1,6 +1,7 @@
 import { createWorkPermit, decideWorkPermission, homesOfRollout, hostOfWriter, isHome, ownerOf, SampleBoard, SampleEventKind, SamplePhase, WorkPermission } from '@cyclamenthread/state'
 import { PeerMessageKind } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, suspendAwareNow } from '@cyclamenthread/transport'
+import { LogEvent } from './event-log.js'
 import { AppendStatus } from './rollout-store.js'
 import { ResultLister } from './result-lister.js'
 import { RewardCaller } from './reward-caller.js'
@@ -152,7 +153,10 @@
 
   /** Lists the settled results before a planned stop, as far as the deadline allows. */
   async flushResults (deadline: number): Promise<void> {
+    const startedAt = monotonicNow()
+    const settled = this.#board.settled.size
     while (this.#board.settled.size > 0 && !this.isFinished && monotonicNow() < deadline) await this.#commitResults(true)
+    if (settled > 0) this.#context.log.record(LogEvent.RolloutFlushed, { requestId: this.order.id, settled, left: this.#board.settled.size, tookMs: Math.round(monotonicNow() - startedAt) })
   }
 
   /**
@@ -283,10 +287,9 @@
 
   async #commitResults (isForced: boolean): Promise<void> {
     if (this.isFinished) return
-    const sentAt = suspendAwareNow()
-    const isCurrent = await this.#lister.commit(isForced)
+    const sentAt = await this.#lister.commit(isForced)
     // Counted from before the write was sent: its answer may be processed late, after a pause of this process.
-    if (isCurrent) this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
+    if (sentAt !== undefined) this.#confirmedAt = Math.max(this.#confirmedAt, sentAt)
     this.#handleProgress()
   }
 
