A host that stops hands its batches over in its time while the store is slow, or turns it away

Cause: `flushResults` had a deadline of 2 s, but the write that it waited for has one of 30 s. A host that the store turned away, or whose store answered slowly, spent its whole grace time there, handed nothing over and didn't announce its leave; its servers weren't closed either, so the calls that it still had would end with the process. Even a flush that ended at the deadline left no time for the hand-over.

Change: the flush ends at its deadline, the write goes on behind it, and what it would have listed is handed over. The last 1.2 s of the time are the hand-over's: the time in which a host may adopt. A hand-over asks no further host after its deadline.

--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -6,6 +6,7 @@
 import { ResultLister } from './result-lister.js'
 import { RewardCaller } from './reward-caller.js'
 import { SampleGenerator } from './sample-generator.js'
+import { untilDeadline } from './shared-work.js'
 import type { RolloutOrder, RolloutProgress, WorkPermissionEvidence } from '@cyclamenthread/state'
 import type { AdoptRollout, RecoveredText } from '@cyclamenthread/protocol'
 import type { RolloutContext } from './rollout-context.js'
@@ -151,11 +152,11 @@
     this.#rewards.release(sampleId)
   }
 
-  /** Lists the settled results before a planned stop, as far as the deadline allows. */
+  /** Lists the settled results before a planned stop, as far as the deadline allows: a write goes on beyond it while the store is slow or away. */
   async flushResults (deadline: number): Promise<void> {
     const startedAt = monotonicNow()
     const settled = this.#board.settled.size
-    while (this.#board.settled.size > 0 && !this.isFinished && monotonicNow() < deadline) await this.#commitResults(true)
+    while (this.#board.settled.size > 0 && !this.isFinished && monotonicNow() < deadline) await untilDeadline(this.#commitResults(true), deadline)
     if (settled > 0) this.#context.log.record(LogEvent.RolloutFlushed, { requestId: this.order.id, settled, left: this.#board.settled.size, tookMs: Math.round(monotonicNow() - startedAt) })
   }
 
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -229,12 +229,13 @@
   /**
    * Accepts no more runs and hands the current ones over to their next owners.
    * Settled results are listed first, so a rollout that no host adopts can be
-   * continued from the store.
+   * continued from the store. Those that a slow store hasn't listed in time are handed over.
    */
   async leave (deadline: number): Promise<void> {
     this.#leaving = true
+    const flushBy = deadline - ADOPTION_TIMEOUT_MS
     await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => {
-      await run.flushResults(deadline)
+      await run.flushResults(flushBy)
       if (!run.isFinished) await this.#handOver(run, deadline)
     }))
   }
@@ -434,6 +435,7 @@
   async #handOver (run: RolloutRun, deadline: number): Promise<void> {
     const handover = run.handOver()
     for (const owner of this.#directory.rank(trainerOf(run.order), this.homesOf(run.order))) {
+      if (monotonicNow() >= deadline) return
       if (owner.id !== this.#context.self.id && await this.#sendHandover(handover, owner, deadline)) return
     }
   }
--- a/packages/coordination/src/test/planned-stop.test.ts
+++ b/packages/coordination/src/test/planned-stop.test.ts
@@ -24,8 +24,9 @@
 const sleep = async (milliseconds: number): Promise<void> => await new Promise((resolve) => setTimeout(resolve, milliseconds))
 
 const afterMs = (milliseconds: number): WriteScript => async (write, call) => {
-  await sleep(Math.min(milliseconds, timeLeft(call.deadline)))
-  return milliseconds < timeLeft(call.deadline) ? await write() : { status: WriteStatus.Unknown, detail: 'no answer' }
+  const isAnswered = milliseconds < timeLeft(call.deadline)
+  await sleep(isAnswered ? milliseconds : timeLeft(call.deadline))
+  return isAnswered ? await write() : { status: WriteStatus.Unknown, detail: 'no answer' }
 }
 
 const atOnce: WriteScript = async (write) => await write()
@@ -106,3 +107,15 @@
   t.true(pauseMs < MAX_PAUSE_MS, `${Math.round(pauseMs)} ms without a timer`)
   t.deepEqual(run.handOver().results, [])
 })
+
+// Guards against rollouts that a planned stop leaves behind, with their results, because it waits for one write until all of its time is over.
+for (const [what, script] of [['slow', afterMs(1_100)], ['away', afterMs(Infinity)]] as const) {
+  test(`a host that is stopped while its store is ${what} keeps to its time, and hands over what it could not list`, async (t) => {
+    const { run, writes } = await startRun(t, script)
+    await waitUntil(t, () => writes() === 1)
+    const { tookMs, pauseMs } = await measure(async () => await run.flushResults(performance.now() + 400))
+    t.true(tookMs < 400 + MAX_PAUSE_MS, `${Math.round(tookMs)} ms`)
+    t.true(pauseMs < MAX_PAUSE_MS, `${Math.round(pauseMs)} ms without a timer`)
+    t.is(run.handOver().results.length, SAMPLES)
+  })
+}
--- a/packages/coordination/src/test/silent-hosts-fixture.ts
+++ b/packages/coordination/src/test/silent-hosts-fixture.ts
@@ -25,6 +25,7 @@
   /** Messages that were sent between hosts. */
   readonly sent: Array<{ readonly from: string, readonly to: string, readonly kind: PeerMessageKind }>
   readonly store: ReturnType<typeof openDeployment>['store']
+  readonly endpoints: ScriptedEndpoints
   /** Response time of the store for rollouts, in milliseconds. */
   readonly latency: { storeMs: number }
   /** Keys about rollouts that were read from the store. */
@@ -87,7 +88,7 @@
     t.teardown(() => task.stop())
     return [id, task] as const
   }))
-  return { ids, tasks, silent, refused, sent, store, latency, reads }
+  return { ids, tasks, silent, refused, sent, store, endpoints, latency, reads }
 }
 
 /** Stores a rollout of which each sample has a result, one in each entry of its log, but for the last `open` ones. */
--- a/packages/coordination/src/test/silent-hosts.test.ts
+++ b/packages/coordination/src/test/silent-hosts.test.ts
@@ -1,7 +1,8 @@
 import test from 'ava'
 import { RolloutReadStatus, rolloutSegmentKey, StorePurpose } from '@cyclamenthread/protocol'
 import { Ran, rankWeightedOwners, trainerOf } from '@cyclamenthread/state'
-import { rolloutOrder } from '@cyclamenthread/state/testing'
+import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
+import { waitUntil } from './deployment-fixture.js'
 import { openSilentHosts, storeRollout } from './silent-hosts-fixture.js'
 
 /** Time that callers wait beyond the wait that they allow, in milliseconds, as the platform's pages state it. */
@@ -141,6 +142,26 @@
   t.is(fixture.tasks.get(last)?.running, 1)
 })
 
+// Guards against results that are lost with a host that the store turns away when it stops: it tried to list them until its time was over, and handed nothing over.
+test('a host whose writes the store refuses hands over its rollouts with their results when it stops', async (t) => {
+  const fixture = openSilentHosts(t, 3)
+  fixture.store.set('servers/a', endpointEntry('a', { slots: 8 }))
+  const [owner = '', next = ''] = rank(fixture.ids, trainerOf(rolloutOrder(1, 8)))
+  fixture.refused.add(owner)
+  const order = storeRollout(fixture, 8, { owner, open: 4 })
+  await fixture.tasks.get(owner)?.readResults(order.id, order.workspace, 3, performance.now())
+  await waitUntil(t, () => fixture.endpoints.streams.length === 4)
+  // The texts are whole by then.
+  await new Promise((resolve) => setTimeout(resolve, 400))
+  const stoppedAt = performance.now()
+  await fixture.tasks.get(owner)?.leave(stoppedAt + 2_000)
+  t.true(performance.now() - stoppedAt < 2_200, `${Math.round(performance.now() - stoppedAt)} ms`)
+  const page = await fixture.tasks.get(next)?.readResults(order.id, order.workspace, 4, performance.now() + 1_000)
+  t.is(page?.results.length, 4)
+  // None of them was generated again.
+  t.is(fixture.endpoints.streams.length, 4)
+})
+
 // Guards against refusals of reads that could be answered: the store has no results yet, and hosts that are asked take all of the time.
 test('a read of a rollout without results is answered in its time while half of the hosts are silent', async (t) => {
   const fixture = openSilentHosts(t, 6)
