A flush of the log writes the lines behind a write under way, and the rest of a short one

Operators saw, of a host whose log's reader was behind, a line cut off and the last lines of its stop missing. Found while looking for what else returns at once because its work is already under way.

Cause: `JsonLog.flush` started a write, which did nothing while another one was under way; the process then ended with the later lines in its buffer. Besides, a pipe that is nearly full takes a part of a write, or none, and the rest was thrown away.

Change: a flush waits for the write under way and then writes what came meanwhile, for a second at most, since the reader may never go on. A short write goes on with the rest. Nothing else waits for the log, as before.

Test `json-log`: fails before (the last line ends in mid-string), passes three times in a row.

--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -91,7 +91,7 @@
   }
 
   /** Appends an entry with settled results and the given texts; see {@link commit} for its result. */
-  async #append (texts: readonly TextCheckpoint[]): Promise<number | undefined> {
+  async #append (texts: TextCheckpoint[]): Promise<number | undefined> {
     const generations = texts.map(({ sampleId }) => this.#generator.texts.get(sampleId)?.generation)
     const results = takeSegmentResults(this.#board.settledResults())
     const sentAt = suspendAwareNow()
--- a/packages/cyclamenthread/src/lib/json-log.ts
+++ b/packages/cyclamenthread/src/lib/json-log.ts
@@ -1,4 +1,5 @@
 import { write } from 'node:fs'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { createConsola } from 'consola/core'
 import type { EventLog, LogEvent, LogFields } from '@cyclamenthread/coordination'
 
@@ -8,6 +9,12 @@
 /** Time for which lines are collected into one write, in milliseconds. */
 const FLUSH_DELAY_MS = 100
 
+/** Pause before bytes that the reader has left no room for are written, in milliseconds. */
+const RETRY_DELAY_MS = 20
+
+/** Maximum time that a flush waits for the reader, in milliseconds. */
+const MAX_FLUSH_MS = 1_000
+
 /** File descriptor of standard output. */
 const STDOUT = 1
 
@@ -25,7 +32,8 @@
   readonly #console = createConsola({ level: 3, reporters: [{ log: ({ args }) => this.#append(args[0] as string) }], throttle: 0 })
   #buffer: string[] = []
   #bufferedBytes = 0
-  #writing = false
+  /** The write under way. */
+  #writing: Promise<void> | undefined
   #timer: NodeJS.Timeout | undefined
   #dropped = 0
 
@@ -42,8 +50,15 @@
     this.#console.info(JSON.stringify({ at: new Date().toISOString(), host: this.#host, event, ...fields }))
   }
 
-  /** Writes the buffered lines; call it before the process exits. */
+  /** Writes the buffered lines after those of a write under way, as far as their reader takes them in a second; call it before the process exits. */
   async flush (): Promise<void> {
+    const timeout = new AbortController()
+    await Promise.race([this.#writeAll(), sleep(MAX_FLUSH_MS, undefined, { signal: timeout.signal }).catch(() => {})])
+    timeout.abort()
+  }
+
+  async #writeAll (): Promise<void> {
+    await this.#writing
     clearTimeout(this.#timer)
     await this.#write()
   }
@@ -66,15 +81,30 @@
 
   async #write (): Promise<void> {
     this.#timer = undefined
-    if (this.#writing || this.#buffer.length === 0) return
-    this.#writing = true
+    if (this.#writing !== undefined || this.#buffer.length === 0) return
     const dropped = this.#dropped > 0 ? `${JSON.stringify({ host: this.#host, event: 'lines-dropped', total: this.#dropped })}\n` : ''
     const bytes = Buffer.from(`${this.#buffer.join('\n')}\n${dropped}`)
     this.#buffer = []
     this.#bufferedBytes = 0
     // Lines of a failed write are lost: there is no other place to report the failure.
-    await new Promise<void>((resolve) => write(STDOUT, bytes, () => resolve()))
-    this.#writing = false
+    this.#writing = writeBytes(bytes).finally(() => {
+      this.#writing = undefined
+    })
+    await this.#writing
     if (this.#buffer.length > 0) this.#scheduleWrite()
   }
 }
+
+/** Writes all bytes to standard output. Its pipe takes only a part of them, or none, while its reader is behind. */
+async function writeBytes (bytes: Buffer): Promise<void> {
+  let offset = 0
+  while (offset < bytes.length) {
+    const written = await new Promise<number | undefined>((resolve) => write(STDOUT, bytes, offset, bytes.length - offset, null, (error, count) => {
+      if (error === null) resolve(count)
+      else resolve(error.code === 'EAGAIN' ? 0 : undefined)
+    }))
+    if (written === undefined) return
+    offset += written
+    if (offset < bytes.length) await sleep(RETRY_DELAY_MS)
+  }
+}
