--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -5,6 +5,8 @@
   Joined = 'joined',
   Stopping = 'stopping',
   Stopped = 'stopped',
+  /** A part of a planned stop failed; the others went on. */
+  StopFailed = 'stop-failed',
   Reloaded = 'reloaded',
   SettingsRefused = 'settings-refused',
   DependencyLost = 'dependency-lost',
