The product's own stores don't take a reset for the end of an answer

The same cause on a related path: the clients of the object store and of the weight store opened their connections without the connector that reports a reset, so a part of a stored value, or a list of releases, could count as whole. Found by reading; the platform's clients had the connector already.

--- a/packages/protocol/src/lib/http-object-store.ts
+++ b/packages/protocol/src/lib/http-object-store.ts
@@ -1,7 +1,7 @@
 import { Agent, request } from 'undici'
 import * as z from 'zod'
 import { failure, success } from '@cyclamenthread/state'
-import { DeadlineError, timeLeft, withDeadline } from '@cyclamenthread/transport'
+import { createConnector, DeadlineError, timeLeft, withDeadline } from '@cyclamenthread/transport'
 import { failedBeforeSending } from './failed-before-sending.js'
 import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
 import { describeInvalidStatus, isInvalidStatus, rejectInvalidStatuses } from './response-status.js'
@@ -19,6 +19,9 @@
 /** Maximum number of connections to the store. */
 const MAX_CONNECTIONS = 16
 
+/** Timeout for connecting to the store, in milliseconds; each call has a shorter deadline of its own. */
+const CONNECT_TIMEOUT_MS = 10_000
+
 /** An undecoded response of the store. */
 interface StoreResponse {
   readonly status: number
@@ -44,7 +47,7 @@
   }
 
   readonly #baseUrl: string
-  readonly #agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1 })
+  readonly #agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) })
   readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
--- a/packages/protocol/src/lib/weight-store-client.ts
+++ b/packages/protocol/src/lib/weight-store-client.ts
@@ -1,8 +1,11 @@
 import { Agent, request } from 'undici'
 import * as z from 'zod'
-import { withDeadline } from '@cyclamenthread/transport'
+import { createConnector, withDeadline } from '@cyclamenthread/transport'
 import { rejectInvalidStatuses } from './response-status.js'
 
+/** Timeout for connecting to the store, in milliseconds; each call has a shorter deadline of its own. */
+const CONNECT_TIMEOUT_MS = 10_000
+
 const releaseListSchema = z.object({
   releases: z.array(z.object({ pool: z.string(), version: z.int().nonnegative() }))
 })
@@ -19,7 +22,7 @@
  */
 export class WeightStoreClient {
   readonly #baseUrl: string
-  readonly #agent = new Agent({ connections: 1, pipelining: 1 })
+  readonly #agent = new Agent({ connections: 1, pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) })
   readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
