A host that stops alone in its region lists results until its time is over

Change: the flush has the whole time if there is no other host that may own the batch.

Test `silent-hosts`, a store that refuses for 1.5 s and a host alone: 0 of 4 results listed before, 4 after.

--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -229,13 +229,13 @@
   /**
    * Accepts no more runs and hands the current ones over to their next owners.
    * Settled results are listed first, so a rollout that no host adopts can be
-   * continued from the store. Those that a slow store hasn't listed in time are handed over.
+   * continued from the store. Those that a slow store hasn't listed in time are handed over,
+   * unless there is no other host.
    */
   async leave (deadline: number): Promise<void> {
     this.#leaving = true
-    const flushBy = deadline - ADOPTION_TIMEOUT_MS
     await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => {
-      await run.flushResults(flushBy)
+      await run.flushResults(this.#successorsOf(run).length === 0 ? deadline : deadline - ADOPTION_TIMEOUT_MS)
       if (!run.isFinished) await this.#handOver(run, deadline)
     }))
   }
@@ -434,12 +434,17 @@
 
   async #handOver (run: RolloutRun, deadline: number): Promise<void> {
     const handover = run.handOver()
-    for (const owner of this.#directory.rank(trainerOf(run.order), this.homesOf(run.order))) {
+    for (const owner of this.#successorsOf(run)) {
       if (monotonicNow() >= deadline) return
-      if (owner.id !== this.#context.self.id && await this.#sendHandover(handover, owner, deadline)) return
+      if (await this.#sendHandover(handover, owner, deadline)) return
     }
   }
 
+  /** Returns the other hosts that may own the rollout of a run, in order of preference. */
+  #successorsOf ({ order }: RolloutRun): Host[] {
+    return this.#directory.rank(trainerOf(order), this.homesOf(order)).filter(({ id }) => id !== this.#context.self.id)
+  }
+
   /** Sends a rollout to another host; returns whether it has adopted it. */
   async #sendHandover (handover: AdoptRollout, to: Host, deadline: number): Promise<boolean> {
     const answer = await this.#requests.ask(to, handover, Math.min(deadline, deadlineAfter(ADOPTION_TIMEOUT_MS)))
--- a/packages/coordination/src/test/silent-hosts.test.ts
+++ b/packages/coordination/src/test/silent-hosts.test.ts
@@ -3,6 +3,7 @@
 import { Ran, rankWeightedOwners, trainerOf } from '@cyclamenthread/state'
 import { endpointEntry, rolloutOrder } from '@cyclamenthread/state/testing'
 import { waitUntil } from './deployment-fixture.js'
+import { streamOf } from './scripted-endpoints.js'
 import { openSilentHosts, storeRollout } from './silent-hosts-fixture.js'
 
 /** Time that callers wait beyond the wait that they allow, in milliseconds, as the platform's pages state it. */
@@ -162,6 +163,26 @@
   t.is(fixture.endpoints.streams.length, 4)
 })
 
+// Guards against results that are lost with the last host of a region, which has nobody to hand them over to and so needs all of its time to list them.
+test('a host that stops alone goes on listing its results until its time is over', async (t) => {
+  const fixture = openSilentHosts(t, 1)
+  fixture.store.set('servers/a', endpointEntry('a', { slots: 8 }))
+  fixture.refused.add('h1')
+  let streams = 0
+  fixture.endpoints.streamScripts.set('a', async function * (...request) {
+    streams += 1
+    yield * streamOf(10, 3, streams > 2 ? 80 : 1)(...request)
+  })
+  const order = storeRollout(fixture, 8, { owner: 'h1', open: 4 })
+  await fixture.tasks.get('h1')?.readResults(order.id, order.workspace, 3, performance.now())
+  await waitUntil(t, () => streams === 4)
+  await new Promise((resolve) => setTimeout(resolve, 300))
+  setTimeout(() => fixture.refused.clear(), 1_500)
+  await fixture.tasks.get('h1')?.leave(performance.now() + 2_500)
+  const page = await fixture.tasks.get('h1')?.readResults(order.id, order.workspace, 4, performance.now())
+  t.is(page?.results.length, 4)
+})
+
 // Guards against refusals of reads that could be answered: the store has no results yet, and hosts that are asked take all of the time.
 test('a read of a rollout without results is answered in its time while half of the hosts are silent', async (t) => {
   const fixture = openSilentHosts(t, 6)
