--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -78,7 +78,7 @@
    * @returns the time before the entry was sent, in milliseconds by the clock that counts suspends, if the log was read or written; undefined otherwise
    */
   async commit (isForced: boolean): Promise<number | undefined> {
-    // A caller that repeats a forced call until nothing is left must not get its result before the next answer of the store.
+    // A caller may repeat a forced call until nothing is left, which must not become a loop without I/O.
     if (this.#writing !== undefined) return isForced ? await this.#writing : undefined
     const texts = [...monotonicNow() < this.#checkpointAt ? [] : this.#takeCheckpoints(), ...this.#takeFailures()]
     const isDue = texts.length > 0 || (this.#board.settled.size > 0 && (isForced || this.#isListingDue()))
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -152,7 +152,7 @@
     this.#rewards.release(sampleId)
   }
 
-  /** Lists the settled results before a planned stop, as far as the deadline allows: a write goes on beyond it while the store is slow or away. */
+  /** Lists the settled results before a planned stop, as far as the deadline allows. A write under way then goes on, so the results may be listed as well as handed over. */
   async flushResults (deadline: number): Promise<void> {
     const startedAt = monotonicNow()
     const settled = this.#board.settled.size
--- a/packages/transport/src/lib/connector.ts
+++ b/packages/transport/src/lib/connector.ts
@@ -2,8 +2,8 @@
 import { buildConnector } from 'undici'
 import type { Socket } from 'node:net'
 
-/** Bytes of an empty write. */
-const NOTHING = new Uint8Array(0)
+/** The bytes of a write that only asks for the state of a connection. */
+const NO_BYTES = new Uint8Array(0)
 
 /** A socket with the descriptor that Node.js doesn't publish. */
 type DescribedSocket = Socket & { readonly _handle?: { readonly fd?: number } | null }
@@ -76,7 +76,7 @@
   const descriptor = socket._handle?.fd ?? -1
   if (descriptor < 0) return false
   try {
-    writeSync(descriptor, NOTHING)
+    writeSync(descriptor, NO_BYTES)
     return false
   } catch (error) {
     return isReset(error)
