--- a/packages/coordination/src/lib/event-log.ts
+++ b/packages/coordination/src/lib/event-log.ts
@@ -46,7 +46,7 @@
   RequestAnswered = 'request-answered',
   RolloutAccepted = 'rollout-accepted',
   RolloutOwned = 'rollout-owned',
-  /** A planned stop lists the settled results of a rollout before it hands the rollout over. */
+  /** A planned stop has listed the settled results of a rollout, as far as its time allowed, before it hands the rollout over. */
   RolloutFlushed = 'rollout-flushed',
   RolloutHandedOver = 'rollout-handed-over',
   RolloutEnded = 'rollout-ended',
--- a/packages/coordination/src/lib/run-registry.ts
+++ b/packages/coordination/src/lib/run-registry.ts
@@ -235,7 +235,9 @@
   async leave (deadline: number): Promise<void> {
     this.#leaving = true
     await Promise.all([...this.#runs.values()].filter((run) => !run.isFinished).map(async (run) => {
-      await run.flushResults(this.#successorsOf(run).length === 0 ? deadline : deadline - ADOPTION_TIMEOUT_MS)
+      const hasSuccessor = this.#successorsOf(run).length > 0
+      // Leaves another host its time to adopt the rollout.
+      await run.flushResults(hasSuccessor ? deadline - ADOPTION_TIMEOUT_MS : deadline)
       if (!run.isFinished) await this.#handOver(run, deadline)
     }))
   }
--- a/packages/cyclamenthread/src/lib/json-log.ts
+++ b/packages/cyclamenthread/src/lib/json-log.ts
@@ -53,11 +53,11 @@
   /** Writes the buffered lines after those of a write under way, as far as their reader takes them in a second; call it before the process exits. */
   async flush (): Promise<void> {
     const timeout = new AbortController()
-    await Promise.race([this.#writeAll(), sleep(MAX_FLUSH_MS, undefined, { signal: timeout.signal }).catch(() => {})])
+    await Promise.race([this.#writeRemaining(), sleep(MAX_FLUSH_MS, undefined, { signal: timeout.signal }).catch(() => {})])
     timeout.abort()
   }
 
-  async #writeAll (): Promise<void> {
+  async #writeRemaining (): Promise<void> {
     await this.#writing
     clearTimeout(this.#timer)
     await this.#write()
