--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -60,6 +60,8 @@
   calls = 0
   /** Called for each call; a returned value is sent in place of the store's answer, and `null` stops its processing. */
   onCall = () => undefined
+  /** Returns the value of an object as a client sees it. */
+  viewOf = (client, kind, name, spec) => spec
   #objects = new Map()
   #history = []
   #watches = new Set()
@@ -115,6 +117,10 @@
     return count
   }
 
+  #show (client, object) {
+    return toWire({ ...object, spec: this.viewOf(client, object.kind, object.name, object.spec) })
+  }
+
   #change ({ kind, name, spec, status }) {
     this.revision += 1
     const object = { kind, name, spec, status, revision: this.revision }
@@ -149,8 +155,9 @@
     response.writeHead(status, { 'content-type': 'application/json' }).end(body === undefined ? '' : JSON.stringify(body))
   }
 
-  #apply ({ method, kind, name, part, given }, url, length) {
+  #apply ({ client, method, kind, name, part, given }, url, length) {
     const held = this.find(kind, name)
+    const toWire = (object) => this.#show(client, object)
     if (length > 1_048_576) return { status: 413 }
     const expected = given?.metadata?.revision ?? (url.searchParams.has('revision') ? Number(url.searchParams.get('revision')) : undefined)
     const isStale = held !== undefined && expected !== undefined && expected !== held.revision
@@ -200,7 +207,7 @@
     }
     this.#watches.delete(waiting)
     if (waiting.isCut) response.destroy()
-    else this.#respond(response, { status: 200, body: { events: events().map(({ object, deleted }) => ({ object: toWire(object), deleted })), at: this.revision } })
+    else this.#respond(response, { status: 200, body: { events: events().map(({ object, deleted }) => ({ object: this.#show(client, object), deleted })), at: this.revision } })
   }
 }
 
