--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -530,6 +530,9 @@
   const record = new Record(join(folder, 'record.txt'))
   const deployment = new Deployment(record)
   let code = Exit.NotRun
+  // Also if this script itself fails or is stopped.
+  process.on('exit', () => deployment.hosts.forEach(({ child }) => child?.kill('SIGKILL')))
+  for (const name of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(name, () => process.exit(Exit.NotRun))
   const limit = setTimeout(() => {
     record.add('the case took too long')
     deployment.stop().finally(() => process.exit(Exit.NotRun))
