--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,5 +1,6 @@
 // One engine sends a few of its answers a second time, late: at the point where the next answer on the connection is due.
 // In each step, one item fails twice with 500 and would be completed by its third run.
+import { join } from 'node:path'
 import { answer, configuration, Exit, isTroubled, ROUTE_HOST, runCase, send, sleep } from '../lib-3/harness.mjs'
 
 const STEPS = 8
@@ -22,7 +23,7 @@
 const MAX_COPIED_SHARE = 0.03
 const SPAN_MS = 5_000
 
-await runCase(import.meta.dirname, async (deployment, record) => {
+await runCase(join(import.meta.dirname, 'record.txt'), async (deployment, record) => {
   const { hosts, store } = deployment
   store.put('config', 'main', configuration())
   const runs = new Map()
--- a/review/lib-3/harness.mjs
+++ b/review/lib-3/harness.mjs
@@ -526,8 +526,8 @@
 }
 
 /** Runs a case and exits with its code; all processes that it started have ended by then. */
-export async function runCase (folder, play) {
-  const record = new Record(join(folder, 'record.txt'))
+export async function runCase (recordPath, play) {
+  const record = new Record(recordPath)
   const deployment = new Deployment(record)
   let code = Exit.NotRun
   // Also if this script itself fails or is stopped.
