Log which connection carried a request, and what it had carried before

The logs named the endpoint of each run of an item or call, but not the connection, so they could not tell an answer from the late copy of an earlier one under the same id. Agents of endpoints now record what each of their connections carries; `request-ended` and `sample-ended` state the number of the connection, the number of its earlier requests, and whether one of them had the same id. The hooks of an exchange move from `platform/` to `packages/transport`, where the agent tells them the connection.

The ids of a connection are kept as long as it is open, so it carries at most 256 requests (257 by undici's count).

Evidence: the new test states the connection, the count and the repeat for five requests; it can't be written without the record.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -8,6 +8,7 @@
 import { CallOrigin } from './plain-call.js'
 import type { EndpointRecord, HomeRegions, Refusal, StreamOrigin, UsageTally } from '@cyclamenthread/state'
 import type { EndpointPort, EndpointReply } from '@cyclamenthread/protocol'
+import type { ConnectionUse } from '@cyclamenthread/transport'
 import type { CallRelay } from './call-forwarder.js'
 import type { CrashGuard } from './crash-task.js'
 import type { EndpointNotices } from './endpoint-notice-task.js'
@@ -63,8 +64,8 @@
   readonly record: EndpointRecord
   readonly abort: AbortController
   readonly sentAt: number
-  /** When the attempt was written, and the time that it stated to be left; undefined until then. */
-  written: { readonly at: number, readonly leftMs: number | undefined } | undefined
+  /** When the attempt was written, the time that it stated to be left, and the connection that carried it; undefined until then. */
+  written: { readonly at: number, readonly leftMs: number | undefined, readonly use: ConnectionUse | undefined } | undefined
 }
 
 /** The reply to one attempt. */
@@ -335,8 +336,8 @@
       deadline: call.deadline,
       startBefore: startBefore === Infinity ? call.startBefore : Math.min(startBefore, call.startBefore ?? Infinity),
       needsNewConnection: call.route.kind !== RouteKind.Idempotent && state.rejectedBy.has(record.entry.id),
-      onWrite: (leftMs) => {
-        attempt.written = { at: monotonicNow(), leftMs }
+      onWrite: (leftMs, use) => {
+        attempt.written = { at: monotonicNow(), leftMs, use }
       },
       signal: abort.signal
     })
@@ -454,7 +455,8 @@
       excessMs: attempt.written?.leftMs === undefined ? undefined : Math.round(attempt.written.at + attempt.written.leftMs - state.call.deadline),
       status: reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun ? reply.status : undefined,
       detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined,
-      ...describeBreak(reply)
+      ...describeBreak(reply),
+      ...attempt.written?.use
     })
     switch (reply.kind) {
       case EndpointReplyKind.Answer: {
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -7,7 +7,8 @@
 import { readSampleStream, StreamEnd } from './sample-stream.js'
 import { DEFAULT_PACE_MS, TextEstimates } from './text-estimates.js'
 import type { EndpointEntry, EndpointRecord, KnownText, MoveEstimate, RolloutOrder, RolloutSample, SampleBoard, WorkPermit } from '@cyclamenthread/state'
-import type { HeaderPair } from '@cyclamenthread/protocol'
+import type { EndpointRequest } from '@cyclamenthread/protocol'
+import type { ConnectionUse } from '@cyclamenthread/transport'
 import type { LogFields } from './event-log.js'
 import type { RolloutContext } from './rollout-context.js'
 
@@ -377,16 +378,20 @@
       outcome: permit.permission,
       logAgeMs: permit.logAgeMs
     })
-    const request = {
+    let use: ConnectionUse | undefined
+    const request: EndpointRequest = {
       endpoint: entry,
       requestId: sample.id,
       method: 'POST',
       path: sample.path,
-      headers: [...Object.entries(sample.headers), ['Host', order.routeHost]] as HeaderPair[],
+      headers: [...Object.entries(sample.headers), ['Host', order.routeHost]],
       body: Buffer.from(sample.body, 'base64'),
       workspace: order.workspace,
       deadline: undefined,
       startBefore: Math.min(permit.startBefore, startBefore),
+      onWrite: (_leftMs, carriedBy) => {
+        use = carriedBy
+      },
       signal: abort.signal
     }
     const result = await readSampleStream(endpoints, request, text, { ...order, limit: textLimitOf(sample) }, {
@@ -429,7 +434,8 @@
       detail: result.detail,
       events: result.events,
       tookMs: Math.round(result.tookMs),
-      versions: text.versions
+      versions: text.versions,
+      ...use
     })
     this.#running.delete(sample.id)
     if (this.#stopped) return
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -1,3 +1,4 @@
+import type { ConnectionUse } from '@cyclamenthread/transport'
 import type { EndpointEntry, EndpointNotice, EndpointSign, ObservedLoad } from '@cyclamenthread/state'
 import type { LeaderLease } from './leader-lease.js'
 
@@ -21,8 +22,13 @@
   readonly startBefore: number | undefined
   /** Whether the request must go out on a connection that has carried no other one, because this endpoint has answered it before: a late copy of that answer bears the same id. */
   readonly needsNewConnection?: boolean
-  /** Called when the request is written, with the time that it states to be left in milliseconds; undefined if it states none. */
-  readonly onWrite?: (leftMs: number | undefined) => void
+  /**
+   * Called when the request is written.
+   *
+   * @param leftMs time that it states to be left, in milliseconds; undefined if it states none
+   * @param use the connection that carries it; undefined if that isn't recorded
+   */
+  readonly onWrite?: (leftMs: number | undefined, use: ConnectionUse | undefined) => void
   readonly signal: AbortSignal
 }
 
--- a/platform/src/lib/exchange-hooks.ts
+++ b/packages/transport/src/lib/exchange-hooks.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import type { ConnectionRecord, ConnectionUse } from './connection-record.js'
 
 /** The headers of an answer, by lower-case name. */
 export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>
@@ -8,8 +9,14 @@
  * and closes its connection.
  */
 export interface ExchangeHooks {
-  /** Called in the event loop turn in which the request is written, before its first byte. */
-  readonly onWrite?: () => void
+  /** Id of the request; absent if it has none. */
+  readonly requestId?: string
+  /**
+   * Called in the event loop turn in which the request is written, before its first byte.
+   *
+   * @param use the connection that carries the request; undefined if its client doesn't record connections
+   */
+  readonly onWrite?: (use: ConnectionUse | undefined) => void
   /**
    * Called with the head of each answer, before any of it is passed on. Only then can
    * the connection still be closed: an answer without a body completes in the same turn.
@@ -17,8 +24,13 @@
   readonly onAnswer?: (statusCode: number, headers: AnswerHeaders) => void
 }
 
-/** Options of a request through a client with {@link runExchangeHooks}: the request's hooks, if it has any. */
-type HookedOptions = Dispatcher.DispatchOptions & { readonly opaque?: ExchangeHooks | null }
+/** Options of a request through a client with {@link runExchangeHooks}. */
+export interface ExchangeOptions extends Dispatcher.DispatchOptions {
+  /** The request's hooks, if it has any. */
+  readonly opaque?: ExchangeHooks | null
+  /** Called with the record of the connection that the request is going to be written to. */
+  readonly onAssigned?: (record: ConnectionRecord) => void
+}
 
 /**
  * Interceptor of a client that calls the hooks that a request carries in `opaque`.
@@ -30,14 +42,23 @@
  * await request(url, { dispatcher: client, opaque: { onWrite: () => { sentAt = performance.now() } } })
  */
 export function runExchangeHooks (dispatch: Dispatcher['dispatch']): Dispatcher['dispatch'] {
-  return (options: HookedOptions, handler) => {
+  return (options: ExchangeOptions, handler) => {
     const { opaque: hooks } = options
     if (hooks === undefined || hooks === null) return dispatch(options, handler)
-    return dispatch(options, {
+    let record: ConnectionRecord | undefined
+    const assigned: ExchangeOptions = {
+      ...options,
+      onAssigned: (chosen) => {
+        record = chosen
+      }
+    }
+    return dispatch(assigned, {
       onRequestStart: (controller, context) => {
         handler.onRequestStart?.(controller, context)
         // The handler ends a request here that was aborted while it waited for a connection.
-        if (!controller.aborted) hooks.onWrite?.()
+        if (controller.aborted) return
+        hooks.onWrite?.(record?.describeUse(hooks.requestId))
+        record?.add(hooks.requestId)
       },
       onRequestUpgrade: (...given) => handler.onRequestUpgrade?.(...given),
       onResponseStart: (controller, statusCode, headers, statusMessage) => {
