Keep connections again after all of those to an endpoint were closed

What was seen: found while the connections of a change were counted. Once an endpoint has closed all connections of a host while requests come (`Connection: close` in two answers in a row, say), each later request to it opens a connection of its own, until a pause lets the pool of the endpoint go.

Cause: undici's `Agent` counts the connections of an origin under the origin's name. When the last one closes it drops the pool, also if a request of that pool is about to open another. The end of that connection is counted for the next pool of the origin, which is dropped in turn although it is in use, and so on (undici 7.30.3).

Change: `PoolAgent` in `packages/transport` holds the pools. A pool is dropped by its own state only: no connection and no request.

--- a/packages/protocol/src/lib/endpoint-client.ts
+++ b/packages/protocol/src/lib/endpoint-client.ts
@@ -1,6 +1,6 @@
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import * as z from 'zod'
-import { openDeadlineScope, resettingConnect, withDeadline } from '@cyclamenthread/transport'
+import { openDeadlineScope, PoolAgent, resettingConnect, withDeadline } from '@cyclamenthread/transport'
 import { CompletionPartKind } from './completion.js'
 import { createLeasedBody } from './leased-body.js'
 import { failedBeforeSending } from './failed-before-sending.js'
@@ -124,7 +124,7 @@
  * for await (const part of client.complete(endpoint, call)) …
  */
 export class EndpointClient {
-  readonly #agent = new Agent({ connections: MAX_CONNECTIONS_PER_ENDPOINT, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
+  readonly #agent = new PoolAgent({ connections: MAX_CONNECTIONS_PER_ENDPOINT, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
   readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   /** Streams a completion. The stream always ends with `End` or `Failure` and never throws. */
--- a/packages/protocol/src/lib/http-object-store.ts
+++ b/packages/protocol/src/lib/http-object-store.ts
@@ -1,7 +1,7 @@
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import * as z from 'zod'
 import { failure, success } from '@cyclamenthread/state'
-import { createConnector, DeadlineError, timeLeft, withDeadline } from '@cyclamenthread/transport'
+import { createConnector, DeadlineError, PoolAgent, timeLeft, withDeadline } from '@cyclamenthread/transport'
 import { failedBeforeSending } from './failed-before-sending.js'
 import { ExpectationKind, StoreFailure, StorePurpose, WriteStatus } from './object-store.js'
 import { describeInvalidStatus, isInvalidStatus, rejectInvalidStatuses } from './response-status.js'
@@ -47,7 +47,7 @@
   }
 
   readonly #baseUrl: string
-  readonly #agent = new Agent({ connections: MAX_CONNECTIONS, pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) })
+  readonly #agent = new PoolAgent({ connections: MAX_CONNECTIONS, pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) })
   readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
--- a/packages/protocol/src/lib/platform-client.ts
+++ b/packages/protocol/src/lib/platform-client.ts
@@ -1,7 +1,7 @@
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import * as z from 'zod'
 import { endpointSchema, failure, success } from '@cyclamenthread/state'
-import { resettingConnect, withDeadline } from '@cyclamenthread/transport'
+import { PoolAgent, resettingConnect, withDeadline } from '@cyclamenthread/transport'
 import { createLeasedBody } from './leased-body.js'
 import { rejectInvalidStatuses } from './response-status.js'
 import type { Outcome, UsageTotal } from '@cyclamenthread/state'
@@ -84,7 +84,7 @@
  */
 export class PlatformClient {
   readonly #baseUrl: string
-  readonly #agent = new Agent({ connections: 4, pipelining: 1, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
+  readonly #agent = new PoolAgent({ connections: 4, pipelining: 1, connect: resettingConnect(CONNECT_TIMEOUT_MS) })
   readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
--- a/packages/protocol/src/lib/weight-store-client.ts
+++ b/packages/protocol/src/lib/weight-store-client.ts
@@ -1,6 +1,6 @@
-import { Agent, request } from 'undici'
+import { request } from 'undici'
 import * as z from 'zod'
-import { createConnector, withDeadline } from '@cyclamenthread/transport'
+import { createConnector, PoolAgent, withDeadline } from '@cyclamenthread/transport'
 import { rejectInvalidStatuses } from './response-status.js'
 
 /** Timeout for connecting to the store, in milliseconds; each call has a shorter deadline of its own. */
@@ -22,7 +22,7 @@
  */
 export class WeightStoreClient {
   readonly #baseUrl: string
-  readonly #agent = new Agent({ connections: 1, pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) })
+  readonly #agent = new PoolAgent({ connections: 1, pipelining: 1, connect: createConnector(CONNECT_TIMEOUT_MS) })
   readonly #client = this.#agent.compose(rejectInvalidStatuses)
 
   constructor (baseUrl: string) {
--- a/packages/transport/src/lib/recording-agent.ts
+++ b/packages/transport/src/lib/recording-agent.ts
@@ -1,13 +1,14 @@
-import { Agent, Client, Pool } from 'undici'
+import { Client } from 'undici'
 import { ConnectionRecord } from './connection-record.js'
-import type { Dispatcher, buildConnector } from 'undici'
+import { PoolAgent } from './pool-agent.js'
+import type { Dispatcher, Pool, buildConnector } from 'undici'
 import type { ExchangeOptions } from './exchange-hooks.js'
 
 /** Maximum number of requests on one connection, since their ids are kept as long as it is open. */
 const MAX_REQUESTS_PER_CONNECTION = 256
 
 /** Options of an agent that records what its connections carry. */
-export interface RecordingAgentOptions extends Omit<Agent.Options, 'connect' | 'factory' | 'pipelining'> {
+export interface RecordingAgentOptions extends Omit<Pool.Options, 'connect' | 'factory' | 'pipelining'> {
   readonly connect: buildConnector.connector
   /** Number of requests on a connection at a time; 0: a connection carries a single request. */
   readonly pipelining: 0 | 1
@@ -35,7 +36,7 @@
  * @example
  * const client = createRecordingAgent({ connect: resettingConnect(400), pipelining: 1 }).compose(runExchangeHooks)
  */
-export function createRecordingAgent (options: RecordingAgentOptions): Agent {
+export function createRecordingAgent (options: RecordingAgentOptions): PoolAgent {
   const createClient = (origin: URL, clientOptions: object): Dispatcher => new RecordingClient(origin, clientOptions as RecordingAgentOptions)
-  return new Agent({ ...options, factory: (origin, poolOptions) => new Pool(origin, { ...poolOptions, factory: createClient }) })
+  return new PoolAgent({ ...options, factory: createClient })
 }
