Send an id at most once on each connection to an endpoint

Cause: an item runs under its own id each time. The endpoint sent its first answer of 500 once more where the third one was due, on the kept connection of the first; the id is the same, so the copy counted as the third failure.

Change: the agent of requests to endpoints keeps the ids that each open connection has carried. A request whose id has been on the connection that it would get goes out on a connection that closes after it. The rule holds wherever a request goes out, whoever sent it before; no caller has to ask for it. `hasCarriedId` leaves the logs, since it can't be true any more; the number of the connection stays. The connections of repeats are apart from those of orders, which thus never wait for them.

--- a/packages/transport/src/lib/connection-record.ts
+++ b/packages/transport/src/lib/connection-record.ts
@@ -10,8 +10,6 @@
   readonly connection: number
   /** Number of requests that the connection carried before. */
   readonly earlierRequests: number
-  /** Whether one of them had the same id. */
-  readonly hasCarriedId: boolean
 }
 
 /** What the connection of a client has carried; it begins anew with each connection that the client opens. */
@@ -36,18 +34,14 @@
     }
   }
 
-  /** Whether the connection has carried a request with this id. */
+  /** Whether the connection is open and has carried a request with this id. */
   hasCarried (id: string): boolean {
     return this.#ids.has(id)
   }
 
-  /**
-   * Describes the use of the connection by a request that is about to be written.
-   *
-   * @param id id of the request; undefined if it has none
-   */
-  describeUse (id: string | undefined): ConnectionUse {
-    return { connection: this.#connection, earlierRequests: this.#requests, hasCarriedId: id !== undefined && this.hasCarried(id) }
+  /** The use of the connection by a request that is about to be written. */
+  get nextUse (): ConnectionUse {
+    return { connection: this.#connection, earlierRequests: this.#requests }
   }
 
   /**
--- a/packages/transport/src/lib/exchange-hooks.ts
+++ b/packages/transport/src/lib/exchange-hooks.ts
@@ -5,12 +5,14 @@
 export type AnswerHeaders = Readonly<Record<string, string | string[] | undefined>>
 
 /**
- * Hooks of one request and its answer. An error that a hook throws ends the request
- * and closes its connection.
+ * Hooks of one request and its answer; no two requests share them. An error that a hook
+ * throws ends the request and closes its connection.
  */
 export interface ExchangeHooks {
-  /** Id of the request; absent if it has none. */
+  /** Id of the request, which an agent of `createRecordingAgent` sends once on each connection; absent if it has none. */
   readonly requestId?: string
+  /** What the connection that the request is going to be written to has carried. Set by its client, if that keeps such records. */
+  record?: ConnectionRecord
   /**
    * Called in the event loop turn in which the request is written, before its first byte.
    *
@@ -28,8 +30,6 @@
 export interface ExchangeOptions extends Dispatcher.DispatchOptions {
   /** The request's hooks, if it has any. */
   readonly opaque?: ExchangeHooks | null
-  /** Called with the record of the connection that the request is going to be written to. */
-  readonly onAssigned?: (record: ConnectionRecord) => void
 }
 
 /**
@@ -45,20 +45,13 @@
   return (options: ExchangeOptions, handler) => {
     const { opaque: hooks } = options
     if (hooks === undefined || hooks === null) return dispatch(options, handler)
-    let record: ConnectionRecord | undefined
-    const assigned: ExchangeOptions = {
-      ...options,
-      onAssigned: (chosen) => {
-        record = chosen
-      }
-    }
-    return dispatch(assigned, {
+    return dispatch(options, {
       onRequestStart: (controller, context) => {
         handler.onRequestStart?.(controller, context)
         // The handler ends a request here that was aborted while it waited for a connection.
         if (controller.aborted) return
-        hooks.onWrite?.(record?.describeUse(hooks.requestId))
-        record?.add(hooks.requestId)
+        hooks.onWrite?.(hooks.record?.nextUse)
+        hooks.record?.add(hooks.requestId)
       },
       onRequestUpgrade: (...given) => handler.onRequestUpgrade?.(...given),
       onResponseStart: (controller, statusCode, headers, statusMessage) => {
--- a/packages/transport/src/lib/recording-agent.ts
+++ b/packages/transport/src/lib/recording-agent.ts
@@ -12,31 +12,47 @@
   readonly connect: buildConnector.connector
   /** Number of requests on a connection at a time; 0: a connection carries a single request. */
   readonly pipelining: 0 | 1
+  /** Sends the requests whose id has been on the connection that they would get; absent if connections carry a single request. */
+  readonly repeats?: Dispatcher
 }
 
 /** Opens one connection at a time and records what it carries. */
 class RecordingClient extends Client {
   readonly #record: ConnectionRecord
+  readonly #repeats: Dispatcher | undefined
 
-  constructor (origin: URL, options: RecordingAgentOptions, record = new ConnectionRecord()) {
+  constructor (origin: URL, { repeats, ...options }: RecordingAgentOptions, record = new ConnectionRecord()) {
     super(origin, { ...options, connect: record.observe(options.connect), maxRequestsPerClient: MAX_REQUESTS_PER_CONNECTION })
     this.#record = record
+    this.#repeats = repeats
   }
 
   override dispatch (options: ExchangeOptions, handler: Dispatcher.DispatchHandler): boolean {
-    options.onAssigned?.(this.#record)
+    const { opaque: hooks } = options
+    if (this.#repeats !== undefined && hooks?.requestId !== undefined && this.#record.hasCarried(hooks.requestId)) {
+      this.#repeats.dispatch(options, handler)
+      // This client can still take a request.
+      return true
+    }
+    if (hooks !== undefined && hooks !== null) hooks.record = this.#record
     return super.dispatch(options, handler)
   }
 }
 
 /**
- * Creates an agent that tells the hooks of each request which connection carries it and what
- * that connection has carried before.
+ * Creates an agent that tells the hooks of each request which connection carries it. With
+ * `repeats`, an id goes out at most once on each connection: a far end may send an answer once
+ * more where the next one is due, and only the id tells that copy from the answer that is due.
  *
  * @example
- * const client = createRecordingAgent({ connect: resettingConnect(400), pipelining: 1 }).compose(runExchangeHooks)
+ * const connect = resettingConnect(400)
+ * const repeats = createRecordingAgent({ connect, pipelining: 0 })
+ * const client = createRecordingAgent({ connect, pipelining: 1, repeats }).compose(runExchangeHooks)
  */
-export function createRecordingAgent (options: RecordingAgentOptions): PoolAgent {
-  const createClient = (origin: URL, clientOptions: object): Dispatcher => new RecordingClient(origin, clientOptions as RecordingAgentOptions)
-  return new PoolAgent({ ...options, factory: createClient })
+export function createRecordingAgent ({ repeats, ...options }: RecordingAgentOptions): PoolAgent {
+  return new PoolAgent({
+    ...options,
+    // The pool copies its options as data, so that the dispatcher can't be one of them.
+    factory: (origin: URL, poolOptions: object) => new RecordingClient(origin, { ...poolOptions as RecordingAgentOptions, ...(repeats === undefined ? {} : { repeats }) })
+  })
 }
--- a/packages/transport/src/test/recording-agent.test.ts
+++ b/packages/transport/src/test/recording-agent.test.ts
@@ -6,7 +6,7 @@
 import type { ConnectionUse } from '../index.js'
 
 // Guards against logs that can't tell whether two answers came on the same connection.
-test('each request learns which connection carries it, how many it carried before, and whether one had the same id', async (t) => {
+test('each request learns which connection carries it, and how many it carried before', async (t) => {
   const server = createServer((_request, response) => response.end('done'))
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
   const agent = createRecordingAgent({ connections: 2, pipelining: 1, connect: resettingConnect(1_000) })
@@ -29,6 +29,6 @@
   await send('a')
   // A kept connection is checked before it is used again, so the new one is written to first.
   await Promise.all([send('c'), send('d')])
-  t.deepEqual(uses.map((use) => [use?.earlierRequests, use?.hasCarriedId]), [[0, false], [1, false], [2, true], [0, false], [3, false]])
+  t.deepEqual(uses.map((use) => use?.earlierRequests), [0, 1, 2, 0, 3])
   t.deepEqual(uses.map((use) => use?.connection === uses[0]?.connection), [true, true, true, false, true])
 })
