Remove the flag by which callers asked for a new connection

`needsNewConnection` made a call that isn't idempotent go back to an endpoint that rejected it on a connection of its own. Since no connection to an endpoint carries an id twice, that holds for each request without the flag.

--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -83,8 +83,6 @@
   readonly excluded: Set<string>
   /** Endpoints to which no connection could be opened. */
   readonly unreached: Set<string>
-  /** Endpoints that have stated that they did not run the call. */
-  readonly rejectedBy: Set<string>
   readonly openAttempts: Set<CallAttempt>
   /** Replies that were received and not processed yet. */
   readonly arrived: ReceivedReply[]
@@ -160,7 +158,6 @@
       refuseAt: startedAt + (call.deadline - startedAt) * MAX_WAIT_SHARE,
       excluded: new Set(),
       unreached: new Set(),
-      rejectedBy: new Set(),
       openAttempts: new Set(),
       arrived: [],
       wake: () => {},
@@ -335,7 +332,6 @@
       workspace: call.workspace,
       deadline: call.deadline,
       startBefore: startBefore === Infinity ? call.startBefore : Math.min(startBefore, call.startBefore ?? Infinity),
-      needsNewConnection: call.route.kind !== RouteKind.Idempotent && state.rejectedBy.has(record.entry.id),
       onWrite: (leftMs, use) => {
         attempt.written = { at: monotonicNow(), leftMs, use }
       },
@@ -471,7 +467,6 @@
       case EndpointReplyKind.NotRun:
         state.attempts -= 1
         state.rejections += 1
-        state.rejectedBy.add(attempt.record.entry.id)
         return undefined
       case EndpointReplyKind.NotSent:
         state.attempts -= 1
--- a/packages/protocol/src/lib/endpoint-port.ts
+++ b/packages/protocol/src/lib/endpoint-port.ts
@@ -20,8 +20,6 @@
   readonly deadline: number | undefined
   /** Time after which the request must not begin to be written, in milliseconds by the clock that counts suspends; undefined if it may be written at any time. */
   readonly startBefore: number | undefined
-  /** Whether the request must go out on a connection that has carried no other one, because this endpoint has answered it before: a late copy of that answer bears the same id. */
-  readonly needsNewConnection?: boolean
   /**
    * Called when the request is written.
    *
