A host that stops tries its writes again often

Cause: the delay between two attempts of a refused write grows to 2 s, so that the next attempt may come after the end of the host although the store takes writes again a second before. It shows each time with the random part of the delays set to a half, and not with 0 or 0.999.

Change: when a host begins to stop, the wait before the next attempt ends, and later ones take at most 200 ms.

--- a/packages/coordination/src/lib/result-lister.ts
+++ b/packages/coordination/src/lib/result-lister.ts
@@ -55,6 +55,8 @@
   readonly #onListed: (sampleId: string) => void
   /** Generation of each sample's text that this run has stored a part of, by sample id. */
   readonly #storedGenerations = new Map<string, symbol | undefined>()
+  /** Aborted when this host is about to stop. */
+  readonly #stopping = new AbortController()
   /** The write under way; see {@link commit} for its result. */
   #writing: Promise<number | undefined> | undefined
   #committedAt = -Infinity
@@ -95,7 +97,7 @@
     const generations = texts.map(({ sampleId }) => this.#generator.texts.get(sampleId)?.generation)
     const results = takeSegmentResults(this.#board.settledResults())
     const sentAt = suspendAwareNow()
-    const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS))
+    const status = await this.#context.store.append(this.#order.id, this.#progress, { writer: this.#context.writer, results, texts, ended: false }, deadlineAfter(APPEND_TIMEOUT_MS), this.#stopping.signal)
     this.#committedAt = monotonicNow()
     for (const [index, { sampleId, from, pieces }] of texts.entries()) {
       // Another writer may have taken the entry's place in the log.
@@ -110,6 +112,11 @@
     return status === AppendStatus.Failed ? undefined : sentAt
   }
 
+  /** Retries writes often from now on, also the one under way: this host is about to stop. */
+  expedite (): void {
+    this.#stopping.abort()
+  }
+
   /** Advances the samples whose results are in the log. */
   markListed (): void {
     for (const { id } of this.#progress.results.slice(this.#board.listed.size)) {
--- a/packages/coordination/src/lib/rollout-run.ts
+++ b/packages/coordination/src/lib/rollout-run.ts
@@ -156,6 +156,7 @@
   async flushResults (deadline: number): Promise<void> {
     const startedAt = monotonicNow()
     const settled = this.#board.settled.size
+    this.#lister.expedite()
     while (this.#board.settled.size > 0 && !this.isFinished && monotonicNow() < deadline) await untilDeadline(this.#commitResults(true), deadline)
     if (settled > 0) this.#context.log.record(LogEvent.RolloutFlushed, { requestId: this.order.id, settled, left: this.#board.settled.size, tookMs: Math.round(monotonicNow() - startedAt) })
   }
--- a/packages/coordination/src/lib/rollout-store.ts
+++ b/packages/coordination/src/lib/rollout-store.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { failure, isSilenceConclusive, rolloutOrderSchema, rolloutSegmentSchema, StoreSilence, success } from '@cyclamenthread/state'
 import { ExpectationKind, RolloutCreationStatus, rolloutKey, rolloutSegmentKey, StoreFailure, StorePurpose, WriteStatus } from '@cyclamenthread/protocol'
 import { deadlineAfter, monotonicNow, suspendAwareNow, toSuspendAware } from '@cyclamenthread/transport'
@@ -8,6 +9,9 @@
 import type { ObjectStore, StoreCall, StoredObject, WriteResult } from '@cyclamenthread/protocol'
 import type { EventLog } from './event-log.js'
 
+/** Maximum delay between two attempts of a write while this host stops, in milliseconds: a small part of the time that a host has for that. */
+const STOPPING_RETRY_MS = 200
+
 /** Timeout for one call of the store, in milliseconds: far above its usual response time, well below the time a trainer waits. */
 const CALL_TIMEOUT_MS = 1_200
 
@@ -140,8 +144,10 @@
    * Appends one entry and applies the entry that is then stored at its position.
    * A write without an answer is retried with the same entry until an entry is
    * stored there.
+   *
+   * @param stopping aborted when this host is about to stop: retries then come at once and often
    */
-  async append (id: string, progress: RolloutProgress, segment: RolloutSegment, deadline: number): Promise<AppendStatus> {
+  async append (id: string, progress: RolloutProgress, segment: RolloutSegment, deadline: number, stopping?: AbortSignal): Promise<AppendStatus> {
     const backoff = new Backoff(Math.random)
     const position = progress.segments
     while (monotonicNow() < deadline) {
@@ -152,7 +158,7 @@
         return AppendStatus.Applied
       }
       if (result.status === WriteStatus.Conflict) return await this.#resolveConflict(id, progress, segment, position, deadline)
-      await SYSTEM_CLOCK.sleep(backoff.nextDelayMs())
+      await pauseBeforeRetry(backoff.nextDelayMs(), stopping)
     }
     return AppendStatus.Failed
   }
@@ -203,3 +209,9 @@
   if (!found.ok) return failure(found.failure)
   return found.value === undefined ? success(undefined) : failure(StoreFailure.Malformed)
 }
+
+async function pauseBeforeRetry (delayMs: number, stopping: AbortSignal | undefined): Promise<void> {
+  if (stopping?.aborted === true) await SYSTEM_CLOCK.sleep(Math.min(delayMs, STOPPING_RETRY_MS))
+  // The wait ends early when the host begins to stop.
+  else await sleep(delayMs, undefined, stopping === undefined ? {} : { signal: stopping }).catch(() => {})
+}
