A request whose connection never opened was not sent

What callers could see: a call that isn't idempotent is answered with 502, though it was never sent, if the endpoint resets the connection before the host has seen it open. Endpoints reset connections beyond the number that they accept.

Cause: errors of `connect` other than a refusal or a timeout counted as if the request may have been sent; `connect` names the state of the connection at the time, ECONNRESET after a reset, EPIPE after a close in order and a reset.

Change: an error of the system call `connect` is one before sending.

--- a/packages/protocol/src/lib/failed-before-sending.ts
+++ b/packages/protocol/src/lib/failed-before-sending.ts
@@ -1,6 +1,9 @@
-/** Codes of errors that are thrown before a connection is used: it can't be opened, or the request can't be written at all. */
+/** Codes of errors that are thrown before a connection is used: it can't be opened in its time, or the request can't be written at all. */
 const CODES_BEFORE_SENDING: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'ERR_INVALID_URL', 'UND_ERR_INVALID_ARG'])
 
+/** System call by which a connection is opened. An error of it names the state of the connection, which may be over by then: refused, reset, or closed. */
+const OPENING_CALL = 'connect'
+
 /**
  * Whether a request failed before any byte was sent, so that it can't have had
  * an effect. All clients share this function: a wrong `true` would report a
@@ -9,6 +12,7 @@
  * @internal
  */
 export function failedBeforeSending (error: unknown): boolean {
-  const code = error instanceof Error && 'code' in error ? String(error.code) : ''
-  return CODES_BEFORE_SENDING.has(code)
+  if (!(error instanceof Error)) return false
+  const code = 'code' in error ? String(error.code) : ''
+  return CODES_BEFORE_SENDING.has(code) || ('syscall' in error && error.syscall === OPENING_CALL)
 }
