A watch that the store cuts off is no outage while the store answers

Cause: a watch that was cut off counted as a failed call. Each cut doubled the pause before the next watch, up to 2 s, and the change that was then found counted as one that an outage may have caused, so that the endpoint stayed in use for another 2.5 s.

Change: after a failed watch the mirror lists the objects at once.

--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -49,6 +49,11 @@
   readonly noticeMs: number
   /** Pause between a change and the next watch, so that changes in quick succession need only one call, in milliseconds. */
   readonly changePauseMs: number
+  /**
+   * Time for which the store has to be away before an entry of a living writer expires, in milliseconds; absent if a
+   * watch that fails counts as an outage in any case.
+   */
+  readonly lapseMs?: number
 }
 
 /**
@@ -225,7 +230,9 @@
         await SYSTEM_CLOCK.sleep(freshForMs)
         continue
       }
-      const current = this.#cursor === undefined ? await this.refresh() : await this.#watchOnce(this.#cursor)
+      let current = this.#cursor === undefined ? await this.refresh() : await this.#watchOnce(this.#cursor)
+      // The store may cut a waiting watch off while it serves all other calls.
+      if (!current && this.#mayBeServed) current = await this.refresh()
       if (this.#generation !== generation) return
       if (!current) this.#setConnected(false)
       if (current) this.#backoff.reset()
@@ -233,6 +240,11 @@
     }
   }
 
+  /** Whether a watch that failed proves no outage in which entries can have expired. */
+  get #mayBeServed (): boolean {
+    return this.#connected === true && this.ageMs < (this.#settings.lapseMs ?? 0)
+  }
+
   async #listObjects (): Promise<boolean> {
     const askedAt = readMoment()
     const answer = await this.#store.snapshot(this.#settings.prefix, { purpose: StorePurpose.Configuration, deadline: deadlineAfter(LIST_TIMEOUT_MS) })
