Replace a connection to another host that has gone silent

Cause: `PeerClient` kept a connection until it was closed, also while each call on it timed out, and each call that was written restarted its idle timeout.

Change: when a call times out and no byte has come for 1.5 s during which a reply was owed, later calls open another connection; the old one is reset once its calls have ended.

The new test on silence fails before and passes; 23 tests of the transport held.

--- a/packages/transport/src/lib/peer-client.ts
+++ b/packages/transport/src/lib/peer-client.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net'
 import { connect as connectTls } from 'node:tls'
-import { timeLeft } from './deadline.js'
+import { monotonicNow, timeLeft } from './deadline.js'
 import { encodeFrame, FrameReader } from './frame.js'
 import { certificateMatchesHost } from './peer-tls.js'
 import { createNonce, isValidProof, PeerSide, computeProof, FrameKind } from './peer-frame.js'
@@ -12,6 +12,12 @@
 /** Time after which an idle connection is closed, in milliseconds. A host talks to every other host, but not to all of them at once. */
 const IDLE_TIMEOUT_MS = 30_000
 
+/**
+ * Time without a byte from the other process, while it owes a reply, after which a call that times out ends the use of
+ * the connection, in milliseconds: longer than a process is held up by its own work.
+ */
+const SILENCE_MS = 1_500
+
 /** Why a call to another process failed. */
 export enum PeerFailure {
   /** The call was not sent. */
@@ -63,7 +69,10 @@
   #serverNonce: string | undefined
   #authenticated = false
   #nextId = 1
-  closed = false
+  /** Monotonic time of the first call that was sent after the last byte received, in milliseconds; undefined if there is none. */
+  #unansweredSince: number | undefined
+  /** Whether the connection gets no more calls: it is closed, or has gone silent. */
+  isRetired = false
 
   constructor (address: string, settings: PeerClientSettings, traffic: PeerTraffic, onClose: () => void) {
     this.#settings = settings
@@ -77,7 +86,7 @@
     this.#socket.on('error', () => this.#socket.destroy())
     this.#socket.on('close', () => {
       clearTimeout(connecting)
-      this.closed = true
+      this.isRetired = true
       onClose()
       this.#failPendingCalls()
     })
@@ -90,20 +99,26 @@
         return
       }
       const id = this.#nextId++
-      const timer = setTimeout(() => settle(this.#cancelCall(id)), timeLeft(call.deadline))
+      const timer = setTimeout(() => {
+        settle(this.#cancelCall(id))
+        // By then, what arrived while this process was held up has been read.
+        setImmediate(() => this.#retireIfSilent())
+      }, timeLeft(call.deadline))
       const onAbort = (): void => settle(this.#cancelCall(id))
       const settle = (reply: PeerReply): void => {
         clearTimeout(timer)
         call.signal?.removeEventListener('abort', onAbort)
         this.#pendingCalls.delete(id)
         resolve(reply)
+        this.#closeIfUnused()
       }
       call.signal?.addEventListener('abort', onAbort)
       this.#pendingCalls.set(id, settle)
       this.#afterHandshake(() => {
         if (!this.#pendingCalls.has(id)) return
         const sent = this.#trySend({ kind: FrameKind.Call, id, left: timeLeft(call.deadline), traceparent: call.traceparent, body: call.body })
-        if (!sent) settle({ ok: false, failure: PeerFailure.NotSent, detail: 'call exceeds the maximum frame size' })
+        if (sent) this.#unansweredSince ??= monotonicNow()
+        else settle({ ok: false, failure: PeerFailure.NotSent, detail: 'call exceeds the maximum frame size' })
       })
     })
   }
@@ -129,6 +144,7 @@
 
   #receiveChunk (chunk: Buffer): void {
     this.#traffic.bytesIn += chunk.length
+    this.#unansweredSince = undefined
     try {
       for (const value of this.#reader.push(chunk)) this.#handleFrame(value as PeerFrame)
     } catch {
@@ -167,6 +183,21 @@
     if (!this.#authenticated) this.#socket.destroy()
   }
 
+  /** Leaves later calls to a new connection if nothing has come on this one for long. */
+  #retireIfSilent (): void {
+    if (this.#unansweredSince === undefined || monotonicNow() - this.#unansweredSince < SILENCE_MS) return
+    this.isRetired = true
+    this.#closeIfUnused()
+  }
+
+  /** Resets a retired connection without calls: after a plain close, calls that were given up would still be delivered. */
+  #closeIfUnused (): void {
+    if (!this.isRetired || this.#pendingCalls.size > 0 || this.#socket.destroyed) return
+    // Node.js can't reset a TLS connection.
+    if (this.#settings.certificates === undefined) this.#socket.resetAndDestroy()
+    else this.#socket.destroy()
+  }
+
   #closeIfIdle (): void {
     if (this.#pendingCalls.size === 0) this.#socket.destroy()
   }
@@ -248,7 +279,7 @@
 
   #connectionTo (address: string): ClientConnection {
     const existing = this.#connections.get(address)
-    if (existing !== undefined && !existing.closed) return existing
+    if (existing?.isRetired === false) return existing
     const link = new ClientConnection(address, this.#settings, this.traffic, () => {
       if (this.#connections.get(address) === link) this.#connections.delete(address)
     })
