--- a/packages/protocol/src/lib/response-status.ts
+++ b/packages/protocol/src/lib/response-status.ts
@@ -70,7 +70,7 @@
  * error of undici instead; {@link isInvalidStatus} covers them.
  *
  * @example
- * const client = new Agent().compose(rejectInvalidStatuses)
+ * const client = new PoolAgent({ connect: createConnector(400) }).compose(rejectInvalidStatuses)
  */
 export function rejectInvalidStatuses (dispatch: Dispatcher['dispatch']): Dispatcher['dispatch'] {
   return (options, handler) => dispatch(options, {
--- a/packages/transport/src/lib/connector.ts
+++ b/packages/transport/src/lib/connector.ts
@@ -25,7 +25,7 @@
  *
  * @param timeoutMs timeout for opening a connection, in milliseconds
  * @example
- * const agent = new Agent({ connect: createConnector(400) })
+ * const agent = new PoolAgent({ connect: createConnector(400) })
  */
 export function createConnector (timeoutMs: number): buildConnector.connector {
   const open = buildConnector({ timeout: timeoutMs })
--- a/packages/transport/src/lib/exchange-hooks.ts
+++ b/packages/transport/src/lib/exchange-hooks.ts
@@ -38,7 +38,7 @@
  * known when it is written.
  *
  * @example
- * const client = new Agent().compose(runExchangeHooks)
+ * const client = new PoolAgent({ connect: createConnector(400) }).compose(runExchangeHooks)
  * await request(url, { dispatcher: client, opaque: { onWrite: () => { sentAt = performance.now() } } })
  */
 export function runExchangeHooks (dispatch: Dispatcher['dispatch']): Dispatcher['dispatch'] {
--- a/packages/transport/src/lib/resetting-connect.ts
+++ b/packages/transport/src/lib/resetting-connect.ts
@@ -24,7 +24,7 @@
  *
  * @param timeoutMs timeout for opening a connection, in milliseconds
  * @example
- * const agent = new Agent({ connect: resettingConnect(400) })
+ * const agent = new PoolAgent({ connect: resettingConnect(400) })
  */
 export function resettingConnect (timeoutMs: number): buildConnector.connector {
   const open = createConnector(timeoutMs)
