--- a/packages/coordination/src/lib/store-mirror.ts
+++ b/packages/coordination/src/lib/store-mirror.ts
@@ -240,7 +240,7 @@
     }
   }
 
-  /** Whether a watch that failed proves no outage in which entries can have expired. */
+  /** Whether the failure of a watch alone is no sign of an outage in which entries can have expired. */
   get #mayBeServed (): boolean {
     return this.#connected === true && this.ageMs < (this.#settings.lapseMs ?? 0)
   }
