--- a/packages/coordination/src/lib/call-task.ts
+++ b/packages/coordination/src/lib/call-task.ts
@@ -65,7 +65,7 @@
   readonly abort: AbortController
   readonly sentAt: number
   /** When the attempt was written, the time that it stated to be left, and the connection that carried it; undefined until then. */
-  written: { readonly at: number, readonly leftMs: number | undefined, readonly use: ConnectionUse | undefined } | undefined
+  written: { readonly at: number, readonly leftMs: number | undefined, readonly connectionUse: ConnectionUse | undefined } | undefined
 }
 
 /** The reply to one attempt. */
@@ -332,8 +332,8 @@
       workspace: call.workspace,
       deadline: call.deadline,
       startBefore: startBefore === Infinity ? call.startBefore : Math.min(startBefore, call.startBefore ?? Infinity),
-      onWrite: (leftMs, use) => {
-        attempt.written = { at: monotonicNow(), leftMs, use }
+      onWrite: (leftMs, connectionUse) => {
+        attempt.written = { at: monotonicNow(), leftMs, connectionUse }
       },
       signal: abort.signal
     })
@@ -452,7 +452,7 @@
       status: reply.kind === EndpointReplyKind.Answer || reply.kind === EndpointReplyKind.NotRun ? reply.status : undefined,
       detail: reply.kind === EndpointReplyKind.Broken ? reply.detail : undefined,
       ...describeBreak(reply),
-      ...attempt.written?.use
+      ...attempt.written?.connectionUse
     })
     switch (reply.kind) {
       case EndpointReplyKind.Answer: {
--- a/packages/coordination/src/lib/sample-generator.ts
+++ b/packages/coordination/src/lib/sample-generator.ts
@@ -378,7 +378,7 @@
       outcome: permit.permission,
       logAgeMs: permit.logAgeMs
     })
-    let use: ConnectionUse | undefined
+    let connectionUse: ConnectionUse | undefined
     const request: EndpointRequest = {
       endpoint: entry,
       requestId: sample.id,
@@ -389,8 +389,8 @@
       workspace: order.workspace,
       deadline: undefined,
       startBefore: Math.min(permit.startBefore, startBefore),
-      onWrite: (_leftMs, carriedBy) => {
-        use = carriedBy
+      onWrite: (_leftMs, use) => {
+        connectionUse = use
       },
       signal: abort.signal
     }
@@ -435,7 +435,7 @@
       events: result.events,
       tookMs: Math.round(result.tookMs),
       versions: text.versions,
-      ...use
+      ...connectionUse
     })
     this.#running.delete(sample.id)
     if (this.#stopped) return
--- a/packages/transport/src/lib/exchange-hooks.ts
+++ b/packages/transport/src/lib/exchange-hooks.ts
@@ -6,13 +6,13 @@
 
 /**
  * Hooks of one request and its answer; no two requests share them. An error that a hook
- * throws ends the request and closes its connection.
+ * throws ends the request; thrown by `onAnswer`, it closes the connection as well.
  */
 export interface ExchangeHooks {
   /** Id of the request, which an agent of `createRecordingAgent` sends once on each connection; absent if it has none. */
   readonly requestId?: string
-  /** What the connection that the request is going to be written to has carried. Set by its client, if that keeps such records. */
-  record?: ConnectionRecord
+  /** What the connection that the request is going to be written to has carried. Set by the client that gets the request, if it keeps such a record. */
+  connectionRecord?: ConnectionRecord
   /**
    * Called in the event loop turn in which the request is written, before its first byte.
    *
@@ -50,8 +50,9 @@
         handler.onRequestStart?.(controller, context)
         // The handler ends a request here that was aborted while it waited for a connection.
         if (controller.aborted) return
-        hooks.onWrite?.(hooks.record?.nextUse)
-        hooks.record?.add(hooks.requestId)
+        hooks.onWrite?.(hooks.connectionRecord?.nextUse)
+        // Not before: a hook that throws keeps the request from being written.
+        hooks.connectionRecord?.add(hooks.requestId)
       },
       onRequestUpgrade: (...given) => handler.onRequestUpgrade?.(...given),
       onResponseStart: (controller, statusCode, headers, statusMessage) => {
--- a/packages/transport/src/lib/pool-agent.ts
+++ b/packages/transport/src/lib/pool-agent.ts
@@ -34,6 +34,7 @@
     return pool.dispatch(options, handler)
   }
 
+  /** Waits for the requests under way and closes all connections. */
   override async close (): Promise<void> {
     await Promise.all([...this.#pools.values()].map(async (pool) => await pool.close()))
   }
--- a/packages/transport/src/lib/recording-agent.ts
+++ b/packages/transport/src/lib/recording-agent.ts
@@ -16,7 +16,13 @@
   readonly repeats?: Dispatcher
 }
 
-/** Opens one connection at a time and records what it carries. */
+/**
+ * Opens one connection at a time and records what it carries.
+ *
+ * Its pool gives it a request only while it has none, so the connection that is checked
+ * when a request is assigned is the one that the request is written to, or is closed by
+ * then, and a new one has carried nothing.
+ */
 class RecordingClient extends Client {
   readonly #record: ConnectionRecord
   readonly #repeats: Dispatcher | undefined
@@ -34,15 +40,16 @@
       // This client can still take a request.
       return true
     }
-    if (hooks !== undefined && hooks !== null) hooks.record = this.#record
+    if (hooks !== undefined && hooks !== null) hooks.connectionRecord = this.#record
     return super.dispatch(options, handler)
   }
 }
 
 /**
  * Creates an agent that tells the hooks of each request which connection carries it. With
- * `repeats`, an id goes out at most once on each connection: a far end may send an answer once
- * more where the next one is due, and only the id tells that copy from the answer that is due.
+ * `repeats`, an id goes out at most once on each connection, whoever sends it: a far end may
+ * send an answer once more where the next one is due, and only the id tells that copy from the
+ * answer that is due. Ids are those of requests with {@link runExchangeHooks}.
  *
  * @example
  * const connect = resettingConnect(400)
